--- a/src/willowpost/node/follower.py
+++ b/src/willowpost/node/follower.py
@@ -71,9 +71,9 @@
             return
         self._judge(now)
         self.polledAt = now
-        self._poll(sources[self.turn % len(sources)], now, plan)
+        self.poll(sources[self.turn % len(sources)], now, plan)
 
-    def _poll(self, address, now, plan):
+    def poll(self, address, now, plan):
         self.nonce += 1
         self.polls = {nonce: sent for nonce, sent in self.polls.items() if now - sent < 2 * SECOND}
         self.polls[self.nonce] = now
--- a/src/willowpost/proxy/node.py
+++ b/src/willowpost/proxy/node.py
@@ -4,6 +4,7 @@
 from willowpost.node.clerk import Clerk
 from willowpost.node.follower import Follower
 from willowpost.node.joiner import Joiner
+from willowpost.node.question import Question
 from willowpost.node.watch import Watch
 from willowpost.proxy.admission.shares import ShareOwner, ShareTaker
 from willowpost.proxy.admission.tokens import TokenOwner, TokenTaker
@@ -22,7 +23,8 @@
         tables = lambda: self.board.tables
         self.joiner = Joiner(card, tables, self.clerk)
         owner = ShareOwner(self.board, self.clerk)
-        self.controllers = [Follower(self.board, seeds), PictureKeeper(self.board, self.cache), self.clerk,
+        follower = Follower(self.board, seeds)
+        self.controllers = [follower, Question(self.board, follower), PictureKeeper(self.board, self.cache), self.clerk,
                             Watch(card, tables, self.clerk), self.joiner,
                             owner, ShareTaker(self.board), TokenOwner(self.board, owner), TokenTaker(self.board)]
 
--- a/src/willowpost/sim/fleet/rules.py
+++ b/src/willowpost/sim/fleet/rules.py
@@ -141,7 +141,18 @@
 
     # after each step of a proxy
 
+    def _whole(self, world, seat):
+        """What says that it knows all up to a moment must hold every layout accepted by then: the next read is answered from it."""
+        board = next((held for held in (getattr(seat.node, name, None) for name in ("proxy", "registry", "board")) if held is not None), None)
+        fresh = getattr(board, "freshAsOf", None)
+        if fresh is not None and self.layouts:
+            accepted, generation = max(((at, held) for at, held in self.layouts if at <= fresh - seat.clockBase), default=(0, 0), key=lambda held: held[1])
+            held = board.tables.layout["generation"]
+            self.say(held >= generation, f"{seat.address} calls itself whole as of t={fresh - seat.clockBase} with layout {held}, "
+                                         f"{generation} was accepted at t={accepted}")
+
     def __call__(self, world, seat, event, plan):
+        self._whole(world, seat)
         proxy = getattr(seat.node, "proxy", None)
         if proxy is None:
             return
