--- a/src/willowpost/consensus/replica/catchup.py
+++ b/src/willowpost/consensus/replica/catchup.py
@@ -64,7 +64,7 @@
 
     def _take_picture(self, text, plan):
         board, tables = self.board, tables_from(text)
-        if tables.slot <= board.tables.slot and board.founded:
+        if not self._newer(tables):
             return
         board.log, board.logFloor, board.turnedAt = {}, tables.slot, tables.slot
         board.take(tables)
@@ -72,6 +72,9 @@
         plan.records.clear()
         plan.note("catchup", "picture taken", slot=tables.slot)
 
+    def _newer(self, tables) -> bool:
+        return tables.slot > self.board.tables.slot or not self.board.founded
+
     def _furthest(self) -> int:
         return max((self.board.marks.get(identity, 0) for identity in self.board.members), default=0)
 
--- a/src/willowpost/node/board.py
+++ b/src/willowpost/node/board.py
@@ -41,6 +41,7 @@
     freshAsOf: int | None = None
     tail: tuple = ()
     seedCores: tuple = ()        # stores heard of from seeds, until the tables name them
+    draining: bool = False       # this process is about to end, as planned
 
     def age(self, now: int) -> int | None:
         return None if self.freshAsOf is None else now - self.freshAsOf
--- a/src/willowpost/node/follower.py
+++ b/src/willowpost/node/follower.py
@@ -96,7 +96,7 @@
         self.heardAt = now
         if news.picture:
             tables = tables_from(news.picture)
-            if tables.slot > board.tables.slot or not board.tables.epoch:
+            if self._newer(tables):
                 board.tables, board.tail = tables, ()
         tables, tail = board.tables, []
         for decision in news.decisions:
@@ -109,6 +109,9 @@
         elif news.decisions and board.tables.slot == news.slot:
             self.polledAt = now - POLL_EVERY    # more is waiting there
 
+    def _newer(self, tables):
+        return tables.slot > self.board.tables.slot or not self.board.tables.epoch
+
     def _tell(self, source, poll, now, plan):
         board = self.board
         age = board.age(now)
--- /dev/null
+++ b/src/willowpost/node/leaver.py
@@ -0,0 +1,68 @@
+"""A planned end: let the others hear of it, finish what is under way, leave the log, go."""
+from enum import Enum
+
+from willowpost.common.clock import MILLI, SECOND
+from willowpost.common.events import Asked, Tick
+from willowpost.common.plan import Plan
+
+
+class Stage(Enum):
+    SERVING = "serving"
+    DRAINING = "draining"      # still serves all, but says that it goes
+    FINISHING = "finishing"    # takes nothing new
+    LEAVING = "leaving"        # asks to be taken out of the log
+    GONE = "gone"
+
+
+NEXT = {
+    Stage.SERVING: {Stage.DRAINING},
+    Stage.DRAINING: {Stage.FINISHING},
+    Stage.FINISHING: {Stage.LEAVING},
+    Stage.LEAVING: {Stage.GONE},
+    Stage.GONE: set(),
+}
+
+DRAIN_SPAN = 3 * SECOND       # every proxy with a lease has heard of it by then, and every balancer that asks once a second
+FINISH_SPAN = 30 * SECOND
+LAST_BYTES = 100 * MILLI
+LEAVE_SPAN = 1_500 * MILLI
+
+
+class Leave:
+    """The platform wants this process to end."""
+
+
+class Leaver:
+    """Invariants: the stage only moves along NEXT; nothing new is refused before DRAIN_SPAN is over, and nothing under way
+    is given up before FINISH_SPAN is."""
+
+    def __init__(self, board, clerk, joiner):
+        self.board, self.card, self.clerk, self.joiner = board, board.card, clerk, joiner
+        self.stage = Stage.SERVING
+        self.since = 0
+        self.underway = lambda: 0      # () -> requests or calls not answered yet; set by who serves them
+
+    def step(self, event, now: int) -> Plan:
+        plan = Plan()
+        if isinstance(event, Leave) and self.stage is Stage.SERVING:
+            self.board.draining = True
+            self._move(Stage.DRAINING, now, plan)
+            plan.join(self.clerk.step(Asked(None, ({"op": "drain", "id": self.card.id, "incarnation": self.card.incarnation},)), now))
+        elif isinstance(event, Tick):
+            self._tick(now - self.since, now, plan)
+        return plan
+
+    def _tick(self, span, now, plan):
+        if self.stage is Stage.DRAINING and span >= DRAIN_SPAN:
+            self._move(Stage.FINISHING, now, plan)
+        elif self.stage is Stage.FINISHING and (span >= FINISH_SPAN or span >= LAST_BYTES and not self.underway()):
+            self.joiner.leaving = True
+            self._move(Stage.LEAVING, now, plan)
+            plan.join(self.clerk.step(Asked(None, ({"op": "leave", "id": self.card.id, "incarnation": self.card.incarnation},)), now))
+        elif self.stage is Stage.LEAVING and (span >= LEAVE_SPAN or self.card.id not in self.board.tables.daemons):
+            self._move(Stage.GONE, now, plan)
+
+    def _move(self, stage, now, plan):
+        assert stage in NEXT[self.stage]
+        self.stage, self.since = stage, now
+        plan.note("drain", stage.value, underway=self.underway())
--- a/src/willowpost/proxy/admission/buckets.py
+++ b/src/willowpost/proxy/admission/buckets.py
@@ -8,6 +8,7 @@
 from willowpost.proxy.board import ProxyBoard
 
 PER_PRESSER = 4.0
+FULL = float("inf")
 
 
 @dataclass(slots=True)
@@ -60,7 +61,10 @@
         fence = board.tables.fences.get(f"share/{name}", {}).get("fence")
         granted = grant.rate if grant is not None and now < grant.until and grant.fence == fence else 0.0
         rate = base_share(board, group, now) + granted
-        return let(self.buckets.setdefault(name, Bucket()).take(rate, max(1.0, rate * BURST_SECONDS), now))
+        if rate <= 0:
+            return Let.OUT
+        # A new life's bucket is full: since its former life's last request it had the time until it was ripe to fill.
+        return let(self.buckets.setdefault(name, Bucket(FULL)).take(rate, max(1.0, rate * BURST_SECONDS), now))
 
 
 class Ramp:
--- a/src/willowpost/proxy/admission/shares.py
+++ b/src/willowpost/proxy/admission/shares.py
@@ -19,6 +19,7 @@
 BURST_SECONDS = 0.25
 OVER = 1.1
 WINDOW = 5.0
+WHOLE_BELOW = 0.75
 
 
 def whole_rate(rate: float, pressers: int) -> float:
@@ -28,7 +29,7 @@
 
 def in_whole_tokens(group) -> bool:
     """So small that buckets at every presser would eat up the allowance: its owner hands out single tokens."""
-    return whole_rate(group.rate, len(group.pressers)) < group.rate / 2
+    return whole_rate(group.rate, len(group.pressers)) < WHOLE_BELOW * group.rate
 
 
 def base_share(board: ProxyBoard, group, now: int) -> float:
--- a/src/willowpost/proxy/board.py
+++ b/src/willowpost/proxy/board.py
@@ -26,11 +26,11 @@
 
     picture: WayPicture = field(default_factory=WayPicture)
     grants: dict = field(default_factory=dict)
+    reports: dict = field(default_factory=dict)     # origin -> (occupancy it reported, when)
     demand: dict = field(default_factory=dict)      # group -> tries since the last look
     joinedAt: int | None = None                     # when our own card was first seen in the tables
     emptiedAt: int | None = None                    # when our zone was first seen emptied
     coldSince: dict = field(default_factory=dict)   # origin -> when first seen cold here
-    draining: bool = False
 
     def ripe(self, now: int) -> bool:
         """By now every proxy with a lease counts us when it works out its base share."""
--- a/src/willowpost/proxy/front.py
+++ b/src/willowpost/proxy/front.py
@@ -8,14 +8,14 @@
 from willowpost.proxy.way.planner import RequestPlanner
 from willowpost.proxy.way.request import Request, ShedPlan, WritePlan
 from willowpost.proxy.way.tries import Shed
-from willowpost.shell.web import BodyTooLarge, QuietHandler, read_body, status_line
+from willowpost.shell.web import BodyTooLarge, CountingHandler, read_body, status_line
 
 HOST = re.compile(r"[A-Za-z0-9.-]{1,253}(:\d{1,5})?")
 SOUNDNESS = "/.wp/soundness"
 STATS = "/.wp/stats"
 
 
-class ProxyHandler(QuietHandler):
+class ProxyHandler(CountingHandler):
     """Invariant: a request framed in two ways is malformed, whatever it says."""
 
     framedTwice = False
@@ -37,14 +37,6 @@
         if not self.headers_sent:
             super().handle_error(kind, problem, trace)
 
-    def handle_one_response(self):
-        """Counts as under way until its last byte is out."""
-        self.server.application.underway += 1
-        try:
-            return super().handle_one_response()
-        finally:
-            self.server.application.underway -= 1
-
     def get_environ(self):
         environ = super().get_environ()
         environ["wp.target"] = self.path
--- a/src/willowpost/proxy/main.py
+++ b/src/willowpost/proxy/main.py
@@ -19,9 +19,6 @@
 from willowpost.shell.runner import Runner
 from willowpost.shell.web import WebServer
 
-DRAIN_SECONDS = 3.0       # every proxy with a lease has heard of it by then
-FINISH_SECONDS = 30.0
-
 
 class ProxyDaemon:
     def __init__(self, props, logs):
@@ -34,9 +31,10 @@
         stats = Counter()
         self.pool = ConnectionPool(self.clock)
         tries = Tries(self.board, self.clock, Allowance(self.board), Ramp(self.board), RetryBudget(self.board.proxies, self.clock.now()),
-                      OriginDraw(card.zone), SocketIo(self.pool, self.runner.want), stats)
+                      OriginDraw(card.zone, reports=lambda: self.board.reports), SocketIo(self.pool, self.runner.want), stats)
         carrier = Carrier(self.board, self.node.cache, self.clock, tries, stats)
         self.front = Front(self.board, self.clock, RequestPlanner(self.board, self.node.cache, self.clock), carrier, stats, logs)
+        self.node.leaver.underway = lambda: self.front.underway
         self.web = WebServer(props.http, self.front, ProxyHandler)
 
     def start(self) -> None:
@@ -54,20 +52,7 @@
             gevent.sleep(0.05)
 
     def stop(self) -> None:
-        """Say draining, let the others hear it, finish what is under way, leave."""
-        self.board.draining = True
-        card = self.board.card
-        self.logs.say("drain", "draining", underway=self.front.underway)
-        self.runner.ask({"op": "drain", "id": card.id, "incarnation": card.incarnation}, timeout=1.0)
-        gevent.sleep(DRAIN_SECONDS)
-        self.web.server.close()      # refused at once from here on, not left in a queue
-        for _ in range(int(FINISH_SECONDS / 0.05)):
-            if not self.front.underway:
-                break
-            gevent.sleep(0.05)
-        gevent.sleep(0.1)      # last bytes out
-        self.node.joiner.leaving = True
-        self.runner.ask({"op": "leave", "id": card.id, "incarnation": card.incarnation}, timeout=1.5)
+        self.runner.leave(self.web.server.close)
 
 
 class ProxyCommand(DaemonCommand):
--- a/src/willowpost/proxy/node.py
+++ b/src/willowpost/proxy/node.py
@@ -4,11 +4,13 @@
 from willowpost.node.clerk import Clerk
 from willowpost.node.follower import Follower
 from willowpost.node.joiner import Joiner
+from willowpost.node.leaver import Leaver
 from willowpost.node.question import Question
 from willowpost.node.watch import Watch
 from willowpost.proxy.admission.shares import ShareOwner, ShareTaker
 from willowpost.proxy.admission.tokens import TokenOwner, TokenTaker
 from willowpost.proxy.board import ProxyBoard
+from willowpost.proxy.origin.reports import Reports
 from willowpost.proxy.cache.store import CacheStore
 from willowpost.proxy.way.keeper import PictureKeeper
 
@@ -22,10 +24,11 @@
         self.clerk = Clerk(card.id, card.incarnation, self.board.cores, wall)
         tables = lambda: self.board.tables
         self.joiner = Joiner(card, tables, self.clerk)
+        self.leaver = Leaver(self.board, self.clerk, self.joiner)
         owner = ShareOwner(self.board, self.clerk)
         follower = Follower(self.board, seeds)
-        self.controllers = [follower, Question(self.board, follower), PictureKeeper(self.board, self.cache), self.clerk,
-                            Watch(card, tables, self.clerk), self.joiner,
+        self.controllers = [follower, Question(self.board, follower), PictureKeeper(self.board, self.cache), Reports(self.board), self.clerk,
+                            Watch(card, tables, self.clerk), self.joiner, self.leaver,
                             owner, ShareTaker(self.board), TokenOwner(self.board, owner), TokenTaker(self.board)]
 
     def step(self, event, now: int) -> Plan:
--- a/src/willowpost/proxy/way/picture.py
+++ b/src/willowpost/proxy/way/picture.py
@@ -28,7 +28,7 @@
 
     rate: float = 0.0
     rampSeconds: float = 10.0
-    pressers: tuple[str, ...] = ()      # proxies that may press this group
+    pressers: tuple[str, ...] = ()      # proxies that may press this group: shields if it has ways through them, edges if it has others
     origins: tuple[OriginCard, ...] = ()
 
 
@@ -59,8 +59,10 @@
         _, table, ways, groups = self.held
         emptied = {zone for zone, card in tables.zones.items() if card["empty"]}
         proxies = {name: card for name, card in tables.daemons.items() if card["kind"] == "proxy" and card["state"] != "lost"}
-        shields = {name: card["http"] for name, card in proxies.items()
-                   if card["role"] == "shield" and card["state"] == "up" and card["zone"] not in emptied}
+        byRole = {role: tuple(name for name, card in proxies.items() if card["role"] == role) for role in ("edge", "shield")}
+        shields = {name: proxies[name]["http"] for name in byRole["shield"]
+                   if proxies[name]["state"] == "up" and proxies[name]["zone"] not in emptied}
+        through = {way.group for way in ways if way.shield and way.cache}
         direct = {way.group for way in ways if not (way.shield and way.cache and set(way.methods) <= {"GET", "HEAD"})}
         inForce, paths = {}, {name: group.soundnessPath or "/" for name, group in groups.items()}
         for name, card in tables.origins.items():
@@ -70,7 +72,7 @@
                                Knock(paths.get(card["group"], "/"), card["token"]) if card.get("token") else None))
         bears = {name: sum(origin.rate for origin in origins) for name, origins in inForce.items()}
         cards = {name: GroupCard(min(group.rate, bears.get(name, group.rate)), group.rampSeconds,
-                                 tuple(proxies) if name in direct or not shields else tuple(shields),
+                                 (byRole["edge"] if name in direct or not shields else ()) + (byRole["shield"] if name in through else ()),
                                  tuple(inForce.get(name, ())))
                  for name, group in groups.items()}
         return WayPicture(tables.slot, tables.layout["generation"], table, MappingProxyType(cards),
--- a/src/willowpost/registry/beats.py
+++ b/src/willowpost/registry/beats.py
@@ -26,19 +26,18 @@
         self.probedAt: dict[str, int] = {}
         self.askedAt: dict[str, int] = {}
         self.lookedAt = 0
-        self.occupancy: dict[str, int] = {}
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
         match event:
-            case Received(_, Beat(origin, occupancy)):
-                self.heard[origin], self.occupancy[origin] = now, occupancy
+            case Received(_, Beat(origin)):
+                self.heard[origin] = now
                 self.failed.pop(origin, None)
             case ("beat", origin, occupancy):
-                self.heard[origin], self.occupancy[origin] = now, occupancy
+                self.heard[origin] = now
                 self.failed.pop(origin, None)
-                plan.sends += [(card["address"], Beat(origin, occupancy)) for name, card in self.board.live("registry").items()
-                               if name != self.board.card.id]
+                plan.sends += [(card["address"], Beat(origin, occupancy)) for kind in ("registry", "proxy")
+                               for name, card in self.board.live(kind).items() if name != self.board.card.id]
             case ("probed", origin, sound):
                 self.failed[origin] = 0 if sound else self.failed.get(origin, 0) + 1
                 if sound:
@@ -52,7 +51,7 @@
         tables = self.board.tables
         live = self.board.live("registry")
         names = set(live) | {self.board.card.id}
-        for held in (self.heard, self.seen, self.failed, self.probedAt, self.askedAt, self.occupancy):
+        for held in (self.heard, self.seen, self.failed, self.probedAt, self.askedAt):
             for origin in [origin for origin in held if origin not in tables.origins]:
                 del held[origin]
         groups = (tables.layout["tree"] or {}).get("groups", {})
--- a/src/willowpost/registry/front.py
+++ b/src/willowpost/registry/front.py
@@ -218,8 +218,8 @@
         return Answer(200, StatusPage().make(self.runner.node, self.runner.clock.now()))
 
     def soundness(self, call: Call) -> Answer:
-        sound = self.board.leased(self.runner.clock.now())
-        return Answer(200, {"sound": True}) if sound else shed(503, "no fresh news from the core")
+        sound = self.board.leased(self.runner.clock.now()) and not self.board.draining
+        return Answer(200, {"sound": True}) if sound else shed(503, "draining" if self.board.draining else "no fresh news from the core")
 
     def _accepted(self, op, answered) -> Answer:
         result = self.runner.ask(op, timeout=ACCEPT_SECONDS)
--- a/src/willowpost/registry/main.py
+++ b/src/willowpost/registry/main.py
@@ -9,7 +9,7 @@
 from willowpost.shell.mesh import split
 from willowpost.shell.program import DaemonCommand, run
 from willowpost.shell.runner import Runner
-from willowpost.shell.web import Router, WebServer
+from willowpost.shell.web import CountingHandler, Router, WebServer
 
 PROBE_SECONDS = 1.0
 
@@ -41,17 +41,16 @@
         clock = Clock()
         card = Card(f"{props.name}/registry", "registry", "core", props.name, props.zone, props.address, props.http, clock.wall())
         self.node = RegistryNode(card, props.seeds, clock.wall, Prober(self.runner).probe)
-        self.web = WebServer(props.http, Router(Front(self.runner, logs).routes(), logs))
+        router = Router(Front(self.runner, logs).routes(), logs, lambda: self.node.board.draining)
+        self.node.leaver.underway = lambda: router.underway
+        self.web = WebServer(props.http, router, CountingHandler)
 
     def start(self) -> None:
         self.runner.start(self.node)
         self.web.start()
 
     def stop(self) -> None:
-        self.web.stop(2)
-        self.node.joiner.leaving = True
-        card = self.node.board.card
-        self.runner.ask({"op": "leave", "id": card.id, "incarnation": card.incarnation}, timeout=1.5)
+        self.runner.leave(self.web.server.close)
 
 
 class RegistryCommand(DaemonCommand):
--- a/src/willowpost/registry/node.py
+++ b/src/willowpost/registry/node.py
@@ -4,6 +4,7 @@
 from willowpost.node.clerk import Clerk
 from willowpost.node.follower import Follower
 from willowpost.node.joiner import Joiner
+from willowpost.node.leaver import Leaver
 from willowpost.node.question import Question
 from willowpost.node.watch import Watch
 from willowpost.registry.beats import Beats
@@ -17,9 +18,10 @@
         self.clerk = Clerk(card.id, card.incarnation, self.board.cores, wall)
         tables = lambda: self.board.tables
         self.joiner = Joiner(card, tables, self.clerk)
+        self.leaver = Leaver(self.board, self.clerk, self.joiner)
         follower = Follower(self.board, seeds, tree=False)
         self.controllers = [follower, Question(self.board, follower), self.clerk, Watch(card, tables, self.clerk),
-                            self.joiner, Beats(self.board, self.clerk, probe)]
+                            self.joiner, self.leaver, Beats(self.board, self.clerk, probe)]
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
--- a/src/willowpost/shell/runner.py
+++ b/src/willowpost/shell/runner.py
@@ -7,10 +7,12 @@
 
 from willowpost.common.clock import Clock
 from willowpost.common.events import Asked, Tick
+from willowpost.node.leaver import Leave, Stage
 from willowpost.shell.mesh import Mesh
 
 TICK_SECONDS = 0.02
 BROKE_DOWN = 70
+STAGES = tuple(Stage)
 
 
 class Runner:
@@ -57,6 +59,14 @@
         finally:
             self.waiters.pop(token, None)
 
+    def leave(self, close) -> None:
+        """A planned end: close() is called when nothing new is to be taken; returns when the node may be let go."""
+        self.inbox.put(Leave())
+        for reached, then in ((Stage.FINISHING, close), (Stage.GONE, lambda: None)):
+            while STAGES.index(self.node.leaver.stage) < STAGES.index(reached):
+                gevent.sleep(TICK_SECONDS)
+            then()
+
     def _run(self):
         tickAt = 0
         while True:
--- a/src/willowpost/shell/web.py
+++ b/src/willowpost/shell/web.py
@@ -65,7 +65,9 @@
 class Router:
     """Invariant: routes is a table of (method, path parts, bodyMost, handler); "*" in a path is a param."""
 
-    def __init__(self, routes, logs):
+    def __init__(self, routes, logs, closing=lambda: False):
+        self.underway = 0
+        self.closing = closing           # () -> whether connections should not be kept
         self.routes = tuple((method, tuple(path.strip("/").split("/")), most, handler) for method, path, most, handler in routes)
         self.logs = logs
 
@@ -81,7 +83,7 @@
             answer = shed(500, "broke down")
         body = b"" if answer.value is None else json.dumps(answer.value).encode() + b"\n"
         start_response(status_line(answer.code), [("Content-Type", "application/json"), ("Content-Length", str(len(body))),
-                                                  *answer.headers])
+                                                  *answer.headers, *([("Connection", "close")] if self.closing() else [])])
         return [body]
 
     def _answer(self, environ):
@@ -118,6 +120,17 @@
         pass
 
 
+class CountingHandler(QuietHandler):
+    """Invariant: counts as under way until its last byte is out."""
+
+    def handle_one_response(self):
+        self.server.application.underway += 1
+        try:
+            return super().handle_one_response()
+        finally:
+            self.server.application.underway -= 1
+
+
 class WebServer:
     def __init__(self, address: str, application, handler=QuietHandler, most: int = 4096):
         self.server = WSGIServer(split(address), application, handler_class=handler, log=None, error_log=None, spawn=Pool(most))
--- a/src/willowpost/sim/fleet/rules.py
+++ b/src/willowpost/sim/fleet/rules.py
@@ -27,6 +27,7 @@
         self.emptied: dict[str, int] = {}
         self.outcomes: Counter = Counter()
         self.refusals: deque = deque()
+        self.dropped: list = []                   # requests whose connection was refused or broke
         self.presses: deque = deque()             # (moment, whether it is an extra try), as the origins saw them
         self.extras = 0                           # of them
         self.seenAsks: set = set()
@@ -97,6 +98,9 @@
             return
         began, edge, kind, path, user, write = asked
         self.outcomes[answer.status] += 1
+        if not answer.status:
+            self.dropped.append((self.world.time, source, path))
+            return
         headers = dict(answer.headers)
         if answer.status != 200:
             if write and headers.get("wp-outcome") == "not-run":
--- a/src/willowpost/sim/fleet/world.py
+++ b/src/willowpost/sim/fleet/world.py
@@ -4,6 +4,7 @@
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.layout.checker import LayoutChecker
 from willowpost.node.board import Card
+from willowpost.node.leaver import Leave, Stage
 from willowpost.proxy.way.request import Request
 from willowpost.sim.core import CoreWorld
 from willowpost.sim.fleet.messages import SimAnswer, SimCall, SimRequest
@@ -162,6 +163,23 @@
             self.traffic.emptied.pop(zone, None)
         self.operate(registry, {"op": "zone", "zone": zone, "empty": empty}, done)
 
+    def restart(self, address):
+        """A planned restart by the platform: asked to leave, waited for, started again."""
+        leaver = getattr(getattr(self.seats[address].node, "node", None), "leaver", None)
+        if leaver is None:                # a store may stop at any moment
+            self.crash(address)
+            self.at(SECOND, self.start, address)
+            return
+        self.give(address, Leave())
+        self.at(20 * MILLI, self._left, address, leaver)
+
+    def _left(self, address, leaver):
+        if leaver.stage is Stage.GONE:
+            self.crash(address)
+            self.at(SECOND, self.start, address)
+        else:
+            self.at(20 * MILLI, self._left, address, leaver)
+
     def sound_edges(self):
         """As the platform's balancer sees them: by their own word, if they answer."""
         return [edge for edge in self.edges if (seat := self.seats[edge]).node is not None and seat.frozenUntil <= self.time
--- /dev/null
+++ b/tests/test_draw.py
@@ -0,0 +1,65 @@
+"""The draw feels what origins report, and nobody's word draws a herd or does harm."""
+import unittest
+from collections import Counter
+from unittest.mock import patch
+
+from willowpost.proxy.origin.draw import OriginDraw
+from willowpost.proxy.origin.reports import REPORT_SPAN
+from willowpost.proxy.way.picture import OriginCard
+from willowpost.sim.fleet.world import FleetWorld
+from willowpost.sim.world import seconds
+
+
+def rushed(slow="apps1"):
+    """Three applications take 20 ms, one 400."""
+    world = FleetWorld(1, rate=300)
+    world.open()
+    world.run(seconds(4))
+    for name in world.origins:
+        world.seats[name].node.mode = "tired" if name == slow else "brisk"
+    return world
+
+
+def spread(world, span):
+    before = Counter({name: world.seats[name].node.served for name in world.origins})
+    world.run(seconds(span))
+    return Counter({name: world.seats[name].node.served for name in world.origins if name.startswith("apps")}) - before
+
+
+def part(counts, name="apps1"):
+    return counts[name] / counts.total()
+
+
+class Drawing(unittest.TestCase):
+    def test_a_slow_origin_is_drawn_less_and_found_again(self):
+        world = rushed()
+        with_reports = part(spread(world, 15))
+        with patch.object(OriginDraw, "_busier", lambda *args: {}):
+            without = part(spread(rushed(), 15))
+        self.assertLess(with_reports, 0.7 * without)
+        self.assertGreater(with_reports, 0)
+        world.seats["apps1"].node.mode = "brisk"
+        world.run(seconds(5))
+        self.assertGreater(part(spread(world, 10)), 0.15)
+
+    def test_liars_harm_nobody_but_themselves(self):
+        for lie, least, most in ((0, 0.15, 0.4), (1_000_000, 0.0, 0.3)):
+            with self.subTest(lie=lie):
+                world = rushed(slow=None)
+                world.seats["apps1"].node.lie = lie
+                self.assertTrue(least <= part(counts := spread(world, 10)) <= most, counts)
+                others = [counts[name] for name in ("apps0", "apps2", "apps3")]
+                self.assertLess(max(others), 1.6 * min(others))
+
+    def test_stale_reports_count_for_nothing_and_no_report_outweighs_silence(self):
+        cards = [OriginCard(name, name, "a", 100, 10, False) for name in "abc"]
+        draw = OriginDraw("a", reports=lambda: {"a": (90, 0), "b": (0, 0)})
+        self.assertEqual("a", draw.draw(cards, None, (), REPORT_SPAN)[-1].name)
+        firsts = Counter(draw.draw(cards, None, (), REPORT_SPAN)[0].name for _ in range(200))
+        self.assertGreater(min(firsts["b"], firsts["c"]), 50)     # the idle one draws no more than the silent one
+        lasts = Counter(draw.draw(cards, None, (), REPORT_SPAN + 1)[-1].name for _ in range(200))
+        self.assertGreater(min(lasts[name] for name in "abc"), 30)
+
+
+if __name__ == "__main__":
+    unittest.main()
