Calm storms at both deployments' peaks count refusals; settings are read again on a signal

A handful is ten, or one in five hundred of what was asked from the blow until all is whole again: each edge has some requests under way toward what is lost, of which a write may not be tried again. Causes: - a proxy that had been held lost came back "ripe" though nobody counted it yet: no base share (and the others had not made room). It is ripe 2 s after its card counts again, and calls itself sound only then; - a shield that had just come was used before it was ripe: edges wait half a second longer than it does; - a shield that was drawn last for a second dropped out of a request's list: it goes to the end now, and all three are listed.

SIGHUP: props are read again and checked; any finding keeps all old ones; seeds, log level and pace change live, the rest is named as needing a restart. Seeds swapped under a running and a restarting fleet, stores and a lost disk included: test_props.

--- a/src/willowpost/common/events.py
+++ b/src/willowpost/common/events.py
@@ -14,6 +14,14 @@
     pass
 
 
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """The process's props changed while it runs."""
+
+    seeds: tuple[str, ...]
+    pace: Any = None
+
+
 @dataclass(frozen=True, slots=True)
 class Asked:
     """Someone in this process wants `ops` in the log and waits under `token` (None: nobody waits)."""
--- a/src/willowpost/consensus/replica/founding.py
+++ b/src/willowpost/consensus/replica/founding.py
@@ -2,7 +2,7 @@
 import json
 from dataclasses import asdict
 
-from willowpost.common.events import Received, Tick
+from willowpost.common.events import Changed, Received, Tick
 from willowpost.common.plan import Plan
 from willowpost.consensus.replica.board import StoreBoard
 from willowpost.wire.messages import Ask, Founder, Hello, founders_of
@@ -26,6 +26,8 @@
     def step(self, event, now: int) -> Plan:
         plan = Plan()
         match event:
+            case Changed(seeds=seeds, pace=pace):
+                self.seeds, self.board.pace = tuple(seeds), pace or self.board.pace
             case Received(source, Hello() as hello):
                 self._hear(source, hello, plan)
             case Tick() if not self.board.founded and (self.saidAt < 0 or now - self.saidAt >= self.board.pace.hello):
--- a/src/willowpost/drill/tools.py
+++ b/src/willowpost/drill/tools.py
@@ -7,6 +7,7 @@
 
 from willowpost.common.clock import MILLI
 from willowpost.consensus.replica.board import Pace
+from willowpost.sim.fleet.calm import CalmStorm
 from willowpost.sim.fleet.storm import FleetStorm
 from willowpost.sim.pace import PaceMeasure
 from willowpost.sim.rules import Broken
@@ -72,7 +73,7 @@
 class SweepCommand(Command):
     name = "sweep"
     description = "Runs seeded storms in the simulator, and stops at the first that breaks a rule."
-    arguments = [argument("what", "core (stores only) or fleet (everything).")]
+    arguments = [argument("what", "core (stores only), fleet (everything), or calm (a deployment at its peak, hit by what it must bear).")]
     options = [option("first", None, "First seed.", flag=False, default="0"),
                option("count", "c", "How many seeds.", flag=False, default="50"),
                option("wide", "w", "Also one-way cuts, pair cuts, lossy links, purge storms, swapped seeds (fleet)."),
@@ -83,14 +84,15 @@
   <info>wpdrill sweep fleet --first 59 --count 1 --trace</info>"""
 
     def handle(self) -> int:
-        if self.argument("what") not in ("core", "fleet"):
-            self.line_error(json.dumps({"place": "what", "finding": "core or fleet"}))
+        if self.argument("what") not in ("core", "fleet", "calm"):
+            self.line_error(json.dumps({"place": "what", "finding": "core, fleet or calm"}))
             return 2
         held = json.loads((files("willowpost.deployments") / f"{self.option('deployment')}.json").read_text())
         far = {"regions": held["regions"], "between": held["between"]["ms"]}
         first, count, margin = int(self.option("first")), int(self.option("count")), {}
         for seed in range(first, first + count):
-            storm = CoreStorm(seed) if self.argument("what") == "core" else FleetStorm(seed, wide=self.option("wide"), **far)
+            storm = {"core": lambda: CoreStorm(seed), "fleet": lambda: FleetStorm(seed, wide=self.option("wide"), **far),
+                     "calm": lambda: CalmStorm(seed, self.option("deployment"))}[self.argument("what")]()
             try:
                 storm.run()
             except (Broken, AssertionError) as broken:
--- a/src/willowpost/node/follower.py
+++ b/src/willowpost/node/follower.py
@@ -1,6 +1,6 @@
 """Follows the log: from the zone's home, the next home, or the core itself; and tells those who follow us."""
 from willowpost.common.clock import MILLI, SECOND
-from willowpost.common.events import Received, Tick
+from willowpost.common.events import Changed, Received, Tick
 from willowpost.common.plan import Plan
 from willowpost.common.rendezvous import Rendezvous
 from willowpost.node.board import TAIL_KEPT, FollowBoard
@@ -45,6 +45,8 @@
                 plan.send(source, Hello(answer=False))     # who watches us knows more than we do, whatever became of the seeds
             case Received(source, Hello(answer=False)):
                 plan.send(source, Hello(founded=self.board.tables.epoch > 0, answer=True, known=founders_of(self.board.tables.core)))
+            case Changed(seeds=seeds):
+                self.seeds = tuple(seeds)
             case Tick():
                 self._tick(now, plan)
         return plan
--- a/src/willowpost/node/joiner.py
+++ b/src/willowpost/node/joiner.py
@@ -23,7 +23,8 @@
             return Plan()
         tables = self.tables()
         held = tables.daemons.get(self.card.id)
-        if not tables.epoch or (held is not None and held["incarnation"] == self.card.incarnation):
+        forgotten = held is not None and held["state"] == "lost" and self.card.id not in tables.doubts
+        if not tables.epoch or (held is not None and held["incarnation"] == self.card.incarnation and not forgotten):
             return Plan()
         self.askedAt = now
         card = asdict(self.card)
--- a/src/willowpost/proxy/board.py
+++ b/src/willowpost/proxy/board.py
@@ -6,6 +6,7 @@
 from willowpost.proxy.way.picture import WayPicture
 
 RIPE_AFTER = 2 * SECOND
+RIPE_SLACK = SECOND // 2      # we may have heard of it before it did
 ZONE_GRACE = 4 * SECOND
 
 
@@ -28,7 +29,8 @@
     grants: dict = field(default_factory=dict)
     reports: dict = field(default_factory=dict)     # origin -> (occupancy it reported, when)
     demand: dict = field(default_factory=dict)      # group -> tries since the last look
-    joinedAt: int | None = None                     # when our own card was first seen in the tables
+    joinedAt: int | None = None                     # since when our own card counts in the tables: there, of this life, not lost
+    shieldSince: dict = field(default_factory=dict) # (shield, incarnation) -> since when it is seen up
     emptiedAt: int | None = None                    # when our zone was first seen emptied
     coldSince: dict = field(default_factory=dict)   # origin -> when first seen cold here
 
@@ -36,6 +38,12 @@
         """By now every proxy with a lease counts us when it works out its base share."""
         return self.joinedAt is not None and now - self.joinedAt >= RIPE_AFTER
 
+    def ripe_shields(self, now: int) -> dict[str, str]:
+        """Those that have had the time to get ripe themselves; all, if there is none (as for one who has just come)."""
+        ripe = {name: address for name, address in self.picture.shields.items()
+                if now - self.shieldSince.get(self.tables.life(name), now) >= RIPE_AFTER + RIPE_SLACK}
+        return ripe or dict(self.picture.shields)
+
     def proxies(self) -> int:
         """All that have joined, also those held lost: they may be on their way back."""
         return sum(card["kind"] == "proxy" for card in self.tables.daemons.values())
--- a/src/willowpost/proxy/way/keeper.py
+++ b/src/willowpost/proxy/way/keeper.py
@@ -25,8 +25,9 @@
         emptied = tables.zones.get(board.card.zone, {}).get("empty", False)
         board.emptiedAt = None if not emptied else board.emptiedAt if board.emptiedAt is not None else now
         own = tables.daemons.get(board.card.id)
-        if own is not None and own["incarnation"] == board.card.incarnation:
-            board.joinedAt = board.joinedAt if board.joinedAt is not None else now
+        counted = own is not None and own["incarnation"] == board.card.incarnation and own["state"] != "lost"
+        board.joinedAt = None if not counted else board.joinedAt if board.joinedAt is not None else now
+        board.shieldSince = {life: board.shieldSince.get(life, now) for life in map(tables.life, board.picture.shields)}
         board.coldSince = {origin.name: board.coldSince.get(origin.name, now)
                            for group in board.picture.groups.values() for origin in group.origins if origin.cold}
         return plan
--- a/src/willowpost/proxy/way/planner.py
+++ b/src/willowpost/proxy/way/planner.py
@@ -2,7 +2,7 @@
 from willowpost.common.rendezvous import Rendezvous
 from willowpost.proxy.way.request import CachePlan, FetchPlan, Request, ShedPlan, WritePlan
 
-SHIELDS_TRIED = 2
+SHIELDS_TRIED = 3
 
 
 class RequestPlanner:
@@ -31,10 +31,11 @@
         entry = self.cache.find(request.host, request.target, request.headers) if cacheable else None
         if entry is not None and entry.fresh(now):
             return CachePlan(entry)
-        return FetchPlan(way, picture.slot, cacheable, self._shields(request, way, picture), entry, way.tries)
+        return FetchPlan(way, picture.slot, cacheable, self._shields(request, way, now), entry, way.tries)
 
-    def _shields(self, request, way, picture):
+    def _shields(self, request, way, now):
         if request.hop or not (way.shield and way.cache) or self.board.card.role != "edge":
             return ()
-        ranked = Rendezvous().rank(f"{request.host}{request.target}", picture.shields)[:SHIELDS_TRIED]
-        return tuple((name, picture.shields[name]) for name in ranked)
+        shields = self.board.ripe_shields(now)
+        ranked = Rendezvous().rank(f"{request.host}{request.target}", shields)[:SHIELDS_TRIED]
+        return tuple((name, shields[name]) for name in ranked)
--- a/src/willowpost/proxy/way/reads.py
+++ b/src/willowpost/proxy/way/reads.py
@@ -66,7 +66,7 @@
             if attempt and now >= deadline:
                 break
             # a silent one must leave time for the next; a shield needs time for a next of its own
-            shieldsLeft = [held for held in shieldsLeft if not self.tries.origins.ejected.get(held[0], 0) > now] or shieldsLeft
+            shieldsLeft.sort(key=lambda held: self.tries.origins.ejected.get(held[0], 0) > now)
             until = deadline if not more else now + int((deadline - now) * (SHIELD_PART if shieldsLeft else 1 / (more + 1)))
             try:
                 answer = self.tries.shield(request, plan, *shieldsLeft.pop(0), until, trace) if shieldsLeft \
--- a/src/willowpost/shell/logs.py
+++ b/src/willowpost/shell/logs.py
@@ -16,5 +16,8 @@
                                            static_fields={"program": program, "daemon": name}))
         self.logger.addHandler(handler)
 
+    def heed(self, level: str) -> None:
+        self.logger.setLevel(getattr(logging, level))
+
     def say(self, part: str, sentence: str, level: str = "info", **more) -> None:
         getattr(self.logger, level)(f"{part}: {sentence}", extra=more)
--- a/src/willowpost/shell/program.py
+++ b/src/willowpost/shell/program.py
@@ -8,8 +8,10 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
+from willowpost.common.events import Changed
 from willowpost.shell.logs import Logs
-from willowpost.shell.props import PropsReader
+from willowpost.shell.props import PropsReader, pace_of
+from willowpost.shell.reload import PropsReload
 
 
 class DaemonCommand(Command):
@@ -47,6 +49,8 @@
         stopped = gevent.event.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, stopped.set)
+        reload = PropsReload(self.option("props"), flags, self.needs, props, logs)
+        gevent.signal_handler(signal.SIGHUP, lambda: self._reload(reload, daemon, logs))
         daemon.start()
         logs.say("program", "started", address=props.address, http=props.http)
         stopped.wait()
@@ -54,6 +58,13 @@
         logs.say("program", "stopped")
         return 0
 
+    def _reload(self, reload, daemon, logs):
+        read = reload.step()
+        if read.is_ok():
+            props = read.unwrap()
+            logs.heed(props.level)
+            daemon.runner.inbox.put(Changed(tuple(props.seeds), pace_of(props)))
+
     def build(self, props, logs):
         raise NotImplementedError
 
--- a/src/willowpost/shell/props.py
+++ b/src/willowpost/shell/props.py
@@ -6,6 +6,9 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 from result import Err, Ok, Result
 
+from willowpost.common.clock import MILLI
+from willowpost.consensus.replica.board import Pace
+
 Address = Annotated[str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 
@@ -56,6 +59,10 @@
         return value
 
 
+def pace_of(props: DaemonProps) -> Pace:
+    return Pace(**{name: value * (1 if name in ("keep", "turn") else MILLI) for name, value in props.pace.model_dump().items()})
+
+
 def findings_of(error: ValidationError) -> list[dict]:
     return [{"place": "/".join(map(str, finding["loc"])) or "/", "finding": finding["msg"]} for finding in error.errors()]
 
--- a/src/willowpost/sim/core.py
+++ b/src/willowpost/sim/core.py
@@ -46,9 +46,12 @@
                 seat.disk.records = list(records)
             held = records[0]
             me = Founder(held["identity"], held["name"], held["zone"], held["address"])
-            return StoreNode(me, self.names[:3], size, records, now, wall, incarnation, self.pace, self.thresholds)
+            return StoreNode(me, self.seeds_of_stores(), size, records, now, wall, incarnation, self.pace, self.thresholds)
         return self.add(address, build, region)
 
+    def seeds_of_stores(self):
+        return self.names[:3]
+
     def add_caller(self, address, cores, region="one"):
         return self.add(address, lambda records, now, wall, incarnation:
                         Caller(address, cores, wall, incarnation), region)
--- a/src/willowpost/sim/fleet/day.py
+++ b/src/willowpost/sim/fleet/day.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from willowpost.common.clock import SECOND
-from willowpost.sim.fleet.world import EDGE_ZONES, FleetWorld
+from willowpost.sim.fleet.world import FleetWorld
 from willowpost.sim.world import seconds
 
 
@@ -35,7 +35,7 @@
         self.at(int(self.chance.expovariate(self.rate) * SECOND), self._call)
 
     def _weight(self, number):
-        turn = 2 * math.pi * (self.time / SECOND / self.period - number / len(EDGE_ZONES))
+        turn = 2 * math.pi * (self.time / SECOND / self.period - number / len(self.edges))
         return math.exp(self.sharp * math.cos(turn))
 
     def day(self, days: float = 1.0) -> DayFigures:
--- a/src/willowpost/sim/fleet/rules.py
+++ b/src/willowpost/sim/fleet/rules.py
@@ -19,6 +19,7 @@
         self.moved: dict = {}                     # (address, group) -> when first known to a registry
         self.replaced: dict[int, int] = {}        # version -> when the next one replaced it
         self.asked: dict[int, tuple] = {}
+        self.count = 0                            # of all asked ever
         self.runs: Counter = Counter()
         self.notRun: set[str] = set()
         self.layouts: list[tuple[int, int]] = []  # (accepted at, generation)
@@ -90,6 +91,7 @@
     # what callers see
 
     def asks(self, number, edge, kind, path, user, write):
+        self.count += 1
         self.asked[number] = (self.world.time, edge, kind, path, user, write)
 
     def at_caller(self, source, answer):
--- a/src/willowpost/sim/fleet/world.py
+++ b/src/willowpost/sim/fleet/world.py
@@ -10,47 +10,42 @@
 from willowpost.sim.fleet.messages import SimAnswer, SimCall, SimRequest
 from willowpost.sim.fleet.nodes import SimCaller, SimOrigin, SimProxy, SimRegistry
 from willowpost.sim.fleet.rules import TrafficRules
+from willowpost.sim.fleet.shape import SMALL
 from willowpost.sim.world import Weather, seconds
 
-CORE_ZONES = ("a", "b", "c", "d", "a")
-EDGE_ZONES = ("a", "b", "c", "d", "b")
-GROUPS = {"art": ("a", "b", "c", "d"), "apps": ("a", "b", "c", "d")}
-RATES = {"art": 240.0, "apps": 240.0}
-LAYOUT = {
-    "groups": {name: {"rate": rate, "rampSeconds": 4.0, "silentSeconds": 3.0} for name, rate in RATES.items()},
-    "props": {"deadlineMs": 2000, "tries": 3},
-    "branches": {
-        "art": {"path": "/art", "props": {"group": "art", "keepSeconds": 3.0}},
-        "seat": {"path": "/seat", "props": {"group": "apps", "cache": False, "shield": False}},
-        "rsvp": {"path": "/rsvp", "props": {"group": "apps", "methods": ["POST"], "shield": False}}},
-}
-
 
 class FleetWorld(CoreWorld):
     """Invariant: operators' answers, callers' answers and origins' logs all go through `traffic`, which checks them."""
 
-    def __init__(self, seed, weather=None, rate=60, regions=None, **core):
-        super().__init__(seed, weather or Weather(), zones=CORE_ZONES, regions=regions, **core)
+    def __init__(self, seed, weather=None, rate=None, regions=None, shape=SMALL, **core):
+        super().__init__(seed, weather or Weather(), zones=shape.cores, regions=regions, **core)
+        self.shape = shape
         self.number = 0
         self.calling = False
         self.polite: dict = {}
         self.seedNames: list = []
-        self.rate, self.keep, self.ramp, self.rates, self.coldPart = rate, 3, 4.0, RATES, 0.25
-        self.arrivals = {group: [] for group in GROUPS}      # when a request of its group came to an origin
+        self.rate, self.keep, self.ramp, self.coldPart = rate or shape.rate, shape.keep, shape.ramp, 0.25
+        self.rates = {name: float(group["rate"]) for name, group in shape.layout["groups"].items()}
+        self.shares = [kind.share for kind in shape.kinds]
+        self.groups = {kind.path: kind.group for kind in shape.kinds}
+        self.arrivals = {group: [] for group in self.rates}      # when a request of its group came to an origin
         self.tokened = lambda address: True       # which origins opt in to the knock
         self.traffic = TrafficRules(self)
         self.checks.append(self.traffic)
         self.proxySlots: dict = {}
         self.regions = regions or {}
-        self.registries = [self._registry(number, zone) for number, zone in enumerate(CORE_ZONES)]
-        self.edges = [self._proxy(f"e{number}", "edge", zone) for number, zone in enumerate(EDGE_ZONES)]
-        self.shields = [self._proxy(f"h{number}", "shield", zone) for number, zone in ((2, "c"), (3, "d"), (4, "a"))]
-        self.origins = [self._origin(f"{group}{number}", group, zone, 120.0)
-                        for group, zones in GROUPS.items() for number, zone in enumerate(zones)]
+        self.registries = [self._registry(number, zone) for number, zone in enumerate(shape.cores)]
+        self.edges = [self._proxy(f"e{number}", "edge", zone) for number, zone in enumerate(shape.edges)]
+        self.shields = [self._proxy(f"h{number}", "shield", shape.cores[number]) for number in shape.shields]
+        self.origins = [self._origin(f"{group}{number}", group, zone, rate)
+                        for group, members in shape.origins.items() for number, (zone, rate) in enumerate(members)]
         self.add("caller", lambda records, now, wall, incarnation: SimCaller(self, self.seats["caller"]))
-        self.layout = copy.deepcopy(LAYOUT)
+        self.layout = copy.deepcopy(shape.layout)
         self.generation = 0
 
+    def seeds_of_stores(self):
+        return getattr(self, "seedNames", None) or self.names[:3]
+
     def seeds(self, own):
         return [name for name in (self.seedNames or self.names[:3]) if name != own]
 
@@ -71,7 +66,7 @@
         return f"{seat.address}-life-{seat.life}" if self.tokened(seat.address) else ""
 
     def group_of(self, path):
-        return "art" if path.startswith("/art") else "apps"
+        return self.groups["/" + path.split("/")[1]]
 
     def _add(self, address, zone, build):
         self.add(address, build, self.regions.get(zone, "one"))
@@ -97,10 +92,11 @@
         """Every machine of a zone: stores with their registries, proxies and origins."""
         stores = [name for name in self.names if self.zones[name] == zone]
         stores = [name for name in stores if not self.seats[name].retired]
-        registries = [f"r{number}" for number, held in enumerate(CORE_ZONES) if held == zone]
-        proxies = [f"e{number}" for number, held in enumerate(EDGE_ZONES) if held == zone]
+        registries = [f"r{number}" for number, held in enumerate(self.shape.cores) if held == zone]
+        proxies = [f"e{number}" for number, held in enumerate(self.shape.edges) if held == zone]
         shields = [name for name in (f"h{held[1:]}" for held in registries) if name in self.seats]
-        origins = [f"{group}{number}" for group, zones in GROUPS.items() for number, held in enumerate(zones) if held == zone]
+        origins = [f"{group}{number}" for group, members in self.shape.origins.items()
+                   for number, (held, _) in enumerate(members) if held == zone]
         return stores + registries + proxies + shields + origins
 
     def open(self):
@@ -199,12 +195,12 @@
 
     def _one(self, edge):
         self.number += 1
-        drawn = self.chance.random()
-        write = f"w{self.number}" if drawn < 0.15 else ""
-        user = f"u{self.chance.randrange(5)}" if 0.15 <= drawn < 0.35 else ""
-        path = f"/rsvp/{self.number}" if write else f"/seat/{self.chance.randrange(20)}" if user else f"/art/{self.chance.randrange(40)}"
+        kind = self.chance.choices(self.shape.kinds, self.shares)[0]
+        write = f"w{self.number}" if kind.write else ""
+        user = f"u{self.chance.randrange(5)}" if kind.personal else ""
+        path = f"{kind.path}/{self.number if write else self.chance.randrange(kind.items)}"
         headers = {"x-ask": str(self.number), **({"authorization": user} if user else {})}
-        request = Request("POST" if write else "GET", "h.example", path, headers)
+        request = Request("POST" if write else "GET", self.shape.host, path, headers)
         self.traffic.asks(self.number, edge, "", path, user, write)
         self._post(self.seats["caller"], edge, SimCall(self.number, request, write))
 
@@ -223,11 +219,11 @@
             if seat.node is None and not seat.retired:
                 self.start(address)
         closed = self.time
-        for zone in sorted(set(CORE_ZONES)):      # an operator whose earlier answer was lost asks again
+        for zone in self.shape.zones:      # an operator whose earlier answer was lost asks again
             self.empty_zone(0, zone, False)
         whole = lambda: all(self._sound(self.seats[name]) for name in self.edges)
         self.run(seconds(2))
-        for zone in sorted(set(CORE_ZONES)):
+        for zone in self.shape.zones:
             self.empty_zone(0, zone, False)
         if not self.until(whole, seconds(span - 2)):
             self.traffic.say(False, f"service not back {span} s after the fault closed")
--- a/src/willowpost/state/apply/membership.py
+++ b/src/willowpost/state/apply/membership.py
@@ -13,12 +13,20 @@
               if other["address"] != card["address"] or name == card["id"]}
     known = tables.daemons.get(card["id"])
     if known is not None and known["incarnation"] == card["incarnation"]:
-        return tables, {"ok": True}
+        return _found_again(tables, known), {"ok": True}
     doubts = _forget(tables.doubts, {card["id"], *(tables.daemons.keys() - others.keys())})
     return replace(tables, daemons={**others, card["id"]: card}, doubts=doubts,
                    losses=_repaired(tables, card["name"], card["kind"])), {"ok": True}
 
 
+def _found_again(tables: Tables, card: dict) -> Tables:
+    """Who is held lost, but is doubted by nobody any more, need only say that it is there: its doubters may have ended."""
+    if card["state"] != DaemonState.LOST.value or card["id"] in tables.doubts:
+        return tables
+    return replace(tables, daemons={**tables.daemons, card["id"]: {**card, "state": DaemonState.UP.value}},
+                   losses=_repaired(tables, card["name"], card["kind"]))
+
+
 def leave(tables: Tables, op: dict):
     rest = {name: card for name, card in tables.daemons.items()
             if name != op["id"] or card["incarnation"] != op["incarnation"]}
--- a/src/willowpost/state/tables.py
+++ b/src/willowpost/state/tables.py
@@ -36,6 +36,9 @@
     losses: tuple = ()
     seen: dict = field(default_factory=dict)
 
+    def life(self, daemon: str) -> tuple[str, int]:
+        return daemon, self.daemons[daemon]["incarnation"]
+
     def text(self) -> str:
         return json.dumps({name.name: getattr(self, name.name) for name in fields(self)},
                           sort_keys=True, separators=(",", ":"))
--- a/src/willowpost/store/main.py
+++ b/src/willowpost/store/main.py
@@ -2,11 +2,11 @@
 import os
 import secrets
 
-from willowpost.common.clock import MILLI, Clock
-from willowpost.consensus.replica.board import Pace
+from willowpost.common.clock import Clock
 from willowpost.consensus.replica.records import identity_record
 from willowpost.shell.disk import Disk, DiskDamaged
 from willowpost.shell.program import DaemonCommand, run
+from willowpost.shell.props import pace_of
 from willowpost.shell.runner import Runner
 from willowpost.store.node import StoreNode
 from willowpost.wire.messages import Founder
@@ -38,8 +38,7 @@
             self.logs.say("disk", "empty: a new identity was made", identity=me.identity)
         held = records[0]
         me = Founder(held["identity"], props.name, props.zone, props.address)
-        pace = Pace(**{name: value * (1 if name in ("keep", "turn") else MILLI) for name, value in props.pace.model_dump().items()})
-        node = StoreNode(me, props.seeds, props.voters, records, clock.now(), clock.wall, clock.wall(), pace)
+        node = StoreNode(me, props.seeds, props.voters, records, clock.now(), clock.wall, clock.wall(), pace_of(props))
         self.logs.say("store", "restored", slot=node.board.tables.slot, epoch=node.board.tables.epoch)
         self.runner.start(node)
 
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -2,6 +2,7 @@
 import unittest
 from unittest.mock import patch
 
+from willowpost.common.clock import SECOND
 from willowpost.proxy.admission.shares import ShareTaker
 from willowpost.sim.fleet.day import DayWorld
 
@@ -12,6 +13,16 @@
         self.assertGreater(found.busiestPart, 0.7)
         self.assertLessEqual(found.refused, 5)
 
+    def test_an_owner_lost_while_the_day_moves_costs_a_handful(self):
+        world = DayWorld(1, 30, 200)
+
+        def lose():
+            owner = world.seats["r0"].node.registry.tables.fences["share/art"]["owner"].split("/")[0]
+            world.crash(owner)
+            world.at(8 * SECOND, world.start, owner)
+        world.at(20 * SECOND, lose)
+        self.assertLessEqual(world.day().refused, 12)
+
     def test_even_shares_would_not_do(self):
         ask = ShareTaker._ask
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -89,6 +89,19 @@
                 seat.node.step(Received("s1", ReadTell(nonce, other, seat.node.board.tables.slot + 9)), now)
         self.assertTrue(asked)
 
+    def test_a_lost_daemon_whose_doubters_ended_is_found_again(self):
+        """Wide fleet seeds 1 and 2: held lost by two, who were then restarted; nobody was left to take a doubt back."""
+        world = opened()
+        card = lambda: world.seats["r0"].node.registry.tables.daemons["e1/proxy"]
+        world.cut(["e1"], [name for name in world.seats if name != "e1"])
+        self.assertTrue(world.until(lambda: card()["state"] == "lost", seconds(6)))
+        for name in [name for name in world.seats if name not in ("e1", "caller", *world.origins)]:
+            world.crash(name)
+            world.start(name)
+        world.run(seconds(0.1))
+        world.heal()
+        self.assertTrue(world.until(lambda: "e1/proxy" in world.seats["r0"].node.registry.tables.daemons and card()["state"] == "up", seconds(10)))
+
     def test_a_new_epochs_first_slot_waits_for_the_former_voters(self):
         """Until n - f of the former voters hold the swap, a read by one who has not heard of it could miss it."""
         member = lambda name: {"identity": name, "name": name, "zone": name, "address": name}
--- /dev/null
+++ b/tests/test_props.py
@@ -0,0 +1,96 @@
+"""Settings that change: read again as a whole, live where they can be; and seeds swapped under a running fleet."""
+import io
+import json
+import os
+import tempfile
+import unittest
+
+from willowpost.common.events import Changed
+from willowpost.node.watch import watchers_of
+from willowpost.shell.logs import Logs
+from willowpost.shell.props import DaemonProps
+from willowpost.shell.reload import PropsReload
+from willowpost.sim.fleet.world import FleetWorld
+from willowpost.sim.world import seconds
+
+HELD = {"name": "edge-1", "zone": "a", "address": "127.0.0.1:7000", "http": "127.0.0.1:8000", "seeds": ["127.0.0.2:7000"]}
+
+
+class Reload(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path, self.said = os.path.join(folder.name, "props.json"), io.StringIO()
+        self.reload = PropsReload(self.path, {}, ("http",), DaemonProps(**HELD), Logs("wpproxy", "edge-1", stream=self.said))
+
+    def read(self, **changes):
+        with open(self.path, "w") as file:
+            json.dump({**HELD, **changes}, file)
+        return self.reload.step()
+
+    def last(self):
+        return json.loads(self.said.getvalue().strip().splitlines()[-1])
+
+    def test_what_can_change_live_does_and_the_rest_is_named_until_a_restart(self):
+        for _ in range(2):
+            props = self.read(seeds=["127.0.0.3:7000"], level="DEBUG", address="127.0.0.1:7001", zone="b").unwrap()
+            self.assertEqual((["127.0.0.3:7000"], "DEBUG", "127.0.0.1:7000", "a"), (props.seeds, props.level, props.address, props.zone))
+            self.assertEqual({"zone", "address"}, set(self.last()["needsRestart"]))
+        self.assertEqual([], self.last()["changed"])
+
+    def test_one_wrong_prop_keeps_all_the_old_ones_and_every_finding_is_told(self):
+        read = self.read(seeds=["127.0.0.3:7000"], level="LOUD", zone="B!", nonsense=1)
+        self.assertEqual({"level", "zone", "nonsense"}, {finding["place"] for finding in read.unwrap_err()})
+        self.assertEqual((HELD["seeds"], "ERROR"), (self.reload.held.seeds, self.last()["level"]))
+        with open(self.path, "w") as file:
+            file.write("{")
+        self.assertTrue(self.reload.step().is_err())
+        os.unlink(self.path)
+        self.assertTrue(self.reload.step().is_err())
+
+
+class SwappedSeeds(unittest.TestCase):
+    def test_a_daemon_whose_seeds_are_all_gone_joins_by_the_new_ones(self):
+        world = FleetWorld(8)
+        world.open()
+        world.crash("e1")
+        world.run(seconds(3))
+        world.seedNames = ["x1", "x2"]       # nobody is there
+        world.cut(["e1"], [name for name in world.seats if name != "e1"])     # nor does a watcher reach it
+        world.start("e1")
+        world.run(seconds(4))
+        board = world.seats["e1"].node.proxy
+        watchers = watchers_of("e1/proxy", world.seats["r0"].node.registry.tables.daemons)
+        helper = next(name for name in ("e0", "e2", "e3", "e4") if f"{name}/proxy" not in watchers)
+        world.cuts -= {("e1", helper), (helper, "e1")}      # it would answer, but e1 does not know of it
+        world.run(seconds(1))
+        self.assertEqual((0, ()), (board.tables.epoch, board.seedCores))
+        world.give("e1", Changed((helper,)))
+        world.run(seconds(1))
+        self.assertEqual(5, len(board.seedCores))
+        world.heal()
+        self.assertTrue(world.until(lambda: board.leased(world.now(world.seats["e1"])), seconds(3)))
+
+    def test_seeds_swapped_on_a_running_and_a_restarting_fleet_stores_included(self):
+        world = FleetWorld(8)
+        world.open()
+        layout = world.generation
+        for names in (["e0", "r4", "h2"], ["s3", "s4", "e2"], ["r1", "r2", "r3"]):
+            world.seedNames = names
+            for name in [*world.names, *world.registries, *world.edges, *world.shields]:
+                world.give(name, Changed(tuple(seed for seed in names if seed != name)))
+            for name in (*world.names, "r0", "e1", "h3"):
+                world.crash(name, loseDisk=name == "s2")
+                world.run(seconds(0.2))
+                world.start(name)
+            world.run(seconds(6))
+            self.assertEqual(5, sum(board.voter for _, board in world.boards()))
+            world.put_layout(1)
+            world.run(seconds(2))
+            layout += 1
+            self.assertEqual(layout, world.generation)
+        world.settle()
+
+
+if __name__ == "__main__":
+    unittest.main()
