--- a/src/willowpost/standin/callers.py
+++ b/src/willowpost/standin/callers.py
@@ -69,10 +69,13 @@
             wait = due - self.clock.now()
             if wait > 0:
                 gevent.sleep(wait / 1e6)
-            if self.sound:
-                self.pool.spawn(self._call, self.chance.choices(self.mix, self.weights)[0], self.chance.choice(self.sound))
+            self.pool.spawn(self._call, self.chance.choices(self.mix, self.weights)[0])
 
-    def _call(self, kind, edge):
+    def _call(self, kind):
+        """The edge is chosen when the call leaves: one that waited for its turn must not go by what was sound when it was due."""
+        if not self.sound:
+            return
+        edge = self.chance.choice(self.sound)
         self.counter += 1
         identity = f"w{self.counter}"
         item = min(int(self.chance.paretovariate(1.1)), kind["items"])
