--- a/tests/test_read_back.py
+++ b/tests/test_read_back.py
@@ -142,7 +142,6 @@
 
     def test_a_patch_that_only_an_older_layout_bears_is_refused(self):
         """Worked out from one generation while another came: the patched tree would undo it."""
-        front = self.calls.fronts[0]
         propose = Front._propose
 
         def raced(front, tree, wanted):
@@ -155,7 +154,6 @@
         with patch.object(Front, "_propose", raced):
             self.assertEqual(412, self.calls.call("PATCH", "/v1/layout", change).code)
         self.assertIn("late", self.calls.call("GET", "/v1/layout").value["layout"]["groups"])
-        self.assertIsNotNone(front)
 
     def test_without_the_checker_one_would_be_accepted(self):
         with patch("willowpost.registry.front.LayoutChecker.check_value", lambda self, held: type("Yes", (), {
