--- a/src/willowpost/common/events.py
+++ b/src/willowpost/common/events.py
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Changed:
-    """The process's props changed while it runs."""
+    """The process's settings changed while it runs."""
 
     seeds: tuple[str, ...]
     pace: Any = None
--- a/src/willowpost/common/plan.py
+++ b/src/willowpost/common/plan.py
@@ -6,11 +6,11 @@
 class Plan:
     """Invariant: all `records` are on disk and synced before any of `sends` or `replies` leaves.
 
-    `turn` holds the records of a new disk generation that replaces all before it.
+    `turn` holds the records of a new disk segment that replaces all before it.
     """
 
     records: list = field(default_factory=list)
-    turn: list | None = None
+    rotate: list | None = None
     sends: list = field(default_factory=list)     # (address, message)
     replies: list = field(default_factory=list)   # (token, result)
     notes: list = field(default_factory=list)     # (part, sentence, fields)
@@ -22,9 +22,9 @@
         self.notes.append((part, sentence, more))
 
     def join(self, other: "Plan") -> "Plan":
-        if other.turn is not None:
-            # a new generation holds all that was to be written before it
-            self.turn, self.records = other.turn, []
+        if other.rotate is not None:
+            # a new segment holds all that was to be written before it
+            self.rotate, self.records = other.rotate, []
         self.records += other.records
         self.sends += other.sends
         self.replies += other.replies
--- a/src/willowpost/layout/checker.py
+++ b/src/willowpost/configuration/checker.py
@@ -1,4 +1,4 @@
-"""Checks a layout as a whole: all findings, each with its place, or the layout as plain data."""
+"""Checks a configuration as a whole: all findings, each with its place, or the configuration as plain data."""
 import json
 from collections import Counter
 
@@ -6,9 +6,9 @@
 from result import Err, Ok, Result
 
 from willowpost.common.uncollected import uncollected
-from willowpost.layout.model import GROUP, LAYOUT
-from willowpost.layout.ways import DEPTH_MOST, WAYS_MOST, trunk_of, walk
-from willowpost.shell.props import findings_of
+from willowpost.configuration.model import SERVICE, CONFIGURATION
+from willowpost.configuration.routes import DEPTH_MOST, ROUTES_MOST, trunk_of, walk
+from willowpost.shell.settings import findings_of
 
 BYTES_MOST = 4 * 1024 * 1024
 
@@ -26,7 +26,7 @@
     return {name: value for name, value in held.items() if value is not None}
 
 
-class LayoutChecker:
+class ConfigurationChecker:
     """Invariant: only what comes back as Ok may be proposed to the log."""
 
     def read(self, body: bytes) -> Result[object, list[dict]]:
@@ -46,13 +46,13 @@
 
     def _judge(self, held):
         try:
-            layout = LAYOUT.validate_python(held)
+            configuration = CONFIGURATION.validate_python(held)
         except ValidationError as error:
             return Err(findings_of(error))
         except RecursionError:
             return Err([{"place": "/", "finding": "nested too deep"}])
-        tree = {"props": {}, "branches": {}, **layout, "groups": {name: GROUP | _said(group) for name, group in layout["groups"].items()},
-                "limits": _said(layout.get("limits") or {})}
+        tree = {"settings": {}, "branches": {}, **configuration, "services": {name: SERVICE | _said(service) for name, service in configuration["services"].items()},
+                "limits": _said(configuration.get("limits") or {})}
         findings = list(self._whole(tree))
         return Err(findings) if findings else Ok(tree)
 
@@ -61,28 +61,28 @@
 
     def _whole(self, tree):
         branches = list(walk(tree))
-        if len(branches) > WAYS_MOST:
-            yield {"place": "branches", "finding": f"more than {WAYS_MOST} branches"}
+        if len(branches) > ROUTES_MOST:
+            yield {"place": "branches", "finding": f"more than {ROUTES_MOST} branches"}
         places = {}
-        yield from self._targets("", tree["props"], tree["groups"])
-        for place, depth, host, path, props, branch in branches:
+        yield from self._targets("", tree["settings"], tree["services"])
+        for place, depth, host, path, settings, branch in branches:
             if depth > DEPTH_MOST:
                 yield {"place": place, "finding": f"deeper than {DEPTH_MOST} branches"}
-            yield from self._targets(f"{place}/", branch.get("props") or {}, tree["groups"])
-            if path is not None and props.get("group") is None and not branch.get("branches"):
-                yield {"place": place, "finding": "a way without a group"}
+            yield from self._targets(f"{place}/", branch.get("settings") or {}, tree["services"])
+            if path is not None and settings.get("service") is None and not branch.get("branches"):
+                yield {"place": place, "finding": "a way without a service"}
             if path is None and not branch.get("branches"):
                 yield {"place": place, "finding": "a leaf without a path"}
-            if path is not None and props.get("group"):
+            if path is not None and settings.get("service"):
                 first = places.setdefault((host, trunk_of(path)), place)
-                ownPlace = branch.get("path") is not None or branch.get("host") is not None
-                if first != place and ownPlace:
+                own_place = branch.get("path") is not None or branch.get("host") is not None
+                if first != place and own_place:
                     yield {"place": place, "finding": f"the same host and path as {first}"}
 
-    def _targets(self, place, props, groups):
-        """Where these props themselves send requests: each finding stands where the group is said."""
-        if props.get("group") is not None and props["group"] not in groups:
-            yield {"place": f"{place}props/group", "finding": f"no group {props['group']}"}
-        for number, part in enumerate(props.get("split") or ()):
-            if part["group"] not in groups:
-                yield {"place": f"{place}props/split/{number}/group", "finding": f"no group {part['group']}"}
+    def _targets(self, place, settings, services):
+        """Where these settings themselves send requests: each finding stands where the service is said."""
+        if settings.get("service") is not None and settings["service"] not in services:
+            yield {"place": f"{place}settings/service", "finding": f"no service {settings['service']}"}
+        for number, part in enumerate(settings.get("split") or ()):
+            if part["service"] not in services:
+                yield {"place": f"{place}settings/split/{number}/service", "finding": f"no service {part['service']}"}
--- a/src/willowpost/consensus/kinds.py
+++ b/src/willowpost/consensus/kinds.py
@@ -2,7 +2,7 @@
 from enum import Enum, IntEnum
 
 
-class Ballot(IntEnum):
+class BallotValue(IntEnum):
     ZERO = 0      # forfeit the slot
     ONE = 1       # take the majority proposal
     UNSURE = 2    # the paper's "?"
--- a/src/willowpost/consensus/replica/acceptance.py
+++ b/src/willowpost/consensus/replica/acceptance.py
@@ -3,7 +3,7 @@
 
 from willowpost.common.events import Received
 from willowpost.common.plan import Plan
-from willowpost.consensus.replica.board import StoreBoard
+from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.state.apply import answer_of
 from willowpost.wire.messages import Accepted, Submit
 
@@ -13,8 +13,8 @@
 class Acceptance:
     """Invariant: Accepted leaves only when n - f members hold every slot up to the command's on disk."""
 
-    def __init__(self, board: StoreBoard):
-        self.board = board
+    def __init__(self, node_state: ReplicaState):
+        self.node_state = node_state
         self.waiting: dict[str, tuple] = {}     # key -> (command, source)
 
     def step(self, event, now: int) -> Plan:
@@ -27,7 +27,7 @@
         return plan
 
     def _answer(self, plan):
-        safe = self.board.safe()
+        safe = self.node_state.safe()
         ready = [(command, source, answer) for command, source in self.waiting.values()
                  for answer in (self._outcome(command),) if answer is not None and answer[0] < safe]
         for command, source, (slot, answers) in ready:
@@ -35,10 +35,10 @@
             plan.send(source, Accepted(command.key, slot, json.dumps(answers)))
 
     def _outcome(self, command):
-        board = self.board
-        if not board.is_decided(command):
+        node_state = self.node_state
+        if not node_state.is_decided(command):
             return None
-        held = board.tables.seen[command.daemon]
+        held = node_state.tables.seen[command.daemon]
         if held["incarnation"] > command.incarnation:
-            return board.tables.slot - 1, {"barred": held["incarnation"]}
-        return answer_of(board.tables, command) or (board.tables.slot - 1, None)
+            return node_state.tables.slot - 1, {"barred": held["incarnation"]}
+        return answer_of(node_state.tables, command) or (node_state.tables.slot - 1, None)
--- a/src/willowpost/consensus/replica/compaction.py
+++ b/src/willowpost/consensus/replica/compaction.py
@@ -1,22 +1,22 @@
-"""Lets go of decisions that n - f replicas hold, and writes a picture in their place."""
+"""Lets go of decisions that n - f replicas hold, and writes a snapshot in their place."""
 from willowpost.common.events import Tick
 from willowpost.common.plan import Plan
-from willowpost.consensus.replica.board import StoreBoard
+from willowpost.consensus.replica.replica_state import ReplicaState
 
 
 class Compaction:
     """Invariant: no decision is dropped before n - f members hold it synced."""
 
-    def __init__(self, board: StoreBoard):
-        self.board = board
+    def __init__(self, node_state: ReplicaState):
+        self.node_state = node_state
 
     def step(self, event, now: int) -> Plan:
-        plan, board = Plan(), self.board
-        if not isinstance(event, Tick) or not board.founded or board.tables.slot - board.turnedAt < board.pace.turn:
+        plan, node_state = Plan(), self.node_state
+        if not isinstance(event, Tick) or not node_state.bootstrapped or node_state.tables.slot - node_state.rotated_at < node_state.pace.rotate:
             return plan
-        floor = max(board.logFloor, min(board.safe(), board.tables.slot - board.pace.keep))
-        board.log = {slot: decision for slot, decision in board.log.items() if slot >= floor}
-        board.logFloor, board.turnedAt = floor, board.tables.slot
-        plan.turn = board.generation()
-        plan.note("compaction", "picture written", slot=board.tables.slot, floor=floor)
+        floor = max(node_state.log_floor, min(node_state.safe(), node_state.tables.slot - node_state.pace.keep))
+        node_state.log = {slot: decision for slot, decision in node_state.log.items() if slot >= floor}
+        node_state.log_floor, node_state.rotated_at = floor, node_state.tables.slot
+        plan.rotate = node_state.segment()
+        plan.note("compaction", "snapshot written", slot=node_state.tables.slot, floor=floor)
         return plan
--- a/src/willowpost/consensus/replica/voting.py
+++ b/src/willowpost/consensus/replica/voting.py
@@ -3,71 +3,71 @@
 
 from willowpost.common.events import Received, Tick
 from willowpost.common.plan import Plan
-from willowpost.consensus.replica.board import StoreBoard
-from willowpost.consensus.replica.records import stance_record
+from willowpost.consensus.replica.replica_state import ReplicaState
+from willowpost.consensus.replica.records import ballot_state_record
 from willowpost.consensus.weakmvc import Verdict, WeakMvc, agreed_proposal
-from willowpost.wire.messages import Ask, Decision, Forward, Stance, Submit, Tell
+from willowpost.wire.messages import Ask, Decision, Forward, BallotState, Submit, Tell
 
 EARLY_MOST = 64
 
 
 class Voting:
-    """Invariant: a stance leaves only in a plan that first writes it (or in a later one)."""
+    """Invariant: a ballot state leaves only in a plan that first writes it (or in a later one)."""
 
-    def __init__(self, board: StoreBoard):
-        self.board = board
+    def __init__(self, node_state: ReplicaState):
+        self.node_state = node_state
         self.mvc = WeakMvc()
-        self.sentAt = 0
-        self.askedAt = 0
+        self.sent_at = 0
+        self.asked_at = 0
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
         match event:
-            case Received(_, Stance() as stance):
-                self._hear(event.source, stance, now, plan)
+            case Received(_, BallotState() as ballot_state):
+                self._hear(event.source, ballot_state, now, plan)
             case Received(_, Forward(command)) | Received(_, Submit(command)):
                 self._pend(event, command, now, plan)
-            case Received(_, Tell(command=command)) if command is not None and not self.board.is_decided(command):
-                self.board.queue.push(command, now)
+            case Received(_, Tell(command=command)) if command is not None and not self.node_state.is_decided(command):
+                self.node_state.queue.push(command, now)
             case Tick():
                 self._resend(now, plan)
         self._pump(now, plan)
         return plan
 
     def _pend(self, event, command, now, plan):
-        board = self.board
-        if board.is_decided(command) or not board.queue.push(command, now):
+        node_state = self.node_state
+        if node_state.is_decided(command) or not node_state.queue.push(command, now):
             return
         if isinstance(event.message, Submit):
-            plan.sends += [(address, Forward(command)) for address in board.others()]
-
-    def _hear(self, source, stance, now, plan):
-        board, slot = self.board, self.board.tables.slot
-        if stance.command is not None and not board.is_decided(stance.command):
-            board.queue.push(stance.command, now)
-        if stance.identity in board.members:
-            board.hear_mark(stance.identity, stance.slot)
-        if stance.slot > slot and stance.slot < slot + EARLY_MOST:
-            self._merge(board.early.setdefault(stance.slot, {}), stance)
-        elif stance.slot == slot and stance.identity in board.members and stance.epoch == board.tables.epoch:
-            if not board.heard:
-                board.heardSince = now
-            self._merge(board.heard, stance)
-
-    def _merge(self, held, stance):
-        known = held.get(stance.identity)
-        if known is None or len(stance.states) + len(stance.votes) > len(known.states) + len(known.votes):
-            held[stance.identity] = replace(stance, command=None)
+            plan.sends += [(address, Forward(command)) for address in node_state.others()]
+
+    def _hear(self, source, ballot_state, now, plan):
+        node_state, slot = self.node_state, self.node_state.tables.slot
+        if ballot_state.command is not None and not node_state.is_decided(ballot_state.command):
+            node_state.queue.push(ballot_state.command, now)
+        if ballot_state.identity in node_state.members:
+            node_state.hear_synced_index(ballot_state.identity, ballot_state.slot)
+        if ballot_state.slot > slot and ballot_state.slot < slot + EARLY_MOST:
+            self._merge(node_state.early.setdefault(ballot_state.slot, {}), ballot_state)
+        elif ballot_state.slot == slot and ballot_state.identity in node_state.members and ballot_state.epoch == node_state.tables.epoch:
+            if not node_state.heard:
+                node_state.heard_since = now
+            self._merge(node_state.heard, ballot_state)
+
+    def _merge(self, held, ballot_state):
+        known = held.get(ballot_state.identity)
+        if known is None or len(ballot_state.states) + len(ballot_state.votes) > len(known.states) + len(known.votes):
+            held[ballot_state.identity] = replace(ballot_state, command=None)
 
     def _pump(self, now, plan):
-        while self.board.voter and self._advance(now, plan):
+        while self.node_state.voter and self._advance(now, plan):
             pass
 
     def _advance(self, now, plan) -> bool:
-        board = self.board
-        if board.own is None:
+        node_state = self.node_state
+        if node_state.own is None:
             return self._propose(now, plan)
-        moved = self.mvc.step(board.own, board.heard, board.limits)
+        moved = self.mvc.step(node_state.own, node_state.heard, node_state.limits)
         if isinstance(moved, Verdict):
             return self._decide(moved, now, plan)
         if moved is None:
@@ -76,84 +76,84 @@
         return True
 
     def _propose(self, now, plan) -> bool:
-        board = self.board
+        node_state = self.node_state
         if not self._opened(plan):
             return False
-        head = board.queue.head(board.is_decided)
-        strangers = [stance for identity, stance in board.heard.items() if identity != board.me.identity]
+        head = node_state.queue.head(node_state.is_decided)
+        strangers = [ballot_state for identity, ballot_state in node_state.heard.items() if identity != node_state.me.identity]
         if head is None and not strangers:
             return False
-        if head is None and now - board.heardSince < board.pace.resend:
+        if head is None and now - node_state.heard_since < node_state.pace.resend:
             self._fetch(strangers, now, plan)
             return False
-        if head is not None and not strangers and now - board.queue.since[head.key] < board.pace.freeze:
+        if head is not None and not strangers and now - node_state.queue.since[head.key] < node_state.pace.freeze:
             return False
-        stance = Stance(board.me.identity, board.tables.epoch, board.tables.slot,
+        ballot_state = BallotState(node_state.me.identity, node_state.tables.epoch, node_state.tables.slot,
                         head.key if head else "", head)
-        self._stand(stance, now, plan, first=True)
+        self._stand(ballot_state, now, plan, first=True)
         return True
 
     def _fetch(self, strangers, now, plan):
         """Somebody proposes a command whose body has not come: ask for it, so that it can be proposed here too."""
-        key = next((stance.proposal for stance in strangers if stance.proposal), "")
-        if key and now - self.askedAt >= self.board.pace.resend // 2:
-            self.askedAt = now
-            plan.sends += [(address, Ask(self.board.tables.slot, key)) for address in self.board.others()]
+        key = next((ballot_state.proposal for ballot_state in strangers if ballot_state.proposal), "")
+        if key and now - self.asked_at >= self.node_state.pace.resend // 2:
+            self.asked_at = now
+            plan.sends += [(address, Ask(self.node_state.tables.slot, key)) for address in self.node_state.others()]
 
     def _opened(self, plan) -> bool:
-        """A new epoch's first slot opens once n - f of the former voters hold the swap on disk,
-        so that a read by a voter who has not heard of the swap still meets one who has."""
-        board = self.board
-        former = board.tables.former
-        if not former or board.passed >= board.tables.epoch or board.tables.slot > former["slot"] + 1:
+        """A new epoch's first slot opens once n - f of the former voters hold the replacement on disk,
+        so that a read by a voter who has not heard of the replacement still meets one who has."""
+        node_state = self.node_state
+        former = node_state.tables.former
+        if not former or node_state.passed >= node_state.tables.epoch or node_state.tables.slot > former["slot"] + 1:
             return True
         swapped = former["slot"] + 1
-        synced = sum(board.marks.get(member["identity"], 0) >= swapped for member in former["core"])
-        beyond = any(board.marks.get(identity, 0) > swapped for identity in board.members)
-        if synced < board.thresholds(len(former["core"])).heard and not beyond:
+        synced = sum(node_state.synced_indexes.get(member["identity"], 0) >= swapped for member in former["core"])
+        beyond = any(node_state.synced_indexes.get(identity, 0) > swapped for identity in node_state.members)
+        if synced < node_state.thresholds(len(former["core"])).heard and not beyond:
             return False
-        board.passed = board.tables.epoch
-        plan.records.append({"k": "passed", "epoch": board.passed})
+        node_state.passed = node_state.tables.epoch
+        plan.records.append({"k": "passed", "epoch": node_state.passed})
         return True
 
-    def _stand(self, stance, now, plan, first):
-        board = self.board
-        board.own = stance
-        board.heard[board.me.identity] = replace(stance, command=None)
-        plan.records.append(stance_record(stance, first))
-        self._say(stance if first else replace(stance, command=None), now, plan)
-
-    def _say(self, stance, now, plan):
-        self.sentAt = now
-        superseded = {(address, stance.slot) for address in self.board.others()}
-        carried = next((sent.command for _, sent in plan.sends if isinstance(sent, Stance)
-                        and sent.slot == stance.slot and sent.command), stance.command)
+    def _stand(self, ballot_state, now, plan, first):
+        node_state = self.node_state
+        node_state.own = ballot_state
+        node_state.heard[node_state.me.identity] = replace(ballot_state, command=None)
+        plan.records.append(ballot_state_record(ballot_state, first))
+        self._say(ballot_state if first else replace(ballot_state, command=None), now, plan)
+
+    def _say(self, ballot_state, now, plan):
+        self.sent_at = now
+        superseded = {(address, ballot_state.slot) for address in self.node_state.others()}
+        carried = next((sent.command for _, sent in plan.sends if isinstance(sent, BallotState)
+                        and sent.slot == ballot_state.slot and sent.command), ballot_state.command)
         plan.sends = [(address, sent) for address, sent in plan.sends
-                      if not (isinstance(sent, Stance) and (address, sent.slot) in superseded)]
-        plan.sends += [(address, replace(stance, command=carried)) for address in self.board.others()]
+                      if not (isinstance(sent, BallotState) and (address, sent.slot) in superseded)]
+        plan.sends += [(address, replace(ballot_state, command=carried)) for address in self.node_state.others()]
 
     def _decide(self, verdict, now, plan) -> bool:
-        board = self.board
-        key = (board.own.agreed or agreed_proposal(board.heard, board.limits)) if verdict.value else ""
+        node_state = self.node_state
+        key = (node_state.own.agreed or agreed_proposal(node_state.heard, node_state.limits)) if verdict.value else ""
         if key is None:
             return False
-        command = board.queue.commands.get(key) if key else None
-        if key and command is None and board.own.proposal == key:
-            command = board.own.command
+        command = node_state.queue.commands.get(key) if key else None
+        if key and command is None and node_state.own.proposal == key:
+            command = node_state.own.command
         if key and command is None:
-            if now - self.askedAt >= board.pace.resend // 2:
-                self.askedAt = now
-                plan.sends += [(address, Ask(board.tables.slot, key)) for address in board.others()]
+            if now - self.asked_at >= node_state.pace.resend // 2:
+                self.asked_at = now
+                plan.sends += [(address, Ask(node_state.tables.slot, key)) for address in node_state.others()]
             return False
-        board.stats["voted"] += 1
-        board.stats["fast"] += verdict.phase == 1
-        board.stats["phases"] += verdict.phase
-        board.commit(Decision(board.tables.slot, key, command), plan)
-        board.heardSince = now
+        node_state.stats["voted"] += 1
+        node_state.stats["fast"] += verdict.phase == 1
+        node_state.stats["phases"] += verdict.phase
+        node_state.commit(Decision(node_state.tables.slot, key, command), plan)
+        node_state.heard_since = now
         return True
 
     def _resend(self, now, plan):
-        board = self.board
-        if board.own is not None and board.voter and now - self.sentAt >= board.pace.resend:
-            self.sentAt = now
-            plan.sends += [(address, replace(board.own, again=True)) for address in board.others()]
+        node_state = self.node_state
+        if node_state.own is not None and node_state.voter and now - self.sent_at >= node_state.pace.resend:
+            self.sent_at = now
+            plan.sends += [(address, replace(node_state.own, again=True)) for address in node_state.others()]
--- a/src/willowpost/drill/capacity/command.py
+++ b/src/willowpost/drill/capacity/command.py
@@ -9,12 +9,12 @@
 
 class CapacityCommand(Command):
     name = "capacity"
-    description = "Runs hollow fleets of rising sizes in this process, fits what each role spends, and foretells the size to design for."
+    description = "Runs lightweight fleets of rising sizes in this process, fits what each role spends, and foretells the size to design for."
     options = [option("parts", "p", f"Parts with commas, of: {','.join(PARTS)}.", flag=False),
                option("seed", None, "Seed.", flag=False, default="1"),
                option("span", None, "Seconds of virtual time that are counted.", flag=False, default="3")]
-    help = """Hollow daemons are the daemons' own controllers on virtual time; in large fleets a few of each role
-are stepped, and the others are ghosts that only speak to these. One process, a few minutes a part.
+    help = """Lightweight daemons are the daemons' own controllers on virtual time; in large fleets a few of each role
+are stepped, and the others are simulated peers that only speak to these. One process, a few minutes a part.
 The same seed gives the same messages and bytes; processor times are this machine's.
 
   <info>wpdrill capacity</info>
--- a/src/willowpost/drill/capacity/filled.py
+++ b/src/willowpost/drill/capacity/filled.py
@@ -3,8 +3,8 @@
 
 from willowpost.common.rendezvous import Rendezvous
 from willowpost.drill.capacity.size import Size
-from willowpost.layout.checker import LayoutChecker
-from willowpost.node.board import Card
+from willowpost.configuration.checker import ConfigurationChecker
+from willowpost.node.node_state import Card
 from willowpost.node.watch import watchers_of
 from willowpost.state.tables import ANSWERS_KEPT, PURGES_KEPT, Tables
 from willowpost.wire.messages import Beat
@@ -34,14 +34,14 @@
                  tuple(card("proxy", "edge", number, "edge-", 7003) for number in range(size.proxies)))
 
 
-def layout_of(size: Size) -> dict:
-    """One branch a group, its ways beneath. Nothing goes through shields: every proxy may press every group."""
-    each = max(1, size.ways // size.groups - 1)
-    return {"groups": {f"group-{number}": {"rate": size.originRate * size.perGroup} for number in range(size.groups)},
-            "props": {"shield": False, "deadlineMs": 2000},
-            "branches": {f"group-{number}": {"host": f"service-{number}.example", "props": {"group": f"group-{number}"}, "branches": {
-                f"way-{way}": {"path": f"/part-{way}/things", "props": {"keepSeconds": float(10 + way % 50)}} for way in range(each)}}
-                for number in range(size.groups)}}
+def configuration_of(size: Size) -> dict:
+    """One branch a service, its routes beneath. Nothing goes through shields: every proxy may press every service."""
+    each = max(1, size.routes // size.services - 1)
+    return {"services": {f"service-{number}": {"rate": size.origin_rate * size.per_service} for number in range(size.services)},
+            "settings": {"shield": False, "deadline_ms": 2000},
+            "branches": {f"service-{number}": {"host": f"service-{number}.example", "settings": {"service": f"service-{number}"}, "branches": {
+                f"route-{route}": {"path": f"/part-{route}/things", "settings": {"keep_seconds": float(10 + route % 50)}} for route in range(each)}}
+                for number in range(size.services)}}
 
 
 def purge_of(number: int) -> dict:
@@ -54,7 +54,7 @@
 
 
 class FilledTables:
-    """Invariant: depends on the size alone. All daemons are up, all origins warm, all purge entries taken, all groups owned."""
+    """Invariant: depends on the size alone. All daemons are up, all origins warm, all purge entries taken, all services owned."""
 
     def make(self, size: Size, purges: int = PURGES_KEPT) -> Tables:
         cards, slot = cards_of(size), max(purges, PURGES_KEPT) + 100
@@ -62,19 +62,19 @@
         core = tuple({"identity": card.id, "name": card.name, "zone": card.zone, "address": card.address} for card in cards.stores)
         places = [f"10.200.{number >> 7}.{100 + number % 128}:9000" for number in range(size.origins)]
         origins = {f"{place}@{1000 + number}.0": {
-            "group": f"group-{number // size.perGroup}", "address": place,
-            "zone": f"zone-{number % size.zones}", "rate": size.originRate, "coldRate": size.originRate / 10, "slot": number,
-            "token": f"life-{number:08d}", "state": "warm"} for number, place in enumerate(places)}
+            "service": f"service-{number // size.per_service}", "address": place,
+            "zone": f"zone-{number % size.zones}", "rate": size.origin_rate, "cold_rate": size.origin_rate / 10, "slot": number,
+            "token": f"incarnation-{number:08d}", "state": "warm"} for number, place in enumerate(places)}
         held = [{**{name: value for name, value in purge_of(number).items() if name != "op"}, "slot": slot - purges + number} for number in range(purges)]
         # what the log has of each daemon's former life: under its own, commands so far counted would be barred
         answers = {str(number): [number, [{"ok": True, "slot": number}]] for number in range(1, ANSWERS_KEPT + 1)}
         seen = {card.id: {"incarnation": INCARNATION - 1, "floor": 0, "answers": answers if card.kind == "registry" else {"1": [1, [{"ok": True}]]}}
                 for card in cards.all}
-        fences = {f"share/group-{number}": {"owner": cards.proxies[number % len(cards.proxies)].id, "fence": 1} for number in range(size.groups)}
+        fences = {f"quota_share/service-{number}": {"owner": cards.proxies[number % len(cards.proxies)].id, "fence": 1} for number in range(size.services)}
         return Tables(slot=slot, epoch=1, core=core, daemons=daemons, origins=origins,
-                      layout={"generation": 7, "tree": LayoutChecker().check_value(layout_of(size)).unwrap()},
-                      bound={card["address"]: {"group": card["group"]} for card in origins.values()},
-                      purges=tuple(held), purgeFloor=slot - purges, fences=fences, seen=seen)
+                      configuration={"version": 7, "tree": ConfigurationChecker().check_value(configuration_of(size)).unwrap()},
+                      bound={card["address"]: {"service": card["service"]} for card in origins.values()},
+                      purges=tuple(held), purge_floor=slot - purges, fences=fences, seen=seen)
 
 
 class WatchSets:
@@ -89,6 +89,6 @@
 
 
 def homes_of(zone: str, cards: Cards) -> tuple[Card, ...]:
-    """The zone's proxies in the order in which they are asked for news."""
-    inZone = {card.id: card for card in cards.proxies if card.zone == zone}
-    return tuple(inZone[name] for name in Rendezvous().rank(f"news/{zone}", inZone))
+    """The zone's proxies in the order in which they are asked for state updates."""
+    in_zone = {card.id: card for card in cards.proxies if card.zone == zone}
+    return tuple(in_zone[name] for name in Rendezvous().rank(f"state_update/{zone}", in_zone))
--- a/src/willowpost/drill/capacity/hollow.py
+++ b/src/willowpost/drill/capacity/lightweight.py
@@ -1,9 +1,9 @@
-"""Hollow daemons: the daemons' own controllers on virtual time, many in one process; the rest of a large fleet as ghosts."""
+"""Lightweight daemons: the daemons' own controllers on virtual time, many in one process; the rest of a large fleet as simulated peers."""
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Asked, Received
-from willowpost.consensus.replica.board import StoreBoard
+from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.drill.capacity.filled import FilledTables, WatchSets, beat_of, cards_of, homes_of, purge_of
-from willowpost.drill.capacity.ghosts import ANSWERED, Ghosts
+from willowpost.drill.capacity.simulated_peers import ANSWERED, SimulatedPeers
 from willowpost.drill.capacity.meter import YARDSTICK, Meter
 from willowpost.drill.capacity.size import Size
 from willowpost.node.watch import Watch
@@ -14,16 +14,16 @@
 from willowpost.sim.world import World, seconds
 from willowpost.store.node import StoreNode
 from willowpost.wire.codec import Codec
-from willowpost.wire.messages import Founder
+from willowpost.wire.messages import Member
 
 LEAVES = 2          # proxies of the sample that are neither home nor owner
 REGISTRIES = 2      # registries of the sample
 
 
-class HollowFleet(World):
+class LightweightFleet(World):
     """Invariants: what daemons tell each other goes through the real codec; the same seed gives the same messages.
-    With `whole` every daemon is stepped. Without, all stores, two registries, one zone's homes, a group's owner and two
-    more proxies are; all others are ghosts that say to these what their controllers would."""
+    With `whole` every daemon is stepped. Without, all stores, two registries, one zone's homes, a service's owner and two
+    more proxies are; all others are simulated peers that say to these what their controllers would."""
 
     def __init__(self, size: Size, seed: int = 1, whole: bool = False):
         super().__init__(seed)
@@ -38,7 +38,7 @@
         for card in self.cards.all:
             if card.id in roles:
                 self.add(card.address, self._build(card))
-        self.ghosts = Ghosts(self, [card for card in self.cards.all if card.id not in roles])
+        self.simulated_peers = SimulatedPeers(self, [card for card in self.cards.all if card.id not in roles])
         self.stepped = [card for card in self.cards.registries if card.id in roles]
         for number, origin in enumerate(self.tables.origins):
             home = self.cards.registries[number % len(self.cards.registries)]
@@ -70,24 +70,24 @@
 
         def build(records, now, wall, incarnation):
             if card.kind == "store":
-                me = Founder(card.id, card.name, card.zone, card.address)
-                board = StoreBoard(me)
-                board.take(self.tables)
-                board.logFloor = board.turnedAt = self.tables.slot
-                board.passed = self.tables.epoch
-                node = StoreNode(me, seeds, self.size.voters, board.generation(), now, wall, card.incarnation)
+                me = Member(card.id, card.name, card.zone, card.address)
+                node_state = ReplicaState(me)
+                node_state.take(self.tables)
+                node_state.log_floor = node_state.turned_at = self.tables.slot
+                node_state.passed = self.tables.epoch
+                node = StoreNode(me, seeds, self.size.voters, node_state.version(), now, wall, card.incarnation)
             else:
                 node = RegistryNode(card, seeds, wall, lambda *probe: None) if card.kind == "registry" else ProxyNode(card, seeds, wall)
-                node.board.tables = self.tables
+                node.node_state.tables = self.tables
             for watch in [held for held in node.controllers if isinstance(held, Watch)]:
                 # a store has read its own copy of the tables
-                watch.seenDaemons, watch.watched = watch.tables().daemons, self.watched[card.id]
+                watch.seen_daemons, watch.watched = watch.tables().daemons, self.watched[card.id]
             return node
         return build
 
     def _beat(self, address, origin):
         self.give(address, Heard(beat_of(origin, self.time // SECOND), True))
-        self.at(int(self.size.beatSeconds * SECOND), self._beat, address, origin)
+        self.at(int(self.size.beat_seconds * SECOND), self._beat, address, origin)
 
     def _look(self):
         YARDSTICK.look()
@@ -118,9 +118,9 @@
             frame = self.encoded[1]
             spent.told(type(message).__name__, len(frame) + HEAD.size)
             self.sent[type(message).__name__] += 1
-            if address in self.ghosts.cards:
+            if address in self.simulated_peers.cards:
                 if isinstance(message, ANSWERED):
-                    self.at(MILLI, self.ghosts.hear, address, seat.address, message)
+                    self.at(MILLI, self.simulated_peers.hear, address, seat.address, message)
             else:
                 self.post(address, frame)
 
--- a/src/willowpost/drill/capacity/meter.py
+++ b/src/willowpost/drill/capacity/meter.py
@@ -40,9 +40,9 @@
     longest: int = 0            # of one step
     sent: int = 0
     received: int = 0
-    messagesIn: int = 0
-    messagesOut: int = 0
-    kinds: Counter = field(default_factory=Counter)       # bytes by kind of message, both ways
+    messages_in: int = 0
+    messages_out: int = 0
+    kinds: Counter = field(default_factory=Counter)       # bytes by kind of message, both routes
 
     def stepped(self, nanos: int) -> None:
         self.steps += 1
@@ -50,11 +50,11 @@
         self.longest = max(self.longest, nanos)
 
     def told(self, kind: str, size: int) -> None:
-        self.sent, self.messagesOut = self.sent + size, self.messagesOut + 1
+        self.sent, self.messages_out = self.sent + size, self.messages_out + 1
         self.kinds[f"out {kind}"] += size
 
     def heard(self, kind: str, size: int) -> None:
-        self.received, self.messagesIn = self.received + size, self.messagesIn + 1
+        self.received, self.messages_in = self.received + size, self.messages_in + 1
         self.kinds[f"in {kind}"] += size
 
 
@@ -66,17 +66,17 @@
     daemons: int
     steps: float
     micros: float
-    longestMs: float
-    bytesOut: float
-    bytesIn: float
-    messagesOut: float
-    messagesIn: float
+    longest_ms: float
+    bytes_out: float
+    bytes_in: float
+    messages_out: float
+    messages_in: float
     kinds: dict
     yard: float = 0.0
 
 
 class Meter:
-    """Invariant: nothing but a daemon's own work is put to its account: neither ghosts' nor the harness's."""
+    """Invariant: nothing but a daemon's own work is put to its account: neither simulated peers' nor the harness's."""
 
     def __init__(self, roles: dict[str, str]):
         self.roles = roles                # address -> role
@@ -100,5 +100,5 @@
         kinds = sum((each.kinds for each in spent), Counter())
         return Figures(len(spent), per(lambda each: each.steps), per(lambda each: each.nanos) / 1000,
                        max(each.longest for each in spent) / 1e6, per(lambda each: each.sent), per(lambda each: each.received),
-                       per(lambda each: each.messagesOut), per(lambda each: each.messagesIn),
+                       per(lambda each: each.messages_out), per(lambda each: each.messages_in),
                        {kind: size / len(spent) / span for kind, size in kinds.most_common()}, YARDSTICK.micros())
--- a/src/willowpost/drill/capacity/report.py
+++ b/src/willowpost/drill/capacity/report.py
@@ -2,17 +2,17 @@
 from dataclasses import replace
 
 from willowpost.common.clock import MILLI
-from willowpost.consensus.replica.board import Pace
+from willowpost.consensus.replica.replica_state import Pace
 from willowpost.drill.capacity.fit import Fitter
-from willowpost.drill.capacity.hollow import HollowFleet
+from willowpost.drill.capacity.lightweight import LightweightFleet
 from willowpost.drill.capacity.size import DESIGN, LADDER, Budget, Size
 from willowpost.drill.capacity.steps import StepCosts
 from willowpost.drill.capacity.units import UnitCosts, resident
 from willowpost.drill.capacity.wire import WireCost
 from willowpost.sim.pace import PaceMeasure
 
-NAMES = ("steps", "micros", "yard", "longestMs", "bytesOut", "bytesIn", "messagesOut", "messagesIn")
-FITTED = ("micros", "bytesOut", "bytesIn", "messagesOut", "messagesIn")
+NAMES = ("steps", "micros", "yard", "longest_ms", "bytes_out", "bytes_in", "messages_out", "messages_in")
+FITTED = ("micros", "bytes_out", "bytes_in", "messages_out", "messages_in")
 GATHERED = 5.0       # commands a second, if purges were gathered for a fifth of a second in one place
 BASE = Size(400, 50, 500, 20.0, 8, registries=8)
 SWEEPS = {
@@ -67,7 +67,7 @@
         figures = self._measured(DESIGN)
         self.line("\nrole | figure | measured | worked out from the ladder | budget")
         for role, held in figures.items():
-            for name, most in (("micros", self.budget.micros), ("bytesOut", self.budget.bytes), ("bytesIn", self.budget.bytes)):
+            for name, most in (("micros", self.budget.micros), ("bytes_out", self.budget.bytes), ("bytes_in", self.budget.bytes)):
                 fit = self.fits.get((role, name))
                 value = brought(held, name, self.yard or held.yard)
                 self.line(f"{role} | {name} | {shown(value)} | {shown(fit.at(DESIGN.daemons)) if fit else 'not run'} | {shown(most)}: "
@@ -77,7 +77,7 @@
         self.line(f"\nOne thing at a time, round {BASE}")
         self.line("role | figure | by | measured | least squares | widest miss")
         for driver, sizes in SWEEPS.items():
-            found = {count: HollowFleet(size, self.seed).measure(self.warm, self.span) for count, size in sizes.items()}
+            found = {count: LightweightFleet(size, self.seed).measure(self.warm, self.span) for count, size in sizes.items()}
             for role in dict.fromkeys(role for figures in found.values() for role in figures):
                 for name in FITTED:
                     points = [(count, brought(figures[role], name, self._least(found))) for count, figures in found.items() if role in figures]
@@ -89,7 +89,7 @@
         self.line("\nSingle pieces of work; the last point is left out of the fit and foretold by it")
         self.line("work | by | measured | least squares of all but the last | widest miss | foretold | measured there")
         costs = UnitCosts()
-        for unit in [*costs.by_daemons((150, 400, 700, 1000, DESIGN.daemons)), *costs.by_ways((500, 2000, 5000, 10_000, DESIGN.ways)),
+        for unit in [*costs.by_daemons((150, 400, 700, 1000, DESIGN.daemons)), *costs.by_routes((500, 2000, 5000, 10_000, DESIGN.routes)),
                      *costs.by_entries((1000, 4000, 8000, 16_000)), *costs.by_purges((512, 1024, 2048, 4096))]:
             fit = self.fitter.fit(unit.points[:-1])
             last, value = unit.points[-1]
@@ -112,13 +112,13 @@
         for between in (1, 12, 30, 60):
             for rate in (GATHERED, DESIGN.purges):
                 found = PaceMeasure(list("abcde"), regions, between * MILLI, MILLI, Pace(), rate, self.seed).run(10.0)
-                self.line(f"{between} | {rate:g} | {rate * 10:g} | {found.commands} | {found.slots} | {found.acceptP50:.0f}")
+                self.line(f"{between} | {rate:g} | {rate * 10:g} | {found.commands} | {found.slots} | {found.accept_p_50:.0f}")
 
     def _least(self, found):
         return min(held.yard for figures in found.values() for held in figures.values())
 
     def _measured(self, size):
-        fleet = HollowFleet(size, self.seed)
+        fleet = LightweightFleet(size, self.seed)
         figures = fleet.measure(self.warm, self.span)
         for role, held in figures.items():
             most = ", ".join(f"{kind} {shown(rate)}" for kind, rate in list(held.kinds.items())[:3])
--- a/src/willowpost/drill/capacity/ghosts.py
+++ b/src/willowpost/drill/capacity/simulated_peers.py
@@ -1,16 +1,16 @@
 """The daemons that are not stepped: they say what their controllers would, to those that are, and nothing else."""
 from willowpost.common.clock import SECOND
 from willowpost.drill.capacity.filled import beat_of, homes_of
-from willowpost.node.board import FollowBoard
+from willowpost.node.node_state import NodeState
 from willowpost.node.follower import POLL_EVERY
 from willowpost.node.watch import PING_EVERY
-from willowpost.proxy.admission.shares import LOOK_EVERY
-from willowpost.wire.messages import News, Ping, Poll, Pong, ShareAsk, ShareTell
+from willowpost.proxy.admission.quota_shares import LOOK_EVERY
+from willowpost.wire.messages import StateUpdate, Ping, Poll, Pong, QuotaShareAsk, QuotaShareTell
 
-ANSWERED = (News, Ping, ShareAsk)       # what a ghost hears; all else it lets pass
+ANSWERED = (StateUpdate, Ping, QuotaShareAsk)       # what a ghost hears; all else it lets pass
 
 
-class Ghosts:
+class SimulatedPeers:
     """Invariant: a ghost's polls, pings, asks and beats come as often as the controllers', each at its own phase.
     That they do is checked by running the same size whole: tests/test_capacity.py."""
 
@@ -24,12 +24,12 @@
 
     def hear(self, address, source, message):
         match message:
-            case News(_, slot):
+            case StateUpdate(_, slot):
                 self.slots[address] = max(self.slots[address], slot)
             case Ping(nonce, _):
-                self._say(address, source, Pong(nonce, self.cards[address].life))
-            case ShareAsk(nonce, group, fence, _):
-                self._say(address, source, ShareTell(nonce, group, fence, 1000))
+                self._say(address, source, Pong(nonce, self.cards[address].incarnation))
+            case QuotaShareAsk(nonce, service, fence, _):
+                self._say(address, source, QuotaShareTell(nonce, service, fence, 1000))
 
     def _homes(self):
         """zone -> its first home, by the followers' own order"""
@@ -40,7 +40,7 @@
         world, seats = self.world, self.world.seats
         stepped = [world.tables.daemons[name] for name in world.tables.daemons if world.tables.daemons[name]["address"] in seats]
         told = [card["address"] for card in stepped if card["kind"] in ("registry", "proxy")]
-        owned = [(group, card["fence"], address) for group, card in world.tables.fences.items()
+        owned = [(service, card["fence"], address) for service, card in world.tables.fences.items()
                  for address in [world.tables.daemons[card["owner"]]["address"]] if address in seats]
         for card in self.cards.values():
             if card.kind != "store" and (source := self._source(card)) in seats:
@@ -48,23 +48,23 @@
             for target in world.watched[card.id]:
                 address = world.tables.daemons[target]["address"]
                 if address in seats:
-                    self._every(PING_EVERY, lambda card=card, address=address: self._say(card.address, address, Ping(self._next(), card.life)))
+                    self._every(PING_EVERY, lambda card=card, address=address: self._say(card.address, address, Ping(self._next(), card.incarnation)))
             if card.kind == "proxy":
                 for key, fence, address in owned:
                     self._every(LOOK_EVERY, lambda card=card, key=key, fence=fence, address=address: self._say(
-                        card.address, address, ShareAsk(self._next(), key.removeprefix("share/"), fence, 1000)))
+                        card.address, address, QuotaShareAsk(self._next(), key.removeprefix("quota_share/"), fence, 1000)))
         for number, origin in enumerate(world.tables.origins):
             registry = world.cards.registries[number % len(world.cards.registries)]
             if registry.address in self.cards:
                 for address in told:
-                    self._every(int(world.size.beatSeconds * SECOND),
+                    self._every(int(world.size.beat_seconds * SECOND),
                                 lambda origin=origin, registry=registry, address=address: self._say(registry.address, address, beat_of(origin, world.time // SECOND)))
 
     def _source(self, card):
         home = self.homes.get(card.zone)
         if card.kind == "proxy" and home.id != card.id:
             return home.address
-        return FollowBoard(card, self.world.tables).cores()[0]
+        return NodeState(card, self.world.tables).cores()[0]
 
     def _poll(self, card, source):
         self._say(card.address, source, Poll(self._next(), self.slots[card.address]))
--- a/src/willowpost/drill/capacity/size.py
+++ b/src/willowpost/drill/capacity/size.py
@@ -8,22 +8,22 @@
 
     daemons: int = 150
     origins: int = 40
-    ways: int = 500
+    routes: int = 500
     purges: float = 20.0          # a second, over the fleet
     zones: int = 4
     voters: int = 5
     registries: int = 5
-    perGroup: int = 10            # origins of one group
-    originRate: float = 250.0     # requests a second that one origin bears
-    beatSeconds: float = 1.0
+    per_service: int = 10            # origins of one service
+    origin_rate: float = 250.0     # requests a second that one origin bears
+    beat_seconds: float = 1.0
 
     @property
     def proxies(self) -> int:
         return self.daemons - self.voters - self.registries
 
     @property
-    def groups(self) -> int:
-        return -(-self.origins // self.perGroup)
+    def services(self) -> int:
+        return -(-self.origins // self.per_service)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/willowpost/drill/capacity/steps.py
+++ b/src/willowpost/drill/capacity/steps.py
@@ -1,7 +1,7 @@
 """What a daemon pays for the least of its events: a tick with nothing to do, a ping, and one small message's encoding and decoding."""
 from willowpost.common.clock import MILLI
 from willowpost.common.events import Received, Tick
-from willowpost.drill.capacity.hollow import HollowFleet
+from willowpost.drill.capacity.lightweight import LightweightFleet
 from willowpost.drill.capacity.size import Size
 from willowpost.drill.capacity.units import millis
 from willowpost.sim.world import seconds
@@ -9,14 +9,14 @@
 from willowpost.wire.messages import Ping
 
 SMALL = Size(50, 10, 100, 5.0, 4)
-TICKS = 20           # 0.4 s of them: what comes every 150 to 400 ms is in, and news do not grow old meanwhile
+TICKS = 20           # 0.4 s of them: what comes every 150 to 400 ms is in, and state updates do not grow old meanwhile
 PINGS = 200
 
 
 class StepCosts:
     def run(self, seed: int = 1) -> list[tuple[str, str, float]]:
         """(role, event, µs)"""
-        fleet = HollowFleet(SMALL, seed)
+        fleet = LightweightFleet(SMALL, seed)
         fleet.run(seconds(3.5))
         rows = []
         for role in dict.fromkeys(fleet.meter.roles.values()):
--- a/src/willowpost/drill/capacity/units.py
+++ b/src/willowpost/drill/capacity/units.py
@@ -7,16 +7,16 @@
 from pathlib import Path
 from time import thread_time_ns
 
-from willowpost.drill.capacity.filled import FilledTables, layout_of, purge_of
+from willowpost.drill.capacity.filled import FilledTables, configuration_of, purge_of
 from willowpost.drill.capacity.size import Size
-from willowpost.layout.checker import LayoutChecker
+from willowpost.configuration.checker import ConfigurationChecker
 from willowpost.node.watch import watchers_of
 from willowpost.proxy.cache.store import CacheStore, Entry
-from willowpost.proxy.way.picture import PictureMaker
+from willowpost.proxy.routing.snapshot import SnapshotMaker
 from willowpost.state.apply import Apply
 from willowpost.state.tables import tables_from
 from willowpost.wire.codec import Codec
-from willowpost.wire.messages import Command, Decision, News
+from willowpost.wire.messages import Command, Decision, StateUpdate
 
 TARGETS = 24        # of all those for whom a daemon works out the watchers; the rest cost the same
 
@@ -73,7 +73,7 @@
     def by_daemons(self, counts) -> list[Unit]:
         tables = {count: FilledTables().make(Size(count, 40, 100, zones=max(4, count // 90), registries=max(5, min(22, count // 80))))
                   for count in counts}
-        rows = {("watch sets after one change of a card", "ms"): self._watch, ("picture made for one slot", "ms"): self._picture,
+        rows = {("watch sets after one change of a card", "ms"): self._watch, ("snapshot made for one slot", "ms"): self._snapshot,
                 ("a purge's slot applied", "ms"): lambda held: millis(Apply().step, held, slot_of(held, purge_of(1))),
                 ("tables written as text", "ms"): lambda held: millis(held.text), ("tables read from text", "ms"): lambda held: millis(tables_from, held.text()),
                 ("tables as text", "bytes"): lambda held: len(held.text()),
@@ -82,22 +82,22 @@
         return [Unit(name, "daemons", measure, tuple((count, cost(held)) for count, held in tables.items()))
                 for (name, measure), cost in rows.items()]
 
-    def by_ways(self, counts) -> list[Unit]:
-        layouts = {count: layout_of(Size(150, 310, count)) for count in counts}
-        trees = {count: LayoutChecker().check_value(layout).unwrap() for count, layout in layouts.items()}
+    def by_routes(self, counts) -> list[Unit]:
+        configurations = {count: configuration_of(Size(150, 310, count)) for count in counts}
+        trees = {count: ConfigurationChecker().check_value(configuration).unwrap() for count, configuration in configurations.items()}
         tables = FilledTables().make(Size(150, 310, 100))
-        op = lambda tree: {"op": "layout", "tree": tree, "ifMatch": None}
-        news = lambda tree: News(1, tables.slot, 0, True, (slot_of(tables, op(tree)),))
-        frames = {count: Codec().encode("10.0.0.1:7001", news(tree)) for count, tree in trees.items()}
-        rows = {("layout checked by a registry", "ms"): lambda count: millis(LayoutChecker().check, json.dumps(layouts[count]).encode()),
-                ("layout in one message", "bytes"): lambda count: len(frames[count]),
-                ("layout encoded", "ms"): lambda count: millis(Codec().encode, "10.0.0.1:7001", news(trees[count])),
-                ("layout decoded", "ms"): lambda count: millis(Codec().decode, frames[count]),
-                ("layout's slot applied", "ms"): lambda count: millis(Apply().step, tables, slot_of(tables, op(trees[count]))),
-                ("ways made of a layout", "ms"): lambda count: millis(lambda: PictureMaker().make(self._with(tables, trees[count]))),
-                ("tables written as text, by ways", "ms"): lambda count: millis(self._with(tables, trees[count]).text),
-                ("ways in memory", "bytes"): lambda count: held_by(lambda: PictureMaker().make(self._with(tables, trees[count])))}
-        return [Unit(name, "ways", measure, tuple((count, cost(count)) for count in counts)) for (name, measure), cost in rows.items()]
+        op = lambda tree: {"op": "configuration", "tree": tree, "if_match": None}
+        state_update = lambda tree: StateUpdate(1, tables.slot, 0, True, (slot_of(tables, op(tree)),))
+        frames = {count: Codec().encode("10.0.0.1:7001", state_update(tree)) for count, tree in trees.items()}
+        rows = {("configuration checked by a registry", "ms"): lambda count: millis(ConfigurationChecker().check, json.dumps(configurations[count]).encode()),
+                ("configuration in one message", "bytes"): lambda count: len(frames[count]),
+                ("configuration encoded", "ms"): lambda count: millis(Codec().encode, "10.0.0.1:7001", state_update(trees[count])),
+                ("configuration decoded", "ms"): lambda count: millis(Codec().decode, frames[count]),
+                ("configuration's slot applied", "ms"): lambda count: millis(Apply().step, tables, slot_of(tables, op(trees[count]))),
+                ("routes made of a configuration", "ms"): lambda count: millis(lambda: SnapshotMaker().make(self._with(tables, trees[count]))),
+                ("tables written as text, by routes", "ms"): lambda count: millis(self._with(tables, trees[count]).text),
+                ("routes in memory", "bytes"): lambda count: held_by(lambda: SnapshotMaker().make(self._with(tables, trees[count])))}
+        return [Unit(name, "routes", measure, tuple((count, cost(count)) for count in counts)) for (name, measure), cost in rows.items()]
 
     def by_entries(self, counts) -> list[Unit]:
         """A purge that strikes nothing, at a cache that keeps so many entries."""
@@ -117,13 +117,13 @@
     def _copied(self, text, weighed):
         return weighed(lambda: tables_from(text))
 
-    def _picture(self, tables):
-        maker = PictureMaker()
+    def _snapshot(self, tables):
+        maker = SnapshotMaker()
         maker.make(tables)
         return millis(maker.make, tables)
 
     def _with(self, tables, tree):
-        return replace(tables, layout={"generation": 8, "tree": tree})
+        return replace(tables, configuration={"version": 8, "tree": tree})
 
     def _cache(self, tables, entries):
         cache = CacheStore()
--- a/src/willowpost/drill/deployment.py
+++ b/src/willowpost/drill/deployment.py
@@ -1,4 +1,4 @@
-"""A deployment's settings, and the props of each of its processes."""
+"""A deployment's settings, and the settings of each of its processes."""
 import json
 from dataclasses import dataclass
 from importlib.resources import files
@@ -17,16 +17,16 @@
     key: str              # machine/program
     machine: str
     zone: str
-    props: dict
+    settings: dict
 
 
 class Deployment:
-    """Invariant: each machine has its own IP number; each process's props name three seeds, never itself."""
+    """Invariant: each machine has its own IP number; each process's settings name three seeds, never itself."""
 
     def __init__(self, name: str, folder: Path, port: int, subnet: int = 77):
         held = json.loads((files("willowpost.deployments") / f"{name}.json").read_text())
         self.name, self.host, self.rate = held["name"], held["host"], held["rate"]
-        self.layout, self.mix, self.pace, self.regions = held["layout"], held["mix"], held["pace"], held["regions"]
+        self.configuration, self.mix, self.pace, self.regions = held["configuration"], held["mix"], held["pace"], held["regions"]
         self.machines, self.folder, self.port, self.subnet = held["machines"], folder, port, subnet
         self.zones = sorted(self.regions)
         self.addresses = {machine["name"]: f"127.{subnet}.{self.zones.index(machine['zone']) + 1}.{number + 1}"
@@ -47,9 +47,9 @@
 
     def store(self, machine): return f"{self.addresses[machine['name']]}:{self.port}"
     def registry(self, machine): return f"{self.addresses[machine['name']]}:{self.port + 1}"
-    def registryHttp(self, machine): return f"{self.addresses[machine['name']]}:{self.port + 2}"
+    def registry_http(self, machine): return f"{self.addresses[machine['name']]}:{self.port + 2}"
     def proxy(self, machine): return f"{self.addresses[machine['name']]}:{self.port + 3}"
-    def proxyHttp(self, machine): return f"{self.addresses[machine['name']]}:{self.port + 4}"
+    def proxy_http(self, machine): return f"{self.addresses[machine['name']]}:{self.port + 4}"
 
     def processes(self) -> list[Process]:
         cores = [(machine, kind) for machine in self.cores() for kind in ("wpstore", "wpregistry")]
@@ -57,18 +57,18 @@
         return [self.process(machine, program) for machine, program in cores + proxies]
 
     def process(self, machine: dict, program: str) -> Process:
-        addresses = {"wpstore": (self.store, None), "wpregistry": (self.registry, self.registryHttp),
-                     "wpproxy": (self.proxy, self.proxyHttp)}[program]
+        addresses = {"wpstore": (self.store, None), "wpregistry": (self.registry, self.registry_http),
+                     "wpproxy": (self.proxy, self.proxy_http)}[program]
         own = addresses[0](machine)
         number = self.machines.index(machine)
         stores = [self.store(core) for core in self.cores() if self.store(core) != own]
         seeds = [stores[(number + step) % len(stores)] for step in range(SEEDS)]
-        props = {"name": machine["name"], "zone": machine["zone"], "address": own, "seeds": seeds,
+        settings = {"name": machine["name"], "zone": machine["zone"], "address": own, "seeds": seeds,
                  "voters": len(self.cores()), "level": "INFO"}
         if addresses[1] is not None:
-            props["http"] = addresses[1](machine)
+            settings["http"] = addresses[1](machine)
         if program == "wpproxy":
-            props["role"] = machine["kind"]
+            settings["role"] = machine["kind"]
         if program == "wpstore":
-            props |= {"data": str(self.folder / machine["name"]), "pace": self.pace}
-        return Process(program, f"{machine['name']}/{program}", machine["name"], machine["zone"], props)
+            settings |= {"data": str(self.folder / machine["name"]), "pace": self.pace}
+        return Process(program, f"{machine['name']}/{program}", machine["name"], machine["zone"], settings)
--- a/src/willowpost/drill/fleet.py
+++ b/src/willowpost/drill/fleet.py
@@ -12,7 +12,7 @@
 import gevent
 
 from willowpost.drill.deployment import Deployment
-from willowpost.standin.callers import ask
+from willowpost.stand_ins.callers import ask
 
 
 class Fleet:
@@ -30,14 +30,14 @@
         log = open(self.deployment.folder / process.machine / f"{process.program}.log", "ab")
         module = {"wpstore": "store", "wpregistry": "registry", "wpproxy": "proxy"}[process.program]
         self.running[key] = subprocess.Popen([sys.executable, "-c", f"from willowpost.{module}.main import main; main()",
-                                              "--props", path], stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+                                              "--settings", path], stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         log.close()
 
     def _write(self, process) -> str:
         folder = self.deployment.folder / process.machine
         folder.mkdir(parents=True, exist_ok=True)
         path = folder / f"{process.program}.json"
-        path.write_text(json.dumps(process.props, indent=1))
+        path.write_text(json.dumps(process.settings, indent=1))
         return str(path)
 
     def reload(self, key: str) -> None:
@@ -53,14 +53,14 @@
         for key in self.processes:
             self.start(key)
 
-    def start_origins(self, beatSeconds: float = 1.0) -> None:
+    def start_origins(self, beat_seconds: float = 1.0) -> None:
         registries = self.registries()
         cards = [{**origin, "registries": registries[number % len(registries):] + registries[:number % len(registries)],
-                  "beatSeconds": beatSeconds} for number, origin in enumerate(self.deployment.origins)]
+                  "beat_seconds": beat_seconds} for number, origin in enumerate(self.deployment.origins)]
         path = self.deployment.folder / "origins.json"
         path.write_text(json.dumps({"control": self.control, "origins": cards}, indent=1))
         log = open(self.deployment.folder / "origins.log", "ab")
-        self.running["origins"] = subprocess.Popen([sys.executable, "-m", "willowpost.standin.main", str(path)],
+        self.running["origins"] = subprocess.Popen([sys.executable, "-m", "willowpost.stand_ins.main", str(path)],
                                                    stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         log.close()
 
@@ -100,14 +100,14 @@
         self.running.clear()
 
     def registries(self) -> list[str]:
-        return [self.deployment.registryHttp(machine) for machine in self.deployment.cores()]
+        return [self.deployment.registry_http(machine) for machine in self.deployment.cores()]
 
     def proxies(self) -> dict[str, str]:
-        return {f"{machine['name']}/wpproxy": self.deployment.proxyHttp(machine)
+        return {f"{machine['name']}/wpproxy": self.deployment.proxy_http(machine)
                 for machine in self.deployment.machines if machine["kind"] in ("edge", "shield")}
 
     def edges(self) -> list[str]:
-        return [self.deployment.proxyHttp(machine) for machine in self.deployment.machines if machine["kind"] == "edge"]
+        return [self.deployment.proxy_http(machine) for machine in self.deployment.machines if machine["kind"] == "edge"]
 
     def call(self, method: str, path: str, value=None, headers=None, first: int = 0):
         """A call by an operator, who turns to the next registry when one is not there."""
@@ -149,5 +149,5 @@
 
 
 def free_port() -> int:
-    """A base whose hundred ports are most likely free: drawn by process ID, away from the ephemeral range."""
+    """A base whose hundred ports are most likely free: picked by process ID, away from the ephemeral range."""
     return 10_000 + (os.getpid() * 100) % 20_000
--- a/src/willowpost/drill/losses.py
+++ b/src/willowpost/drill/losses.py
@@ -15,9 +15,9 @@
         """Every process is told other seeds; then some that have only those start again, a store among them."""
         registries = [self.deployment.registry(machine) for machine in self.deployment.cores()[2:]]
         for process in self.fleet.processes.values():
-            process.props["seeds"] = [address for address in registries if address != process.props["address"]][:3]
+            process.settings["seeds"] = [address for address in registries if address != process.settings["address"]][:3]
             self.fleet.reload(process.key)
-        heard = self.fleet.until(lambda: all(self.fleet.said(key, "props: read again") for key in self.fleet.processes), 5)
+        heard = self.fleet.until(lambda: all(self.fleet.said(key, "settings: read again") for key in self.fleet.processes), 5)
         edge, store = self._edges()[3] + "/wpproxy", self._cores()[0] + "/wpstore"
         self.fleet.stop(edge)
         self.fleet.kill(store)
@@ -35,9 +35,9 @@
         for key in keys:
             self.fleet.freeze(key)
         gevent.sleep(1)
-        self.layout["props"]["deadlineMs"] += 1
-        accepted = self.fleet.call("PUT", "/v1/layout", self.layout)
-        self.generation = accepted[2]["generation"]
+        self.configuration["settings"]["deadline_ms"] += 1
+        accepted = self.fleet.call("PUT", "/v1/configuration", self.configuration)
+        self.version = accepted[2]["version"]
         gevent.sleep(3)
         for key in keys:
             self.fleet.thaw(key)
@@ -48,14 +48,14 @@
         self.findings.add("daemons stopped past the lease: whole again within 15 s", f"{back and round(back, 2)} s", back is not None)
 
     def power_loss(self) -> None:
-        """Layouts stream in from three operators while one or two stores at a time die in the middle of their writes."""
-        accepted, stopped = [self.generation], []
+        """Configurations stream in from three operators while one or two stores at a time die in the middle of their writes."""
+        accepted, stopped = [self.version], []
 
         def operate(number):
             while not stopped:
-                held = self.fleet.call("PUT", "/v1/layout", self.layout, None, number)
+                held = self.fleet.call("PUT", "/v1/configuration", self.configuration, None, number)
                 if held is not None and held[0] == 200:
-                    accepted.append(held[2]["generation"])
+                    accepted.append(held[2]["version"])
         tasks = [gevent.spawn(operate, number) for number in range(3)]
         stores = [name + "/wpstore" for name in self._cores()]
         for number in range(ROUNDS_OF_POWER):
@@ -69,10 +69,10 @@
             self.fleet.until(lambda: self._all_up(), 15, 0.2)
         stopped.append(True)
         gevent.joinall(tasks, timeout=10)
-        held = self.fleet.call("GET", "/v1/layout", first=2)
-        self.generation = held[2]["generation"]
-        self.findings.add("power lost while writing: what was accepted stands", f"{len(accepted)} layouts, last {max(accepted)}, read back {self.generation}",
-                          self.generation >= max(accepted))
+        held = self.fleet.call("GET", "/v1/configuration", first=2)
+        self.version = held[2]["version"]
+        self.findings.add("power lost while writing: what was accepted stands", f"{len(accepted)} configurations, last {max(accepted)}, read back {self.version}",
+                          self.version >= max(accepted))
 
     def new_machine(self) -> None:
         """A core machine is gone for good; an empty one comes up at an address of its own."""
@@ -94,13 +94,13 @@
                           took is not None)
 
     def origins_without_a_word(self) -> None:
-        """An origin restarts, another gives its address to the other group's service; both serve for six seconds before they say so."""
-        groups = sorted(self.deployment.layout["groups"])
-        addresses = {group: [origin["address"] for origin in self.deployment.origins if origin["group"] == group] for group in groups}
-        restarted, taken = addresses[groups[0]][1], addresses[groups[1]][1]
+        """An origin restarts, another gives its address to the other service's service; both serve for six seconds before they say so."""
+        services = sorted(self.deployment.configuration["services"])
+        addresses = {service: [origin["address"] for origin in self.deployment.origins if origin["service"] == service] for service in services}
+        restarted, taken = addresses[services[0]][1], addresses[services[1]][1]
         speaks = self.clock.now() + QUIET_SECONDS * SECOND      # not before
         self.fleet.steer("move", restarted, quiet=QUIET_SECONDS)
-        self.fleet.steer("move", taken, group=groups[0], quiet=QUIET_SECONDS)
+        self.fleet.steer("move", taken, service=services[0], quiet=QUIET_SECONDS)
         since = self.clock.now() // SECOND
         gevent.sleep(max(0, (speaks - self.clock.now()) / SECOND - 0.5))
         seen, until = self.fleet.ledger()["seen"], self.clock.now()
@@ -109,5 +109,5 @@
                                (taken, "an address taken over without a word gets nothing of its former service")):
             count = sum(count for second, count in seen.get(address, {}).items() if int(second) > since)
             self.findings.add(words, f"{count} requests in {QUIET_SECONDS} s", count == 0)
-        self.fleet.steer("move", taken, group=groups[1])
+        self.fleet.steer("move", taken, service=services[1])
         self.fleet.until(lambda: all(card["state"] == "warm" for card in self._status()["origins"].values()), 20, 0.5)
--- a/src/willowpost/drill/main.py
+++ b/src/willowpost/drill/main.py
@@ -17,7 +17,7 @@
 from willowpost.drill.tools import CheckCommand, PaceCommand, ReplayCommand, SweepCommand
 from willowpost.drill.zones import ZoneDrill
 
-STEPS = ("steady", "layout_change", "large_layout", "racing_operators", "purge", "purge_storm", "kill_store_and_proxy", "lose_disk", "herd",
+STEPS = ("steady", "configuration_change", "large_configuration", "racing_operators", "purge", "purge_fault_schedule", "kill_store_and_proxy", "lose_disk", "herd",
          "restart_in_turn", "freeze", "origins_break", "empty_zone", "origins_without_a_word", "swapped_seeds", "stopped_past_the_lease",
          "power_loss", "new_machine")
 
@@ -80,7 +80,7 @@
     options = [
         *OPTIONS,
         option("steps", "s", f"Steps with commas, of: {','.join(STEPS)}.", flag=False),
-        option("hold", None, "After the layout is in force, hold the fleet until a line is read, and end."),
+        option("hold", None, "After the configuration is in force, hold the fleet until a line is read, and end."),
     ]
     help = """The drill stands in for the platform: it starts and ends the processes, runs stand-in
 origins and callers, and prints a table: each rule of the brief, what was seen, kept or broken.
@@ -110,11 +110,11 @@
     help = "It restores each zone, and reports the time to repair. Exits with 1 when a promise is broken."
 
     def handle(self) -> int:
-        ways = self.option("by").split(",")
-        if not self.deployment_known() or not set(ways) <= {"emptying", "killing"}:
+        routes = self.option("by").split(",")
+        if not self.deployment_known() or not set(routes) <= {"emptying", "killing"}:
             return 2
         return self.drill(ZoneDrill, lambda drill: drill.run_zones(
-            self.option("zones").split(",") if self.option("zones") else drill.deployment.zones, ways))
+            self.option("zones").split(",") if self.option("zones") else drill.deployment.zones, routes))
 
 
 def main() -> None:
--- a/src/willowpost/drill/script.py
+++ b/src/willowpost/drill/script.py
@@ -9,11 +9,11 @@
 from willowpost.drill.fleet import Fleet
 from willowpost.drill.losses import LossSteps
 from willowpost.drill.rules import COLD_OVER, Findings, TrafficRules
-from willowpost.standin.callers import Callers
+from willowpost.stand_ins.callers import Callers
 
 FORCE_SECONDS = 2.0
 RETURN_SECONDS = 15.0
-LARGE_WAYS = 5000
+LARGE_ROUTES = 5000
 
 
 class FleetDrill(LossSteps):
@@ -25,7 +25,7 @@
         self.rate = rate
         self.callers = Callers(self.clock, fleet.edges(), self.deployment.mix, self.deployment.host, rate, seed)
         self.figures: dict = {}
-        self.generation = 0
+        self.version = 0
 
     def run(self, steps) -> Findings:
         self.open()
@@ -44,8 +44,8 @@
         fleet.start_origins()
         want = len(self.deployment.origins)
         fleet.until(lambda: len(self._status()["origins"]) == want, 20)
-        self.layout = copy.deepcopy(self.deployment.layout)
-        self._put("first layout in force everywhere within 2 s")
+        self.configuration = copy.deepcopy(self.deployment.configuration)
+        self._put("first configuration in force everywhere within 2 s")
         self.callers.start()
         for part in (0.1, 0.25, 0.5, 0.75):      # the morning: callers come as origins warm
             self.callers.rate = self.rate * part
@@ -67,53 +67,53 @@
                          "hits at edges and shields, part of requests there":
                              round((after["hits"] - before["hits"]) / max(1, after["requests"] - before["requests"]), 3)}
 
-    def layout_change(self) -> None:
-        self.layout["props"]["deadlineMs"] = 2500
-        self._put("a changed layout in force everywhere within 2 s")
-        refused = self.fleet.call("PUT", "/v1/layout", {**self.layout, "nonsense": 1})
-        stale = self.fleet.call("PUT", "/v1/layout", self.layout, {"If-Match": '"1"'})
-        held = self.fleet.call("GET", "/v1/layout", first=1)
-        self.findings.add("an invalid or stale layout changes nothing", f"{refused[0]}, {stale[0]}, still {held[2]['generation']}",
-                          refused[0] == 422 and stale[0] == 412 and held[2]["generation"] == self.generation)
-
-    def large_layout(self) -> None:
-        """Thousands of ways beside the ones in use."""
-        extra = {f"w{number}": {"path": f"/bulk/{number}", "props": {"deadlineMs": 1000 + number % 500, "zones": self.deployment.zones}}
-                 for number in range(LARGE_WAYS)}
-        held, group = copy.deepcopy(self.layout), next(iter(self.layout["groups"]))
-        self.layout["branches"]["bulk"] = {"host": "bulk.example", "props": {"group": group}, "branches": extra}
-        size = len(json.dumps(self.layout))
+    def configuration_change(self) -> None:
+        self.configuration["settings"]["deadline_ms"] = 2500
+        self._put("a changed configuration in force everywhere within 2 s")
+        refused = self.fleet.call("PUT", "/v1/configuration", {**self.configuration, "nonsense": 1})
+        stale = self.fleet.call("PUT", "/v1/configuration", self.configuration, {"If-Match": '"1"'})
+        held = self.fleet.call("GET", "/v1/configuration", first=1)
+        self.findings.add("an invalid or stale configuration changes nothing", f"{refused[0]}, {stale[0]}, still {held[2]['version']}",
+                          refused[0] == 422 and stale[0] == 412 and held[2]["version"] == self.version)
+
+    def large_configuration(self) -> None:
+        """Thousands of routes beside the ones in use."""
+        extra = {f"w{number}": {"path": f"/bulk/{number}", "settings": {"deadline_ms": 1000 + number % 500, "zones": self.deployment.zones}}
+                 for number in range(LARGE_ROUTES)}
+        held, service = copy.deepcopy(self.configuration), next(iter(self.configuration["services"]))
+        self.configuration["branches"]["bulk"] = {"host": "bulk.example", "settings": {"service": service}, "branches": extra}
+        size = len(json.dumps(self.configuration))
         mark = len(self.callers.tally.refusals)
-        self._put(f"a layout of {size // 1024} KiB and {LARGE_WAYS} ways in force everywhere within 2 s")
+        self._put(f"a configuration of {size // 1024} KiB and {LARGE_ROUTES} routes in force everywhere within 2 s")
         gevent.sleep(2)
-        over = self.fleet.call("PUT", "/v1/layout", b"{" + b" " * (4 * 1024 * 1024) + b"}")
-        self.findings.add("a layout over the limit is refused", f"{over and over[0]}", over is not None and over[0] == 413)
-        self.layout = held
-        self._put("the small layout again in force everywhere within 2 s")
-        self.figures["refusals while a large layout came and went"] = len(self.callers.tally.refusals) - mark
+        over = self.fleet.call("PUT", "/v1/configuration", b"{" + b" " * (4 * 1024 * 1024) + b"}")
+        self.findings.add("a configuration over the limit is refused", f"{over and over[0]}", over is not None and over[0] == 413)
+        self.configuration = held
+        self._put("the small configuration again in force everywhere within 2 s")
+        self.figures["refusals while a large configuration came and went"] = len(self.callers.tally.refusals) - mark
 
-    def purge_storm(self) -> None:
+    def purge_fault_schedule(self) -> None:
         """Ten calls of a thousand items each, while the mix runs; then one purge that must still be in time."""
         items = [[{"kind": "item", "path": f"/cards/{batch * 1000 + number}"} for number in range(1000)] for batch in range(10)]
         began = self.clock.now()
         tasks = [gevent.spawn(self.fleet.call, "POST", "/v1/purges", {"items": batch}, None, number) for number, batch in enumerate(items)]
         codes = [task.get() and task.get()[0] for task in tasks]
         self.figures["10000 purges accepted, s"] = round((self.clock.now() - began) / SECOND, 2)
-        self.findings.add("a storm of purges is accepted", f"{codes.count(200)} of {len(codes)} calls", codes.count(200) == len(codes))
-        self.purge("purged content is gone within 2 s, behind a storm")
+        self.findings.add("a fault schedule of purges is accepted", f"{codes.count(200)} of {len(codes)} calls", codes.count(200) == len(codes))
+        self.purge("purged content is gone within 2 s, behind a fault schedule")
 
     def racing_operators(self) -> None:
-        first, second = copy.deepcopy(self.layout), copy.deepcopy(self.layout)
-        first["props"]["tries"], second["props"]["tries"] = 2, 3
-        match = {"If-Match": f'"{self.generation}"'}
-        tasks = [gevent.spawn(self.fleet.call, "PUT", "/v1/layout", tree, match, number) for number, tree in enumerate((first, second))]
+        first, second = copy.deepcopy(self.configuration), copy.deepcopy(self.configuration)
+        first["settings"]["tries"], second["settings"]["tries"] = 2, 3
+        match = {"If-Match": f'"{self.version}"'}
+        tasks = [gevent.spawn(self.fleet.call, "PUT", "/v1/configuration", tree, match, number) for number, tree in enumerate((first, second))]
         answers = [task.get() for task in tasks]
         codes = sorted(answer[0] for answer in answers)
         winner = (first, second)[0 if answers[0][0] == 200 else 1]
-        held = self.fleet.call("GET", "/v1/layout", first=3)
-        self.findings.add("two operators at once get truthful answers", f"{codes}, read back {held[2]['generation']}",
-                          codes == [200, 412] and held[2]["layout"]["props"]["tries"] == winner["props"]["tries"])
-        self.layout, self.generation = winner, held[2]["generation"]
+        held = self.fleet.call("GET", "/v1/configuration", first=3)
+        self.findings.add("two operators at once get truthful answers", f"{codes}, read back {held[2]['version']}",
+                          codes == [200, 412] and held[2]["configuration"]["settings"]["tries"] == winner["settings"]["tries"])
+        self.configuration, self.version = winner, held[2]["version"]
 
     def purge(self, label: str = "purged content is gone within 2 s") -> None:
         version = self.fleet.steer("version")[2]["version"]
@@ -133,16 +133,16 @@
         self.fleet.kill(store)
         self.fleet.kill(proxy)
         gevent.sleep(4)
-        during = self.fleet.call("GET", "/v1/layout", first=1)
+        during = self.fleet.call("GET", "/v1/configuration", first=1)
         self.fleet.start(store)
         self.fleet.start(proxy)
         back = self.fleet.until(lambda: self._all_up() and self._in_force(), RETURN_SECONDS, 0.2)
         self.excused.append((edge, began, self.clock.now()))
-        held = self.fleet.call("GET", "/v1/layout", first=0)
+        held = self.fleet.call("GET", "/v1/configuration", first=0)
         self.figures["store and proxy back after kill -9, s"] = back and round(back, 2)
         self.findings.add("a killed store and proxy come back, nothing accepted lost",
-                          f"layout {during and during[2].get('generation')} during, {held[2]['generation']} after, back in {back and round(back, 2)} s",
-                          during[0] == 200 and held[2]["generation"] == self.generation and held[2]["layout"] is not None and back is not None)
+                          f"configuration {during and during[2].get('version')} during, {held[2]['version']} after, back in {back and round(back, 2)} s",
+                          during[0] == 200 and held[2]["version"] == self.version and held[2]["configuration"] is not None and back is not None)
 
     def lose_disk(self) -> None:
         machine = self._cores()[2]
@@ -162,12 +162,12 @@
         for store in stores:
             self.fleet.start(store)
         began = self.clock.now()
-        back = self.fleet.until(lambda: all(held["ageMs"] is not None and held["ageMs"] < 1000 for held in self.fleet.stats().values()), RETURN_SECONDS)
-        held = self.fleet.call("GET", "/v1/layout")
+        back = self.fleet.until(lambda: all(held["age_ms"] is not None and held["age_ms"] < 1000 for held in self.fleet.stats().values()), RETURN_SECONDS)
+        held = self.fleet.call("GET", "/v1/configuration")
         self.excuse_refusals(began - SECOND, self.clock.now())
         self.figures["service back after all stores were killed, s"] = back and round(back, 2)
-        self.findings.add("all stores killed at once: back within 15 s, nothing lost", f"{back and round(back, 2)} s, generation {held and held[2]['generation']}",
-                          back is not None and held[2]["generation"] == self.generation)
+        self.findings.add("all stores killed at once: back within 15 s, nothing lost", f"{back and round(back, 2)} s, version {held and held[2]['version']}",
+                          back is not None and held[2]["version"] == self.version)
 
     def restart_in_turn(self) -> None:
         drops = len(self.callers.tally.dropped)
@@ -183,9 +183,9 @@
         edge = self._edges()[2] + "/wpproxy"
         began = self.clock.now()
         self.fleet.freeze(edge)
-        self.layout["props"]["deadlineMs"] += 1
-        accepted = self.fleet.call("PUT", "/v1/layout", self.layout)
-        self.generation = accepted[2]["generation"]
+        self.configuration["settings"]["deadline_ms"] += 1
+        accepted = self.fleet.call("PUT", "/v1/configuration", self.configuration)
+        self.version = accepted[2]["version"]
         version = self.fleet.steer("version")[2]["version"]
         self.fleet.call("POST", "/v1/purges", {"items": [{"kind": "all"}]})
         moment = self.clock.now()
@@ -199,20 +199,20 @@
         self.excuse_refusals(began, self.clock.now())
         old = [held for held in self.callers.tally.versions if held[4] == address and held[1] < version and held[0] > moment + FORCE_SECONDS * SECOND]
         answered = [held for held in self.callers.tally.versions if held[4] == address and held[0] > moment + FORCE_SECONDS * SECOND]
-        self.findings.add("a thawed proxy delivers nothing of its old picture", f"{len(old)} old of {len(answered)} answers by it", not old and answered)
+        self.findings.add("a thawed proxy delivers nothing of its old snapshot", f"{len(old)} old of {len(answered)} answers by it", not old and answered)
 
     def origins_break(self) -> None:
         """Wrong bytes, short answers, lost answers, slowness, a crash, a drain: one origin each, one after another."""
-        byGroup = {}
+        by_service = {}
         for origin in self.deployment.origins:
-            byGroup.setdefault(origin["group"], []).append(origin["address"])
-        for addresses in byGroup.values():
+            by_service.setdefault(origin["service"], []).append(origin["address"])
+        for addresses in by_service.values():
             for mode in ("lying", "short", "lost"):
                 self.fleet.steer("mode", addresses[0], mode=mode)
                 gevent.sleep(2)
             self.fleet.steer("mode", addresses[0], mode="sound")
         began = self.clock.now()
-        drained, crashed = (addresses[1] for addresses in byGroup.values())
+        drained, crashed = (addresses[1] for addresses in by_service.values())
         self.fleet.steer("crash", crashed)
         self.fleet.steer("drain", drained)
         learned = self.clock.now()
@@ -240,27 +240,27 @@
         asked = self.clock.now()
         gevent.sleep(9)
         seen = self.fleet.ledger()["seen"]
-        inZone = [origin["address"] for origin in self.deployment.origins if origin["zone"] == zone]
-        late = sum(count for address in inZone for second, count in seen.get(address, {}).items() if int(second) > (asked + 5 * SECOND) // SECOND)
-        edges = {self.deployment.proxyHttp(machine) for machine in self.deployment.machines if machine["zone"] == zone and machine["kind"] == "edge"}
-        served = sum(count for edge in edges for second, count in self.callers.tally.perEdge.get(edge, {}).items() if second > (asked + 5 * SECOND) // SECOND)
+        in_zone = [origin["address"] for origin in self.deployment.origins if origin["zone"] == zone]
+        late = sum(count for address in in_zone for second, count in seen.get(address, {}).items() if int(second) > (asked + 5 * SECOND) // SECOND)
+        edges = {self.deployment.proxy_http(machine) for machine in self.deployment.machines if machine["zone"] == zone and machine["kind"] == "edge"}
+        served = sum(count for edge in edges for second, count in self.callers.tally.per_edge.get(edge, {}).items() if second > (asked + 5 * SECOND) // SECOND)
         self.findings.add("an emptied zone gets nothing after 5 s", f"{late} at its origins, {served} at its edges", accepted[0] == 200 and late == 0 and served == 0)
         self.fleet.call("POST", f"/v1/zones/{zone}/restore")
         restored = self.clock.now()
-        back = self.fleet.until(lambda: any(second > restored // SECOND for edge in edges for second in self.callers.tally.perEdge.get(edge, {})), RETURN_SECONDS)
+        back = self.fleet.until(lambda: any(second > restored // SECOND for edge in edges for second in self.callers.tally.per_edge.get(edge, {})), RETURN_SECONDS)
         self.findings.add("a restored zone serves again within 15 s", f"{back and round(back, 2)} s", back is not None)
 
     def close(self) -> Findings:
         gevent.sleep(1)
         self.callers.stop()
         ledger = self.fleet.ledger()
-        ledger["paths"] = {kind["path"].strip("/"): kind["group"] for kind in self.deployment.mix}
+        ledger["paths"] = {kind["path"].strip("/"): kind["service"] for kind in self.deployment.mix}
         tally = self.callers.tally
         tally.refusals = [held for held in tally.refusals if not any(start <= held[0] <= end for start, end in self.quiet)]
-        TrafficRules(tally, ledger, self.layout["groups"], self.deployment.origins, self.excused).judge(self.findings, self.since)
-        held = self.fleet.call("GET", "/v1/layout", first=2)
-        self.findings.add("read back: the last accepted layout", f"generation {held[2]['generation']} of {self.generation}",
-                          held[2]["generation"] == self.generation and held[2]["layout"]["props"] == {**self.layout["props"]})
+        TrafficRules(tally, ledger, self.configuration["services"], self.deployment.origins, self.excused).judge(self.findings, self.since)
+        held = self.fleet.call("GET", "/v1/configuration", first=2)
+        self.findings.add("read back: the last accepted configuration", f"version {held[2]['version']} of {self.version}",
+                          held[2]["version"] == self.version and held[2]["configuration"]["settings"] == {**self.configuration["settings"]})
         whole = self.fleet.until(lambda: len({ask[2]["digest"] for ask in self._statuses()}) == 1, 5)
         self.findings.add("every registry holds the same tables", f"after {whole and round(whole, 2)} s", whole is not None)
         stats = self._sum_stats()
@@ -275,17 +275,17 @@
         self.quiet = [*self.quiet, (start, end)]
 
     def _put(self, rule) -> None:
-        accepted = self.fleet.call("PUT", "/v1/layout", self.layout)
+        accepted = self.fleet.call("PUT", "/v1/configuration", self.configuration)
         if accepted is None or accepted[0] != 200:
-            raise RuntimeError(f"the layout was not accepted: {accepted}")
-        self.generation = accepted[2]["generation"]
+            raise RuntimeError(f"the configuration was not accepted: {accepted}")
+        self.version = accepted[2]["version"]
         took = self.fleet.until(self._in_force, 10, 0.02)
-        self.figures.setdefault("layout in force everywhere, s", []).append(took and round(took, 2))
+        self.figures.setdefault("configuration in force everywhere, s", []).append(took and round(took, 2))
         self.findings.add(rule, f"{took and round(took, 2)} s", took is not None and took <= FORCE_SECONDS)
 
     def _in_force(self) -> bool:
         held = self.fleet.stats()
-        return len(held) == len(self.fleet.proxies()) and all(each["generation"] >= self.generation for each in held.values())
+        return len(held) == len(self.fleet.proxies()) and all(each["version"] >= self.version for each in held.values())
 
     def _all_up(self) -> bool:
         held = self._status()
@@ -296,7 +296,7 @@
         return held[2] if held else {"origins": {}, "daemons": {}, "open": [1], "epoch": 0}
 
     def _statuses(self):
-        from willowpost.standin.callers import ask
+        from willowpost.stand_ins.callers import ask
         return [held for held in (ask(address, "GET", "/v1/status") for address in self.fleet.registries()) if held]
 
     def _sum_stats(self) -> dict:
--- a/src/willowpost/drill/tools.py
+++ b/src/willowpost/drill/tools.py
@@ -8,11 +8,11 @@
 from cleo.helpers import argument, option
 
 from willowpost.common.clock import MILLI
-from willowpost.consensus.replica.board import Pace
-from willowpost.sim.fleet.calm import CalmStorm
-from willowpost.sim.fleet.storm import FleetStorm
+from willowpost.consensus.replica.replica_state import Pace
+from willowpost.sim.fleet.bounded_faults import BoundedFaultSchedule
+from willowpost.sim.fleet.fault_schedule import FleetFaultSchedule
 from willowpost.sim.pace import PaceMeasure
-from willowpost.sim.storms import CoreStorm
+from willowpost.sim.fault_schedules import CoreFaultSchedule
 from willowpost.toolbox.folder import FolderChecker, LogReplay
 
 
@@ -66,18 +66,18 @@
                     pace = Pace(freeze=int(float(freeze) * MILLI), resend=own.get("resend", 60) * MILLI)
                     found = PaceMeasure(zones, held["regions"], held["between"]["ms"] * MILLI, int(float(jitter) * MILLI), pace,
                                         float(rate), int(self.option("seed"))).run()
-                    self.line(f"{freeze} | {jitter} | {rate} | {found.commands} | {found.slots} | {found.nullPart:.1%} | "
-                              f"{found.fastPart:.1%} | {found.acceptP50:.1f} | {found.acceptP99:.1f}")
+                    self.line(f"{freeze} | {jitter} | {rate} | {found.commands} | {found.slots} | {found.null_part:.1%} | "
+                              f"{found.fast_part:.1%} | {found.accept_p_50:.1f} | {found.accept_p_99:.1f}")
         return 0
 
 
 class SweepCommand(Command):
     name = "sweep"
-    description = "Runs seeded storms in the simulator, and stops at the first that breaks a rule unless told to go on."
+    description = "Runs seeded fault schedules in the simulator, and stops at the first that breaks a rule unless told to go on."
     arguments = [argument("what", "core (stores only), fleet (everything), or calm (a deployment at its peak, hit by what it must bear).")]
     options = [option("first", None, "First seed.", flag=False, default="0"),
                option("count", "c", "How many seeds.", flag=False, default="50"),
-               option("wide", "w", "Also one-way cuts, pair cuts, lossy links, purge storms, swapped seeds (fleet)."),
+               option("wide", "w", "Also one-way cuts, pair cuts, lossy links, purge fault schedules, swapped seeds (fleet)."),
                option("deployment", None, "Whose regions and distance (fleet).", flag=False, default="invitations"),
                option("trace", None, "Print what was done in each run."),
                option("go-on", "g", "Go on to the next seeds after one that broke a rule, and count them at the end.")]
@@ -88,7 +88,7 @@
 It exits with 1 when a seed broke a rule."""
 
     def handle(self) -> int:
-        if self.argument("what") not in ("core", "fleet", "calm"):
+        if self.argument("what") not in ("core", "fleet", "bounded"):
             self.line_error(json.dumps({"place": "what", "finding": "core, fleet or calm"}))
             return 2
         held = json.loads((files("willowpost.deployments") / f"{self.option('deployment')}.json").read_text())
@@ -96,10 +96,10 @@
         first, count, margin, broke = int(self.option("first")), int(self.option("count")), {}, Counter()
         seeds = range(first, first + count)
         for ran, seed in enumerate(seeds, 1):
-            storm = {"core": lambda: CoreStorm(seed), "fleet": lambda: FleetStorm(seed, wide=self.option("wide"), **far),
-                     "calm": lambda: CalmStorm(seed, self.option("deployment"))}[self.argument("what")]()
-            rule = self._run(storm, seed)
-            for name, value in getattr(getattr(storm.world, "traffic", None), "margin", {}).items():
+            fault_schedule = {"core": lambda: CoreFaultSchedule(seed), "fleet": lambda: FleetFaultSchedule(seed, wide=self.option("wide"), **far),
+                     "bounded": lambda: BoundedFaultSchedule(seed, self.option("deployment"))}[self.argument("what")]()
+            rule = self._run(fault_schedule, seed)
+            for name, value in getattr(getattr(fault_schedule.world, "traffic", None), "margin", {}).items():
                 margin[name] = max(margin.get(name, 0), value)
             if rule is not None:
                 broke[rule] += 1
@@ -113,24 +113,24 @@
             self.line(f"  widest {name}: {value // 1000 if name.endswith('ms') else value}")
         return 1 if broke else 0
 
-    def _run(self, storm, seed) -> str | None:
-        """The rule that the storm broke, if it broke one."""
+    def _run(self, fault_schedule, seed) -> str | None:
+        """The rule that the fault schedule broke, if it broke one."""
         try:
-            storm.run()
+            fault_schedule.run()
         except AssertionError as broken:
             self.line(f"seed {seed} broke: {broken}")
-            self._trace(storm, 12)
+            self._trace(fault_schedule, 12)
             return getattr(broken, "rule", str(broken))
         except Exception as fault:
             self.line(f"seed {seed} raised: {traceback.format_exc()}")
-            self._trace(storm, 12)
+            self._trace(fault_schedule, 12)
             return f"nothing raises: {type(fault).__name__}"
         if self.option("trace"):
-            self._trace(storm, 1000)
+            self._trace(fault_schedule, 1000)
         return None
 
-    def _trace(self, storm, most):
-        for moment, blow in getattr(storm, "trace", ())[-most:]:
-            self.line(f"  t={moment / 1e6:.3f} s  {blow}")
-        for note in storm.world.notes[-most:]:
+    def _trace(self, fault_schedule, most):
+        for moment, fault in getattr(fault_schedule, "trace", ())[-most:]:
+            self.line(f"  t={moment / 1e6:.3f} s  {fault}")
+        for note in fault_schedule.world.notes[-most:]:
             self.line(f"  t={note[0] / 1e6:.3f} s  {note[1]} {note[2]}: {note[3]}")
--- a/src/willowpost/drill/zones.py
+++ b/src/willowpost/drill/zones.py
@@ -11,23 +11,23 @@
 class ZoneDrill(FleetDrill):
     """Invariant: refusals are counted while the zone is out, too: losing one zone is no excuse."""
 
-    def run_zones(self, zones, ways):
+    def run_zones(self, zones, routes):
         self.open()
         for zone in zones:
-            for way in ways:
-                self.say(f"zone {zone} by {way}")
-                getattr(self, way)(zone)
+            for route in routes:
+                self.say(f"zone {zone} by {route}")
+                getattr(self, route)(zone)
                 gevent.sleep(4)
         return self.close()
 
     def _mark(self):
         return self.clock.now(), len(self.callers.tally.refusals), len(self.callers.tally.latencies)
 
-    def _judge_refusals(self, zone, way, mark):
+    def _judge_refusals(self, zone, route, mark):
         tally = self.callers.tally
         refused, begun = len(tally.refusals) - mark[1], len(tally.latencies) - mark[2]
         why = sorted({held[2][10:60] for held in tally.refusals[mark[1]:]})[:3]
-        self.findings.add(f"zone {zone} by {way}: refusals stay a handful", f"{refused} of {begun} {why or ''}", refused <= max(5, HANDFUL_PART * begun))
+        self.findings.add(f"zone {zone} by {route}: refusals stay a handful", f"{refused} of {begun} {why or ''}", refused <= max(5, HANDFUL_PART * begun))
 
     def emptying(self, zone):
         mark = self._mark()
@@ -36,7 +36,7 @@
         gevent.sleep(8)
         limit = (asked + 5 * SECOND) // SECOND
         late = self._origin_requests(zone, limit) + sum(count for edge in self._edges_of(zone) for second, count in
-                                                        self.callers.tally.perEdge.get(edge, {}).items() if second > limit)
+                                                        self.callers.tally.per_edge.get(edge, {}).items() if second > limit)
         self.findings.add(f"zone {zone} by emptying: nothing after 5 s", f"{late} requests", accepted[0] == 200 and late == 0)
         self.fleet.call("POST", f"/v1/zones/{zone}/restore")
         self._back(zone, "emptying")
@@ -52,11 +52,11 @@
         for address in origins:
             self.fleet.steer("crash", address)
         gevent.sleep(DARK_SECONDS)
-        self.layout["props"]["deadlineMs"] += 1
-        accepted = self.fleet.call("PUT", "/v1/layout", self.layout)
+        self.configuration["settings"]["deadline_ms"] += 1
+        accepted = self.fleet.call("PUT", "/v1/configuration", self.configuration)
         during = accepted is not None and accepted[0] == 200
-        self.generation = accepted[2]["generation"] if during else self.generation
-        self.findings.add(f"zone {zone} by killing: layouts are still accepted", f"{accepted and accepted[0]}", during)
+        self.version = accepted[2]["version"] if during else self.version
+        self.findings.add(f"zone {zone} by killing: configurations are still accepted", f"{accepted and accepted[0]}", during)
         for key in keys:
             self.fleet.start(key)
         for address in origins:
@@ -66,16 +66,16 @@
         self._back(zone, "killing")
         self._judge_refusals(zone, "killing", mark)
 
-    def _back(self, zone, way):
+    def _back(self, zone, route):
         began = self.clock.now()
         edges = self._edges_of(zone)
         back = self.fleet.until(lambda: self._all_up() and self._in_force() and all(
-            any(second > began // SECOND for second in self.callers.tally.perEdge.get(edge, {})) for edge in edges), RETURN_SECONDS, 0.1)
-        self.figures.setdefault("time to repair, s", {})[f"{zone} {way}"] = back and round(back, 2)
-        self.findings.add(f"zone {zone} by {way}: back within 15 s", f"{back and round(back, 2)} s", back is not None)
+            any(second > began // SECOND for second in self.callers.tally.per_edge.get(edge, {})) for edge in edges), RETURN_SECONDS, 0.1)
+        self.figures.setdefault("time to repair, s", {})[f"{zone} {route}"] = back and round(back, 2)
+        self.findings.add(f"zone {zone} by {route}: back within 15 s", f"{back and round(back, 2)} s", back is not None)
 
     def _edges_of(self, zone):
-        return [self.deployment.proxyHttp(machine) for machine in self.deployment.machines if machine["zone"] == zone and machine["kind"] == "edge"]
+        return [self.deployment.proxy_http(machine) for machine in self.deployment.machines if machine["zone"] == zone and machine["kind"] == "edge"]
 
     def _origin_requests(self, zone, after):
         seen = self.fleet.ledger()["seen"]
--- a/src/willowpost/node/clerk.py
+++ b/src/willowpost/node/command_client.py
@@ -11,7 +11,7 @@
 RETRY_AFTER = 400 * MILLI
 
 
-class Clerk:
+class CommandClient:
     """Invariants: a command is resubmitted under the same key until it is answered;
     a stamp is greater than every stamp given before it here."""
 
@@ -23,19 +23,19 @@
         self.counter = 0
         self.stamp = 0
         self.gathered: list[tuple] = []
-        self.gatheredAt = 0
-        self.pending: dict[str, list] = {}    # key -> [command, tokens, sentAt, tries]
+        self.gathered_at = 0
+        self.pending: dict[str, list] = {}    # key -> [command, tokens, sent_at, tries]
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
         match event:
             case Asked(token, ops):
-                self.gatheredAt = now if not self.gathered else self.gatheredAt
+                self.gathered_at = now if not self.gathered else self.gathered_at
                 self.gathered.append((token, ops))
             case Received(_, Accepted() as accepted) if accepted.key in self.pending:
                 self._settle(accepted, now, plan)
         full = sum(len(ops) for _, ops in self.gathered) >= BATCH_MOST
-        if self.gathered and (full or now - self.gatheredAt >= BATCH_WAIT):
+        if self.gathered and (full or now - self.gathered_at >= BATCH_WAIT):
             self._stamp(now, plan)
         if isinstance(event, Tick):
             for entry in self.pending.values():
--- a/src/willowpost/node/follower.py
+++ b/src/willowpost/node/follower.py
@@ -3,51 +3,51 @@
 from willowpost.common.events import Changed, Received, Tick
 from willowpost.common.plan import Plan
 from willowpost.common.rendezvous import Rendezvous
-from willowpost.node.board import TAIL_KEPT, FollowBoard
+from willowpost.node.node_state import TAIL_KEPT, NodeState
 from willowpost.state.apply import Apply
 from willowpost.state.tables import tables_from
-from willowpost.wire.messages import Hello, News, Ping, Poll, founders_of
+from willowpost.wire.messages import Hello, StateUpdate, Ping, Poll, members_of
 
 POLL_EVERY = 150 * MILLI
 SILENT_AFTER = 450 * MILLI
 TOO_OLD = 700 * MILLI
 RETRY_HOME = 2 * SECOND
 HELLO_EVERY = 300 * MILLI
-FORSAKEN_AFTER = 3 * SECOND     # no news for so long: whom we know may all be gone, and the seeds may be others by now
+WITHOUT_SOURCE_AFTER = 3 * SECOND     # no state updates for so long: whom we know may all be gone, and the seeds may be others by now
 HOMES_TRIED = 2
 
 
 class Follower:
-    """Invariants: freshAsOf counts from when the poll was *sent*, so a slow answer or a freeze only makes us older;
+    """Invariants: fresh_as_of counts from when the poll was *sent*, so a slow answer or a freeze only makes us older;
     whoever is asked, also after the seeds were asked anew, the tables only go on."""
 
-    def __init__(self, board: FollowBoard, seeds, tree: bool = True):
-        self.board = board
+    def __init__(self, node_state: NodeState, seeds, tree: bool = True):
+        self.node_state = node_state
         self.seeds = tuple(seeds)
         self.tree = tree
         self.apply = Apply()
         self.nonce = 0
         self.polls: dict[int, int] = {}
-        self.polledAt = -POLL_EVERY
-        self.heardAt = 0
-        self.turn = 0               # how many sources were given up since the last return to the home
-        self.turnedAt = 0
-        self.helloAt = -HELLO_EVERY
+        self.polled_at = -POLL_EVERY
+        self.heard_at = 0
+        self.source_index = 0               # how many sources were given up since the last return to the home
+        self.source_changed_at = 0
+        self.hello_at = -HELLO_EVERY
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
         match event:
-            case Received(source, News() as news):
-                self._take(news, now, plan)
+            case Received(source, StateUpdate() as state_update):
+                self._take(state_update, now, plan)
             case Received(source, Poll() as poll):
                 self._tell(source, poll, now, plan)
-            case Received(source, Hello(answer=True, founded=True) as hello):
-                if not self.board.tables.core or self._forsaken(now):
-                    self.board.seedCores = tuple(member.address for member in hello.known)
-            case Received(source, Ping()) if not self.board.tables.core:
+            case Received(source, Hello(answer=True, bootstrapped=True) as hello):
+                if not self.node_state.tables.core or self._without_source(now):
+                    self.node_state.seed_cores = tuple(member.address for member in hello.known)
+            case Received(source, Ping()) if not self.node_state.tables.core:
                 plan.send(source, Hello(answer=False))     # who watches us knows more than we do, whatever became of the seeds
             case Received(source, Hello(answer=False)):
-                plan.send(source, Hello(founded=self.board.tables.epoch > 0, answer=True, known=founders_of(self.board.tables.core)))
+                plan.send(source, Hello(bootstrapped=self.node_state.tables.epoch > 0, answer=True, known=members_of(self.node_state.tables.core)))
             case Changed(seeds=seeds):
                 self.seeds = tuple(seeds)
             case Tick():
@@ -55,80 +55,80 @@
         return plan
 
     def sources(self) -> list[str]:
-        board = self.board
-        cores = board.cores()
+        node_state = self.node_state
+        cores = node_state.cores()
         if not self.tree:
             return cores
-        zone = {name: card for name, card in board.live("proxy").items() if card["zone"] == board.card.zone}
-        ranked = Rendezvous().rank(f"news/{board.card.zone}", zone)
-        before = ranked[:ranked.index(board.card.id)] if board.card.id in ranked else ranked
+        zone = {name: card for name, card in node_state.live("proxy").items() if card["zone"] == node_state.card.zone}
+        ranked = Rendezvous().rank(f"state_update/{node_state.card.zone}", zone)
+        before = ranked[:ranked.index(node_state.card.id)] if node_state.card.id in ranked else ranked
         return [zone[name]["address"] for name in before[:HOMES_TRIED]] + cores
 
     def _tick(self, now, plan):
-        board = self.board
-        if (not board.tables.core or self._forsaken(now)) and now - self.helloAt >= HELLO_EVERY:
-            self.helloAt = now
+        node_state = self.node_state
+        if (not node_state.tables.core or self._without_source(now)) and now - self.hello_at >= HELLO_EVERY:
+            self.hello_at = now
             plan.sends += [(seed, Hello(answer=False)) for seed in self.seeds]
-        if now - self.polledAt < POLL_EVERY:
+        if now - self.polled_at < POLL_EVERY:
             return
         sources = self.sources()
         if not sources:
             return
         self._judge(now)
-        self.polledAt = now
-        self.poll(sources[self.turn % len(sources)], now, plan)
+        self.polled_at = now
+        self.poll(sources[self.source_index % len(sources)], now, plan)
 
-    def _forsaken(self, now):
-        age = self.board.age(now)
-        return age is None or age > FORSAKEN_AFTER
+    def _without_source(self, now):
+        age = self.node_state.age(now)
+        return age is None or age > WITHOUT_SOURCE_AFTER
 
     def poll(self, address, now, plan):
         self.nonce += 1
         self.polls = {nonce: sent for nonce, sent in self.polls.items() if now - sent < 2 * SECOND}
         self.polls[self.nonce] = now
-        plan.send(address, Poll(self.nonce, self.board.tables.slot, not self.board.tables.epoch))
+        plan.send(address, Poll(self.nonce, self.node_state.tables.slot, not self.node_state.tables.epoch))
 
     def _judge(self, now):
         """Leave a source that is silent or old; try the home again after a while."""
-        age = self.board.age(now)
-        bad = now - self.heardAt > SILENT_AFTER or (age is not None and age > TOO_OLD)
-        if bad and now - self.turnedAt > SILENT_AFTER:
-            self.turn, self.turnedAt = self.turn + 1, now
-        elif self.turn and not bad and now - self.turnedAt > RETRY_HOME:
-            self.turn, self.turnedAt = 0, now
+        age = self.node_state.age(now)
+        bad = now - self.heard_at > SILENT_AFTER or (age is not None and age > TOO_OLD)
+        if bad and now - self.source_changed_at > SILENT_AFTER:
+            self.source_index, self.source_changed_at = self.source_index + 1, now
+        elif self.source_index and not bad and now - self.source_changed_at > RETRY_HOME:
+            self.source_index, self.source_changed_at = 0, now
 
-    def _take(self, news, now, plan):
-        board = self.board
-        sent = self.polls.pop(news.nonce, None)
+    def _take(self, state_update, now, plan):
+        node_state = self.node_state
+        sent = self.polls.pop(state_update.nonce, None)
         if sent is None:
             return
-        self.heardAt = now
-        if news.picture:
-            tables = tables_from(news.picture)
+        self.heard_at = now
+        if state_update.snapshot:
+            tables = tables_from(state_update.snapshot)
             if self._newer(tables):
-                board.tables, board.tail = tables, ()
-        tables, tail = board.tables, []
-        for decision in news.decisions:
+                node_state.tables, node_state.tail = tables, ()
+        tables, tail = node_state.tables, []
+        for decision in state_update.decisions:
             if decision.slot == tables.slot and tables.epoch:
                 tables = self.apply.step(tables, decision)
                 tail.append(decision)
-        board.tables, board.tail = tables, (board.tail + tuple(tail))[-TAIL_KEPT:]
-        if news.fresh and board.tables.slot >= news.slot:
-            board.whole_as_of(sent - news.age)
-            board.seedCores = ()
-        elif news.decisions and board.tables.slot == news.slot:
-            self.polledAt = now - POLL_EVERY    # more is waiting there
+        node_state.tables, node_state.tail = tables, (node_state.tail + tuple(tail))[-TAIL_KEPT:]
+        if state_update.fresh and node_state.tables.slot >= state_update.slot:
+            node_state.whole_as_of(sent - state_update.age)
+            node_state.seed_cores = ()
+        elif state_update.decisions and node_state.tables.slot == state_update.slot:
+            self.polled_at = now - POLL_EVERY    # more is waiting there
 
     def _newer(self, tables):
-        return tables.slot > self.board.tables.slot or not self.board.tables.epoch
+        return tables.slot > self.node_state.tables.slot or not self.node_state.tables.epoch
 
     def _tell(self, source, poll, now, plan):
-        board = self.board
-        age = board.age(now)
+        node_state = self.node_state
+        age = node_state.age(now)
         fresh = age is not None
-        first = board.tables.slot - len(board.tail)
-        if (poll.blank or poll.slot < first) and board.tables.epoch:
-            plan.send(source, News(poll.nonce, board.tables.slot, age or 0, fresh, picture=board.tables.text()))
-        elif board.tables.epoch:
-            told = board.tail[poll.slot - first:] if poll.slot < board.tables.slot else ()
-            plan.send(source, News(poll.nonce, board.tables.slot, age or 0, fresh and poll.slot <= board.tables.slot, tuple(told)))
+        first = node_state.tables.slot - len(node_state.tail)
+        if (poll.blank or poll.slot < first) and node_state.tables.epoch:
+            plan.send(source, StateUpdate(poll.nonce, node_state.tables.slot, age or 0, fresh, snapshot=node_state.tables.text()))
+        elif node_state.tables.epoch:
+            told = node_state.tail[poll.slot - first:] if poll.slot < node_state.tables.slot else ()
+            plan.send(source, StateUpdate(poll.nonce, node_state.tables.slot, age or 0, fresh and poll.slot <= node_state.tables.slot, tuple(told)))
--- a/src/willowpost/node/joiner.py
+++ b/src/willowpost/node/joiner.py
@@ -11,21 +11,21 @@
 class Joiner:
     """Invariant: a life joins under one incarnation; the log, not the daemon, says whether it is lost."""
 
-    def __init__(self, card, tables, clerk):
+    def __init__(self, card, tables, command_client):
         self.card = card
         self.tables = tables
-        self.clerk = clerk
-        self.askedAt = -JOIN_EVERY
+        self.command_client = command_client
+        self.asked_at = -JOIN_EVERY
         self.leaving = False
 
     def step(self, event, now: int) -> Plan:
-        if not isinstance(event, Tick) or self.leaving or now - self.askedAt < JOIN_EVERY:
+        if not isinstance(event, Tick) or self.leaving or now - self.asked_at < JOIN_EVERY:
             return Plan()
         tables = self.tables()
         held = tables.daemons.get(self.card.id)
-        forgotten = held is not None and held["state"] == "lost" and self.card.id not in tables.doubts
+        forgotten = held is not None and held["state"] == "lost" and self.card.id not in tables.suspicions
         if not tables.epoch or (held is not None and held["incarnation"] == self.card.incarnation and not forgotten):
             return Plan()
-        self.askedAt = now
+        self.asked_at = now
         card = asdict(self.card)
-        return self.clerk.step(Asked(None, ({"op": "join", "daemon": card},)), now)
+        return self.command_client.step(Asked(None, ({"op": "join", "daemon": card},)), now)
--- a/src/willowpost/node/leaver.py
+++ b/src/willowpost/node/leaver.py
@@ -46,18 +46,18 @@
     """Invariants: the stage only moves along NEXT; nothing new is refused before spans.drain is over, and nothing under way
     is given up before spans.finish is, which counts from then; the whole takes no longer than the three together."""
 
-    def __init__(self, board, clerk, joiner, spans: Spans | None = None):
+    def __init__(self, node_state, command_client, joiner, spans: Spans | None = None):
         self.spans = spans or Spans(DRAIN_SPAN, FINISH_SPAN, LEAVE_SPAN)
-        self.board, self.card, self.clerk, self.joiner = board, board.card, clerk, joiner
+        self.node_state, self.card, self.command_client, self.joiner = node_state, node_state.card, command_client, joiner
         self.stage = Stage.SERVING
         self.since = 0
-        self.finishBy = 0
-        self.underway = lambda: 0      # () -> requests or calls not answered yet; set by who serves them
+        self.finish_by = 0
+        self.in_flight = lambda: 0      # () -> requests or calls not answered yet; set by who serves them
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
         if isinstance(event, Leave) and self.stage is Stage.SERVING:
-            self.board.draining = True
+            self.node_state.draining = True
             self._move(Stage.DRAINING, now, plan)
             self._ask("drain", now, plan)
         elif isinstance(event, Tick):
@@ -66,20 +66,20 @@
 
     def _tick(self, span, now, plan):
         if self.stage is Stage.DRAINING and span >= self.spans.drain:
-            self.finishBy = now + self.spans.finish
+            self.finish_by = now + self.spans.finish
             self._move(Stage.FINISHING, now, plan)
-        elif self.stage is Stage.FINISHING and (now >= self.finishBy or span >= LAST_BYTES and not self.underway()):
+        elif self.stage is Stage.FINISHING and (now >= self.finish_by or span >= LAST_BYTES and not self.in_flight()):
             self.joiner.leaving = True
             self._move(Stage.LEAVING, now, plan)
             self._ask("leave", now, plan)
-        elif self.stage is Stage.LEAVING and (span >= self.spans.leave or self.card.id not in self.board.tables.daemons) \
-                and (now >= self.finishBy or not self.underway()):        # a kept connection may have brought one more
+        elif self.stage is Stage.LEAVING and (span >= self.spans.leave or self.card.id not in self.node_state.tables.daemons) \
+                and (now >= self.finish_by or not self.in_flight()):        # a kept connection may have brought one more
             self._move(Stage.GONE, now, plan)
 
     def _ask(self, op, now, plan):
-        plan.join(self.clerk.step(Asked(None, ({"op": op, "id": self.card.id, "incarnation": self.card.incarnation},)), now))
+        plan.join(self.command_client.step(Asked(None, ({"op": op, "id": self.card.id, "incarnation": self.card.incarnation},)), now))
 
     def _move(self, stage, now, plan):
         assert stage in NEXT[self.stage]
         self.stage, self.since = stage, now
-        plan.note("drain", stage.value, underway=self.underway())
+        plan.note("drain", stage.value, in_flight=self.in_flight())
--- a/src/willowpost/node/board.py
+++ b/src/willowpost/node/node_state.py
@@ -1,11 +1,11 @@
-"""What every follower of the log keeps on its blackboard."""
+"""What every follower of the log keeps on its shared state."""
 from dataclasses import dataclass, field
 
 from willowpost.common.clock import MILLI
 from willowpost.common.rendezvous import weight
 from willowpost.state.tables import Tables
 
-LEASE = 1_500 * MILLI         # how long an owner may believe in its duty without news, and a proxy serves on unless its props say longer
+LEASE = 1_500 * MILLI         # how long an owner may believe in its duty without state updates, and a proxy serves on unless its settings say longer
 TAIL_KEPT = 512
 
 
@@ -23,40 +23,40 @@
     incarnation: int
 
     @property
-    def life(self) -> str:
+    def incarnation_id(self) -> str:
         return f"{self.id}@{self.incarnation}"
 
 
 @dataclass(slots=True)
-class FollowBoard:
+class NodeState:
     """Invariants:
 
     - `tables` never goes back a slot in one life.
-    - everything accepted before `freshAsOf` (own clock) is in `tables`.
+    - everything accepted before `fresh_as_of` (own clock) is in `tables`.
     - `tail` holds the decisions tables.slot - len(tail) .. tables.slot - 1.
     """
 
     card: Card
     tables: Tables = field(default_factory=Tables)
-    freshAsOf: int | None = None
+    fresh_as_of: int | None = None
     tail: tuple = ()
-    seedCores: tuple = ()        # stores heard of from seeds, until there are fresh tables
+    seed_cores: tuple = ()        # stores heard of from seeds, until there are fresh tables
     draining: bool = False       # this process is about to end, as planned
-    serveOn: int | None = None   # µs; None: the lease
+    serve_on: int | None = None   # µs; None: the lease
 
     def age(self, now: int) -> int | None:
-        return None if self.freshAsOf is None else now - self.freshAsOf
+        return None if self.fresh_as_of is None else now - self.fresh_as_of
 
     def whole_as_of(self, moment: int) -> None:
-        self.freshAsOf = moment if self.freshAsOf is None else max(self.freshAsOf, moment)
+        self.fresh_as_of = moment if self.fresh_as_of is None else max(self.fresh_as_of, moment)
 
     def leased(self, now: int) -> bool:
         """Whether requests may be delivered. Not whether a duty may be done: see ruling()."""
-        return self.freshAsOf is not None and now - self.freshAsOf <= (LEASE if self.serveOn is None else self.serveOn)
+        return self.fresh_as_of is not None and now - self.fresh_as_of <= (LEASE if self.serve_on is None else self.serve_on)
 
     def ruling(self, now: int) -> bool:
         """Whether a duty that the log names us for is still surely ours: who takes it over waits this long, however long we serve on."""
-        return self.freshAsOf is not None and now - self.freshAsOf <= LEASE
+        return self.fresh_as_of is not None and now - self.fresh_as_of <= LEASE
 
     def cores(self) -> list[str]:
         """Addresses of stores, those of the own machine and zone first; then those that only seeds named."""
@@ -64,7 +64,7 @@
                                                                member["zone"] != self.card.zone,
                                                                weight(self.card.id, member["identity"])))
         known = [member["address"] for member in ordered]
-        return known + [address for address in self.seedCores if address not in known]
+        return known + [address for address in self.seed_cores if address not in known]
 
     def live(self, kind: str) -> dict[str, dict]:
         return {name: card for name, card in self.tables.daemons.items()
--- a/src/willowpost/node/question.py
+++ b/src/willowpost/node/quorum_read.py
@@ -3,22 +3,22 @@
 from willowpost.common.events import Received, Tick
 from willowpost.common.plan import Plan
 from willowpost.consensus.thresholds import Thresholds
-from willowpost.node.board import FollowBoard
+from willowpost.node.node_state import NodeState
 from willowpost.node.follower import TOO_OLD, Follower
 from willowpost.wire.messages import ReadAsk, ReadTell
 
 ASK_EVERY = 150 * MILLI
 
 
-class Question:
-    """Invariant: freshAsOf becomes the moment of asking only if n - f voters of our own tables, asked under one epoch, all
-    said a slot that we hold. What was accepted before is on n - f disks of the voters then, or behind a swap that the
+class QuorumRead:
+    """Invariant: fresh_as_of becomes the moment of asking only if n - f voters of our own tables, asked under one epoch, all
+    said a slot that we hold. What was accepted before is on n - f disks of the voters then, or behind a replacement that the
     barrier of a new epoch put on n - f disks of the former ones: one of those asked would have named it (rabia.md, exception 1)."""
 
-    def __init__(self, board: FollowBoard, follower: Follower):
-        self.board, self.follower = board, follower
+    def __init__(self, node_state: NodeState, follower: Follower):
+        self.node_state, self.follower = node_state, follower
         self.nonce = 0
-        self.askedAt = -ASK_EVERY
+        self.asked_at = -ASK_EVERY
         self.epoch = 0
         self.told: dict[str, int] = {}
 
@@ -27,24 +27,24 @@
         match event:
             case Received(source, ReadTell(nonce, identity, slot)) if nonce == self.nonce and identity in self._voters():
                 self.told[identity] = slot
-                if slot > self.board.tables.slot:
+                if slot > self.node_state.tables.slot:
                     self.follower.poll(source, now, plan)
-            case Tick() if self.board.tables.core and now - self.askedAt >= ASK_EVERY and self._stale(now):
-                self.nonce, self.askedAt, self.epoch, self.told = self.nonce + 1, now, self.board.tables.epoch, {}
-                plan.sends += [(member["address"], ReadAsk(self.nonce)) for member in self.board.tables.core]
+            case Tick() if self.node_state.tables.core and now - self.asked_at >= ASK_EVERY and self._stale(now):
+                self.nonce, self.asked_at, self.epoch, self.told = self.nonce + 1, now, self.node_state.tables.epoch, {}
+                plan.sends += [(member["address"], ReadAsk(self.nonce)) for member in self.node_state.tables.core]
         self._settle()
         return plan
 
     def _voters(self):
-        return {member["identity"] for member in self.board.tables.core}
+        return {member["identity"] for member in self.node_state.tables.core}
 
     def _stale(self, now):
-        age = self.board.age(now)
+        age = self.node_state.age(now)
         return age is None or age > TOO_OLD
 
     def _settle(self):
-        board = self.board
-        if (self.told and board.tables.epoch == self.epoch and len(self.told) >= Thresholds(len(board.tables.core)).heard
-                and max(self.told.values()) <= board.tables.slot):
-            board.whole_as_of(self.askedAt)
+        node_state = self.node_state
+        if (self.told and node_state.tables.epoch == self.epoch and len(self.told) >= Thresholds(len(node_state.tables.core)).heard
+                and max(self.told.values()) <= node_state.tables.slot):
+            node_state.whole_as_of(self.asked_at)
             self.told = {}
--- a/src/willowpost/node/watch.py
+++ b/src/willowpost/node/watch.py
@@ -6,7 +6,7 @@
 from willowpost.wire.messages import Ping, Pong
 
 PING_EVERY = 400 * MILLI
-DOUBT_AFTER = 1_600 * MILLI
+SUSPECT_AFTER = 1_600 * MILLI
 FROZE_AFTER = 600 * MILLI
 WATCHERS = 3
 REPORT_EVERY = 1 * SECOND
@@ -24,57 +24,57 @@
 
 
 class Watch:
-    """Invariant: after an own freeze nobody is doubted before they had a new chance to answer."""
+    """Invariant: after an own freeze nobody is suspected before they had a new chance to answer."""
 
-    def __init__(self, card, tables, clerk):
+    def __init__(self, card, tables, command_client):
         self.card = card
         self.tables = tables        # () -> Tables
-        self.clerk = clerk
+        self.command_client = command_client
         self.nonce = 0
         self.heard: dict[str, int] = {}       # life -> last answer
         self.reported: dict[str, int] = {}
-        self.pingedAt = 0
-        self.tickedAt = None
+        self.pinged_at = 0
+        self.ticked_at = None
         self.watched: tuple = ()
-        self.seenDaemons = None
+        self.seen_daemons = None
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
         match event:
             case Received(source, Ping(nonce, _)):
-                plan.send(source, Pong(nonce, self.card.life))
-            case Received(_, Pong(_, life)):
-                self.heard[life] = now
+                plan.send(source, Pong(nonce, self.card.incarnation_id))
+            case Received(_, Pong(_, incarnation_id)):
+                self.heard[incarnation_id] = now
             case Tick():
                 self._tick(now, plan)
         return plan
 
     def _tick(self, now, plan):
-        if self.tickedAt is not None and now - self.tickedAt > FROZE_AFTER:
-            self.heard = {life: now for life in self.heard}
-        self.tickedAt = now
-        if now - self.pingedAt < PING_EVERY:
+        if self.ticked_at is not None and now - self.ticked_at > FROZE_AFTER:
+            self.heard = {incarnation_id: now for incarnation_id in self.heard}
+        self.ticked_at = now
+        if now - self.pinged_at < PING_EVERY:
             return
-        self.pingedAt = now
+        self.pinged_at = now
         tables = self.tables()
-        if tables.daemons is not self.seenDaemons:
-            self.seenDaemons = tables.daemons
+        if tables.daemons is not self.seen_daemons:
+            self.seen_daemons = tables.daemons
             self.watched = tuple(name for name in tables.daemons
                                  if name != self.card.id and self.card.id in watchers_of(name, tables.daemons))
         self.nonce += 1
         cards = {name: tables.daemons[name] for name in self.watched if name in tables.daemons}
-        plan.sends += [(card["address"], Ping(self.nonce, self.card.life)) for card in cards.values()]
-        lives = {name: f"{name}@{card['incarnation']}" for name, card in cards.items()}
-        self.heard = {life: self.heard.get(life, now) for life in lives.values()}
-        silent = {name for name, life in lives.items() if now - self.heard[life] > DOUBT_AFTER}
-        mine = {name for name, held in tables.doubts.items() if self.card.id in held}
+        plan.sends += [(card["address"], Ping(self.nonce, self.card.incarnation_id)) for card in cards.values()]
+        incarnation_ids = {name: f"{name}@{card['incarnation']}" for name, card in cards.items()}
+        self.heard = {incarnation_id: self.heard.get(incarnation_id, now) for incarnation_id in incarnation_ids.values()}
+        silent = {name for name, incarnation_id in incarnation_ids.items() if now - self.heard[incarnation_id] > SUSPECT_AFTER}
+        mine = {name for name, held in tables.suspicions.items() if self.card.id in held}
         changed = [(name, True) for name in sorted(silent - mine)] + [(name, False) for name in sorted(mine - silent)]
-        ops = tuple({"op": "doubt", "target": name, "incarnation": tables.daemons[name]["incarnation"],
-                     "watcher": self.card.id, "doubted": doubted}
-                    for name, doubted in changed
+        ops = tuple({"op": "suspicion", "target": name, "incarnation": tables.daemons[name]["incarnation"],
+                     "watcher": self.card.id, "suspected": suspected}
+                    for name, suspected in changed
                     if name in tables.daemons and now - self.reported.get(name, -REPORT_EVERY) >= REPORT_EVERY)
         if ops:
             self.reported.update({op["target"]: now for op in ops})
-            plan.join(self.clerk.step(Asked(None, ops), now))
+            plan.join(self.command_client.step(Asked(None, ops), now))
             for op in ops:
-                plan.note("watch", "doubts a daemon" if op["doubted"] else "hears a daemon again", daemon=op["target"])
+                plan.note("watch", "suspicions a daemon" if op["suspected"] else "hears a daemon again", daemon=op["target"])
--- a/src/willowpost/proxy/admission/buckets.py
+++ b/src/willowpost/proxy/admission/buckets.py
@@ -1,15 +1,15 @@
-"""Tokens: each request to a group takes one, and one of the origin's while that is cold."""
+"""Tokens: each request to a service takes one, and one of the origin's while that is cold."""
 from collections import deque
 from dataclasses import dataclass
 from itertools import takewhile
 
 from willowpost.common.clock import SECOND
 from willowpost.common.rendezvous import Rendezvous
-from willowpost.proxy.admission.shares import WINDOW, base_share, in_whole_tokens
+from willowpost.proxy.admission.quota_shares import WINDOW, base_quota_of, in_whole_tokens
 from willowpost.proxy.admission.verdict import Let
-from willowpost.proxy.board import ProxyBoard
+from willowpost.proxy.proxy_state import ProxyState
 
-PER_PRESSER = 4.0
+RATE_PER_SENDER = 4.0
 BRIEF = 1.25              # where the rate is what the origins bear
 SPENT = 1.08              # of what is shared out: a tenth over is borne in a window, and requests under way are a part of it
 
@@ -19,12 +19,12 @@
     """Invariant: over any span s at rate r it gives at most burst + r*s tokens."""
 
     tokens: float = 0.0
-    filledAt: int | None = None
+    filled_at: int | None = None
 
     def take(self, rate: float, burst: float, now: int) -> bool:
-        if self.filledAt is not None:
-            self.tokens += rate * (now - self.filledAt) / SECOND
-        self.tokens, self.filledAt = min(self.tokens, burst), now
+        if self.filled_at is not None:
+            self.tokens += rate * (now - self.filled_at) / SECOND
+        self.tokens, self.filled_at = min(self.tokens, burst), now
         if self.tokens < 1.0:
             return False
         self.tokens -= 1.0
@@ -35,21 +35,21 @@
     return Let.IN if taken else Let.OUT
 
 
-def ramped(origin, group, span: int) -> float:
+def ramped(origin, service, span: int) -> float:
     """What a cold origin bears a second, `span` after it was let in; one that says itself how long it is cold does not climb."""
-    if group.told:
-        return origin.coldRate
-    part = min(1.0, span / SECOND / group.rampSeconds) if group.rampSeconds else 1.0
-    return origin.coldRate + (origin.rate - origin.coldRate) * part
+    if service.told:
+        return origin.cold_rate
+    part = min(1.0, span / SECOND / service.ramp_seconds) if service.ramp_seconds else 1.0
+    return origin.cold_rate + (origin.rate - origin.cold_rate) * part
 
 
-def pressers_of(capacity: float) -> int:
-    return max(1, int(capacity / PER_PRESSER))
+def senders_of(capacity: float) -> int:
+    return max(1, int(capacity / RATE_PER_SENDER))
 
 
-def ramps_in_tokens(origin, group) -> bool:
-    """A cold origin that at first bears too little for every presser to have a token of its own."""
-    return origin.cold and pressers_of(origin.coldRate) < len(group.pressers)
+def ramps_in_tokens(origin, service) -> bool:
+    """A cold origin that at first bears too little for every sender to have a token of its own."""
+    return origin.cold and senders_of(origin.cold_rate) < len(service.senders)
 
 
 class Window:
@@ -88,78 +88,78 @@
 class Allowance:
     """Invariant: without a base or a grant nothing is let in."""
 
-    def __init__(self, board: ProxyBoard):
-        self.board = board
+    def __init__(self, node_state: ProxyState):
+        self.node_state = node_state
         self.windows: dict[str, Window] = {}
 
     def let_in(self, name: str, now: int) -> Let:
-        board = self.board
-        group = board.picture.groups.get(name)
-        board.demand[name] = board.demand.get(name, 0) + 1
-        if group is None:
+        node_state = self.node_state
+        service = node_state.snapshot.services.get(name)
+        node_state.demand[name] = node_state.demand.get(name, 0) + 1
+        if service is None:
             return Let.OUT
-        if in_whole_tokens(group):
+        if in_whole_tokens(service):
             return Let.ASK
-        grant = board.grants.get(name)
-        fence = board.tables.fences.get(f"share/{name}", {}).get("fence")
+        grant = node_state.grants.get(name)
+        fence = node_state.tables.fences.get(f"quota_share/{name}", {}).get("fence")
         granted = grant.rate if grant is not None and now < grant.until and grant.fence == fence else 0.0
-        base = base_share(board, group, now)
-        rate = base + granted
+        base_quota = base_quota_of(node_state, service, now)
+        rate = base_quota + granted
         if rate <= 0:
             return Let.OUT
         if name not in self.windows:
-            # our base has gone unused since all who share the group made room for it
-            self.windows[name] = Window(max(now - int(WINDOW * SECOND), min(now, board.ripe_since())) if base else now, base)
-        return let(self.windows[name].take(rate, now, group.borne))
+            # our base has gone unused since all who share the service made room for it
+            self.windows[name] = Window(max(now - int(WINDOW * SECOND), min(now, node_state.warmed_up_since())) if base_quota else now, base_quota)
+        return let(self.windows[name].take(rate, now, service.borne))
 
 
 class Ramp:
     """Invariant: all proxies together send a cold origin no more than its ramped rate and one token each of
     the few that may press it; those few are capacity / 4, so a second holds at most 1.25 of the capacity.
-    One too slow at first for every presser to have a token gets its requests by whole tokens all through its ramp."""
+    One too slow at first for every sender to have a token gets its requests by whole tokens all through its ramp."""
 
-    def __init__(self, board: ProxyBoard):
-        self.board = board
+    def __init__(self, node_state: ProxyState):
+        self.node_state = node_state
         self.buckets: dict[str, Bucket] = {}
         self.ranks: dict[tuple, int] = {}
         self.suspects: dict[str, int] = {}      # origins whose process we saw end; cold to us whatever the log says
 
     def suspect(self, origin: str, now: int) -> None:
-        self.suspects = {name: since for name, since in self.suspects.items() if name in self.board.picture.origins}
+        self.suspects = {name: since for name, since in self.suspects.items() if name in self.node_state.snapshot.origins}
         self.suspects[origin] = now
 
-    def cold(self, origin, group, now: int) -> bool:
+    def cold(self, origin, service, now: int) -> bool:
         """By the log, by its own last word, or by what we saw of it since."""
         suspected = self.suspects.get(origin.name)
-        if not group.told:
+        if not service.told:
             return origin.cold or suspected is not None
-        at, until = self.board.cold.get(origin.name, (0, 0))
+        at, until = self.node_state.cold.get(origin.name, (0, 0))
         if suspected is not None and at > suspected:
             suspected = self.suspects.pop(origin.name) and None
-        return suspected is not None or until > now or (origin.cold and not at > self.board.coldSince.get(origin.name, now))
+        return suspected is not None or until > now or (origin.cold and not at > self.node_state.cold_since.get(origin.name, now))
 
-    def let_in(self, origin, group, now: int) -> Let:
+    def let_in(self, origin, service, now: int) -> Let:
         suspected = self.suspects.get(origin.name)
-        if suspected is not None and not group.told and now - suspected > group.rampSeconds * SECOND:
+        if suspected is not None and not service.told and now - suspected > service.ramp_seconds * SECOND:
             suspected = self.suspects.pop(origin.name)
-        if not self.cold(origin, group, now):
+        if not self.cold(origin, service, now):
             return Let.IN
-        if not group.told and ramps_in_tokens(origin, group):
+        if not service.told and ramps_in_tokens(origin, service):
             return Let.ASK
-        since = suspected if suspected is not None else self.board.coldSince.get(origin.name, now)
-        capacity = ramped(origin, group, now - since)
-        few = pressers_of(capacity)
-        if self._rank(origin.name, group.pressers) >= few:
+        since = suspected if suspected is not None else self.node_state.cold_since.get(origin.name, now)
+        capacity = ramped(origin, service, now - since)
+        few = senders_of(capacity)
+        if self._rank(origin.name, service.senders) >= few:
             return Let.OUT
-        rate = capacity / min(few, max(1, len(group.pressers)))
+        rate = capacity / min(few, max(1, len(service.senders)))
         return let(self.buckets.setdefault(origin.name, Bucket()).take(rate, 1.0, now))
 
-    def _rank(self, origin, pressers):
-        key = (origin, pressers)
+    def _rank(self, origin, senders):
+        key = (origin, senders)
         if key not in self.ranks:
             if len(self.ranks) > 1000:
                 self.ranks.clear()
-            ranked = Rendezvous().rank(f"ramp/{origin}", pressers)
-            mine = self.board.card.id
+            ranked = Rendezvous().rank(f"ramp/{origin}", senders)
+            mine = self.node_state.card.id
             self.ranks[key] = ranked.index(mine) if mine in ranked else len(ranked)
         return self.ranks[key]
--- a/src/willowpost/proxy/admission/budget.py
+++ b/src/willowpost/proxy/admission/budget.py
@@ -1,4 +1,4 @@
-"""Extra tries: at most a fifth of our own demand, and our part of sixty, in any ten seconds, for each group."""
+"""Extra tries: at most a fifth of our own demand, and our part of sixty, in any ten seconds, for each service."""
 from collections import deque
 from dataclasses import dataclass
 
@@ -6,7 +6,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BudgetProps:
+class BudgetSettings:
     """Of all proxies together. `window` in µs."""
 
     part: float = 0.2
@@ -21,29 +21,29 @@
     A try is charged by the proxy that sends it to an origin: a first one as demand, every further one of the same
     request as extra, also when the one before went by another hop."""
 
-    def __init__(self, proxies, since: int, props: BudgetProps = BudgetProps()):
+    def __init__(self, proxies, since: int, settings: BudgetSettings = BudgetSettings()):
         self.since = since
         self.proxies = proxies          # () -> how many proxies share the slack
-        self.props = props
+        self.settings = settings
         self.firsts: dict[str, deque] = {}
         self.extras: dict[str, deque] = {}
 
-    def first(self, now: int, group: str = "") -> None:
-        self.firsts.setdefault(group, deque()).append(now)
-        self._forget(now, group)
+    def first(self, now: int, service: str = "") -> None:
+        self.firsts.setdefault(service, deque()).append(now)
+        self._forget(now, service)
 
-    def let_in(self, now: int, group: str = "") -> bool:
-        if not self.left(now, group):
+    def let_in(self, now: int, service: str = "") -> bool:
+        if not self.left(now, service):
             return False
-        self.extras.setdefault(group, deque()).append(now)
+        self.extras.setdefault(service, deque()).append(now)
         return True
 
-    def left(self, now: int, group: str = "") -> bool:
-        self._forget(now, group)
-        slack = self.props.slack / max(1, self.proxies()) if now - self.since >= self.props.window else 0
-        return len(self.extras.get(group, ())) + 1 <= self.props.part * len(self.firsts.get(group, ())) + slack
+    def left(self, now: int, service: str = "") -> bool:
+        self._forget(now, service)
+        slack = self.settings.slack / max(1, self.proxies()) if now - self.since >= self.settings.window else 0
+        return len(self.extras.get(service, ())) + 1 <= self.settings.part * len(self.firsts.get(service, ())) + slack
 
-    def _forget(self, now, group):
-        for held in (self.firsts.get(group), self.extras.get(group)):
-            while held and held[0] <= now - self.props.window:
+    def _forget(self, now, service):
+        for held in (self.firsts.get(service), self.extras.get(service)):
+            while held and held[0] <= now - self.settings.window:
                 held.popleft()
--- a/src/willowpost/proxy/cache/store.py
+++ b/src/willowpost/proxy/cache/store.py
@@ -20,7 +20,7 @@
     status: int
     headers: tuple
     body: bytes
-    bornAt: int
+    born_at: int
     lifetime: int
     slot: int
     public: bool = False       # may answer requests that carry Authorization
@@ -35,7 +35,7 @@
         return len(self.body) + 512 + sum(len(name) + len(value) for name, value in self.headers)
 
     def age(self, now: int) -> int:
-        return max(0, now - self.bornAt)
+        return max(0, now - self.born_at)
 
     def fresh(self, now: int) -> bool:
         return self.age(now) < self.lifetime
@@ -92,8 +92,8 @@
             self._drop(next(iter(self.held)))
         return True
 
-    def refresh(self, entry: Entry, headers: tuple, bornAt: int, lifetime: int, slot: int) -> Entry:
-        renewed = replace(entry, headers=headers, bornAt=bornAt, lifetime=lifetime, slot=slot)
+    def refresh(self, entry: Entry, headers: tuple, born_at: int, lifetime: int, slot: int) -> Entry:
+        renewed = replace(entry, headers=headers, born_at=born_at, lifetime=lifetime, slot=slot)
         self.keep(renewed)
         return renewed
 
@@ -109,8 +109,8 @@
     def purge(self, tables: Tables) -> None:
         """Invariant: after it, everything in the tables' purges is carried out; missed ones drop all."""
         before, self.slot = self.slot, tables.slot
-        self.purges, self.floor = tables.purges, tables.purgeFloor
-        if before < tables.purgeFloor:
+        self.purges, self.floor = tables.purges, tables.purge_floor
+        if before < tables.purge_floor:
             self.held.clear()
             self.tagged.clear()
             self.size = 0
--- a/src/willowpost/proxy/cache/storing.py
+++ b/src/willowpost/proxy/cache/storing.py
@@ -37,7 +37,7 @@
     """Invariant: whatever is personal, or may be, is never stored: private, no-store, Set-Cookie,
     Vary: *, and answers to Authorization unless the origin says they are public."""
 
-    def judge(self, request: dict, status: int, answer: dict, keepSeconds: float) -> Storing | None:
+    def judge(self, request: dict, status: int, answer: dict, keep_seconds: float) -> Storing | None:
         asked, said = directives(request.get("cache-control", "")), directives(answer.get("cache-control", ""))
         if status not in STATUSES or "no-store" in asked or "no-store" in said or "private" in said:
             return None
@@ -48,15 +48,15 @@
             return None
         if "range" in request or "content-range" in answer:
             return None
-        lifetime = self._lifetime(said, answer, keepSeconds, status)
+        lifetime = self._lifetime(said, answer, keep_seconds, status)
         checkable = "etag" in answer or "last-modified" in answer
         if lifetime <= 0 and not checkable:
             return None
         vary = tuple(sorted({name.strip().lower() for name in answer.get("vary", "").split(",") if name.strip()}))
         return Storing(lifetime, vary, public)
 
-    def _lifetime(self, said, answer, keepSeconds, status):
-        most = int(keepSeconds * SECOND)
+    def _lifetime(self, said, answer, keep_seconds, status):
+        most = int(keep_seconds * SECOND)
         if "no-cache" in said:
             return 0
         for name in ("s-maxage", "max-age"):
--- a/src/willowpost/proxy/daemon.py
+++ b/src/willowpost/proxy/daemon.py
@@ -4,19 +4,19 @@
 import gevent
 
 from willowpost.common.clock import MILLI, Clock
-from willowpost.node.board import Card
+from willowpost.node.node_state import Card
 from willowpost.proxy.admission.buckets import Allowance, Ramp
-from willowpost.proxy.admission.budget import BudgetProps, RetryBudget
-from willowpost.proxy.front import SOUNDNESS, Front
+from willowpost.proxy.admission.budget import BudgetSettings, RetryBudget
+from willowpost.proxy.front import HEALTH, Front
 from willowpost.proxy.handler import ProxyHandler
 from willowpost.proxy.node import ProxyNode
-from willowpost.proxy.origin.draw import OriginDraw
+from willowpost.proxy.origin.pick import OriginPicker
 from willowpost.proxy.origin.io import SocketIo
 from willowpost.proxy.origin.pool import ConnectionPool
-from willowpost.proxy.way.carrier import Carrier
-from willowpost.proxy.way.planner import RequestPlanner
-from willowpost.proxy.way.tries import Tries
-from willowpost.proxy.way.words import Words
+from willowpost.proxy.routing.carrier import Carrier
+from willowpost.proxy.routing.planner import RequestPlanner
+from willowpost.proxy.routing.tries import Tries
+from willowpost.proxy.routing.words import Words
 from willowpost.shell.runner import Runner
 from willowpost.shell.web import WebServer, status_line
 
@@ -25,16 +25,16 @@
 LOOKS = 20               # idle connections that have run out are closed once in so many looks
 
 
-class SoundnessPage:
+class HealthPage:
     """Where balancers ask, if that is apart from the callers' own port: any path."""
 
-    underway = 0
+    in_flight = 0
 
     def __init__(self, front: Front):
         self.front = front
 
     def __call__(self, environ, start_response):
-        reply = self.front.own(SOUNDNESS)
+        reply = self.front.own(HEALTH)
         start_response(status_line(reply.code), [*reply.headers, ("content-length", str(len(reply.body)))])
         return [reply.body]
 
@@ -45,23 +45,23 @@
         self.runner = Runner(place.address, logs)
         self.clock = Clock()
         card = Card(f"{place.name}/proxy", "proxy", place.role, place.name, place.zone, place.address, place.http, self.clock.wall())
-        self.node = ProxyNode(card, place.seeds, self.clock.wall, place.cacheBytes)
-        self.board = self.node.board
-        self.board.serveOn = place.serveOnMs * MILLI
+        self.node = ProxyNode(card, place.seeds, self.clock.wall, place.cache_bytes)
+        self.node_state = self.node.node_state
+        self.node_state.serve_on = place.serve_on_ms * MILLI
         stats = Counter()
         self.pool = ConnectionPool(self.clock)
-        budget = RetryBudget(self.board.proxies, self.clock.now(), BudgetProps(place.extraPart, place.extraSlack, place.extraWindowMs * 1000))
-        self.draw = OriginDraw(card.zone, reports=lambda: self.board.reports, regions=place.regions)
-        tries = Tries(self.board, self.clock, Allowance(self.board), Ramp(self.board), budget, self.draw,
+        budget = RetryBudget(self.node_state.proxies, self.clock.now(), BudgetSettings(place.extra_part, place.extra_slack, place.extra_window_ms * 1000))
+        self.pick = OriginPicker(card.zone, reports=lambda: self.node_state.reports, regions=place.regions)
+        tries = Tries(self.node_state, self.clock, Allowance(self.node_state), Ramp(self.node_state), budget, self.pick,
                       SocketIo(self.pool, self.runner.want), stats, words, place.regions)
-        carrier = Carrier(self.board, self.node.cache, self.clock, tries, stats)
-        self.front = Front(self.board, self.clock, RequestPlanner(self.board, self.node.cache, self.clock, place.regions), carrier, stats, logs, words,
-                           place.soundness is None)
+        carrier = Carrier(self.node_state, self.node.cache, self.clock, tries, stats)
+        self.front = Front(self.node_state, self.clock, RequestPlanner(self.node_state, self.node.cache, self.clock, place.regions), carrier, stats, logs, words,
+                           place.health is None)
         self.node.leaver.spans = place.spans()
-        self.node.leaver.underway = lambda: self.front.underway
+        self.node.leaver.in_flight = lambda: self.front.in_flight
         self.webs = [WebServer(place.http, self.front, ProxyHandler)]
-        if place.soundness is not None:
-            self.webs.append(WebServer(place.soundness, SoundnessPage(self.front)))
+        if place.health is not None:
+            self.webs.append(WebServer(place.health, HealthPage(self.front)))
 
     def start(self) -> None:
         self.runner.start(self.node)
@@ -71,22 +71,22 @@
 
     def _tidy(self):
         """Connections of owners that went out of force are closed at once, also idle ones."""
-        picture, looked, told = None, 0, Counter()
+        snapshot, looked, told = None, 0, Counter()
         while True:
             looked += 1
             if looked % TELLS == 0:
                 told = self._tell(told)
-            if self.board.picture is not picture or looked % LOOKS == 0:
-                picture = self.board.picture
-                self.pool.keep_only(picture.origins | {f"shield {name} {address}" for name, address in picture.shields.items()})
-                self.draw.keep_only(picture.origins | picture.shields.keys())
+            if self.node_state.snapshot is not snapshot or looked % LOOKS == 0:
+                snapshot = self.node_state.snapshot
+                self.pool.keep_only(snapshot.origins | {f"shield {name} {address}" for name, address in snapshot.shields.items()})
+                self.pick.keep_only(snapshot.origins | snapshot.shields.keys())
             gevent.sleep(TIDY_SECONDS)
 
     def _tell(self, told):
-        """What was shed since the last word of it, and why."""
+        """What was reject since the last word of it, and why."""
         now = Counter({name: count for name, count in self.front.stats.items() if name.startswith("why.")})
         if now != told:
-            self.logs.say("front", "shed", **{name.removeprefix("why."): count for name, count in (now - told).items()})
+            self.logs.say("front", "reject", **{name.removeprefix("why."): count for name, count in (now - told).items()})
         return now
 
     def stop(self) -> None:
--- a/src/willowpost/proxy/front.py
+++ b/src/willowpost/proxy/front.py
@@ -5,28 +5,28 @@
 
 from willowpost.proxy.cache.storing import seconds_of
 from willowpost.proxy.handler import Asked, Reply
-from willowpost.proxy.way.carrier import Carrier
-from willowpost.proxy.way.planner import RequestPlanner
-from willowpost.proxy.way.request import ONCE, Request, ShedPlan, kind_of
-from willowpost.proxy.way.tries import Shed
-from willowpost.proxy.way.words import Words
+from willowpost.proxy.routing.carrier import Carrier
+from willowpost.proxy.routing.planner import RequestPlanner
+from willowpost.proxy.routing.request import ONCE, Request, RejectPlan, kind_of
+from willowpost.proxy.routing.tries import Rejected
+from willowpost.proxy.routing.words import Words
 
 HOST = re.compile(r"[A-Za-z0-9._-]{1,253}(:\d{1,5})?")
 BAD = re.compile(r"[^\x21-\x7e]")
-SOUNDNESS = "/.wp/soundness"
+HEALTH = "/.wp/health"
 STATS = "/.wp/stats"
 READ_BODY_MOST = 64 * 1024
 MILLI = 1000
 
 
 class Front:
-    """`reserved`: whether soundness and stats are paths of the callers' own port."""
+    """`reserved`: whether health and stats are paths of the callers' own port."""
 
-    def __init__(self, board, clock, planner: RequestPlanner, carrier: Carrier, stats, logs, words: Words = Words(), reserved: bool = True):
-        self.board, self.clock, self.planner, self.carrier = board, clock, planner, carrier
+    def __init__(self, node_state, clock, planner: RequestPlanner, carrier: Carrier, stats, logs, words: Words = Words(), reserved: bool = True):
+        self.node_state, self.clock, self.planner, self.carrier = node_state, clock, planner, carrier
         self.stats, self.logs, self.words, self.reserved = stats, logs, words, reserved
         self.now = clock.now
-        self.underway = 0
+        self.in_flight = 0
         self.finishing = False
         self.connections: set = set()
 
@@ -43,49 +43,49 @@
             handler.end()
 
     def leaving(self) -> bool:
-        return self.board.draining
+        return self.node_state.draining
 
     def limits(self) -> dict:
-        return self.board.picture.limits
+        return self.node_state.snapshot.limits
 
     def broke(self, problem) -> None:
         self.stats["cut"] += 1
         self.logs.say("front", "answer cut off", level="warning", problem=repr(problem))
 
     def repeatable(self, asked: Asked) -> bool:
-        way = self._way(asked)
-        return way is None or kind_of(way, asked_as(asked)) != ONCE
+        route = self._route(asked)
+        return route is None or kind_of(route, asked_as(asked)) != ONCE
 
     def body_most(self, asked: Asked) -> int:
-        way = self._way(asked)
-        most = self.limits().get("bodyBytes")
-        return most if most is not None else READ_BODY_MOST if way is None or asked.method in ("GET", "HEAD") else way.bodyMost
+        route = self._route(asked)
+        most = self.limits().get("body_bytes")
+        return most if most is not None else READ_BODY_MOST if route is None or asked.method in ("GET", "HEAD") else route.body_max
 
-    def _way(self, asked):
-        return self.board.picture.ways.find(host_of(asked), asked.target.partition("?")[0])
+    def _route(self, asked):
+        return self.node_state.snapshot.routes.find(host_of(asked), asked.target.partition("?")[0])
 
     def malformed(self, code: int, reason: str) -> Reply:
-        return self._shed(Shed(code, reason, 0), False)
+        return self._reject(Rejected(code, reason, 0), False)
 
     def respond(self, asked: Asked, body: bytes, received: int) -> Reply:
-        if self.reserved and asked.target.partition("?")[0] in (SOUNDNESS, STATS):
+        if self.reserved and asked.target.partition("?")[0] in (HEALTH, STATS):
             return self.own(asked.target.partition("?")[0])
         write = asked.method not in ("GET", "HEAD")
         request = None
         try:
             request = self._request(asked, received)
             if request is None:
-                raise Shed(400, "malformed request", 0)
+                raise Rejected(400, "malformed request", 0)
             self.stats["requests"] += 1
             plan = self.planner.plan(request)
-            if not isinstance(plan, ShedPlan) and len(body) > self.body_most(asked):
-                raise Shed(413, "body over the limit", 0)
+            if not isinstance(plan, RejectPlan) and len(body) > self.body_most(asked):
+                raise Rejected(413, "body over the limit", 0)
             return self._answer(request, self.carrier.carry(request, plan, body))
-        except Shed as shed:
-            return self._shed(shed, write, request)
+        except Rejected as reject:
+            return self._reject(reject, write, request)
         except Exception as problem:
             self.logs.say("front", "request broke down", level="error", problem=repr(problem))
-            return self._shed(Shed(500, "broke down", 1, "unknown"), write, request)
+            return self._reject(Rejected(500, "broke down", 1, "unknown"), write, request)
 
     def _request(self, asked, received):
         host, target = asked.headers.get("host", ""), asked.target
@@ -94,7 +94,7 @@
         if not HOST.fullmatch(host) or not target.startswith("/") or target.startswith("//") or BAD.search(target):
             return None
         headers = asked.headers
-        hop = self.board.card.role == "shield" and "wp-hop" in headers
+        hop = self.node_state.card.role == "shield" and "wp-hop" in headers
         left = headers.get(self.words.left, "")
         return Request(asked.method, host.partition(":")[0].lower(), target.partition("#")[0], headers, hop, hop and "wp-extra" in headers,
                        headers.get(self.words.request), int(left) * MILLI if left.isascii() and left.isdigit() else None, received)
@@ -130,32 +130,32 @@
         try:
             first = next(rest, b"")
         except Exception as problem:
-            raise Shed(502, f"no whole answer: {problem}", 1, "unknown")
+            raise Rejected(502, f"no whole answer: {problem}", 1, "unknown")
         return chain((first,), rest)
 
-    def _shed(self, shed, write, request=None):
-        body = json.dumps({"shed": shed.reason, "retryAfter": shed.after} if shed.after else {"shed": shed.reason}).encode() + b"\n"
+    def _reject(self, reject, write, request=None):
+        body = json.dumps({"reject": reject.reason, "retry_after": reject.after} if reject.after else {"reject": reject.reason}).encode() + b"\n"
         headers = [("content-type", "application/json"), ("cache-control", "no-store")]
         if request is not None and request.name is not None:
             headers.append((self.words.request, request.name))
-        if shed.after:
-            headers.append(("retry-after", f"{shed.after:g}"))
+        if reject.after:
+            headers.append(("retry-after", f"{reject.after:g}"))
         if write:
-            headers.append(("wp-outcome", shed.outcome))
-        self.stats[f"shed.{shed.code}"] += 1
-        self.stats[f"why.{shed.reason[:40]}"] += 1
-        return Reply(shed.code, headers, body)
+            headers.append(("wp-outcome", reject.outcome))
+        self.stats[f"reject.{reject.code}"] += 1
+        self.stats[f"why.{reject.reason[:40]}"] += 1
+        return Reply(reject.code, headers, body)
 
     def own(self, path: str) -> Reply:
         now = self.clock.now()
-        sound = self.board.leased(now) and not self.board.draining and self.board.emptiedAt is None and self.board.ripe(now)
-        age = self.board.age(now)
-        value = {"sound": sound, "draining": self.board.draining, "emptied": self.board.emptiedAt is not None,
-                 "slot": self.board.tables.slot, "generation": self.board.picture.generation,
-                 "ageMs": None if age is None else age // 1000}
+        sound = self.node_state.leased(now) and not self.node_state.draining and self.node_state.emptied_at is None and self.node_state.warmed_up(now)
+        age = self.node_state.age(now)
+        value = {"sound": sound, "draining": self.node_state.draining, "emptied": self.node_state.emptied_at is not None,
+                 "slot": self.node_state.tables.slot, "version": self.node_state.snapshot.version,
+                 "age_ms": None if age is None else age // 1000}
         if path == STATS:
-            value = {**value, "stats": dict(self.stats), "underway": self.underway,
-                     "shares": {name: round(grant.rate, 3) for name, grant in self.board.grants.items()}}
+            value = {**value, "stats": dict(self.stats), "in_flight": self.in_flight,
+                     "shares": {name: round(grant.rate, 3) for name, grant in self.node_state.grants.items()}}
         code = 200 if sound or path == STATS else 503
         return Reply(code, [("content-type", "application/json")] + ([] if code == 200 else [("retry-after", "2")]), json.dumps(value).encode() + b"\n")
 
--- a/src/willowpost/proxy/handler.py
+++ b/src/willowpost/proxy/handler.py
@@ -193,8 +193,8 @@
     def _one(self, stream) -> bool:
         limits = self.front.limits()
         try:
-            head = stream.head(limits.get("headBytes") or HEAD_MOST, (limits.get("idleMs") or IDLE_SECONDS * 1000) / 1000,
-                               (limits.get("headMs") or HEAD_SECONDS * 1000) / 1000 + HEAD_MARGIN)
+            head = stream.head(limits.get("head_bytes") or HEAD_MOST, (limits.get("idle_ms") or IDLE_SECONDS * 1000) / 1000,
+                               (limits.get("head_ms") or HEAD_SECONDS * 1000) / 1000 + HEAD_MARGIN)
             if self.closing:
                 return False
             asked = Asked(head)
@@ -248,7 +248,7 @@
 
     def _sit(self, seat):
         self.seats.append(seat)
-        self.front.underway += 1
+        self.front.in_flight += 1
 
     def _take(self, seat, reply):
         self._sit(seat)
@@ -275,7 +275,7 @@
                     self.socket.close()
                 finally:
                     self.seats.popleft()
-                    self.front.underway -= 1
+                    self.front.in_flight -= 1
         finally:
             self.writing = False
             self.answered.set()
--- a/src/willowpost/proxy/main.py
+++ b/src/willowpost/proxy/main.py
@@ -5,12 +5,12 @@
 
 class ProxyCommand(DaemonCommand):
     name = "wpproxy"
-    description = "Takes requests: ways, admission, cache, shield, origin."
+    description = "Takes requests: routes, admission, cache, shield, origin."
     help = """An edge takes the callers' requests; a shield stands between the edges and the origins.
 
-  <info>wpproxy --props edge-1.json</info>
+  <info>wpproxy --settings edge-1.json</info>
   <info>wpproxy --name edge-1 --zone a --role edge --address 127.0.0.1:7201 --http 127.0.0.1:8080 --seeds 127.0.0.1:7001,127.0.0.1:7002</info>
-  <info>curl http://127.0.0.1:8080/.wp/soundness</info>"""
+  <info>curl http://127.0.0.1:8080/.wp/health</info>"""
     needs = ("http",)
 
     def build(self, place, logs):
--- a/src/willowpost/proxy/origin/exchange.py
+++ b/src/willowpost/proxy/origin/exchange.py
@@ -6,8 +6,8 @@
 
 from gevent import socket
 
-from willowpost.proxy.origin.breakdown import Breakdown
-from willowpost.proxy.origin.knock import BYTES_MOST, Knock
+from willowpost.proxy.origin.failure import ExchangeFailure
+from willowpost.proxy.origin.instance_check import BYTES_MOST, InstanceCheck
 from willowpost.proxy.origin.reading import AnswerParser
 from willowpost.shell.mesh import split
 from willowpost.shell.parsing import HTTPParseError
@@ -19,7 +19,7 @@
 
 class Phase(Enum):
     CONNECT = "connect"
-    KNOCK = "knock"
+    INSTANCE_CHECK = "instance_check"
     SEND = "send"
     READ = "read"
     DONE = "done"
@@ -92,7 +92,7 @@
 
 
 class Exchange:
-    """Invariant: run() gives a whole, checked answer to this very request, or raises Breakdown saying whether a byte may have left."""
+    """Invariant: run() gives a whole, checked answer to this very request, or raises ExchangeFailure saying whether a byte may have left."""
 
     def __init__(self, address: str, connection=None):
         self.address = address
@@ -107,35 +107,35 @@
             self.connection = socket.create_connection(split(self.address), timeout=min(seconds, CONNECT_SECONDS))
             self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError as problem:
-            raise Breakdown(f"connect: {problem}", sent=False, died=isinstance(problem, ConnectionRefusedError),
+            raise ExchangeFailure(f"connect: {problem}", sent=False, died=isinstance(problem, ConnectionRefusedError),
                             silent=isinstance(problem, TimeoutError))
         self.phase = Phase.SEND
 
-    def knock(self, knock: Knock, seconds: float) -> None:
+    def instance_check(self, instance_check: InstanceCheck, seconds: float) -> None:
         """Invariant: nothing of the request has left, whatever comes of it."""
-        self.phase = Phase.KNOCK
-        asked = head_of("GET", knock.path, [("host", self.address), ("via", "1.1 willowpost")], b"")
+        self.phase = Phase.INSTANCE_CHECK
+        asked = head_of("GET", instance_check.path, [("host", self.address), ("via", "1.1 willowpost")], b"")
         answer = self._asked("GET", asked, seconds, BYTES_MOST, False, None)
-        knock.judge(answer)
+        instance_check.judge(answer)
         if answer.rest is not None or not self.reusable:
-            raise Breakdown("knock: does not keep the connection", sent=False)
+            raise ExchangeFailure("instance check: does not keep the connection", sent=False)
         self.phase, self.reusable = Phase.SEND, False
 
-    def run(self, method: str, target: str, headers: list, body: bytes, seconds: float, wholeMost: int,
+    def run(self, method: str, target: str, headers: list, body: bytes, seconds: float, whole_max: int,
             echo: Echo | None = None) -> WholeAnswer:
-        return self._asked(method, head_of(method, target, headers, body) + body, seconds, wholeMost, True, echo)
+        return self._asked(method, head_of(method, target, headers, body) + body, seconds, whole_max, True, echo)
 
-    def _asked(self, method, asked, seconds, wholeMost, sent, echo):
+    def _asked(self, method, asked, seconds, whole_max, sent, echo):
         self.until = time.monotonic() + seconds
         try:
             self.connection.settimeout(seconds)
             self.connection.sendall(asked)
             self.phase = Phase.READ if sent else self.phase
-            return self._read(method, wholeMost, echo)
+            return self._read(method, whole_max, echo)
         except (OSError, HTTPParseError, ValueError) as problem:
             died = self.reused and isinstance(problem, ConnectionError)
             late = isinstance(problem, TimeoutError)
-            raise Breakdown(f"{self.phase.value}: {'deadline' if late else problem}", sent=sent, died=died, silent=late)
+            raise ExchangeFailure(f"{self.phase.value}: {'deadline' if late else problem}", sent=sent, died=died, silent=late)
 
     def close(self) -> None:
         if self.connection is not None:
@@ -149,13 +149,13 @@
         self.connection.settimeout(left)
         return self.connection.recv(BLOCK)
 
-    def _read(self, method, wholeMost, echo):
+    def _read(self, method, whole_max, echo):
         behind = b""
         for _ in range(1 + FOREIGN_MOST):
             parser = AnswerParser(method)
             answer, length, raw = self._head(parser, behind)
             if echo is None or not echo.foreign(answer.headers):
-                return self._body(parser, answer, length, wholeMost)
+                return self._body(parser, answer, length, whole_max)
             behind = self._pass_over(parser, length, raw)
         raise ValueError("answers to other requests")
 
@@ -176,7 +176,7 @@
         length = said.get("content-length")
         chunked = "chunked" in said.get("transfer-encoding", "").lower()
         if length is not None and (chunked or not length.isdigit()):
-            raise ValueError("an answer framed in two ways")
+            raise ValueError("an answer framed in two routes")
         parser.digester = Digester([] if parser.bodyless else digests_of(said))
         if not parser.bodyless and length is None and not chunked and not parser.digester.said:
             raise ValueError("an answer whose end cannot be told")
@@ -197,8 +197,8 @@
 
     spoilt = False     # a foreign answer came: nothing more is asked on this connection
 
-    def _body(self, parser, answer, length, wholeMost):
-        if not parser.bodyless and length is not None and int(length) > wholeMost:
+    def _body(self, parser, answer, length, whole_max):
+        if not parser.bodyless and length is not None and int(length) > whole_max:
             answer.rest = self._stream(parser, length)
             return answer
         while not parser.complete:
@@ -206,7 +206,7 @@
             parser.eat(data)
             if not data and not parser.complete:
                 break
-            if parser.size > wholeMost:
+            if parser.size > whole_max:
                 answer.rest = self._stream(parser, length)
                 return answer
         answer.body = b"" if parser.bodyless else parser.blocks[0] if len(parser.blocks) == 1 else b"".join(parser.blocks)
--- a/src/willowpost/proxy/origin/breakdown.py
+++ b/src/willowpost/proxy/origin/failure.py
@@ -4,12 +4,12 @@
 
 class Why(Enum):
     BROKE = "broke"      # it broke off, was silent, or could not be reached
-    LIFE = "life"        # another life stands there
+    INCARNATION = "incarnation"        # another life stands there
     BUSY = "busy"        # it turned the request away
-    GROUP = "group"      # the whole group turns requests away: another origin would too
+    SERVICE = "service"      # the whole service turns requests away: another origin would too
 
 
-class Breakdown(Exception):
+class ExchangeFailure(Exception):
     """Invariants: `sent` is False only if no byte of the request can have left;
     `ran` is False only if the origin has not run the request and never will: nothing left, or it said so;
     `died` is True only if the process that we knew there is no longer there;
--- a/src/willowpost/proxy/origin/knock.py
+++ b/src/willowpost/proxy/origin/instance_check.py
@@ -1,7 +1,7 @@
-"""The knock: whoever stands behind a fresh connection is asked its name before a request leaves on it."""
+"""The instance check: whoever stands behind a fresh connection is asked its name before a request leaves on it."""
 from dataclasses import dataclass
 
-from willowpost.proxy.origin.breakdown import Breakdown
+from willowpost.proxy.origin.failure import ExchangeFailure
 
 TOKEN_HEADER = "wp-token"
 SECONDS = 1.0
@@ -9,7 +9,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Knock:
+class InstanceCheck:
     """Invariant: `token` names one life of one origin, as that life registered it."""
 
     path: str
@@ -18,6 +18,6 @@
     def judge(self, answer) -> None:
         """Invariant: passes only the very life that registered, calling itself sound, on a connection that stays open."""
         if answer.header(TOKEN_HEADER) != self.token:
-            raise Breakdown("knock: another life answers here", sent=False, died=True)
+            raise ExchangeFailure("instance check: another life answers here", sent=False, died=True)
         if answer.status >= 300:
-            raise Breakdown(f"knock: calls itself unsound, {answer.status}", sent=False)
+            raise ExchangeFailure(f"instance check: calls itself unsound, {answer.status}", sent=False)
--- a/src/willowpost/proxy/origin/io.py
+++ b/src/willowpost/proxy/origin/io.py
@@ -1,7 +1,7 @@
 """The carrier's hands: connections over sockets, and waiting for another's flight."""
 from gevent.event import AsyncResult
 
-from willowpost.proxy.admission.tokens import TokenWanted
+from willowpost.proxy.admission.admission_tokens import AdmissionTokenWanted
 from willowpost.proxy.origin.exchange import Exchange
 
 TOKEN_SECONDS = 1.0
@@ -16,8 +16,8 @@
         self.pool = pool
         self.want = want        # (make event from a ticket, seconds) -> its answer, or None
 
-    def token(self, group: str, origin: str) -> bool:
-        return bool(self.want(lambda ticket: TokenWanted(ticket, group, origin), TOKEN_SECONDS))
+    def token(self, service: str, origin: str) -> bool:
+        return bool(self.want(lambda ticket: AdmissionTokenWanted(ticket, service, origin), TOKEN_SECONDS))
 
     def room(self, owner: str, most: int | None) -> bool:
         """May a request to this owner have a connection, within `most` open ones?"""
--- a/src/willowpost/proxy/origin/draw.py
+++ b/src/willowpost/proxy/origin/pick.py
@@ -15,31 +15,31 @@
 SILENT_TIMES = 4
 USUAL = 50 * MILLI           # while none of its kind has answered yet
 SMOOTH = 0.15
-FADE = 1 * SECOND            # what an answer said of its origin's occupancy is worth half after this
+FADE = 1 * SECOND            # what an answer said of its origin's load is worth half after this
 FORGET = 2 * SECOND
 SLACK = 0.6                  # part of the slots that may be busy before waiting is to be feared
 CHANCE = 0.1                 # so that several proxies do not run to the same one at once
 
 
-class OriginDraw:
-    """Invariants: draws only origins of the picture in hand; one that just broke down is drawn last, and a cold one after all that are not.
+class OriginPicker:
+    """Invariants: draws only origins of the snapshot in hand; one that just broke down is picked last, and a cold one after all that are not.
     What origins report can only make one weigh more, up to BUSIER_MOST, never less than one that reports nothing:
     who says 'idle' draws no herd, and who lies harms itself at most."""
 
     def __init__(self, zone: str, chance=random, reports=dict, regions=None):
         self.chance = chance
-        self.reports = reports      # () -> origin -> (occupancy, when)
+        self.reports = reports      # () -> origin -> (load, when)
         self.zone = zone
         self.regions = regions or {}    # zone -> region
-        self.occupancy: dict[str, int] = {}
+        self.load: dict[str, int] = {}
         self.ejected: dict[str, int] = {}
         self.usual: dict[str, float] = {}         # origin -> smoothed µs of an answer
-        self.answers: dict[str, tuple] = {}       # origin -> (busy, slots, own occupancy then, when) of its last answer
+        self.answers: dict[str, tuple] = {}       # origin -> (busy, slots, own load then, when) of its last answer
         self.waiting: dict[str, dict] = {}        # origin -> {ticket: since}
-        self.answeredAt: dict[str, int] = {}
+        self.answered_at: dict[str, int] = {}
         self.ticket = 0
 
-    def draw(self, origins, zones, tried, now: int, heavy: bool = False) -> list:
+    def pick(self, origins, zones, tried, now: int, heavy: bool = False) -> list:
         """Candidates, best first. `zones`: whose origins may serve; None: all. `heavy`: large answers are to be expected."""
         allowed = [origin for origin in origins if (zones is None or origin.zone in zones) and origin.name not in tried]
         busier = self._busier(allowed, now)
@@ -48,42 +48,42 @@
                                                    self._weight(origin, quickest, now, heavy) * busier.get(origin.name, 1.0), self.chance.random()))
 
     def began(self, name: str, now: int = 0) -> int:
-        self.occupancy[name] = self.occupancy.get(name, 0) + 1
+        self.load[name] = self.load.get(name, 0) + 1
         self.ticket += 1
         self.waiting.setdefault(name, {})[self.ticket] = now
         return self.ticket
 
     def ended(self, name: str, ticket: int = 0) -> None:
-        left = self.occupancy.get(name, 1) - 1
+        left = self.load.get(name, 1) - 1
         if left:
-            self.occupancy[name] = left
+            self.load[name] = left
         else:
-            self.occupancy.pop(name, None)
+            self.load.pop(name, None)
         self.waiting.get(name, {}).pop(ticket, None)
 
     def answered(self, name: str, took: int, said: str | None, now: int) -> None:
         """An answer came after `took` µs; `said`: running, waiting, slots, joined by commas."""
         held = self.usual.get(name)
         self.usual[name] = took if held is None else held + SMOOTH * (took - held)
-        self.answeredAt[name] = now
+        self.answered_at[name] = now
         parts = (said or "").split(",")
         if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
             running, queued, slots = map(int, parts)
-            self.answers[name] = (running + queued, slots, self.occupancy.get(name, 0), now)
+            self.answers[name] = (running + queued, slots, self.load.get(name, 0), now)
 
     def eject(self, name: str, now: int, span: int = EJECT_SPAN) -> None:
         self.ejected = {held: until for held, until in self.ejected.items() if until > now}
         self.ejected[name] = now + span
 
     def keep_only(self, names) -> None:
-        for held in (self.usual, self.answers, self.waiting, self.answeredAt):
+        for held in (self.usual, self.answers, self.waiting, self.answered_at):
             for name in [name for name in held if name not in names]:
                 del held[name]
 
     def _silent(self, name, now):
         """It owes an answer for long, and has answered nothing since that was asked."""
         oldest = min(self.waiting.get(name, {}).values(), default=now)
-        return now - oldest > max(SILENT_AFTER, SILENT_TIMES * self.usual.get(name, USUAL)) and self.answeredAt.get(name, 0) <= oldest
+        return now - oldest > max(SILENT_AFTER, SILENT_TIMES * self.usual.get(name, USUAL)) and self.answered_at.get(name, 0) <= oldest
 
     def _busier(self, origins, now):
         """How much busier than the middle one each says it is, for what it bears; stale reports do not count."""
@@ -99,12 +99,12 @@
     def _likely(self, name, quickest, now):
         """What an answer takes, µs. One that was slow is taken for less so as time goes by without asking it: it may have recovered."""
         held = self.usual.get(name, quickest)
-        return quickest + (held - quickest) * 0.5 ** ((now - self.answeredAt.get(name, now)) / FORGET)
+        return quickest + (held - quickest) * 0.5 ** ((now - self.answered_at.get(name, now)) / FORGET)
 
     def _weight(self, origin, quickest, now, heavy):
         """One that has not answered yet is taken for as quick as the quickest: else, where all are quick, it is never asked."""
         far = self._far(origin.zone, heavy)
-        own = self.occupancy.get(origin.name, 0)
+        own = self.load.get(origin.name, 0)
         if not origin.slots:
             return (own + 1) * far / origin.rate
         busy, slots, then, when = self.answers.get(origin.name, (0, origin.slots, 0, now))
--- a/src/willowpost/proxy/origin/reports.py
+++ b/src/willowpost/proxy/origin/reports.py
@@ -1,8 +1,8 @@
-"""What origins say of their occupancy, as their beats bring it by way of the registries. Soft state."""
+"""What origins say of their load, as their beats bring it by way of the registries. Soft state."""
 from willowpost.common.clock import SECOND
 from willowpost.common.events import Received
 from willowpost.common.plan import Plan
-from willowpost.proxy.board import ProxyBoard
+from willowpost.proxy.proxy_state import ProxyState
 from willowpost.wire.messages import Beat
 
 REPORT_SPAN = 5 * SECOND
@@ -10,26 +10,26 @@
 
 
 class Reports:
-    """Invariant: `board.reports` and `board.cold` hold only origins that the tables know; each with its smoothed occupancy and when
+    """Invariant: `board.reports` and `board.cold` hold only origins that the tables know; each with its smoothed load and when
     it was last told, and with when its last beat came and until when it is cold by that."""
 
-    def __init__(self, board: ProxyBoard):
-        self.board = board
+    def __init__(self, node_state: ProxyState):
+        self.node_state = node_state
         self.numbers: dict[str, int] = {}
 
     def step(self, event, now: int) -> Plan:
         match event:
-            case Received(_, Beat() as beat) if beat.origin in self.board.tables.origins and beat.number >= self.numbers.get(beat.origin, 0):
-                known = self.board.tables.origins
+            case Received(_, Beat() as beat) if beat.origin in self.node_state.tables.origins and beat.number >= self.numbers.get(beat.origin, 0):
+                known = self.node_state.tables.origins
                 self.numbers = {**{name: held for name, held in self.numbers.items() if name in known}, beat.origin: beat.number}
-                self.board.cold = {**{name: held for name, held in self.board.cold.items() if name in known},
+                self.node_state.cold = {**{name: held for name, held in self.node_state.cold.items() if name in known},
                                    beat.origin: (now, now + beat.cold if beat.cold else 0)}
-                self._report(beat.origin, beat.occupancy, now)
+                self._report(beat.origin, beat.load, now)
         return Plan()
 
-    def _report(self, origin, occupancy, now):
-        board = self.board
-        if origin in board.picture.origins:
-            held, _ = board.reports.get(origin, (0, now))
-            kept = {name: report for name, report in board.reports.items() if name in board.picture.origins}
-            board.reports = {**kept, origin: (max(occupancy, held * KEPT_PART), now)}
+    def _report(self, origin, load, now):
+        node_state = self.node_state
+        if origin in node_state.snapshot.origins:
+            held, _ = node_state.reports.get(origin, (0, now))
+            kept = {name: report for name, report in node_state.reports.items() if name in node_state.snapshot.origins}
+            node_state.reports = {**kept, origin: (max(load, held * KEPT_PART), now)}
--- a/src/willowpost/proxy/way/headers.py
+++ b/src/willowpost/proxy/routing/headers.py
@@ -14,10 +14,10 @@
 
 
 def toward(request, address: str, hop: str | None, slot: int, entry=None, extra: bool = False, words=None,
-           left: int | None = None, life: str | None = None, whole: bool = False) -> list[tuple[str, str]]:
+           left: int | None = None, incarnation: str | None = None, whole: bool = False) -> list[tuple[str, str]]:
     """`whole`: the whole object is asked for, whatever part of it the caller wants."""
     drop = {"host", *(CONDITIONS if entry is not None or whole else ()), *(("range", "if-range") if whole else ())}
-    ours = {words.request, words.left, words.life} if words else set()
+    ours = {words.request, words.left, words.incarnation} if words else set()
     sent = [(name, value) for name, value in end_to_end(request.headers.items()) if name not in drop and name not in ours]
     held = dict(entry.headers) if entry is not None else {}
     check = [("if-none-match", held["etag"])] if "etag" in held else \
@@ -25,5 +25,5 @@
     hops = [("wp-hop", hop), ("wp-slot", str(slot)), *([("wp-extra", "1")] if extra else [])] if hop else []
     said = [(words.request, request.name)] if words and request.name is not None else []
     said += [(words.left, str(max(1, left // 1000)))] if words and left is not None else []
-    said += [(words.life, life)] if words and life is not None else []
+    said += [(words.incarnation, incarnation)] if words and incarnation is not None else []
     return [("host", request.host), *sent, *check, *said, ("via", "1.1 willowpost"), *hops]
--- /dev/null
+++ b/src/willowpost/proxy/routing/planner.py
@@ -0,0 +1,48 @@
+"""Makes the plan of a request: way, lease, cache, and where to fetch. Does nothing itself."""
+from willowpost.common.rendezvous import Rendezvous
+from willowpost.proxy.cache.ranges import one_range
+from willowpost.proxy.routing.request import KEPT, ONCE, CachePlan, FetchPlan, Request, RejectPlan, WritePlan, kind_of
+from willowpost.proxy.routing.split import ServicePicker
+
+SHIELDS_TRIED = 3
+
+
+class RequestPlanner:
+    """Invariant: the plan depends on the request, the board and the cache as they are now."""
+
+    def __init__(self, node_state, cache, clock, regions=None):
+        self.node_state = node_state
+        self.regions = regions or {}         # zone -> region
+        self.cache = cache
+        self.clock = clock
+        self.services = ServicePicker()
+
+    def plan(self, request: Request):
+        node_state, now = self.node_state, self.clock.now()
+        if not node_state.leased(now):
+            return RejectPlan(503, "no fresh state updates from the core", 2)
+        if node_state.emptied(now):
+            return RejectPlan(503, "this zone is emptied", 5)
+        snapshot = node_state.snapshot
+        route = snapshot.routes.find(request.host, request.path)
+        if route is None:
+            return RejectPlan(404, "no way for this host and path", 0)
+        if route.kind is None and request.method not in route.methods:
+            return RejectPlan(405, "the way does not take this method", 0)
+        kind, service = kind_of(route, request), self.services.pick(route)
+        if kind == ONCE:
+            return WritePlan(route, snapshot.slot, route.tries, service=service)
+        part = one_range(request.headers["range"]) if "range" in request.headers and "if-range" not in request.headers else None
+        whole = route.kind == KEPT and kind == KEPT and request.method == "GET" and ("range" not in request.headers or part is not None) and route.keeps_in(self.regions.get(self.node_state.card.zone))
+        cacheable = kind == KEPT and route.cache and (whole or "range" not in request.headers)
+        entry = self.cache.find(request.host, request.target, request.headers) if cacheable else None
+        if entry is not None and entry.fresh(now):
+            return CachePlan(entry, part if whole else None)
+        return FetchPlan(route, snapshot.slot, cacheable, self._shields(request, route, now), entry, route.tries, service, whole, part if whole else None)
+
+    def _shields(self, request, route, now):
+        if request.hop or not (route.shield and route.cache) or self.node_state.card.role != "edge":
+            return ()
+        shields = self.node_state.warmed_up_shields(now)
+        ranked = Rendezvous().rank(f"{request.host}{request.target}", shields)[:SHIELDS_TRIED]
+        return tuple((name, shields[name]) for name in ranked)
--- a/src/willowpost/proxy/way/reads.py
+++ b/src/willowpost/proxy/routing/reads.py
@@ -1,11 +1,11 @@
 """Reads: joined when they are equal, tried elsewhere within the budget, and kept when the answer may be."""
 from willowpost.proxy.cache.store import Entry
 from willowpost.proxy.cache.storing import StoringRules, first_age, whole
-from willowpost.proxy.origin.breakdown import Breakdown, Why
+from willowpost.proxy.origin.failure import ExchangeFailure, Why
 from willowpost.proxy.origin.exchange import WholeAnswer
-from willowpost.proxy.way.headers import end_to_end
-from willowpost.proxy.way.outcome import Outcome
-from willowpost.proxy.way.tries import SOON, Shed, Trace, Tries
+from willowpost.proxy.routing.headers import end_to_end
+from willowpost.proxy.routing.outcome import Outcome
+from willowpost.proxy.routing.tries import SOON, Rejected, Trace, Tries
 
 RETRIED = (502, 503, 504)
 FAILED = range(500, 600)
@@ -33,8 +33,8 @@
             outcome, entry = self._fetch_alone(request, plan, body)
             waiter.set(("done", entry))
             return outcome
-        except Shed as shed:
-            waiter.set(("shed", shed))
+        except Rejected as reject:
+            waiter.set(("reject", reject))
             raise
         except BaseException:
             waiter.set(("alone", None))
@@ -50,8 +50,8 @@
     def _join(self, flight, request, plan):
         self.stats["collapsed"] += 1
         kind, held = flight[0].get()
-        if kind == "shed":
-            raise Shed(held.code, held.reason, held.after, held.outcome)
+        if kind == "reject":
+            raise Rejected(held.code, held.reason, held.after, held.outcome)
         # the flight may have come by a shield that had not heard of a purge that we know
         if kind == "done" and held is not None and not self.cache.purged_since(held.slot, request.host, request.target, held.tags) and all(request.headers.get(name, "") == value for name, value in held.variant):
             return Outcome(WholeAnswer(held.status, list(held.headers), held.body), "hit", held.age(self.clock.now()), held.slot)
@@ -59,37 +59,37 @@
 
     def _fetch_alone(self, request, plan, body):
         begun = self.clock.now()
-        deadline = request.deadline(plan.way, begun)
-        trace, last, shieldsLeft, lastAnswer, ran = Trace(request.extra), None, list(plan.shields), None, False
-        retried = RETRIED if plan.way.kind is None else FAILED
+        deadline = request.deadline(plan.route, begun)
+        trace, last, shields_left, last_answer, ran = Trace(request.extra), None, list(plan.shields), None, False
+        retried = RETRIED if plan.route.kind is None else FAILED
         for attempt in range(plan.tries):
             now, more = self.clock.now(), plan.tries - attempt - 1
             if attempt and now >= deadline:
                 break
             # a silent one must leave time for the next; a shield needs time for a next of its own
-            shieldsLeft.sort(key=lambda held: self.tries.origins.ejected.get(held[0], 0) > now)
-            until = deadline if not more else now + int((deadline - now) * (SHIELD_PART if shieldsLeft else 1 / (more + 1)))
+            shields_left.sort(key=lambda held: self.tries.origins.ejected.get(held[0], 0) > now)
+            until = deadline if not more else now + int((deadline - now) * (SHIELD_PART if shields_left else 1 / (more + 1)))
             try:
-                answer = self.tries.shield(request, plan, *shieldsLeft.pop(0), until, trace) if shieldsLeft \
+                answer = self.tries.shield(request, plan, *shields_left.pop(0), until, trace) if shields_left \
                     else self.tries.origin(request, plan, body, until, trace, plan.whole)
-            except Breakdown as breakdown:
-                last, ran = breakdown, ran or breakdown.ran
-                if breakdown.why is Why.GROUP:
+            except ExchangeFailure as failure:
+                last, ran = failure, ran or failure.ran
+                if failure.why is Why.SERVICE:
                     break
                 continue
-            except Shed:
-                if last is None and lastAnswer is None:
+            except Rejected:
+                if last is None and last_answer is None:
                     raise
                 break       # no further try can be made: what the last one came to is the answer
             if answer.status in retried and answer.rest is None:
-                lastAnswer, ran = answer, True
+                last_answer, ran = answer, True
                 continue
             return self._settle(request, plan, answer, begun)
-        if lastAnswer is not None:
-            return self._settle(request, plan, lastAnswer, begun)
-        if last is not None and not ran and plan.way.kind is not None:
-            raise Shed(503, f"no origin took it: {last.what}", SOON, "not-run")
-        raise Shed(504 if last is not None and "deadline" in last.what or self.clock.now() >= deadline else 502,
+        if last_answer is not None:
+            return self._settle(request, plan, last_answer, begun)
+        if last is not None and not ran and plan.route.kind is not None:
+            raise Rejected(503, f"no origin took it: {last.what}", SOON, "not-run")
+        raise Rejected(504 if last is not None and "deadline" in last.what or self.clock.now() >= deadline else 502,
                    f"no whole answer: {last.what if last else 'no try left'}", 1, "not-run" if request.safe else "unknown")
 
     def _settle(self, request, plan, answer, begun):
@@ -98,20 +98,20 @@
         asked = {name: value for name, value in request.headers.items() if name != "range"} if plan.whole else request.headers
         slot = min(plan.slot, whole(answer.header("wp-slot")) if answer.header("wp-slot") else plan.slot)
         words = self.tries.words
-        headers = tuple(pair for pair in end_to_end(answer.headers, words.names()) if pair[0] not in ("age", words.request, words.occupancy))
+        headers = tuple(pair for pair in end_to_end(answer.headers, words.names()) if pair[0] not in ("age", words.request, words.load))
         if answer.status == 304 and plan.entry is not None:
             said = {**dict(plan.entry.headers), **dict(headers)}
-            storing = self.rules.judge(asked, plan.entry.status, said, plan.way.keepSeconds)
+            storing = self.rules.judge(asked, plan.entry.status, said, plan.route.keep_seconds)
             if storing is None:
                 self.cache.drop(plan.entry)
                 return Outcome(WholeAnswer(plan.entry.status, list(plan.entry.headers), plan.entry.body), "miss"), None
             # the seal is of the whole answer that is kept, not of this word about it
-            news = tuple(pair for pair in headers if pair[0] != words.seal)
-            kept = tuple(pair for pair in plan.entry.headers if pair[0] not in dict(news)) + news
+            state_update = tuple(pair for pair in headers if pair[0] != words.seal)
+            kept = tuple(pair for pair in plan.entry.headers if pair[0] not in dict(state_update)) + state_update
             entry = self.cache.refresh(plan.entry, kept, now - first_age(answer.lowered(), now - begun), storing.lifetime, slot)
             return Outcome(WholeAnswer(entry.status, list(entry.headers), entry.body), "miss", entry.age(now), slot), entry
-        storing = self.rules.judge(asked, answer.status, answer.lowered(), plan.way.keepSeconds) \
-            if plan.cacheable and request.method == "GET" and answer.rest is None and plan.way.keeps_in(self.tries.regions.get(self.tries.board.card.zone)) else None
+        storing = self.rules.judge(asked, answer.status, answer.lowered(), plan.route.keep_seconds) \
+            if plan.cacheable and request.method == "GET" and answer.rest is None and plan.route.keeps_in(self.tries.regions.get(self.tries.node_state.card.zone)) else None
         age = first_age(answer.lowered(), now - begun)
         length = [("content-length", answer.header("content-length"))] if answer.header("content-length") else []
         passed = WholeAnswer(answer.status, [*headers, *length], answer.body, answer.rest)
--- a/src/willowpost/proxy/way/request.py
+++ b/src/willowpost/proxy/routing/request.py
@@ -1,7 +1,7 @@
 """A request as data, and the plan made for it before anything is done."""
 from dataclasses import dataclass
 
-from willowpost.layout.ways import Way
+from willowpost.configuration.routes import Route
 
 SAFE = ("GET", "HEAD")
 ONCE, REPEATABLE, KEPT = "once", "repeatable", "kept"
@@ -29,22 +29,22 @@
     def safe(self) -> bool:
         return self.method in SAFE
 
-    def deadline(self, way: Way, now: int) -> int:
+    def deadline(self, route: Route, now: int) -> int:
         """The earlier of what the caller and what the operator says."""
         begun = self.received or now
-        most = begun + way.deadlineMs * 1000
+        most = begun + route.deadline_ms * 1000
         return most if self.left is None else min(most, begun + self.left)
 
 
-def kind_of(way: Way, request: Request) -> str:
+def kind_of(route: Route, request: Request) -> str:
     """A way that says no kind goes by the method, as HTTP has it."""
-    if way.kind is None:
+    if route.kind is None:
         return KEPT if request.safe else ONCE
-    return REPEATABLE if way.kind == KEPT and not request.safe else way.kind
+    return REPEATABLE if route.kind == KEPT and not request.safe else route.kind
 
 
 @dataclass(frozen=True, slots=True)
-class ShedPlan:
+class RejectPlan:
     """Invariant: nothing of the request has left, so its outcome is not-run."""
 
     code: int
@@ -62,14 +62,14 @@
 class FetchPlan:
     """Invariant: only of a repeatable request; `entry` is a stale one to be revalidated."""
 
-    way: Way
+    route: Route
     slot: int
     cacheable: bool
     shields: tuple = ()
     entry: object = None
     tries: int = 1
-    group: str = ""
-    whole: bool = False            # the whole object is asked for, whatever part or news of it the caller wants
+    service: str = ""
+    whole: bool = False            # the whole object is asked for, whatever part or state updates of it the caller wants
     part: tuple | None = None
 
 
@@ -77,8 +77,8 @@
 class WritePlan:
     """For what may run once."""
 
-    way: Way
+    route: Route
     slot: int
     tries: int = 1
     entry: object = None       # never one for a write
-    group: str = ""
+    service: str = ""
--- /dev/null
+++ b/src/willowpost/proxy/routing/split.py
@@ -0,0 +1,18 @@
+"""Which service of a split way a request goes to: by the operator's weights, anew for each request."""
+import random
+
+from willowpost.configuration.routes import Route
+
+
+class ServicePicker:
+    """Invariant: a service of weight 0 is never picked."""
+
+    def __init__(self, chance=random):
+        self.chance = chance
+
+    def pick(self, route: Route) -> str:
+        if not route.split:
+            return route.service
+        services = [service for service, weight in route.split if weight > 0]
+        weights = [weight for _, weight in route.split if weight > 0]
+        return services[0] if len(services) == 1 else self.chance.choices(services, weights)[0]
