--- a/src/willowpost/proxy/way/words.py
+++ b/src/willowpost/proxy/routing/words.py
@@ -9,19 +9,19 @@
     request     the caller's id of one try; origins echo it
     left        milliseconds that the caller still waits
     life        names the life of an origin that a request is meant for; every other answers 421 and does not run it
-    seal        of a sealed group's answers: a success without it is none
-    notRun      the origin says that it has not run the request and never will
-    occupancy   running, waiting, slots; joined by commas
+    seal        of a sealed service's answers: a success without it is none
+    not_run      the origin says that it has not run the request and never will
+    load   running, waiting, slots; joined by commas
     tags        tags of a stored answer, with spaces
     """
 
     request: str = "wp-request"
     left: str = "wp-left"
-    life: str = "wp-life"
+    incarnation: str = "wp-incarnation"
     seal: str = "wp-seal"
-    notRun: str = "wp-not-run"
-    occupancy: str = "wp-occupancy"
+    not_run: str = "wp-not-run"
+    load: str = "wp-load"
     tags: str = "wp-tags"
 
     def names(self) -> frozenset:
-        return frozenset((self.request, self.left, self.life, self.seal, self.notRun, self.occupancy, self.tags))
+        return frozenset((self.request, self.left, self.incarnation, self.seal, self.not_run, self.load, self.tags))
--- a/src/willowpost/proxy/way/writes.py
+++ b/src/willowpost/proxy/routing/writes.py
@@ -1,9 +1,9 @@
 """What may run once: each try to another origin, on a fresh connection, and none once an origin may have run it."""
-from willowpost.proxy.origin.breakdown import Breakdown, Why
+from willowpost.proxy.origin.failure import ExchangeFailure, Why
 from willowpost.proxy.origin.exchange import WholeAnswer
-from willowpost.proxy.way.headers import end_to_end
-from willowpost.proxy.way.outcome import Outcome
-from willowpost.proxy.way.tries import NOT_RUN, SOON, Shed, Trace, Tries
+from willowpost.proxy.routing.headers import end_to_end
+from willowpost.proxy.routing.outcome import Outcome
+from willowpost.proxy.routing.tries import NOT_RUN, SOON, Rejected, Trace, Tries
 
 
 class Writes:
@@ -13,25 +13,25 @@
         self.clock, self.tries = clock, tries
 
     def carry(self, request, plan, body: bytes) -> Outcome:
-        deadline = request.deadline(plan.way, self.clock.now())
+        deadline = request.deadline(plan.route, self.clock.now())
         trace, last = Trace(), None
         for attempt in range(plan.tries):
             if attempt and self.clock.now() >= deadline:
                 break
             try:
                 return self._settled(self.tries.origin(request, plan, body, deadline, trace))
-            except Breakdown as breakdown:
-                last = breakdown
-                if breakdown.ran:
-                    late = "deadline" in breakdown.what
-                    raise Shed(504 if late else 502, f"no whole answer: {breakdown.what}", 2, "unknown")
-                if breakdown.why is Why.GROUP:
+            except ExchangeFailure as failure:
+                last = failure
+                if failure.ran:
+                    late = "deadline" in failure.what
+                    raise Rejected(504 if late else 502, f"no whole answer: {failure.what}", 2, "unknown")
+                if failure.why is Why.SERVICE:
                     break
-        raise Shed(503, f"no origin took it: {last.what if last else 'no try left'}", SOON, "not-run")
+        raise Rejected(503, f"no origin took it: {last.what if last else 'no try left'}", SOON, "not-run")
 
     def _settled(self, answer):
         if answer.status in NOT_RUN:
-            raise Shed(502, f"the origin answered {answer.status}, which promises what it does not say", 2, "unknown")
+            raise Rejected(502, f"the origin answered {answer.status}, which promises what it does not say", 2, "unknown")
         words = self.tries.words
-        headers = [pair for pair in end_to_end(answer.headers, words.names()) if pair[0] not in (words.request, words.occupancy)]
+        headers = [pair for pair in end_to_end(answer.headers, words.names()) if pair[0] not in (words.request, words.load)]
         return Outcome(WholeAnswer(answer.status, headers, answer.body, answer.rest), "pass")
--- a/src/willowpost/registry/beats.py
+++ b/src/willowpost/registry/beats.py
@@ -28,33 +28,33 @@
     by whoever took the beat. Silence counts from the later of the last beat, our own start, and the moment the duty came to us.
     A beat with a number not above the last one that any registry told us of changes nothing."""
 
-    def __init__(self, board, clerk, probe):
-        self.board = board
-        self.clerk = clerk
+    def __init__(self, node_state, command_client, probe):
+        self.node_state = node_state
+        self.command_client = command_client
         self.probe = probe              # (origin, address, path) -> None; its outcome comes back as told()
         self.heard: dict[str, int] = {}
         self.seen: dict[str, tuple] = {}     # origin -> (state, since)
         self.failed: dict[str, int] = {}
-        self.probedAt: dict[str, int] = {}
-        self.askedAt: dict[str, int] = {}
+        self.probed_at: dict[str, int] = {}
+        self.asked_at: dict[str, int] = {}
         self.numbers: dict[str, int] = {}
-        self.lookedAt = 0
+        self.looked_at = 0
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
         match event:
             case Received(_, Beat() as beat) if not self._late(beat):
                 self._hear(beat, now)
-            case ("beat", origin, occupancy):
-                self._take(Heard(Beat(origin, occupancy)), now, plan)
+            case ("beat", origin, load):
+                self._take(Heard(Beat(origin, load)), now, plan)
             case Heard(beat) if not self._late(beat):
                 self._take(event, now, plan)
             case ("probed", origin, sound):
                 self.failed[origin] = 0 if sound else self.failed.get(origin, 0) + 1
                 if sound:
                     self.heard[origin] = now
-            case Tick() if now - self.lookedAt >= LOOK_EVERY:
-                self.lookedAt = now
+            case Tick() if now - self.looked_at >= LOOK_EVERY:
+                self.looked_at = now
                 self._look(now, plan)
         return plan
 
@@ -71,50 +71,50 @@
         beat = heard.beat
         self._hear(beat, now)
         plan.sends += [(card["address"], beat) for kind in ("registry", "proxy")
-                       for name, card in self.board.live(kind).items() if name != self.board.card.id]
-        held = self.board.tables.origins.get(beat.origin, {}).get("state")
+                       for name, card in self.node_state.live(kind).items() if name != self.node_state.card.id]
+        held = self.node_state.tables.origins.get(beat.origin, {}).get("state")
         wanted = "cold" if beat.cold else "warm"
         if heard.told and held in ("cold", "warm") and held != wanted:
             # The slot says which restoring of its zone we knew of when it called itself warm.
             self._propose(beat.origin, wanted, now, plan, told=True, **({"number": beat.number} if beat.number else {}),
-                          **({} if beat.cold else {"asOf": self.board.tables.slot}))
+                          **({} if beat.cold else {"as_of": self.node_state.tables.slot}))
 
     def _look(self, now, plan):
-        tables = self.board.tables
-        live = self.board.live("registry")
-        names = set(live) | {self.board.card.id}
-        for held in (self.heard, self.seen, self.failed, self.probedAt, self.askedAt, self.numbers):
+        tables = self.node_state.tables
+        live = self.node_state.live("registry")
+        names = set(live) | {self.node_state.card.id}
+        for held in (self.heard, self.seen, self.failed, self.probed_at, self.asked_at, self.numbers):
             for origin in [origin for origin in held if origin not in tables.origins]:
                 del held[origin]
-        groups = (tables.layout["tree"] or {}).get("groups", {})
+        services = (tables.configuration["tree"] or {}).get("services", {})
         for origin, card in tables.origins.items():
             state, since = self.seen.get(origin, (None, now))
             if state != card["state"]:
                 self.seen[origin] = (card["state"], now)
                 since = now
-            if Rendezvous().rank(f"origin/{origin}", names)[0] != self.board.card.id:
+            if Rendezvous().rank(f"origin/{origin}", names)[0] != self.node_state.card.id:
                 continue
-            self._care(origin, card, since, groups.get(card["group"], {}), now, plan)
+            self._care(origin, card, since, services.get(card["service"], {}), now, plan)
 
-    def _care(self, origin, card, since, group, now, plan):
-        silent = int(group.get("silentSeconds", 6.0) * SECOND)
+    def _care(self, origin, card, since, service, now, plan):
+        silent = int(service.get("silent_seconds", 6.0) * SECOND)
         heard = self.heard.setdefault(origin, now)
         quiet = now - heard
-        if quiet > silent // 2 and now - self.probedAt.get(origin, -PROBE_EVERY) >= PROBE_EVERY:
-            self.probedAt[origin] = now
-            self.probe(origin, card["address"], group.get("soundnessPath"))
+        if quiet > silent // 2 and now - self.probed_at.get(origin, -PROBE_EVERY) >= PROBE_EVERY:
+            self.probed_at[origin] = now
+            self.probe(origin, card["address"], service.get("health_check_path"))
         if quiet > silent or (quiet > silent // 2 and self.failed.get(origin, 0) >= PROBES_FAILED):
             self._turn(origin, "gone", now, plan, silent=True)
         elif card["state"] == "waiting" and now - since > ENTER_AFTER:
             self._turn(origin, "cold", now, plan)
-        elif card["state"] == "cold" and not card.get("told") and now - since > int(group.get("rampSeconds", 10.0) * SECOND):
-            self._turn(origin, "warm", now, plan, asOf=self.board.tables.slot)
+        elif card["state"] == "cold" and not card.get("told") and now - since > int(service.get("ramp_seconds", 10.0) * SECOND):
+            self._turn(origin, "warm", now, plan, as_of=self.node_state.tables.slot)
 
     def _turn(self, origin, state, now, plan, **more):
-        if now - self.askedAt.get(origin, -ASK_EVERY) >= ASK_EVERY:
-            self.askedAt[origin] = now
+        if now - self.asked_at.get(origin, -ASK_EVERY) >= ASK_EVERY:
+            self.asked_at[origin] = now
             self._propose(origin, state, now, plan, **more)
 
     def _propose(self, origin, state, now, plan, **more):
-        plan.join(self.clerk.step(Asked(None, ({"op": "turn", "origin": origin, "state": state, **more},)), now))
+        plan.join(self.command_client.step(Asked(None, ({"op": "turn", "origin": origin, "state": state, **more},)), now))
         plan.note("origins", "proposes a turn", origin=origin, state=state)
--- a/src/willowpost/registry/calls/body.py
+++ b/src/willowpost/registry/calls/body.py
@@ -2,7 +2,7 @@
 from pydantic import BaseModel, ConfigDict, ValidationError
 from result import Err, Ok, Result
 
-from willowpost.shell.props import findings_of
+from willowpost.shell.settings import findings_of
 from willowpost.shell.web import Answer
 
 
--- a/src/willowpost/registry/calls/desk.py
+++ b/src/willowpost/registry/calls/control_api.py
@@ -1,21 +1,21 @@
 """What every call needs of the log: to have an op accepted, and to know that what is held here is whole."""
 import gevent
 
-from willowpost.shell.web import Answer, shed
+from willowpost.shell.web import Answer, reject
 
 READ_SECONDS = 3.0
 ACCEPT_SECONDS = 4.0
 
 
-class Desk:
+class ControlApi:
     """Invariants: a success is answered only for what the log accepted; an outcome not known in time is called unknown."""
 
     def __init__(self, runner):
         self.runner = runner
 
     @property
-    def board(self):
-        return self.runner.node.board
+    def node_state(self):
+        return self.runner.node.node_state
 
     def accepted(self, op: dict, answered, seconds: float = ACCEPT_SECONDS, follow: bool = True, refused=None) -> Answer:
         """`follow`: whoever asked may go on here at once, since the tables held here have come as far. `refused` makes the answer to
@@ -24,7 +24,7 @@
         if result is None or result["answers"] is None:
             return unknown()
         if follow:
-            self._until(lambda: self.board.tables.slot > result["slot"])
+            self._until(lambda: self.node_state.tables.slot > result["slot"])
         answer = result["answers"][0]
         if answer["ok"]:
             return answered(answer, result["slot"])
@@ -39,7 +39,7 @@
     def read(self) -> bool:
         """A quorum read: wait until what we hold is known to be whole as of now."""
         asked = self.runner.clock.now()
-        return self._until(lambda: self.board.freshAsOf is not None and self.board.freshAsOf >= asked)
+        return self._until(lambda: self.node_state.fresh_as_of is not None and self.node_state.fresh_as_of >= asked)
 
     def _until(self, condition) -> bool:
         begun = self.runner.clock.now()
@@ -51,8 +51,8 @@
 
 
 def unknown() -> Answer:
-    return shed(504, "not known in time whether it was accepted", outcome="unknown")
+    return reject(504, "not known in time whether it was accepted", outcome="unknown")
 
 
 def unread() -> Answer:
-    return shed(503, "no quorum read in time")
+    return reject(503, "no quorum read in time")
--- a/src/willowpost/registry/calls/origins.py
+++ b/src/willowpost/registry/calls/origins.py
@@ -4,12 +4,12 @@
 from pydantic import Field, model_validator
 
 from willowpost.common.clock import MILLI
-from willowpost.layout.model import Name
+from willowpost.configuration.model import Name
 from willowpost.registry.beats import Heard
 from willowpost.registry.calls.body import Strict, parsed
-from willowpost.registry.calls.desk import ACCEPT_SECONDS, Desk
-from willowpost.registry.origins import origin_at, same_life
-from willowpost.shell.props import Address
+from willowpost.registry.calls.control_api import ACCEPT_SECONDS, ControlApi
+from willowpost.registry.origins import origin_at, same_incarnation
+from willowpost.shell.settings import Address
 from willowpost.shell.web import Answer, Call
 from willowpost.state.apply.origins import OVER, named
 from willowpost.state.kinds import OriginState
@@ -27,22 +27,22 @@
 class OriginCall(Strict):
     """Hot: a pydantic model reads it in a third of the time that plain code takes for the same findings."""
 
-    group: Name
+    service: Name
     address: Address
     zone: Name
     rate: Annotated[float, Field(gt=0, le=RATE_MOST)] | None = None
-    coldRate: Annotated[float, Field(gt=0, le=1_000_000)] | None = None
-    occupancy: Annotated[int, Field(ge=0, le=1_000_000)] = 0
+    cold_rate: Annotated[float, Field(gt=0, le=1_000_000)] | None = None
+    load: Annotated[int, Field(ge=0, le=1_000_000)] = 0
     token: Token | None = None
     number: Annotated[int, Field(ge=0, lt=2 ** 63)] = 0
     state: Literal["ready", "draining"] = "ready"
-    coldMs: Annotated[float, Field(ge=0, le=1e9)] | None = None
+    cold_ms: Annotated[float, Field(ge=0, le=1e9)] | None = None
     slots: Annotated[int, Field(ge=0, le=1_000_000)] | None = None
 
 
 class LeaveCall(Strict):
     address: Address | None = None
-    group: Name | None = None
+    service: Name | None = None
     token: Token | None = None
 
     @model_validator(mode="after")
@@ -56,8 +56,8 @@
     """Invariants: a beat of a known life is answered without the log, unless it says that the life is about to end: then only
     once the log has accepted that. Whatever is said twice of a life is answered as if it were said once."""
 
-    def __init__(self, desk: Desk):
-        self.desk = desk
+    def __init__(self, control_api: ControlApi):
+        self.control_api = control_api
 
     def routes(self):
         return (
@@ -69,19 +69,19 @@
 
     @property
     def tables(self):
-        return self.desk.board.tables
+        return self.control_api.node_state.tables
 
     def _register(self, call: Call) -> Answer:
         read = parsed(OriginCall, call.body)
         return read.unwrap_err() if read.is_err() else self._entered(read.unwrap(), 201)
 
     def _entered(self, origin, code, **how) -> Answer:
-        # who says how many it works on at once has said what it bears: only the group's own rate limits it then
+        # who says how many it works on at once has said what it bears: only the service's own rate limits it then
         rate = origin.rate if origin.rate is not None else RATE if origin.slots is None else float(RATE_MOST)
-        op = {"op": "register", **origin.model_dump(include={"group", "address", "zone", "token", "slots"}, exclude_none=True),
-              "rate": rate, "coldRate": origin.coldRate or rate / 10, **({"number": origin.number} if origin.number else {}),
-              **({"cold": origin.coldMs > 0} if origin.coldMs is not None else {}), **({"state": DRAINING} if origin.state == DRAINING else {})}
-        return self.desk.accepted(op, lambda answer, slot: Answer(code, {"origin": answer["origin"], "state": answer["state"], "slot": slot}), **how)
+        op = {"op": "register", **origin.model_dump(include={"service", "address", "zone", "token", "slots"}, exclude_none=True),
+              "rate": rate, "cold_rate": origin.cold_rate or rate / 10, **({"number": origin.number} if origin.number else {}),
+              **({"cold": origin.cold_ms > 0} if origin.cold_ms is not None else {}), **({"state": DRAINING} if origin.state == DRAINING else {})}
+        return self.control_api.accepted(op, lambda answer, slot: Answer(code, {"origin": answer["origin"], "state": answer["state"], "slot": slot}), **how)
 
     def _beat(self, call: Call) -> Answer:
         read = parsed(OriginCall, call.body)
@@ -90,11 +90,11 @@
         origin = read.unwrap()
         if origin.token in self.tables.ended:
             return _over()
-        name = self._life(origin)
+        name = self._incarnation(origin)
         state = self.tables.origins.get(name, {}).get("state", GONE)
         if name is not None and (origin.state != DRAINING or state == DRAINING):
-            cold = None if origin.coldMs is None else int(origin.coldMs * MILLI)
-            self.desk.runner.inbox.put(Heard(Beat(name, origin.occupancy, cold or 0, origin.slots or 0, origin.number), cold is not None))
+            cold = None if origin.cold_ms is None else int(origin.cold_ms * MILLI)
+            self.control_api.runner.inbox.put(Heard(Beat(name, origin.load, cold or 0, origin.slots or 0, origin.number), cold is not None))
             return Answer(200, {"origin": name, "state": state})
         if name is not None and origin.token is None:
             return self._turned({"op": "turn", "origin": name, "state": DRAINING})
@@ -102,8 +102,8 @@
         return self._entered(origin, 200 if origin.token else 201, seconds=BEAT_SECONDS if origin.token else ACCEPT_SECONDS,
                              follow=origin.token is None, refused=lambda answer: _over() if answer["why"] == OVER else _refused(answer))
 
-    def _life(self, origin):
-        find = lambda: same_life(self.tables, origin.address, origin.group, origin.token)
+    def _incarnation(self, origin):
+        find = lambda: same_incarnation(self.tables, origin.address, origin.service, origin.token)
         return find() if origin.token else self._known(find)
 
     def _turn(self, call: Call, state: str) -> Answer:
@@ -114,17 +114,17 @@
         if leaving.token is not None:
             op = {"op": "end", "token": leaving.token} if state == GONE else {"op": "turn", "token": leaving.token, "state": state}
             return self._turned(op, named(self.tables, leaving.token), follow=False)
-        name = self._known(lambda: origin_at(self.tables, leaving.address, leaving.group))
+        name = self._known(lambda: origin_at(self.tables, leaving.address, leaving.service))
         return _unknown("address") if name is None else self._turned({"op": "turn", "origin": name, "state": state})
 
     def _turned(self, op, name=None, follow=True):
-        return self.desk.accepted(op, lambda answer, slot: Answer(200, {"origin": op.get("origin", name), "state": answer["state"], "slot": slot}),
+        return self.control_api.accepted(op, lambda answer, slot: Answer(200, {"origin": op.get("origin", name), "state": answer["state"], "slot": slot}),
                                   follow=follow, refused=lambda answer: _unknown("token") if "token" in op else _refused(answer))
 
     def _known(self, find):
         """Not known here may only mean not known yet: look again after a quorum read."""
         name = find()
-        return name if name is not None or not self.desk.read() else find()
+        return name if name is not None or not self.control_api.read() else find()
 
 
 def _over() -> Answer:
--- a/src/willowpost/registry/calls/pages.py
+++ b/src/willowpost/registry/calls/pages.py
@@ -1,21 +1,21 @@
-"""Pages for people and for those who watch: status and soundness."""
-from willowpost.registry.calls.desk import Desk
+"""Pages for people and for those who watch: status and health."""
+from willowpost.registry.calls.control_api import ControlApi
 from willowpost.registry.status import StatusPage
-from willowpost.shell.web import Answer, Call, shed
+from willowpost.shell.web import Answer, Call, reject
 
 
 class PageCalls:
-    def __init__(self, desk: Desk):
-        self.desk = desk
+    def __init__(self, control_api: ControlApi):
+        self.control_api = control_api
         self.page = StatusPage()
 
     def routes(self):
-        return ("GET", "/v1/status", 0, self._status), ("GET", "/v1/soundness", 0, self._soundness)
+        return ("GET", "/v1/status", 0, self._status), ("GET", "/v1/health", 0, self._health)
 
     def _status(self, call: Call) -> Answer:
-        return Answer(200, self.page.make(self.desk.runner.node, self.desk.runner.clock.now()))
+        return Answer(200, self.page.make(self.control_api.runner.node, self.control_api.runner.clock.now()))
 
-    def _soundness(self, call: Call) -> Answer:
-        board = self.desk.board
-        sound = board.leased(self.desk.runner.clock.now()) and not board.draining
-        return Answer(200, {"sound": True}) if sound else shed(503, "draining" if board.draining else "no fresh news from the core")
+    def _health(self, call: Call) -> Answer:
+        node_state = self.control_api.node_state
+        sound = node_state.leased(self.control_api.runner.clock.now()) and not node_state.draining
+        return Answer(200, {"sound": True}) if sound else reject(503, "draining" if node_state.draining else "no fresh state updates from the core")
--- a/src/willowpost/registry/daemon.py
+++ b/src/willowpost/registry/daemon.py
@@ -2,7 +2,7 @@
 import gevent
 
 from willowpost.common.clock import Clock
-from willowpost.node.board import Card
+from willowpost.node.node_state import Card
 from willowpost.registry.front import Front
 from willowpost.registry.node import RegistryNode
 from willowpost.shell.mesh import split
@@ -42,9 +42,9 @@
         clock = Clock()
         card = Card(f"{place.name}/registry", "registry", "core", place.name, place.zone, place.address, place.http, clock.wall())
         self.node = RegistryNode(card, place.seeds, clock.wall, Prober(self.runner).probe)
-        router = Router(routes(Front(self.runner, logs)), logs, lambda: self.node.board.draining)
+        router = Router(routes(Front(self.runner, logs)), logs, lambda: self.node.node_state.draining)
         self.node.leaver.spans = place.spans()
-        self.node.leaver.underway = lambda: router.underway
+        self.node.leaver.in_flight = lambda: router.in_flight
         self.web = WebServer(place.http, router, CountingHandler)
 
     def start(self) -> None:
--- a/src/willowpost/registry/front.py
+++ b/src/willowpost/registry/front.py
@@ -1,6 +1,6 @@
 """The outside calls: origins and operators."""
-from willowpost.registry.calls.desk import Desk
-from willowpost.registry.calls.layouts import LayoutCalls
+from willowpost.registry.calls.control_api import ControlApi
+from willowpost.registry.calls.configurations import ConfigurationCalls
 from willowpost.registry.calls.orders import OrderCalls
 from willowpost.registry.calls.origins import OriginCalls
 from willowpost.registry.calls.pages import PageCalls
@@ -12,8 +12,8 @@
     def __init__(self, runner, logs):
         self.runner = runner
         self.logs = logs
-        desk = Desk(runner)
-        self.calls = (OriginCalls(desk), LayoutCalls(desk), OrderCalls(desk), PageCalls(desk))
+        control_api = ControlApi(runner)
+        self.calls = (OriginCalls(control_api), ConfigurationCalls(control_api), OrderCalls(control_api), PageCalls(control_api))
 
     def routes(self):
         return tuple(route for calls in self.calls for route in calls.routes())
--- a/src/willowpost/registry/main.py
+++ b/src/willowpost/registry/main.py
@@ -5,10 +5,10 @@
 
 class RegistryCommand(DaemonCommand):
     name = "wpregistry"
-    description = "Takes the outside calls: origins register and beat, operators change layouts, purge, empty zones."
+    description = "Takes the outside calls: origins register and beat, operators change configurations, purge, empty zones."
     help = """A core machine runs one <info>wpstore</info> and one <info>wpregistry</info>.
 
-  <info>wpregistry --props core-1-registry.json</info>
+  <info>wpregistry --settings core-1-registry.json</info>
   <info>wpregistry --name core-1 --zone a --address 127.0.0.1:7101 --http 127.0.0.1:8101 --seeds 127.0.0.1:7001,127.0.0.1:7002</info>
   <info>curl http://127.0.0.1:8101/v1/status</info>"""
     needs = ("http",)
--- a/src/willowpost/registry/node.py
+++ b/src/willowpost/registry/node.py
@@ -1,11 +1,11 @@
 """One registry: a follower of the log that takes the outside calls."""
 from willowpost.common.plan import Plan
-from willowpost.node.board import Card, FollowBoard
-from willowpost.node.clerk import Clerk
+from willowpost.node.node_state import Card, NodeState
+from willowpost.node.command_client import CommandClient
 from willowpost.node.follower import Follower
 from willowpost.node.joiner import Joiner
 from willowpost.node.leaver import Leaver
-from willowpost.node.question import Question
+from willowpost.node.quorum_read import QuorumRead
 from willowpost.node.watch import Watch
 from willowpost.registry.beats import Beats
 
@@ -14,14 +14,14 @@
     """Invariant: whatever happens goes through step()."""
 
     def __init__(self, card: Card, seeds, wall, probe):
-        self.board = FollowBoard(card)
-        self.clerk = Clerk(card.id, card.incarnation, self.board.cores, wall)
-        tables = lambda: self.board.tables
-        self.joiner = Joiner(card, tables, self.clerk)
-        self.leaver = Leaver(self.board, self.clerk, self.joiner)
-        follower = Follower(self.board, seeds, tree=False)
-        self.controllers = [follower, Question(self.board, follower), self.clerk, Watch(card, tables, self.clerk),
-                            self.joiner, self.leaver, Beats(self.board, self.clerk, probe)]
+        self.node_state = NodeState(card)
+        self.command_client = CommandClient(card.id, card.incarnation, self.node_state.cores, wall)
+        tables = lambda: self.node_state.tables
+        self.joiner = Joiner(card, tables, self.command_client)
+        self.leaver = Leaver(self.node_state, self.command_client, self.joiner)
+        follower = Follower(self.node_state, seeds, tree=False)
+        self.controllers = [follower, QuorumRead(self.node_state, follower), self.command_client, Watch(card, tables, self.command_client),
+                            self.joiner, self.leaver, Beats(self.node_state, self.command_client, probe)]
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
--- a/src/willowpost/shell/disk.py
+++ b/src/willowpost/shell/disk.py
@@ -1,4 +1,4 @@
-"""The store's one folder: one file per generation, written aside, synced, renamed; then appended to and synced."""
+"""The store's one folder: one file per segment, written aside, synced, renamed; then appended to and synced."""
 import errno
 import json
 import os
@@ -8,7 +8,7 @@
 
 WAITS = {errno.ENOSPC, errno.EDQUOT, errno.EMFILE, errno.ENFILE}      # may pass: files are deleted, connections close
 AGAIN_SECONDS = 0.25
-PREFIX = "generation-"
+PREFIX = "segment-"
 
 
 class DiskDamaged(Exception):
@@ -55,8 +55,8 @@
     def append(self, records: list[dict]) -> None:
         self._until_done(self.disk.append, records)
 
-    def turn(self, records: list[dict]) -> None:
-        self._until_done(self.disk.turn, records)
+    def rotate(self, records: list[dict]) -> None:
+        self._until_done(self.disk.rotate, records)
 
     def _until_done(self, write, records):
         waits = 0
@@ -74,7 +74,7 @@
 
 class Disk:
     """Invariants: what append() and turn() were given is synced when they return, and if they raise nothing of it is behind `end`
-    or in a generation that load() would take; the newest whole generation holds all that the older ones did.
+    or in a segment that load() would take; the newest whole segment holds all that the older ones did.
 
     Syncs are made in the loop: the one task that steps the node waits for them in any case, and a thread costs more
     than it spares (docs/design/rabia.md)."""
@@ -113,7 +113,7 @@
             raise
         self.end += len(data)
 
-    def turn(self, records: list[dict]) -> None:
+    def rotate(self, records: list[dict]) -> None:
         older = [f"{PREFIX}{self.number:012d}.wp"] if self.file is not None else []
         path = os.path.join(self.folder, f"{PREFIX}{self.number + 1:012d}.wp")
         data = b"".join(map(line_of, records))
--- a/src/willowpost/shell/program.py
+++ b/src/willowpost/shell/program.py
@@ -7,17 +7,17 @@
 from cleo.helpers import option
 
 from willowpost.shell.logs import Logs
-from willowpost.shell.props import DaemonProps, PropsReader
-from willowpost.shell.reload import PropsReload
+from willowpost.shell.settings import DaemonSettings, SettingsReader
+from willowpost.shell.reload import SettingsReload
 from willowpost.shell.serving import serve
 
 
 class DaemonCommand(Command):
-    """Invariant: bad props end with exit code 2 and all findings, before any socket is opened."""
+    """Invariant: bad settings end with exit code 2 and all findings, before any socket is opened."""
 
     needs: tuple[str, ...] = ()
     options = [
-        option("props", "p", "JSON or YAML file with this process's props.", flag=False),
+        option("settings", "p", "JSON or YAML file with this process's settings.", flag=False),
         option("name", None, "Name of the machine.", flag=False),
         option("zone", None, "Zone the machine stands in.", flag=False),
         option("address", "a", "IP:port where the fleet's processes reach this one.", flag=False),
@@ -25,26 +25,26 @@
         option("seeds", "s", "Up to three IP:port of other processes, with commas.", flag=False),
         option("role", None, "edge or shield (wpproxy only).", flag=False),
         option("data", "d", "Folder for what must last (wpstore only).", flag=False),
-        option("voters", None, "How many founders the core has.", flag=False),
+        option("voters", None, "How many bootstrap members the core has.", flag=False),
         option("level", None, "DEBUG, INFO, WARNING or ERROR.", flag=False),
-        option("check", None, "Check the props and end."),
+        option("check", None, "Check the settings and end."),
     ]
 
     def handle(self) -> int:
         flags = {name: self.option(name) for name in ("name", "zone", "address", "http", "role", "data", "voters", "level")}
         flags["seeds"] = self.option("seeds").split(",") if self.option("seeds") else None
-        read = PropsReader().read(self.option("props"), flags, self.needs)
+        read = SettingsReader().read(self.option("settings"), flags, self.needs)
         if read.is_err():
             for finding in read.unwrap_err():
                 print(json.dumps(finding), file=sys.stderr)
             return 2
-        props = read.unwrap()
+        settings = read.unwrap()
         if self.option("check"):
-            self.line("props are sound")
+            self.line("settings are sound")
             return 0
-        logs = Logs(self.name, props.name, props.level)
-        reload = PropsReload(self.option("props"), flags, self.needs, props, logs)
-        serve(self.build(props.place(), logs), logs, lambda: reload.step().map(DaemonProps.place).unwrap_or(None))
+        logs = Logs(self.name, settings.name, settings.level)
+        reload = SettingsReload(self.option("settings"), flags, self.needs, settings, logs)
+        serve(self.build(settings.place(), logs), logs, lambda: reload.step().map(DaemonSettings.place).unwrap_or(None))
         return 0
 
     def build(self, place, logs):
--- a/src/willowpost/shell/reload.py
+++ b/src/willowpost/shell/reload.py
@@ -1,27 +1,27 @@
 """The platform says that settings have changed: read them again, take over what can change while running, name what cannot."""
 from result import Err, Ok, Result
 
-from willowpost.shell.props import DaemonProps, PropsReader
+from willowpost.shell.settings import DaemonSettings, SettingsReader
 
 LIVE = ("seeds", "level", "pace")
 
 
-class PropsReload:
-    """Invariants: props with any finding change nothing; `held` is what this process runs with, so what needs a restart
+class SettingsReload:
+    """Invariants: settings with any finding change nothing; `held` is what this process runs with, so what needs a restart
     stays named at each reload until there was one."""
 
-    def __init__(self, path: str | None, flags: dict, needs: tuple[str, ...], held: DaemonProps, logs):
+    def __init__(self, path: str | None, flags: dict, needs: tuple[str, ...], held: DaemonSettings, logs):
         self.path, self.flags, self.needs, self.held, self.logs = path, flags, needs, held, logs
 
-    def step(self) -> Result[DaemonProps, list[dict]]:
-        """The props to go on with."""
-        read = PropsReader().read(self.path, self.flags, self.needs)
+    def step(self) -> Result[DaemonSettings, list[dict]]:
+        """The settings to go on with."""
+        read = SettingsReader().read(self.path, self.flags, self.needs)
         if read.is_err():
-            self.logs.say("props", "wrong, the old ones stay", level="error", findings=read.unwrap_err())
+            self.logs.say("settings", "wrong, the old ones stay", level="error", findings=read.unwrap_err())
             return Err(read.unwrap_err())
         wanted = read.unwrap()
-        changed = [name for name in DaemonProps.model_fields if getattr(wanted, name) != getattr(self.held, name)]
+        changed = [name for name in DaemonSettings.model_fields if getattr(wanted, name) != getattr(self.held, name)]
         live = [name for name in changed if name in LIVE]
         self.held = self.held.model_copy(update={name: getattr(wanted, name) for name in live})
-        self.logs.say("props", "read again", changed=live, needsRestart=[name for name in changed if name not in LIVE])
+        self.logs.say("settings", "read again", changed=live, needs_restart=[name for name in changed if name not in LIVE])
         return Ok(self.held)
--- a/src/willowpost/shell/runner.py
+++ b/src/willowpost/shell/runner.py
@@ -68,21 +68,21 @@
             then()
 
     def _run(self):
-        tickAt = 0
+        tick_at = 0
         while True:
             now = self.clock.now()
             try:
-                event = self.inbox.get(timeout=max(0, tickAt - now) / 1e6) if now < tickAt else Tick()
+                event = self.inbox.get(timeout=max(0, tick_at - now) / 1e6) if now < tick_at else Tick()
             except Empty:
                 event = Tick()
             if isinstance(event, Tick):
-                tickAt = self.clock.now() + int(TICK_SECONDS * 1e6)
+                tick_at = self.clock.now() + int(TICK_SECONDS * 1e6)
                 gevent.sleep(0)
             self._carry(self.node.step(event, self.clock.now()))
 
     def _carry(self, plan):
-        if plan.turn is not None:
-            self.disk.turn(plan.turn + plan.records)
+        if plan.rotate is not None:
+            self.disk.rotate(plan.rotate + plan.records)
         elif plan.records:
             self.disk.append(plan.records)
         for address, message in plan.sends:
--- a/src/willowpost/shell/props.py
+++ b/src/willowpost/shell/settings.py
@@ -1,4 +1,4 @@
-"""A daemon's own props: from a file, flags on top; all findings reported together with their place."""
+"""A daemon's own settings: from a file, flags on top; all findings reported together with their place."""
 import json
 import re
 from typing import Annotated, Literal
@@ -7,31 +7,31 @@
 from result import Err, Ok, Result
 
 from willowpost.common.clock import MILLI
-from willowpost.consensus.replica.board import Pace
+from willowpost.consensus.replica.replica_state import Pace
 from willowpost.shell.place import Place
 
 Address = Annotated[str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 
 
-class PaceProps(BaseModel):
+class PaceSettings(BaseModel):
     """How a store paces itself; all in milliseconds but keep and turn, which count decisions."""
 
     model_config = ConfigDict(extra="forbid")
     resend: int = Field(60, ge=5, le=5000)
     freeze: int = Field(0, ge=0, le=500)
-    mark: int = Field(100, ge=10, le=5000)
+    synced_index: int = Field(100, ge=10, le=5000)
     ask: int = Field(40, ge=5, le=5000)
     read: int = Field(150, ge=20, le=1000)
     hello: int = Field(200, ge=20, le=5000)
     keep: int = Field(512, ge=16)
-    turn: int = Field(2048, ge=16)
+    rotate: int = Field(2048, ge=16)
 
     def micros(self) -> Pace:
-        return Pace(**{name: value * (1 if name in ("keep", "turn") else MILLI) for name, value in self.model_dump().items()})
+        return Pace(**{name: value * (1 if name in ("keep", "rotate") else MILLI) for name, value in self.model_dump().items()})
 
 
-class DaemonProps(BaseModel):
+class DaemonSettings(BaseModel):
     """Invariant: what a process needs to know of its place, and no more."""
 
     model_config = ConfigDict(extra="forbid")
@@ -43,19 +43,19 @@
     role: Literal["edge", "shield", "core"] = "core"
     data: str | None = None
     voters: int = Field(5, ge=3, le=9)
-    votersMost: int = Field(0, ge=0, le=9)
-    mayFound: bool = True
-    foundersAreSeeds: bool = False
+    max_voters: int = Field(0, ge=0, le=9)
+    may_bootstrap: bool = True
+    bootstrap_from_seeds: bool = False
     regions: dict[Name, Name] = {}
-    soundness: Address | None = None
-    serveOnMs: int = Field(1500, ge=500, le=3_600_000)
-    drainMs: int = Field(3000, ge=0, le=60_000)
-    finishMs: int = Field(30_000, ge=0, le=600_000)
-    leaveMs: int = Field(1500, ge=0, le=10_000)
-    pace: PaceProps = PaceProps()
+    health: Address | None = None
+    serve_on_ms: int = Field(1500, ge=500, le=3_600_000)
+    drain_ms: int = Field(3000, ge=0, le=60_000)
+    finish_ms: int = Field(30_000, ge=0, le=600_000)
+    leave_ms: int = Field(1500, ge=0, le=10_000)
+    pace: PaceSettings = PaceSettings()
     level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
-    @field_validator("address", "http", "soundness", "seeds")
+    @field_validator("address", "http", "health", "seeds")
     @classmethod
     def _number(cls, value):
         for address in ([] if value is None else value if isinstance(value, list) else [value]):
@@ -64,7 +64,7 @@
                 raise ValueError(f"{address} is not an IP address with a port")
         return value
 
-    @field_validator("voters", "votersMost")
+    @field_validator("voters", "max_voters")
     @classmethod
     def _odd(cls, value):
         if value % 2 == 0 and value:
@@ -91,10 +91,10 @@
         raise ValueError(str(problem)) from problem
 
 
-class PropsReader:
-    """Invariant: either whole checked props, or every finding at once."""
+class SettingsReader:
+    """Invariant: either whole checked settings, or every finding at once."""
 
-    def read(self, path: str | None, flags: dict, needs: tuple[str, ...] = ()) -> Result[DaemonProps, list[dict]]:
+    def read(self, path: str | None, flags: dict, needs: tuple[str, ...] = ()) -> Result[DaemonSettings, list[dict]]:
         held = {}
         if path is not None:
             try:
@@ -103,10 +103,10 @@
             except (OSError, ValueError) as problem:
                 return Err([{"place": path, "finding": str(problem)}])
             if not isinstance(held, dict) or not all(isinstance(name, str) for name in held):
-                return Err([{"place": path, "finding": "not an object of named props"}])
+                return Err([{"place": path, "finding": "not an object of named settings"}])
         try:
-            props = DaemonProps(**{**held, **{name: value for name, value in flags.items() if value is not None}})
+            settings = DaemonSettings(**{**held, **{name: value for name, value in flags.items() if value is not None}})
         except ValidationError as error:
             return Err(findings_of(error))
-        missing = [{"place": need, "finding": "needed by this program"} for need in needs if getattr(props, need) is None]
-        return Err(missing) if missing else Ok(props)
+        missing = [{"place": need, "finding": "needed by this program"} for need in needs if getattr(settings, need) is None]
+        return Err(missing) if missing else Ok(settings)
--- a/src/willowpost/shell/web.py
+++ b/src/willowpost/shell/web.py
@@ -38,9 +38,9 @@
     params: tuple = field(default=())
 
 
-def shed(code: int, reason: str, after: int = 1, **more) -> Answer:
+def reject(code: int, reason: str, after: int = 1, **more) -> Answer:
     """A final answer, at once: what happened, and when to come back."""
-    return Answer(code, {"shed": reason, **more}, (("Retry-After", str(after)),))
+    return Answer(code, {"reject": reason, **more}, (("Retry-After", str(after)),))
 
 
 class BodyTooLarge(Exception):
@@ -66,10 +66,10 @@
 
 
 class Router:
-    """Invariant: routes is a table of (method, path parts, bodyMost, handler); "*" in a path is a param."""
+    """Invariant: routes is a table of (method, path parts, body_max, handler); "*" in a path is a param."""
 
     def __init__(self, routes, logs, closing=lambda: False):
-        self.underway = 0
+        self.in_flight = 0
         self.closing = closing           # () -> whether connections should not be kept
         self.routes = tuple((method, tuple(path.strip("/").split("/")), most, handler) for method, path, most, handler in routes)
         self.logs = logs
@@ -83,7 +83,7 @@
             answer = Answer(400, {"findings": [{"place": "/", "finding": "malformed request"}]})
         except Exception as problem:     # a bug must not look like a success, nor hold the caller
             self.logs.say("web", "call broke down", level="error", problem=repr(problem))
-            answer = shed(500, "broke down")
+            answer = reject(500, "broke down")
         body = b"" if answer.value is None else json.dumps(answer.value).encode() + b"\n"
         start_response(status_line(answer.code), [("Content-Type", "application/json"), ("Content-Length", str(len(body))),
                                                   *answer.headers, *([("Connection", "close")] if self.closing() else [])])
@@ -95,11 +95,11 @@
                 if len(path) == len(parts) and all(want in ("*", part) for want, part in zip(path, parts))]
         if not fits:
             return Answer(404, {"findings": [{"place": environ["PATH_INFO"], "finding": "no such call"}]})
-        chosenRoute = next((route for route in fits if route[0] == environ["REQUEST_METHOD"]), None)
-        if chosenRoute is None:
+        chosen_route = next((route for route in fits if route[0] == environ["REQUEST_METHOD"]), None)
+        if chosen_route is None:
             return Answer(405, {"findings": [{"place": environ["PATH_INFO"], "finding": "no such method"}]},
                           (("Allow", ", ".join(sorted({route[0] for route in fits}))),))
-        _, path, most, handler = chosenRoute
+        _, path, most, handler = chosen_route
         headers = {name[5:].replace("_", "-").lower(): value for name, value in environ.items() if name.startswith("HTTP_")}
         params = tuple(part for want, part in zip(path, parts) if want == "*")
         return handler(Call(environ["REQUEST_METHOD"], environ["PATH_INFO"], environ.get("QUERY_STRING", ""),
@@ -127,11 +127,11 @@
     """Invariant: counts as under way until its last byte is out."""
 
     def handle_one_response(self):
-        self.server.application.underway += 1
+        self.server.application.in_flight += 1
         try:
             return super().handle_one_response()
         finally:
-            self.server.application.underway -= 1
+            self.server.application.in_flight -= 1
 
 
 class WebServer:
--- a/src/willowpost/sim/core.py
+++ b/src/willowpost/sim/core.py
@@ -2,34 +2,34 @@
 from dataclasses import replace
 
 from willowpost.common.events import Asked
-from willowpost.consensus.replica.board import Pace
-from willowpost.consensus.replica.founding import Rights
+from willowpost.consensus.replica.replica_state import Pace
+from willowpost.consensus.replica.bootstrap import Rights
 from willowpost.consensus.replica.records import identity_record
 from willowpost.consensus.thresholds import Thresholds
-from willowpost.node.clerk import Clerk
+from willowpost.node.command_client import CommandClient
 from willowpost.sim.rules import CoreRules
 from willowpost.sim.world import World, seconds
 from willowpost.store.node import StoreNode
-from willowpost.wire.messages import Founder
+from willowpost.wire.messages import Member
 
 ZONES = ("a", "a", "b", "b", "c")
 
 
 class Caller:
-    """A registry's clerk with nothing round it."""
+    """A registry's command client with nothing round it."""
 
     def __init__(self, name, cores, wall, incarnation):
-        self.clerk = Clerk(name, incarnation, lambda: cores, wall)
+        self.command_client = CommandClient(name, incarnation, lambda: cores, wall)
 
     def step(self, event, now):
-        return self.clerk.step(event, now)
+        return self.command_client.step(event, now)
 
 
 class CoreWorld(World):
-    def __init__(self, seed, weather=None, unsafeSend=False, pace=Pace(), thresholds=Thresholds,
-                 zones=ZONES, regions=None, founders=None, rights=Rights()):
-        super().__init__(seed, weather, unsafeSend)
-        self.founders, self.rights = founders or len(zones), rights
+    def __init__(self, seed, weather=None, unsafe_send=False, pace=Pace(), thresholds=Thresholds,
+                 zones=ZONES, regions=None, members=None, rights=Rights()):
+        super().__init__(seed, weather, unsafe_send)
+        self.members, self.rights = members or len(zones), rights
         self.pace, self.thresholds = pace, thresholds
         self.rules = CoreRules()
         self.checks.append(self.rules)
@@ -40,18 +40,18 @@
         self.asked = 0
 
     def add_store(self, address, name, zone, region="one"):
-        size = self.founders
+        size = self.members
 
         def build(records, now, wall, incarnation):
             seat = self.seats[address]
             if not records:
-                me = Founder(f"{name}-{self.chance.randrange(10**9)}", name, zone, address)
-                records = [{**identity_record(me), "founds": seat.life == 1}]
+                me = Member(f"{name}-{self.chance.randrange(10**9)}", name, zone, address)
+                records = [{**identity_record(me), "may_bootstrap": seat.incarnation == 1}]
                 seat.disk.records = list(records)
             held = records[0]
-            me = Founder(held["identity"], held["name"], held["zone"], held["address"])
-            # where founders are seeds, only the first start of all may found
-            rights = replace(self.rights, mayFound=self.rights.mayFound and (held.get("founds", False) or not self.rights.foundersAreSeeds))
+            me = Member(held["identity"], held["name"], held["zone"], held["address"])
+            # where bootstrap members are seeds, only the first start of all may found
+            rights = replace(self.rights, may_bootstrap=self.rights.may_bootstrap and (held.get("may_bootstrap", False) or not self.rights.bootstrap_from_seeds))
             return StoreNode(me, self.seeds_of_stores(), size, records, now, wall, incarnation, self.pace, self.thresholds, rights=rights)
         return self.add(address, build, region)
 
@@ -67,11 +67,11 @@
         self.give(caller, Asked(self.asked, ops))
         return self.asked
 
-    def boards(self):
-        return [(seat, seat.node.board) for seat in self.seats.values() if hasattr(seat.node, "board")]
+    def node_states(self):
+        return [(seat, seat.node.node_state) for seat in self.seats.values() if hasattr(seat.node, "node_state")]
 
-    def founded(self):
-        return all(board.founded for _, board in self.boards())
+    def bootstrapped(self):
+        return all(node_state.bootstrapped for _, node_state in self.node_states())
 
     def settle(self, span=15.0):
         """Close every fault and let the core come to rest; its logs must then be one."""
@@ -80,6 +80,6 @@
         for name in [address for address, seat in self.seats.items() if seat.node is None and not seat.retired]:
             self.start(name)
         for seat in self.seats.values():
-            seat.crashOnWrite = 0.0
+            seat.crash_on_write = 0.0
         self.run(seconds(span))
-        self.rules.finish(self, self.boards())
+        self.rules.finish(self, self.node_states())
--- a/src/willowpost/sim/storms.py
+++ b/src/willowpost/sim/fault_schedules.py
@@ -1,12 +1,12 @@
-"""Seeded storms over a simulated core: kills alone and in herds, torn writes, cuts, freezes, clock jumps."""
-from willowpost.consensus.replica.founding import Rights
+"""Seeded fault schedules over a simulated core: kills alone and in herds, torn writes, cuts, freezes, clock jumps."""
+from willowpost.consensus.replica.bootstrap import Rights
 from willowpost.sim.core import CoreWorld
 from willowpost.sim.world import Weather, seconds
 
 ROUNDS = 60
 
 
-class CoreStorm:
+class CoreFaultSchedule:
     """Invariant: run() raises Broken at the first step that breaks a rule; else the fleet came to rest whole."""
 
     rounds = ROUNDS
@@ -14,20 +14,20 @@
     def __init__(self, seed: int, **world):
         self.world = CoreWorld(seed, Weather(drop=0.05, twice=0.05, spread=5000), **world)
         self.tokens: list[int] = []
-        self.blows = ((0.10, self._kill), (0.20, self._start_all), (0.25, self._cut), (0.30, self.world.heal),
+        self.faults = ((0.10, self._kill), (0.20, self._start_all), (0.25, self._cut), (0.30, self.world.heal),
                       (0.35, self._freeze), (0.45, self._tear), (0.50, self._mend), (0.53, self._herd), (0.56, self._jump))
 
-    def run(self) -> "CoreStorm":
+    def run(self) -> "CoreFaultSchedule":
         world = self.world
-        if not world.until(world.founded, seconds(10)):
+        if not world.until(world.bootstrapped, seconds(10)):
             raise AssertionError("the fleet was not founded")
         world.add_caller("r0", list(world.names))
         world.add_caller("r1", list(reversed(world.names)))
         for number in range(self.rounds):
             caller = world.chance.choice(["r0", "r1"])
             self.tokens.append(world.ask(caller, {"op": "zone", "zone": f"z{number % 7}", "empty": True}))
-            drawn = world.chance.random()
-            next((blow for limit, blow in self.blows if drawn < limit), lambda: None)()
+            picked = world.chance.random()
+            next((fault for limit, fault in self.faults if picked < limit), lambda: None)()
             world.run(world.chance.randrange(300_000))
         world.settle(6)
         return self
@@ -36,7 +36,7 @@
         return [token for token in self.tokens if token not in self.world.replies]
 
     def digests(self):
-        return {(board.tables.slot, board.tables.digest()) for _, board in self.world.boards()}
+        return {(node_state.tables.slot, node_state.tables.digest()) for _, node_state in self.world.node_states()}
 
     def _up(self):
         return [name for name in self.world.names if self.world.seats[name].node is not None]
@@ -59,10 +59,10 @@
         self.world.freeze(self.world.chance.choice(self.world.names), self.world.chance.randrange(2_000_000))
 
     def _tear(self):
-        self.world.seats[self.world.chance.choice(self.world.names)].crashOnWrite = 0.05
+        self.world.seats[self.world.chance.choice(self.world.names)].crash_on_write = 0.05
 
     def _mend(self):
-        self.world.seats[self.world.chance.choice(self.world.names)].crashOnWrite = 0.0
+        self.world.seats[self.world.chance.choice(self.world.names)].crash_on_write = 0.0
 
     def _herd(self):
         for name in self._up():
@@ -70,23 +70,23 @@
         self._start_all()
 
     def _jump(self):
-        self.world.seats[self.world.chance.choice(["r0", "r1"])].wallSkew = self.world.chance.randrange(-10**12, 10**12)
+        self.world.seats[self.world.chance.choice(["r0", "r1"])].wall_skew = self.world.chance.randrange(-10**12, 10**12)
 
 
-class SeatStorm(CoreStorm):
-    """A core of three founders, alone or with learners that it grows by; disks are wiped as well, one at a time.
+class SeatFaultSchedule(CoreFaultSchedule):
+    """A core of three bootstrap members, alone or with learners that it grows by; disks are wiped as well, one at a time.
 
-    Invariant: a disk is wiped only while every voter's own disk is there and all know of the last swap, so one loss at a time."""
+    Invariant: a disk is wiped only while every voter's own disk is there and all know of the last replacement, so one loss at a time."""
 
     rounds = 2 * ROUNDS
 
-    def __init__(self, seed: int, zones=("a", "b", "c"), votersMost: int = 3, **world):
-        super().__init__(seed, zones=zones, founders=3, rights=Rights(foundersAreSeeds=True, votersMost=votersMost), **world)
+    def __init__(self, seed: int, zones=("a", "b", "c"), max_voters: int = 3, **world):
+        super().__init__(seed, zones=zones, members=3, rights=Rights(bootstrap_from_seeds=True, max_voters=max_voters), **world)
         self.core: tuple = (0, ())       # (epoch, members) as far as anybody has got
-        self.swapped = 0                 # the epoch that the last swap began
+        self.swapped = 0                 # the epoch that the last replacement began
         self.wiped = 0
         self.world.checks.append(self._look)
-        self.blows = tuple(self.blows) + ((0.64, self._wipe),)
+        self.faults = tuple(self.faults) + ((0.64, self._wipe),)
 
     def voters(self) -> int:
         return len(self.core[1])
@@ -97,7 +97,7 @@
                 if self.world.seats[member["address"]].disk.records[0]["identity"] != member["identity"]]
 
     def _look(self, world, seat, event, plan):
-        tables = getattr(getattr(seat.node, "board", None), "tables", None)
+        tables = getattr(getattr(seat.node, "node_state", None), "tables", None)
         if tables is not None and tables.epoch > self.core[0]:
             self.swapped = self.swapped if len(tables.core) > len(self.core[1]) else tables.epoch
             self.core = (tables.epoch, tables.core)
@@ -106,7 +106,7 @@
         """Right after something was accepted, if anything was; and another machine loses its power at the same moment."""
         world, seats = self.world, [self.world.seats[member["address"]] for member in self.core[1]]
         there = all(seat.node is not None and seat.disk.records[0]["identity"] == member["identity"]
-                    and seat.node.board.tables.epoch >= self.swapped for seat, member in zip(seats, self.core[1]))
+                    and seat.node.node_state.tables.epoch >= self.swapped for seat, member in zip(seats, self.core[1]))
         if not there:
             return
         before = len(world.rules.accepted)
@@ -114,7 +114,7 @@
         if any(seat.node is None for seat in seats):
             return
         victim, other = world.chance.sample([seat.address for seat in seats], 2)
-        world.crash(victim, loseDisk=True)
+        world.crash(victim, lose_disk=True)
         world.crash(other)
         self.wiped += 1
         for name in (victim, other):
--- a/src/willowpost/sim/fleet/calm.py
+++ b/src/willowpost/sim/fleet/bounded_faults.py
@@ -1,4 +1,4 @@
-"""The calm storm: a deployment in its rush, hit only by what it must bear, one thing at a time; and refusals are counted."""
+"""The calm fault schedule: a deployment in its rush, hit only by what it must bear, one thing at a time; and refusals are counted."""
 from dataclasses import dataclass
 from itertools import permutations
 
@@ -12,7 +12,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Blow:
+class Fault:
     name: str
     asked: int
     refused: int
@@ -20,13 +20,13 @@
 
     @property
     def handful(self) -> int:
-        """Ten, or one in five hundred of the requests asked from the blow until all is whole again. What a loss must cost: each edge has
+        """Ten, or one in five hundred of the requests asked from the fault until all is whole again. What a loss must cost: each edge has
         some requests under way toward what is lost, and of those a write may not be tried again; at these peaks that is up to a dozen."""
         return max(FEWEST, self.asked // ONE_IN)
 
 
-class CalmStorm:
-    """Invariant: run() raises Broken when a rule breaks or a blow costs more than a handful, or drops what it may not."""
+class BoundedFaultSchedule:
+    """Invariant: run() raises Broken when a rule breaks or a fault costs more than a handful, or drops what it may not."""
 
     def __init__(self, seed: int, deployment: str, only=None, rounds: int = ROUNDS, part: float = 1.0):
         self.shape, regions, between = shipped(deployment)
@@ -36,34 +36,34 @@
                  self.zone_emptied, self.restart_in_turn, self.daemon_dies, self.owner_dies, self.home_dies, self.release)
         self.kinds = [kind for kind in kinds if only is None or kind.__name__ in only]
         self.rounds = rounds
-        self.blows: list[Blow] = []
-        self.trace: list[tuple[int, str]] = []      # (moment, blow), as it began
+        self.faults: list[Fault] = []
+        self.trace: list[tuple[int, str]] = []      # (moment, fault), as it began
 
-    def run(self) -> "CalmStorm":
+    def run(self) -> "BoundedFaultSchedule":
         world = self.world
         world.open()
         world.run(seconds(10))      # the morning: origins warm, caches fill
         for _ in range(self.rounds):
-            chosenBlow = world.chance.choice(self.kinds)
-            self._judge(chosenBlow)
+            chosen_fault = world.chance.choice(self.kinds)
+            self._judge(chosen_fault)
         world.settle()
         return self
 
-    def _judge(self, blow):
+    def _judge(self, fault):
         world, traffic = self.world, self.world.traffic
-        self.trace.append((world.time, blow.__name__))
+        self.trace.append((world.time, fault.__name__))
         refused, dropped, asked = len(traffic.refusals), len(traffic.dropped), traffic.count
-        excused = blow()
+        excused = fault()
         world.run(seconds(6))
         self._mend()
         world.run(seconds(8))
-        found = Blow(blow.__name__, traffic.count - asked, len(traffic.refusals) - refused, 0 if excused else len(traffic.dropped) - dropped)
-        self.blows.append(found)
+        found = Fault(fault.__name__, traffic.count - asked, len(traffic.refusals) - refused, 0 if excused else len(traffic.dropped) - dropped)
+        self.faults.append(found)
         why = list(traffic.refusals)[refused:][:3]
         traffic.say(found.refused <= found.handful, f"{found.name}: {found.refused} refused of {found.asked}, a handful is {found.handful}: {why}")
         traffic.say(not found.dropped, f"{found.name}: {found.dropped} dropped: {traffic.dropped[-3:]}")
-        traffic._margin("refused at one blow", found.refused)
-        traffic._margin("refused at one blow, in 10000", 10000 * found.refused // found.asked)
+        traffic._margin("refused at one fault", found.refused)
+        traffic._margin("refused at one fault, in 10000", 10000 * found.refused // found.asked)
 
     def _mend(self):
         world = self.world
@@ -101,7 +101,7 @@
 
     def disk_lost(self):
         name = self.world.chance.choice(self.world.names)
-        self.world.crash(name, loseDisk=True)
+        self.world.crash(name, lose_disk=True)
         self.world.start(name)
         return False
 
@@ -124,7 +124,7 @@
         return self._die([self.world.chance.choice(sorted({card["owner"] for card in tables.fences.values()})).split("/")[0]])
 
     def home_dies(self):
-        """The proxy that the others of its zone get their news from."""
+        """The proxy that the others of its zone get their state updates from."""
         edge = self.world.seats[self.world.chance.choice(self.world.edges)]
         source = edge.node.node.controllers[0].sources()[0]
         return self._die([source])
--- a/src/willowpost/sim/fleet/day.py
+++ b/src/willowpost/sim/fleet/day.py
@@ -11,8 +11,8 @@
 class DayFigures:
     calls: int
     refused: int
-    worstSecond: int          # refusals in the worst second
-    busiestPart: float        # the most of all calls that one edge got in a second
+    worst_second: int          # refusals in the worst second
+    busiest_part: float        # the most of all calls that one edge got in a second
 
 
 class DayWorld(FleetWorld):
@@ -21,17 +21,17 @@
     def __init__(self, seed: int, period: float, rate: float, sharp: float = 3.0, **more):
         super().__init__(seed, rate=rate, **more)
         self.period, self.sharp = period, sharp
-        self.perSecond: dict[int, dict] = {}
+        self.per_second: dict[int, dict] = {}
 
     def _call(self):
         if not self.calling:
             return
         edges = self.sound_edges()
         if edges:
-            chosenEdge = self.chance.choices(edges, [self._weight(int(edge[1:])) for edge in edges])[0]
-            held = self.perSecond.setdefault(self.time // SECOND, {})
-            held[chosenEdge] = held.get(chosenEdge, 0) + 1
-            self._one(chosenEdge)
+            chosen_edge = self.chance.choices(edges, [self._weight(int(edge[1:])) for edge in edges])[0]
+            held = self.per_second.setdefault(self.time // SECOND, {})
+            held[chosen_edge] = held.get(chosen_edge, 0) + 1
+            self._one(chosen_edge)
         self.at(int(self.chance.expovariate(self.rate) * SECOND), self._call)
 
     def _weight(self, number):
@@ -47,5 +47,5 @@
         counts: dict[int, int] = {}
         for moment in refused:
             counts[moment // SECOND] = counts.get(moment // SECOND, 0) + 1
-        busiest = max(max(held.values()) / sum(held.values()) for second, held in self.perSecond.items() if second > since // SECOND)
+        busiest = max(max(held.values()) / sum(held.values()) for second, held in self.per_second.items() if second > since // SECOND)
         return DayFigures(sum(self.traffic.outcomes.values()) - calls, len(refused), max(counts.values(), default=0), busiest)
--- a/src/willowpost/sim/fleet/hands.py
+++ b/src/willowpost/sim/fleet/fault_injector.py
@@ -2,10 +2,10 @@
 from greenlet import getcurrent, greenlet
 
 from willowpost.common.clock import SECOND
-from willowpost.proxy.admission.tokens import TokenWanted
-from willowpost.proxy.origin.breakdown import Breakdown
+from willowpost.proxy.admission.admission_tokens import AdmissionTokenWanted
+from willowpost.proxy.origin.failure import ExchangeFailure
 from willowpost.proxy.origin.exchange import WholeAnswer
-from willowpost.sim.fleet.messages import SOUNDNESS, SimRequest
+from willowpost.sim.fleet.messages import HEALTH, SimRequest
 
 CONNECT = 1 * SECOND
 
@@ -21,48 +21,48 @@
 class SimWaiter:
     """As AsyncResult, for the simulator's own tasks."""
 
-    def __init__(self, hands):
-        self.hands, self.value, self.sleepers = hands, None, []
+    def __init__(self, fault_injector):
+        self.fault_injector, self.value, self.sleepers = fault_injector, None, []
 
     def set(self, value):
         self.value, sleepers = (value,), self.sleepers
         for sleeper in sleepers:
-            self.hands.world.at(0, self.hands.wake, sleeper, None)
+            self.fault_injector.world.at(0, self.fault_injector.wake, sleeper, None)
 
     def get(self):
         if self.value is None:
             self.sleepers.append(getcurrent())
-            self.hands.pause()
+            self.fault_injector.pause()
         return self.value[0]
 
 
 class SimExchange:
-    def __init__(self, hands, owner, address, life):
-        self.hands, self.owner, self.address, self.life = hands, owner, address, life
+    def __init__(self, fault_injector, owner, address, incarnation):
+        self.fault_injector, self.owner, self.address, self.incarnation = fault_injector, owner, address, incarnation
         self.reused = False
 
-    def knock(self, knock, seconds):
-        answer = self.hands.call(self.address, SimRequest(self.hands.next(), "GET", SOUNDNESS, (), "", self.life), int(seconds * SECOND))
+    def instance_check(self, instance_check, seconds):
+        answer = self.fault_injector.call(self.address, SimRequest(self.fault_injector.next(), "GET", HEALTH, (), "", self.incarnation), int(seconds * SECOND))
         if answer is None or not answer.whole:
-            raise Breakdown("knock: deadline" if answer is None else "knock: closed", sent=False)
-        knock.judge(WholeAnswer(answer.status, list(answer.headers), answer.body))
+            raise ExchangeFailure("instance check: deadline" if answer is None else "instance check: closed", sent=False)
+        instance_check.judge(WholeAnswer(answer.status, list(answer.headers), answer.body))
 
-    def run(self, method, target, headers, body, seconds, wholeMost, echo=None):
-        answer = self.hands.call(self.address, SimRequest(self.hands.next(), method, target, tuple(headers), body or "", self.life),
+    def run(self, method, target, headers, body, seconds, whole_max, echo=None):
+        answer = self.fault_injector.call(self.address, SimRequest(self.fault_injector.next(), method, target, tuple(headers), body or "", self.incarnation),
                                  int(seconds * SECOND))
-        if answer is None or not answer.whole or (self.life is not None and answer.life != self.life):
-            raise Breakdown("deadline" if answer is None else "read: the answer ended short", sent=True,
-                            died=answer is not None and answer.life != self.life)
-        self.life = answer.life
+        if answer is None or not answer.whole or (self.incarnation is not None and answer.incarnation != self.incarnation):
+            raise ExchangeFailure("deadline" if answer is None else "read: the answer ended short", sent=True,
+                            died=answer is not None and answer.incarnation != self.incarnation)
+        self.incarnation = answer.incarnation
         return WholeAnswer(answer.status, list(answer.headers), answer.body)
 
 
-class SimHands:
+class SimFaultInjector:
     """Invariant: a task of a life that has ended is never woken."""
 
     def __init__(self, world, seat):
         self.world, self.seat = world, seat
-        self.life = seat.life
+        self.incarnation = seat.incarnation
         self.waiting: dict[int, greenlet] = {}
         self.pool: dict[str, int] = {}
         self.sends: list = []
@@ -78,10 +78,10 @@
         return getcurrent().parent.switch()
 
     def wake(self, task, value):
-        if self.seat.life != self.life or task.dead:
+        if self.seat.incarnation != self.incarnation or task.dead:
             return
-        if self.seat.frozenUntil > self.world.time:
-            self.world.at(self.seat.frozenUntil - self.world.time, self.wake, task, value)
+        if self.seat.frozen_until > self.world.time:
+            self.world.at(self.seat.frozen_until - self.world.time, self.wake, task, value)
             return
         task.switch(value)
         self.flush()
@@ -112,21 +112,21 @@
         return True
 
     def open(self, owner, address, reuse, most=None, seconds=1.0):
-        life = self.pool.get(owner) if reuse else None
-        reused = life is not None
+        incarnation = self.pool.get(owner) if reuse else None
+        reused = incarnation is not None
         if not reused:
-            knocked = self.call(address, SimRequest(self.next(), "CONNECT", "", (), "", None), CONNECT)
-            if knocked is None or not knocked.whole:
-                raise Breakdown("connect: refused", sent=False, died=knocked is not None)
-            life = knocked.life
-        exchange = SimExchange(self, owner, address, life)
+            instance_checked = self.call(address, SimRequest(self.next(), "CONNECT", "", (), "", None), CONNECT)
+            if instance_checked is None or not instance_checked.whole:
+                raise ExchangeFailure("connect: refused", sent=False, died=instance_checked is not None)
+            incarnation = instance_checked.incarnation
+        exchange = SimExchange(self, owner, address, incarnation)
         exchange.reused = reused
         return exchange
 
-    def token(self, group, origin):
+    def token(self, service, origin):
         ticket = ("token", self.next())
         self.waiting[ticket] = getcurrent()
-        self.world.at(0, self.world.give, self.seat.address, TokenWanted(ticket, group, origin))
+        self.world.at(0, self.world.give, self.seat.address, AdmissionTokenWanted(ticket, service, origin))
         return bool(self.pause())
 
     def told(self, ticket, given):
@@ -136,6 +136,6 @@
 
     def finish(self, owner, exchange, reuse, answer):
         if answer is not None and reuse:
-            self.pool[owner] = exchange.life
+            self.pool[owner] = exchange.incarnation
         else:
             self.pool.pop(owner, None)
--- a/src/willowpost/sim/fleet/storm.py
+++ b/src/willowpost/sim/fleet/fault_schedule.py
@@ -1,4 +1,4 @@
-"""Seeded storms over a whole simulated fleet, across the brief's list of what fails."""
+"""Seeded fault schedules over a whole simulated fleet, across the brief's list of what fails."""
 from itertools import permutations
 
 from willowpost.common.clock import MILLI, SECOND
@@ -9,7 +9,7 @@
 NEWCOMERS = 2
 
 
-class FleetStorm:
+class FleetFaultSchedule:
     """Invariant: run() raises Broken at the first step that breaks a promise; `trace` tells what was done until then."""
 
     def __init__(self, seed: int, only=None, rounds: int = ROUNDS, wide: bool = False, regions=None, between: int = 0, **world):
@@ -20,19 +20,19 @@
         self.newcomers = 0
         kinds = (self.kill_store, self.kill_registry, self.kill_proxy, self.kill_shield, self.kill_stores, self.kill_edges, self.dark_zone,
                  self.cut_zone, self.split_core, self.isolate, self.freeze, self.freeze, self.jump, self.tear, self.lose_disk, self.newcomer,
-                 self.origin_down, self.origin_mode, self.origin_back, self.drain, self.move_address, self.group_down, self.layout,
+                 self.origin_down, self.origin_mode, self.origin_back, self.drain, self.move_address, self.service_down, self.configuration,
                  self.race, self.purge, self.purges, self.replace, self.replace, self.empty, self.restore, self.mend, self.mend, self.mend)
         # `wide` came later: without it, the seeds that were recorded before still mean what they did
-        kinds += (self.cut_pair, self.cut_one_way, self.lossy, self.storm_of_purges, self.swap_seeds) if wide else ()
+        kinds += (self.cut_pair, self.cut_one_way, self.lossy, self.fault_schedule_of_purges, self.replace_voter_seeds) if wide else ()
         self.kinds = [kind for kind in kinds if only is None or kind.__name__ in only]
 
-    def run(self) -> "FleetStorm":
+    def run(self) -> "FleetFaultSchedule":
         world = self.world
         world.open()
         for _ in range(self.rounds):
-            chosenBlow = world.chance.choice(self.kinds)
-            self.trace.append((world.time, chosenBlow.__name__))
-            chosenBlow()
+            chosen_fault = world.chance.choice(self.kinds)
+            self.trace.append((world.time, chosen_fault.__name__))
+            chosen_fault()
             for _ in range(world.chance.randrange(1, 12)):
                 world.run(100 * MILLI)
         self.trace.append((world.time, "settle"))
@@ -79,22 +79,22 @@
     def lose_disk(self):
         """At most one disk is lost at a time: the fleet is asked to bear one."""
         world = self.world
-        holders = [member["name"] for _, board in world.boards() for member in board.tables.core]
-        whole = {name for name in world.names if any(seat.address == name and board.voter for seat, board in world.boards())}
+        holders = [member["name"] for _, node_state in world.node_states() for member in node_state.tables.core]
+        whole = {name for name in world.names if any(seat.address == name and node_state.voter for seat, node_state in world.node_states())}
         if holders and len(whole) == 5:
             name = self._one(world.names)
-            world.crash(name, loseDisk=True)
+            world.crash(name, lose_disk=True)
             world.start(name)
 
     def newcomer(self):
         """A core machine is gone for good; an empty one stands up at a new address."""
         world = self.world
-        voters = {seat.address for seat, board in world.boards() if board.voter}
+        voters = {seat.address for seat, node_state in world.node_states() if node_state.voter}
         if self.newcomers < NEWCOMERS and len(voters) == 5 and voters <= set(self._up(world.stores())):
             self.newcomers += 1
             lost = self._one(sorted(voters))
             zone = world.zones[lost]
-            world.crash(lost, loseDisk=True)
+            world.crash(lost, lose_disk=True)
             name = f"s{9 - self.newcomers}"
             world.seats[lost].retired = True
             world.names = [held for held in world.names if held != lost] + [name]
@@ -132,13 +132,13 @@
 
     def lossy(self): self.world.weather.drop = 0.08
 
-    def storm_of_purges(self):
+    def fault_schedule_of_purges(self):
         for number in range(60):
             self.world.operate(number % 5, {"op": "purge", "kind": "item", "host": "*", "path": f"/art/{number % 40}"}, lambda answer: None)
 
-    def swap_seeds(self):
+    def replace_voter_seeds(self):
         """The seeds are others from now on: proxies and registries that start later get them."""
-        self.world.seedNames = self.world.chance.sample(self.world.registries + self.world.edges, 3)
+        self.world.seed_names = self.world.chance.sample(self.world.registries + self.world.edges, 3)
 
     def freeze(self):
         names = self._machine() if self.world.chance.random() < 0.4 else [self._one(self.world.edges + self.world.shields)]
@@ -147,9 +147,9 @@
             self.world.freeze(name, span)
 
     def jump(self):
-        self.world.seats[self._one(self.world.seats)].wallSkew = self.world.chance.randrange(-10**10, 10**10)
+        self.world.seats[self._one(self.world.seats)].wall_skew = self.world.chance.randrange(-10**10, 10**10)
 
-    def tear(self): self.world.seats[self._one(self.world.stores())].crashOnWrite = 0.02
+    def tear(self): self.world.seats[self._one(self.world.stores())].crash_on_write = 0.02
 
     # origins
 
@@ -168,7 +168,7 @@
     def drain(self): self.world.drain_origin(self._registry(), self._one(self.world.origins))
 
     def move_address(self):
-        """An origin ends without a word, and its address comes up at once in another group; a polite
+        """An origin ends without a word, and its address comes up at once in another service; a polite
         one listens only once it is told that it is in force there."""
         name = self._one(self.world.origins)
         self.world.polite = {**self.world.polite, name: self.world.chance.random() < 0.5}
@@ -176,20 +176,20 @@
         self._kill([name])
         self.world.start(name)
 
-    def group_down(self):
-        group = self._one(["art", "apps"])
-        self._kill([name for name in self.world.origins if self.world.homes[name] == group])
+    def service_down(self):
+        service = self._one(["art", "apps"])
+        self._kill([name for name in self.world.origins if self.world.homes[name] == service])
 
     # operators
 
-    def layout(self):
-        self.world.layout["props"]["deadlineMs"] = 1500 + self.world.chance.randrange(1000)
-        self.world.put_layout(self._registry())
+    def configuration(self):
+        self.world.configuration["settings"]["deadline_ms"] = 1500 + self.world.chance.randrange(1000)
+        self.world.put_configuration(self._registry())
 
     def race(self):
         for registry in range(3):
-            self.world.layout["props"]["deadlineMs"] = 1500 + self.world.chance.randrange(1000)
-            self.world.put_layout(registry)
+            self.world.configuration["settings"]["deadline_ms"] = 1500 + self.world.chance.randrange(1000)
+            self.world.put_configuration(registry)
 
     def purge(self): self.world.purge(self._registry())
 
@@ -209,7 +209,7 @@
         world.heal()
         world.weather.drop = 0.002
         for name, seat in list(world.seats.items()):
-            seat.crashOnWrite = 0.0
+            seat.crash_on_write = 0.0
             if seat.node is None and not seat.retired:
                 world.start(name)
         for name in world.origins:
--- a/src/willowpost/sim/fleet/messages.py
+++ b/src/willowpost/sim/fleet/messages.py
@@ -1,7 +1,7 @@
 """What travels in the simulator between proxies, origins and callers in place of HTTP."""
 from dataclasses import dataclass, field
 
-SOUNDNESS = "/soundness"
+HEALTH = "/health"
 
 
 @dataclass(frozen=True, slots=True)
@@ -13,7 +13,7 @@
     target: str
     headers: tuple
     body: str
-    life: int | None
+    incarnation: int | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,17 +23,17 @@
     headers: tuple = ()
     body: bytes = b""
     whole: bool = True
-    life: int = 0
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class SimBeat:
-    group: str
+    service: str
     address: str
     zone: str
     rate: float
-    coldRate: float
-    occupancy: int = 0
+    cold_rate: float
+    load: int = 0
     token: str = ""
 
 
--- a/src/willowpost/sim/fleet/outside.py
+++ b/src/willowpost/sim/fleet/outside.py
@@ -4,8 +4,8 @@
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Received, Tick
 from willowpost.common.plan import Plan
-from willowpost.proxy.origin.knock import TOKEN_HEADER
-from willowpost.sim.fleet.messages import SOUNDNESS, SimAnswer, SimBeat, SimRequest
+from willowpost.proxy.origin.instance_check import TOKEN_HEADER
+from willowpost.sim.fleet.messages import HEALTH, SimAnswer, SimBeat, SimRequest
 
 LATE = {"slow": 4 * SECOND, "tired": 400 * MILLI, "brisk": 20 * MILLI}
 
@@ -13,31 +13,31 @@
 class SimOrigin:
     """An origin. Modes: sound, lost (runs, answer lost), short, slow (later than any deadline), tired (late, but whole), brisk (takes 20 ms)."""
 
-    def __init__(self, world, seat, group, zone, rate, registries):
+    def __init__(self, world, seat, service, zone, rate, registries):
         self.world, self.seat = world, seat
-        self.group, self.zone, self.rate, self.registries = group, zone, rate, registries
+        self.service, self.zone, self.rate, self.registries = service, zone, rate, registries
         self.mode = "sound"
-        self.beatAt = -10 * SECOND
-        self.occupancy = self.served = 0
-        self.lie = None          # says this of its occupancy instead
+        self.beat_at = -10 * SECOND
+        self.load = self.served = 0
+        self.lie = None          # says this of its load instead
         self.turn = 0
         self.silent = False
         self.listening = False
-        self.token, self.bornAt = world.token(seat), world.time
+        self.token, self.born_at = world.token(seat), world.time
 
     def step(self, event, now):
         plan = Plan()
         match event:
-            case Tick() if now - self.beatAt >= SECOND and not self.silent:
-                self.beatAt, self.turn = now, self.turn + 1
+            case Tick() if now - self.beat_at >= SECOND and not self.silent:
+                self.beat_at, self.turn = now, self.turn + 1
                 plan.send(self.registries[self.turn % len(self.registries)],
-                          SimBeat(self.group, self.seat.address, self.zone, self.rate, self.rate * self.world.coldPart,
-                                  self.occupancy if self.lie is None else self.lie, self.token))
-            case Received(source, SimRequest(method="CONNECT") as knock):
-                plan.send(source, SimAnswer(knock.number, 200, whole=self._listens(), life=self.seat.life))
-            case Received(source, SimRequest() as knock) if knock.target == SOUNDNESS:
+                          SimBeat(self.service, self.seat.address, self.zone, self.rate, self.rate * self.world.cold_part,
+                                  self.load if self.lie is None else self.lie, self.token))
+            case Received(source, SimRequest(method="CONNECT") as instance_check):
+                plan.send(source, SimAnswer(instance_check.number, 200, whole=self._listens(), incarnation=self.seat.incarnation))
+            case Received(source, SimRequest() as instance_check) if instance_check.target == HEALTH:
                 said = ((TOKEN_HEADER, self.token),) if self.token else ()
-                plan.send(source, SimAnswer(knock.number, 200, said, whole=knock.life == self.seat.life, life=self.seat.life))
+                plan.send(source, SimAnswer(instance_check.number, 200, said, whole=instance_check.incarnation == self.seat.incarnation, incarnation=self.seat.incarnation))
             case Received(source, SimRequest() as asked):
                 self._answer(source, asked, plan)
         return plan
@@ -45,14 +45,14 @@
     def _listens(self):
         """A polite origin that was given a used address waits until a registry tells it that it is in force."""
         self.listening = self.listening or not self.world.polite.get(self.seat.address) or any(
-            card["address"] == self.seat.address and card["group"] == self.group and card["state"] in ("cold", "warm")
+            card["address"] == self.seat.address and card["service"] == self.service and card["state"] in ("cold", "warm")
             for name in self.registries if self.world.seats[name].node is not None
             for card in self.world.seats[name].node.registry.tables.origins.values())
         return self.listening
 
     def _answer(self, source, asked, plan):
-        if asked.life != self.seat.life:
-            plan.send(source, SimAnswer(asked.number, 0, whole=False, life=self.seat.life))
+        if asked.incarnation != self.seat.incarnation:
+            plan.send(source, SimAnswer(asked.number, 0, whole=False, incarnation=self.seat.incarnation))
             return
         path = asked.target.partition("?")[0]
         self.world.traffic.at_origin(self, source, asked, path)
@@ -60,23 +60,23 @@
         if self.mode == "lost":
             return
         headers = dict(asked.headers)
-        body = json.dumps({"path": asked.target, "user": headers.get("authorization", ""), "group": self.group,
+        body = json.dumps({"path": asked.target, "user": headers.get("authorization", ""), "service": self.service,
                            "version": self.world.traffic.version, "wrote": asked.body}).encode()
         shared = asked.method == "GET" and "authorization" not in headers
         said = (("cache-control", f"max-age={self.world.keep}" if shared else "private"), ("etag", f'"{self.world.traffic.version}"'))
         if shared and headers.get("if-none-match") == f'"{self.world.traffic.version}"':
-            plan.send(source, SimAnswer(asked.number, 304, said, life=self.seat.life))
+            plan.send(source, SimAnswer(asked.number, 304, said, incarnation=self.seat.incarnation))
             return
-        answer = SimAnswer(asked.number, 200, said, body, self.mode != "short", self.seat.life)
+        answer = SimAnswer(asked.number, 200, said, body, self.mode != "short", self.seat.incarnation)
         if self.mode in LATE:
-            self.occupancy += 1
-            self.world.at(LATE[self.mode], self._late, source, answer, self.seat.life)
+            self.load += 1
+            self.world.at(LATE[self.mode], self._late, source, answer, self.seat.incarnation)
         else:
             plan.send(source, answer)
 
-    def _late(self, source, answer, life):
-        if self.seat.life == life:
-            self.occupancy -= 1
+    def _late(self, source, answer, incarnation):
+        if self.seat.incarnation == incarnation:
+            self.load -= 1
             self.world.send_all(self.seat, [(source, answer)])
 
 
--- a/src/willowpost/sim/fleet/rules.py
+++ b/src/willowpost/sim/fleet/rules.py
@@ -7,7 +7,7 @@
 
 GRACE = 2 * SECOND
 ZONE_GRACE = 5 * SECOND
-WAY = 20_000       # µs that a message may have been on its way when the limit passed
+ROUTE = 20_000       # µs that a message may have been on its way when the limit passed
 
 
 class TrafficRules:
@@ -16,13 +16,13 @@
     def __init__(self, world):
         self.world = world
         self.version = 1
-        self.moved: dict = {}                     # (address, group) -> when first known to a registry
+        self.moved: dict = {}                     # (address, service) -> when first known to a registry
         self.replaced: dict[int, int] = {}        # version -> when the next one replaced it
         self.asked: dict[int, tuple] = {}
         self.count = 0                            # of all asked ever
         self.runs: Counter = Counter()
-        self.notRun: set[str] = set()
-        self.layouts: list[tuple[int, int]] = []  # (accepted at, generation)
+        self.not_run: set[str] = set()
+        self.configurations: list[tuple[int, int]] = []  # (accepted at, version)
         self.purges: list[tuple[int, int]] = []   # (accepted at, version then)
         self.leaving: dict[str, tuple] = {}       # origin address -> (accepted at, life)
         self.emptied: dict[str, int] = {}
@@ -31,9 +31,9 @@
         self.dropped: list = []                   # requests whose connection was refused or broke
         self.presses: deque = deque()             # (moment, whether it is an extra try), as the origins saw them
         self.extras = 0                           # of them
-        self.seenAsks: set = set()
+        self.seen_asks: set = set()
         self.pressed: dict[str, deque] = {}
-        self.perOrigin: dict[str, deque] = {}
+        self.per_origin: dict[str, deque] = {}
         self.margin: Counter = Counter()
         self.served: list = []
 
@@ -45,14 +45,14 @@
 
     def at_origin(self, origin, source, asked, path):
         now, address = self.world.time, origin.seat.address
-        wanted = self.world.group_of(path)
-        self.world.arrivals[origin.group].append(now)
+        wanted = self.world.service_of(path)
+        self.world.arrivals[origin.service].append(now)
         self._extra_tries(dict(asked.headers)["x-ask"], now)
-        if wanted != origin.group:
+        if wanted != origin.service:
             # The new service took its caller before we could know of it. See promises.md: it should listen only when told.
-            learned = self.moved.get((address, origin.group))
-            self.say(not self.world.polite.get(address) and not origin.token and (learned is None or now <= learned + GRACE + WAY),
-                     f"{path} of group {wanted} reached {address} of group {origin.group}")
+            learned = self.moved.get((address, origin.service))
+            self.say(not self.world.polite.get(address) and not origin.token and (learned is None or now <= learned + GRACE + ROUTE),
+                     f"{path} of service {wanted} reached {address} of service {origin.service}")
             self._margin("address moved rudely, ms", now - learned if learned else 0)
             if asked.body:
                 self.runs[asked.body] += 1
@@ -60,23 +60,23 @@
         if asked.body:
             self.runs[asked.body] += 1
             self.say(self.runs[asked.body] == 1, f"write {asked.body} ran twice")
-            self.say(asked.body not in self.notRun, f"write {asked.body} ran after not-run")
+            self.say(asked.body not in self.not_run, f"write {asked.body} ran after not-run")
         left = self.leaving.get(address)
-        if left is not None and left[1] == origin.seat.life:
+        if left is not None and left[1] == origin.seat.incarnation:
             self._margin("leaving origin, ms", now - left[0])
-            self.say(now <= left[0] + GRACE + WAY, f"{address} got a request {(now - left[0]) / SECOND:.2f} s after it left")
+            self.say(now <= left[0] + GRACE + ROUTE, f"{address} got a request {(now - left[0]) / SECOND:.2f} s after it left")
         emptied = self.emptied.get(origin.zone)
         if emptied is not None:
-            self.say(now <= emptied + ZONE_GRACE + WAY, f"emptied zone {origin.zone} got a request after 5 s")
-        pressed = self.pressed.setdefault(origin.group, deque())
+            self.say(now <= emptied + ZONE_GRACE + ROUTE, f"emptied zone {origin.zone} got a request after 5 s")
+        pressed = self.pressed.setdefault(origin.service, deque())
         self._window(pressed, now, 5 * SECOND)
-        rate = self.world.rates[origin.group]
-        self._margin(f"{origin.group} in 5 s, % of rate", int(100 * len(pressed) / (5 * rate)))
-        self.say(len(pressed) <= 1.1 * rate * 5 + 1, f"group {origin.group} got {len(pressed)} in 5 s at rate {rate}")
-        own = self.perOrigin.setdefault((address, origin.seat.life), deque())
+        rate = self.world.rates[origin.service]
+        self._margin(f"{origin.service} in 5 s, % of rate", int(100 * len(pressed) / (5 * rate)))
+        self.say(len(pressed) <= 1.1 * rate * 5 + 1, f"service {origin.service} got {len(pressed)} in 5 s at rate {rate}")
+        own = self.per_origin.setdefault((address, origin.seat.incarnation), deque())
         self._window(own, now, SECOND)
-        part = min(1.0, (now - origin.bornAt) / SECOND / self.world.ramp)
-        bears = origin.rate * (self.world.coldPart + (1 - self.world.coldPart) * part)
+        part = min(1.0, (now - origin.born_at) / SECOND / self.world.ramp)
+        bears = origin.rate * (self.world.cold_part + (1 - self.world.cold_part) * part)
         self.say(len(own) <= 1.5 * bears + 1, f"cold {address} got {len(own)} in a second, bears {bears:.0f}")
 
     def _window(self, held, now, span):
@@ -84,9 +84,9 @@
         while held[0] <= now - span:
             held.popleft()
 
-    def learned_move(self, address, group):
+    def learned_move(self, address, service):
         self.moved = {**{key: at for key, at in self.moved.items() if key[0] != address},
-                      (address, group): self.moved.get((address, group), self.world.time)}
+                      (address, service): self.moved.get((address, service), self.world.time)}
 
     # what callers see
 
@@ -106,7 +106,7 @@
         headers = dict(answer.headers)
         if answer.status != 200:
             if write and headers.get("wp-outcome") == "not-run":
-                self.notRun.add(write)
+                self.not_run.add(write)
                 self.say(not self.runs[write], f"write {write} ran and was called not-run")
             if answer.status >= 500:
                 self.refusals.append((self.world.time, answer.status, answer.body.decode()))
@@ -115,7 +115,7 @@
         said = json.loads(answer.body)
         rude = any(not self.world.polite.get(address, True) for address in self.world.polite)
         self.say(said["path"] == path and said["user"] == user and said["wrote"] == write
-                 and (said["group"] == self.world.group_of(path) or rude), f"wrong answer for {path}: {said}")
+                 and (said["service"] == self.world.service_of(path) or rude), f"wrong answer for {path}: {said}")
         self.served.append((self.world.time, edge))
         if write or user:
             return
@@ -128,7 +128,7 @@
         replaced = self.replaced.get(said["version"])
         if replaced is not None:
             self._margin("past keep time, ms", self.world.time - replaced - self.world.keep * SECOND)
-            self.say(self.world.time <= replaced + self.world.keep * SECOND + GRACE + WAY,
+            self.say(self.world.time <= replaced + self.world.keep * SECOND + GRACE + ROUTE,
                      f"{path}: replaced content served past its keep time")
 
     def _margin(self, name, value):
@@ -136,8 +136,8 @@
 
     # what operators were told
 
-    def accepted_layout(self, generation):
-        self.layouts.append((self.world.time, generation))
+    def accepted_configuration(self, version):
+        self.configurations.append((self.world.time, version))
 
     def replace(self):
         """The origins' content changes without notice; its old version is told."""
@@ -148,14 +148,14 @@
     # after each step of a proxy
 
     def _whole(self, world, seat):
-        """What says that it knows all up to a moment must hold every layout accepted by then: the next read is answered from it."""
-        board = next((held for held in (getattr(seat.node, name, None) for name in ("proxy", "registry", "board")) if held is not None), None)
-        fresh = getattr(board, "freshAsOf", None)
-        if fresh is not None and self.layouts:
-            accepted, generation = max(((at, held) for at, held in self.layouts if at <= fresh - seat.clockBase), default=(0, 0), key=lambda held: held[1])
-            held = board.tables.layout["generation"]
-            self.say(held >= generation, f"{seat.address} calls itself whole as of t={fresh - seat.clockBase} with layout {held}, "
-                                         f"{generation} was accepted at t={accepted}")
+        """What says that it knows all up to a moment must hold every configuration accepted by then: the next read is answered from it."""
+        node_state = next((held for held in (getattr(seat.node, name, None) for name in ("proxy", "registry", "node_state")) if held is not None), None)
+        fresh = getattr(node_state, "fresh_as_of", None)
+        if fresh is not None and self.configurations:
+            accepted, version = max(((at, held) for at, held in self.configurations if at <= fresh - seat.clock_base), default=(0, 0), key=lambda held: held[1])
+            held = node_state.tables.configuration["version"]
+            self.say(held >= version, f"{seat.address} calls itself whole as of t={fresh - seat.clock_base} with configuration {held}, "
+                                         f"{version} was accepted at t={accepted}")
 
     def __call__(self, world, seat, event, plan):
         self._whole(world, seat)
@@ -163,24 +163,24 @@
         if proxy is None:
             return
         now = world.now(seat)
-        if proxy.leased(now) and seat.frozenUntil <= world.time:
-            for accepted, generation in self.layouts[-3:]:
+        if proxy.leased(now) and seat.frozen_until <= world.time:
+            for accepted, version in self.configurations[-3:]:
                 if world.time > accepted + GRACE:
-                    self.say(proxy.picture.generation >= generation,
-                             f"{seat.address} may deliver with layout {proxy.picture.generation}, {generation} was accepted "
+                    self.say(proxy.snapshot.version >= version,
+                             f"{seat.address} may deliver with configuration {proxy.snapshot.version}, {version} was accepted "
                              f"{(world.time - accepted) / SECOND:.2f} s ago")
-                elif proxy.picture.generation < generation:
-                    self._margin("layout not in force, ms", world.time - accepted)
+                elif proxy.snapshot.version < version:
+                    self._margin("configuration not in force, ms", world.time - accepted)
         slot = proxy.tables.slot
-        place = (seat.address, seat.life)
-        before = self.world.proxySlots.get(place, 0)
+        place = (seat.address, seat.incarnation)
+        before = self.world.proxy_slots.get(place, 0)
         self.say(slot >= before, f"{seat.address} went back from slot {before} to {slot}")
-        self.world.proxySlots[place] = slot
+        self.world.proxy_slots[place] = slot
 
     def _extra_tries(self, ask, now):
         """Counted where it hurts: whatever comes for the same ask after its first, by whichever hops, is extra."""
-        extra = ask in self.seenAsks
-        self.seenAsks.add(ask)
+        extra = ask in self.seen_asks
+        self.seen_asks.add(ask)
         self.presses.append((now, extra))
         self.extras += extra
         while self.presses[0][0] <= now - 10 * SECOND:
--- a/src/willowpost/sim/fleet/shape.py
+++ b/src/willowpost/sim/fleet/shape.py
@@ -8,7 +8,7 @@
 class Kind:
     share: float
     path: str
-    group: str
+    service: str
     items: int
     personal: bool = False
     write: bool = False
@@ -16,13 +16,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Shape:
-    """Invariant: `shields` numbers core machines; every kind's path lies on a way of the layout, to its group."""
+    """Invariant: `shields` numbers core machines; every kind's path lies on a way of the configuration, to its service."""
 
     cores: tuple[str, ...]                    # zones, by number
     shields: tuple[int, ...]
     edges: tuple[str, ...]                    # zones, by number
-    origins: dict                             # group -> ((zone, rate), ...)
-    layout: dict
+    origins: dict                             # service -> ((zone, rate), ...)
+    configuration: dict
     kinds: tuple[Kind, ...]
     host: str = "h.example"
     rate: float = 60.0
@@ -36,13 +36,13 @@
 
 RATES = {"art": 240.0, "apps": 240.0}
 SMALL = Shape(
-    ("a", "b", "c", "d", "a"), (2, 3, 4), ("a", "b", "c", "d", "b"), {group: tuple((zone, 120.0) for zone in "abcd") for group in RATES},
-    {"groups": {name: {"rate": rate, "rampSeconds": 4.0, "silentSeconds": 3.0} for name, rate in RATES.items()},
-     "props": {"deadlineMs": 2000, "tries": 3},
+    ("a", "b", "c", "d", "a"), (2, 3, 4), ("a", "b", "c", "d", "b"), {service: tuple((zone, 120.0) for zone in "abcd") for service in RATES},
+    {"services": {name: {"rate": rate, "ramp_seconds": 4.0, "silent_seconds": 3.0} for name, rate in RATES.items()},
+     "settings": {"deadline_ms": 2000, "tries": 3},
      "branches": {
-         "art": {"path": "/art", "props": {"group": "art", "keepSeconds": 3.0}},
-         "seat": {"path": "/seat", "props": {"group": "apps", "cache": False, "shield": False}},
-         "rsvp": {"path": "/rsvp", "props": {"group": "apps", "methods": ["POST"], "shield": False}}}},
+         "art": {"path": "/art", "settings": {"service": "art", "keep_seconds": 3.0}},
+         "seat": {"path": "/seat", "settings": {"service": "apps", "cache": False, "shield": False}},
+         "rsvp": {"path": "/rsvp", "settings": {"service": "apps", "methods": ["POST"], "shield": False}}}},
     (Kind(15, "/rsvp", "apps", 10**9, write=True), Kind(20, "/seat", "apps", 20, personal=True), Kind(65, "/art", "art", 40)))
 
 
@@ -52,10 +52,10 @@
     cores = [machine for machine in held["machines"] if machine["kind"] != "edge"]
     origins: dict = {}
     for origin in held["origins"]:
-        origins.setdefault(origin["group"], []).append((origin["zone"], float(origin["rate"])))
-    kinds = tuple(Kind(kind["share"], kind["path"], kind["group"], kind["items"], kind.get("personal", False), kind["method"] == "POST")
+        origins.setdefault(origin["service"], []).append((origin["zone"], float(origin["rate"])))
+    kinds = tuple(Kind(kind["share"], kind["path"], kind["service"], kind["items"], kind.get("personal", False), kind["method"] == "POST")
                   for kind in held["mix"])
     shape = Shape(tuple(machine["zone"] for machine in cores), tuple(number for number, machine in enumerate(cores) if machine["kind"] == "shield"),
                   tuple(machine["zone"] for machine in held["machines"] if machine["kind"] == "edge"),
-                  {group: tuple(members) for group, members in origins.items()}, held["layout"], kinds, held["host"], float(held["rate"]), 10, 8.0)
+                  {service: tuple(members) for service, members in origins.items()}, held["configuration"], kinds, held["host"], float(held["rate"]), 10, 8.0)
     return shape, held["regions"], held["between"]["ms"]
--- a/src/willowpost/sim/fleet/world.py
+++ b/src/willowpost/sim/fleet/world.py
@@ -2,10 +2,10 @@
 import copy
 
 from willowpost.common.clock import MILLI, SECOND
-from willowpost.layout.checker import LayoutChecker
-from willowpost.node.board import Card
+from willowpost.configuration.checker import ConfigurationChecker
+from willowpost.node.node_state import Card
 from willowpost.node.leaver import Leave, Stage
-from willowpost.proxy.way.request import Request
+from willowpost.proxy.routing.request import Request
 from willowpost.sim.core import CoreWorld
 from willowpost.sim.fleet.messages import SimAnswer, SimCall, SimRequest
 from willowpost.sim.fleet.nodes import SimProxy, SimRegistry
@@ -24,31 +24,31 @@
         self.number = 0
         self.calling = False
         self.polite: dict = {}
-        self.seedNames: list = []
-        self.rate, self.keep, self.ramp, self.coldPart = rate or shape.rate, shape.keep, shape.ramp, 0.25
-        self.rates = {name: float(group["rate"]) for name, group in shape.layout["groups"].items()}
+        self.seed_names: list = []
+        self.rate, self.keep, self.ramp, self.cold_part = rate or shape.rate, shape.keep, shape.ramp, 0.25
+        self.rates = {name: float(service["rate"]) for name, service in shape.configuration["services"].items()}
         self.shares = [kind.share for kind in shape.kinds]
-        self.groups = {kind.path: kind.group for kind in shape.kinds}
-        self.arrivals = {group: [] for group in self.rates}      # when a request of its group came to an origin
-        self.tokened = lambda address: True       # which origins opt in to the knock
+        self.services = {kind.path: kind.service for kind in shape.kinds}
+        self.arrivals = {service: [] for service in self.rates}      # when a request of its service came to an origin
+        self.tokened = lambda address: True       # which origins opt in to the instance check
         self.traffic = TrafficRules(self)
         self.checks.append(self.traffic)
-        self.proxySlots: dict = {}
+        self.proxy_slots: dict = {}
         self.regions = regions or {}
         self.registries = [self._registry(number, zone) for number, zone in enumerate(shape.cores)]
         self.edges = [self._proxy(f"e{number}", "edge", zone) for number, zone in enumerate(shape.edges)]
         self.shields = [self._proxy(f"h{number}", "shield", shape.cores[number]) for number in shape.shields]
-        self.origins = [self._origin(f"{group}{number}", group, zone, rate)
-                        for group, members in shape.origins.items() for number, (zone, rate) in enumerate(members)]
+        self.origins = [self._origin(f"{service}{number}", service, zone, rate)
+                        for service, members in shape.origins.items() for number, (zone, rate) in enumerate(members)]
         self.add("caller", lambda records, now, wall, incarnation: SimCaller(self, self.seats["caller"]))
-        self.layout = copy.deepcopy(shape.layout)
-        self.generation = 0
+        self.configuration = copy.deepcopy(shape.configuration)
+        self.version = 0
 
     def seeds_of_stores(self):
-        return getattr(self, "seedNames", None) or self.names[:3]
+        return getattr(self, "seed_names", None) or self.names[:3]
 
     def seeds(self, own):
-        return [name for name in (self.seedNames or self.names[:3]) if name != own]
+        return [name for name in (self.seed_names or self.names[:3]) if name != own]
 
     def send_all(self, seat, sends):
         for address, message in sends:
@@ -59,15 +59,15 @@
         """A machine whose process is gone refuses at once; one without power, or cut off, says nothing."""
         seat = self.seats[address]
         if isinstance(message, SimRequest) and seat.node is None and not seat.dark and (source, address) not in self.cuts:
-            self._post(seat, source, SimAnswer(message.number, 0, whole=False, life=-1))
+            self._post(seat, source, SimAnswer(message.number, 0, whole=False, incarnation=-1))
             return
         super()._arrive(address, source, message)
 
     def token(self, seat):
-        return f"{seat.address}-life-{seat.life}" if self.tokened(seat.address) else ""
+        return f"{seat.address}-incarnation-{seat.incarnation}" if self.tokened(seat.address) else ""
 
-    def group_of(self, path):
-        return self.groups["/" + path.split("/")[1]]
+    def service_of(self, path):
+        return self.services["/" + path.split("/")[1]]
 
     def _add(self, address, zone, build):
         self.add(address, build, self.regions.get(zone, "one"))
@@ -84,8 +84,8 @@
             self, self.seats[address], Card(f"{address}/proxy", "proxy", role, address, zone, address, address, incarnation),
             self.seeds(address), wall))
 
-    def _origin(self, address, group, zone, rate):
-        self.homes = {**getattr(self, "homes", {}), address: group}
+    def _origin(self, address, service, zone, rate):
+        self.homes = {**getattr(self, "homes", {}), address: service}
         return self._add(address, zone, lambda records, now, wall, incarnation: SimOrigin(
             self, self.seats[address], self.homes[address], zone, rate, self.registries))
 
@@ -96,16 +96,16 @@
         registries = [f"r{number}" for number, held in enumerate(self.shape.cores) if held == zone]
         proxies = [f"e{number}" for number, held in enumerate(self.shape.edges) if held == zone]
         shields = [name for name in (f"h{held[1:]}" for held in registries) if name in self.seats]
-        origins = [f"{group}{number}" for group, members in self.shape.origins.items()
+        origins = [f"{service}{number}" for service, members in self.shape.origins.items()
                    for number, (held, _) in enumerate(members) if held == zone]
         return stores + registries + proxies + shields + origins
 
     def open(self):
-        """Found the fleet, accept the layout, let origins warm, let callers in."""
-        if not self.until(self.founded, seconds(10)):
+        """Found the fleet, accept the configuration, let origins warm, let callers in."""
+        if not self.until(self.bootstrapped, seconds(10)):
             raise AssertionError("not founded")
-        self.put_layout(0)
-        self.until(lambda: self.generation, seconds(5))
+        self.put_configuration(0)
+        self.until(lambda: self.version, seconds(5))
         self.run(seconds(7))
         self.calling = True
         self.at(0, self._call)
@@ -124,13 +124,13 @@
         elif self.time - since < 8 * SECOND:
             self.at(10 * MILLI, self._look, token, then, since)
 
-    def put_layout(self, registry):
-        tree = LayoutChecker().check_value(self.layout).unwrap()
+    def put_configuration(self, registry):
+        tree = ConfigurationChecker().check_value(self.configuration).unwrap()
 
         def accepted(answer):
-            self.generation = max(self.generation, answer["generation"])
-            self.traffic.accepted_layout(answer["generation"])
-        self.operate(registry, {"op": "layout", "tree": tree, "ifMatch": None}, accepted)
+            self.version = max(self.version, answer["version"])
+            self.traffic.accepted_configuration(answer["version"])
+        self.operate(registry, {"op": "configuration", "tree": tree, "if_match": None}, accepted)
 
     def purge(self, registry, kind="prefix", path="/"):
         """The content changes, then its old self is purged."""
@@ -146,9 +146,9 @@
         seat = self.seats[address]
         if name is not None and seat.node is not None:
             seat.node.silent = True
-            life = seat.life
+            incarnation = seat.incarnation
             self.operate(registry, {"op": "turn", "origin": name, "state": "draining"},
-                         lambda answer: self.traffic.leaving.update({address: (self.time, life)}))
+                         lambda answer: self.traffic.leaving.update({address: (self.time, incarnation)}))
 
     def empty_zone(self, registry, zone, empty):
         def done(answer):
@@ -179,12 +179,12 @@
 
     def sound_edges(self):
         """As the platform's balancer sees them: by their own word, if they answer."""
-        return [edge for edge in self.edges if (seat := self.seats[edge]).node is not None and seat.frozenUntil <= self.time
+        return [edge for edge in self.edges if (seat := self.seats[edge]).node is not None and seat.frozen_until <= self.time
                 and ("caller", edge) not in self.cuts and self._sound(seat)]
 
     def _sound(self, seat):
-        board, now = seat.node.proxy, self.now(seat)
-        return board.leased(now) and board.ripe(now) and not board.draining and board.emptiedAt is None
+        node_state, now = seat.node.proxy, self.now(seat)
+        return node_state.leased(now) and node_state.warmed_up(now) and not node_state.draining and node_state.emptied_at is None
 
     def _call(self):
         if not self.calling:
@@ -205,8 +205,8 @@
         self.traffic.asks(self.number, edge, "", path, user, write)
         self._post(self.seats["caller"], edge, SimCall(self.number, request, write))
 
-    def boards(self):
-        return [(seat, seat.node.board) for name, seat in self.seats.items() if name in self.stores() and seat.node is not None]
+    def node_states(self):
+        return [(seat, seat.node.node_state) for name, seat in self.seats.items() if name in self.stores() and seat.node is not None]
 
     def stores(self):
         return [name for name, seat in self.seats.items() if name.startswith("s") and not seat.retired]
@@ -216,7 +216,7 @@
         self.heal()
         self.weather.drop = 0.0
         for address, seat in list(self.seats.items()):
-            seat.crashOnWrite, seat.frozenUntil = 0.0, min(seat.frozenUntil, self.time)
+            seat.crash_on_write, seat.frozen_until = 0.0, min(seat.frozen_until, self.time)
             if seat.node is None and not seat.retired:
                 self.start(address)
         closed = self.time
@@ -232,6 +232,6 @@
         self.run(seconds(5))
         served = [edge for moment, edge in self.traffic.served if moment > self.time - seconds(3)]
         self.traffic.say(len(served) > self.rate, f"only {len(served)} served in the last 3 s")
-        self.rules.finish(self, self.boards())
-        generations = {seat.node.registry.tables.layout["generation"] for name, seat in self.seats.items() if name in self.registries}
-        self.traffic.say(min(generations) >= self.generation, f"read back {generations}, accepted {self.generation}")
+        self.rules.finish(self, self.node_states())
+        versions = {seat.node.registry.tables.configuration["version"] for name, seat in self.seats.items() if name in self.registries}
+        self.traffic.say(min(versions) >= self.version, f"read back {versions}, accepted {self.version}")
--- a/src/willowpost/sim/pace.py
+++ b/src/willowpost/sim/pace.py
@@ -2,7 +2,7 @@
 from dataclasses import dataclass
 
 from willowpost.common.clock import MILLI, SECOND
-from willowpost.consensus.replica.board import Pace
+from willowpost.consensus.replica.replica_state import Pace
 from willowpost.sim.core import CoreWorld
 from willowpost.sim.world import Weather, seconds
 
@@ -11,14 +11,14 @@
 class PaceFigures:
     commands: int
     slots: int
-    nullPart: float
-    fastPart: float
-    acceptP50: float      # ms
-    acceptP99: float
+    null_part: float
+    fast_part: float
+    accept_p_50: float      # ms
+    accept_p_99: float
 
 
 class PaceMeasure:
-    """Invariant: fastPart counts the slots that a voter decided by votes in the first phase, of all it decided by votes."""
+    """Invariant: fast_part counts the slots that a voter decided by votes in the first phase, of all it decided by votes."""
 
     def __init__(self, zones, regions, between: int, jitter: int, pace: Pace, rate: float, seed: int = 1):
         self.weather = Weather(least=100, spread=jitter, between={(a, b): between for a in set(regions.values()) for b in set(regions.values()) if a != b})
@@ -29,7 +29,7 @@
 
     def run(self, span: float = 30.0) -> PaceFigures:
         world = self.world
-        world.until(world.founded, seconds(10))
+        world.until(world.bootstrapped, seconds(10))
         for number, zone in enumerate(self.zones):
             world.add_caller(f"r{number}", [f"s{number}"] + [name for name in world.names if name != f"s{number}"], self.regions[zone])
         world.run(seconds(1))
@@ -44,11 +44,11 @@
             self.asked[token] = world.time
         world.run(seconds(1))
         self._collect()
-        boards = [board for _, board in world.boards()]
+        node_states = [node_state for _, node_state in world.node_states()]
         held = sorted(self.took)
-        voted = sum(board.stats["voted"] for board in boards)
-        return PaceFigures(len(held), boards[0].stats["decided"], boards[0].stats["null"] / boards[0].stats["decided"],
-                           sum(board.stats["fast"] for board in boards) / max(1, voted),
+        voted = sum(node_state.stats["voted"] for node_state in node_states)
+        return PaceFigures(len(held), node_states[0].stats["decided"], node_states[0].stats["null"] / node_states[0].stats["decided"],
+                           sum(node_state.stats["fast"] for node_state in node_states) / max(1, voted),
                            held[len(held) // 2] / 1000, held[int(len(held) * 0.99)] / 1000)
 
     def _collect(self):
--- a/src/willowpost/sim/world.py
+++ b/src/willowpost/sim/world.py
@@ -26,10 +26,10 @@
     records: list = field(default_factory=list)
 
     def write(self, plan, upto: int | None = None) -> None:
-        if plan.turn is not None:
+        if plan.rotate is not None:
             if upto is not None:
-                return      # the new generation was not renamed yet: the old one stands
-            self.records = list(plan.turn)
+                return      # the new segment was not renamed yet: the old one stands
+            self.records = list(plan.rotate)
         self.records += plan.records if upto is None else plan.records[:upto]
 
 
@@ -42,11 +42,11 @@
     build: object                  # (records, now, wall, incarnation) -> node
     disk: SimDisk = field(default_factory=SimDisk)
     node: object = None
-    life: int = 0
-    clockBase: int = 0
-    wallSkew: int = 0
-    frozenUntil: int = 0
-    crashOnWrite: float = 0.0
+    incarnation: int = 0
+    clock_base: int = 0
+    wall_skew: int = 0
+    frozen_until: int = 0
+    crash_on_write: float = 0.0
     dark: bool = False             # the machine has no power: nothing refuses connections for it
     retired: bool = False          # the machine is gone for good
 
@@ -56,10 +56,10 @@
 
     TICK = 20 * MILLI
 
-    def __init__(self, seed: int, weather: Weather = None, unsafeSend: bool = False):
+    def __init__(self, seed: int, weather: Weather = None, unsafe_send: bool = False):
         self.chance = random.Random(seed)
         self.weather = weather or Weather()
-        self.unsafeSend = unsafeSend          # for proving the checks: sends before it writes
+        self.unsafe_send = unsafe_send          # for proving the checks: sends before it writes
         self.time = 0
         self.order = 0
         self.heap: list = []
@@ -72,7 +72,7 @@
         self.trace: list = []
 
     def add(self, address: str, build, region: str = "one") -> Seat:
-        seat = self.seats[address] = Seat(address, region, build, clockBase=self.chance.randrange(10**12))
+        seat = self.seats[address] = Seat(address, region, build, clock_base=self.chance.randrange(10**12))
         self.start(address)
         return seat
 
@@ -80,36 +80,36 @@
         seat = self.seats[address]
         if seat.retired:
             return
-        seat.life += 1
+        seat.incarnation += 1
         seat.dark = False
         seat.node = seat.build(list(seat.disk.records), self.now(seat), lambda: self.wall(seat),
-                               10**15 + self.time + seat.wallSkew + seat.life)
-        self.at(self.chance.randrange(self.TICK), self._tick, address, seat.life)
+                               10**15 + self.time + seat.wall_skew + seat.incarnation)
+        self.at(self.chance.randrange(self.TICK), self._tick, address, seat.incarnation)
 
-    def crash(self, address: str, loseDisk: bool = False) -> None:
+    def crash(self, address: str, lose_disk: bool = False) -> None:
         seat = self.seats[address]
-        seat.node, seat.life = None, seat.life + 1
-        if loseDisk:
+        seat.node, seat.incarnation = None, seat.incarnation + 1
+        if lose_disk:
             seat.disk = SimDisk()
 
     def now(self, seat: Seat) -> int:
-        return seat.clockBase + self.time
+        return seat.clock_base + self.time
 
     def wall(self, seat: Seat) -> int:
-        return 10**15 + self.time + seat.wallSkew
+        return 10**15 + self.time + seat.wall_skew
 
     def at(self, delay: int, call, *args) -> None:
         self.order += 1
         heappush(self.heap, (self.time + delay, self.order, call, args))
 
-    def cut(self, sideA, sideB) -> None:
-        self.cuts |= {pair for a in sideA for b in sideB for pair in ((a, b), (b, a))}
+    def cut(self, side_a, side_b) -> None:
+        self.cuts |= {pair for a in side_a for b in side_b for pair in ((a, b), (b, a))}
 
     def heal(self) -> None:
         self.cuts.clear()
 
     def freeze(self, address: str, span: int) -> None:
-        self.seats[address].frozenUntil = self.time + span
+        self.seats[address].frozen_until = self.time + span
 
     def run(self, span: int) -> None:
         end = self.time + span
@@ -129,32 +129,32 @@
         seat = self.seats[address]
         if seat.node is None:
             return
-        if seat.frozenUntil > self.time:
-            self.at(seat.frozenUntil - self.time + self.chance.randrange(50), self._late, address, seat.life, event)
+        if seat.frozen_until > self.time:
+            self.at(seat.frozen_until - self.time + self.chance.randrange(50), self._late, address, seat.incarnation, event)
             return
         plan = seat.node.step(event, self.now(seat))
         self._carry(seat, event, plan)
 
-    def _late(self, address, life, event):
-        if self.seats[address].life == life:
+    def _late(self, address, incarnation, event):
+        if self.seats[address].incarnation == incarnation:
             self.give(address, event)
 
-    def _tick(self, address, life):
-        if self.seats[address].life != life:
+    def _tick(self, address, incarnation):
+        if self.seats[address].incarnation != incarnation:
             return
         self.give(address, Tick())
-        self.at(self.TICK, self._tick, address, life)
+        self.at(self.TICK, self._tick, address, incarnation)
 
     def _carry(self, seat, event, plan):
-        torn = bool(plan.records or plan.turn) and self.chance.random() < seat.crashOnWrite
-        if self.unsafeSend:
+        torn = bool(plan.records or plan.rotate) and self.chance.random() < seat.crash_on_write
+        if self.unsafe_send:
             self._send(seat, plan)
         if torn:
             seat.disk.write(plan, self.chance.randrange(len(plan.records) + 1) if plan.records else 0)
             self.crash(seat.address)
             return
         seat.disk.write(plan)
-        if not self.unsafeSend:
+        if not self.unsafe_send:
             self._send(seat, plan)
         self.replies.update({token: result for token, result in plan.replies})
         self.notes += [(self.time, seat.address, *note) for note in plan.notes]
--- a/src/willowpost/standin/callers.py
+++ b/src/willowpost/stand_ins/callers.py
@@ -18,12 +18,12 @@
     outcomes: Counter = field(default_factory=Counter)
     latencies: list = field(default_factory=list)
     wrong: list = field(default_factory=list)
-    notRun: set = field(default_factory=set)
+    not_run: set = field(default_factory=set)
     unknown: set = field(default_factory=set)
     done: set = field(default_factory=set)
     refusals: list = field(default_factory=list)      # (moment, code, reason)
     versions: deque = field(default_factory=lambda: deque(maxlen=200_000))      # (began, version, path, cache)
-    perEdge: dict = field(default_factory=dict)
+    per_edge: dict = field(default_factory=dict)
     dropped: list = field(default_factory=list)       # (moment, edge, what)
 
 
@@ -54,7 +54,7 @@
 
     def _look(self, edge):
         while True:
-            held = ask(edge, "GET", "/.wp/soundness", seconds=1)
+            held = ask(edge, "GET", "/.wp/health", seconds=1)
             sound = held is not None and held[0] == 200
             if sound and edge not in self.sound:
                 self.sound = [*self.sound, edge]
@@ -88,7 +88,7 @@
         began = self.clock.now()
         held = self._send(edge, kind["method"], path, headers, body)
         self.tally.latencies.append((began, self.clock.now() - began))
-        self.tally.perEdge.setdefault(edge, Counter())[began // 1_000_000] += 1
+        self.tally.per_edge.setdefault(edge, Counter())[began // 1_000_000] += 1
         self._judge(kind, edge, path, user, identity, began, held)
 
     def _judge(self, kind, edge, path, user, identity, began, held):
@@ -106,7 +106,7 @@
                 said = json.loads(text.partition(b"\n")[0])
             except ValueError:
                 said = {}
-            right = said.get("path") == path and said.get("user") == user and said.get("group") == kind["group"] \
+            right = said.get("path") == path and said.get("user") == user and said.get("service") == kind["service"] \
                 and said.get("wrote") == (identity if write else None)
             if not right:
                 tally.wrong.append((began, edge, path, text[:120].decode(errors="replace")))
@@ -118,7 +118,7 @@
         reason = text[:100].decode(errors="replace")
         tally.refusals.append((began, code, reason))
         if write:
-            (tally.notRun if headers.get("wp-outcome") == "not-run" else tally.unknown).add(identity)
+            (tally.not_run if headers.get("wp-outcome") == "not-run" else tally.unknown).add(identity)
         if "retry-after" not in headers and "wp-cache" not in headers and code >= 500:
             tally.wrong.append((began, edge, path, f"{code} without Retry-After: {reason}"))
 
--- a/src/willowpost/standin/main.py
+++ b/src/willowpost/stand_ins/main.py
@@ -7,7 +7,7 @@
 from willowpost.common.clock import Clock
 from willowpost.shell.logs import Logs
 from willowpost.shell.web import Answer, Router, WebServer
-from willowpost.standin.origin import Ledger, StandinOrigin
+from willowpost.stand_ins.origin import Ledger, StandInsOrigin
 
 
 class Standins:
@@ -15,7 +15,7 @@
 
     def __init__(self, cards):
         self.ledger, self.clock = Ledger(), Clock()
-        self.origins = {card["address"]: StandinOrigin(self.ledger, self.clock, **card) for card in cards}
+        self.origins = {card["address"]: StandInsOrigin(self.ledger, self.clock, **card) for card in cards}
 
     def steer(self, call):
         asked = json.loads(call.body)
@@ -34,21 +34,21 @@
                 return Answer(200, {"version": self.ledger.version})
             case "move":
                 origin.crash()
-                origin.group = asked.get("group", origin.group)
+                origin.service = asked.get("service", origin.service)
                 origin.start(asked.get("quiet", 0.0))
         return Answer(200, {})
 
-    def ledgerPage(self, call):
+    def ledger_page(self, call):
         return Answer(200, {"writes": dict(self.ledger.writes), "version": self.ledger.version,
                             "seen": {address: dict(counts) for address, counts in self.ledger.seen.items()},
-                            "groups": {address: dict(counts) for address, counts in self.ledger.groups.items()}})
+                            "services": {address: dict(counts) for address, counts in self.ledger.services.items()}})
 
 
 def main() -> None:
-    props = json.load(open(sys.argv[1], encoding="utf-8"))
-    standins = Standins(props["origins"])
-    logs = Logs("standin", "origins")
-    WebServer(props["control"], Router([("POST", "/steer", 65536, standins.steer), ("GET", "/ledger", 0, standins.ledgerPage)], logs)).start()
+    settings = json.load(open(sys.argv[1], encoding="utf-8"))
+    standins = Standins(settings["origins"])
+    logs = Logs("stand_ins", "origins")
+    WebServer(settings["control"], Router([("POST", "/steer", 65536, standins.steer), ("GET", "/ledger", 0, standins.ledger_page)], logs)).start()
     for origin in standins.origins.values():
         origin.start()
     gevent.event.Event().wait()
--- a/src/willowpost/standin/origin.py
+++ b/src/willowpost/stand_ins/origin.py
@@ -18,7 +18,7 @@
 
 
 WARM_SECONDS = 8
-SOUNDNESS = "/soundness"
+HEALTH = "/health"
 CONNECTIONS_MOST = 2000
 
 
@@ -28,34 +28,34 @@
 
     writes: Counter = field(default_factory=Counter)
     seen: dict = field(default_factory=dict)          # address -> Counter of whole seconds
-    groups: dict = field(default_factory=dict)        # address -> Counter of paths' first parts
+    services: dict = field(default_factory=dict)        # address -> Counter of paths' first parts
     version: int = 1
     overrun: Counter = field(default_factory=Counter)  # requests that came to an origin at over twice what it bears
 
 
-class StandinOrigin:
+class StandInsOrigin:
     """One origin. `mode` makes it break down: slow, short (truncated), lying (wrong bytes), lost (runs, no answer), down."""
 
-    def __init__(self, ledger: Ledger, clock, address: str, group: str, zone: str, rate: float, keep: int, registries: list[str],
-                 beatSeconds: float = 1.0):
+    def __init__(self, ledger: Ledger, clock, address: str, service: str, zone: str, rate: float, keep: int, registries: list[str],
+                 beat_seconds: float = 1.0):
         self.ledger, self.clock = ledger, clock
-        self.address, self.group, self.zone, self.rate, self.keep = address, group, zone, rate, keep
-        self.registries, self.beatSeconds = registries, beatSeconds
+        self.address, self.service, self.zone, self.rate, self.keep = address, service, zone, rate, keep
+        self.registries, self.beat_seconds = registries, beat_seconds
         self.mode = "sound"
         self.server = None
-        self.occupancy = 0
+        self.load = 0
         self.beating = None
-        self.startedAt = 0
+        self.started_at = 0
         self.token = ""
 
     def _bears(self) -> float:
         """A cold origin bears a quarter at first, and all after eight seconds."""
-        part = min(1.0, (self.clock.now() - self.startedAt) / (WARM_SECONDS * 1_000_000))
+        part = min(1.0, (self.clock.now() - self.started_at) / (WARM_SECONDS * 1_000_000))
         return self.rate / 4 + self.rate * 0.75 * part
 
     def start(self, quiet: float = 0.0) -> None:
         """A new life, with a token of its own; one that is rude serves for a while before it says a word."""
-        self.startedAt, self.token = self.clock.now(), secrets.token_hex(8)
+        self.started_at, self.token = self.clock.now(), secrets.token_hex(8)
         self.server = WSGIServer(split(self.address), self._serve, handler_class=QuietHandler, log=None, error_log=None, spawn=Pool(CONNECTIONS_MOST))
         self.server.start()
         self.beating = gevent.spawn_later(quiet, self._beat)
@@ -67,7 +67,7 @@
         self.server = None
 
     def say(self, call: str, **more) -> dict | None:
-        value = {"group": self.group, "address": self.address, **more}
+        value = {"service": self.service, "address": self.address, **more}
         for number in range(len(self.registries)):
             host, port = split(self.registries[number])
             client = HTTPClient(host, port, connection_timeout=1, network_timeout=6)
@@ -83,23 +83,23 @@
         return None
 
     def _card(self):
-        return {"zone": self.zone, "rate": self.rate, "coldRate": max(1.0, self.rate / 4), "token": self.token}
+        return {"zone": self.zone, "rate": self.rate, "cold_rate": max(1.0, self.rate / 4), "token": self.token}
 
     def _beat(self):
         self.say("", **self._card())
         while True:
-            gevent.sleep(self.beatSeconds)
-            self.say("/beat", occupancy=self.occupancy, **self._card())
+            gevent.sleep(self.beat_seconds)
+            self.say("/beat", load=self.load, **self._card())
 
     def _serve(self, environ, start_response):
-        self.occupancy += 1
+        self.load += 1
         try:
             return self._answer(environ, start_response)
         finally:
-            self.occupancy -= 1
+            self.load -= 1
 
     def _answer(self, environ, start_response):
-        if environ["PATH_INFO"] == SOUNDNESS:
+        if environ["PATH_INFO"] == HEALTH:
             start_response(status_line(200), [("Content-Length", "0"), ("Wp-Token", self.token)])
             return [b""]
         second = self.clock.now() // 1_000_000
@@ -109,7 +109,7 @@
             return [b""]
         self.ledger.seen.setdefault(self.address, Counter())[second] += 1
         path = environ["PATH_INFO"]
-        self.ledger.groups.setdefault(self.address, Counter())[path.split("/")[1]] += 1
+        self.ledger.services.setdefault(self.address, Counter())[path.split("/")[1]] += 1
         body = environ["wsgi.input"].read() if environ["REQUEST_METHOD"] == "POST" else b""
         if environ["REQUEST_METHOD"] == "POST":
             self.ledger.writes[json.loads(body)["id"]] += 1
@@ -120,7 +120,7 @@
             environ["wp.socket"].shutdown(socket.SHUT_RDWR)
             return []
         user = environ.get("HTTP_AUTHORIZATION", "")
-        answer = {"path": path, "query": environ.get("QUERY_STRING", ""), "user": user, "group": self.group,
+        answer = {"path": path, "query": environ.get("QUERY_STRING", ""), "user": user, "service": self.service,
                   "version": self.ledger.version, "wrote": json.loads(body)["id"] if body else None}
         shared = environ["REQUEST_METHOD"] == "GET" and not user and self.keep
         text = json.dumps(answer).encode() + b"\n" + (b"." * (200 + zlib.crc32(path.encode()) % 20_000) if shared else b"")
--- a/src/willowpost/state/apply/__init__.py
+++ b/src/willowpost/state/apply/__init__.py
@@ -8,9 +8,9 @@
 from willowpost.wire.messages import Command, Decision
 
 OPS = {
-    "join": membership.join, "leave": membership.leave, "drain": membership.drain, "doubt": membership.doubt,
-    "swap": core.swap, "grow": core.grow, "register": origins.register, "turn": origins.turn, "end": origins.end,
-    "layout": operators.layout, "purge": operators.purge, "zone": operators.zone, "own": operators.own,
+    "join": membership.join, "leave": membership.leave, "drain": membership.drain, "suspicion": membership.suspicion,
+    "replace_voter": core.replace_voter, "add_voters": core.add_voters, "register": origins.register, "turn": origins.turn, "end": origins.end,
+    "configuration": operators.configuration, "purge": operators.purge, "zone": operators.zone, "own": operators.own,
 }
 
 
--- a/src/willowpost/state/apply/operators.py
+++ b/src/willowpost/state/apply/operators.py
@@ -1,4 +1,4 @@
-"""What operators ask: layouts, purges, zones; and the fences of duties."""
+"""What operators ask: configurations, purges, zones; and the fences of duties."""
 from dataclasses import replace
 
 from willowpost.state.apply.origins import turned_cold
@@ -6,33 +6,33 @@
 from willowpost.state.tables import PURGES_KEPT, Tables
 
 
-def layout(tables: Tables, op: dict):
-    """Invariant: the generation only goes up. With a number of the operator's, the highest one holds, and one that is not above it
+def configuration(tables: Tables, op: dict):
+    """Invariant: the version only goes up. With a number of the operator's, the highest one holds, and one that is not above it
     is acknowledged and changes nothing, whatever order they come in; without one, the next number is taken."""
-    held, wanted = tables.layout["generation"], op.get("generation")
-    if wanted is not None and wanted <= held and tables.layout["tree"] is not None:
-        return tables, {"ok": True, "generation": held, "changed": False}
-    if wanted is None and op.get("ifMatch") is not None and op["ifMatch"] != held:
-        return tables, {"ok": False, "why": "stale", "generation": held}
+    held, wanted = tables.configuration["version"], op.get("version")
+    if wanted is not None and wanted <= held and tables.configuration["tree"] is not None:
+        return tables, {"ok": True, "version": held, "changed": False}
+    if wanted is None and op.get("if_match") is not None and op["if_match"] != held:
+        return tables, {"ok": False, "why": "stale", "version": held}
     if op.get("tree") is None or (wanted is not None and wanted < held):
-        return tables, {"ok": False, "why": "no layout", "generation": held}
-    card = {"generation": held + 1 if wanted is None else wanted, "tree": op["tree"],
+        return tables, {"ok": False, "why": "no configuration", "version": held}
+    card = {"version": held + 1 if wanted is None else wanted, "tree": op["tree"],
             **({"source": op["source"]} if op.get("source") is not None else {})}
-    return replace(tables, layout=card), {"ok": True, "generation": card["generation"], "changed": True}
+    return replace(tables, configuration=card), {"ok": True, "version": card["version"], "changed": True}
 
 
 def purge(tables: Tables, op: dict):
     entry = {"slot": tables.slot, "host": op.get("host", ""), "kind": op["kind"], "path": op.get("path", "")}
     held = (*tables.purges, entry)
-    floor = tables.purgeFloor
+    floor = tables.purge_floor
     if len(held) > PURGES_KEPT:
         floor = held[-PURGES_KEPT - 1]["slot"] + 1
         held = tuple(other for other in held if other["slot"] >= floor)
-    return replace(tables, purges=held, purgeFloor=floor), {"ok": True, "slot": tables.slot}
+    return replace(tables, purges=held, purge_floor=floor), {"ok": True, "slot": tables.slot}
 
 
 def zone(tables: Tables, op: dict):
-    """`what` is emptied: all (daemons shed there too), or the origins alone. Given back, origins that a cold rate protects count as
+    """`what` is emptied: all (daemons reject there too), or the origins alone. Given back, origins that a cold rate protects count as
     cold from this slot on: nobody knows what they became meanwhile."""
     before = tables.zones.get(op["zone"], {})
     what = op.get("what", "all") if op["empty"] else before.get("what", "all")
@@ -42,9 +42,9 @@
 
 
 def _cold(tables, zone):
-    groups = (tables.layout["tree"] or {}).get("groups") or {}
+    services = (tables.configuration["tree"] or {}).get("services") or {}
     return {name: turned_cold(card, tables.slot)
-            if card["zone"] == zone and card["state"] in IN_FORCE and groups.get(card["group"], {}).get("coldRate") is not None else card
+            if card["zone"] == zone and card["state"] in IN_FORCE and services.get(card["service"], {}).get("cold_rate") is not None else card
             for name, card in tables.origins.items()}
 
 
--- a/src/willowpost/state/apply/origins.py
+++ b/src/willowpost/state/apply/origins.py
@@ -10,30 +10,30 @@
 def register(tables: Tables, op: dict):
     """`cold` says whether it is cold, and that its beats will go on saying so (`told`): then nobody guesses.
 
-    Invariants: an address that last served another group waits until the log says it may enter, unless the group's origins
+    Invariants: an address that last served another service waits until the log says it may enter, unless the service's origins
     honour the name of a life; a life registers once, whoever asks and how often."""
-    address, group, token = op["address"], op["group"], op.get("token")
+    address, service, token = op["address"], op["service"], op.get("token")
     if token in tables.ended:
         return tables, {"ok": False, "why": OVER}
     known = named(tables, token)
-    if known is not None and (tables.origins[known]["address"], tables.origins[known]["group"]) == (address, group):
+    if known is not None and (tables.origins[known]["address"], tables.origins[known]["service"]) == (address, service):
         return _again(tables, known, op)
     former = {name for name, origin in tables.origins.items() if origin["address"] == address}
-    moved = tables.bound.get(address, {}).get("group", group) != group
-    waits = not _group(tables, group).get("named") and (moved or any(
+    moved = tables.bound.get(address, {}).get("service", service) != service
+    waits = not _service(tables, service).get("named") and (moved or any(
         tables.origins[name]["state"] == OriginState.WAITING.value for name in former))
     name = f"{address}@{tables.slot}.{op.get('part', 0)}"
-    card = {"group": group, "address": address, "zone": op["zone"], "rate": op["rate"], "coldRate": op["coldRate"], "slot": tables.slot,
+    card = {"service": service, "address": address, "zone": op["zone"], "rate": op["rate"], "cold_rate": op["cold_rate"], "slot": tables.slot,
             **{name: op[name] for name in ("token", "slots", "number") if op.get(name)},
             **({"told": True} if op.get("cold") is not None else {}), "state": _first(op, waits).value}
     others = {other: origin for other, origin in tables.origins.items() if other not in former and other != known}
-    return _over(replace(tables, origins={**others, name: card}, bound=_bound(tables, address, group)),
+    return _over(replace(tables, origins={**others, name: card}, bound=_bound(tables, address, service)),
                  [tables.origins[other] for other in former if other != known]), {"ok": True, "origin": name, "state": card["state"]}
 
 
 def turn(tables: Tables, op: dict):
     """Of `origin`, or of the life `token`. Invariants: a turn that a beat brought (`number`) gives way to one of a later beat;
-    and a beat says that it is warm only of the time after the log turned it cold (`asOf`: the slot its taker stood at)."""
+    and a beat says that it is warm only of the time after the log turned it cold (`as_of`: the slot its taker stood at)."""
     name = op["origin"] if op.get("origin") is not None else named(tables, op.get("token"))
     card = tables.origins.get(name)
     if card is None:
@@ -42,7 +42,7 @@
     state = OriginState(op["state"])
     if op.get("number") and op["number"] <= card.get("number", 0):
         return tables, {"ok": True, "state": card["state"]}
-    if op.get("asOf") is not None and op["asOf"] <= card.get("coldAt", -1):
+    if op.get("as_of") is not None and op["as_of"] <= card.get("cold_at", -1):
         return tables, {"ok": False, "why": "turned cold since"}
     if state.value == card["state"]:
         return tables, {"ok": True, "state": card["state"]}
@@ -50,8 +50,8 @@
         return tables, {"ok": False, "why": f"{card['state']} does not turn {state.value}"}
     if state is OriginState.GONE:
         rest = replace(tables, origins={other: origin for other, origin in tables.origins.items() if other != name})
-        lives = [] if op.get("silent") and card["state"] != OriginState.DRAINING.value else [card]
-        return _over(rest, lives), {"ok": True, "state": state.value}
+        incarnations = [] if op.get("silent") and card["state"] != OriginState.DRAINING.value else [card]
+        return _over(rest, incarnations), {"ok": True, "state": state.value}
     turned = turned_cold(card, tables.slot) if state is OriginState.COLD else {**card, "state": state.value}
     turned |= {name: op[name] for name in ("number", "told") if op.get(name)}
     return replace(tables, origins={**tables.origins, name: turned}), {"ok": True, "state": state.value}
@@ -65,7 +65,7 @@
 
 
 def turned_cold(card: dict, slot: int) -> dict:
-    return {**card, "state": OriginState.COLD.value, "coldAt": slot}
+    return {**card, "state": OriginState.COLD.value, "cold_at": slot}
 
 
 def named(tables: Tables, token: str | None) -> str | None:
@@ -74,7 +74,7 @@
 
 
 def _again(tables, name, op):
-    """The same life once more: only its leaving is news."""
+    """The same life once more: only its leaving is state updates."""
     card = tables.origins[name]
     if op.get("state") == OriginState.DRAINING.value and card["state"] != OriginState.DRAINING.value:
         card = {**card, "state": OriginState.DRAINING.value}
@@ -90,13 +90,13 @@
     return OriginState.WARM if op.get("cold") is False else OriginState.COLD
 
 
-def _group(tables, group):
-    return ((tables.layout["tree"] or {}).get("groups") or {}).get(group, {})
+def _service(tables, service):
+    return ((tables.configuration["tree"] or {}).get("services") or {}).get(service, {})
 
 
-def _bound(tables, address, group):
-    """By slot, not by the order in the table: that is another one after a picture."""
-    bound = {**tables.bound, address: {"group": group, "slot": tables.slot}}
+def _bound(tables, address, service):
+    """By slot, not by the order in the table: that is another one after a snapshot."""
+    bound = {**tables.bound, address: {"service": service, "slot": tables.slot}}
     if len(bound) > BOUND_KEPT:
         bound.pop(min(bound, key=lambda held: (bound[held].get("slot", 0), held)))
     return bound
--- a/src/willowpost/state/kinds.py
+++ b/src/willowpost/state/kinds.py
@@ -9,7 +9,7 @@
 
 
 class OriginState(str, Enum):
-    WAITING = "waiting"    # its address served another group; not in force yet
+    WAITING = "waiting"    # its address served another service; not in force yet
     COLD = "cold"          # in force; its allowance ramps, or its beats say how long
     WARM = "warm"
     DRAINING = "draining"  # no new requests
--- a/src/willowpost/state/tables.py
+++ b/src/willowpost/state/tables.py
@@ -7,7 +7,7 @@
 
 PURGES_KEPT = 4096
 ANSWERS_KEPT = 64
-LOSSES_KEPT = 64
+FAILURE_VERDICTS_KEPT = 64
 ENDED_KEPT = 2048
 BOUND_KEPT = 4096
 
@@ -19,10 +19,10 @@
     - `slot` is the next slot to apply: the tables are what slots 0..slot-1 amount to, and nothing else.
     - `core` names the voters of slot `slot`, `epoch` counts its changes.
     - `former` holds the voters before the last change and the slot that changed them.
-    - `layout` holds `source`, the operator's own document, if it was given one.
-    - an address is bound to at most one origin, and so is a token; `bound` remembers the group an address last served.
+    - `configuration` holds `source`, the operator's own document, if it was given one.
+    - an address is bound to at most one origin, and so is a token; `bound` remembers the service an address last served.
     - `ended` holds the tokens of the last lives that are over, oldest first; none of them is among `origins`, or will be again.
-    - `purges` holds every purge of a slot >= purgeFloor, oldest first.
+    - `purges` holds every purge of a slot >= purge_floor, oldest first.
     - `seen` holds for each daemon its newest incarnation; a counter <= floor has been applied or never will be.
     """
 
@@ -31,19 +31,19 @@
     core: tuple = ()
     former: dict = field(default_factory=dict)
     daemons: dict = field(default_factory=dict)
-    doubts: dict = field(default_factory=dict)
-    layout: dict = field(default_factory=lambda: {"generation": 0, "tree": None})
+    suspicions: dict = field(default_factory=dict)
+    configuration: dict = field(default_factory=lambda: {"version": 0, "tree": None})
     origins: dict = field(default_factory=dict)
     bound: dict = field(default_factory=dict)
     purges: tuple = ()
-    purgeFloor: int = 0
+    purge_floor: int = 0
     zones: dict = field(default_factory=dict)
     fences: dict = field(default_factory=dict)
-    losses: tuple = ()
+    failure_verdicts: tuple = ()
     seen: dict = field(default_factory=dict)
     ended: tuple = ()
 
-    def life(self, daemon: str) -> tuple[str, int]:
+    def incarnation(self, daemon: str) -> tuple[str, int]:
         return daemon, self.daemons[daemon]["incarnation"]
 
     def text(self) -> str:
--- a/src/willowpost/store/daemon.py
+++ b/src/willowpost/store/daemon.py
@@ -2,12 +2,12 @@
 import os
 
 from willowpost.common.clock import Clock
-from willowpost.consensus.replica.founding import Rights
+from willowpost.consensus.replica.bootstrap import Rights
 from willowpost.consensus.replica.records import identity_record
 from willowpost.shell.disk import Disk, DiskDamaged, PatientDisk
 from willowpost.shell.runner import Runner
 from willowpost.store.node import StoreNode
-from willowpost.wire.messages import Founder
+from willowpost.wire.messages import Member
 
 
 class StoreDaemon:
@@ -31,16 +31,16 @@
             records = disk.load()
         self.runner.disk = PatientDisk(disk, self.logs)
         if not records:
-            me = Founder(f"{place.name}-{os.urandom(6).hex()}", place.name, place.zone, place.address)
-            records = [{**identity_record(me), "founds": place.mayFound}]
-            self.runner.disk.turn(records)
+            me = Member(f"{place.name}-{os.urandom(6).hex()}", place.name, place.zone, place.address)
+            records = [{**identity_record(me), "may_bootstrap": place.may_bootstrap}]
+            self.runner.disk.rotate(records)
             self.logs.say("disk", "empty: a new identity was made", identity=me.identity)
         held = records[0]
-        me = Founder(held["identity"], place.name, place.zone, place.address)
-        # an identity made when it might found may go on founding, else founders that restart meanwhile would stop the founding
-        rights = Rights(place.mayFound or held.get("founds", False), place.foundersAreSeeds, place.votersMost)
+        me = Member(held["identity"], place.name, place.zone, place.address)
+        # an identity made when it might found may go on founding, else bootstrap members that restart meanwhile would stop the founding
+        rights = Rights(place.may_bootstrap or held.get("may_bootstrap", False), place.bootstrap_from_seeds, place.max_voters)
         node = StoreNode(me, place.seeds, place.voters, records, clock.now(), clock.wall, clock.wall(), place.pace, rights=rights)
-        self.logs.say("store", "restored", slot=node.board.tables.slot, epoch=node.board.tables.epoch)
+        self.logs.say("store", "restored", slot=node.node_state.tables.slot, epoch=node.node_state.tables.epoch)
         self.runner.start(node)
 
     def stop(self) -> None:
--- a/src/willowpost/store/main.py
+++ b/src/willowpost/store/main.py
@@ -8,7 +8,7 @@
     description = "Keeps one replica of the fleet's decided log on this machine's disk."
     help = """A core machine runs one <info>wpstore</info> and one <info>wpregistry</info>.
 
-  <info>wpstore --props core-1.json</info>
+  <info>wpstore --settings core-1.json</info>
   <info>wpstore --name core-1 --zone a --address 127.0.0.1:7001 --seeds 127.0.0.1:7002,127.0.0.1:7003 --data ./core-1</info>
 
 Five empty stores that find each other through their seeds found the fleet. A store
--- a/src/willowpost/store/repair.py
+++ b/src/willowpost/store/repair.py
@@ -4,8 +4,8 @@
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Asked, Tick
 from willowpost.common.plan import Plan
-from willowpost.consensus.replica.board import StoreBoard
-from willowpost.state.apply.core import grown
+from willowpost.consensus.replica.replica_state import ReplicaState
+from willowpost.state.apply.core import with_voters_added
 from willowpost.state.kinds import DaemonState
 
 ASK_EVERY = 1 * SECOND
@@ -15,48 +15,48 @@
 class Repair:
     """Invariant: asks only while it holds what the voters hold, by a read of its own that n - f of them answered."""
 
-    def __init__(self, board: StoreBoard, clerk, incarnation: int = 0, votersMost: int = 0):
-        self.board = board
-        self.clerk = clerk
+    def __init__(self, node_state: ReplicaState, command_client, incarnation: int = 0, max_voters: int = 0):
+        self.node_state = node_state
+        self.command_client = command_client
         self.incarnation = incarnation
-        self.votersMost = votersMost
-        self.askedAt = 0
+        self.max_voters = max_voters
+        self.asked_at = 0
 
     def step(self, event, now: int) -> Plan:
-        board = self.board
-        if not isinstance(event, Tick) or not board.founded or board.voter or now - self.askedAt < ASK_EVERY or not self._whole(now):
+        node_state = self.node_state
+        if not isinstance(event, Tick) or not node_state.bootstrapped or node_state.voter or now - self.asked_at < ASK_EVERY or not self._whole(now):
             return Plan()
         lost = self._lost()
-        if lost is None and not self._may_grow():
+        if lost is None and not self._may_add_voters():
             return Plan()
-        self.askedAt = now
+        self.asked_at = now
         if lost is None:
-            op = {"op": "grow", "learner": board.me.identity, "incarnation": self.incarnation, "most": self.votersMost}
-            plan = self.clerk.step(Asked(None, (op,)), now)
-            plan.note("repair", "offers itself as one more voter", voters=len(board.tables.core))
+            op = {"op": "add_voters", "learner": node_state.me.identity, "incarnation": self.incarnation, "most": self.max_voters}
+            plan = self.command_client.step(Asked(None, (op,)), now)
+            plan.note("repair", "offers itself as one more voter", voters=len(node_state.tables.core))
             return plan
-        plan = self.clerk.step(Asked(None, ({"op": "swap", "old": lost["identity"], "new": asdict(board.me)},)), now)
+        plan = self.command_client.step(Asked(None, ({"op": "replace_voter", "old": lost["identity"], "new": asdict(node_state.me)},)), now)
         plan.note("repair", "asks for a lost voter's seat", lost=lost["name"])
         return plan
 
     def _whole(self, now):
-        return self.board.freshAsOf is not None and now - self.board.freshAsOf <= WHOLE_WITHIN
+        return self.node_state.fresh_as_of is not None and now - self.node_state.fresh_as_of <= WHOLE_WITHIN
 
     def _lost(self):
-        board = self.board
-        seat = next((member for member in board.tables.core if member["name"] == board.me.name), None)
+        node_state = self.node_state
+        seat = next((member for member in node_state.tables.core if member["name"] == node_state.me.name), None)
         if seat is not None:
             return seat
-        known = board.tables.daemons
-        return next((member for member in board.tables.core
+        known = node_state.tables.daemons
+        return next((member for member in node_state.tables.core
                      if known.get(member["identity"], {}).get("state") == DaemonState.LOST.value), None)
 
-    def _may_grow(self):
+    def _may_add_voters(self):
         """Once in a life, and again when the log would now say yes; not each second for a second learner that never comes."""
-        tables, me = self.board.tables, self.board.me.identity
+        tables, me = self.node_state.tables, self.node_state.me.identity
         card = tables.daemons.get(me)
-        if card is None or card["incarnation"] != self.incarnation or len(tables.core) + 2 > self.votersMost:
+        if card is None or card["incarnation"] != self.incarnation or len(tables.core) + 2 > self.max_voters:
             return False
-        offered = card.get("grows")
-        void = offered is not None and any(loss["daemon"] == me and loss["slot"] >= offered["slot"] for loss in tables.losses)
-        return offered is None or void or grown(tables, me) is not None
+        offered = card.get("voter_offer")
+        void = offered is not None and any(failure_verdict["daemon"] == me and failure_verdict["slot"] >= offered["slot"] for failure_verdict in tables.failure_verdicts)
+        return offered is None or void or with_voters_added(tables, me) is not None
--- a/src/willowpost/toolbox/folder.py
+++ b/src/willowpost/toolbox/folder.py
@@ -25,7 +25,7 @@
         names = sorted(name for name in os.listdir(folder) if name.startswith(PREFIX) and name.endswith(".wp"))
         findings += [Finding(name, "left from an unfinished write; a store drops it") for name in sorted(os.listdir(folder)) if name.endswith(".aside")]
         if not names:
-            return [*findings, Finding(folder, "no generation: a store would start empty, under a new identity")], facts
+            return [*findings, Finding(folder, "no version: a store would start empty, under a new identity")], facts
         path = os.path.join(folder, names[-1])
         data = open(path, "rb").read()
         try:
@@ -35,30 +35,30 @@
         if sound < len(data):
             findings.append(Finding(f"{names[-1]} byte {sound}", f"torn tail of {len(data) - sound} bytes; a store cuts it"))
         findings += self._walk(names[-1], records, facts)
-        return findings, {**facts, "generation": names[-1], "records": len(records)}
+        return findings, {**facts, "version": names[-1], "records": len(records)}
 
     def _walk(self, name, records, facts):
-        findings, slot, stance, founded = [], None, None, False
+        findings, slot, ballot_state, bootstrapped = [], None, None, False
         if not records or records[0]["k"] != "identity":
             findings.append(Finding(f"{name} record 0", "not an identity"))
         for number, record in enumerate(records):
             place = f"{name} record {number}"
             match record["k"]:
                 case "found":
-                    slot, founded = 0, True
-                case "picture":
-                    slot, founded = json.loads(record["text"])["slot"], True
+                    slot, bootstrapped = 0, True
+                case "snapshot":
+                    slot, bootstrapped = json.loads(record["text"])["slot"], True
                 case "decision" if record["slot"] != slot:
                     findings.append(Finding(place, f"decides slot {record['slot']} where {slot} is due"))
                     slot = record["slot"] + 1
                 case "decision":
                     slot += 1
-                case "stance":
+                case "ballot_state":
                     now = (record["epoch"], record["slot"])
-                    if stance and stance[0] == now and (stance[1] != record["states"][:len(stance[1])] or stance[2] != record["votes"][:len(stance[2])]):
-                        findings.append(Finding(place, f"unsays its stance in slot {record['slot']}"))
-                    stance = (now, record["states"], record["votes"])
-        facts.update(identity=records[0].get("identity") if records else None, slot=slot, founded=founded)
+                    if ballot_state and ballot_state[0] == now and (ballot_state[1] != record["states"][:len(ballot_state[1])] or ballot_state[2] != record["votes"][:len(ballot_state[2])]):
+                        findings.append(Finding(place, f"unsays its ballot state in slot {record['slot']}"))
+                    ballot_state = (now, record["states"], record["votes"])
+        facts.update(identity=records[0].get("identity") if records else None, slot=slot, bootstrapped=bootstrapped)
         return findings
 
 
@@ -74,7 +74,7 @@
                 break
             if record["k"] == "found":
                 tables = Tables(epoch=1, core=tuple(record["core"]))
-            elif record["k"] == "picture":
+            elif record["k"] == "snapshot":
                 tables = tables_from(record["text"])
             elif record["k"] == "decision":
                 tables = Apply().step(tables, decision_from(record))
--- a/src/willowpost/toolbox/planner.py
+++ b/src/willowpost/toolbox/planner.py
@@ -1,14 +1,14 @@
-"""What a layout or an emptied zone would change, told before it is sent. Changes nothing."""
+"""What a configuration or an emptied zone would change, told before it is sent. Changes nothing."""
 from dataclasses import asdict
 
-from willowpost.layout.ways import ways_of
-from willowpost.proxy.way.picture import PictureMaker
+from willowpost.configuration.routes import routes_of
+from willowpost.proxy.routing.snapshot import SnapshotMaker
 from willowpost.state.apply.operators import zone as empty_zone
 from willowpost.state.tables import Tables
 
 
-def _ways(tree):
-    return {way.name: way for way in ways_of(tree)} if tree else {}
+def _routes(tree):
+    return {route.name: route for route in routes_of(tree)} if tree else {}
 
 
 def _changed(before, after):
@@ -17,45 +17,45 @@
     return {prop: [held[prop], wanted[prop]] for prop in wanted if held[prop] != wanted[prop]}
 
 
-class LayoutPlanner:
+class ConfigurationPlanner:
     """Invariant: the plan is worked out from the tables and the checked tree alone."""
 
     def plan(self, tables: Tables, tree: dict) -> dict:
-        held, wanted = tables.layout["tree"], tree
-        before, after = _ways(held), _ways(wanted)
-        groupsBefore, groupsAfter = (held or {}).get("groups", {}), wanted.get("groups", {})
-        reached = {group for way in after.values() for group in way.groups}
-        inForce = {card["group"] for card in tables.origins.values() if card["state"] in ("cold", "warm")}
+        held, wanted = tables.configuration["tree"], tree
+        before, after = _routes(held), _routes(wanted)
+        services_before, services_after = (held or {}).get("services", {}), wanted.get("services", {})
+        reached = {service for route in after.values() for service in route.services}
+        in_force = {card["service"] for card in tables.origins.values() if card["state"] in ("cold", "warm")}
         return {
-            "generation": tables.layout["generation"],
-            "ways": {"added": sorted(after.keys() - before.keys()), "removed": sorted(before.keys() - after.keys()),
+            "version": tables.configuration["version"],
+            "routes": {"added": sorted(after.keys() - before.keys()), "removed": sorted(before.keys() - after.keys()),
                      "changed": {name: _changed(before[name], after[name]) for name in sorted(after.keys() & before.keys()) if after[name] != before[name]}},
-            "groups": {"added": sorted(groupsAfter.keys() - groupsBefore.keys()), "removed": sorted(groupsBefore.keys() - groupsAfter.keys()),
-                       "changed": {name: [groupsBefore[name], groupsAfter[name]] for name in sorted(groupsAfter.keys() & groupsBefore.keys())
-                                   if groupsAfter[name] != groupsBefore[name]}},
-            "warnings": [f"group {name} has no origin in force" for name in sorted(reached - inForce)]
-            + [f"origins of group {name} would have no way" for name in sorted(inForce - reached)],
+            "services": {"added": sorted(services_after.keys() - services_before.keys()), "removed": sorted(services_before.keys() - services_after.keys()),
+                       "changed": {name: [services_before[name], services_after[name]] for name in sorted(services_after.keys() & services_before.keys())
+                                   if services_after[name] != services_before[name]}},
+            "warnings": [f"service {name} has no origin in force" for name in sorted(reached - in_force)]
+            + [f"origins of service {name} would have no way" for name in sorted(in_force - reached)],
         }
 
 
 class ZonePlanner:
-    """Invariant: what is left is worked out by the very code that makes a proxy's picture."""
+    """Invariant: what is left is worked out by the very code that makes a proxy's snapshot."""
 
     def plan(self, tables: Tables, zone: str) -> dict:
         emptied, _ = empty_zone(tables, {"zone": zone, "empty": True})
-        before, after = PictureMaker().make(tables), PictureMaker().make(emptied)
-        allowed = {name for name, group in (tables.layout["tree"] or {}).get("groups", {}).items() if group.get("rate") is not None}
-        groups = {name: {"origins": [len(card.origins), len(after.groups[name].origins)],
-                         "rate": [sum(origin.rate for origin in card.origins), sum(origin.rate for origin in after.groups[name].origins)],
+        before, after = SnapshotMaker().make(tables), SnapshotMaker().make(emptied)
+        allowed = {name for name, service in (tables.configuration["tree"] or {}).get("services", {}).items() if service.get("rate") is not None}
+        services = {name: {"origins": [len(card.origins), len(after.services[name].origins)],
+                         "rate": [sum(origin.rate for origin in card.origins), sum(origin.rate for origin in after.services[name].origins)],
                          "allowance": card.rate if name in allowed else None}
-                  for name, card in before.groups.items()}
+                  for name, card in before.services.items()}
         edges = [card for card in tables.daemons.values() if card["kind"] == "proxy" and card["role"] == "edge" and card["state"] == "up"]
         return {
-            "zone": zone, "groups": groups, "shields": [len(before.shields), len(after.shields)],
+            "zone": zone, "services": services, "shields": [len(before.shields), len(after.shields)],
             "edges": [len(edges), sum(card["zone"] != zone for card in edges)],
             "voters there, which stay": sum(member["zone"] == zone for member in tables.core),
-            "warnings": [f"group {name} would have no origin in force" for name, held in groups.items() if held["origins"][0] and not held["origins"][1]]
-            + [f"group {name}: what is left bears {held['rate'][1]:.0f} of an allowance of {held['allowance']:.0f}"
-               for name, held in groups.items() if held["allowance"] is not None and 0 < held["rate"][1] < held["allowance"]]
+            "warnings": [f"service {name} would have no origin in force" for name, held in services.items() if held["origins"][0] and not held["origins"][1]]
+            + [f"service {name}: what is left bears {held['rate'][1]:.0f} of an allowance of {held['allowance']:.0f}"
+               for name, held in services.items() if held["allowance"] is not None and 0 < held["rate"][1] < held["allowance"]]
             + (["no shield would be left"] if before.shields and not after.shields else []),
         }
