--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -1,27 +1,27 @@
-"""Three founders: storms with wiped disks, and the core's growth to five, struck at each step."""
+"""Three bootstrap members: fault schedules with wiped disks, and the core's growth to five, struck at each step."""
 import json
 import unittest
 from dataclasses import dataclass, replace
 from unittest.mock import patch
 
 from willowpost.common.plan import Plan
-from willowpost.consensus.replica.founding import Rights
+from willowpost.consensus.replica.bootstrap import Rights
 from willowpost.consensus.replica.voting import Voting
 from willowpost.consensus.thresholds import Thresholds
 from willowpost.sim.core import CoreWorld
 from willowpost.sim.fleet.world import FleetWorld
 from willowpost.sim.rules import Broken
-from willowpost.sim.storms import SeatStorm
+from willowpost.sim.fault_schedules import SeatFaultSchedule
 from willowpost.sim.world import seconds
 from willowpost.state.apply import Apply, answer_of
-from willowpost.state.apply.core import grow, swap
+from willowpost.state.apply.core import add_voters, replace_voter
 from willowpost.state.tables import Tables
 from willowpost.store.repair import Repair
 from willowpost.wire.messages import Command, Decision
 
-ALONE = {"zones": ("a", "b", "c"), "votersMost": 3}
-GROWING = {"zones": ("a", "b", "c", "a", "b"), "votersMost": 5}
-RIGHTS = Rights(foundersAreSeeds=True, votersMost=5)
+ALONE = {"zones": ("a", "b", "c"), "max_voters": 3}
+GROWING = {"zones": ("a", "b", "c", "a", "b"), "max_voters": 5}
+RIGHTS = Rights(bootstrap_from_seeds=True, max_voters=5)
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +49,7 @@
 def first_broken(seeds, **world):
     for seed in seeds:
         try:
-            SeatStorm(seed, **world).run()
+            SeatFaultSchedule(seed, **world).run()
         except Broken as broken:
             return str(broken)
         except AssertionError:
@@ -57,15 +57,15 @@
     return None
 
 
-class Storms(unittest.TestCase):
+class FaultSchedules(unittest.TestCase):
     def holds(self, seeds, shape):
         wiped = 0
         for seed in seeds:
             with self.subTest(seed=seed):
-                storm = SeatStorm(seed, **shape).run()
-                wiped += storm.wiped
-                self.assertEqual(([], []), (storm.unanswered(), storm.unseated()))
-                self.assertEqual((1, shape["votersMost"]), (len(storm.digests()), storm.voters()))
+                fault_schedule = SeatFaultSchedule(seed, **shape).run()
+                wiped += fault_schedule.wiped
+                self.assertEqual(([], []), (fault_schedule.unanswered(), fault_schedule.unseated()))
+                self.assertEqual((1, shape["max_voters"]), (len(fault_schedule.digests()), fault_schedule.voters()))
         self.assertGreater(wiped, len(seeds) // 2)
 
     def test_three_alone(self):
@@ -81,19 +81,19 @@
                     self.assertIsNotNone(first_broken(range(20), thresholds=thresholds, **shape))
 
     def test_saying_accepted_too_early_is_caught(self):
-        with patch("willowpost.consensus.replica.board.StoreBoard.safe", lambda self: 10**9):
+        with patch("willowpost.consensus.replica.replica_state.ReplicaState.safe", lambda self: 10**9):
             self.assertIn("disks holding it", first_broken(range(10), **ALONE))
 
 
 def epochs(world):
-    return [board.tables.epoch for _, board in world.boards()]
+    return [node_state.tables.epoch for _, node_state in world.node_states()]
 
 
 MOMENTS = {
-    "a first one offered itself": lambda world: any("grows" in card for _, board in world.boards() for card in board.tables.daemons.values()),
+    "a first one offered itself": lambda world: any("voter_offer" in card for _, node_state in world.node_states() for card in node_state.tables.daemons.values()),
     "one has decided it": lambda world: epochs(world).count(2) >= 1,
     "two have": lambda world: epochs(world).count(2) >= 2,
-    "one has opened the new epoch": lambda world: any(board.passed >= 2 for _, board in world.boards()),
+    "one has opened the new epoch": lambda world: any(node_state.passed >= 2 for _, node_state in world.node_states()),
     "all have": lambda world: epochs(world).count(2) == 5,
 }
 
@@ -101,19 +101,19 @@
 class Struck:
     """A core of three that grows by two; at a moment of it something happens, and what is asked then must be answered."""
 
-    def __init__(self, seed, moment, blow, victims):
-        self.world = world = CoreWorld(seed, zones=GROWING["zones"], founders=3, rights=RIGHTS)
-        self.due = (MOMENTS[moment], blow, victims)
+    def __init__(self, seed, moment, fault, victims):
+        self.world = world = CoreWorld(seed, zones=GROWING["zones"], members=3, rights=RIGHTS)
+        self.due = (MOMENTS[moment], fault, victims)
         self.struck = False
         world.checks.append(self.look)
         world.add_caller("r0", list(world.names))
 
     def look(self, world, seat, event, plan):
-        moment, blow, victims = self.due
+        moment, fault, victims = self.due
         if not self.struck and moment(world):
             self.struck = True
             for victim in victims:
-                getattr(self, blow)(victim)
+                getattr(self, fault)(victim)
 
     def dark(self, victim):
         self.world.at(0, self.world.crash, victim)
@@ -136,28 +136,28 @@
         world.run(seconds(1.5))
         answered = [token for token in tokens if token in world.replies]
         world.settle(8)
-        return len(answered), sorted({len(board.tables.core) for _, board in world.boards()})
+        return len(answered), sorted({len(node_state.tables.core) for _, node_state in world.node_states()})
 
 
 class Growth(unittest.TestCase):
     def strike(self, moment, victims):
-        for number, blow in enumerate(("dark", "wiped", "cut")):
-            with self.subTest(moment=moment, blow=blow, victims=victims):
-                self.assertEqual((8, [5]), Struck(number + 10 * int(victims[0][1]), moment, blow, victims).run())
+        for number, fault in enumerate(("dark", "wiped", "cut")):
+            with self.subTest(moment=moment, fault=fault, victims=victims):
+                self.assertEqual((8, [5]), Struck(number + 10 * int(victims[0][1]), moment, fault, victims).run())
 
     def test_one_loss_at_any_moment_of_it_stops_nothing(self):
         for moment in MOMENTS:
             for victim in ("s0", "s1", "s2", "s3", "s4"):
                 self.strike(moment, [victim])
 
-    def test_once_grown_two_losses_stop_nothing(self):
+    def test_once_grown_two_failure_verdicts_stop_nothing(self):
         for victims in (["s0", "s1"], ["s0", "s4"], ["s3", "s4"]):
             self.strike("all have", victims)
 
     def test_three_cannot_bear_two(self):
         """The check above can fail: without growth the same two losses stop the core."""
-        with patch.object(Repair, "_may_grow", lambda self: False):
-            world = CoreWorld(1, zones=GROWING["zones"], founders=3, rights=RIGHTS)
+        with patch.object(Repair, "_may_add_voters", lambda self: False):
+            world = CoreWorld(1, zones=GROWING["zones"], members=3, rights=RIGHTS)
             world.add_caller("r0", list(world.names))
             world.run(seconds(4))
             for victim in ("s0", "s1"):
@@ -167,71 +167,71 @@
             self.assertNotIn(token, world.replies)
 
     def test_nothing_grows_unless_set(self):
-        world = CoreWorld(1, zones=GROWING["zones"], founders=3, rights=Rights(foundersAreSeeds=True))
+        world = CoreWorld(1, zones=GROWING["zones"], members=3, rights=Rights(bootstrap_from_seeds=True))
         world.run(seconds(8))
-        self.assertEqual({3}, {len(board.tables.core) for _, board in world.boards()})
+        self.assertEqual({3}, {len(node_state.tables.core) for _, node_state in world.node_states()})
 
     def test_a_learner_that_is_behind_does_not_offer_itself(self):
-        world = CoreWorld(1, zones=GROWING["zones"], founders=3, rights=RIGHTS)
+        world = CoreWorld(1, zones=GROWING["zones"], members=3, rights=RIGHTS)
         world.cut(["s4"], ["s1", "s2"])        # it is told by one voter, and cannot know whether that is all
         world.run(seconds(6))
-        self.assertEqual({3}, {len(board.tables.core) for _, board in world.boards()})
+        self.assertEqual({3}, {len(node_state.tables.core) for _, node_state in world.node_states()})
         world.heal()
         world.run(seconds(6))
-        self.assertEqual({5}, {len(board.tables.core) for _, board in world.boards()})
+        self.assertEqual({5}, {len(node_state.tables.core) for _, node_state in world.node_states()})
 
 
-class Founders(unittest.TestCase):
+class Members(unittest.TestCase):
     def test_an_empty_fleet_that_may_not_found_never_does(self):
-        for rights in (Rights(mayFound=False), Rights(mayFound=False, foundersAreSeeds=True, votersMost=5)):
-            world = CoreWorld(3, zones=GROWING["zones"], founders=3, rights=rights)
+        for rights in (Rights(may_bootstrap=False), Rights(may_bootstrap=False, bootstrap_from_seeds=True, max_voters=5)):
+            world = CoreWorld(3, zones=GROWING["zones"], members=3, rights=rights)
             world.run(seconds(20))
             self.assertEqual({0}, set(epochs(world)))
-            self.assertFalse([board for _, board in world.boards() if board.vow])
+            self.assertFalse([node_state for _, node_state in world.node_states() if node_state.bootstrap_promise])
 
     def test_two_that_may_and_one_that_may_not_do_not_found(self):
-        world = CoreWorld(3, zones=("a", "b", "c"), founders=3)
-        world.rights = Rights(mayFound=False)
-        world.crash("s2", loseDisk=True)
+        world = CoreWorld(3, zones=("a", "b", "c"), members=3)
+        world.rights = Rights(may_bootstrap=False)
+        world.crash("s2", lose_disk=True)
         world.start("s2")
         world.run(seconds(10))
         self.assertEqual({0}, set(epochs(world)))
         world.rights = Rights()
-        world.crash("s2", loseDisk=True)
+        world.crash("s2", lose_disk=True)
         world.start("s2")
-        self.assertTrue(world.until(world.founded, seconds(5)))
+        self.assertTrue(world.until(world.bootstrapped, seconds(5)))
 
     def test_only_seeds_found_whoever_else_is_there_first(self):
         for seed in range(6):
-            world = CoreWorld(seed, zones=GROWING["zones"], founders=3, rights=Rights(foundersAreSeeds=True))
+            world = CoreWorld(seed, zones=GROWING["zones"], members=3, rights=Rights(bootstrap_from_seeds=True))
             world.crash("s0")
             world.run(seconds(3))
             self.assertEqual({0}, set(epochs(world)))
             world.start("s0")
-            self.assertTrue(world.until(world.founded, seconds(5)))
-            self.assertEqual([["s0", "s1", "s2"]] * 5, [sorted(member["name"] for member in board.tables.core) for _, board in world.boards()])
+            self.assertTrue(world.until(world.bootstrapped, seconds(5)))
+            self.assertEqual([["s0", "s1", "s2"]] * 5, [sorted(member["name"] for member in node_state.tables.core) for _, node_state in world.node_states()])
 
-    def test_more_seeds_than_founders_found_one_fleet(self):
+    def test_more_seeds_than_members_found_one_fleet(self):
         for seed in range(6):
-            world = CoreWorld(seed, zones=("a", "b"), founders=1, rights=Rights(foundersAreSeeds=True))
+            world = CoreWorld(seed, zones=("a", "b"), members=1, rights=Rights(bootstrap_from_seeds=True))
             world.cut(["s0"], ["s1"])
             world.run(seconds(3))
             self.assertEqual([1, 0], epochs(world))
             world.heal()
             world.run(seconds(3))
-            self.assertEqual([["s0"]] * 2, [[member["name"] for member in board.tables.core] for _, board in world.boards()])
+            self.assertEqual([["s0"]] * 2, [[member["name"] for member in node_state.tables.core] for _, node_state in world.node_states()])
 
-    def test_founders_that_restart_before_they_vowed_go_on_founding(self):
-        world = CoreWorld(3, zones=("a", "b", "c"), founders=3, rights=Rights(foundersAreSeeds=True))
+    def test_members_that_restart_before_they_promised_go_on_bootstrap(self):
+        world = CoreWorld(3, zones=("a", "b", "c"), members=3, rights=Rights(bootstrap_from_seeds=True))
         for name in world.names:
             world.crash(name)
         for name in world.names:
             world.start(name)        # a second life: only the disk says that it may
-        self.assertTrue(world.until(world.founded, seconds(5)))
+        self.assertTrue(world.until(world.bootstrapped, seconds(5)))
 
     def test_a_store_whose_voters_are_all_gone_finds_the_new_ones_by_its_seeds(self):
-        world = CoreWorld(4, zones=("a", "b", "c"), founders=3, rights=Rights(foundersAreSeeds=True, votersMost=3))
-        self.assertTrue(world.until(world.founded, seconds(5)))
+        world = CoreWorld(4, zones=("a", "b", "c"), members=3, rights=Rights(bootstrap_from_seeds=True, max_voters=3))
+        self.assertTrue(world.until(world.bootstrapped, seconds(5)))
         world.crash("s0")
         for number, zone in enumerate("abc"):        # three newcomers take the seats, one by one, at other addresses
             name = f"n{number}"
@@ -241,21 +241,21 @@
             if number:
                 world.seats[f"s{number}"].retired = True
                 world.crash(f"s{number}")
-            self.assertTrue(world.until(lambda: any(member["name"] == name for _, board in world.boards() for member in board.tables.core), seconds(8)), name)
+            self.assertTrue(world.until(lambda: any(member["name"] == name for _, node_state in world.node_states() for member in node_state.tables.core), seconds(8)), name)
             world.run(seconds(1))
         with patch.object(CoreWorld, "seeds_of_stores", lambda self: ["n0", "n1", "n2"]):
             world.start("s0")
         world.run(seconds(5))
-        slots = {seat.address: board.tables.slot for seat, board in world.boards()}
+        slots = {seat.address: node_state.tables.slot for seat, node_state in world.node_states()}
         self.assertEqual(1, len(set(slots.values())), slots)
 
 
 class UnheardGrowth:
     """The moment one founder has decided the growth, the core splits: it and the newcomers are enough of five to accept;
-    the two founders that have not decided it are enough of three to be read. Edges, shields and registries hear only them."""
+    the two bootstrap members that have not decided it are enough of three to be read. Edges, shields and registries hear only them."""
 
     def __init__(self, seed):
-        self.world = world = FleetWorld(seed, founders=3, rights=Rights(foundersAreSeeds=True))
+        self.world = world = FleetWorld(seed, members=3, rights=Rights(bootstrap_from_seeds=True))
         world.open()
         world.checks.append(self.look)
         self.knows = None
@@ -265,7 +265,7 @@
             world.start(name)
 
     def look(self, world, seat, event, plan):
-        if self.knows is None and getattr(seat.node, "board", None) is not None and seat.node.board.tables.epoch == 2:
+        if self.knows is None and getattr(seat.node, "node_state", None) is not None and seat.node.node_state.tables.epoch == 2:
             self.knows = seat.address
             ignorant, knowing = [name for name in ("s0", "s1", "s2") if name != self.knows], [self.knows, "s3", "s4"]
             world.cut([ignorant[0]], [ignorant[1]])
@@ -277,8 +277,8 @@
             raise AssertionError("it did not grow")
         if self.knows in ("s3", "s4"):
             return None
-        self.world.layout["props"]["deadlineMs"] = 1900
-        self.world.put_layout(int(self.knows[1]))
+        self.world.configuration["settings"]["deadline_ms"] = 1900
+        self.world.put_configuration(int(self.knows[1]))
         self.world.run(seconds(6))
         return self.world
 
@@ -288,9 +288,9 @@
         for seed in range(5):
             with self.subTest(seed=seed):
                 world = UnheardGrowth(seed).run()
-                self.assertEqual(1, world.generation)
+                self.assertEqual(1, world.version)
                 world.settle()
-                self.assertEqual(2, world.generation)
+                self.assertEqual(2, world.version)
 
     def test_without_the_barrier_a_reader_misses_what_was_accepted(self):
         with patch.object(Voting, "_opened", lambda self, plan: True), self.assertRaisesRegex(Broken, "calls itself whole"):
@@ -313,7 +313,7 @@
         self.tables = Tables(slot=9, epoch=1, core=core, daemons=daemons)
 
     def ask(self, tables, learner, most=5, incarnation=1):
-        return grow(tables, {"op": "grow", "learner": learner, "incarnation": incarnation, "most": most})
+        return add_voters(tables, {"op": "add_voters", "learner": learner, "incarnation": incarnation, "most": most})
 
     def after(self, tables, *learners, **more):
         for learner in learners:
@@ -348,8 +348,8 @@
         self.assertFalse(self.after(registry, "D", "E")[1]["ok"])
 
     def test_a_malformed_op_ends_nobody(self):
-        for op in ({"op": "grow"}, {"op": "grow", "learner": "D", "incarnation": 1, "most": "many"}, {"op": "swap", "old": [], "new": 7},
-                   {"op": ["grow"]}, "grow", None, {"op": "join", "daemon": 3}):
+        for op in ({"op": "add_voters"}, {"op": "add_voters", "learner": "D", "incarnation": 1, "most": "many"}, {"op": "replace_voter", "old": [], "new": 7},
+                   {"op": ["add_voters"]}, "add_voters", None, {"op": "join", "daemon": 3}):
             body = json.dumps([op, {"op": "zone", "zone": "z", "empty": True}])
             tables = Apply().step(self.tables, Decision(9, "r/1/1", Command("r", 1, 1, 1, body)))
             self.assertEqual((10, True), (tables.slot, "z" in tables.zones))
@@ -357,17 +357,17 @@
 
     def test_an_offer_from_before_a_loss_is_void(self):
         tables, _ = self.ask(self.tables, "D")
-        tables = replace(tables, slot=11, losses=({"slot": 10, "daemon": "D", "name": "D", "kind": "store", "zone": "a", "repaired": 11},))
+        tables = replace(tables, slot=11, failure_verdicts=({"slot": 10, "daemon": "D", "name": "D", "kind": "store", "zone": "a", "repaired": 11},))
         self.assertFalse(self.ask(tables, "E")[1]["ok"])
         self.assertTrue(self.after(tables, "E", "D")[1]["ok"])
 
     def test_the_zone_rule_follows_f_and_few_zones_get_no_worse(self):
         lost = self.with_daemons({**self.changed("C", state="lost")})
-        self.assertFalse(swap(lost, {"old": "C", "new": member("D", "a")})[1]["ok"], "two of three in one zone")
-        self.assertTrue(swap(lost, {"old": "C", "new": member("D", "d")})[1]["ok"])
+        self.assertFalse(replace_voter(lost, {"old": "C", "new": member("D", "a")})[1]["ok"], "two of three in one zone")
+        self.assertTrue(replace_voter(lost, {"old": "C", "new": member("D", "d")})[1]["ok"])
         narrow = replace(lost, core=tuple(member(name, zone) for name, zone in zip("ABC", "aab")))
-        self.assertTrue(swap(narrow, {"old": "C", "new": member("D", "b")})[1]["ok"])
-        self.assertFalse(swap(narrow, {"old": "C", "new": member("D", "a")})[1]["ok"])
+        self.assertTrue(replace_voter(narrow, {"old": "C", "new": member("D", "b")})[1]["ok"])
+        self.assertFalse(replace_voter(narrow, {"old": "C", "new": member("D", "a")})[1]["ok"])
 
 
 if __name__ == "__main__":
--- a/tests/test_props.py
+++ b/tests/test_settings.py
@@ -9,11 +9,11 @@
 
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Changed
-from willowpost.node.board import LEASE, Card, FollowBoard
+from willowpost.node.node_state import LEASE, Card, NodeState
 from willowpost.node.watch import watchers_of
 from willowpost.shell.logs import Logs
-from willowpost.shell.props import DaemonProps, PropsReader
-from willowpost.shell.reload import PropsReload
+from willowpost.shell.settings import DaemonSettings, SettingsReader
+from willowpost.shell.reload import SettingsReload
 from willowpost.sim.fleet.world import FleetWorld
 from willowpost.sim.world import seconds
 
@@ -24,8 +24,8 @@
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        self.path, self.said = os.path.join(folder.name, "props.json"), io.StringIO()
-        self.reload = PropsReload(self.path, {}, ("http",), DaemonProps(**HELD), Logs("wpproxy", "edge-1", stream=self.said))
+        self.path, self.said = os.path.join(folder.name, "settings.json"), io.StringIO()
+        self.reload = SettingsReload(self.path, {}, ("http",), DaemonSettings(**HELD), Logs("wpproxy", "edge-1", stream=self.said))
 
     def read(self, **changes):
         with open(self.path, "w") as file:
@@ -37,9 +37,9 @@
 
     def test_what_can_change_live_does_and_the_rest_is_named_until_a_restart(self):
         for _ in range(2):
-            props = self.read(seeds=["127.0.0.3:7000"], level="DEBUG", address="127.0.0.1:7001", zone="b").unwrap()
-            self.assertEqual((["127.0.0.3:7000"], "DEBUG", "127.0.0.1:7000", "a"), (props.seeds, props.level, props.address, props.zone))
-            self.assertEqual({"zone", "address"}, set(self.last()["needsRestart"]))
+            settings = self.read(seeds=["127.0.0.3:7000"], level="DEBUG", address="127.0.0.1:7001", zone="b").unwrap()
+            self.assertEqual((["127.0.0.3:7000"], "DEBUG", "127.0.0.1:7000", "a"), (settings.seeds, settings.level, settings.address, settings.zone))
+            self.assertEqual({"zone", "address"}, set(self.last()["needs_restart"]))
         self.assertEqual([], self.last()["changed"])
 
     def test_one_wrong_prop_keeps_all_the_old_ones_and_every_finding_is_told(self):
@@ -59,7 +59,7 @@
             path = os.path.join(folder, name)
             with open(path, "w") as file:
                 file.write(text)
-            return PropsReader().read(path, flags)
+            return SettingsReader().read(path, flags)
 
     def test_yaml_and_json_say_the_same(self):
         text = """
@@ -67,38 +67,38 @@
 zone: a
 address: 127.0.0.1:7000
 http: 127.0.0.1:8000
-soundness: 127.0.0.1:8001
+health: 127.0.0.1:8001
 seeds: [127.0.0.2:7000]
 voters: 3
-mayFound: false
+may_bootstrap: false
 regions: {a: north, b: south}
-serveOnMs: 60000
-drainMs: 2500
+serve_on_ms: 60000
+drain_ms: 2500
 pace: {resend: 30}
 """
-        for name in ("props.yaml", "props.yml"):
+        for name in ("settings.yaml", "settings.yml"):
             place = self.read(name, text).unwrap().place()
-            self.assertEqual((3, False, {"a": "north", "b": "south"}, 60_000, 30 * MILLI), (place.voters, place.mayFound, place.regions, place.serveOnMs, place.pace.resend))
-            self.assertEqual(place, self.read("props.json", json.dumps(yaml.safe_load(text))).unwrap().place())
+            self.assertEqual((3, False, {"a": "north", "b": "south"}, 60_000, 30 * MILLI), (place.voters, place.may_bootstrap, place.regions, place.serve_on_ms, place.pace.resend))
+            self.assertEqual(place, self.read("settings.json", json.dumps(yaml.safe_load(text))).unwrap().place())
             self.assertEqual((2500 * MILLI, 30_000 * MILLI), (place.spans().drain, place.spans().finish))
 
     def test_findings_as_before(self):
-        for name, text in (("props.yaml", "a: [1"), ("props.yaml", "- 1"), ("props.yaml", "1: 2"), ("props.json", "[]"), ("props.json", "{")):
+        for name, text in (("settings.yaml", "a: [1"), ("settings.yaml", "- 1"), ("settings.yaml", "1: 2"), ("settings.json", "[]"), ("settings.json", "{")):
             self.assertEqual(1, len(self.read(name, text).unwrap_err()), text)
-        held = self.read("props.yaml", "name: e\nzone: a\naddress: 127.0.0.1:0\nsoundness: x\nseeds: [127.0.0.1:1]\nserveOnMs: 1\nvotersMost: 4\n")
-        self.assertEqual({"address", "soundness", "serveOnMs", "votersMost"}, {finding["place"] for finding in held.unwrap_err()})
+        held = self.read("settings.yaml", "name: e\nzone: a\naddress: 127.0.0.1:0\nsoundness: x\nseeds: [127.0.0.1:1]\nserve_on_ms: 1\nvoters_most: 4\n")
+        self.assertEqual({"address", "health", "serve_on_ms", "max_voters"}, {finding["place"] for finding in held.unwrap_err()})
 
 
 class ServingOn(unittest.TestCase):
     def test_a_long_serve_on_lengthens_no_duty(self):
         card = Card("e/proxy", "proxy", "edge", "e", "a", "127.0.0.1:1", "127.0.0.1:2", 7)
-        board = FollowBoard(card, freshAsOf=0)
-        self.assertEqual((True, True), (board.leased(LEASE), board.ruling(LEASE)))
-        self.assertEqual((False, False), (board.leased(LEASE + 1), board.ruling(LEASE + 1)))
-        board.serveOn = 60 * SECOND
-        self.assertEqual((True, False), (board.leased(60 * SECOND), board.ruling(LEASE + 1)))
-        self.assertFalse(board.leased(60 * SECOND + 1))
-        self.assertFalse(FollowBoard(card, serveOn=60 * SECOND).leased(0), "a new life has no news at all")
+        node_state = NodeState(card, fresh_as_of=0)
+        self.assertEqual((True, True), (node_state.leased(LEASE), node_state.ruling(LEASE)))
+        self.assertEqual((False, False), (node_state.leased(LEASE + 1), node_state.ruling(LEASE + 1)))
+        node_state.serve_on = 60 * SECOND
+        self.assertEqual((True, False), (node_state.leased(60 * SECOND), node_state.ruling(LEASE + 1)))
+        self.assertFalse(node_state.leased(60 * SECOND + 1))
+        self.assertFalse(NodeState(card, serve_on=60 * SECOND).leased(0), "a new life has no state updates at all")
 
 
 class SwappedSeeds(unittest.TestCase):
@@ -107,40 +107,40 @@
         world.open()
         world.crash("e1")
         world.run(seconds(3))
-        world.seedNames = ["x1", "x2"]       # nobody is there
+        world.seed_names = ["x1", "x2"]       # nobody is there
         world.cut(["e1"], [name for name in world.seats if name != "e1"])     # nor does a watcher reach it
         world.start("e1")
         world.run(seconds(4))
-        board = world.seats["e1"].node.proxy
+        node_state = world.seats["e1"].node.proxy
         watchers = watchers_of("e1/proxy", world.seats["r0"].node.registry.tables.daemons)
         helper = next(name for name in ("e0", "e2", "e3", "e4") if f"{name}/proxy" not in watchers)
         world.cuts -= {("e1", helper), (helper, "e1")}      # it would answer, but e1 does not know of it
         world.run(seconds(1))
-        self.assertEqual((0, ()), (board.tables.epoch, board.seedCores))
+        self.assertEqual((0, ()), (node_state.tables.epoch, node_state.seed_cores))
         world.give("e1", Changed((helper,)))
         world.run(seconds(1))
-        self.assertEqual(5, len(board.seedCores))
+        self.assertEqual(5, len(node_state.seed_cores))
         world.heal()
-        self.assertTrue(world.until(lambda: board.leased(world.now(world.seats["e1"])), seconds(3)))
+        self.assertTrue(world.until(lambda: node_state.leased(world.now(world.seats["e1"])), seconds(3)))
 
     def test_seeds_swapped_on_a_running_and_a_restarting_fleet_stores_included(self):
         world = FleetWorld(8)
         world.open()
-        layout = world.generation
+        configuration = world.version
         for names in (["e0", "r4", "h2"], ["s3", "s4", "e2"], ["r1", "r2", "r3"]):
-            world.seedNames = names
+            world.seed_names = names
             for name in [*world.names, *world.registries, *world.edges, *world.shields]:
                 world.give(name, Changed(tuple(seed for seed in names if seed != name)))
             for name in (*world.names, "r0", "e1", "h3"):
-                world.crash(name, loseDisk=name == "s2")
+                world.crash(name, lose_disk=name == "s2")
                 world.run(seconds(0.2))
                 world.start(name)
             world.run(seconds(6))
-            self.assertEqual(5, sum(board.voter for _, board in world.boards()))
-            world.put_layout(1)
+            self.assertEqual(5, sum(node_state.voter for _, node_state in world.node_states()))
+            world.put_configuration(1)
             world.run(seconds(2))
-            layout += 1
-            self.assertEqual(layout, world.generation)
+            configuration += 1
+            self.assertEqual(configuration, world.version)
         world.settle()
 
 
--- a/tests/test_small_rates.py
+++ b/tests/test_small_rates.py
@@ -6,14 +6,14 @@
 from willowpost.sim.rules import Broken
 from willowpost.sim.world import seconds
 
-TOKENS = "willowpost.proxy.admission.tokens"
-SHARED = lambda group: False
+TOKENS = "willowpost.proxy.admission.admission_tokens"
+SHARED = lambda service: False
 
 
 def small(rate, seed=4):
-    """The applications' group may get `rate` requests a second from eight proxies; callers ask for some twenty."""
+    """The applications' service may get `rate` requests a second from eight proxies; callers ask for some twenty."""
     world = FleetWorld(seed)
-    world.layout["groups"]["apps"]["rate"] = rate
+    world.configuration["services"]["apps"]["rate"] = rate
     world.rates = {**world.rates, "apps": rate}
     world.open()
     return world
@@ -35,7 +35,7 @@
 
     def test_shared_out_it_would_get_a_fraction_and_below_that_nothing_at_all(self):
         with patch(f"{TOKENS}.in_whole_tokens", SHARED), patch("willowpost.proxy.admission.buckets.in_whole_tokens", SHARED), \
-                patch("willowpost.proxy.admission.shares.in_whole_tokens", SHARED):
+                patch("willowpost.proxy.admission.quota_shares.in_whole_tokens", SHARED):
             self.assertEqual(0, arrived(small(0.5), 20))
             self.assertLess(arrived(small(0.8), 20), 0.4 * 0.8 * 20)
 
@@ -44,14 +44,14 @@
             arrived(small(1.0), 20)
 
     def test_the_rate_holds_while_owners_are_killed_cut_off_and_frozen(self):
-        world, blows = small(1.0), []
+        world, faults = small(1.0), []
         for number in range(12):
-            owner = world.seats["r0"].node.registry.tables.fences["share/apps"]["owner"].split("/")[0]
-            blow = number % 3
-            blows.append(owner)
-            if blow == 0:
+            owner = world.seats["r0"].node.registry.tables.fences["quota_share/apps"]["owner"].split("/")[0]
+            fault = number % 3
+            faults.append(owner)
+            if fault == 0:
                 world.crash(owner)
-            elif blow == 1:
+            elif fault == 1:
                 # still heard by those who ask it, but not by the core: its grants must end with its lease
                 world.cut([owner], [name for name in world.seats if name not in world.edges + world.shields + world.origins + ["caller"]])
             else:
@@ -60,16 +60,16 @@
             world.heal()
             if world.seats[owner].node is None:
                 world.start(owner)
-        self.assertGreater(len(set(blows)), 1)
+        self.assertGreater(len(set(faults)), 1)
         self.assertGreater(arrived(world, 20), 15)
 
 
 class ColdAndSlow(unittest.TestCase):
-    def test_a_whole_group_cold_at_once_is_pressed_by_everybody_and_never_too_hard(self):
-        """Each origin bears one request a second at first: too few for a token at every presser."""
+    def test_a_whole_service_cold_at_once_is_pressed_by_everybody_and_never_too_hard(self):
+        """Each origin bears one request a second at first: too few for a token at every sender."""
         world = FleetWorld(4)
-        world.coldPart, world.ramp = 1 / 120, 20.0
-        world.layout["groups"]["apps"]["rampSeconds"] = world.layout["groups"]["art"]["rampSeconds"] = 20.0
+        world.cold_part, world.ramp = 1 / 120, 20.0
+        world.configuration["services"]["apps"]["ramp_seconds"] = world.configuration["services"]["art"]["ramp_seconds"] = 20.0
         world.open()
         world.run(seconds(20))
         for name in world.origins:
--- a/tests/test_sweep.py
+++ b/tests/test_sweep.py
@@ -10,7 +10,7 @@
 from willowpost.sim.rules import Broken
 
 
-class Storm:
+class FaultSchedule:
     """Breaks by the seed: 1 and 3 of one rule, 4 of none but by a fault of its own."""
 
     def __init__(self, seed, deployment):
@@ -28,7 +28,7 @@
 def sweep(words):
     application = Application()
     application.add(SweepCommand())
-    with patch("willowpost.drill.tools.CalmStorm", Storm):
+    with patch("willowpost.drill.tools.BoundedFaultSchedule", FaultSchedule):
         tester = CommandTester(application.find("sweep"))
         code = tester.execute(words)
     return code, tester.io.fetch_output()
--- a/tests/test_toolbox.py
+++ b/tests/test_toolbox.py
@@ -13,18 +13,18 @@
     @classmethod
     def setUpClass(cls):
         world = CoreWorld(11)
-        world.until(world.founded, seconds(5))
+        world.until(world.bootstrapped, seconds(5))
         world.add_caller("r", list(world.names))
         for number in range(12):
             world.ask("r", {"op": "zone", "zone": f"z{number}", "empty": True})
             world.run(seconds(0.2))
         cls.records = world.seats["s0"].disk.records
-        cls.tables = world.seats["s0"].node.board.tables
+        cls.tables = world.seats["s0"].node.node_state.tables
 
     def folder(self, data):
         held = tempfile.TemporaryDirectory()
         self.addCleanup(held.cleanup)
-        with open(os.path.join(held.name, "generation-000000000001.wp"), "wb") as file:
+        with open(os.path.join(held.name, "version-000000000001.wp"), "wb") as file:
             file.write(data)
         return held.name
 
@@ -46,10 +46,10 @@
 
     def test_each_damage_is_told_with_its_place(self):
         decisions = [number for number, record in enumerate(self.records) if record["k"] == "decision"]
-        stances = [number for number, record in enumerate(self.records) if record["k"] == "stance" and record["votes"]]
+        ballot_states = [number for number, record in enumerate(self.records) if record["k"] == "ballot_state" and record["votes"]]
         gone = self.records[:decisions[3]] + self.records[decisions[3] + 1:]
         unsaid = list(self.records)
-        unsaid.insert(stances[-1] + 1, {**unsaid[stances[-1]], "votes": [1 - unsaid[stances[-1]]["votes"][0]]})
+        unsaid.insert(ballot_states[-1] + 1, {**unsaid[ballot_states[-1]], "votes": [1 - unsaid[ballot_states[-1]]["votes"][0]]})
         data = bytearray(self.whole())
         data[len(data) // 2] ^= 1
         for broken, words in ((self.whole(gone), "is due"), (self.whole(unsaid), "unsays"), (bytes(data), "bad record"),
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -9,7 +9,7 @@
 
 from served import ScriptedOrigin, ServedProxy, answer
 from willowpost.proxy.origin.exchange import Exchange
-from willowpost.proxy.origin.knock import Knock
+from willowpost.proxy.origin.instance_check import InstanceCheck
 from willowpost.state.apply.operators import purge
 from willowpost.state.tables import Tables
 
@@ -48,26 +48,26 @@
         self.assertEqual(1, sum(map(len, proxy.pool.idle.values())))
 
 
-class Knocks(unittest.TestCase):
+class InstanceChecks(unittest.TestCase):
     """A fresh connection to an origin that opted in asks for its name first; nothing of a request leaves to another."""
 
-    mine = answer(b"", Wp_Token="token-of-this-life")
+    mine = answer(b"", Wp_Token="token-of-this-incarnation")
 
     def proxy(self, *origins):
         proxy = ServedProxy(*origins)
-        proxy.set_origins(origins, Knock("/soundness", "token-of-this-life"))
+        proxy.set_origins(origins, InstanceCheck("/health", "token-of-this-incarnation"))
         return proxy
 
     def test_the_request_follows_on_the_connection_that_named_the_token(self):
         origin = ScriptedOrigin(self.mine, answer(b"one", Cache_Control="no-store"), answer(b"two", Cache_Control="no-store"), self.mine, answer(b"done"))
         proxy = self.proxy(origin)
         self.assertEqual([b"one", b"two", b"done"], [proxy.ask("GET", "/a")[1], proxy.ask("GET", "/b")[1], proxy.ask("POST", "/w/1", b"x")[1]])
-        self.assertEqual([b"/soundness", b"/a", b"/b", b"/soundness", b"/w/1"], [request.split()[1] for request in origin.requests])
+        self.assertEqual([b"/health", b"/a", b"/b", b"/health", b"/w/1"], [request.split()[1] for request in origin.requests])
         self.assertEqual([1, 1, 1, 2, 2], origin.connections)
 
     def test_whoever_does_not_name_the_token_gets_no_request(self):
-        for other in (answer(b"", Wp_Token="token-of-another"), answer(b""), answer(b"", "503 Service Unavailable", Wp_Token="token-of-this-life"),
-                      answer(b"", Wp_Token="token-of-this-life", Connection="close"), answer(b"x" * 9, length=10, Wp_Token="token-of-this-life", Connection="close"),
+        for other in (answer(b"", Wp_Token="token-of-another"), answer(b""), answer(b"", "503 Service Unavailable", Wp_Token="token-of-this-incarnation"),
+                      answer(b"", Wp_Token="token-of-this-incarnation", Connection="close"), answer(b"x" * 9, length=10, Wp_Token="token-of-this-incarnation", Connection="close"),
                       b"nonsense", None):
             with self.subTest(other=other):
                 origin = ScriptedOrigin(other)
@@ -75,28 +75,28 @@
                 code, _, headers = proxy.ask("POST", "/w/1", b"x")
                 self.assertEqual((503, "not-run"), (code, headers["wp-outcome"]))
                 self.assertIn(proxy.ask("GET", "/a")[0], (502, 503))
-                self.assertEqual({b"/soundness"}, {request.split()[1] for request in origin.requests})
+                self.assertEqual({b"/health"}, {request.split()[1] for request in origin.requests})
 
-    def test_without_the_knock_it_would_get_it(self):
+    def test_without_the_instance_check_it_would_get_it(self):
         origin = ScriptedOrigin(answer(b"", Wp_Token="token-of-another"))
-        with patch.object(Exchange, "knock", lambda *args: None):
+        with patch.object(Exchange, "instance_check", lambda *args: None):
             self.proxy(origin).ask("POST", "/w/1", b"x")
         self.assertEqual([b"/w/1"], [request.split()[1] for request in origin.requests])
 
-    def test_another_origin_is_drawn_and_the_write_runs_there(self):
+    def test_another_origin_is_picked_and_the_write_runs_there(self):
         for _ in range(3):
             wrong, right = ScriptedOrigin(answer(b"", Wp_Token="token-of-another")), ScriptedOrigin(self.mine, answer(b"done"))
             self.assertEqual((200, b"done"), self.proxy(wrong, right).ask("POST", "/w/1", b"x")[:2])
 
-    def test_a_request_shed_after_its_knock_sent_nothing(self):
-        """The lease is looked at after the knock, however long that took."""
+    def test_a_request_reject_after_its_instance_check_sent_nothing(self):
+        """The lease is looked at after the instance check, however long that took."""
         proxy = self.proxy(origin := ScriptedOrigin(self.mine))
-        knock = Exchange.knock
+        instance_check = Exchange.instance_check
 
         def slow(exchange, *args):
-            knock(exchange, *args)
+            instance_check(exchange, *args)
             proxy.clock.time += 2_000_000
-        with patch.object(Exchange, "knock", slow):
+        with patch.object(Exchange, "instance_check", slow):
             self.assertEqual((503, "not-run"), (held := proxy.ask("POST", "/w/1", b"x"))[0:1] + (held[2]["wp-outcome"],))
         self.assertEqual(1, len(origin.requests))
 
@@ -115,7 +115,7 @@
                 self.assertEqual(502, code)
                 self.assertIn("retry-after", headers)
 
-    def test_a_read_is_tried_elsewhere_and_the_whole_answer_is_delivered(self):
+    def test_a_read_is_tried_elsewhere_and_the_whole_answer_is_forwarded(self):
         good = b"the whole answer"
         bad, fine = ScriptedOrigin(answer(good, Content_Digest=digest(b"x"))), ScriptedOrigin(answer(good, Content_Digest=digest(good)))
         for number in range(4):
@@ -164,10 +164,10 @@
                                            b"HTTP/1.1 304 Not Modified\r\nETag: \"1\"\r\nCache-Control: max-age=10\r\n\r\n", answer(b"two")))
         self.assertEqual("4", proxy.ask("GET", "/a")[2]["age"])
         proxy.clock.time += 5_000_000
-        proxy.board.freshAsOf = proxy.clock.time
+        proxy.node_state.fresh_as_of = proxy.clock.time
         self.assertEqual(("hit", "9"), tuple(proxy.ask("GET", "/a")[2][name] for name in ("wp-cache", "age")))
         proxy.clock.time += 2_000_000
-        proxy.board.freshAsOf = proxy.clock.time
+        proxy.node_state.fresh_as_of = proxy.clock.time
         code, body, headers = proxy.ask("GET", "/a")
         self.assertEqual((200, b"one", "miss"), (code, body, headers["wp-cache"]))
 
@@ -185,7 +185,7 @@
             def _serve(self, connection, source):
                 connection.recv(65536)
                 tables, _ = purge(Tables(slot=6, epoch=1), {"kind": "item", "host": "*", "path": "/r"})
-                proxy.cache.purge(tables)     # the news comes while the origin is still answering
+                proxy.cache.purge(tables)     # the state updates comes while the origin is still answering
                 connection.sendall(answer(b"old", Cache_Control="max-age=60", Connection="close"))
         proxy.set_origins([PurgingOrigin()])
         proxy.ask("GET", "/r")
@@ -193,7 +193,7 @@
 
 
 class Freshness(unittest.TestCase):
-    def test_without_a_lease_nothing_is_delivered_not_even_from_the_cache(self):
+    def test_without_a_lease_nothing_is_forwarded_not_even_from_the_cache(self):
         origin = ScriptedOrigin(answer(b"one", Cache_Control="max-age=60"))
         proxy = ServedProxy(origin)
         proxy.ask("GET", "/a")
@@ -203,7 +203,7 @@
         self.assertEqual(503, proxy.ask("POST", "/w/1", b"x")[0])
         self.assertEqual(1, len(origin.requests))
 
-    def test_a_freeze_between_the_plan_and_the_first_byte_sheds_the_write(self):
+    def test_a_freeze_between_the_plan_and_the_first_byte_rejects_the_write(self):
         origin = ScriptedOrigin(answer())
         proxy = ServedProxy(origin)
         take = proxy.allowance.let_in
@@ -221,7 +221,7 @@
         proxy = ServedProxy(origin)
         proxy.ask("GET", "/a")
         proxy.set_origins([])
-        proxy.pool.keep_only(proxy.board.picture.origins)
+        proxy.pool.keep_only(proxy.node_state.snapshot.origins)
         self.assertEqual(503, proxy.ask("GET", "/a")[0])
         self.assertEqual({}, proxy.pool.idle)
         self.assertEqual(1, len(origin.requests))
--- a/tests/test_weakmvc.py
+++ b/tests/test_weakmvc.py
@@ -3,10 +3,10 @@
 import unittest
 from dataclasses import replace
 
-from willowpost.consensus.kinds import NEXT, Ballot, stage_of
+from willowpost.consensus.kinds import NEXT, BallotValue, stage_of
 from willowpost.consensus.thresholds import Thresholds
 from willowpost.consensus.weakmvc import Verdict, WeakMvc, agreed_proposal
-from willowpost.wire.messages import Stance
+from willowpost.wire.messages import BallotState
 
 
 class Model:
@@ -15,8 +15,8 @@
     def __init__(self, seed, n=5):
         self.chance = random.Random(seed)
         self.limits, self.mvc = Thresholds(n), WeakMvc()
-        self.disk = {f"r{number}": Stance(f"r{number}", 1, seed, self.chance.choice("XXYZ")) for number in range(n)}
-        self.heard = {name: {name: stance} for name, stance in self.disk.items()}
+        self.disk = {f"r{number}": BallotState(f"r{number}", 1, seed, self.chance.choice("XXYZ")) for number in range(n)}
+        self.heard = {name: {name: ballot_state} for name, ballot_state in self.disk.items()}
         self.verdicts = {}
 
     def hear(self, listener, speaker):
@@ -44,7 +44,7 @@
         for seed in range(400):
             model = Model(seed)
             for before, moved in model.run(600, list(model.disk)):
-                if isinstance(moved, Stance):
+                if isinstance(moved, BallotState):
                     self.assertIn(stage_of(moved.states, moved.votes), NEXT[stage_of(before.states, before.votes)])
                     self.assertTrue(moved.agreed or 1 not in moved.states + moved.votes)
             # who is left behind when the others have decided is told the decision; that is catch-up's work
@@ -55,10 +55,10 @@
         for seed in range(400):
             model = Model(seed)
             list(model.run(model.chance.randrange(40, 200), list(model.disk)))
-            if Ballot.ONE not in model.verdicts.values():
+            if BallotValue.ONE not in model.verdicts.values():
                 continue
             for gone in model.disk:
-                left = {name: stance for name, stance in model.disk.items() if name != gone}
+                left = {name: ballot_state for name, ballot_state in model.disk.items() if name != gone}
                 named += 1
                 self.assertIsNotNone(agreed_proposal(left, model.limits), (seed, gone, left))
         self.assertGreater(named, 300)
@@ -68,8 +68,8 @@
         for seed in range(400):
             model = Model(seed)
             list(model.run(model.chance.randrange(40, 200), list(model.disk)))
-            if Ballot.ONE in model.verdicts.values():
-                unnamed += any(agreed_proposal({name: replace(stance, agreed="") for name, stance in model.disk.items() if name != gone},
+            if BallotValue.ONE in model.verdicts.values():
+                unnamed += any(agreed_proposal({name: replace(ballot_state, agreed="") for name, ballot_state in model.disk.items() if name != gone},
                                                model.limits) is None for gone in model.disk)
         self.assertGreater(unnamed, 0)
 
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -3,7 +3,7 @@
 import unittest
 
 from willowpost.proxy.admission.buckets import SPENT, Window
-from willowpost.proxy.admission.budget import BudgetProps, RetryBudget
+from willowpost.proxy.admission.budget import BudgetSettings, RetryBudget
 
 SECOND = 1_000_000
 SPAN = 5 * SECOND
@@ -65,17 +65,17 @@
 
 
 class Budgets(unittest.TestCase):
-    def test_each_group_has_its_own_and_the_slack_comes_with_age(self):
-        budget = RetryBudget(lambda: 4, 0, BudgetProps(0.2, 40, 10 * SECOND))
+    def test_each_service_has_its_own_and_the_slack_comes_with_age(self):
+        budget = RetryBudget(lambda: 4, 0, BudgetSettings(0.2, 40, 10 * SECOND))
         for _ in range(50):
             budget.first(SECOND, "a")
-        self.assertEqual([10, 0], [sum(budget.let_in(SECOND, group) for _ in range(99)) for group in "ab"])
-        self.assertEqual([10, 10], [sum(budget.let_in(12 * SECOND, group) for _ in range(99)) for group in "ab"])
+        self.assertEqual([10, 0], [sum(budget.let_in(SECOND, service) for _ in range(99)) for service in "ab"])
+        self.assertEqual([10, 10], [sum(budget.let_in(12 * SECOND, service) for _ in range(99)) for service in "ab"])
 
     def test_over_any_window_extras_stay_under_a_part_of_demand_and_the_slack(self):
         for seed in range(10):
             chance, now, firsts, extras = random.Random(seed), 0, [], []
-            budget = RetryBudget(lambda: 5, -20 * SECOND, BudgetProps(0.2, 60, 10 * SECOND))
+            budget = RetryBudget(lambda: 5, -20 * SECOND, BudgetSettings(0.2, 60, 10 * SECOND))
             while now < 60 * SECOND:
                 now += int(chance.expovariate(100) * SECOND)
                 if chance.random() < chance.choice((0.2, 0.8)):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from willowpost.wire.codec import Codec
-from willowpost.wire.messages import BODIES, Command, Decision, Founder
+from willowpost.wire.messages import BODIES, Command, Decision, Member
 
 
 def made(chance, kind):
@@ -26,9 +26,9 @@
         return tuple(chance.randrange(3) for _ in range(chance.randrange(4)))
     if field.name == "command":
         return made(chance, Command)
-    if field.name == "vow":
+    if field.name == "bootstrap_promise":
         return tuple("v" * chance.randrange(1, 4) for _ in range(chance.randrange(3)))
-    return tuple(made(chance, {"decisions": Decision, "known": Founder}[field.name]) for _ in range(chance.randrange(3)))
+    return tuple(made(chance, {"decisions": Decision, "known": Member}[field.name]) for _ in range(chance.randrange(3)))
 
 
 class WireTests(unittest.TestCase):
@@ -45,8 +45,8 @@
         with tempfile.TemporaryDirectory() as folder:
             Path(folder, "numpy.py").write_text("raise ImportError('reached for')")
             found = subprocess.run([sys.executable, "-c", "import willowpost.wire.codec as codec, willowpost.wire.messages as messages\n"
-                                    "stance = messages.Stance('i', 1, 0, 'k', None, (1, 2), (0,))\n"
-                                    "assert codec.Codec().decode(codec.Codec().encode('a:1', stance)) == ('a:1', stance)\n"
+                                    "ballot state = messages.BallotState('i', 1, 0, 'k', None, (1, 2), (0,))\n"
+                                    "assert codec.Codec().decode(codec.Codec().encode('a:1', ballot state)) == ('a:1', ballot state)\n"
                                     "import importlib.machinery\n"
                                     "assert importlib.machinery.PathFinder.find_spec('numpy') is not None\n"],
                                    env={**os.environ, "PYTHONPATH": os.pathsep.join([folder, *sys.path])}, capture_output=True, text=True)
