--- a/src/willowpost/common/clock.py
+++ b/src/willowpost/common/clock.py
@@ -1,4 +1,5 @@
 """Times are whole microseconds. `now` counts freezes and suspends; `wall` may jump."""
+
 import time
 
 SECOND = 1_000_000
--- a/src/willowpost/common/digest.py
+++ b/src/willowpost/common/digest.py
@@ -1,4 +1,8 @@
-"""BLAKE2 as the interpreter brings it. hashlib alone would load OpenSSL too: 3.7 MB in each process, for nothing."""
+"""BLAKE2 as the interpreter brings it.
+
+hashlib alone would load OpenSSL too: 3.7 MB in each process, for nothing.
+"""
+
 try:
     from _blake2 import blake2b
 except ImportError:
--- a/src/willowpost/common/events.py
+++ b/src/willowpost/common/events.py
@@ -1,4 +1,5 @@
 """What can happen to a node."""
+
 from dataclasses import dataclass
 from typing import Any
 
--- a/src/willowpost/common/plan.py
+++ b/src/willowpost/common/plan.py
@@ -1,4 +1,5 @@
 """What a step wants done, as data. The shell carries it out in this order."""
+
 from dataclasses import dataclass, field
 
 
@@ -11,9 +12,9 @@
 
     records: list = field(default_factory=list)
     rotate: list | None = None
-    sends: list = field(default_factory=list)     # (address, message)
-    replies: list = field(default_factory=list)   # (token, result)
-    notes: list = field(default_factory=list)     # (part, sentence, fields)
+    sends: list = field(default_factory=list)  # (address, message)
+    replies: list = field(default_factory=list)  # (token, result)
+    notes: list = field(default_factory=list)  # (part, sentence, fields)
 
     def send(self, address: str, message) -> None:
         self.sends.append((address, message))
--- a/src/willowpost/common/rendezvous.py
+++ b/src/willowpost/common/rendezvous.py
@@ -1,4 +1,5 @@
 """Rendezvous hashing: who of the live does what, by key, with no talk."""
+
 from willowpost.common.digest import blake2b
 
 
--- a/src/willowpost/common/uncollected.py
+++ b/src/willowpost/common/uncollected.py
@@ -1,11 +1,18 @@
-"""Work that makes many objects at once and keeps them all: looking for garbage among them is nearly half of its time."""
+"""Work that makes many objects at once and keeps them all.
+
+Looking for garbage among them is nearly half of its time.
+"""
+
 import gc
 from contextlib import contextmanager
 
 
 @contextmanager
 def uncollected():
-    """Invariants: nothing in it waits, so no other task sees the collector off; afterwards it is as it was before."""
+    """Invariants: nothing in it waits, so no other task sees the collector off.
+
+    Afterwards it is as it was before.
+    """
     running = gc.isenabled()
     gc.disable()
     try:
--- a/src/willowpost/configuration/checker.py
+++ b/src/willowpost/configuration/checker.py
@@ -1,4 +1,8 @@
-"""Checks a configuration as a whole: all findings, each with its place, or the configuration as plain data."""
+"""Checks a configuration as a whole: all findings, each with its place.
+
+Or the configuration as plain data.
+"""
+
 import json
 from collections import Counter
 
@@ -6,7 +10,7 @@
 from result import Err, Ok, Result
 
 from willowpost.common.uncollected import uncollected
-from willowpost.configuration.model import SERVICE, CONFIGURATION
+from willowpost.configuration.model import CONFIGURATION, SERVICE
 from willowpost.configuration.routes import DEPTH_MOST, ROUTES_MOST, trunk_of, walk
 from willowpost.shell.settings import findings_of
 
@@ -14,11 +18,16 @@
 
 
 def once(pairs):
-    """For JSON objects: a name that is said twice is refused, since readers differ in which one they take."""
+    """For JSON objects: a name that is said twice is refused.
+
+    Since readers differ in which one they take.
+    """
     held = dict(pairs)
     if len(held) < len(pairs):
         counts = Counter(name for name, _ in pairs)
-        raise ValueError(f"names said twice: {', '.join(sorted(name for name, count in counts.items() if count > 1))}")
+        raise ValueError(
+            f"names said twice: {', '.join(sorted(name for name, count in counts.items() if count > 1))}"
+        )
     return held
 
 
@@ -32,7 +41,11 @@
     def read(self, body: bytes) -> Result[object, list[dict]]:
         """The JSON alone: no name twice in an object, no NaN."""
         try:
-            return Ok(json.loads(body.decode("utf-8"), object_pairs_hook=once, parse_constant=self._refuse))
+            return Ok(
+                json.loads(
+                    body.decode("utf-8"), object_pairs_hook=once, parse_constant=self._refuse
+                )
+            )
         except (ValueError, RecursionError) as problem:
             return Err([{"place": "/", "finding": f"not JSON: {problem}"}])
 
@@ -51,8 +64,16 @@
             return Err(findings_of(error))
         except RecursionError:
             return Err([{"place": "/", "finding": "nested too deep"}])
-        tree = {"settings": {}, "branches": {}, **configuration, "services": {name: SERVICE | _said(service) for name, service in configuration["services"].items()},
-                "limits": _said(configuration.get("limits") or {})}
+        tree = {
+            "settings": {},
+            "branches": {},
+            **configuration,
+            "services": {
+                name: SERVICE | _said(service)
+                for name, service in configuration["services"].items()
+            },
+            "limits": _said(configuration.get("limits") or {}),
+        }
         findings = list(self._whole(tree))
         return Err(findings) if findings else Ok(tree)
 
@@ -80,9 +101,18 @@
                     yield {"place": place, "finding": f"the same host and path as {first}"}
 
     def _targets(self, place, settings, services):
-        """Where these settings themselves send requests: each finding stands where the service is said."""
+        """Where these settings themselves send requests.
+
+        Each finding stands where the service is said.
+        """
         if settings.get("service") is not None and settings["service"] not in services:
-            yield {"place": f"{place}settings/service", "finding": f"no service {settings['service']}"}
+            yield {
+                "place": f"{place}settings/service",
+                "finding": f"no service {settings['service']}",
+            }
         for number, part in enumerate(settings.get("split") or ()):
             if part["service"] not in services:
-                yield {"place": f"{place}settings/split/{number}/service", "finding": f"no service {part['service']}"}
+                yield {
+                    "place": f"{place}settings/split/{number}/service",
+                    "finding": f"no service {part['service']}",
+                }
--- a/src/willowpost/configuration/model.py
+++ b/src/willowpost/configuration/model.py
@@ -1,5 +1,9 @@
-"""The operator's configuration: one tree of settings, inherited unless a branch overrides. Plain data all the way: thousands of branches
-as models and back would hold a registry's loop for seconds. Null says the same as leaving out."""
+"""The operator's configuration: one tree of settings, inherited unless a branch overrides.
+
+Plain data all the way: thousands of branches as models and back would hold a registry's loop for
+seconds. Null says the same as leaving out.
+"""
+
 from typing import Annotated, Literal
 
 from pydantic import AfterValidator, ConfigDict, Field, TypeAdapter, with_config
@@ -7,7 +11,8 @@
 
 Name = Annotated[str, Field(pattern=r"^[^\s/\x00-\x1f\x7f]{1,128}$")]
 Path = Annotated[str, Field(pattern=r"^/[^\x00-\x1f\x7f]*$", max_length=4096)]
-Target = Annotated[str, Field(pattern=r"^/[^\s#\x00-\x1f\x7f]*$", max_length=512)]    # goes into a request line
+# goes into a request line
+Target = Annotated[str, Field(pattern=r"^/[^\s#\x00-\x1f\x7f]*$", max_length=512)]
 Host = Annotated[str, Field(pattern=r"^(\*|[^\sA-Z/\x00-\x1f\x7f]{1,253})$")]
 Method = Literal["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 Positive = Annotated[int, Field(gt=0)]
@@ -71,9 +76,13 @@
 
 @strict
 class Service(TypedDict, total=False):
-    """A service of origins. `rate` is its allowance, requests a second that all proxies together may send it; left out: none.
-    `connections` are those that all proxies together may hold open to one origin, `cold_rate` what one cold origin bears a second.
-    `named`: its origins honour the name of a life on a request. `sealed`: a success without its seal is none."""
+    """A service of origins.
+
+    `rate` is its allowance, requests a second that all proxies together may send it; left out:
+    none. `connections` are those that all proxies together may hold open to one origin, `cold_rate`
+    what one cold origin bears a second. `named`: its origins honour the name of a life on a
+    request. `sealed`: a success without its seal is none.
+    """
 
     rate: Annotated[float, Field(gt=0, le=1_000_000)] | None
     ramp_seconds: Annotated[float, Field(ge=0, le=600)]
@@ -90,7 +99,10 @@
 
 @strict
 class Limits(TypedDict, total=False):
-    """What a caller may send, how long its head may take, how long it may stay idle; left out: the proxy's own."""
+    """What a caller may send, how long its head may take, how long it may stay idle; left out.
+
+    The proxy's own.
+    """
 
     head_bytes: Positive | None
     body_bytes: Positive | None
--- a/src/willowpost/configuration/routes.py
+++ b/src/willowpost/configuration/routes.py
@@ -1,6 +1,7 @@
 """The routes a configuration amounts to, and which of them a request takes."""
+
+from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Iterator
 
 from willowpost.common.uncollected import uncollected
 
@@ -10,8 +11,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """One kind of request, with its settings worked out. Invariants: `service` is a service of the same configuration; with a `split`
-    so is each of its parts, `service` is the first of them, and some weight is above 0."""
+    """One kind of request, with its settings worked out.
+
+    Invariants: `service` is a service of the same configuration; with a `split` so is each of its
+    parts, `service` is the first of them, and some weight is above 0.
+    """
 
     name: str
     host: str
@@ -26,11 +30,11 @@
     whole_max: int = 8 * 1024 * 1024
     zones: tuple[str, ...] | None = None
     tries: int = 3
-    kind: str | None = None                     # once | repeatable | kept; None: by method
-    split: tuple[tuple[str, float], ...] = ()   # (service, weight)
+    kind: str | None = None  # once | repeatable | kept; None: by method
+    split: tuple[tuple[str, float], ...] = ()  # (service, weight)
     aim_ms: int | None = None
-    priority: int = 0                           # 0 is the highest
-    homes: tuple[str, ...] = ()                 # regions; none: everywhere
+    priority: int = 0  # 0 is the highest
+    homes: tuple[str, ...] = ()  # regions; none: everywhere
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -59,42 +63,68 @@
 
 
 def walk(tree: dict) -> Iterator[tuple[str, int, str, str | None, dict, dict]]:
-    """(place, depth, host, path, settings, branch) of every branch of a checked tree: plain data, since thousands of
-    models would hold a proxy's loop for as long as a lease lasts."""
+    """(place, depth, host, path, settings, branch) of every branch of a checked tree: plain data.
+
+    Since thousands of models would hold a proxy's loop for as long as a lease lasts.
+    """
+
     def down(branches, place, depth, host, path, settings):
         for name, branch in branches.items():
             own, below = branch.get("settings"), branch.get("branches")
-            here = (f"{place}/{name}", depth, branch.get("host") or host, branch.get("path") or path, inherited(settings, own) if own else settings)
+            here = (
+                f"{place}/{name}",
+                depth,
+                branch.get("host") or host,
+                branch.get("path") or path,
+                inherited(settings, own) if own else settings,
+            )
             yield (*here, branch)
             if below:
                 yield from down(below, f"{here[0]}/branches", depth + 1, here[2], here[3], here[4])
-    yield from down(tree.get("branches") or {}, "branches", 1, "*", None, inherited({}, tree.get("settings") or {}))
+
+    yield from down(
+        tree.get("branches") or {},
+        "branches",
+        1,
+        "*",
+        None,
+        inherited({}, tree.get("settings") or {}),
+    )
 
 
 def routes_of(tree: dict) -> tuple[Route, ...]:
     with uncollected():
-        return tuple(Route(place.replace("branches/", ""), host, path, **settings)
-                     for place, _, host, path, settings, _ in walk(tree) if path is not None and settings.get("service"))
+        return tuple(
+            Route(place.replace("branches/", ""), host, path, **settings)
+            for place, _, host, path, settings, _ in walk(tree)
+            if path is not None and settings.get("service")
+        )
 
 
 def trunk_of(path: str) -> str:
-    """What a way is kept under. "/a" takes whole segments: /a, /a/ and /a/b. "/a/" takes what begins with just that:
-    /a/ and /a/b. "/" takes everything."""
+    """What a way is kept under.
+
+    "/a" takes whole segments: /a, /a/ and /a/b. "/a/" takes what begins with just that: /a/ and
+    /a/b. "/" takes everything.
+    """
     return "" if path == "/" else path
 
 
 class RouteTable:
-    """Invariant: find() gives the way with the longest path that takes this one, and of two with the same path the one
-    with the exact host before "*"; immutable once made."""
+    """Invariant: find() gives the way with the longest path that takes this one.
+
+    And of two with the same path the one with the exact host before "*"; immutable once made.
+    """
 
     def __init__(self, routes):
         self.by_place = {(route.host, trunk_of(route.path)): route for route in routes}
         self.longest = max((len(route.path) for route in self.by_place.values()), default=0)
 
     def find(self, host: str, path: str) -> Route | None:
-        trunk = path[:self.longest + 1]        # one more than any way has: a segment cut short is none
+        # one more than any way has: a segment cut short is none
+        trunk = path[: self.longest + 1]
         while True:
             route = self.by_place.get((host, trunk)) or self.by_place.get(("*", trunk))
             if route is not None or not trunk:
                 return route
-            trunk = trunk[:-1] if trunk[-1] == "/" else trunk[:trunk.rfind("/") + 1]
+            trunk = trunk[:-1] if trunk[-1] == "/" else trunk[: trunk.rfind("/") + 1]
--- a/src/willowpost/consensus/coin.py
+++ b/src/willowpost/consensus/coin.py
@@ -1,4 +1,5 @@
 """The common coin: a hash that all replicas can compute, with no message."""
+
 from willowpost.common.digest import blake2b
 
 
--- a/src/willowpost/consensus/kinds.py
+++ b/src/willowpost/consensus/kinds.py
@@ -1,11 +1,12 @@
 """The steps of one slot and the ballots cast in it."""
+
 from enum import Enum, IntEnum
 
 
 class BallotValue(IntEnum):
-    ZERO = 0      # forfeit the slot
-    ONE = 1       # take the majority proposal
-    UNSURE = 2    # the paper's "?"
+    ZERO = 0  # forfeit the slot
+    ONE = 1  # take the majority proposal
+    UNSURE = 2  # the paper's "?"
 
 
 class Stage(Enum):
--- a/src/willowpost/consensus/queue.py
+++ b/src/willowpost/consensus/queue.py
@@ -1,11 +1,15 @@
 """The min priority queue of pending commands, oldest stamp first."""
+
 from heapq import heappop, heappush
 
 from willowpost.wire.messages import Command
 
 
 class PendingQueue:
-    """Invariant: holds each key at most once; the head is the least (stamp, key) of those not decided."""
+    """Invariant: holds each key at most once; the head is the least (stamp.
+
+    Key) of those not decided.
+    """
 
     def __init__(self):
         self.heap: list[tuple[int, str]] = []
--- a/src/willowpost/consensus/replica/acceptance.py
+++ b/src/willowpost/consensus/replica/acceptance.py
@@ -1,4 +1,5 @@
 """Answers those who submitted: accepted means decided, and synced on n - f replicas."""
+
 import json
 
 from willowpost.common.events import Received
@@ -11,11 +12,14 @@
 
 
 class Acceptance:
-    """Invariant: Accepted leaves only when n - f members hold every slot up to the command's on disk."""
+    """Invariant.
+
+    Accepted leaves only when n - f members hold every slot up to the command's on disk.
+    """
 
     def __init__(self, node_state: ReplicaState):
         self.node_state = node_state
-        self.waiting: dict[str, tuple] = {}     # key -> (command, source)
+        self.waiting: dict[str, tuple] = {}  # key -> (command, source)
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
@@ -28,8 +32,12 @@
 
     def _answer(self, plan):
         safe = self.node_state.safe()
-        ready = [(command, source, answer) for command, source in self.waiting.values()
-                 for answer in (self._outcome(command),) if answer is not None and answer[0] < safe]
+        ready = [
+            (command, source, answer)
+            for command, source in self.waiting.values()
+            for answer in (self._outcome(command),)
+            if answer is not None and answer[0] < safe
+        ]
         for command, source, (slot, answers) in ready:
             del self.waiting[command.key]
             plan.send(source, Accepted(command.key, slot, json.dumps(answers)))
--- a/src/willowpost/consensus/replica/bootstrap.py
+++ b/src/willowpost/consensus/replica/bootstrap.py
@@ -1,4 +1,5 @@
 """An empty fleet founds itself once; an empty store in a founded fleet becomes a learner."""
+
 import json
 from dataclasses import asdict, dataclass
 
@@ -6,32 +7,41 @@
 from willowpost.common.events import Changed, Received, Tick
 from willowpost.common.plan import Plan
 from willowpost.consensus.replica.replica_state import ReplicaState
-from willowpost.wire.messages import Ask, Member, Hello, members_of
+from willowpost.wire.messages import Ask, Hello, Member, members_of
 
-WITHOUT_SOURCE_AFTER = 3 * SECOND      # a founded store that no read has answered for so long asks its seeds who votes now
+# a founded store that no read has answered for so long asks its seeds who votes now
+WITHOUT_SOURCE_AFTER = 3 * SECOND
 
 
 @dataclass(frozen=True, slots=True)
 class Rights:
     """What a store may do about the core it belongs to."""
 
-    may_bootstrap: bool = True              # False: an empty store only learns
-    bootstrap_from_seeds: bool = False     # bootstrap members are the first of the seeds, by address, as many as there are bootstrap members
-    max_voters: int = 0                # what the core may grow to; 0: it does not grow
+    may_bootstrap: bool = True  # False: an empty store only learns
+    # bootstrap members are the first of the seeds, by address, as many as there are bootstrap
+    # members
+    bootstrap_from_seeds: bool = False
+    max_voters: int = 0  # what the core may grow to; 0: it does not grow
 
 
 class Bootstrap:
-    """Invariant: a store bootstrap promises for one founding set in its life, on disk before it says so;
-    the fleet is founded only when every member of that set has vowed for it. Who may not found tells no claim, so it is in no set."""
+    """Invariant: a store bootstrap promises for one founding set in its life.
+
+    On disk before it says so; the fleet is founded only when every member of that set has vowed for
+    it. Who may not found tells no claim, so it is in no set.
+    """
 
-    def __init__(self, node_state: ReplicaState, seeds: tuple[str, ...], size: int, rights: Rights = Rights()):
+    def __init__(
+        self, node_state: ReplicaState, seeds: tuple[str, ...], size: int, rights: Rights = Rights()
+    ):
         self.node_state = node_state
         self.rights = rights
         self.seeds = seeds
         self.size = size
         self.claims: dict[str, Member] = {node_state.me.identity: node_state.me}
         self.bootstrap_promises: dict[str, tuple] = {}
-        self.heard_of: set[str] = set()          # addresses to greet; only first-hand claims may found
+        # addresses to greet; only first-hand claims may found
+        self.heard_of: set[str] = set()
         self.bootstrapped_addresses: set[str] = set()
         self.sent_at = -1
         self.round = 0
@@ -43,10 +53,20 @@
                 self.seeds, self.node_state.pace = tuple(seeds), pace or self.node_state.pace
             case Received(source, Hello() as hello):
                 self._hear(source, hello, plan)
-            case Tick() if self.node_state.bootstrapped and self._without_source(now) and now - self.sent_at >= WITHOUT_SOURCE_AFTER:
+            case Tick() if (
+                self.node_state.bootstrapped
+                and self._without_source(now)
+                and now - self.sent_at >= WITHOUT_SOURCE_AFTER
+            ):
                 self.sent_at = now
-                plan.sends += [(seed, self._hello(False)) for seed in self.seeds if seed != self.node_state.me.address]
-            case Tick() if not self.node_state.bootstrapped and (self.sent_at < 0 or now - self.sent_at >= self.node_state.pace.hello):
+                plan.sends += [
+                    (seed, self._hello(False))
+                    for seed in self.seeds
+                    if seed != self.node_state.me.address
+                ]
+            case Tick() if not self.node_state.bootstrapped and (
+                self.sent_at < 0 or now - self.sent_at >= self.node_state.pace.hello
+            ):
                 self.sent_at = now
                 self._say(plan)
         if not self.node_state.bootstrapped:
@@ -55,23 +75,43 @@
 
     def _may_bootstrap(self) -> bool:
         """A bootstrap promise stands, whatever the rights have become since."""
-        return self.rights.may_bootstrap and self._seat_of(self.node_state.me.address) or bool(self.node_state.bootstrap_promise)
+        return (self.rights.may_bootstrap and self._seat_of(self.node_state.me.address)) or bool(
+            self.node_state.bootstrap_promise
+        )
 
     def _seat_of(self, address) -> bool:
         """With more seeds than bootstrap members, two sets of seeds could else found a fleet each."""
-        return not self.rights.bootstrap_from_seeds or address in sorted(set(self.seeds))[:self.size]
+        return (
+            not self.rights.bootstrap_from_seeds or address in sorted(set(self.seeds))[: self.size]
+        )
 
     def _hello(self, answer):
         node_state = self.node_state
         if not node_state.bootstrapped and not self._may_bootstrap():
             return Hello(answer=answer)
         known = members_of(node_state.tables.core) or tuple(self.claims.values())
-        return Hello(node_state.me.identity, node_state.me.name, node_state.me.zone, node_state.me.address,
-                     node_state.bootstrapped, answer, known, node_state.bootstrap_promise)
+        return Hello(
+            node_state.me.identity,
+            node_state.me.name,
+            node_state.me.zone,
+            node_state.me.address,
+            node_state.bootstrapped,
+            answer,
+            known,
+            node_state.bootstrap_promise,
+        )
 
     def _say(self, plan):
-        addresses = {*self.seeds, *self.heard_of, *(claim.address for claim in self.claims.values()), *self.bootstrapped_addresses}
-        plan.sends += [(address, self._hello(False)) for address in sorted(addresses - {self.node_state.me.address})]
+        addresses = {
+            *self.seeds,
+            *self.heard_of,
+            *(claim.address for claim in self.claims.values()),
+            *self.bootstrapped_addresses,
+        }
+        plan.sends += [
+            (address, self._hello(False))
+            for address in sorted(addresses - {self.node_state.me.address})
+        ]
         # each time another voter: the first may be the very one that was lost
         tellers = sorted(self.bootstrapped_addresses)
         self.round += 1
@@ -83,10 +123,15 @@
             plan.send(source, self._hello(True))
         if hello.bootstrapped and node_state.bootstrapped:
             # those we know are gone, or we would not have asked: what the teller knows of is newer
-            strangers = {member.address for member in hello.known} - {node_state.me.address, *node_state.members.values()}
+            strangers = {member.address for member in hello.known} - {
+                node_state.me.address,
+                *node_state.members.values(),
+            }
             plan.sends += [(address, Ask(node_state.tables.slot)) for address in sorted(strangers)]
         elif hello.bootstrapped:
-            self.bootstrapped_addresses = {member.address for member in hello.known} - {node_state.me.address}
+            self.bootstrapped_addresses = {member.address for member in hello.known} - {
+                node_state.me.address
+            }
         elif hello.identity and self._seat_of(hello.address):
             self._claim(Member(hello.identity, hello.name, hello.zone, hello.address))
         if hello.promise:
@@ -99,21 +144,38 @@
 
     def _claim(self, member):
         """First-hand word replaces what was heard of the same address before."""
-        self.claims = {identity: claim for identity, claim in self.claims.items()
-                       if claim.address != member.address or identity == self.node_state.me.identity}
+        self.claims = {
+            identity: claim
+            for identity, claim in self.claims.items()
+            if claim.address != member.address or identity == self.node_state.me.identity
+        }
         self.claims[member.identity] = member
 
     def _found(self, plan):
         node_state = self.node_state
-        if not node_state.bootstrap_promise and not self.bootstrapped_addresses and self._may_bootstrap() and len(self.claims) >= self.size:
-            chosen = sorted(self.claims.values(), key=lambda claim: (claim.name, claim.identity))[:self.size]
+        if (
+            not node_state.bootstrap_promise
+            and not self.bootstrapped_addresses
+            and self._may_bootstrap()
+            and len(self.claims) >= self.size
+        ):
+            chosen = sorted(self.claims.values(), key=lambda claim: (claim.name, claim.identity))[
+                : self.size
+            ]
             if node_state.me in chosen:
                 # whole cards, so that equal bootstrap promises found equal tables
-                node_state.bootstrap_promise = tuple(sorted(json.dumps(asdict(claim), sort_keys=True) for claim in chosen))
-                plan.records.append({"k": "bootstrap_promise", "members": list(node_state.bootstrap_promise)})
+                node_state.bootstrap_promise = tuple(
+                    sorted(json.dumps(asdict(claim), sort_keys=True) for claim in chosen)
+                )
+                plan.records.append(
+                    {"k": "bootstrap_promise", "members": list(node_state.bootstrap_promise)}
+                )
         self.bootstrap_promises[node_state.me.identity] = node_state.bootstrap_promise
         core = [json.loads(card) for card in node_state.bootstrap_promise]
-        if core and all(self.bootstrap_promises.get(member["identity"]) == node_state.bootstrap_promise for member in core):
+        if core and all(
+            self.bootstrap_promises.get(member["identity"]) == node_state.bootstrap_promise
+            for member in core
+        ):
             plan.records.append({"k": "found", "core": core})
             node_state.found({"core": core})
             plan.note("bootstrap", "fleet founded", voters=[member["name"] for member in core])
--- a/src/willowpost/consensus/replica/catchup.py
+++ b/src/willowpost/consensus/replica/catchup.py
@@ -1,15 +1,19 @@
 """Laggards and learners: what was decided without them."""
+
 from willowpost.common.events import Received, Tick
 from willowpost.common.plan import Plan
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.state.tables import tables_from
-from willowpost.wire.messages import Ask, SyncedIndex, BallotState, Tell
+from willowpost.wire.messages import Ask, BallotState, SyncedIndex, Tell
 
 TOLD_MOST = 64
 
 
 class Catchup:
-    """Invariant: a decision or snapshot is taken only from slot tables.slot on; nothing decided is ever undone."""
+    """Invariant: a decision or snapshot is taken only from slot tables.slot on.
+
+    Nothing decided is ever undone.
+    """
 
     def __init__(self, node_state: ReplicaState):
         self.node_state = node_state
@@ -20,7 +24,9 @@
     def step(self, event, now: int) -> Plan:
         plan = Plan()
         match event:
-            case Received(source, BallotState(again=True, slot=slot)) if slot < self.node_state.tables.slot:
+            case Received(source, BallotState(again=True, slot=slot)) if (
+                slot < self.node_state.tables.slot
+            ):
                 self._tell(source, slot, plan)
             case Received(source, Ask() as ask):
                 self._answer(source, ask, plan)
@@ -36,7 +42,11 @@
         node_state = self.node_state
         if ask.key and ask.slot >= node_state.tables.slot:
             command = node_state.queue.commands.get(ask.key)
-            if command is None and node_state.own is not None and node_state.own.proposal == ask.key:
+            if (
+                command is None
+                and node_state.own is not None
+                and node_state.own.proposal == ask.key
+            ):
                 command = node_state.own.command
             if command is not None:
                 plan.send(source, Tell(ask.slot, command=command))
@@ -60,7 +70,9 @@
                 node_state.commit(decision, plan)
         if told.decisions or told.snapshot:
             self.asked_at = 0
-            self.behind_since = None if self._furthest() <= node_state.tables.slot else self.behind_since
+            self.behind_since = (
+                None if self._furthest() <= node_state.tables.slot else self.behind_since
+            )
 
     def _take_snapshot(self, text, plan):
         node_state, tables = self.node_state, tables_from(text)
@@ -76,7 +88,13 @@
         return tables.slot > self.node_state.tables.slot or not self.node_state.bootstrapped
 
     def _furthest(self) -> int:
-        return max((self.node_state.synced_indexes.get(identity, 0) for identity in self.node_state.members), default=0)
+        return max(
+            (
+                self.node_state.synced_indexes.get(identity, 0)
+                for identity in self.node_state.members
+            ),
+            default=0,
+        )
 
     def _tick(self, now, plan):
         node_state = self.node_state
@@ -84,13 +102,31 @@
             return
         if now - self.synced_index_sent_at >= node_state.pace.synced_index and node_state.voter:
             self.synced_index_sent_at = now
-            plan.sends += [(address, SyncedIndex(node_state.me.identity, node_state.tables.slot)) for address in node_state.others()]
+            plan.sends += [
+                (address, SyncedIndex(node_state.me.identity, node_state.tables.slot))
+                for address in node_state.others()
+            ]
         behind = not node_state.voter or self._furthest() > node_state.tables.slot
-        self.behind_since = None if not behind else self.behind_since if self.behind_since is not None else now
-        if behind and now - self.behind_since >= node_state.pace.ask // 2 and now - self.asked_at >= node_state.pace.ask:
+        self.behind_since = (
+            None if not behind else self.behind_since if self.behind_since is not None else now
+        )
+        if (
+            behind
+            and now - self.behind_since >= node_state.pace.ask // 2
+            and now - self.asked_at >= node_state.pace.ask
+        ):
             self.asked_at = now
-            ahead = [address for identity, address in sorted(node_state.members.items(), key=lambda held: -node_state.synced_indexes.get(held[0], 0))
-                     if identity != node_state.me.identity]
+            ahead = [
+                address
+                for identity, address in sorted(
+                    node_state.members.items(),
+                    key=lambda held: -node_state.synced_indexes.get(held[0], 0),
+                )
+                if identity != node_state.me.identity
+            ]
             # the furthest first; each round another, so that one dead teller does not hold us up
             if ahead:
-                plan.send(ahead[(now // node_state.pace.ask) % min(3, len(ahead))], Ask(node_state.tables.slot))
+                plan.send(
+                    ahead[(now // node_state.pace.ask) % min(3, len(ahead))],
+                    Ask(node_state.tables.slot),
+                )
--- a/src/willowpost/consensus/replica/reads.py
+++ b/src/willowpost/consensus/replica/reads.py
@@ -1,8 +1,9 @@
 """Quorum reads: how old is what this store knows? And state updates for those who follow the log."""
+
 from willowpost.common.events import Received, Tick
 from willowpost.common.plan import Plan
 from willowpost.consensus.replica.replica_state import ReplicaState
-from willowpost.wire.messages import StateUpdate, Poll, ReadAsk, ReadTell
+from willowpost.wire.messages import Poll, ReadAsk, ReadTell, StateUpdate
 
 DECISIONS_MAX = 128
 
@@ -25,8 +26,13 @@
         plan = Plan()
         match event:
             case Received(source, ReadAsk(nonce)) if self.node_state.voter:
-                plan.send(source, ReadTell(nonce, self.node_state.me.identity, self.node_state.tables.slot))
-            case Received(_, ReadTell(nonce, identity, slot)) if nonce == self.nonce and identity in self.node_state.members:
+                plan.send(
+                    source,
+                    ReadTell(nonce, self.node_state.me.identity, self.node_state.tables.slot),
+                )
+            case Received(_, ReadTell(nonce, identity, slot)) if (
+                nonce == self.nonce and identity in self.node_state.members
+            ):
                 self.told[identity] = slot
                 # also how a voter that was put out while it was cut off learns that it is behind
                 self.node_state.hear_synced_index(identity, slot)
@@ -43,13 +49,19 @@
             return
         self.nonce += 1
         self.begun_at, self.epoch, self.open = now, node_state.tables.epoch, True
-        self.told = {node_state.me.identity: node_state.tables.slot} if node_state.voter else {}      # a learner counts for nothing, but reads
+        # a learner counts for nothing, but reads
+        self.told = {node_state.me.identity: node_state.tables.slot} if node_state.voter else {}
         plan.sends += [(address, ReadAsk(self.nonce)) for address in node_state.others()]
 
     def _settle(self):
         node_state = self.node_state
-        if (self.open and self.told and node_state.tables.epoch == self.epoch and len(self.told) >= node_state.limits.heard
-                and max(self.told.values()) <= node_state.tables.slot):
+        if (
+            self.open
+            and self.told
+            and node_state.tables.epoch == self.epoch
+            and len(self.told) >= node_state.limits.heard
+            and max(self.told.values()) <= node_state.tables.slot
+        ):
             node_state.fresh_as_of, self.open = self.begun_at, False
 
     def _state_update(self, source, poll, now, plan):
@@ -59,9 +71,21 @@
         if not node_state.bootstrapped:
             return
         if poll.blank or poll.slot < node_state.log_floor:
-            plan.send(source, StateUpdate(poll.nonce, node_state.tables.slot, age, fresh, snapshot=node_state.tables.text()))
+            plan.send(
+                source,
+                StateUpdate(
+                    poll.nonce,
+                    node_state.tables.slot,
+                    age,
+                    fresh,
+                    snapshot=node_state.tables.text(),
+                ),
+            )
             return
         last = min(poll.slot + DECISIONS_MAX, node_state.tables.slot)
         told = tuple(node_state.log[slot] for slot in range(poll.slot, last))
         # short of the head, the teller's freshness does not hold for the listener yet
-        plan.send(source, StateUpdate(poll.nonce, last, age, fresh and last == node_state.tables.slot, told))
+        plan.send(
+            source,
+            StateUpdate(poll.nonce, last, age, fresh and last == node_state.tables.slot, told),
+        )
--- a/src/willowpost/consensus/replica/replica_state.py
+++ b/src/willowpost/consensus/replica/replica_state.py
@@ -1,14 +1,21 @@
 """The shared state of one store: its controllers read and write it, nobody else does."""
+
 from dataclasses import dataclass, field, replace
 
 from willowpost.common.clock import MILLI
 from willowpost.common.plan import Plan
 from willowpost.consensus.queue import PendingQueue
-from willowpost.consensus.replica.records import command_from, decision_from, decision_record, identity_record, ballot_state_record
+from willowpost.consensus.replica.records import (
+    ballot_state_record,
+    command_from,
+    decision_from,
+    decision_record,
+    identity_record,
+)
 from willowpost.consensus.thresholds import Thresholds
 from willowpost.state.apply import Apply, decided
 from willowpost.state.tables import Tables, tables_from
-from willowpost.wire.messages import Command, Decision, Member, SyncedIndex, BallotState
+from willowpost.wire.messages import BallotState, Command, Decision, Member, SyncedIndex
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,8 +28,8 @@
     ask: int = 40 * MILLI
     read: int = 150 * MILLI
     hello: int = 200 * MILLI
-    keep: int = 512          # decisions kept for laggards beyond what must be kept
-    rotate: int = 2048         # decisions between two snapshots
+    keep: int = 512  # decisions kept for laggards beyond what must be kept
+    rotate: int = 2048  # decisions between two snapshots
 
 
 @dataclass(slots=True)
@@ -47,12 +54,14 @@
     heard_since: int = 0
     early: dict = field(default_factory=dict)
     synced_indexes: dict = field(default_factory=dict)
-    passed: int = 0                # the last epoch whose opening barrier was passed
-    rotated_at: int = 0              # slot of the last snapshot
+    passed: int = 0  # the last epoch whose opening barrier was passed
+    rotated_at: int = 0  # slot of the last snapshot
     bootstrap_promise: tuple = ()
-    members: dict = field(default_factory=dict)   # identity -> address, of the epoch in force
-    fresh_as_of: int | None = None   # own clock: all accepted before it is applied here
-    stats: dict = field(default_factory=lambda: {"decided": 0, "null": 0, "voted": 0, "fast": 0, "phases": 0})
+    members: dict = field(default_factory=dict)  # identity -> address, of the epoch in force
+    fresh_as_of: int | None = None  # own clock: all accepted before it is applied here
+    stats: dict = field(
+        default_factory=lambda: {"decided": 0, "null": 0, "voted": 0, "fast": 0, "phases": 0}
+    )
 
     @property
     def bootstrapped(self) -> bool:
@@ -67,15 +76,21 @@
         return self.thresholds(len(self.tables.core))
 
     def others(self) -> list[str]:
-        return [address for identity, address in self.members.items() if identity != self.me.identity]
+        return [
+            address for identity, address in self.members.items() if identity != self.me.identity
+        ]
 
     def hear_synced_index(self, identity: str, slot: int) -> None:
         self.synced_indexes[identity] = max(self.synced_indexes.get(identity, 0), slot)
 
     def safe(self) -> int:
         """Below this slot all is synced on n - f members."""
-        synced_indexes = sorted((self.synced_indexes.get(identity, 0) for identity in self.members), reverse=True)
-        return synced_indexes[self.limits.heard - 1] if len(synced_indexes) >= self.limits.heard else 0
+        synced_indexes = sorted(
+            (self.synced_indexes.get(identity, 0) for identity in self.members), reverse=True
+        )
+        return (
+            synced_indexes[self.limits.heard - 1] if len(synced_indexes) >= self.limits.heard else 0
+        )
 
     def is_decided(self, command: Command) -> bool:
         return decided(self.tables, command)
@@ -86,15 +101,20 @@
         self.members = {member["identity"]: member["address"] for member in tables.core}
         self.own, self.heard = None, {}
         arrived = self.early.pop(tables.slot, {})
-        self.heard = {identity: ballot_state for identity, ballot_state in arrived.items()
-                      if identity in self.members and ballot_state.epoch == tables.epoch}
+        self.heard = {
+            identity: ballot_state
+            for identity, ballot_state in arrived.items()
+            if identity in self.members and ballot_state.epoch == tables.epoch
+        }
         self.early = {slot: held for slot, held in self.early.items() if slot > tables.slot}
         self.synced_indexes[self.me.identity] = tables.slot
 
     def commit(self, decision: Decision, plan: Plan) -> None:
         plan.records.append(decision_record(decision))
         self.replay(decision)
-        plan.sends += [(address, SyncedIndex(self.me.identity, self.tables.slot)) for address in self.others()]
+        plan.sends += [
+            (address, SyncedIndex(self.me.identity, self.tables.slot)) for address in self.others()
+        ]
 
     def replay(self, decision: Decision) -> None:
         self.log[decision.slot] = decision
@@ -106,16 +126,34 @@
 
     def segment(self) -> list[dict]:
         """The records of a new disk segment: everything this store must still know."""
-        snapshot = [{"k": "snapshot", "text": self.tables.text(), "log_floor": self.log_floor, "passed": self.passed}]
+        snapshot = [
+            {
+                "k": "snapshot",
+                "text": self.tables.text(),
+                "log_floor": self.log_floor,
+                "passed": self.passed,
+            }
+        ]
         kept = [{**decision_record(self.log[slot]), "k": "kept"} for slot in sorted(self.log)]
-        bootstrap_promise = [{"k": "bootstrap_promise", "members": list(self.bootstrap_promise)}] if self.bootstrap_promise else []
+        bootstrap_promise = (
+            [{"k": "bootstrap_promise", "members": list(self.bootstrap_promise)}]
+            if self.bootstrap_promise
+            else []
+        )
         ballot_state = [ballot_state_record(self.own, True)] if self.own else []
         return [identity_record(self.me), *bootstrap_promise, *snapshot, *kept, *ballot_state]
 
     def restore(self, records: list[dict], now: int) -> None:
-        readers = {"identity": lambda held: None, "bootstrap_promise": self._bootstrap_promise, "found": self.found, "snapshot": self._snapshot,
-                   "kept": self._kept, "decision": lambda held: self.replay(decision_from(held)),
-                   "ballot_state": self._ballot_state, "passed": self._passed}
+        readers = {
+            "identity": lambda held: None,
+            "bootstrap_promise": self._bootstrap_promise,
+            "found": self.found,
+            "snapshot": self._snapshot,
+            "kept": self._kept,
+            "decision": lambda held: self.replay(decision_from(held)),
+            "ballot_state": self._ballot_state,
+            "passed": self._passed,
+        }
         for record in records:
             readers[record["k"]](record)
         if self.own and self.own.command:
@@ -132,7 +170,11 @@
     def _snapshot(self, held):
         self.log = {}
         self.take(tables_from(held["text"]))
-        self.log_floor, self.rotated_at, self.passed = held["log_floor"], self.tables.slot, held["passed"]
+        self.log_floor, self.rotated_at, self.passed = (
+            held["log_floor"],
+            self.tables.slot,
+            held["passed"],
+        )
 
     def _kept(self, held):
         self.log[held["slot"]] = decision_from(held)
@@ -144,6 +186,13 @@
         command = command_from(held["command"])
         if command is None and self.own is not None and self.own.slot == held["slot"]:
             command = self.own.command
-        self.own = BallotState(self.me.identity, held["epoch"], held["slot"], held["proposal"], command,
-                          tuple(held["states"]), tuple(held["votes"]), agreed=held.get("agreed", ""))
-
+        self.own = BallotState(
+            self.me.identity,
+            held["epoch"],
+            held["slot"],
+            held["proposal"],
+            command,
+            tuple(held["states"]),
+            tuple(held["votes"]),
+            agreed=held.get("agreed", ""),
+        )
--- a/src/willowpost/consensus/replica/voting.py
+++ b/src/willowpost/consensus/replica/voting.py
@@ -1,12 +1,13 @@
 """Algorithm 1: one slot after the other, each by Weak-MVC, with nobody in the lead."""
+
 from dataclasses import replace
 
 from willowpost.common.events import Received, Tick
 from willowpost.common.plan import Plan
-from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.consensus.replica.records import ballot_state_record
+from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.consensus.weakmvc import Verdict, WeakMvc, agreed_proposal
-from willowpost.wire.messages import Ask, Decision, Forward, BallotState, Submit, Tell
+from willowpost.wire.messages import Ask, BallotState, Decision, Forward, Submit, Tell
 
 EARLY_MOST = 64
 
@@ -27,7 +28,9 @@
                 self._hear(event.source, ballot_state, now, plan)
             case Received(_, Forward(command)) | Received(_, Submit(command)):
                 self._pend(event, command, now, plan)
-            case Received(_, Tell(command=command)) if command is not None and not self.node_state.is_decided(command):
+            case Received(_, Tell(command=command)) if (
+                command is not None and not self.node_state.is_decided(command)
+            ):
                 self.node_state.queue.push(command, now)
             case Tick():
                 self._resend(now, plan)
@@ -49,14 +52,20 @@
             node_state.hear_synced_index(ballot_state.identity, ballot_state.slot)
         if ballot_state.slot > slot and ballot_state.slot < slot + EARLY_MOST:
             self._merge(node_state.early.setdefault(ballot_state.slot, {}), ballot_state)
-        elif ballot_state.slot == slot and ballot_state.identity in node_state.members and ballot_state.epoch == node_state.tables.epoch:
+        elif (
+            ballot_state.slot == slot
+            and ballot_state.identity in node_state.members
+            and ballot_state.epoch == node_state.tables.epoch
+        ):
             if not node_state.heard:
                 node_state.heard_since = now
             self._merge(node_state.heard, ballot_state)
 
     def _merge(self, held, ballot_state):
         known = held.get(ballot_state.identity)
-        if known is None or len(ballot_state.states) + len(ballot_state.votes) > len(known.states) + len(known.votes):
+        if known is None or len(ballot_state.states) + len(ballot_state.votes) > len(
+            known.states
+        ) + len(known.votes):
             held[ballot_state.identity] = replace(ballot_state, command=None)
 
     def _pump(self, now, plan):
@@ -80,36 +89,68 @@
         if not self._opened(plan):
             return False
         head = node_state.queue.head(node_state.is_decided)
-        strangers = [ballot_state for identity, ballot_state in node_state.heard.items() if identity != node_state.me.identity]
+        strangers = [
+            ballot_state
+            for identity, ballot_state in node_state.heard.items()
+            if identity != node_state.me.identity
+        ]
         if head is None and not strangers:
             return False
         if head is None and now - node_state.heard_since < node_state.pace.resend:
             self._fetch(strangers, now, plan)
             return False
-        if head is not None and not strangers and now - node_state.queue.since[head.key] < node_state.pace.freeze:
+        if (
+            head is not None
+            and not strangers
+            and now - node_state.queue.since[head.key] < node_state.pace.freeze
+        ):
             return False
-        ballot_state = BallotState(node_state.me.identity, node_state.tables.epoch, node_state.tables.slot,
-                        head.key if head else "", head)
+        ballot_state = BallotState(
+            node_state.me.identity,
+            node_state.tables.epoch,
+            node_state.tables.slot,
+            head.key if head else "",
+            head,
+        )
         self._stand(ballot_state, now, plan, first=True)
         return True
 
     def _fetch(self, strangers, now, plan):
-        """Somebody proposes a command whose body has not come: ask for it, so that it can be proposed here too."""
-        key = next((ballot_state.proposal for ballot_state in strangers if ballot_state.proposal), "")
+        """Somebody proposes a command whose body has not come: ask for it.
+
+        So that it can be proposed here too.
+        """
+        key = next(
+            (ballot_state.proposal for ballot_state in strangers if ballot_state.proposal), ""
+        )
         if key and now - self.asked_at >= self.node_state.pace.resend // 2:
             self.asked_at = now
-            plan.sends += [(address, Ask(self.node_state.tables.slot, key)) for address in self.node_state.others()]
+            plan.sends += [
+                (address, Ask(self.node_state.tables.slot, key))
+                for address in self.node_state.others()
+            ]
 
     def _opened(self, plan) -> bool:
-        """A new epoch's first slot opens once n - f of the former voters hold the replacement on disk,
-        so that a read by a voter who has not heard of the replacement still meets one who has."""
+        """A new epoch's first slot opens once n - f of the former voters hold the replacement on
+        disk, so that a read by a voter who has not heard of the replacement still meets one who
+        has.
+        """
         node_state = self.node_state
         former = node_state.tables.former
-        if not former or node_state.passed >= node_state.tables.epoch or node_state.tables.slot > former["slot"] + 1:
+        if (
+            not former
+            or node_state.passed >= node_state.tables.epoch
+            or node_state.tables.slot > former["slot"] + 1
+        ):
             return True
         swapped = former["slot"] + 1
-        synced = sum(node_state.synced_indexes.get(member["identity"], 0) >= swapped for member in former["core"])
-        beyond = any(node_state.synced_indexes.get(identity, 0) > swapped for identity in node_state.members)
+        synced = sum(
+            node_state.synced_indexes.get(member["identity"], 0) >= swapped
+            for member in former["core"]
+        )
+        beyond = any(
+            node_state.synced_indexes.get(identity, 0) > swapped for identity in node_state.members
+        )
         if synced < node_state.thresholds(len(former["core"])).heard and not beyond:
             return False
         node_state.passed = node_state.tables.epoch
@@ -126,15 +167,31 @@
     def _say(self, ballot_state, now, plan):
         self.sent_at = now
         superseded = {(address, ballot_state.slot) for address in self.node_state.others()}
-        carried = next((sent.command for _, sent in plan.sends if isinstance(sent, BallotState)
-                        and sent.slot == ballot_state.slot and sent.command), ballot_state.command)
-        plan.sends = [(address, sent) for address, sent in plan.sends
-                      if not (isinstance(sent, BallotState) and (address, sent.slot) in superseded)]
-        plan.sends += [(address, replace(ballot_state, command=carried)) for address in self.node_state.others()]
+        carried = next(
+            (
+                sent.command
+                for _, sent in plan.sends
+                if isinstance(sent, BallotState) and sent.slot == ballot_state.slot and sent.command
+            ),
+            ballot_state.command,
+        )
+        plan.sends = [
+            (address, sent)
+            for address, sent in plan.sends
+            if not (isinstance(sent, BallotState) and (address, sent.slot) in superseded)
+        ]
+        plan.sends += [
+            (address, replace(ballot_state, command=carried))
+            for address in self.node_state.others()
+        ]
 
     def _decide(self, verdict, now, plan) -> bool:
         node_state = self.node_state
-        key = (node_state.own.agreed or agreed_proposal(node_state.heard, node_state.limits)) if verdict.value else ""
+        key = (
+            (node_state.own.agreed or agreed_proposal(node_state.heard, node_state.limits))
+            if verdict.value
+            else ""
+        )
         if key is None:
             return False
         command = node_state.queue.commands.get(key) if key else None
@@ -143,7 +200,9 @@
         if key and command is None:
             if now - self.asked_at >= node_state.pace.resend // 2:
                 self.asked_at = now
-                plan.sends += [(address, Ask(node_state.tables.slot, key)) for address in node_state.others()]
+                plan.sends += [
+                    (address, Ask(node_state.tables.slot, key)) for address in node_state.others()
+                ]
             return False
         node_state.stats["voted"] += 1
         node_state.stats["fast"] += verdict.phase == 1
@@ -154,6 +213,12 @@
 
     def _resend(self, now, plan):
         node_state = self.node_state
-        if node_state.own is not None and node_state.voter and now - self.sent_at >= node_state.pace.resend:
+        if (
+            node_state.own is not None
+            and node_state.voter
+            and now - self.sent_at >= node_state.pace.resend
+        ):
             self.sent_at = now
-            plan.sends += [(address, replace(node_state.own, again=True)) for address in node_state.others()]
+            plan.sends += [
+                (address, replace(node_state.own, again=True)) for address in node_state.others()
+            ]
--- a/src/willowpost/consensus/thresholds.py
+++ b/src/willowpost/consensus/thresholds.py
@@ -1,4 +1,5 @@
 """How many are enough. n comes from the epoch in force; f is what n bears."""
+
 from dataclasses import dataclass
 
 
--- a/src/willowpost/drill/capacity/command.py
+++ b/src/willowpost/drill/capacity/command.py
@@ -1,4 +1,5 @@
 """wpdrill capacity"""
+
 import json
 
 from cleo.commands.command import Command
@@ -10,9 +11,11 @@
 class CapacityCommand(Command):
     name = "capacity"
     description = "Runs lightweight fleets of rising sizes in this process, fits what each role spends, and foretells the size to design for."
-    options = [option("parts", "p", f"Parts with commas, of: {','.join(PARTS)}.", flag=False),
-               option("seed", None, "Seed.", flag=False, default="1"),
-               option("span", None, "Seconds of virtual time that are counted.", flag=False, default="3")]
+    options = [
+        option("parts", "p", f"Parts with commas, of: {','.join(PARTS)}.", flag=False),
+        option("seed", None, "Seed.", flag=False, default="1"),
+        option("span", None, "Seconds of virtual time that are counted.", flag=False, default="3"),
+    ]
     help = """Lightweight daemons are the daemons' own controllers on virtual time; in large fleets a few of each role
 are stepped, and the others are simulated peers that only speak to these. One process, a few minutes a part.
 The same seed gives the same messages and bytes; processor times are this machine's.
@@ -24,7 +27,13 @@
         parts = (self.option("parts") or ",".join(PARTS)).split(",")
         unknown = [part for part in parts if part not in PARTS]
         if unknown:
-            self.line_error(json.dumps({"place": "parts", "finding": f"no part {', '.join(unknown)}"}))
+            self.line_error(
+                json.dumps({"place": "parts", "finding": f"no part {', '.join(unknown)}"})
+            )
             return 2
-        Report(lambda text: print(text, flush=True), int(self.option("seed")), span=float(self.option("span"))).run(parts)
+        Report(
+            lambda text: print(text, flush=True),
+            int(self.option("seed")),
+            span=float(self.option("span")),
+        ).run(parts)
         return 0
--- a/src/willowpost/drill/capacity/filled.py
+++ b/src/willowpost/drill/capacity/filled.py
@@ -1,9 +1,10 @@
 """Tables as a fleet of some size would hold them after a while, and who watches whom by them."""
+
 from dataclasses import asdict, dataclass
 
 from willowpost.common.rendezvous import Rendezvous
-from willowpost.drill.capacity.size import Size
 from willowpost.configuration.checker import ConfigurationChecker
+from willowpost.drill.capacity.size import Size
 from willowpost.node.node_state import Card
 from willowpost.node.watch import watchers_of
 from willowpost.state.tables import ANSWERS_KEPT, PURGES_KEPT, Tables
@@ -25,27 +26,64 @@
 
 def cards_of(size: Size) -> Cards:
     """Addresses are as long as real ones: what is counted are bytes."""
+
     def card(kind, role, number, machine, port):
         address = f"10.{number >> 8}.{number & 255}.7"
         name = f"{machine}{number}"
-        return Card(f"{name}/{kind}", kind, role, name, f"zone-{number % size.zones}", f"{address}:{port}", f"{address}:8080", INCARNATION)
-    return Cards(tuple(card("store", "core", number, "core-", 7001) for number in range(size.voters)),
-                 tuple(card("registry", "core", number, "core-", 7002) for number in range(size.registries)),
-                 tuple(card("proxy", "edge", number, "edge-", 7003) for number in range(size.proxies)))
+        return Card(
+            f"{name}/{kind}",
+            kind,
+            role,
+            name,
+            f"zone-{number % size.zones}",
+            f"{address}:{port}",
+            f"{address}:8080",
+            INCARNATION,
+        )
+
+    return Cards(
+        tuple(card("store", "core", number, "core-", 7001) for number in range(size.voters)),
+        tuple(card("registry", "core", number, "core-", 7002) for number in range(size.registries)),
+        tuple(card("proxy", "edge", number, "edge-", 7003) for number in range(size.proxies)),
+    )
 
 
 def configuration_of(size: Size) -> dict:
-    """One branch a service, its routes beneath. Nothing goes through shields: every proxy may press every service."""
+    """One branch a service, its routes beneath.
+
+    Nothing goes through shields: every proxy may press every service.
+    """
     each = max(1, size.routes // size.services - 1)
-    return {"services": {f"service-{number}": {"rate": size.origin_rate * size.per_service} for number in range(size.services)},
-            "settings": {"shield": False, "deadline_ms": 2000},
-            "branches": {f"service-{number}": {"host": f"service-{number}.example", "settings": {"service": f"service-{number}"}, "branches": {
-                f"route-{route}": {"path": f"/part-{route}/things", "settings": {"keep_seconds": float(10 + route % 50)}} for route in range(each)}}
-                for number in range(size.services)}}
+    return {
+        "services": {
+            f"service-{number}": {"rate": size.origin_rate * size.per_service}
+            for number in range(size.services)
+        },
+        "settings": {"shield": False, "deadline_ms": 2000},
+        "branches": {
+            f"service-{number}": {
+                "host": f"service-{number}.example",
+                "settings": {"service": f"service-{number}"},
+                "branches": {
+                    f"route-{route}": {
+                        "path": f"/part-{route}/things",
+                        "settings": {"keep_seconds": float(10 + route % 50)},
+                    }
+                    for route in range(each)
+                },
+            }
+            for number in range(size.services)
+        },
+    }
 
 
 def purge_of(number: int) -> dict:
-    return {"op": "purge", "kind": "item", "host": f"service-{number % 31}.example", "path": f"/part-{number % 640}/things/{number:08d}"}
+    return {
+        "op": "purge",
+        "kind": "item",
+        "host": f"service-{number % 31}.example",
+        "path": f"/part-{number % 640}/things/{number:08d}",
+    }
 
 
 def beat_of(origin: str, second: int) -> Beat:
@@ -54,27 +92,78 @@
 
 
 class FilledTables:
-    """Invariant: depends on the size alone. All daemons are up, all origins warm, all purge entries taken, all services owned."""
+    """Invariant: depends on the size alone.
+
+    All daemons are up, all origins warm, all purge entries taken, all services owned.
+    """
 
     def make(self, size: Size, purges: int = PURGES_KEPT) -> Tables:
         cards, slot = cards_of(size), max(purges, PURGES_KEPT) + 100
         daemons = {card.id: {**asdict(card), "state": "up", "since": 1} for card in cards.all}
-        core = tuple({"identity": card.id, "name": card.name, "zone": card.zone, "address": card.address} for card in cards.stores)
-        places = [f"10.200.{number >> 7}.{100 + number % 128}:9000" for number in range(size.origins)]
-        origins = {f"{place}@{1000 + number}.0": {
-            "service": f"service-{number // size.per_service}", "address": place,
-            "zone": f"zone-{number % size.zones}", "rate": size.origin_rate, "cold_rate": size.origin_rate / 10, "slot": number,
-            "token": f"incarnation-{number:08d}", "state": "warm"} for number, place in enumerate(places)}
-        held = [{**{name: value for name, value in purge_of(number).items() if name != "op"}, "slot": slot - purges + number} for number in range(purges)]
-        # what the log has of each daemon's former life: under its own, commands so far counted would be barred
-        answers = {str(number): [number, [{"ok": True, "slot": number}]] for number in range(1, ANSWERS_KEPT + 1)}
-        seen = {card.id: {"incarnation": INCARNATION - 1, "floor": 0, "answers": answers if card.kind == "registry" else {"1": [1, [{"ok": True}]]}}
-                for card in cards.all}
-        fences = {f"quota_share/service-{number}": {"owner": cards.proxies[number % len(cards.proxies)].id, "fence": 1} for number in range(size.services)}
-        return Tables(slot=slot, epoch=1, core=core, daemons=daemons, origins=origins,
-                      configuration={"version": 7, "tree": ConfigurationChecker().check_value(configuration_of(size)).unwrap()},
-                      bound={card["address"]: {"service": card["service"]} for card in origins.values()},
-                      purges=tuple(held), purge_floor=slot - purges, fences=fences, seen=seen)
+        core = tuple(
+            {"identity": card.id, "name": card.name, "zone": card.zone, "address": card.address}
+            for card in cards.stores
+        )
+        places = [
+            f"10.200.{number >> 7}.{100 + number % 128}:9000" for number in range(size.origins)
+        ]
+        origins = {
+            f"{place}@{1000 + number}.0": {
+                "service": f"service-{number // size.per_service}",
+                "address": place,
+                "zone": f"zone-{number % size.zones}",
+                "rate": size.origin_rate,
+                "cold_rate": size.origin_rate / 10,
+                "slot": number,
+                "token": f"incarnation-{number:08d}",
+                "state": "warm",
+            }
+            for number, place in enumerate(places)
+        }
+        held = [
+            {
+                **{name: value for name, value in purge_of(number).items() if name != "op"},
+                "slot": slot - purges + number,
+            }
+            for number in range(purges)
+        ]
+        # what the log has of each daemon's former life: under its own, commands so far counted
+        # would be barred
+        answers = {
+            str(number): [number, [{"ok": True, "slot": number}]]
+            for number in range(1, ANSWERS_KEPT + 1)
+        }
+        seen = {
+            card.id: {
+                "incarnation": INCARNATION - 1,
+                "floor": 0,
+                "answers": answers if card.kind == "registry" else {"1": [1, [{"ok": True}]]},
+            }
+            for card in cards.all
+        }
+        fences = {
+            f"quota_share/service-{number}": {
+                "owner": cards.proxies[number % len(cards.proxies)].id,
+                "fence": 1,
+            }
+            for number in range(size.services)
+        }
+        return Tables(
+            slot=slot,
+            epoch=1,
+            core=core,
+            daemons=daemons,
+            origins=origins,
+            configuration={
+                "version": 7,
+                "tree": ConfigurationChecker().check_value(configuration_of(size)).unwrap(),
+            },
+            bound={card["address"]: {"service": card["service"]} for card in origins.values()},
+            purges=tuple(held),
+            purge_floor=slot - purges,
+            fences=fences,
+            seen=seen,
+        )
 
 
 class WatchSets:
--- a/src/willowpost/drill/capacity/fit.py
+++ b/src/willowpost/drill/capacity/fit.py
@@ -1,4 +1,8 @@
-"""Least squares over a few terms, weighed so that each point's relative miss counts alike, and what it says further out."""
+"""Least squares over a few terms, weighed so that each point's relative miss counts alike.
+
+And what it says further out.
+"""
+
 from dataclasses import dataclass
 
 TERMS = {"1": lambda n: 1.0, "n": lambda n: float(n), "n^2": lambda n: float(n) * n}
@@ -15,28 +19,42 @@
     residual: float
 
     def at(self, n: float) -> float:
-        return sum(slope * TERMS[term](n) for term, slope in zip(self.terms, self.slopes))
+        return sum(
+            slope * TERMS[term](n) for term, slope in zip(self.terms, self.slopes, strict=False)
+        )
 
     def text(self) -> str:
-        return " + ".join(f"{slope:.3g}" if term == "1" else f"{slope:.3g} {term}" for term, slope in zip(self.terms, self.slopes))
+        return " + ".join(
+            f"{slope:.3g}" if term == "1" else f"{slope:.3g} {term}"
+            for term, slope in zip(self.terms, self.slopes, strict=False)
+        )
 
 
 def solved(rows, right):
     """Gauss, with the largest pivot."""
-    rows = [[*row, value] for row, value in zip(rows, right)]
+    rows = [[*row, value] for row, value in zip(rows, right, strict=False)]
     for column in range(len(rows)):
         pivot = max(range(column, len(rows)), key=lambda number: abs(rows[number][column]))
         rows[column], rows[pivot] = rows[pivot], rows[column]
         if not rows[column][column]:
             raise ValueError("too few different sizes for this law")
         rows[column] = [value / rows[column][column] for value in rows[column]]
-        rows = [row if number == column else [value - row[column] * lead for value, lead in zip(row, rows[column])]
-                for number, row in enumerate(rows)]
+        rows = [
+            row
+            if number == column
+            else [
+                value - row[column] * lead for value, lead in zip(row, rows[column], strict=False)
+            ]
+            for number, row in enumerate(rows)
+        ]
     return [row[-1] for row in rows]
 
 
 class Fitter:
-    """Invariant: a law with a square is taken only where the straight one misses a point by more than CLOSE."""
+    """Invariant.
+
+    A law with a square is taken only where the straight one misses a point by more than CLOSE.
+    """
 
     def fit(self, points) -> Fit:
         """points: (n, value), more of them than terms."""
@@ -47,12 +65,31 @@
         return bent if bent.residual < straight.residual and bent.slopes[-1] > 0 else straight
 
     def fit_law(self, points, terms) -> Fit:
-        weighed = [([TERMS[term](n) / value for term in terms], 1.0) for n, value in points if value]
+        weighed = [
+            ([TERMS[term](n) / value for term in terms], 1.0) for n, value in points if value
+        ]
         if not weighed:
             return Fit(terms, (0.0,) * len(terms), 0.0)
         scale = [max(abs(row[number]) for row, _ in weighed) or 1.0 for number in range(len(terms))]
-        weighed = [([value / size for value, size in zip(row, scale)], right) for row, right in weighed]
-        rows = [[sum(row[a] * row[b] for row, _ in weighed) for b in range(len(terms))] for a in range(len(terms))]
-        slopes = tuple(slope / size for slope, size in zip(solved(rows, [sum(row[a] * right for row, right in weighed) for a in range(len(terms))]), scale))
+        weighed = [
+            ([value / size for value, size in zip(row, scale, strict=False)], right)
+            for row, right in weighed
+        ]
+        rows = [
+            [sum(row[a] * row[b] for row, _ in weighed) for b in range(len(terms))]
+            for a in range(len(terms))
+        ]
+        slopes = tuple(
+            slope / size
+            for slope, size in zip(
+                solved(
+                    rows, [sum(row[a] * right for row, right in weighed) for a in range(len(terms))]
+                ),
+                scale,
+                strict=False,
+            )
+        )
         fit = Fit(terms, slopes, 0.0)
-        return Fit(terms, slopes, max(abs(fit.at(n) - value) / abs(value) for n, value in points if value))
+        return Fit(
+            terms, slopes, max(abs(fit.at(n) - value) / abs(value) for n, value in points if value)
+        )
--- a/src/willowpost/drill/capacity/lightweight.py
+++ b/src/willowpost/drill/capacity/lightweight.py
@@ -1,10 +1,21 @@
-"""Lightweight daemons: the daemons' own controllers on virtual time, many in one process; the rest of a large fleet as simulated peers."""
+"""Lightweight daemons: the daemons' own controllers on virtual time, many in one process.
+
+The rest of a large fleet as simulated peers.
+"""
+
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Asked, Received
 from willowpost.consensus.replica.replica_state import ReplicaState
-from willowpost.drill.capacity.filled import FilledTables, WatchSets, beat_of, cards_of, homes_of, purge_of
-from willowpost.drill.capacity.simulated_peers import ANSWERED, SimulatedPeers
+from willowpost.drill.capacity.filled import (
+    FilledTables,
+    WatchSets,
+    beat_of,
+    cards_of,
+    homes_of,
+    purge_of,
+)
 from willowpost.drill.capacity.meter import YARDSTICK, Meter
+from willowpost.drill.capacity.simulated_peers import ANSWERED, SimulatedPeers
 from willowpost.drill.capacity.size import Size
 from willowpost.node.watch import Watch
 from willowpost.proxy.node import ProxyNode
@@ -16,14 +27,17 @@
 from willowpost.wire.codec import Codec
 from willowpost.wire.messages import Member
 
-LEAVES = 2          # proxies of the sample that are neither home nor owner
-REGISTRIES = 2      # registries of the sample
+LEAVES = 2  # proxies of the sample that are neither home nor owner
+REGISTRIES = 2  # registries of the sample
 
 
 class LightweightFleet(World):
-    """Invariants: what daemons tell each other goes through the real codec; the same seed gives the same messages.
-    With `whole` every daemon is stepped. Without, all stores, two registries, one zone's homes, a service's owner and two
-    more proxies are; all others are simulated peers that say to these what their controllers would."""
+    """Invariants: what daemons tell each other goes through the real codec.
+
+    The same seed gives the same messages. With `whole` every daemon is stepped. Without, all
+    stores, two registries, one zone's homes, a service's owner and two more proxies are; all others
+    are simulated peers that say to these what their controllers would.
+    """
 
     def __init__(self, size: Size, seed: int = 1, whole: bool = False):
         super().__init__(seed)
@@ -34,11 +48,15 @@
         self.purged = 0
         self.encoded = (None, b"")
         roles = self._roles(whole)
-        self.meter = Meter({card.address: roles[card.id] for card in self.cards.all if card.id in roles})
+        self.meter = Meter(
+            {card.address: roles[card.id] for card in self.cards.all if card.id in roles}
+        )
         for card in self.cards.all:
             if card.id in roles:
                 self.add(card.address, self._build(card))
-        self.simulated_peers = SimulatedPeers(self, [card for card in self.cards.all if card.id not in roles])
+        self.simulated_peers = SimulatedPeers(
+            self, [card for card in self.cards.all if card.id not in roles]
+        )
         self.stepped = [card for card in self.cards.registries if card.id in roles]
         for number, origin in enumerate(self.tables.origins):
             home = self.cards.registries[number % len(self.cards.registries)]
@@ -57,12 +75,20 @@
     def _roles(self, whole):
         homes = homes_of("zone-0", self.cards)
         owners = {card["owner"] for card in self.tables.fences.values()}
-        picked = {card.id: "store" for card in self.cards.stores} | {card.id: "registry" for card in self.cards.registries[:None if whole else REGISTRIES]}
+        picked = {card.id: "store" for card in self.cards.stores} | {
+            card.id: "registry" for card in self.cards.registries[: None if whole else REGISTRIES]
+        }
         sampled = [card for card in homes[1:] if card.id not in owners]
         picked |= {card.id: "proxy" for card in (self.cards.proxies if whole else sampled[:LEAVES])}
-        picked |= {homes[0].id: "home", **{name: "owner" for name in (owners if whole else sorted(owners - {homes[0].id})[:1])}}
+        picked |= {
+            homes[0].id: "home",
+            **{name: "owner" for name in (owners if whole else sorted(owners - {homes[0].id})[:1])},
+        }
         if whole:
-            picked |= {homes_of(f"zone-{number}", self.cards)[0].id: "home" for number in range(self.size.zones)}
+            picked |= {
+                homes_of(f"zone-{number}", self.cards)[0].id: "home"
+                for number in range(self.size.zones)
+            }
         return picked
 
     def _build(self, card):
@@ -75,14 +101,21 @@
                 node_state.take(self.tables)
                 node_state.log_floor = node_state.turned_at = self.tables.slot
                 node_state.passed = self.tables.epoch
-                node = StoreNode(me, seeds, self.size.voters, node_state.version(), now, wall, card.incarnation)
+                node = StoreNode(
+                    me, seeds, self.size.voters, node_state.version(), now, wall, card.incarnation
+                )
             else:
-                node = RegistryNode(card, seeds, wall, lambda *probe: None) if card.kind == "registry" else ProxyNode(card, seeds, wall)
+                node = (
+                    RegistryNode(card, seeds, wall, lambda *probe: None)
+                    if card.kind == "registry"
+                    else ProxyNode(card, seeds, wall)
+                )
                 node.node_state.tables = self.tables
             for watch in [held for held in node.controllers if isinstance(held, Watch)]:
                 # a store has read its own copy of the tables
                 watch.seen_daemons, watch.watched = watch.tables().daemons, self.watched[card.id]
             return node
+
         return build
 
     def _beat(self, address, origin):
@@ -111,7 +144,7 @@
             if address == seat.address:
                 self.at(10, self.give, address, Received(address, message))
                 continue
-            if self.encoded[0] is not message:       # as the mesh does
+            if self.encoded[0] is not message:  # as the mesh does
                 frame, nanos = self.meter.timed(self.codec.encode, seat.address, message)
                 self.encoded = (message, frame)
                 spent.nanos += nanos
@@ -125,7 +158,12 @@
                 self.post(address, frame)
 
     def post(self, address, frame) -> None:
-        self.at(self.weather.least + self.chance.randrange(self.weather.spread + 1), self._arrive, address, frame)
+        self.at(
+            self.weather.least + self.chance.randrange(self.weather.spread + 1),
+            self._arrive,
+            address,
+            frame,
+        )
 
     def _arrive(self, address, frame):
         spent = self.meter.spent[address]
--- a/src/willowpost/drill/capacity/meter.py
+++ b/src/willowpost/drill/capacity/meter.py
@@ -1,16 +1,26 @@
 """What the daemons of each role spend."""
+
 from collections import Counter
 from dataclasses import dataclass, field
 from time import thread_time_ns
 
 
 class Yardstick:
-    """The same small work again and again, among the rest: how quick the processor is just now, since others use it too."""
+    """The same small work again and again, among the rest: how quick the processor is just now.
+
+    Since others use it too.
+    """
 
     def __init__(self):
         self.took: list[int] = []
-        self.cards = {f"daemon-{number}": {"address": f"10.0.{number % 7}.{number}:7003", "zone": f"zone-{number % 30}", "state": "up"}
-                      for number in range(2000)}
+        self.cards = {
+            f"daemon-{number}": {
+                "address": f"10.0.{number % 7}.{number}:7003",
+                "zone": f"zone-{number % 30}",
+                "state": "up",
+            }
+            for number in range(2000)
+        }
 
     def look(self) -> None:
         self.took.append(self._once())
@@ -23,9 +33,15 @@
         self.took = []
 
     def _once(self):
-        """Of the kind that daemons do: objects made, looked up and let go, over more memory than lies close to the processor."""
+        """Of the kind that daemons do: objects made, looked up and let go.
+
+        Over more memory than lies close to the processor.
+        """
         begun = thread_time_ns()
-        cards = {name: {**card, "since": number} for number, (name, card) in enumerate(self.cards.items())}
+        cards = {
+            name: {**card, "since": number}
+            for number, (name, card) in enumerate(self.cards.items())
+        }
         sorted((card["address"], name) for name, card in cards.items())
         return thread_time_ns() - begun
 
@@ -36,13 +52,13 @@
 @dataclass(slots=True)
 class Spent:
     steps: int = 0
-    nanos: int = 0              # steps, encoding and decoding
-    longest: int = 0            # of one step
+    nanos: int = 0  # steps, encoding and decoding
+    longest: int = 0  # of one step
     sent: int = 0
     received: int = 0
     messages_in: int = 0
     messages_out: int = 0
-    kinds: Counter = field(default_factory=Counter)       # bytes by kind of message, both routes
+    kinds: Counter = field(default_factory=Counter)  # bytes by kind of message, both routes
 
     def stepped(self, nanos: int) -> None:
         self.steps += 1
@@ -60,8 +76,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Figures:
-    """One daemon's spending a second of virtual time, on average over those of its role that were stepped.
-    `yard` is what the yardstick took meanwhile, in µs: processor times of two runs compare as multiples of it."""
+    """One daemon's spending a second of virtual time.
+
+    On average over those of its role that were stepped. `yard` is what the yardstick took
+    meanwhile, in µs: processor times of two runs compare as multiples of it.
+    """
 
     daemons: int
     steps: float
@@ -76,10 +95,13 @@
 
 
 class Meter:
-    """Invariant: nothing but a daemon's own work is put to its account: neither simulated peers' nor the harness's."""
+    """Invariant: nothing but a daemon's own work is put to its account.
+
+    Neither simulated peers' nor the harness's.
+    """
 
     def __init__(self, roles: dict[str, str]):
-        self.roles = roles                # address -> role
+        self.roles = roles  # address -> role
         self.spent = {address: Spent() for address in roles}
 
     def timed(self, call, *args):
@@ -92,13 +114,27 @@
         self.spent = {address: Spent() for address in self.roles}
 
     def figures(self, span: float) -> dict[str, Figures]:
-        return {role: self._of([self.spent[address] for address, held in self.roles.items() if held == role], span)
-                for role in dict.fromkeys(self.roles.values())}
+        return {
+            role: self._of(
+                [self.spent[address] for address, held in self.roles.items() if held == role], span
+            )
+            for role in dict.fromkeys(self.roles.values())
+        }
 
     def _of(self, spent, span):
-        per = lambda value: sum(value(each) for each in spent) / len(spent) / span
+        def per(value):
+            return sum(value(each) for each in spent) / len(spent) / span
+
         kinds = sum((each.kinds for each in spent), Counter())
-        return Figures(len(spent), per(lambda each: each.steps), per(lambda each: each.nanos) / 1000,
-                       max(each.longest for each in spent) / 1e6, per(lambda each: each.sent), per(lambda each: each.received),
-                       per(lambda each: each.messages_out), per(lambda each: each.messages_in),
-                       {kind: size / len(spent) / span for kind, size in kinds.most_common()}, YARDSTICK.micros())
+        return Figures(
+            len(spent),
+            per(lambda each: each.steps),
+            per(lambda each: each.nanos) / 1000,
+            max(each.longest for each in spent) / 1e6,
+            per(lambda each: each.sent),
+            per(lambda each: each.received),
+            per(lambda each: each.messages_out),
+            per(lambda each: each.messages_in),
+            {kind: size / len(spent) / span for kind, size in kinds.most_common()},
+            YARDSTICK.micros(),
+        )
--- a/src/willowpost/drill/capacity/simulated_peers.py
+++ b/src/willowpost/drill/capacity/simulated_peers.py
@@ -1,18 +1,25 @@
-"""The daemons that are not stepped: they say what their controllers would, to those that are, and nothing else."""
+"""The daemons that are not stepped: they say what their controllers would, to those that are.
+
+And nothing else.
+"""
+
 from willowpost.common.clock import SECOND
 from willowpost.drill.capacity.filled import beat_of, homes_of
-from willowpost.node.node_state import NodeState
 from willowpost.node.follower import POLL_EVERY
+from willowpost.node.node_state import NodeState
 from willowpost.node.watch import PING_EVERY
 from willowpost.proxy.admission.quota_shares import LOOK_EVERY
-from willowpost.wire.messages import StateUpdate, Ping, Poll, Pong, QuotaShareAsk, QuotaShareTell
+from willowpost.wire.messages import Ping, Poll, Pong, QuotaShareAsk, QuotaShareTell, StateUpdate
 
-ANSWERED = (StateUpdate, Ping, QuotaShareAsk)       # what a ghost hears; all else it lets pass
+ANSWERED = (StateUpdate, Ping, QuotaShareAsk)  # what a ghost hears; all else it lets pass
 
 
 class SimulatedPeers:
-    """Invariant: a ghost's polls, pings, asks and beats come as often as the controllers', each at its own phase.
-    That they do is checked by running the same size whole: tests/test_capacity.py."""
+    """Invariant: a ghost's polls, pings, asks and beats come as often as the controllers'.
+
+    Each at its own phase. That they do is checked by running the same size whole:
+    tests/test_capacity.py.
+    """
 
     def __init__(self, world, cards):
         self.world = world
@@ -32,33 +39,61 @@
                 self._say(address, source, QuotaShareTell(nonce, service, fence, 1000))
 
     def _homes(self):
-        """zone -> its first home, by the followers' own order"""
+        """Zone -> its first home, by the followers' own order"""
         world = self.world
-        self.homes = {zone: homes_of(zone, world.cards)[0] for zone in {card.zone for card in world.cards.proxies}}
+        self.homes = {
+            zone: homes_of(zone, world.cards)[0]
+            for zone in {card.zone for card in world.cards.proxies}
+        }
 
     def _begin(self):
         world, seats = self.world, self.world.seats
-        stepped = [world.tables.daemons[name] for name in world.tables.daemons if world.tables.daemons[name]["address"] in seats]
+        stepped = [
+            world.tables.daemons[name]
+            for name in world.tables.daemons
+            if world.tables.daemons[name]["address"] in seats
+        ]
         told = [card["address"] for card in stepped if card["kind"] in ("registry", "proxy")]
-        owned = [(service, card["fence"], address) for service, card in world.tables.fences.items()
-                 for address in [world.tables.daemons[card["owner"]]["address"]] if address in seats]
+        owned = [
+            (service, card["fence"], address)
+            for service, card in world.tables.fences.items()
+            for address in [world.tables.daemons[card["owner"]]["address"]]
+            if address in seats
+        ]
         for card in self.cards.values():
             if card.kind != "store" and (source := self._source(card)) in seats:
                 self._every(POLL_EVERY, lambda card=card, source=source: self._poll(card, source))
             for target in world.watched[card.id]:
                 address = world.tables.daemons[target]["address"]
                 if address in seats:
-                    self._every(PING_EVERY, lambda card=card, address=address: self._say(card.address, address, Ping(self._next(), card.incarnation)))
+                    self._every(
+                        PING_EVERY,
+                        lambda card=card, address=address: self._say(
+                            card.address, address, Ping(self._next(), card.incarnation)
+                        ),
+                    )
             if card.kind == "proxy":
                 for key, fence, address in owned:
-                    self._every(LOOK_EVERY, lambda card=card, key=key, fence=fence, address=address: self._say(
-                        card.address, address, QuotaShareAsk(self._next(), key.removeprefix("quota_share/"), fence, 1000)))
+                    self._every(
+                        LOOK_EVERY,
+                        lambda card=card, key=key, fence=fence, address=address: self._say(
+                            card.address,
+                            address,
+                            QuotaShareAsk(
+                                self._next(), key.removeprefix("quota_share/"), fence, 1000
+                            ),
+                        ),
+                    )
         for number, origin in enumerate(world.tables.origins):
             registry = world.cards.registries[number % len(world.cards.registries)]
             if registry.address in self.cards:
                 for address in told:
-                    self._every(int(world.size.beat_seconds * SECOND),
-                                lambda origin=origin, registry=registry, address=address: self._say(registry.address, address, beat_of(origin, world.time // SECOND)))
+                    self._every(
+                        int(world.size.beat_seconds * SECOND),
+                        lambda origin=origin, registry=registry, address=address: self._say(
+                            registry.address, address, beat_of(origin, world.time // SECOND)
+                        ),
+                    )
 
     def _source(self, card):
         home = self.homes.get(card.zone)
@@ -80,4 +115,5 @@
         def again():
             act()
             self.world.at(period, again)
+
         self.world.at(self.world.chance.randrange(period), again)
--- a/src/willowpost/drill/capacity/size.py
+++ b/src/willowpost/drill/capacity/size.py
@@ -1,4 +1,5 @@
 """How large a fleet is, for measuring: the size to design for, and smaller ones like it."""
+
 from dataclasses import dataclass
 
 
@@ -9,12 +10,12 @@
     daemons: int = 150
     origins: int = 40
     routes: int = 500
-    purges: float = 20.0          # a second, over the fleet
+    purges: float = 20.0  # a second, over the fleet
     zones: int = 4
     voters: int = 5
     registries: int = 5
-    per_service: int = 10            # origins of one service
-    origin_rate: float = 250.0     # requests a second that one origin bears
+    per_service: int = 10  # origins of one service
+    origin_rate: float = 250.0  # requests a second that one origin bears
     beat_seconds: float = 1.0
 
     @property
@@ -30,9 +31,9 @@
 class Budget:
     """What one daemon may spend on control."""
 
-    micros: float = 16_000.0      # processor time a second: 1.6 % of a core
+    micros: float = 16_000.0  # processor time a second: 1.6 % of a core
     memory: float = 128e6
-    bytes: float = 26_000.0       # a second
+    bytes: float = 26_000.0  # a second
 
 
 LADDER = (
--- a/src/willowpost/drill/capacity/steps.py
+++ b/src/willowpost/drill/capacity/steps.py
@@ -1,4 +1,8 @@
-"""What a daemon pays for the least of its events: a tick with nothing to do, a ping, and one small message's encoding and decoding."""
+"""What a daemon pays for the least of its events: a tick with nothing to do, a ping.
+
+And one small message's encoding and decoding.
+"""
+
 from willowpost.common.clock import MILLI
 from willowpost.common.events import Received, Tick
 from willowpost.drill.capacity.lightweight import LightweightFleet
@@ -9,7 +13,8 @@
 from willowpost.wire.messages import Ping
 
 SMALL = Size(50, 10, 100, 5.0, 4)
-TICKS = 20           # 0.4 s of them: what comes every 150 to 400 ms is in, and state updates do not grow old meanwhile
+# 0.4 s of them: what comes every 150 to 400 ms is in, and state updates do not grow old meanwhile
+TICKS = 20
 PINGS = 200
 
 
@@ -20,12 +25,50 @@
         fleet.run(seconds(3.5))
         rows = []
         for role in dict.fromkeys(fleet.meter.roles.values()):
-            seat = next(fleet.seats[address] for address, held in fleet.meter.roles.items() if held == role)
+            seat = next(
+                fleet.seats[address] for address, held in fleet.meter.roles.items() if held == role
+            )
             now, ping = fleet.now(seat), Received("10.0.9.9:7003", Ping(1, "edge-9/proxy@1"))
-            rows.append((role, "ping", millis(lambda: [seat.node.step(ping, now) for _ in range(PINGS)]) * 1000 / PINGS))
-            rows.append((role, "tick", millis(lambda: [seat.node.step(Tick(), now + number * 20 * MILLI) for number in range(TICKS)], times=1) * 1000 / TICKS))
+            rows.append(
+                (
+                    role,
+                    "ping",
+                    millis(lambda: [seat.node.step(ping, now) for _ in range(PINGS)])
+                    * 1000
+                    / PINGS,
+                )
+            )
+            rows.append(
+                (
+                    role,
+                    "tick",
+                    millis(
+                        lambda: [
+                            seat.node.step(Tick(), now + number * 20 * MILLI)
+                            for number in range(TICKS)
+                        ],
+                        times=1,
+                    )
+                    * 1000
+                    / TICKS,
+                )
+            )
         codec = Codec()
         frame = codec.encode("10.0.9.9:7003", ping.message)
-        rows.append(("any", "ping encoded", millis(lambda: [codec.encode("10.0.9.9:7003", ping.message) for _ in range(PINGS)]) * 1000 / PINGS))
-        rows.append(("any", "ping decoded", millis(lambda: [codec.decode(frame) for _ in range(PINGS)]) * 1000 / PINGS))
+        rows.append(
+            (
+                "any",
+                "ping encoded",
+                millis(lambda: [codec.encode("10.0.9.9:7003", ping.message) for _ in range(PINGS)])
+                * 1000
+                / PINGS,
+            )
+        )
+        rows.append(
+            (
+                "any",
+                "ping decoded",
+                millis(lambda: [codec.decode(frame) for _ in range(PINGS)]) * 1000 / PINGS,
+            )
+        )
         return rows
--- a/src/willowpost/drill/capacity/units.py
+++ b/src/willowpost/drill/capacity/units.py
@@ -1,4 +1,8 @@
-"""What single pieces of work cost as one thing grows: each runs the daemons' own code on filled tables."""
+"""What single pieces of work cost as one thing grows.
+
+Each runs the daemons' own code on filled tables.
+"""
+
 import gc
 import json
 import os
@@ -7,9 +11,9 @@
 from pathlib import Path
 from time import thread_time_ns
 
+from willowpost.configuration.checker import ConfigurationChecker
 from willowpost.drill.capacity.filled import FilledTables, configuration_of, purge_of
 from willowpost.drill.capacity.size import Size
-from willowpost.configuration.checker import ConfigurationChecker
 from willowpost.node.watch import watchers_of
 from willowpost.proxy.cache.store import CacheStore, Entry
 from willowpost.proxy.routing.snapshot import SnapshotMaker
@@ -18,23 +22,25 @@
 from willowpost.wire.codec import Codec
 from willowpost.wire.messages import Command, Decision, StateUpdate
 
-TARGETS = 24        # of all those for whom a daemon works out the watchers; the rest cost the same
+TARGETS = 24  # of all those for whom a daemon works out the watchers; the rest cost the same
 
 
 @dataclass(frozen=True, slots=True)
 class Unit:
     name: str
     driver: str
-    measure: str        # ms or bytes
-    points: tuple       # (driver's value, cost)
+    measure: str  # ms or bytes
+    points: tuple  # (driver's value, cost)
 
 
 def millis(call, *args, times: int = 5) -> float:
     """The least of a few: what the work takes when nobody else is on the processor."""
+
     def once():
         begun = thread_time_ns()
         call(*args)
         return (thread_time_ns() - begun) / 1e6
+
     return min(once() for _ in range(times))
 
 
@@ -43,7 +49,10 @@
 
 
 def held_by(make) -> int:
-    """Bytes of what make() gives. Counted by the interpreter: what the process holds resident hides small things in freed room."""
+    """Bytes of what make() gives.
+
+    Counted by the interpreter: what the process holds resident hides small things in freed room.
+    """
     gc.collect()
     tracemalloc.start()
     try:
@@ -71,48 +80,136 @@
     """Invariant: measures nothing but calls that the daemons themselves make."""
 
     def by_daemons(self, counts) -> list[Unit]:
-        tables = {count: FilledTables().make(Size(count, 40, 100, zones=max(4, count // 90), registries=max(5, min(22, count // 80))))
-                  for count in counts}
-        rows = {("watch sets after one change of a card", "ms"): self._watch, ("snapshot made for one slot", "ms"): self._snapshot,
-                ("a purge's slot applied", "ms"): lambda held: millis(Apply().step, held, slot_of(held, purge_of(1))),
-                ("tables written as text", "ms"): lambda held: millis(held.text), ("tables read from text", "ms"): lambda held: millis(tables_from, held.text()),
-                ("tables as text", "bytes"): lambda held: len(held.text()),
-                ("tables in memory", "bytes"): lambda held: self._copied(held.text(), held_by),
-                ("tables in resident memory", "bytes"): lambda held: self._copied(held.text(), lambda make: grown_by(make, 8))}
-        return [Unit(name, "daemons", measure, tuple((count, cost(held)) for count, held in tables.items()))
-                for (name, measure), cost in rows.items()]
+        tables = {
+            count: FilledTables().make(
+                Size(
+                    count,
+                    40,
+                    100,
+                    zones=max(4, count // 90),
+                    registries=max(5, min(22, count // 80)),
+                )
+            )
+            for count in counts
+        }
+        rows = {
+            ("watch sets after one change of a card", "ms"): self._watch,
+            ("snapshot made for one slot", "ms"): self._snapshot,
+            ("a purge's slot applied", "ms"): lambda held: millis(
+                Apply().step, held, slot_of(held, purge_of(1))
+            ),
+            ("tables written as text", "ms"): lambda held: millis(held.text),
+            ("tables read from text", "ms"): lambda held: millis(tables_from, held.text()),
+            ("tables as text", "bytes"): lambda held: len(held.text()),
+            ("tables in memory", "bytes"): lambda held: self._copied(held.text(), held_by),
+            ("tables in resident memory", "bytes"): lambda held: self._copied(
+                held.text(), lambda make: grown_by(make, 8)
+            ),
+        }
+        return [
+            Unit(
+                name,
+                "daemons",
+                measure,
+                tuple((count, cost(held)) for count, held in tables.items()),
+            )
+            for (name, measure), cost in rows.items()
+        ]
 
     def by_routes(self, counts) -> list[Unit]:
         configurations = {count: configuration_of(Size(150, 310, count)) for count in counts}
-        trees = {count: ConfigurationChecker().check_value(configuration).unwrap() for count, configuration in configurations.items()}
+        trees = {
+            count: ConfigurationChecker().check_value(configuration).unwrap()
+            for count, configuration in configurations.items()
+        }
         tables = FilledTables().make(Size(150, 310, 100))
-        op = lambda tree: {"op": "configuration", "tree": tree, "if_match": None}
-        state_update = lambda tree: StateUpdate(1, tables.slot, 0, True, (slot_of(tables, op(tree)),))
-        frames = {count: Codec().encode("10.0.0.1:7001", state_update(tree)) for count, tree in trees.items()}
-        rows = {("configuration checked by a registry", "ms"): lambda count: millis(ConfigurationChecker().check, json.dumps(configurations[count]).encode()),
-                ("configuration in one message", "bytes"): lambda count: len(frames[count]),
-                ("configuration encoded", "ms"): lambda count: millis(Codec().encode, "10.0.0.1:7001", state_update(trees[count])),
-                ("configuration decoded", "ms"): lambda count: millis(Codec().decode, frames[count]),
-                ("configuration's slot applied", "ms"): lambda count: millis(Apply().step, tables, slot_of(tables, op(trees[count]))),
-                ("routes made of a configuration", "ms"): lambda count: millis(lambda: SnapshotMaker().make(self._with(tables, trees[count]))),
-                ("tables written as text, by routes", "ms"): lambda count: millis(self._with(tables, trees[count]).text),
-                ("routes in memory", "bytes"): lambda count: held_by(lambda: SnapshotMaker().make(self._with(tables, trees[count])))}
-        return [Unit(name, "routes", measure, tuple((count, cost(count)) for count in counts)) for (name, measure), cost in rows.items()]
+
+        def op(tree):
+            return {"op": "configuration", "tree": tree, "if_match": None}
+
+        def state_update(tree):
+            return StateUpdate(1, tables.slot, 0, True, (slot_of(tables, op(tree)),))
+
+        frames = {
+            count: Codec().encode("10.0.0.1:7001", state_update(tree))
+            for count, tree in trees.items()
+        }
+        rows = {
+            ("configuration checked by a registry", "ms"): lambda count: millis(
+                ConfigurationChecker().check, json.dumps(configurations[count]).encode()
+            ),
+            ("configuration in one message", "bytes"): lambda count: len(frames[count]),
+            ("configuration encoded", "ms"): lambda count: millis(
+                Codec().encode, "10.0.0.1:7001", state_update(trees[count])
+            ),
+            ("configuration decoded", "ms"): lambda count: millis(Codec().decode, frames[count]),
+            ("configuration's slot applied", "ms"): lambda count: millis(
+                Apply().step, tables, slot_of(tables, op(trees[count]))
+            ),
+            ("routes made of a configuration", "ms"): lambda count: millis(
+                lambda: SnapshotMaker().make(self._with(tables, trees[count]))
+            ),
+            ("tables written as text, by routes", "ms"): lambda count: millis(
+                self._with(tables, trees[count]).text
+            ),
+            ("routes in memory", "bytes"): lambda count: held_by(
+                lambda: SnapshotMaker().make(self._with(tables, trees[count]))
+            ),
+        }
+        return [
+            Unit(name, "routes", measure, tuple((count, cost(count)) for count in counts))
+            for (name, measure), cost in rows.items()
+        ]
 
     def by_entries(self, counts) -> list[Unit]:
         """A purge that strikes nothing, at a cache that keeps so many entries."""
         tables = FilledTables().make(Size(150, 40, 100))
-        fresh = replace(tables, slot=tables.slot + 1, purges=tables.purges[1:] + ({**tables.purges[0], "path": "/no/such", "slot": tables.slot},))
-        return [Unit("one purge carried out by a cache", "entries", "ms", tuple((count, self._purge(tables, fresh, count)) for count in counts))]
+        fresh = replace(
+            tables,
+            slot=tables.slot + 1,
+            purges=(
+                *tables.purges[1:],
+                {**tables.purges[0], "path": "/no/such", "slot": tables.slot},
+            ),
+        )
+        return [
+            Unit(
+                "one purge carried out by a cache",
+                "entries",
+                "ms",
+                tuple((count, self._purge(tables, fresh, count)) for count in counts),
+            )
+        ]
 
     def by_purges(self, counts) -> list[Unit]:
-        caches = {count: self._cache(FilledTables().make(Size(150, 40, 100), count), 1) for count in counts}
-        return [Unit("one answer checked against the purges", "purges", "ms", tuple(
-            (count, millis(lambda: cache.purged_since(cache.floor, "h.example", "/none"), times=20)) for count, cache in caches.items()))]
+        caches = {
+            count: self._cache(FilledTables().make(Size(150, 40, 100), count), 1)
+            for count in counts
+        }
+        return [
+            Unit(
+                "one answer checked against the purges",
+                "purges",
+                "ms",
+                tuple(
+                    (
+                        count,
+                        millis(
+                            lambda: cache.purged_since(cache.floor, "h.example", "/none"), times=20
+                        ),
+                    )
+                    for count, cache in caches.items()
+                ),
+            )
+        ]
 
     def _watch(self, tables):
-        targets = list(tables.daemons)[::max(1, len(tables.daemons) // TARGETS)]
-        return millis(lambda: [watchers_of(name, tables.daemons) for name in targets], times=2) * len(tables.daemons) / len(targets)
+        targets = list(tables.daemons)[:: max(1, len(tables.daemons) // TARGETS)]
+        return (
+            millis(lambda: [watchers_of(name, tables.daemons) for name in targets], times=2)
+            * len(tables.daemons)
+            / len(targets)
+        )
 
     def _copied(self, text, weighed):
         return weighed(lambda: tables_from(text))
@@ -129,12 +226,15 @@
         cache = CacheStore()
         cache.purge(tables)
         for number in range(entries):
-            cache.keep(Entry("h.example", f"/part/{number}", (), 200, (), b"", 0, 10**9, tables.slot))
+            cache.keep(
+                Entry("h.example", f"/part/{number}", (), 200, (), b"", 0, 10**9, tables.slot)
+            )
         return cache
 
     def _purge(self, tables, fresh, entries):
         def once():
             cache.slot = tables.slot
             cache.purge(fresh)
+
         cache = self._cache(tables, entries)
         return millis(once)
--- a/src/willowpost/drill/capacity/wire.py
+++ b/src/willowpost/drill/capacity/wire.py
@@ -1,4 +1,8 @@
-"""What a message costs beyond its encoding: queues, tasks, system calls, at both ends of one connection over loopback."""
+"""What a message costs beyond its encoding: queues, tasks, system calls.
+
+At both ends of one connection over loopback.
+"""
+
 from time import process_time_ns
 
 from gevent.queue import Queue
@@ -9,7 +13,7 @@
 from willowpost.wire.messages import Ping
 
 COUNT = 4000
-ROUND = 2         # messages that leave together; a controller seldom says more to one peer at once
+ROUND = 2  # messages that leave together; a controller seldom says more to one peer at once
 WAIT_SECONDS = 5
 
 
--- a/src/willowpost/drill/deployment.py
+++ b/src/willowpost/drill/deployment.py
@@ -1,4 +1,5 @@
 """A deployment's settings, and the settings of each of its processes."""
+
 import json
 from dataclasses import dataclass
 from importlib.resources import files
@@ -8,67 +9,115 @@
 
 
 def known() -> list[str]:
-    return sorted(held.name[:-5] for held in files("willowpost.deployments").iterdir() if held.name.endswith(".json"))
+    return sorted(
+        held.name[:-5]
+        for held in files("willowpost.deployments").iterdir()
+        if held.name.endswith(".json")
+    )
 
 
 @dataclass(frozen=True, slots=True)
 class Process:
     program: str
-    key: str              # machine/program
+    key: str  # machine/program
     machine: str
     zone: str
     settings: dict
 
 
 class Deployment:
-    """Invariant: each machine has its own IP number; each process's settings name three seeds, never itself."""
+    """Invariant: each machine has its own IP number; each process's settings name three seeds.
+
+    Never itself.
+    """
 
     def __init__(self, name: str, folder: Path, port: int, subnet: int = 77):
         held = json.loads((files("willowpost.deployments") / f"{name}.json").read_text())
         self.name, self.host, self.rate = held["name"], held["host"], held["rate"]
-        self.configuration, self.mix, self.pace, self.regions = held["configuration"], held["mix"], held["pace"], held["regions"]
+        self.configuration, self.mix, self.pace, self.regions = (
+            held["configuration"],
+            held["mix"],
+            held["pace"],
+            held["regions"],
+        )
         self.machines, self.folder, self.port, self.subnet = held["machines"], folder, port, subnet
         self.zones = sorted(self.regions)
-        self.addresses = {machine["name"]: f"127.{subnet}.{self.zones.index(machine['zone']) + 1}.{number + 1}"
-                          for number, machine in enumerate(self.machines)}
-        self.origins = [{**origin, "address": f"127.{subnet}.{100 + self.zones.index(origin['zone'])}.{number + 1}:{port + 90}"}
-                        for number, origin in enumerate(held["origins"])]
+        self.addresses = {
+            machine["name"]: f"127.{subnet}.{self.zones.index(machine['zone']) + 1}.{number + 1}"
+            for number, machine in enumerate(self.machines)
+        }
+        self.origins = [
+            {
+                **origin,
+                "address": f"127.{subnet}.{100 + self.zones.index(origin['zone'])}.{number + 1}:{port + 90}",
+            }
+            for number, origin in enumerate(held["origins"])
+        ]
 
     def cores(self):
         return [machine for machine in self.machines if machine["kind"] != "edge"]
 
     def replace(self, lost: str) -> str:
-        """An empty machine stands in for one that is gone for good, under another name and address, in its zone."""
-        number = next(number for number, machine in enumerate(self.machines) if machine["name"] == lost)
+        """An empty machine stands in for one that is gone for good, under another name and address.
+
+        In its zone.
+        """
+        number = next(
+            number for number, machine in enumerate(self.machines) if machine["name"] == lost
+        )
         name = f"{lost}-next"
         self.machines[number] = {**self.machines[number], "name": name}
         self.addresses[name] = f"{self.addresses[lost].rsplit('.', 1)[0]}.{100 + number}"
         return name
 
-    def store(self, machine): return f"{self.addresses[machine['name']]}:{self.port}"
-    def registry(self, machine): return f"{self.addresses[machine['name']]}:{self.port + 1}"
-    def registry_http(self, machine): return f"{self.addresses[machine['name']]}:{self.port + 2}"
-    def proxy(self, machine): return f"{self.addresses[machine['name']]}:{self.port + 3}"
-    def proxy_http(self, machine): return f"{self.addresses[machine['name']]}:{self.port + 4}"
+    def store(self, machine):
+        return f"{self.addresses[machine['name']]}:{self.port}"
+
+    def registry(self, machine):
+        return f"{self.addresses[machine['name']]}:{self.port + 1}"
+
+    def registry_http(self, machine):
+        return f"{self.addresses[machine['name']]}:{self.port + 2}"
+
+    def proxy(self, machine):
+        return f"{self.addresses[machine['name']]}:{self.port + 3}"
+
+    def proxy_http(self, machine):
+        return f"{self.addresses[machine['name']]}:{self.port + 4}"
 
     def processes(self) -> list[Process]:
         cores = [(machine, kind) for machine in self.cores() for kind in ("wpstore", "wpregistry")]
-        proxies = [(machine, "wpproxy") for machine in self.machines if machine["kind"] in ("edge", "shield")]
+        proxies = [
+            (machine, "wpproxy")
+            for machine in self.machines
+            if machine["kind"] in ("edge", "shield")
+        ]
         return [self.process(machine, program) for machine, program in cores + proxies]
 
     def process(self, machine: dict, program: str) -> Process:
-        addresses = {"wpstore": (self.store, None), "wpregistry": (self.registry, self.registry_http),
-                     "wpproxy": (self.proxy, self.proxy_http)}[program]
+        addresses = {
+            "wpstore": (self.store, None),
+            "wpregistry": (self.registry, self.registry_http),
+            "wpproxy": (self.proxy, self.proxy_http),
+        }[program]
         own = addresses[0](machine)
         number = self.machines.index(machine)
         stores = [self.store(core) for core in self.cores() if self.store(core) != own]
         seeds = [stores[(number + step) % len(stores)] for step in range(SEEDS)]
-        settings = {"name": machine["name"], "zone": machine["zone"], "address": own, "seeds": seeds,
-                 "voters": len(self.cores()), "level": "INFO"}
+        settings = {
+            "name": machine["name"],
+            "zone": machine["zone"],
+            "address": own,
+            "seeds": seeds,
+            "voters": len(self.cores()),
+            "level": "INFO",
+        }
         if addresses[1] is not None:
             settings["http"] = addresses[1](machine)
         if program == "wpproxy":
             settings["role"] = machine["kind"]
         if program == "wpstore":
             settings |= {"data": str(self.folder / machine["name"]), "pace": self.pace}
-        return Process(program, f"{machine['name']}/{program}", machine["name"], machine["zone"], settings)
+        return Process(
+            program, f"{machine['name']}/{program}", machine["name"], machine["zone"], settings
+        )
--- a/src/willowpost/drill/fleet.py
+++ b/src/willowpost/drill/fleet.py
@@ -2,6 +2,7 @@
 
 The daemons themselves start no process; the drill stands in for the platform that does.
 """
+
 import json
 import os
 import signal
@@ -29,8 +30,18 @@
         path = self._write(process)
         log = open(self.deployment.folder / process.machine / f"{process.program}.log", "ab")
         module = {"wpstore": "store", "wpregistry": "registry", "wpproxy": "proxy"}[process.program]
-        self.running[key] = subprocess.Popen([sys.executable, "-c", f"from willowpost.{module}.main import main; main()",
-                                              "--settings", path], stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        self.running[key] = subprocess.Popen(
+            [
+                sys.executable,
+                "-c",
+                f"from willowpost.{module}.main import main; main()",
+                "--settings",
+                path,
+            ],
+            stdout=log,
+            stderr=log,
+            stdin=subprocess.DEVNULL,
+        )
         log.close()
 
     def _write(self, process) -> str:
@@ -47,7 +58,10 @@
 
     def said(self, key: str, words: str) -> bool:
         process = self.processes[key]
-        return words in (self.deployment.folder / process.machine / f"{process.program}.log").read_text()
+        return (
+            words
+            in (self.deployment.folder / process.machine / f"{process.program}.log").read_text()
+        )
 
     def start_all(self) -> None:
         for key in self.processes:
@@ -55,17 +69,30 @@
 
     def start_origins(self, beat_seconds: float = 1.0) -> None:
         registries = self.registries()
-        cards = [{**origin, "registries": registries[number % len(registries):] + registries[:number % len(registries)],
-                  "beat_seconds": beat_seconds} for number, origin in enumerate(self.deployment.origins)]
+        cards = [
+            {
+                **origin,
+                "registries": registries[number % len(registries) :]
+                + registries[: number % len(registries)],
+                "beat_seconds": beat_seconds,
+            }
+            for number, origin in enumerate(self.deployment.origins)
+        ]
         path = self.deployment.folder / "origins.json"
         path.write_text(json.dumps({"control": self.control, "origins": cards}, indent=1))
         log = open(self.deployment.folder / "origins.log", "ab")
-        self.running["origins"] = subprocess.Popen([sys.executable, "-m", "willowpost.stand_ins.main", str(path)],
-                                                   stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        self.running["origins"] = subprocess.Popen(
+            [sys.executable, "-m", "willowpost.stand_ins.main", str(path)],
+            stdout=log,
+            stderr=log,
+            stdin=subprocess.DEVNULL,
+        )
         log.close()
 
     def steer(self, do: str, address: str | None = None, **more):
-        return ask(self.control, "POST", "/steer", {"do": do, "address": address, **more}, seconds=10)
+        return ask(
+            self.control, "POST", "/steer", {"do": do, "address": address, **more}, seconds=10
+        )
 
     def ledger(self) -> dict:
         return ask(self.control, "GET", "/ledger", seconds=10)[2]
@@ -103,11 +130,18 @@
         return [self.deployment.registry_http(machine) for machine in self.deployment.cores()]
 
     def proxies(self) -> dict[str, str]:
-        return {f"{machine['name']}/wpproxy": self.deployment.proxy_http(machine)
-                for machine in self.deployment.machines if machine["kind"] in ("edge", "shield")}
+        return {
+            f"{machine['name']}/wpproxy": self.deployment.proxy_http(machine)
+            for machine in self.deployment.machines
+            if machine["kind"] in ("edge", "shield")
+        }
 
     def edges(self) -> list[str]:
-        return [self.deployment.proxy_http(machine) for machine in self.deployment.machines if machine["kind"] == "edge"]
+        return [
+            self.deployment.proxy_http(machine)
+            for machine in self.deployment.machines
+            if machine["kind"] == "edge"
+        ]
 
     def call(self, method: str, path: str, value=None, headers=None, first: int = 0):
         """A call by an operator, who turns to the next registry when one is not there."""
@@ -119,9 +153,16 @@
         return None
 
     def stats(self) -> dict[str, dict]:
-        tasks = {key: gevent.spawn(ask, address, "GET", "/.wp/stats", None, None, 2) for key, address in self.proxies().items()
-                 if key in self.running}
-        return {key: held[2] for key, task in tasks.items() if (held := task.get()) is not None and held[0] == 200}
+        tasks = {
+            key: gevent.spawn(ask, address, "GET", "/.wp/stats", None, None, 2)
+            for key, address in self.proxies().items()
+            if key in self.running
+        }
+        return {
+            key: held[2]
+            for key, task in tasks.items()
+            if (held := task.get()) is not None and held[0] == 200
+        }
 
     def until(self, condition, seconds: float, step: float = 0.05) -> float | None:
         """Seconds it took, or None."""
@@ -137,17 +178,26 @@
 
         def joined():
             held = self.call("GET", "/v1/status")
-            return held is not None and held[0] == 200 and sum(card["state"] == "up" for card in held[2]["daemons"].values()) >= want \
+            return (
+                held is not None
+                and held[0] == 200
+                and sum(card["state"] == "up" for card in held[2]["daemons"].values()) >= want
                 and len(sound) == len(self.proxies())
+            )
+
         sound: dict = {}
 
         def look():
             sound.clear()
             sound.update({key: True for key, held in self.stats().items() if held["sound"]})
             return joined()
+
         return self.until(look, seconds, 0.2)
 
 
 def free_port() -> int:
-    """A base whose hundred ports are most likely free: picked by process ID, away from the ephemeral range."""
+    """A base whose hundred ports are most likely free: picked by process ID.
+
+    Away from the ephemeral range.
+    """
     return 10_000 + (os.getpid() * 100) % 20_000
--- a/src/willowpost/drill/main.py
+++ b/src/willowpost/drill/main.py
@@ -1,4 +1,5 @@
 """wpdrill: a fleet on one machine, broken on purpose, and judged."""
+
 import json
 import shutil
 import sys
@@ -17,12 +18,36 @@
 from willowpost.drill.tools import CheckCommand, PaceCommand, ReplayCommand, SweepCommand
 from willowpost.drill.zones import ZoneDrill
 
-STEPS = ("steady", "configuration_change", "large_configuration", "racing_operators", "purge", "purge_fault_schedule", "kill_store_and_proxy", "lose_disk", "herd",
-         "restart_in_turn", "freeze", "origins_break", "empty_zone", "origins_without_a_word", "swapped_seeds", "stopped_past_the_lease",
-         "power_loss", "new_machine")
-
-
-ARGUMENTS = [argument("deployment", "One of the deployments that ship with willowpost.", optional=True, default="invitations")]
+STEPS = (
+    "steady",
+    "configuration_change",
+    "large_configuration",
+    "racing_operators",
+    "purge",
+    "purge_fault_schedule",
+    "kill_store_and_proxy",
+    "lose_disk",
+    "herd",
+    "restart_in_turn",
+    "freeze",
+    "origins_break",
+    "empty_zone",
+    "origins_without_a_word",
+    "swapped_seeds",
+    "stopped_past_the_lease",
+    "power_loss",
+    "new_machine",
+)
+
+
+ARGUMENTS = [
+    argument(
+        "deployment",
+        "One of the deployments that ship with willowpost.",
+        optional=True,
+        default="invitations",
+    )
+]
 OPTIONS = [
     option("rate", "r", "Requests a second; the deployment's peak if not given.", flag=False),
     option("seed", None, "Seed of the callers.", flag=False, default="1"),
@@ -37,13 +62,23 @@
     def deployment_known(self) -> bool:
         if self.argument("deployment") in known():
             return True
-        print(json.dumps({"place": "deployment", "finding": f"one of {', '.join(known())}"}), file=sys.stderr)
+        print(
+            json.dumps({"place": "deployment", "finding": f"one of {', '.join(known())}"}),
+            file=sys.stderr,
+        )
         return False
 
     def drill(self, kind, run, hold=False) -> int:
         folder = Path(tempfile.mkdtemp(prefix="wpdrill-"))
-        fleet = Fleet(Deployment(self.argument("deployment"), folder, int(self.option("port") or free_port())))
-        drill = kind(fleet, float(self.option("rate") or fleet.deployment.rate), int(self.option("seed")), self.line)
+        fleet = Fleet(
+            Deployment(self.argument("deployment"), folder, int(self.option("port") or free_port()))
+        )
+        drill = kind(
+            fleet,
+            float(self.option("rate") or fleet.deployment.rate),
+            int(self.option("seed")),
+            self.line,
+        )
         try:
             if hold:
                 return self._hold(drill, fleet)
@@ -75,12 +110,18 @@
 
 class FleetCommand(DrillCommand):
     name = "fleet"
-    description = "Starts a deployment on loopback, sends its peak mix, breaks it, and judges each rule."
+    description = (
+        "Starts a deployment on loopback, sends its peak mix, breaks it, and judges each rule."
+    )
     arguments = ARGUMENTS
     options = [
         *OPTIONS,
         option("steps", "s", f"Steps with commas, of: {','.join(STEPS)}.", flag=False),
-        option("hold", None, "After the configuration is in force, hold the fleet until a line is read, and end."),
+        option(
+            "hold",
+            None,
+            "After the configuration is in force, hold the fleet until a line is read, and end.",
+        ),
     ]
     help = """The drill stands in for the platform: it starts and ends the processes, runs stand-in
 origins and callers, and prints a table: each rule of the brief, what was seen, kept or broken.
@@ -96,29 +137,58 @@
         steps = (self.option("steps") or ",".join(STEPS)).split(",")
         unknown = [step for step in steps if step and step not in STEPS]
         if unknown:
-            print(json.dumps({"place": "steps", "finding": f"no step {', '.join(unknown)}"}), file=sys.stderr)
+            print(
+                json.dumps({"place": "steps", "finding": f"no step {', '.join(unknown)}"}),
+                file=sys.stderr,
+            )
             return 2
-        return self.drill(FleetDrill, lambda drill: drill.run([step for step in steps if step]), hold=self.option("hold"))
+        return self.drill(
+            FleetDrill,
+            lambda drill: drill.run([step for step in steps if step]),
+            hold=self.option("hold"),
+        )
 
 
 class ZoneCommand(DrillCommand):
     name = "zone"
     description = "Takes each zone out of a running fleet under load, by emptying and by killing, and judges the promises."
     arguments = ARGUMENTS
-    options = [*OPTIONS, option("zones", "z", "Zones with commas; all if not given.", flag=False),
-               option("by", None, "emptying, killing or both with a comma.", flag=False, default="emptying,killing")]
+    options = [
+        *OPTIONS,
+        option("zones", "z", "Zones with commas; all if not given.", flag=False),
+        option(
+            "by",
+            None,
+            "emptying, killing or both with a comma.",
+            flag=False,
+            default="emptying,killing",
+        ),
+    ]
     help = "It restores each zone, and reports the time to repair. Exits with 1 when a promise is broken."
 
     def handle(self) -> int:
         routes = self.option("by").split(",")
         if not self.deployment_known() or not set(routes) <= {"emptying", "killing"}:
             return 2
-        return self.drill(ZoneDrill, lambda drill: drill.run_zones(
-            self.option("zones").split(",") if self.option("zones") else drill.deployment.zones, routes))
+        return self.drill(
+            ZoneDrill,
+            lambda drill: drill.run_zones(
+                self.option("zones").split(",") if self.option("zones") else drill.deployment.zones,
+                routes,
+            ),
+        )
 
 
 def main() -> None:
     application = Application("wpdrill", "0.1.0")
-    for command in (FleetCommand(), ZoneCommand(), CheckCommand(), PaceCommand(), ReplayCommand(), SweepCommand(), CapacityCommand()):
+    for command in (
+        FleetCommand(),
+        ZoneCommand(),
+        CheckCommand(),
+        PaceCommand(),
+        ReplayCommand(),
+        SweepCommand(),
+        CapacityCommand(),
+    ):
         application.add(command)
     sys.exit(application.run())
--- a/src/willowpost/drill/rules.py
+++ b/src/willowpost/drill/rules.py
@@ -1,9 +1,10 @@
 """The brief's rules as a table: what was seen, kept or broken."""
+
 from dataclasses import dataclass, field
 
 from willowpost.stand_ins.callers import Tally
 
-REFUSALS_HANDFUL = 0.005      # of all requests begun after the ramp
+REFUSALS_HANDFUL = 0.005  # of all requests begun after the ramp
 EXTRA_PART, EXTRA_FLOOR = 0.2, 60
 RATE_OVER = 1.1
 COLD_OVER = 1.5
@@ -31,44 +32,90 @@
 
     def text(self) -> str:
         width = max(len(row.rule) for row in self.rows)
-        return "\n".join(f"{'kept  ' if row.kept else 'BROKEN'}  {row.rule:<{width}}  {row.seen}" for row in self.rows)
+        return "\n".join(
+            f"{'kept  ' if row.kept else 'BROKEN'}  {row.rule:<{width}}  {row.seen}"
+            for row in self.rows
+        )
 
 
 class TrafficRules:
-    """Invariant: judged from what callers and origins saw, never from what the daemons say of themselves."""
+    """Invariant: judged from what callers and origins saw.
+
+    Never from what the daemons say of themselves.
+    """
 
     def __init__(self, tally: Tally, ledger: dict, services: dict, origins: list, excused: list):
         self.tally, self.ledger, self.services, self.origins = tally, ledger, services, origins
-        self.excused = excused           # (edge or None, from, to): an edge was killed or frozen then
+        # (edge or None, from, to): an edge was killed or frozen then
+        self.excused = excused
 
     def judge(self, findings: Findings, since: int) -> None:
         tally, runs = self.tally, self.ledger["writes"]
         twice = [name for name, count in runs.items() if count > 1]
-        findings.add("no write runs twice", f"{len(runs)} writes ran, {len(twice)} twice", not twice)
+        findings.add(
+            "no write runs twice", f"{len(runs)} writes ran, {len(twice)} twice", not twice
+        )
         lied = [name for name in tally.not_run if runs.get(name)]
-        findings.add("no write runs after not-run", f"{len(tally.not_run)} told not-run, {len(lied)} ran", not lied)
+        findings.add(
+            "no write runs after not-run",
+            f"{len(tally.not_run)} told not-run, {len(lied)} ran",
+            not lied,
+        )
         missing = [name for name in tally.done if runs.get(name) != 1]
-        findings.add("a write told done ran once", f"{len(tally.done)} told done, {len(missing)} otherwise", not missing)
-        findings.add("only whole, own answers", f"{tally.outcomes[200]} answers, {len(tally.wrong)} wrong {tally.wrong[:1] or ''}", not tally.wrong)
+        findings.add(
+            "a write told done ran once",
+            f"{len(tally.done)} told done, {len(missing)} otherwise",
+            not missing,
+        )
+        findings.add(
+            "only whole, own answers",
+            f"{tally.outcomes[200]} answers, {len(tally.wrong)} wrong {tally.wrong[:1] or ''}",
+            not tally.wrong,
+        )
         strays = self._strays()
-        findings.add("only origins of the way's service", f"{sum(map(len, self.ledger['services'].values()))} pairs, strays {strays[:2]}", not strays)
+        findings.add(
+            "only origins of the way's service",
+            f"{sum(map(len, self.ledger['services'].values()))} pairs, strays {strays[:2]}",
+            not strays,
+        )
         refusals = [held for held in tally.refusals if held[0] >= since]
         begun = sum(1 for began, _ in tally.latencies if began >= since)
-        findings.add("refusals stay a handful", f"{len(refusals)} of {begun}", len(refusals) <= max(5, REFUSALS_HANDFUL * begun))
+        findings.add(
+            "refusals stay a handful",
+            f"{len(refusals)} of {begun}",
+            len(refusals) <= max(5, REFUSALS_HANDFUL * begun),
+        )
         dropped = [held for held in tally.dropped if not self._excused(held)]
-        findings.add("no request dropped", f"{len(dropped)} dropped, {len(tally.dropped) - len(dropped)} at killed edges {dropped[:1] or ''}", not dropped)
+        findings.add(
+            "no request dropped",
+            f"{len(dropped)} dropped, {len(tally.dropped) - len(dropped)} at killed edges {dropped[:1] or ''}",
+            not dropped,
+        )
         for name, service in self.services.items():
             most = self._most(name, 5)
-            findings.add(f"{name} within a tenth over its rate in 5 s", f"at most {most} of {service['rate'] * 5:.0f}", most <= service["rate"] * 5 * RATE_OVER)
+            findings.add(
+                f"{name} within a tenth over its rate in 5 s",
+                f"at most {most} of {service['rate'] * 5:.0f}",
+                most <= service["rate"] * 5 * RATE_OVER,
+            )
 
     def _strays(self):
         by_path = {kind: service for kind, service in self.ledger.get("paths", {}).items()}
-        return [(address, part) for address, counts in self.ledger["services"].items() for part in counts
-                if part in by_path and by_path[part] != next(origin["service"] for origin in self.origins if origin["address"] == address)]
+        return [
+            (address, part)
+            for address, counts in self.ledger["services"].items()
+            for part in counts
+            if part in by_path
+            and by_path[part]
+            != next(origin["service"] for origin in self.origins if origin["address"] == address)
+        ]
 
     def _excused(self, dropped):
         began, edge, _ = dropped
-        return any((held is None or held == edge) and start <= began <= end for held, start, end in self.excused)
+        return any(
+            (held is None or held == edge) and start <= began <= end
+            for held, start, end in self.excused
+        )
 
     def _most(self, service, span):
         members = {origin["address"] for origin in self.origins if origin["service"] == service}
@@ -76,4 +123,7 @@
         for address in members & self.ledger["seen"].keys():
             for second, count in self.ledger["seen"][address].items():
                 seconds[int(second)] = seconds.get(int(second), 0) + count
-        return max((sum(seconds.get(start + step, 0) for step in range(span)) for start in seconds), default=0)
+        return max(
+            (sum(seconds.get(start + step, 0) for step in range(span)) for start in seconds),
+            default=0,
+        )
--- a/src/willowpost/drill/tools.py
+++ b/src/willowpost/drill/tools.py
@@ -1,4 +1,5 @@
 """The commands round the daemons that read, replay and sweep."""
+
 import json
 import traceback
 from collections import Counter
@@ -9,10 +10,10 @@
 
 from willowpost.common.clock import MILLI
 from willowpost.consensus.replica.replica_state import Pace
+from willowpost.sim.fault_schedules import CoreFaultSchedule
 from willowpost.sim.fleet.bounded_faults import BoundedFaultSchedule
 from willowpost.sim.fleet.fault_schedule import FleetFaultSchedule
 from willowpost.sim.pace import PaceMeasure
-from willowpost.sim.fault_schedules import CoreFaultSchedule
 from willowpost.toolbox.folder import FolderChecker, LogReplay
 
 
@@ -38,7 +39,9 @@
 
     def handle(self) -> int:
         try:
-            tables = LogReplay().run(self.argument("folder"), int(self.option("slot")) if self.option("slot") else None)
+            tables = LogReplay().run(
+                self.argument("folder"), int(self.option("slot")) if self.option("slot") else None
+            )
         except (ValueError, OSError) as problem:
             self.line_error(json.dumps({"place": self.argument("folder"), "finding": str(problem)}))
             return 2
@@ -48,39 +51,94 @@
 
 class PaceCommand(Command):
     name = "pace"
-    description = "Measures in the simulator how the core decides: fast path, forfeits, time to acceptance."
-    arguments = [argument("deployment", "Whose zones, regions and pace.", optional=True, default="invitations")]
-    options = [option("freeze", None, "Freeze times in ms to compare, with commas; the deployment's own if not given.", flag=False),
-               option("rates", None, "Commands a second, with commas.", flag=False, default="5,20,50"),
-               option("jitter", None, "Spread of each message's delay, in ms, with commas.", flag=False, default="0.2,2"),
-               option("seed", None, "Seed.", flag=False, default="1")]
+    description = (
+        "Measures in the simulator how the core decides: fast path, forfeits, time to acceptance."
+    )
+    arguments = [
+        argument(
+            "deployment", "Whose zones, regions and pace.", optional=True, default="invitations"
+        )
+    ]
+    options = [
+        option(
+            "freeze",
+            None,
+            "Freeze times in ms to compare, with commas; the deployment's own if not given.",
+            flag=False,
+        ),
+        option("rates", None, "Commands a second, with commas.", flag=False, default="5,20,50"),
+        option(
+            "jitter",
+            None,
+            "Spread of each message's delay, in ms, with commas.",
+            flag=False,
+            default="0.2,2",
+        ),
+        option("seed", None, "Seed.", flag=False, default="1"),
+    ]
 
     def handle(self) -> int:
-        held = json.loads((files("willowpost.deployments") / f"{self.argument('deployment')}.json").read_text())
+        held = json.loads(
+            (files("willowpost.deployments") / f"{self.argument('deployment')}.json").read_text()
+        )
         zones = [machine["zone"] for machine in held["machines"] if machine["kind"] != "edge"]
         own = held["pace"]
-        self.line("freeze ms | jitter ms | asked /s | commands | slots | NULL | fast path | accepted p50 ms | p99 ms")
+        self.line(
+            "freeze ms | jitter ms | asked /s | commands | slots | NULL | fast path | accepted p50 ms | p99 ms"
+        )
         for freeze in (self.option("freeze") or str(own.get("freeze", 0))).split(","):
             for jitter in self.option("jitter").split(","):
                 for rate in self.option("rates").split(","):
-                    pace = Pace(freeze=int(float(freeze) * MILLI), resend=own.get("resend", 60) * MILLI)
-                    found = PaceMeasure(zones, held["regions"], held["between"]["ms"] * MILLI, int(float(jitter) * MILLI), pace,
-                                        float(rate), int(self.option("seed"))).run()
-                    self.line(f"{freeze} | {jitter} | {rate} | {found.commands} | {found.slots} | {found.null_part:.1%} | "
-                              f"{found.fast_part:.1%} | {found.accept_p_50:.1f} | {found.accept_p_99:.1f}")
+                    pace = Pace(
+                        freeze=int(float(freeze) * MILLI), resend=own.get("resend", 60) * MILLI
+                    )
+                    found = PaceMeasure(
+                        zones,
+                        held["regions"],
+                        held["between"]["ms"] * MILLI,
+                        int(float(jitter) * MILLI),
+                        pace,
+                        float(rate),
+                        int(self.option("seed")),
+                    ).run()
+                    self.line(
+                        f"{freeze} | {jitter} | {rate} | {found.commands} | {found.slots} | {found.null_part:.1%} | "
+                        f"{found.fast_part:.1%} | {found.accept_p_50:.1f} | {found.accept_p_99:.1f}"
+                    )
         return 0
 
 
 class SweepCommand(Command):
     name = "sweep"
     description = "Runs seeded fault schedules in the simulator, and stops at the first that breaks a rule unless told to go on."
-    arguments = [argument("what", "core (stores only), fleet (everything), or calm (a deployment at its peak, hit by what it must bear).")]
-    options = [option("first", None, "First seed.", flag=False, default="0"),
-               option("count", "c", "How many seeds.", flag=False, default="50"),
-               option("wide", "w", "Also one-way cuts, pair cuts, lossy links, purge fault schedules, swapped seeds (fleet)."),
-               option("deployment", None, "Whose regions and distance (fleet).", flag=False, default="invitations"),
-               option("trace", None, "Print what was done in each run."),
-               option("go-on", "g", "Go on to the next seeds after one that broke a rule, and count them at the end.")]
+    arguments = [
+        argument(
+            "what",
+            "core (stores only), fleet (everything), or calm (a deployment at its peak, hit by what it must bear).",
+        )
+    ]
+    options = [
+        option("first", None, "First seed.", flag=False, default="0"),
+        option("count", "c", "How many seeds.", flag=False, default="50"),
+        option(
+            "wide",
+            "w",
+            "Also one-way cuts, pair cuts, lossy links, purge fault schedules, swapped seeds (fleet).",
+        ),
+        option(
+            "deployment",
+            None,
+            "Whose regions and distance (fleet).",
+            flag=False,
+            default="invitations",
+        ),
+        option("trace", None, "Print what was done in each run."),
+        option(
+            "go-on",
+            "g",
+            "Go on to the next seeds after one that broke a rule, and count them at the end.",
+        ),
+    ]
     help = """A seed replays exactly:
 
   <info>wpdrill sweep fleet --first 59 --count 1 --trace</info>
@@ -91,22 +149,39 @@
         if self.argument("what") not in ("core", "fleet", "bounded"):
             self.line_error(json.dumps({"place": "what", "finding": "core, fleet or calm"}))
             return 2
-        held = json.loads((files("willowpost.deployments") / f"{self.option('deployment')}.json").read_text())
+        held = json.loads(
+            (files("willowpost.deployments") / f"{self.option('deployment')}.json").read_text()
+        )
         far = {"regions": held["regions"], "between": held["between"]["ms"]}
-        first, count, margin, broke = int(self.option("first")), int(self.option("count")), {}, Counter()
-        seeds = range(first, first + count)
-        for ran, seed in enumerate(seeds, 1):
-            fault_schedule = {"core": lambda: CoreFaultSchedule(seed), "fleet": lambda: FleetFaultSchedule(seed, wide=self.option("wide"), **far),
-                     "bounded": lambda: BoundedFaultSchedule(seed, self.option("deployment"))}[self.argument("what")]()
+        first, count, margin, broke = (
+            int(self.option("first")),
+            int(self.option("count")),
+            {},
+            Counter(),
+        )
+        ran = 0
+        for seed in range(first, first + count):
+            ran += 1
+            fault_schedule = {
+                "core": lambda: CoreFaultSchedule(seed),
+                "fleet": lambda: FleetFaultSchedule(seed, wide=self.option("wide"), **far),
+                "bounded": lambda: BoundedFaultSchedule(seed, self.option("deployment")),
+            }[self.argument("what")]()
             rule = self._run(fault_schedule, seed)
-            for name, value in getattr(getattr(fault_schedule.world, "traffic", None), "margin", {}).items():
+            for name, value in getattr(
+                getattr(fault_schedule.world, "traffic", None), "margin", {}
+            ).items():
                 margin[name] = max(margin.get(name, 0), value)
             if rule is not None:
                 broke[rule] += 1
                 if not self.option("go-on"):
                     break
         kept = ran - broke.total()
-        self.line(f"{kept} seeds kept every rule" if not broke else f"{kept} of {ran} seeds kept every rule, {broke.total()} broke one")
+        self.line(
+            f"{kept} seeds kept every rule"
+            if not broke
+            else f"{kept} of {ran} seeds kept every rule, {broke.total()} broke one"
+        )
         for rule, times in broke.most_common():
             self.line(f"  {times} broke: {rule}")
         for name, value in sorted(margin.items()):
--- a/src/willowpost/drill/zones.py
+++ b/src/willowpost/drill/zones.py
@@ -1,4 +1,8 @@
-"""The zone drill: each zone of a running fleet under load is taken out, by emptying and by killing, and put back."""
+"""The zone drill: each zone of a running fleet under load is taken out, by emptying and by killing.
+
+And put back.
+"""
+
 import gevent
 
 from willowpost.common.clock import SECOND
@@ -26,8 +30,12 @@
     def _judge_refusals(self, zone, route, mark):
         tally = self.callers.tally
         refused, begun = len(tally.refusals) - mark[1], len(tally.latencies) - mark[2]
-        why = sorted({held[2][10:60] for held in tally.refusals[mark[1]:]})[:3]
-        self.findings.add(f"zone {zone} by {route}: refusals stay a handful", f"{refused} of {begun} {why or ''}", refused <= max(5, HANDFUL_PART * begun))
+        why = sorted({held[2][10:60] for held in tally.refusals[mark[1] :]})[:3]
+        self.findings.add(
+            f"zone {zone} by {route}: refusals stay a handful",
+            f"{refused} of {begun} {why or ''}",
+            refused <= max(5, HANDFUL_PART * begun),
+        )
 
     def emptying(self, zone):
         mark = self._mark()
@@ -35,9 +43,17 @@
         asked = self.clock.now()
         gevent.sleep(8)
         limit = (asked + 5 * SECOND) // SECOND
-        late = self._origin_requests(zone, limit) + sum(count for edge in self._edges_of(zone) for second, count in
-                                                        self.callers.tally.per_edge.get(edge, {}).items() if second > limit)
-        self.findings.add(f"zone {zone} by emptying: nothing after 5 s", f"{late} requests", accepted[0] == 200 and late == 0)
+        late = self._origin_requests(zone, limit) + sum(
+            count
+            for edge in self._edges_of(zone)
+            for second, count in self.callers.tally.per_edge.get(edge, {}).items()
+            if second > limit
+        )
+        self.findings.add(
+            f"zone {zone} by emptying: nothing after 5 s",
+            f"{late} requests",
+            accepted[0] == 200 and late == 0,
+        )
         self.fleet.call("POST", f"/v1/zones/{zone}/restore")
         self._back(zone, "emptying")
         self._judge_refusals(zone, "emptying", mark)
@@ -45,7 +61,9 @@
     def killing(self, zone):
         mark = self._mark()
         keys = [key for key, process in self.fleet.processes.items() if process.zone == zone]
-        origins = [origin["address"] for origin in self.deployment.origins if origin["zone"] == zone]
+        origins = [
+            origin["address"] for origin in self.deployment.origins if origin["zone"] == zone
+        ]
         began = self.clock.now()
         for key in keys:
             self.fleet.kill(key)
@@ -56,7 +74,11 @@
         accepted = self.fleet.call("PUT", "/v1/configuration", self.configuration)
         during = accepted is not None and accepted[0] == 200
         self.version = accepted[2]["version"] if during else self.version
-        self.findings.add(f"zone {zone} by killing: configurations are still accepted", f"{accepted and accepted[0]}", during)
+        self.findings.add(
+            f"zone {zone} by killing: configurations are still accepted",
+            f"{accepted and accepted[0]}",
+            during,
+        )
         for key in keys:
             self.fleet.start(key)
         for address in origins:
@@ -69,15 +91,43 @@
     def _back(self, zone, route):
         began = self.clock.now()
         edges = self._edges_of(zone)
-        back = self.fleet.until(lambda: self._all_up() and self._in_force() and all(
-            any(second > began // SECOND for second in self.callers.tally.per_edge.get(edge, {})) for edge in edges), RETURN_SECONDS, 0.1)
-        self.figures.setdefault("time to repair, s", {})[f"{zone} {route}"] = back and round(back, 2)
-        self.findings.add(f"zone {zone} by {route}: back within 15 s", f"{back and round(back, 2)} s", back is not None)
+        back = self.fleet.until(
+            lambda: (
+                self._all_up()
+                and self._in_force()
+                and all(
+                    any(
+                        second > began // SECOND
+                        for second in self.callers.tally.per_edge.get(edge, {})
+                    )
+                    for edge in edges
+                )
+            ),
+            RETURN_SECONDS,
+            0.1,
+        )
+        self.figures.setdefault("time to repair, s", {})[f"{zone} {route}"] = back and round(
+            back, 2
+        )
+        self.findings.add(
+            f"zone {zone} by {route}: back within 15 s",
+            f"{back and round(back, 2)} s",
+            back is not None,
+        )
 
     def _edges_of(self, zone):
-        return [self.deployment.proxy_http(machine) for machine in self.deployment.machines if machine["zone"] == zone and machine["kind"] == "edge"]
+        return [
+            self.deployment.proxy_http(machine)
+            for machine in self.deployment.machines
+            if machine["zone"] == zone and machine["kind"] == "edge"
+        ]
 
     def _origin_requests(self, zone, after):
         seen = self.fleet.ledger()["seen"]
-        return sum(count for origin in self.deployment.origins if origin["zone"] == zone
-                   for second, count in seen.get(origin["address"], {}).items() if int(second) > after)
+        return sum(
+            count
+            for origin in self.deployment.origins
+            if origin["zone"] == zone
+            for second, count in seen.get(origin["address"], {}).items()
+            if int(second) > after
+        )
--- a/src/willowpost/node/command_client.py
+++ b/src/willowpost/node/command_client.py
@@ -1,4 +1,5 @@
 """Brings this daemon's ops into the log: stamps, batches, submits, resubmits elsewhere, answers."""
+
 import json
 
 from willowpost.common.clock import MILLI
@@ -12,19 +13,21 @@
 
 
 class CommandClient:
-    """Invariants: a command is resubmitted under the same key until it is answered;
-    a stamp is greater than every stamp given before it here."""
+    """Invariants: a command is resubmitted under the same key until it is answered.
+
+    A stamp is greater than every stamp given before it here.
+    """
 
     def __init__(self, daemon: str, incarnation: int, cores, wall):
         self.daemon = daemon
         self.incarnation = incarnation
-        self.cores = cores          # () -> addresses of stores, nearest first
-        self.wall = wall            # () -> µs of the wall clock, which may jump
+        self.cores = cores  # () -> addresses of stores, nearest first
+        self.wall = wall  # () -> µs of the wall clock, which may jump
         self.counter = 0
         self.stamp = 0
         self.gathered: list[tuple] = []
         self.gathered_at = 0
-        self.pending: dict[str, list] = {}    # key -> [command, tokens, sent_at, tries]
+        self.pending: dict[str, list] = {}  # key -> [command, tokens, sent_at, tries]
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
@@ -74,6 +77,13 @@
         start = 0
         for token, count in tokens:
             if token is not None:
-                plan.replies.append((token, {"slot": accepted.slot,
-                                             "answers": None if answers is None else answers[start:start + count]}))
+                plan.replies.append(
+                    (
+                        token,
+                        {
+                            "slot": accepted.slot,
+                            "answers": None if answers is None else answers[start : start + count],
+                        },
+                    )
+                )
             start += count
--- a/src/willowpost/node/follower.py
+++ b/src/willowpost/node/follower.py
@@ -1,4 +1,8 @@
-"""Follows the log: from the zone's home, the next home, or the core itself; and tells those who follow us."""
+"""Follows the log: from the zone's home, the next home, or the core itself.
+
+And tells those who follow us.
+"""
+
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Changed, Received, Tick
 from willowpost.common.plan import Plan
@@ -6,20 +10,24 @@
 from willowpost.node.node_state import TAIL_KEPT, NodeState
 from willowpost.state.apply import Apply
 from willowpost.state.tables import tables_from
-from willowpost.wire.messages import Hello, StateUpdate, Ping, Poll, members_of
+from willowpost.wire.messages import Hello, Ping, Poll, StateUpdate, members_of
 
 POLL_EVERY = 150 * MILLI
 SILENT_AFTER = 450 * MILLI
 TOO_OLD = 700 * MILLI
 RETRY_HOME = 2 * SECOND
 HELLO_EVERY = 300 * MILLI
-WITHOUT_SOURCE_AFTER = 3 * SECOND     # no state updates for so long: whom we know may all be gone, and the seeds may be others by now
+# no state updates for so long: whom we know may all be gone, and the seeds may be others by now
+WITHOUT_SOURCE_AFTER = 3 * SECOND
 HOMES_TRIED = 2
 
 
 class Follower:
-    """Invariants: fresh_as_of counts from when the poll was *sent*, so a slow answer or a freeze only makes us older;
-    whoever is asked, also after the seeds were asked anew, the tables only go on."""
+    """Invariants: fresh_as_of counts from when the poll was *sent*.
+
+    So a slow answer or a freeze only makes us older; whoever is asked, also after the seeds were
+    asked anew, the tables only go on.
+    """
 
     def __init__(self, node_state: NodeState, seeds, tree: bool = True):
         self.node_state = node_state
@@ -30,7 +38,8 @@
         self.polls: dict[int, int] = {}
         self.polled_at = -POLL_EVERY
         self.heard_at = 0
-        self.source_index = 0               # how many sources were given up since the last return to the home
+        # how many sources were given up since the last return to the home
+        self.source_index = 0
         self.source_changed_at = 0
         self.hello_at = -HELLO_EVERY
 
@@ -45,9 +54,17 @@
                 if not self.node_state.tables.core or self._without_source(now):
                     self.node_state.seed_cores = tuple(member.address for member in hello.known)
             case Received(source, Ping()) if not self.node_state.tables.core:
-                plan.send(source, Hello(answer=False))     # who watches us knows more than we do, whatever became of the seeds
+                # who watches us knows more than we do, whatever became of the seeds
+                plan.send(source, Hello(answer=False))
             case Received(source, Hello(answer=False)):
-                plan.send(source, Hello(bootstrapped=self.node_state.tables.epoch > 0, answer=True, known=members_of(self.node_state.tables.core)))
+                plan.send(
+                    source,
+                    Hello(
+                        bootstrapped=self.node_state.tables.epoch > 0,
+                        answer=True,
+                        known=members_of(self.node_state.tables.core),
+                    ),
+                )
             case Changed(seeds=seeds):
                 self.seeds = tuple(seeds)
             case Tick():
@@ -59,14 +76,22 @@
         cores = node_state.cores()
         if not self.tree:
             return cores
-        zone = {name: card for name, card in node_state.live("proxy").items() if card["zone"] == node_state.card.zone}
+        zone = {
+            name: card
+            for name, card in node_state.live("proxy").items()
+            if card["zone"] == node_state.card.zone
+        }
         ranked = Rendezvous().rank(f"state_update/{node_state.card.zone}", zone)
-        before = ranked[:ranked.index(node_state.card.id)] if node_state.card.id in ranked else ranked
+        before = (
+            ranked[: ranked.index(node_state.card.id)] if node_state.card.id in ranked else ranked
+        )
         return [zone[name]["address"] for name in before[:HOMES_TRIED]] + cores
 
     def _tick(self, now, plan):
         node_state = self.node_state
-        if (not node_state.tables.core or self._without_source(now)) and now - self.hello_at >= HELLO_EVERY:
+        if (
+            not node_state.tables.core or self._without_source(now)
+        ) and now - self.hello_at >= HELLO_EVERY:
             self.hello_at = now
             plan.sends += [(seed, Hello(answer=False)) for seed in self.seeds]
         if now - self.polled_at < POLL_EVERY:
@@ -86,7 +111,9 @@
         self.nonce += 1
         self.polls = {nonce: sent for nonce, sent in self.polls.items() if now - sent < 2 * SECOND}
         self.polls[self.nonce] = now
-        plan.send(address, Poll(self.nonce, self.node_state.tables.slot, not self.node_state.tables.epoch))
+        plan.send(
+            address, Poll(self.nonce, self.node_state.tables.slot, not self.node_state.tables.epoch)
+        )
 
     def _judge(self, now):
         """Leave a source that is silent or old; try the home again after a while."""
@@ -117,7 +144,7 @@
             node_state.whole_as_of(sent - state_update.age)
             node_state.seed_cores = ()
         elif state_update.decisions and node_state.tables.slot == state_update.slot:
-            self.polled_at = now - POLL_EVERY    # more is waiting there
+            self.polled_at = now - POLL_EVERY  # more is waiting there
 
     def _newer(self, tables):
         return tables.slot > self.node_state.tables.slot or not self.node_state.tables.epoch
@@ -128,7 +155,27 @@
         fresh = age is not None
         first = node_state.tables.slot - len(node_state.tail)
         if (poll.blank or poll.slot < first) and node_state.tables.epoch:
-            plan.send(source, StateUpdate(poll.nonce, node_state.tables.slot, age or 0, fresh, snapshot=node_state.tables.text()))
+            plan.send(
+                source,
+                StateUpdate(
+                    poll.nonce,
+                    node_state.tables.slot,
+                    age or 0,
+                    fresh,
+                    snapshot=node_state.tables.text(),
+                ),
+            )
         elif node_state.tables.epoch:
-            told = node_state.tail[poll.slot - first:] if poll.slot < node_state.tables.slot else ()
-            plan.send(source, StateUpdate(poll.nonce, node_state.tables.slot, age or 0, fresh and poll.slot <= node_state.tables.slot, tuple(told)))
+            told = (
+                node_state.tail[poll.slot - first :] if poll.slot < node_state.tables.slot else ()
+            )
+            plan.send(
+                source,
+                StateUpdate(
+                    poll.nonce,
+                    node_state.tables.slot,
+                    age or 0,
+                    fresh and poll.slot <= node_state.tables.slot,
+                    tuple(told),
+                ),
+            )
--- a/src/willowpost/node/joiner.py
+++ b/src/willowpost/node/joiner.py
@@ -1,4 +1,5 @@
 """Keeps the own card in the log, and takes it out at the end."""
+
 from dataclasses import asdict
 
 from willowpost.common.clock import SECOND
@@ -9,7 +10,10 @@
 
 
 class Joiner:
-    """Invariant: a life joins under one incarnation; the log, not the daemon, says whether it is lost."""
+    """Invariant: a life joins under one incarnation; the log, not the daemon.
+
+    Says whether it is lost.
+    """
 
     def __init__(self, card, tables, command_client):
         self.card = card
@@ -23,8 +27,12 @@
             return Plan()
         tables = self.tables()
         held = tables.daemons.get(self.card.id)
-        forgotten = held is not None and held["state"] == "lost" and self.card.id not in tables.suspicions
-        if not tables.epoch or (held is not None and held["incarnation"] == self.card.incarnation and not forgotten):
+        forgotten = (
+            held is not None and held["state"] == "lost" and self.card.id not in tables.suspicions
+        )
+        if not tables.epoch or (
+            held is not None and held["incarnation"] == self.card.incarnation and not forgotten
+        ):
             return Plan()
         self.asked_at = now
         card = asdict(self.card)
--- a/src/willowpost/node/leaver.py
+++ b/src/willowpost/node/leaver.py
@@ -1,4 +1,5 @@
 """A planned end: let the others hear of it, finish what is under way, leave the log, go."""
+
 from dataclasses import dataclass
 from enum import Enum
 
@@ -9,9 +10,9 @@
 
 class Stage(Enum):
     SERVING = "serving"
-    DRAINING = "draining"      # still serves all, but says that it goes
-    FINISHING = "finishing"    # takes nothing new
-    LEAVING = "leaving"        # asks to be taken out of the log
+    DRAINING = "draining"  # still serves all, but says that it goes
+    FINISHING = "finishing"  # takes nothing new
+    LEAVING = "leaving"  # asks to be taken out of the log
     GONE = "gone"
 
 
@@ -23,7 +24,8 @@
     Stage.GONE: set(),
 }
 
-DRAIN_SPAN = 3 * SECOND       # every proxy with a lease has heard of it by then, and every balancer that asks once a second
+# every proxy with a lease has heard of it by then, and every balancer that asks once a second
+DRAIN_SPAN = 3 * SECOND
 FINISH_SPAN = 30 * SECOND
 LAST_BYTES = 100 * MILLI
 LEAVE_SPAN = 1_500 * MILLI
@@ -43,16 +45,25 @@
 
 
 class Leaver:
-    """Invariants: the stage only moves along NEXT; nothing new is refused before spans.drain is over, and nothing under way
-    is given up before spans.finish is, which counts from then; the whole takes no longer than the three together."""
+    """Invariants: the stage only moves along NEXT.
+
+    Nothing new is refused before spans.drain is over, and nothing under way is given up before
+    spans.finish is, which counts from then; the whole takes no longer than the three together.
+    """
 
     def __init__(self, node_state, command_client, joiner, spans: Spans | None = None):
         self.spans = spans or Spans(DRAIN_SPAN, FINISH_SPAN, LEAVE_SPAN)
-        self.node_state, self.card, self.command_client, self.joiner = node_state, node_state.card, command_client, joiner
+        self.node_state, self.card, self.command_client, self.joiner = (
+            node_state,
+            node_state.card,
+            command_client,
+            joiner,
+        )
         self.stage = Stage.SERVING
         self.since = 0
         self.finish_by = 0
-        self.in_flight = lambda: 0      # () -> requests or calls not answered yet; set by who serves them
+        # () -> requests or calls not answered yet; set by who serves them
+        self.in_flight = lambda: 0
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
@@ -68,16 +79,28 @@
         if self.stage is Stage.DRAINING and span >= self.spans.drain:
             self.finish_by = now + self.spans.finish
             self._move(Stage.FINISHING, now, plan)
-        elif self.stage is Stage.FINISHING and (now >= self.finish_by or span >= LAST_BYTES and not self.in_flight()):
+        elif self.stage is Stage.FINISHING and (
+            now >= self.finish_by or (span >= LAST_BYTES and not self.in_flight())
+        ):
             self.joiner.leaving = True
             self._move(Stage.LEAVING, now, plan)
             self._ask("leave", now, plan)
-        elif self.stage is Stage.LEAVING and (span >= self.spans.leave or self.card.id not in self.node_state.tables.daemons) \
-                and (now >= self.finish_by or not self.in_flight()):        # a kept connection may have brought one more
+        elif (
+            self.stage is Stage.LEAVING
+            and (span >= self.spans.leave or self.card.id not in self.node_state.tables.daemons)
+            and (now >= self.finish_by or not self.in_flight())
+        ):  # a kept connection may have brought one more
             self._move(Stage.GONE, now, plan)
 
     def _ask(self, op, now, plan):
-        plan.join(self.command_client.step(Asked(None, ({"op": op, "id": self.card.id, "incarnation": self.card.incarnation},)), now))
+        plan.join(
+            self.command_client.step(
+                Asked(
+                    None, ({"op": op, "id": self.card.id, "incarnation": self.card.incarnation},)
+                ),
+                now,
+            )
+        )
 
     def _move(self, stage, now, plan):
         assert stage in NEXT[self.stage]
--- a/src/willowpost/node/node_state.py
+++ b/src/willowpost/node/node_state.py
@@ -1,11 +1,14 @@
 """What every follower of the log keeps on its shared state."""
+
 from dataclasses import dataclass, field
 
 from willowpost.common.clock import MILLI
 from willowpost.common.rendezvous import weight
 from willowpost.state.tables import Tables
 
-LEASE = 1_500 * MILLI         # how long an owner may believe in its duty without state updates, and a proxy serves on unless its settings say longer
+# how long an owner may believe in its duty without state updates, and a proxy serves on unless its
+# settings say longer
+LEASE = 1_500 * MILLI
 TAIL_KEPT = 512
 
 
@@ -14,11 +17,11 @@
     """A daemon's own place. Invariant: id and incarnation together name one life of one process."""
 
     id: str
-    kind: str          # store | registry | proxy
-    role: str          # edge | shield | core
-    name: str          # the machine
+    kind: str  # store | registry | proxy
+    role: str  # edge | shield | core
+    name: str  # the machine
     zone: str
-    address: str       # where its peers reach it
+    address: str  # where its peers reach it
     http: str
     incarnation: int
 
@@ -40,9 +43,9 @@
     tables: Tables = field(default_factory=Tables)
     fresh_as_of: int | None = None
     tail: tuple = ()
-    seed_cores: tuple = ()        # stores heard of from seeds, until there are fresh tables
-    draining: bool = False       # this process is about to end, as planned
-    serve_on: int | None = None   # µs; None: the lease
+    seed_cores: tuple = ()  # stores heard of from seeds, until there are fresh tables
+    draining: bool = False  # this process is about to end, as planned
+    serve_on: int | None = None  # µs; None: the lease
 
     def age(self, now: int) -> int | None:
         return None if self.fresh_as_of is None else now - self.fresh_as_of
@@ -52,21 +55,36 @@
 
     def leased(self, now: int) -> bool:
         """Whether requests may be delivered. Not whether a duty may be done: see ruling()."""
-        return self.fresh_as_of is not None and now - self.fresh_as_of <= (LEASE if self.serve_on is None else self.serve_on)
+        return self.fresh_as_of is not None and now - self.fresh_as_of <= (
+            LEASE if self.serve_on is None else self.serve_on
+        )
 
     def ruling(self, now: int) -> bool:
-        """Whether a duty that the log names us for is still surely ours: who takes it over waits this long, however long we serve on."""
+        """Whether a duty that the log names us for is still surely ours.
+
+        Who takes it over waits this long, however long we serve on.
+        """
         return self.fresh_as_of is not None and now - self.fresh_as_of <= LEASE
 
     def cores(self) -> list[str]:
-        """Addresses of stores, those of the own machine and zone first; then those that only seeds named."""
-        ordered = sorted(self.tables.core, key=lambda member: (member["name"] != self.card.name,
-                                                               member["zone"] != self.card.zone,
-                                                               weight(self.card.id, member["identity"])))
+        """Addresses of stores, those of the own machine and zone first.
+
+        Then those that only seeds named.
+        """
+        ordered = sorted(
+            self.tables.core,
+            key=lambda member: (
+                member["name"] != self.card.name,
+                member["zone"] != self.card.zone,
+                weight(self.card.id, member["identity"]),
+            ),
+        )
         known = [member["address"] for member in ordered]
         return known + [address for address in self.seed_cores if address not in known]
 
     def live(self, kind: str) -> dict[str, dict]:
-        return {name: card for name, card in self.tables.daemons.items()
-                if card["kind"] == kind and card["state"] == "up"}
-
+        return {
+            name: card
+            for name, card in self.tables.daemons.items()
+            if card["kind"] == kind and card["state"] == "up"
+        }
--- a/src/willowpost/node/quorum_read.py
+++ b/src/willowpost/node/quorum_read.py
@@ -1,19 +1,26 @@
-"""The last source of freshness: a follower whom no source keeps fresh asks the voters themselves how far they are."""
+"""The last source of freshness.
+
+A follower whom no source keeps fresh asks the voters themselves how far they are.
+"""
+
 from willowpost.common.clock import MILLI
 from willowpost.common.events import Received, Tick
 from willowpost.common.plan import Plan
 from willowpost.consensus.thresholds import Thresholds
-from willowpost.node.node_state import NodeState
 from willowpost.node.follower import TOO_OLD, Follower
+from willowpost.node.node_state import NodeState
 from willowpost.wire.messages import ReadAsk, ReadTell
 
 ASK_EVERY = 150 * MILLI
 
 
 class QuorumRead:
-    """Invariant: fresh_as_of becomes the moment of asking only if n - f voters of our own tables, asked under one epoch, all
-    said a slot that we hold. What was accepted before is on n - f disks of the voters then, or behind a replacement that the
-    barrier of a new epoch put on n - f disks of the former ones: one of those asked would have named it (rabia.md, exception 1)."""
+    """Invariant: fresh_as_of becomes the moment of asking only if n - f voters of our own tables.
+
+    Asked under one epoch, all said a slot that we hold. What was accepted before is on n - f disks
+    of the voters then, or behind a replacement that the barrier of a new epoch put on n - f disks
+    of the former ones: one of those asked would have named it (rabia.md, exception 1).
+    """
 
     def __init__(self, node_state: NodeState, follower: Follower):
         self.node_state, self.follower = node_state, follower
@@ -25,13 +32,27 @@
     def step(self, event, now: int) -> Plan:
         plan = Plan()
         match event:
-            case Received(source, ReadTell(nonce, identity, slot)) if nonce == self.nonce and identity in self._voters():
+            case Received(source, ReadTell(nonce, identity, slot)) if (
+                nonce == self.nonce and identity in self._voters()
+            ):
                 self.told[identity] = slot
                 if slot > self.node_state.tables.slot:
                     self.follower.poll(source, now, plan)
-            case Tick() if self.node_state.tables.core and now - self.asked_at >= ASK_EVERY and self._stale(now):
-                self.nonce, self.asked_at, self.epoch, self.told = self.nonce + 1, now, self.node_state.tables.epoch, {}
-                plan.sends += [(member["address"], ReadAsk(self.nonce)) for member in self.node_state.tables.core]
+            case Tick() if (
+                self.node_state.tables.core
+                and now - self.asked_at >= ASK_EVERY
+                and self._stale(now)
+            ):
+                self.nonce, self.asked_at, self.epoch, self.told = (
+                    self.nonce + 1,
+                    now,
+                    self.node_state.tables.epoch,
+                    {},
+                )
+                plan.sends += [
+                    (member["address"], ReadAsk(self.nonce))
+                    for member in self.node_state.tables.core
+                ]
         self._settle()
         return plan
 
@@ -44,7 +65,11 @@
 
     def _settle(self):
         node_state = self.node_state
-        if (self.told and node_state.tables.epoch == self.epoch and len(self.told) >= Thresholds(len(node_state.tables.core)).heard
-                and max(self.told.values()) <= node_state.tables.slot):
+        if (
+            self.told
+            and node_state.tables.epoch == self.epoch
+            and len(self.told) >= Thresholds(len(node_state.tables.core)).heard
+            and max(self.told.values()) <= node_state.tables.slot
+        ):
             node_state.whole_as_of(self.asked_at)
             self.told = {}
--- a/src/willowpost/node/watch.py
+++ b/src/willowpost/node/watch.py
@@ -1,4 +1,8 @@
-"""Who watches whom: rendezvous gives each daemon a few watchers in different zones; the log decides who is lost."""
+"""Who watches whom: rendezvous gives each daemon a few watchers in different zones.
+
+The log decides who is lost.
+"""
+
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Asked, Received, Tick
 from willowpost.common.plan import Plan
@@ -13,14 +17,17 @@
 
 
 def watchers_of(target: str, daemons: dict) -> tuple[str, ...]:
-    """Invariant: at most one watcher of each zone while there are zones enough, so a dark zone leaves two."""
+    """Invariant: at most one watcher of each zone while there are zones enough.
+
+    So a dark zone leaves two.
+    """
     others = [name for name, card in daemons.items() if name != target and card["state"] != "lost"]
     ranked = Rendezvous().rank(f"watch/{target}", others)
     zones = {}
     for name in ranked:
         zones.setdefault(daemons[name]["zone"], name)
     spread = tuple(zones.values())[:WATCHERS]
-    return spread + tuple(name for name in ranked if name not in spread)[:WATCHERS - len(spread)]
+    return spread + tuple(name for name in ranked if name not in spread)[: WATCHERS - len(spread)]
 
 
 class Watch:
@@ -28,10 +35,10 @@
 
     def __init__(self, card, tables, command_client):
         self.card = card
-        self.tables = tables        # () -> Tables
+        self.tables = tables  # () -> Tables
         self.command_client = command_client
         self.nonce = 0
-        self.heard: dict[str, int] = {}       # life -> last answer
+        self.heard: dict[str, int] = {}  # life -> last answer
         self.reported: dict[str, int] = {}
         self.pinged_at = 0
         self.ticked_at = None
@@ -59,22 +66,48 @@
         tables = self.tables()
         if tables.daemons is not self.seen_daemons:
             self.seen_daemons = tables.daemons
-            self.watched = tuple(name for name in tables.daemons
-                                 if name != self.card.id and self.card.id in watchers_of(name, tables.daemons))
+            self.watched = tuple(
+                name
+                for name in tables.daemons
+                if name != self.card.id and self.card.id in watchers_of(name, tables.daemons)
+            )
         self.nonce += 1
         cards = {name: tables.daemons[name] for name in self.watched if name in tables.daemons}
-        plan.sends += [(card["address"], Ping(self.nonce, self.card.incarnation_id)) for card in cards.values()]
+        plan.sends += [
+            (card["address"], Ping(self.nonce, self.card.incarnation_id)) for card in cards.values()
+        ]
         incarnation_ids = {name: f"{name}@{card['incarnation']}" for name, card in cards.items()}
-        self.heard = {incarnation_id: self.heard.get(incarnation_id, now) for incarnation_id in incarnation_ids.values()}
-        silent = {name for name, incarnation_id in incarnation_ids.items() if now - self.heard[incarnation_id] > SUSPECT_AFTER}
+        self.heard = {
+            incarnation_id: self.heard.get(incarnation_id, now)
+            for incarnation_id in incarnation_ids.values()
+        }
+        silent = {
+            name
+            for name, incarnation_id in incarnation_ids.items()
+            if now - self.heard[incarnation_id] > SUSPECT_AFTER
+        }
         mine = {name for name, held in tables.suspicions.items() if self.card.id in held}
-        changed = [(name, True) for name in sorted(silent - mine)] + [(name, False) for name in sorted(mine - silent)]
-        ops = tuple({"op": "suspicion", "target": name, "incarnation": tables.daemons[name]["incarnation"],
-                     "watcher": self.card.id, "suspected": suspected}
-                    for name, suspected in changed
-                    if name in tables.daemons and now - self.reported.get(name, -REPORT_EVERY) >= REPORT_EVERY)
+        changed = [(name, True) for name in sorted(silent - mine)] + [
+            (name, False) for name in sorted(mine - silent)
+        ]
+        ops = tuple(
+            {
+                "op": "suspicion",
+                "target": name,
+                "incarnation": tables.daemons[name]["incarnation"],
+                "watcher": self.card.id,
+                "suspected": suspected,
+            }
+            for name, suspected in changed
+            if name in tables.daemons
+            and now - self.reported.get(name, -REPORT_EVERY) >= REPORT_EVERY
+        )
         if ops:
             self.reported.update({op["target"]: now for op in ops})
             plan.join(self.command_client.step(Asked(None, ops), now))
             for op in ops:
-                plan.note("watch", "suspicions a daemon" if op["suspected"] else "hears a daemon again", daemon=op["target"])
+                plan.note(
+                    "watch",
+                    "suspicions a daemon" if op["suspected"] else "hears a daemon again",
+                    daemon=op["target"],
+                )
--- a/src/willowpost/proxy/admission/admission_tokens.py
+++ b/src/willowpost/proxy/admission/admission_tokens.py
@@ -1,4 +1,8 @@
-"""Whole tokens, asked for one by one: how a rate too small to be shared out is kept, and still used by everybody."""
+"""Whole tokens, asked for one by one: how a rate too small to be shared out is kept.
+
+And still used by everybody.
+"""
+
 from dataclasses import dataclass
 
 from willowpost.common.clock import MILLI
@@ -22,12 +26,15 @@
 
 
 class AdmissionTokenTaker:
-    """Invariant: every ticket is answered once, at the latest when the owner has been silent for ANSWER_WITHIN."""
+    """Invariant: every ticket is answered once.
+
+    At the latest when the owner has been silent for ANSWER_WITHIN.
+    """
 
     def __init__(self, node_state: ProxyState):
         self.node_state = node_state
         self.nonce = 0
-        self.open: dict[int, tuple] = {}      # nonce -> (ticket, asked at)
+        self.open: dict[int, tuple] = {}  # nonce -> (ticket, asked at)
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
@@ -37,7 +44,9 @@
             case Received(_, AdmissionTokenTell(nonce, given)) if nonce in self.open:
                 plan.replies.append((self.open.pop(nonce)[0], given))
             case Tick():
-                for nonce in [nonce for nonce, (_, at) in self.open.items() if now - at > ANSWER_WITHIN]:
+                for nonce in [
+                    nonce for nonce, (_, at) in self.open.items() if now - at > ANSWER_WITHIN
+                ]:
                     plan.replies.append((self.open.pop(nonce)[0], False))
         return plan
 
@@ -49,12 +58,17 @@
             return
         self.nonce += 1
         self.open[self.nonce] = (wanted.ticket, now)
-        plan.send(owner["address"], AdmissionTokenAsk(self.nonce, wanted.service, held["fence"], wanted.origin))
+        plan.send(
+            owner["address"],
+            AdmissionTokenAsk(self.nonce, wanted.service, held["fence"], wanted.origin),
+        )
 
 
 class AdmissionTokenOwner:
-    """Invariant: only the fenced owner gives, from one bucket a key that holds at most one token,
-    so any span s holds at most 1 + rate * s of them."""
+    """Invariant: only the fenced owner gives, from one bucket a key that holds at most one token.
+
+    So any span s holds at most 1 + rate * s of them.
+    """
 
     def __init__(self, node_state: ProxyState, owner: QuotaShareOwner):
         self.node_state, self.owner = node_state, owner
@@ -65,17 +79,37 @@
         match event:
             case Received(source, AdmissionTokenAsk(nonce, service, fence, origin)):
                 since = self.owner.rules_since(service, fence, now)
-                plan.send(source, AdmissionTokenTell(nonce, since is not None and self._take(service, fence, origin, since, now)))
+                plan.send(
+                    source,
+                    AdmissionTokenTell(
+                        nonce, since is not None and self._take(service, fence, origin, since, now)
+                    ),
+                )
         return plan
 
     def _take(self, name, fence, origin, since, now):
         rate = self._rate(self.node_state.snapshot.services[name], origin, now)
-        self.buckets = {key: held for key, held in self.buckets.items() if key[1] == fence or key[0] != name}
+        self.buckets = {
+            key: held for key, held in self.buckets.items() if key[1] == fence or key[0] != name
+        }
         filled_from = max(since, self.node_state.cold_since.get(origin, now)) if origin else since
-        return rate > 0 and self.buckets.setdefault((name, fence, origin), Bucket(0.0, filled_from)).take(rate, 1.0, now)
+        return rate > 0 and self.buckets.setdefault(
+            (name, fence, origin), Bucket(0.0, filled_from)
+        ).take(rate, 1.0, now)
 
     def _rate(self, service, origin, now):
         if not origin:
             return service.rate if in_whole_tokens(service) else 0.0
-        card = next((card for card in service.origins if card.name == origin and ramps_in_tokens(card, service)), None)
-        return ramped(card, service, now - self.node_state.cold_since.get(origin, now)) if card is not None else 0.0
+        card = next(
+            (
+                card
+                for card in service.origins
+                if card.name == origin and ramps_in_tokens(card, service)
+            ),
+            None,
+        )
+        return (
+            ramped(card, service, now - self.node_state.cold_since.get(origin, now))
+            if card is not None
+            else 0.0
+        )
--- a/src/willowpost/proxy/admission/buckets.py
+++ b/src/willowpost/proxy/admission/buckets.py
@@ -1,4 +1,5 @@
 """Tokens: each request to a service takes one, and one of the origin's while that is cold."""
+
 from collections import deque
 from dataclasses import dataclass
 from itertools import takewhile
@@ -10,8 +11,9 @@
 from willowpost.proxy.proxy_state import ProxyState
 
 RATE_PER_SENDER = 4.0
-BRIEF = 1.25              # where the rate is what the origins bear
-SPENT = 1.08              # of what is shared out: a tenth over is borne in a window, and requests under way are a part of it
+BRIEF = 1.25  # where the rate is what the origins bear
+# of what is shared out: a tenth over is borne in a window, and requests under way are a part of it
+SPENT = 1.08
 
 
 @dataclass(slots=True)
@@ -36,7 +38,10 @@
 
 
 def ramped(origin, service, span: int) -> float:
-    """What a cold origin bears a second, `span` after it was let in; one that says itself how long it is cold does not climb."""
+    """What a cold origin bears a second, `span` after it was let in.
+
+    One that says itself how long it is cold does not climb.
+    """
     if service.told:
         return origin.cold_rate
     part = min(1.0, span / SECOND / service.ramp_seconds) if service.ramp_seconds else 1.0
@@ -53,16 +58,23 @@
 
 
 class Window:
-    """Invariant: in any span of WINDOW seconds it gives at most SPENT times what the rates over that very span amount to; what nobody
-    used may be used at once, later in the same window. Between two asks the lesser of their rates counts, so that a share
-    which comes to us brings nothing that another had the time to use."""
+    """Invariant.
+
+    In any span of WINDOW seconds it gives at most SPENT times what the rates over that very span
+    amount to; what nobody used may be used at once, later in the same window. Between two asks the
+    lesser of their rates counts, so that a share which comes to us brings nothing that another had
+    the time to use.
+    """
 
     def __init__(self, since: int, rate: float):
-        self.spans: deque = deque([(since, since, rate)])     # (from, to, rate), oldest first
+        self.spans: deque = deque([(since, since, rate)])  # (from, to, rate), oldest first
         self.used: deque[int] = deque()
 
     def take(self, rate: float, now: int, brief: bool = False) -> bool:
-        """`brief`: what gathered may not be spent at once, but at no more than BRIEF times the rate in any second."""
+        """`brief`: what gathered may not be spent at once.
+
+        But at no more than BRIEF times the rate in any second.
+        """
         start, at, before = self.spans[-1]
         if rate >= before:
             self.spans[-1] = (start, now, before)
@@ -75,8 +87,12 @@
             self.spans.popleft()
         while self.used and self.used[0] <= first:
             self.used.popleft()
-        accrued = sum((until - max(since, first)) * held for since, until, held in self.spans) / SECOND
-        if len(self.used) + 1 > SPENT * accrued or brief and self._lately(now) + 1 > max(1.0, BRIEF * rate):
+        accrued = (
+            sum((until - max(since, first)) * held for since, until, held in self.spans) / SECOND
+        )
+        if len(self.used) + 1 > SPENT * accrued or (
+            brief and self._lately(now) + 1 > max(1.0, BRIEF * rate)
+        ):
             return False
         self.used.append(now)
         return True
@@ -102,30 +118,46 @@
             return Let.ASK
         grant = node_state.grants.get(name)
         fence = node_state.tables.fences.get(f"quota_share/{name}", {}).get("fence")
-        granted = grant.rate if grant is not None and now < grant.until and grant.fence == fence else 0.0
+        granted = (
+            grant.rate if grant is not None and now < grant.until and grant.fence == fence else 0.0
+        )
         base_quota = base_quota_of(node_state, service, now)
         rate = base_quota + granted
         if rate <= 0:
             return Let.OUT
         if name not in self.windows:
             # our base has gone unused since all who share the service made room for it
-            self.windows[name] = Window(max(now - int(WINDOW * SECOND), min(now, node_state.warmed_up_since())) if base_quota else now, base_quota)
+            self.windows[name] = Window(
+                max(now - int(WINDOW * SECOND), min(now, node_state.warmed_up_since()))
+                if base_quota
+                else now,
+                base_quota,
+            )
         return let(self.windows[name].take(rate, now, service.borne))
 
 
 class Ramp:
-    """Invariant: all proxies together send a cold origin no more than its ramped rate and one token each of
-    the few that may press it; those few are capacity / 4, so a second holds at most 1.25 of the capacity.
-    One too slow at first for every sender to have a token gets its requests by whole tokens all through its ramp."""
+    """Invariant.
+
+    All proxies together send a cold origin no more than its ramped rate and one token each of the
+    few that may press it; those few are capacity / 4, so a second holds at most 1.25 of the
+    capacity. One too slow at first for every sender to have a token gets its requests by whole
+    tokens all through its ramp.
+    """
 
     def __init__(self, node_state: ProxyState):
         self.node_state = node_state
         self.buckets: dict[str, Bucket] = {}
         self.ranks: dict[tuple, int] = {}
-        self.suspects: dict[str, int] = {}      # origins whose process we saw end; cold to us whatever the log says
+        # origins whose process we saw end; cold to us whatever the log says
+        self.suspects: dict[str, int] = {}
 
     def suspect(self, origin: str, now: int) -> None:
-        self.suspects = {name: since for name, since in self.suspects.items() if name in self.node_state.snapshot.origins}
+        self.suspects = {
+            name: since
+            for name, since in self.suspects.items()
+            if name in self.node_state.snapshot.origins
+        }
         self.suspects[origin] = now
 
     def cold(self, origin, service, now: int) -> bool:
@@ -136,17 +168,27 @@
         at, until = self.node_state.cold.get(origin.name, (0, 0))
         if suspected is not None and at > suspected:
             suspected = self.suspects.pop(origin.name) and None
-        return suspected is not None or until > now or (origin.cold and not at > self.node_state.cold_since.get(origin.name, now))
+        return (
+            suspected is not None
+            or until > now
+            or (origin.cold and not at > self.node_state.cold_since.get(origin.name, now))
+        )
 
     def let_in(self, origin, service, now: int) -> Let:
         suspected = self.suspects.get(origin.name)
-        if suspected is not None and not service.told and now - suspected > service.ramp_seconds * SECOND:
+        if (
+            suspected is not None
+            and not service.told
+            and now - suspected > service.ramp_seconds * SECOND
+        ):
             suspected = self.suspects.pop(origin.name)
         if not self.cold(origin, service, now):
             return Let.IN
         if not service.told and ramps_in_tokens(origin, service):
             return Let.ASK
-        since = suspected if suspected is not None else self.node_state.cold_since.get(origin.name, now)
+        since = (
+            suspected if suspected is not None else self.node_state.cold_since.get(origin.name, now)
+        )
         capacity = ramped(origin, service, now - since)
         few = senders_of(capacity)
         if self._rank(origin.name, service.senders) >= few:
--- a/src/willowpost/proxy/admission/budget.py
+++ b/src/willowpost/proxy/admission/budget.py
@@ -1,4 +1,8 @@
-"""Extra tries: at most a fifth of our own demand, and our part of sixty, in any ten seconds, for each service."""
+"""Extra tries: at most a fifth of our own demand, and our part of sixty, in any ten seconds.
+
+For each service.
+"""
+
 from collections import deque
 from dataclasses import dataclass
 
@@ -15,15 +19,18 @@
 
 
 class RetryBudget:
-    """Invariant: within any window the extra tries let in are <= part * first tries + slack / proxies;
-    a proxy has its part of the slack only once its former life's window is over.
+    """Invariant.
+
+    Within any window the extra tries let in are <= part * first tries + slack / proxies; a proxy
+    has its part of the slack only once its former life's window is over.
 
-    A try is charged by the proxy that sends it to an origin: a first one as demand, every further one of the same
-    request as extra, also when the one before went by another hop."""
+    A try is charged by the proxy that sends it to an origin: a first one as demand, every further
+    one of the same request as extra, also when the one before went by another hop.
+    """
 
     def __init__(self, proxies, since: int, settings: BudgetSettings = BudgetSettings()):
         self.since = since
-        self.proxies = proxies          # () -> how many proxies share the slack
+        self.proxies = proxies  # () -> how many proxies share the slack
         self.settings = settings
         self.firsts: dict[str, deque] = {}
         self.extras: dict[str, deque] = {}
@@ -40,8 +47,15 @@
 
     def left(self, now: int, service: str = "") -> bool:
         self._forget(now, service)
-        slack = self.settings.slack / max(1, self.proxies()) if now - self.since >= self.settings.window else 0
-        return len(self.extras.get(service, ())) + 1 <= self.settings.part * len(self.firsts.get(service, ())) + slack
+        slack = (
+            self.settings.slack / max(1, self.proxies())
+            if now - self.since >= self.settings.window
+            else 0
+        )
+        return (
+            len(self.extras.get(service, ())) + 1
+            <= self.settings.part * len(self.firsts.get(service, ())) + slack
+        )
 
     def _forget(self, now, service):
         for held in (self.firsts.get(service), self.extras.get(service)):
--- a/src/willowpost/proxy/admission/quota_shares.py
+++ b/src/willowpost/proxy/admission/quota_shares.py
@@ -1,8 +1,11 @@
-"""Shares of each service's allowance: a part is everybody's base by the log, the rest is granted by the service's owner.
+"""Shares of each service's allowance: a part is everybody's base by the log.
 
-The base keeps traffic going while an owner is lost or a fence is being waited out;
-the owner's part follows the demand. See docs/design/allowances.md.
+The rest is granted by the service's owner.
+
+The base keeps traffic going while an owner is lost or a fence is being waited out; the owner's part
+follows the demand. See docs/design/allowances.md.
 """
+
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Asked, Received, Tick
 from willowpost.common.plan import Plan
@@ -22,7 +25,10 @@
 
 
 def in_whole_tokens(service) -> bool:
-    """So small that a part for every sender would be too little to use: its owner hands out single tokens."""
+    """So small that a part for every sender would be too little to use.
+
+    Its owner hands out single tokens.
+    """
     return OVER * service.rate - len(service.senders) / WINDOW < WHOLE_BELOW * OVER * service.rate
 
 
@@ -33,7 +39,10 @@
 
 
 class QuotaShareTaker:
-    """Invariant: a grant's life counts from when it was asked for, so it ends here before it ends at the owner."""
+    """Invariant: a grant's life counts from when it was asked for.
+
+    So it ends here before it ends at the owner.
+    """
 
     def __init__(self, node_state: ProxyState):
         self.node_state = node_state
@@ -47,8 +56,13 @@
         match event:
             case Received(_, QuotaShareTell(nonce, service, fence, rate)) if nonce in self.asked:
                 _, sent_at = self.asked.pop(nonce)
-                if fence == self.node_state.tables.fences.get(f"quota_share/{service}", {}).get("fence"):
-                    self.node_state.grants = {**self.node_state.grants, service: Grant(rate / 1000, sent_at + GRANT_SPAN, fence)}
+                if fence == self.node_state.tables.fences.get(f"quota_share/{service}", {}).get(
+                    "fence"
+                ):
+                    self.node_state.grants = {
+                        **self.node_state.grants,
+                        service: Grant(rate / 1000, sent_at + GRANT_SPAN, fence),
+                    }
             case Tick() if now - self.looked_at >= LOOK_EVERY:
                 self._ask(now, plan)
         return plan
@@ -56,7 +70,9 @@
     def _ask(self, now, plan):
         node_state, span = self.node_state, max(now - self.looked_at, LOOK_EVERY) / SECOND
         self.looked_at = now
-        self.asked = {nonce: held for nonce, held in self.asked.items() if now - held[1] < GRANT_SPAN}
+        self.asked = {
+            nonce: held for nonce, held in self.asked.items() if now - held[1] < GRANT_SPAN
+        }
         demand, node_state.demand = node_state.demand, {}
         for name, service in node_state.snapshot.services.items():
             if node_state.card.id not in service.senders or in_whole_tokens(service):
@@ -67,20 +83,25 @@
             if owner is not None:
                 self.nonce += 1
                 self.asked[self.nonce] = (name, now)
-                plan.send(owner["address"], QuotaShareAsk(self.nonce, name, held["fence"], int(self.smooth[name] * 1000)))
+                plan.send(
+                    owner["address"],
+                    QuotaShareAsk(self.nonce, name, held["fence"], int(self.smooth[name] * 1000)),
+                )
 
 
 class QuotaShareOwner:
-    """Invariants: only the owner named by the log grants, and only while its lease holds;
-    the sum of grants not yet run out never exceeds the owner's half; a new owner first waits out
-    the old one's lease and its last grants."""
+    """Invariants: only the owner named by the log grants, and only while its lease holds.
+
+    The sum of grants not yet run out never exceeds the owner's half; a new owner first waits out
+    the old one's lease and its last grants.
+    """
 
     def __init__(self, node_state: ProxyState, command_client):
         self.node_state = node_state
         self.command_client = command_client
-        self.since: dict[str, tuple[int, int]] = {}     # key -> (fence, when first seen as ours)
-        self.granted: dict[str, dict] = {}              # service -> {asker: (rate, until)}
-        self.wanted: dict[str, dict] = {}               # service -> {asker: (demand, at)}
+        self.since: dict[str, tuple[int, int]] = {}  # key -> (fence, when first seen as ours)
+        self.granted: dict[str, dict] = {}  # service -> {asker: (rate, until)}
+        self.wanted: dict[str, dict] = {}  # service -> {asker: (demand, at)}
         self.claimed_at: dict[str, int] = {}
         self.looked_at = 0
 
@@ -105,23 +126,39 @@
                 if self.since.get(key, (0, 0))[0] != held["fence"]:
                     self.since[key] = (held["fence"], now)
                     self.granted[name], self.wanted[name] = {}, {}
-            elif held["owner"] not in live and node_state.card.id in live and not node_state.draining \
-                    and Rendezvous().rank(key, live)[0] == node_state.card.id \
-                    and now - self.claimed_at.get(key, -CLAIM_EVERY) >= CLAIM_EVERY:
+            elif (
+                held["owner"] not in live
+                and node_state.card.id in live
+                and not node_state.draining
+                and Rendezvous().rank(key, live)[0] == node_state.card.id
+                and now - self.claimed_at.get(key, -CLAIM_EVERY) >= CLAIM_EVERY
+            ):
                 self.claimed_at[key] = now
-                ops.append({"op": "own", "key": key, "owner": node_state.card.id, "fence": held["fence"]})
+                ops.append(
+                    {"op": "own", "key": key, "owner": node_state.card.id, "fence": held["fence"]}
+                )
         if ops:
             plan.join(self.command_client.step(Asked(None, tuple(ops)), now))
             plan.note("quota_shares", "claims", keys=[op["key"] for op in ops])
 
     def rules_since(self, name: str, fence: int, now: int) -> int | None:
-        """Since when this is the owner by the log, under this fence, with a lease, and nobody's grants left to wait out."""
+        """Since when this is the owner by the log, under this fence, with a lease.
+
+        And nobody's grants left to wait out.
+        """
         node_state, key = self.node_state, f"quota_share/{name}"
         held = node_state.tables.fences.get(key, {"owner": "", "fence": 0})
         own, since = self.since.get(key, (0, 0))
-        if name not in node_state.snapshot.services or held["owner"] != node_state.card.id or own != held["fence"] or fence != own or not node_state.ruling(now):
+        if (
+            name not in node_state.snapshot.services
+            or held["owner"] != node_state.card.id
+            or own != held["fence"]
+            or fence != own
+            or not node_state.ruling(now)
+        ):
             return None
-        # The very first owner has nobody's grants to wait out; a restarted one has its former life's.
+        # The very first owner has nobody's grants to wait out; a restarted one has its former
+        # life's.
         ruling = since if own == 1 and key in self.claimed_at else since + FENCE_WAIT
         return ruling if now >= ruling else None
 
@@ -132,13 +169,25 @@
         service = self.node_state.snapshot.services[ask.service]
         if in_whole_tokens(service):
             return
-        wanted = {asker: entry for asker, entry in self.wanted.get(ask.service, {}).items() if now - entry[1] < 2 * SECOND}
+        wanted = {
+            asker: entry
+            for asker, entry in self.wanted.get(ask.service, {}).items()
+            if now - entry[1] < 2 * SECOND
+        }
         wanted[source] = (ask.demand / 1000, now)
         self.wanted[ask.service] = wanted
-        granted = {asker: entry for asker, entry in self.granted.get(ask.service, {}).items() if entry[1] > now and asker != source}
+        granted = {
+            asker: entry
+            for asker, entry in self.granted.get(ask.service, {}).items()
+            if entry[1] > now and asker != source
+        }
         pool = (1 - BASE_QUOTA_PART) * service.rate
         least = pool / 50
-        quota_share = pool * (wanted[source][0] + least) / (sum(demand for demand, _ in wanted.values()) + least * len(wanted))
+        quota_share = (
+            pool
+            * (wanted[source][0] + least)
+            / (sum(demand for demand, _ in wanted.values()) + least * len(wanted))
+        )
         rate = max(0.0, min(quota_share, pool - sum(rate for rate, _ in granted.values())))
         self.granted[ask.service] = {**granted, source: (rate, now + GRANT_SPAN)}
         plan.send(source, QuotaShareTell(ask.nonce, ask.service, fence, int(rate * 1000)))
--- a/src/willowpost/proxy/cache/ranges.py
+++ b/src/willowpost/proxy/cache/ranges.py
@@ -1,4 +1,5 @@
 """A part of a kept answer: one range that names its first byte (RFC 9110, 14.2)."""
+
 import re
 
 from willowpost.proxy.origin.exchange import WholeAnswer
@@ -20,8 +21,16 @@
 
     def make(self, whole: WholeAnswer, wanted: tuple[int, int | None]) -> WholeAnswer:
         size, (first, last) = len(whole.body), wanted
-        headers = [(name, value) for name, value in whole.headers if name not in ("content-length", "content-range")]
+        headers = [
+            (name, value)
+            for name, value in whole.headers
+            if name not in ("content-length", "content-range")
+        ]
         if first >= size:
             return WholeAnswer(416, [*headers, ("content-range", f"bytes */{size}")], b"")
         end = size - 1 if last is None else min(last, size - 1)
-        return WholeAnswer(206, [*headers, ("content-range", f"bytes {first}-{end}/{size}")], whole.body[first:end + 1])
+        return WholeAnswer(
+            206,
+            [*headers, ("content-range", f"bytes {first}-{end}/{size}")],
+            whole.body[first : end + 1],
+        )
