--- a/src/willowpost/proxy/cache/storing.py
+++ b/src/willowpost/proxy/cache/storing.py
@@ -1,4 +1,5 @@
 """RFC 9111: what may be stored in a shared cache, for how long, under which key."""
+
 import re
 from dataclasses import dataclass
 from email.utils import parsedate_to_datetime
@@ -34,14 +35,25 @@
 
 
 class StoringRules:
-    """Invariant: whatever is personal, or may be, is never stored: private, no-store, Set-Cookie,
-    Vary: *, and answers to Authorization unless the origin says they are public."""
-
-    def judge(self, request: dict, status: int, answer: dict, keep_seconds: float) -> Storing | None:
-        asked, said = directives(request.get("cache-control", "")), directives(answer.get("cache-control", ""))
+    """Invariant: whatever is personal, or may be, is never stored: private, no-store, Set-Cookie.
+
+    Vary: *, and answers to Authorization unless the origin says they are public.
+    """
+
+    def judge(
+        self, request: dict, status: int, answer: dict, keep_seconds: float
+    ) -> Storing | None:
+        asked, said = (
+            directives(request.get("cache-control", "")),
+            directives(answer.get("cache-control", "")),
+        )
         if status not in STATUSES or "no-store" in asked or "no-store" in said or "private" in said:
             return None
-        if "set-cookie" in answer or answer.get("vary", "").strip() == "*" or "*" in answer.get("vary", ""):
+        if (
+            "set-cookie" in answer
+            or answer.get("vary", "").strip() == "*"
+            or "*" in answer.get("vary", "")
+        ):
             return None
         public = bool({"public", "s-maxage", "must-revalidate"} & said.keys())
         if "authorization" in request and not public:
@@ -52,7 +64,11 @@
         checkable = "etag" in answer or "last-modified" in answer
         if lifetime <= 0 and not checkable:
             return None
-        vary = tuple(sorted({name.strip().lower() for name in answer.get("vary", "").split(",") if name.strip()}))
+        vary = tuple(
+            sorted(
+                {name.strip().lower() for name in answer.get("vary", "").split(",") if name.strip()}
+            )
+        )
         return Storing(lifetime, vary, public)
 
     def _lifetime(self, said, answer, keep_seconds, status):
--- a/src/willowpost/proxy/daemon.py
+++ b/src/willowpost/proxy/daemon.py
@@ -1,4 +1,5 @@
 """wpproxy: takes the callers' requests, as an edge or a shield."""
+
 from collections import Counter
 
 import gevent
@@ -10,8 +11,8 @@
 from willowpost.proxy.front import HEALTH, Front
 from willowpost.proxy.handler import ProxyHandler
 from willowpost.proxy.node import ProxyNode
-from willowpost.proxy.origin.pick import OriginPicker
 from willowpost.proxy.origin.io import SocketIo
+from willowpost.proxy.origin.pick import OriginPicker
 from willowpost.proxy.origin.pool import ConnectionPool
 from willowpost.proxy.routing.carrier import Carrier
 from willowpost.proxy.routing.planner import RequestPlanner
@@ -22,7 +23,7 @@
 
 TIDY_SECONDS = 0.05
 TELLS = 40
-LOOKS = 20               # idle connections that have run out are closed once in so many looks
+LOOKS = 20  # idle connections that have run out are closed once in so many looks
 
 
 class HealthPage:
@@ -35,7 +36,9 @@
 
     def __call__(self, environ, start_response):
         reply = self.front.own(HEALTH)
-        start_response(status_line(reply.code), [*reply.headers, ("content-length", str(len(reply.body)))])
+        start_response(
+            status_line(reply.code), [*reply.headers, ("content-length", str(len(reply.body)))]
+        )
         return [reply.body]
 
 
@@ -44,19 +47,52 @@
         self.logs = logs
         self.runner = Runner(place.address, logs)
         self.clock = Clock()
-        card = Card(f"{place.name}/proxy", "proxy", place.role, place.name, place.zone, place.address, place.http, self.clock.wall())
+        card = Card(
+            f"{place.name}/proxy",
+            "proxy",
+            place.role,
+            place.name,
+            place.zone,
+            place.address,
+            place.http,
+            self.clock.wall(),
+        )
         self.node = ProxyNode(card, place.seeds, self.clock.wall, place.cache_bytes)
         self.node_state = self.node.node_state
         self.node_state.serve_on = place.serve_on_ms * MILLI
         stats = Counter()
         self.pool = ConnectionPool(self.clock)
-        budget = RetryBudget(self.node_state.proxies, self.clock.now(), BudgetSettings(place.extra_part, place.extra_slack, place.extra_window_ms * 1000))
-        self.pick = OriginPicker(card.zone, reports=lambda: self.node_state.reports, regions=place.regions)
-        tries = Tries(self.node_state, self.clock, Allowance(self.node_state), Ramp(self.node_state), budget, self.pick,
-                      SocketIo(self.pool, self.runner.want), stats, words, place.regions)
+        budget = RetryBudget(
+            self.node_state.proxies,
+            self.clock.now(),
+            BudgetSettings(place.extra_part, place.extra_slack, place.extra_window_ms * 1000),
+        )
+        self.pick = OriginPicker(
+            card.zone, reports=lambda: self.node_state.reports, regions=place.regions
+        )
+        tries = Tries(
+            self.node_state,
+            self.clock,
+            Allowance(self.node_state),
+            Ramp(self.node_state),
+            budget,
+            self.pick,
+            SocketIo(self.pool, self.runner.want),
+            stats,
+            words,
+            place.regions,
+        )
         carrier = Carrier(self.node_state, self.node.cache, self.clock, tries, stats)
-        self.front = Front(self.node_state, self.clock, RequestPlanner(self.node_state, self.node.cache, self.clock, place.regions), carrier, stats, logs, words,
-                           place.health is None)
+        self.front = Front(
+            self.node_state,
+            self.clock,
+            RequestPlanner(self.node_state, self.node.cache, self.clock, place.regions),
+            carrier,
+            stats,
+            logs,
+            words,
+            place.health is None,
+        )
         self.node.leaver.spans = place.spans()
         self.node.leaver.in_flight = lambda: self.front.in_flight
         self.webs = [WebServer(place.http, self.front, ProxyHandler)]
@@ -78,15 +114,24 @@
                 told = self._tell(told)
             if self.node_state.snapshot is not snapshot or looked % LOOKS == 0:
                 snapshot = self.node_state.snapshot
-                self.pool.keep_only(snapshot.origins | {f"shield {name} {address}" for name, address in snapshot.shields.items()})
+                self.pool.keep_only(
+                    snapshot.origins
+                    | {f"shield {name} {address}" for name, address in snapshot.shields.items()}
+                )
                 self.pick.keep_only(snapshot.origins | snapshot.shields.keys())
             gevent.sleep(TIDY_SECONDS)
 
     def _tell(self, told):
         """What was reject since the last word of it, and why."""
-        now = Counter({name: count for name, count in self.front.stats.items() if name.startswith("why.")})
+        now = Counter(
+            {name: count for name, count in self.front.stats.items() if name.startswith("why.")}
+        )
         if now != told:
-            self.logs.say("front", "reject", **{name.removeprefix("why."): count for name, count in (now - told).items()})
+            self.logs.say(
+                "front",
+                "reject",
+                **{name.removeprefix("why."): count for name, count in (now - told).items()},
+            )
         return now
 
     def stop(self) -> None:
--- a/src/willowpost/proxy/front.py
+++ b/src/willowpost/proxy/front.py
@@ -1,4 +1,8 @@
-"""The callers' side: a request becomes a plan, the plan is carried out, and what comes of it becomes a reply."""
+"""The callers' side: a request becomes a plan, the plan is carried out.
+
+And what comes of it becomes a reply.
+"""
+
 import json
 import re
 from itertools import chain
@@ -7,7 +11,7 @@
 from willowpost.proxy.handler import Asked, Reply
 from willowpost.proxy.routing.carrier import Carrier
 from willowpost.proxy.routing.planner import RequestPlanner
-from willowpost.proxy.routing.request import ONCE, Request, RejectPlan, kind_of
+from willowpost.proxy.routing.request import ONCE, RejectPlan, Request, kind_of
 from willowpost.proxy.routing.tries import Rejected
 from willowpost.proxy.routing.words import Words
 
@@ -22,8 +26,23 @@
 class Front:
     """`reserved`: whether health and stats are paths of the callers' own port."""
 
-    def __init__(self, node_state, clock, planner: RequestPlanner, carrier: Carrier, stats, logs, words: Words = Words(), reserved: bool = True):
-        self.node_state, self.clock, self.planner, self.carrier = node_state, clock, planner, carrier
+    def __init__(
+        self,
+        node_state,
+        clock,
+        planner: RequestPlanner,
+        carrier: Carrier,
+        stats,
+        logs,
+        words: Words = Words(),
+        reserved: bool = True,
+    ):
+        self.node_state, self.clock, self.planner, self.carrier = (
+            node_state,
+            clock,
+            planner,
+            carrier,
+        )
         self.stats, self.logs, self.words, self.reserved = stats, logs, words, reserved
         self.now = clock.now
         self.in_flight = 0
@@ -59,7 +78,13 @@
     def body_most(self, asked: Asked) -> int:
         route = self._route(asked)
         most = self.limits().get("body_bytes")
-        return most if most is not None else READ_BODY_MOST if route is None or asked.method in ("GET", "HEAD") else route.body_max
+        return (
+            most
+            if most is not None
+            else READ_BODY_MOST
+            if route is None or asked.method in ("GET", "HEAD")
+            else route.body_max
+        )
 
     def _route(self, asked):
         return self.node_state.snapshot.routes.find(host_of(asked), asked.target.partition("?")[0])
@@ -91,13 +116,27 @@
         host, target = asked.headers.get("host", ""), asked.target
         if target.startswith("http://"):
             target = "/" + target[7:].partition("/")[2]
-        if not HOST.fullmatch(host) or not target.startswith("/") or target.startswith("//") or BAD.search(target):
+        if (
+            not HOST.fullmatch(host)
+            or not target.startswith("/")
+            or target.startswith("//")
+            or BAD.search(target)
+        ):
             return None
         headers = asked.headers
         hop = self.node_state.card.role == "shield" and "wp-hop" in headers
         left = headers.get(self.words.left, "")
-        return Request(asked.method, host.partition(":")[0].lower(), target.partition("#")[0], headers, hop, hop and "wp-extra" in headers,
-                       headers.get(self.words.request), int(left) * MILLI if left.isascii() and left.isdigit() else None, received)
+        return Request(
+            asked.method,
+            host.partition(":")[0].lower(),
+            target.partition("#")[0],
+            headers,
+            hop,
+            hop and "wp-extra" in headers,
+            headers.get(self.words.request),
+            int(left) * MILLI if left.isascii() and left.isdigit() else None,
+            received,
+        )
 
     def _answer(self, request, outcome):
         answer = outcome.answer
@@ -105,10 +144,24 @@
         match = request.headers.get("if-none-match")
         etag = answer.header("etag")
         status, body = answer.status, answer.body
-        if match and etag and status == 200 and request.safe and pieces is None \
-                and (match.strip() == "*" or etag.removeprefix("W/") in [held.strip().removeprefix("W/") for held in match.split(",")]):
+        if (
+            match
+            and etag
+            and status == 200
+            and request.safe
+            and pieces is None
+            and (
+                match.strip() == "*"
+                or etag.removeprefix("W/")
+                in [held.strip().removeprefix("W/") for held in match.split(",")]
+            )
+        ):
             status, body = 304, b""
-        headers = [(name, value) for name, value in answer.headers if name not in ("content-length", "age", self.words.request)]
+        headers = [
+            (name, value)
+            for name, value in answer.headers
+            if name not in ("content-length", "age", self.words.request)
+        ]
         if request.name is not None:
             headers.append((self.words.request, request.name))
         if outcome.age is not None:
@@ -126,7 +179,10 @@
         return Reply(status, headers, body, pieces)
 
     def _begun(self, rest):
-        """The first piece is fetched before the head leaves: what breaks down by then still gets an honest status."""
+        """The first piece is fetched before the head leaves.
+
+        What breaks down by then still gets an honest status.
+        """
         try:
             first = next(rest, b"")
         except Exception as problem:
@@ -134,7 +190,14 @@
         return chain((first,), rest)
 
     def _reject(self, reject, write, request=None):
-        body = json.dumps({"reject": reject.reason, "retry_after": reject.after} if reject.after else {"reject": reject.reason}).encode() + b"\n"
+        body = (
+            json.dumps(
+                {"reject": reject.reason, "retry_after": reject.after}
+                if reject.after
+                else {"reject": reject.reason}
+            ).encode()
+            + b"\n"
+        )
         headers = [("content-type", "application/json"), ("cache-control", "no-store")]
         if request is not None and request.name is not None:
             headers.append((self.words.request, request.name))
@@ -148,16 +211,37 @@
 
     def own(self, path: str) -> Reply:
         now = self.clock.now()
-        sound = self.node_state.leased(now) and not self.node_state.draining and self.node_state.emptied_at is None and self.node_state.warmed_up(now)
+        sound = (
+            self.node_state.leased(now)
+            and not self.node_state.draining
+            and self.node_state.emptied_at is None
+            and self.node_state.warmed_up(now)
+        )
         age = self.node_state.age(now)
-        value = {"sound": sound, "draining": self.node_state.draining, "emptied": self.node_state.emptied_at is not None,
-                 "slot": self.node_state.tables.slot, "version": self.node_state.snapshot.version,
-                 "age_ms": None if age is None else age // 1000}
+        value = {
+            "sound": sound,
+            "draining": self.node_state.draining,
+            "emptied": self.node_state.emptied_at is not None,
+            "slot": self.node_state.tables.slot,
+            "version": self.node_state.snapshot.version,
+            "age_ms": None if age is None else age // 1000,
+        }
         if path == STATS:
-            value = {**value, "stats": dict(self.stats), "in_flight": self.in_flight,
-                     "shares": {name: round(grant.rate, 3) for name, grant in self.node_state.grants.items()}}
+            value = {
+                **value,
+                "stats": dict(self.stats),
+                "in_flight": self.in_flight,
+                "shares": {
+                    name: round(grant.rate, 3) for name, grant in self.node_state.grants.items()
+                },
+            }
         code = 200 if sound or path == STATS else 503
-        return Reply(code, [("content-type", "application/json")] + ([] if code == 200 else [("retry-after", "2")]), json.dumps(value).encode() + b"\n")
+        return Reply(
+            code,
+            [("content-type", "application/json")]
+            + ([] if code == 200 else [("retry-after", "2")]),
+            json.dumps(value).encode() + b"\n",
+        )
 
 
 def host_of(asked: Asked) -> str:
--- a/src/willowpost/proxy/handler.py
+++ b/src/willowpost/proxy/handler.py
@@ -1,4 +1,9 @@
-"""One caller's connection: reads requests ahead, lets them be answered side by side, and answers in their order."""
+"""One caller's connection: reads requests ahead, lets them be answered side by side.
+
+And answers in their order.
+"""
+
+import contextlib
 import re
 from collections import deque
 
@@ -15,7 +20,7 @@
 HEAD_SECONDS = 30.0
 HEAD_MARGIN = 0.5
 LINGER_SECONDS = 1.0
-TOGETHER = 64 * 1024             # a head and a body up to this leave in one piece
+TOGETHER = 64 * 1024  # a head and a body up to this leave in one piece
 METHOD = re.compile(r"[A-Z][A-Z0-9_-]{0,31}")
 NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 ONE_ONLY = ("content-length", "transfer-encoding", "host")
@@ -69,7 +74,7 @@
                 self.connection.settimeout(span)
         if end > most:
             raise Malformed(431, "head over the limit")
-        head, self.held = self.held[:end], self.held[end + 4:]
+        head, self.held = self.held[:end], self.held[end + 4 :]
         return head
 
     def read(self, size: int) -> bytes:
@@ -89,18 +94,28 @@
 class Asked:
     """A request's head as it came. Invariants: names in lower case; framed in one way at most."""
 
-    __slots__ = ("method", "target", "headers", "length", "chunked", "close")
+    __slots__ = ("chunked", "close", "headers", "length", "method", "target")
 
     def __init__(self, head: bytes):
         lines = head.decode("latin-1").split("\r\n")
         words = lines[0].split(" ")
-        if len(words) != 3 or not METHOD.fullmatch(words[0]) or words[2] not in ("HTTP/1.1", "HTTP/1.0"):
+        if (
+            len(words) != 3
+            or not METHOD.fullmatch(words[0])
+            or words[2] not in ("HTTP/1.1", "HTTP/1.0")
+        ):
             raise Malformed(400, "no request line")
         self.method, self.target = words[0], words[1]
         self.headers = {}
         for line in lines[1:]:
             name, colon, value = line.partition(":")
-            if not colon or not NAME.fullmatch(name) or "\r" in value or "\n" in value or "\0" in value:
+            if (
+                not colon
+                or not NAME.fullmatch(name)
+                or "\r" in value
+                or "\n" in value
+                or "\0" in value
+            ):
                 raise Malformed(400, "no header line")
             name, value = name.lower(), value.strip(" \t")
             if name in self.headers:
@@ -109,7 +124,10 @@
                 value = f"{self.headers[name]}, {value}"
             self.headers[name] = value
         length, coding = self.headers.get("content-length"), self.headers.get("transfer-encoding")
-        if length is not None and (coding is not None or not (length.isascii() and length.isdigit())) or coding is not None and coding.lower() != "chunked":
+        if (
+            length is not None
+            and (coding is not None or not (length.isascii() and length.isdigit()))
+        ) or (coding is not None and coding.lower() != "chunked"):
             raise Malformed(400, "framed twice, or in a way that is not known")
         self.length = int(length) if length is not None else None
         self.chunked = coding is not None
@@ -124,7 +142,7 @@
 class Reply:
     """What is to be written: a whole body, or pieces that may break off."""
 
-    __slots__ = ("code", "headers", "body", "pieces")
+    __slots__ = ("body", "code", "headers", "pieces")
 
     def __init__(self, code: int, headers: list, body: bytes = b"", pieces=None):
         self.code, self.headers, self.body, self.pieces = code, headers, body, pieces
@@ -133,15 +151,19 @@
 class Seat:
     """One request's place in the order of its connection."""
 
-    __slots__ = ("reply", "close", "head")
+    __slots__ = ("close", "head", "reply")
 
     def __init__(self, close: bool, head: bool):
         self.reply, self.close, self.head = None, close, head
 
 
 class ProxyHandler(WSGIHandler):
-    """Invariants: answers leave in the order in which their requests came; a request that may not run twice, or has a body, is taken up only
-    when all before it are answered; once an answer has said that it closes the connection, nothing read behind it is taken up."""
+    """Invariants: answers leave in the order in which their requests came.
+
+    A request that may not run twice, or has a body, is taken up only when all before it are
+    answered; once an answer has said that it closes the connection, nothing read behind it is taken
+    up.
+    """
 
     def __init__(self, sock, address, server, rfile=None):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -167,7 +189,10 @@
             self.socket.close()
 
     def _linger(self):
-        """Bytes that are not read would make the closing a reset, which can take our last answer with it."""
+        """Bytes that are not read would make the closing a reset.
+
+        Which can take our last answer with it.
+        """
         if self.broken:
             return
         try:
@@ -185,16 +210,17 @@
         """Nothing new is taken up; an idle connection is closed at once."""
         self.closing = True
         if self.idle():
-            try:
+            with contextlib.suppress(OSError):
                 self.socket.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
 
     def _one(self, stream) -> bool:
         limits = self.front.limits()
         try:
-            head = stream.head(limits.get("head_bytes") or HEAD_MOST, (limits.get("idle_ms") or IDLE_SECONDS * 1000) / 1000,
-                               (limits.get("head_ms") or HEAD_SECONDS * 1000) / 1000 + HEAD_MARGIN)
+            head = stream.head(
+                limits.get("head_bytes") or HEAD_MOST,
+                (limits.get("idle_ms") or IDLE_SECONDS * 1000) / 1000,
+                (limits.get("head_ms") or HEAD_SECONDS * 1000) / 1000 + HEAD_MARGIN,
+            )
             if self.closing:
                 return False
             asked = Asked(head)
@@ -268,7 +294,7 @@
                 try:
                     if not self.broken:
                         self._write(seat)
-                except Exception as problem:        # the caller has gone, or the answer broke off
+                except Exception as problem:  # the caller has gone, or the answer broke off
                     self.closing = self.broken = True
                     if not isinstance(problem, OSError):
                         self.front.broke(problem)
@@ -291,8 +317,12 @@
         chunked = pieces is not None and not lengths
         if pieces is None and not lengths and reply.code not in (204, 304):
             headers = [*headers, ("content-length", str(len(reply.body)))]
-        lines = [f"HTTP/1.1 {status_line(reply.code)}", *(f"{name}: {value}" for name, value in headers),
-                 *(("transfer-encoding: chunked",) if chunked else ()), *(("connection: close",) if close else ())]
+        lines = [
+            f"HTTP/1.1 {status_line(reply.code)}",
+            *(f"{name}: {value}" for name, value in headers),
+            *(("transfer-encoding: chunked",) if chunked else ()),
+            *(("connection: close",) if close else ()),
+        ]
         head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
         body = b"" if seat.head or reply.code in (204, 304) else reply.body
         self.socket.settimeout(IDLE_SECONDS)
--- a/src/willowpost/proxy/main.py
+++ b/src/willowpost/proxy/main.py
@@ -1,6 +1,7 @@
 """The command `wpproxy`."""
-from willowpost.shell.program import DaemonCommand, run
+
 from willowpost.proxy.daemon import ProxyDaemon
+from willowpost.shell.program import DaemonCommand, run
 
 
 class ProxyCommand(DaemonCommand):
--- a/src/willowpost/proxy/node.py
+++ b/src/willowpost/proxy/node.py
@@ -1,35 +1,56 @@
-"""One proxy's control side: a follower, a watcher, a holder of shares. Its data side is in way/ and front."""
+"""One proxy's control side: a follower, a watcher, a holder of shares.
+
+Its data side is in way/ and front.
+"""
+
 from willowpost.common.plan import Plan
-from willowpost.node.node_state import Card
 from willowpost.node.command_client import CommandClient
 from willowpost.node.follower import Follower
 from willowpost.node.joiner import Joiner
 from willowpost.node.leaver import Leaver
+from willowpost.node.node_state import Card
 from willowpost.node.quorum_read import QuorumRead
 from willowpost.node.watch import Watch
-from willowpost.proxy.admission.quota_shares import QuotaShareOwner, QuotaShareTaker
 from willowpost.proxy.admission.admission_tokens import AdmissionTokenOwner, AdmissionTokenTaker
-from willowpost.proxy.proxy_state import ProxyState
-from willowpost.proxy.origin.reports import Reports
+from willowpost.proxy.admission.quota_shares import QuotaShareOwner, QuotaShareTaker
 from willowpost.proxy.cache.store import BYTES_MOST, CacheStore
+from willowpost.proxy.origin.reports import Reports
+from willowpost.proxy.proxy_state import ProxyState
 from willowpost.proxy.routing.keeper import SnapshotKeeper
 
 
 class ProxyNode:
-    """Invariant: whatever happens goes through step(); requests only read the board, and count on it."""
+    """Invariant: whatever happens goes through step(); requests only read the board.
+
+    And count on it.
+    """
 
     def __init__(self, card: Card, seeds, wall, cache_bytes: int = BYTES_MOST):
         self.node_state = ProxyState(card)
         self.cache = CacheStore(cache_bytes)
         self.command_client = CommandClient(card.id, card.incarnation, self.node_state.cores, wall)
-        tables = lambda: self.node_state.tables
+
+        def tables():
+            return self.node_state.tables
+
         self.joiner = Joiner(card, tables, self.command_client)
         self.leaver = Leaver(self.node_state, self.command_client, self.joiner)
         owner = QuotaShareOwner(self.node_state, self.command_client)
         follower = Follower(self.node_state, seeds)
-        self.controllers = [follower, QuorumRead(self.node_state, follower), SnapshotKeeper(self.node_state, self.cache), Reports(self.node_state), self.command_client,
-                            Watch(card, tables, self.command_client), self.joiner, self.leaver,
-                            owner, QuotaShareTaker(self.node_state), AdmissionTokenOwner(self.node_state, owner), AdmissionTokenTaker(self.node_state)]
+        self.controllers = [
+            follower,
+            QuorumRead(self.node_state, follower),
+            SnapshotKeeper(self.node_state, self.cache),
+            Reports(self.node_state),
+            self.command_client,
+            Watch(card, tables, self.command_client),
+            self.joiner,
+            self.leaver,
+            owner,
+            QuotaShareTaker(self.node_state),
+            AdmissionTokenOwner(self.node_state, owner),
+            AdmissionTokenTaker(self.node_state),
+        ]
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
--- a/src/willowpost/proxy/origin/exchange.py
+++ b/src/willowpost/proxy/origin/exchange.py
@@ -1,4 +1,8 @@
-"""One request to one address over HTTP/1.1: connect, send, read, and check that the answer is whole."""
+"""One request to one address over HTTP/1.1: connect, send, read.
+
+And check that the answer is whole.
+"""
+
 import base64
 import time
 from dataclasses import dataclass, field
@@ -14,7 +18,7 @@
 
 CONNECT_SECONDS = 1.0
 BLOCK = 64 * 1024
-FOREIGN_MOST = 2          # answers to others that are passed over before our own
+FOREIGN_MOST = 2  # answers to others that are passed over before our own
 
 
 class Phase(Enum):
@@ -32,7 +36,7 @@
     status: int
     headers: list = field(default_factory=list)
     body: bytes = b""
-    rest: object = None         # an iterator over what follows, for oversized answers
+    rest: object = None  # an iterator over what follows, for oversized answers
 
     def header(self, name: str) -> str | None:
         return next((value for held, value in self.headers if held == name), None)
@@ -64,7 +68,8 @@
 
 
 def _running(kind):
-    import hashlib      # it loads OpenSSL (4 MB), and few origins name digests
+    import hashlib  # it loads OpenSSL (4 MB), and few origins name digests
+
     return hashlib.new(kind.replace("-", ""))
 
 
@@ -77,12 +82,17 @@
             running.update(data)
 
     def right(self) -> bool:
-        return all(base64.b64encode(running.digest()).decode() == value for running, value in self.said)
+        return all(
+            base64.b64encode(running.digest()).decode() == value for running, value in self.said
+        )
 
 
 @dataclass(frozen=True, slots=True)
 class Echo:
-    """Invariant: an answer whose `header` names another id than `name` answers somebody else's request."""
+    """Invariant.
+
+    An answer whose `header` names another id than `name` answers somebody else's request.
+    """
 
     header: str
     name: str
@@ -92,7 +102,10 @@
 
 
 class Exchange:
-    """Invariant: run() gives a whole, checked answer to this very request, or raises ExchangeFailure saying whether a byte may have left."""
+    """Invariant: run() gives a whole, checked answer to this very request.
+
+    Or raises ExchangeFailure saying whether a byte may have left.
+    """
 
     def __init__(self, address: str, connection=None):
         self.address = address
@@ -100,30 +113,49 @@
         self.phase = Phase.CONNECT if connection is None else Phase.SEND
         self.reusable = False
         self.reused = connection is not None
-        self.keep: str | None = None      # what the answer said of how long an idle connection is kept
+        # what the answer said of how long an idle connection is kept
+        self.keep: str | None = None
 
     def connect(self, seconds: float = CONNECT_SECONDS) -> None:
         try:
-            self.connection = socket.create_connection(split(self.address), timeout=min(seconds, CONNECT_SECONDS))
+            self.connection = socket.create_connection(
+                split(self.address), timeout=min(seconds, CONNECT_SECONDS)
+            )
             self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError as problem:
-            raise ExchangeFailure(f"connect: {problem}", sent=False, died=isinstance(problem, ConnectionRefusedError),
-                            silent=isinstance(problem, TimeoutError))
+            raise ExchangeFailure(
+                f"connect: {problem}",
+                sent=False,
+                died=isinstance(problem, ConnectionRefusedError),
+                silent=isinstance(problem, TimeoutError),
+            )
         self.phase = Phase.SEND
 
     def instance_check(self, instance_check: InstanceCheck, seconds: float) -> None:
         """Invariant: nothing of the request has left, whatever comes of it."""
         self.phase = Phase.INSTANCE_CHECK
-        asked = head_of("GET", instance_check.path, [("host", self.address), ("via", "1.1 willowpost")], b"")
+        asked = head_of(
+            "GET", instance_check.path, [("host", self.address), ("via", "1.1 willowpost")], b""
+        )
         answer = self._asked("GET", asked, seconds, BYTES_MOST, False, None)
         instance_check.judge(answer)
         if answer.rest is not None or not self.reusable:
             raise ExchangeFailure("instance check: does not keep the connection", sent=False)
         self.phase, self.reusable = Phase.SEND, False
 
-    def run(self, method: str, target: str, headers: list, body: bytes, seconds: float, whole_max: int,
-            echo: Echo | None = None) -> WholeAnswer:
-        return self._asked(method, head_of(method, target, headers, body) + body, seconds, whole_max, True, echo)
+    def run(
+        self,
+        method: str,
+        target: str,
+        headers: list,
+        body: bytes,
+        seconds: float,
+        whole_max: int,
+        echo: Echo | None = None,
+    ) -> WholeAnswer:
+        return self._asked(
+            method, head_of(method, target, headers, body) + body, seconds, whole_max, True, echo
+        )
 
     def _asked(self, method, asked, seconds, whole_max, sent, echo):
         self.until = time.monotonic() + seconds
@@ -135,7 +167,12 @@
         except (OSError, HTTPParseError, ValueError) as problem:
             died = self.reused and isinstance(problem, ConnectionError)
             late = isinstance(problem, TimeoutError)
-            raise ExchangeFailure(f"{self.phase.value}: {'deadline' if late else problem}", sent=sent, died=died, silent=late)
+            raise ExchangeFailure(
+                f"{self.phase.value}: {'deadline' if late else problem}",
+                sent=sent,
+                died=died,
+                silent=late,
+            )
 
     def close(self) -> None:
         if self.connection is not None:
@@ -183,7 +220,10 @@
         return answer, length, raw
 
     def _pass_over(self, parser, length, raw) -> bytes:
-        """A foreign answer: ours may follow it, but only where this one's end can be told. Returns what came behind it."""
+        """A foreign answer: ours may follow it, but only where this one's end can be told.
+
+        Returns what came behind it.
+        """
         if length is None or parser.bodyless:
             raise ValueError("an answer to another request")
         self.spoilt = True
@@ -195,7 +235,7 @@
             raw += data
         return raw[end:]
 
-    spoilt = False     # a foreign answer came: nothing more is asked on this connection
+    spoilt = False  # a foreign answer came: nothing more is asked on this connection
 
     def _body(self, parser, answer, length, whole_max):
         if not parser.bodyless and length is not None and int(length) > whole_max:
@@ -209,13 +249,21 @@
             if parser.size > whole_max:
                 answer.rest = self._stream(parser, length)
                 return answer
-        answer.body = b"" if parser.bodyless else parser.blocks[0] if len(parser.blocks) == 1 else b"".join(parser.blocks)
+        answer.body = (
+            b""
+            if parser.bodyless
+            else parser.blocks[0]
+            if len(parser.blocks) == 1
+            else b"".join(parser.blocks)
+        )
         parser.digester.eat(answer.body)
         self._check(parser, length, len(answer.body))
         return answer
 
     def _check(self, parser, length, size):
-        if not parser.complete or (not parser.bodyless and length is not None and size != int(length)):
+        if not parser.complete or (
+            not parser.bodyless and length is not None and size != int(length)
+        ):
             raise ValueError("the answer ended short")
         if not parser.digester.right():
             raise ValueError("the answer is not what its digest says")
@@ -224,7 +272,10 @@
         self.reusable = not parser.more and not self.spoilt and parser.should_keep_alive()
 
     def _stream(self, parser, length):
-        """Passes on all but the last block as it comes; the last only when the whole is known to be right."""
+        """Passes on all but the last block as it comes.
+
+        The last only when the whole is known to be right.
+        """
         held, size = b"", 0
         try:
             while True:
--- a/src/willowpost/proxy/origin/instance_check.py
+++ b/src/willowpost/proxy/origin/instance_check.py
@@ -1,4 +1,8 @@
-"""The instance check: whoever stands behind a fresh connection is asked its name before a request leaves on it."""
+"""The instance check.
+
+Whoever stands behind a fresh connection is asked its name before a request leaves on it.
+"""
+
 from dataclasses import dataclass
 
 from willowpost.proxy.origin.failure import ExchangeFailure
@@ -16,8 +20,15 @@
     token: str
 
     def judge(self, answer) -> None:
-        """Invariant: passes only the very life that registered, calling itself sound, on a connection that stays open."""
+        """Invariant: passes only the very life that registered, calling itself sound.
+
+        On a connection that stays open.
+        """
         if answer.header(TOKEN_HEADER) != self.token:
-            raise ExchangeFailure("instance check: another life answers here", sent=False, died=True)
+            raise ExchangeFailure(
+                "instance check: another life answers here", sent=False, died=True
+            )
         if answer.status >= 300:
-            raise ExchangeFailure(f"instance check: calls itself unsound, {answer.status}", sent=False)
+            raise ExchangeFailure(
+                f"instance check: calls itself unsound, {answer.status}", sent=False
+            )
--- a/src/willowpost/proxy/origin/pick.py
+++ b/src/willowpost/proxy/origin/pick.py
@@ -1,4 +1,8 @@
-"""Draws the origin for a try: the one that will likely answer first, of those in force, the own zone before others."""
+"""Draws the origin for a try: the one that will likely answer first, of those in force.
+
+The own zone before others.
+"""
+
 import random
 from statistics import median
 
@@ -7,45 +11,69 @@
 
 EJECT_SPAN = 1 * SECOND
 BUSIER_MOST = 4.0
-FEW, NOISE = 2, 1.3     # a report is one moment's: a few more under way, or a third more, is no difference
-HEAVY = 32 * 1024      # bytes of an answer, from which on its way costs more than its wait
-OTHER_ZONE = {False: 1.3, True: 2.0}       # by whether answers are heavy
+# a report is one moment's: a few more under way, or a third more, is no difference
+FEW, NOISE = 2, 1.3
+HEAVY = 32 * 1024  # bytes of an answer, from which on its way costs more than its wait
+OTHER_ZONE = {False: 1.3, True: 2.0}  # by whether answers are heavy
 OTHER_REGION = {False: 1.5, True: 8.0}
-SILENT_AFTER = 250 * MILLI   # a request this long without an answer, and four times the usual, speaks against an origin
+# a request this long without an answer, and four times the usual, speaks against an origin
+SILENT_AFTER = 250 * MILLI
 SILENT_TIMES = 4
-USUAL = 50 * MILLI           # while none of its kind has answered yet
+USUAL = 50 * MILLI  # while none of its kind has answered yet
 SMOOTH = 0.15
-FADE = 1 * SECOND            # what an answer said of its origin's load is worth half after this
+FADE = 1 * SECOND  # what an answer said of its origin's load is worth half after this
 FORGET = 2 * SECOND
-SLACK = 0.6                  # part of the slots that may be busy before waiting is to be feared
-CHANCE = 0.1                 # so that several proxies do not run to the same one at once
+SLACK = 0.6  # part of the slots that may be busy before waiting is to be feared
+CHANCE = 0.1  # so that several proxies do not run to the same one at once
 
 
 class OriginPicker:
-    """Invariants: draws only origins of the snapshot in hand; one that just broke down is picked last, and a cold one after all that are not.
-    What origins report can only make one weigh more, up to BUSIER_MOST, never less than one that reports nothing:
-    who says 'idle' draws no herd, and who lies harms itself at most."""
+    """Invariants: draws only origins of the snapshot in hand.
+
+    One that just broke down is picked last, and a cold one after all that are not. What origins
+    report can only make one weigh more, up to BUSIER_MOST, never less than one that reports
+    nothing: who says 'idle' draws no herd, and who lies harms itself at most.
+    """
 
     def __init__(self, zone: str, chance=random, reports=dict, regions=None):
         self.chance = chance
-        self.reports = reports      # () -> origin -> (load, when)
+        self.reports = reports  # () -> origin -> (load, when)
         self.zone = zone
-        self.regions = regions or {}    # zone -> region
+        self.regions = regions or {}  # zone -> region
         self.load: dict[str, int] = {}
         self.ejected: dict[str, int] = {}
-        self.usual: dict[str, float] = {}         # origin -> smoothed µs of an answer
-        self.answers: dict[str, tuple] = {}       # origin -> (busy, slots, own load then, when) of its last answer
-        self.waiting: dict[str, dict] = {}        # origin -> {ticket: since}
+        self.usual: dict[str, float] = {}  # origin -> smoothed µs of an answer
+        # origin -> (busy, slots, own load then, when) of its last answer
+        self.answers: dict[str, tuple] = {}
+        self.waiting: dict[str, dict] = {}  # origin -> {ticket: since}
         self.answered_at: dict[str, int] = {}
         self.ticket = 0
 
     def pick(self, origins, zones, tried, now: int, heavy: bool = False) -> list:
-        """Candidates, best first. `zones`: whose origins may serve; None: all. `heavy`: large answers are to be expected."""
-        allowed = [origin for origin in origins if (zones is None or origin.zone in zones) and origin.name not in tried]
+        """Candidates, best first.
+
+        `zones`: whose origins may serve; None: all. `heavy`: large answers are to be expected.
+        """
+        allowed = [
+            origin
+            for origin in origins
+            if (zones is None or origin.zone in zones) and origin.name not in tried
+        ]
         busier = self._busier(allowed, now)
-        quickest = min((self.usual[origin.name] for origin in allowed if origin.name in self.usual), default=USUAL)
-        return sorted(allowed, key=lambda origin: (self.ejected.get(origin.name, 0) > now, origin.cold, self._silent(origin.name, now),
-                                                   self._weight(origin, quickest, now, heavy) * busier.get(origin.name, 1.0), self.chance.random()))
+        quickest = min(
+            (self.usual[origin.name] for origin in allowed if origin.name in self.usual),
+            default=USUAL,
+        )
+        return sorted(
+            allowed,
+            key=lambda origin: (
+                self.ejected.get(origin.name, 0) > now,
+                origin.cold,
+                self._silent(origin.name, now),
+                self._weight(origin, quickest, now, heavy) * busier.get(origin.name, 1.0),
+                self.chance.random(),
+            ),
+        )
 
     def began(self, name: str, now: int = 0) -> int:
         self.load[name] = self.load.get(name, 0) + 1
@@ -83,26 +111,48 @@
     def _silent(self, name, now):
         """It owes an answer for long, and has answered nothing since that was asked."""
         oldest = min(self.waiting.get(name, {}).values(), default=now)
-        return now - oldest > max(SILENT_AFTER, SILENT_TIMES * self.usual.get(name, USUAL)) and self.answered_at.get(name, 0) <= oldest
+        return (
+            now - oldest > max(SILENT_AFTER, SILENT_TIMES * self.usual.get(name, USUAL))
+            and self.answered_at.get(name, 0) <= oldest
+        )
 
     def _busier(self, origins, now):
-        """How much busier than the middle one each says it is, for what it bears; stale reports do not count."""
-        told = {origin.name: (held[0] + FEW) / origin.rate for origin in origins
-                if (held := self.reports().get(origin.name)) is not None and now - held[1] <= REPORT_SPAN}
+        """How much busier than the middle one each says it is, for what it bears.
+
+        Stale reports do not count.
+        """
+        told = {
+            origin.name: (held[0] + FEW) / origin.rate
+            for origin in origins
+            if (held := self.reports().get(origin.name)) is not None
+            and now - held[1] <= REPORT_SPAN
+        }
         middle = median(told.values()) if told else 1.0
-        return {name: min(BUSIER_MOST, max(1.0, pressure / middle / NOISE)) for name, pressure in told.items()}
+        return {
+            name: min(BUSIER_MOST, max(1.0, pressure / middle / NOISE))
+            for name, pressure in told.items()
+        }
 
     def _far(self, zone, heavy):
         same = zone == self.zone or self.regions.get(zone) == self.regions.get(self.zone)
         return 1.0 if zone == self.zone else (OTHER_ZONE if same else OTHER_REGION)[heavy]
 
     def _likely(self, name, quickest, now):
-        """What an answer takes, µs. One that was slow is taken for less so as time goes by without asking it: it may have recovered."""
+        """What an answer takes, µs.
+
+        One that was slow is taken for less so as time goes by without asking it: it may have
+        recovered.
+        """
         held = self.usual.get(name, quickest)
-        return quickest + (held - quickest) * 0.5 ** ((now - self.answered_at.get(name, now)) / FORGET)
+        return quickest + (held - quickest) * 0.5 ** (
+            (now - self.answered_at.get(name, now)) / FORGET
+        )
 
     def _weight(self, origin, quickest, now, heavy):
-        """One that has not answered yet is taken for as quick as the quickest: else, where all are quick, it is never asked."""
+        """One that has not answered yet is taken for as quick as the quickest: else.
+
+        Where all are quick, it is never asked.
+        """
         far = self._far(origin.zone, heavy)
         own = self.load.get(origin.name, 0)
         if not origin.slots:
@@ -111,4 +161,9 @@
         others = max(0, busy - then) * 0.5 ** ((now - when) / FADE)
         part = (others + own + 1) / max(1, slots)
         waits = 1.0 + max(0.0, part - SLACK) * 2.0 + max(0.0, part - 1.0) * 6.0
-        return self._likely(origin.name, quickest, now) * waits * far * (1.0 + CHANCE * self.chance.random())
+        return (
+            self._likely(origin.name, quickest, now)
+            * waits
+            * far
+            * (1.0 + CHANCE * self.chance.random())
+        )
--- a/src/willowpost/proxy/origin/pool.py
+++ b/src/willowpost/proxy/origin/pool.py
@@ -1,4 +1,8 @@
-"""Connections, each belonging to one incarnation of one origin (or one shield): idle ones, and how many are open."""
+"""Connections, each belonging to one incarnation of one origin (or one shield): idle ones.
+
+And how many are open.
+"""
+
 import re
 from collections import deque
 
@@ -6,7 +10,7 @@
 
 IDLE_MOST = 32
 IDLE_SPAN = 10_000_000
-KEEP_MARGIN = 1_500_000      # before the other side says that it closes, ours is closed
+KEEP_MARGIN = 1_500_000  # before the other side says that it closes, ours is closed
 SECOND = 1_000_000
 TIMEOUT = re.compile(r"timeout=(\d+)")
 
@@ -14,7 +18,9 @@
 def idle_span(keep: str | None) -> int:
     """How long an idle connection may be used again, by what its other side says (whole seconds)."""
     said = TIMEOUT.search(keep or "")
-    return IDLE_SPAN if said is None else min(IDLE_SPAN, max(0, int(said[1]) * SECOND - KEEP_MARGIN))
+    return (
+        IDLE_SPAN if said is None else min(IDLE_SPAN, max(0, int(said[1]) * SECOND - KEEP_MARGIN))
+    )
 
 
 def quiet(connection) -> bool:
@@ -29,8 +35,10 @@
 
 
 class ConnectionPool:
-    """Invariants: a connection is only ever used for the owner it was opened for; owners out of force hold none;
-    `open` counts those under way and idle, by owner."""
+    """Invariants: a connection is only ever used for the owner it was opened for.
+
+    Owners out of force hold none; `open` counts those under way and idle, by owner.
+    """
 
     def __init__(self, clock):
         self.clock = clock
--- a/src/willowpost/proxy/origin/reading.py
+++ b/src/willowpost/proxy/origin/reading.py
@@ -1,10 +1,14 @@
 """Reads one answer from a socket, by geventhttpclient's parser, and knows what came after it."""
+
 from willowpost.shell.parsing import HTTPParseError, HTTPResponseParser
 
 
 class AnswerParser(HTTPResponseParser):
-    """Invariants: `headers` and `body` are of the one answer that ends first (interim ones are passed over);
-    `more` says that bytes came behind it, which belong to no request."""
+    """Invariants.
+
+    `headers` and `body` are of the one answer that ends first (interim ones are passed over);
+    `more` says that bytes came behind it, which belong to no request.
+    """
 
     def __init__(self, method: str):
         super().__init__()
--- a/src/willowpost/proxy/origin/reports.py
+++ b/src/willowpost/proxy/origin/reports.py
@@ -1,4 +1,5 @@
 """What origins say of their load, as their beats bring it by way of the registries. Soft state."""
+
 from willowpost.common.clock import SECOND
 from willowpost.common.events import Received
 from willowpost.common.plan import Plan
@@ -6,12 +7,16 @@
 from willowpost.wire.messages import Beat
 
 REPORT_SPAN = 5 * SECOND
-KEPT_PART = 0.5       # of the report before: one that was busy is not trusted to be idle at its first word
+# of the report before: one that was busy is not trusted to be idle at its first word
+KEPT_PART = 0.5
 
 
 class Reports:
-    """Invariant: `board.reports` and `board.cold` hold only origins that the tables know; each with its smoothed load and when
-    it was last told, and with when its last beat came and until when it is cold by that."""
+    """Invariant: `board.reports` and `board.cold` hold only origins that the tables know.
+
+    Each with its smoothed load and when it was last told, and with when its last beat came and
+    until when it is cold by that.
+    """
 
     def __init__(self, node_state: ProxyState):
         self.node_state = node_state
@@ -19,11 +24,19 @@
 
     def step(self, event, now: int) -> Plan:
         match event:
-            case Received(_, Beat() as beat) if beat.origin in self.node_state.tables.origins and beat.number >= self.numbers.get(beat.origin, 0):
+            case Received(_, Beat() as beat) if (
+                beat.origin in self.node_state.tables.origins
+                and beat.number >= self.numbers.get(beat.origin, 0)
+            ):
                 known = self.node_state.tables.origins
-                self.numbers = {**{name: held for name, held in self.numbers.items() if name in known}, beat.origin: beat.number}
-                self.node_state.cold = {**{name: held for name, held in self.node_state.cold.items() if name in known},
-                                   beat.origin: (now, now + beat.cold if beat.cold else 0)}
+                self.numbers = {
+                    **{name: held for name, held in self.numbers.items() if name in known},
+                    beat.origin: beat.number,
+                }
+                self.node_state.cold = {
+                    **{name: held for name, held in self.node_state.cold.items() if name in known},
+                    beat.origin: (now, now + beat.cold if beat.cold else 0),
+                }
                 self._report(beat.origin, beat.load, now)
         return Plan()
 
@@ -31,5 +44,9 @@
         node_state = self.node_state
         if origin in node_state.snapshot.origins:
             held, _ = node_state.reports.get(origin, (0, now))
-            kept = {name: report for name, report in node_state.reports.items() if name in node_state.snapshot.origins}
+            kept = {
+                name: report
+                for name, report in node_state.reports.items()
+                if name in node_state.snapshot.origins
+            }
             node_state.reports = {**kept, origin: (max(load, held * KEPT_PART), now)}
--- a/src/willowpost/proxy/proxy_state.py
+++ b/src/willowpost/proxy/proxy_state.py
@@ -1,4 +1,5 @@
 """The proxy's shared state: the follower's, and what admission needs."""
+
 from dataclasses import dataclass, field
 
 from willowpost.common.clock import SECOND
@@ -6,14 +7,14 @@
 from willowpost.proxy.routing.snapshot import RoutingSnapshot
 
 WARMED_UP_AFTER = 2 * SECOND
-WARMED_UP_SLACK = SECOND // 2      # we may have heard of it before it did
+WARMED_UP_SLACK = SECOND // 2  # we may have heard of it before it did
 ZONE_GRACE = 4 * SECOND
 
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    rate: float      # requests a second
-    until: int       # own clock
+    rate: float  # requests a second
+    until: int  # own clock
     fence: int
 
 
@@ -27,14 +28,18 @@
 
     snapshot: RoutingSnapshot = field(default_factory=RoutingSnapshot)
     grants: dict = field(default_factory=dict)
-    reports: dict = field(default_factory=dict)     # origin -> (load it reported, when)
-    demand: dict = field(default_factory=dict)      # service -> tries since the last look
-    joined_at: int | None = None                     # since when our own card counts in the tables: there, not lost
-    held_seat: bool = False                          # our former life's card counted when we first saw the tables: nobody took its room
-    shield_since: dict = field(default_factory=dict) # (shield, incarnation) -> since when it is seen up
-    emptied_at: int | None = None                    # when our zone was first seen emptied
-    cold_since: dict = field(default_factory=dict)   # origin -> when first seen cold here
-    cold: dict = field(default_factory=dict)        # origin -> (when its last beat came, until when it is cold by it)
+    reports: dict = field(default_factory=dict)  # origin -> (load it reported, when)
+    demand: dict = field(default_factory=dict)  # service -> tries since the last look
+    # since when our own card counts in the tables: there, not lost
+    joined_at: int | None = None
+    # our former life's card counted when we first saw the tables: nobody took its room
+    held_seat: bool = False
+    # (shield, incarnation) -> since when it is seen up
+    shield_since: dict = field(default_factory=dict)
+    emptied_at: int | None = None  # when our zone was first seen emptied
+    cold_since: dict = field(default_factory=dict)  # origin -> when first seen cold here
+    # origin -> (when its last beat came, until when it is cold by it)
+    cold: dict = field(default_factory=dict)
 
     def warmed_up(self, now: int) -> bool:
         """By now every proxy with a lease counts us when it works out its base share."""
@@ -44,9 +49,16 @@
         return None if self.joined_at is None else self.joined_at + WARMED_UP_AFTER
 
     def warmed_up_shields(self, now: int) -> dict[str, str]:
-        """Those that have had the time to get warmed up themselves; all, if there is none (as for one who has just come)."""
-        warmed_up = {name: address for name, address in self.snapshot.shields.items()
-                if now - self.shield_since.get(self.tables.incarnation(name), now) >= WARMED_UP_AFTER + WARMED_UP_SLACK}
+        """Those that have had the time to get warmed up themselves; all.
+
+        If there is none (as for one who has just come).
+        """
+        warmed_up = {
+            name: address
+            for name, address in self.snapshot.shields.items()
+            if now - self.shield_since.get(self.tables.incarnation(name), now)
+            >= WARMED_UP_AFTER + WARMED_UP_SLACK
+        }
         return warmed_up or dict(self.snapshot.shields)
 
     def proxies(self) -> int:
--- a/src/willowpost/proxy/routing/carrier.py
+++ b/src/willowpost/proxy/routing/carrier.py
@@ -1,11 +1,12 @@
 """Carries out the plan of a request."""
+
 from dataclasses import replace
 
 from willowpost.proxy.cache.ranges import PartMaker
 from willowpost.proxy.origin.exchange import WholeAnswer
 from willowpost.proxy.routing.outcome import Outcome
 from willowpost.proxy.routing.reads import Reads
-from willowpost.proxy.routing.request import CachePlan, FetchPlan, Request, RejectPlan, WritePlan
+from willowpost.proxy.routing.request import CachePlan, FetchPlan, RejectPlan, Request, WritePlan
 from willowpost.proxy.routing.tries import Rejected, Tries
 from willowpost.proxy.routing.writes import Writes
 
@@ -18,12 +19,17 @@
         self.tries = tries
         self.parts = PartMaker()
         reads, writes = Reads(cache, clock, tries, stats), Writes(clock, tries)
-        self.kinds = {RejectPlan: self._reject, CachePlan: self._hit, WritePlan: writes.carry,
-                      FetchPlan: reads.carry}
+        self.kinds = {
+            RejectPlan: self._reject,
+            CachePlan: self._hit,
+            WritePlan: writes.carry,
+            FetchPlan: reads.carry,
+        }
 
     def carry(self, request: Request, plan, body: bytes = b"") -> Outcome:
         outcome = self.kinds[type(plan)](request, plan, body)
-        # the body may have come slowly, a flight may have been long, or we froze: what was kept must still be good
+        # the body may have come slowly, a flight may have been long, or we froze: what was kept
+        # must still be good
         if outcome.source == "hit" and not self.node_state.leased(self.clock.now()):
             raise Rejected(503, "no fresh state updates from the core", 2)
         part = getattr(plan, "part", None)
@@ -37,5 +43,9 @@
     def _hit(self, request, plan, body):
         entry = plan.entry
         self.stats["hits"] += 1
-        return Outcome(WholeAnswer(entry.status, list(entry.headers), entry.body), "hit",
-                       entry.age(self.clock.now()), entry.slot)
+        return Outcome(
+            WholeAnswer(entry.status, list(entry.headers), entry.body),
+            "hit",
+            entry.age(self.clock.now()),
+            entry.slot,
+        )
--- a/src/willowpost/proxy/routing/keeper.py
+++ b/src/willowpost/proxy/routing/keeper.py
@@ -1,4 +1,5 @@
 """Swaps the snapshot when the tables moved, and lets the cache hear of purges first."""
+
 from willowpost.common.plan import Plan
 from willowpost.proxy.proxy_state import WARMED_UP_AFTER, ProxyState
 from willowpost.proxy.routing.snapshot import SnapshotMaker
@@ -21,17 +22,38 @@
         before, first = node_state.snapshot.version, not node_state.snapshot.slot
         node_state.snapshot = self.maker.make(tables)
         if node_state.snapshot.version != before:
-            plan.note("configuration", "in force", version=node_state.snapshot.version, slot=tables.slot)
+            plan.note(
+                "configuration", "in force", version=node_state.snapshot.version, slot=tables.slot
+            )
         card = tables.zones.get(node_state.card.zone, {})
         emptied = card.get("empty", False) and card.get("what") != "origins"
-        node_state.emptied_at = None if not emptied else node_state.emptied_at if node_state.emptied_at is not None else now
+        node_state.emptied_at = (
+            None
+            if not emptied
+            else node_state.emptied_at
+            if node_state.emptied_at is not None
+            else now
+        )
         own = tables.daemons.get(node_state.card.id)
         up = own is not None and own["state"] != "lost"
         node_state.held_seat = up and (first or node_state.held_seat)
         counted = up and (node_state.held_seat or own["incarnation"] == node_state.card.incarnation)
         since = now - WARMED_UP_AFTER if node_state.held_seat else now
-        node_state.joined_at = None if not counted else node_state.joined_at if node_state.joined_at is not None else since
-        node_state.shield_since = {incarnation: node_state.shield_since.get(incarnation, now) for incarnation in map(tables.incarnation, node_state.snapshot.shields)}
-        node_state.cold_since = {origin.name: node_state.cold_since.get(origin.name, now)
-                           for service in node_state.snapshot.services.values() for origin in service.origins if origin.cold}
+        node_state.joined_at = (
+            None
+            if not counted
+            else node_state.joined_at
+            if node_state.joined_at is not None
+            else since
+        )
+        node_state.shield_since = {
+            incarnation: node_state.shield_since.get(incarnation, now)
+            for incarnation in map(tables.incarnation, node_state.snapshot.shields)
+        }
+        node_state.cold_since = {
+            origin.name: node_state.cold_since.get(origin.name, now)
+            for service in node_state.snapshot.services.values()
+            for origin in service.origins
+            if origin.cold
+        }
         return plan
--- a/src/willowpost/proxy/routing/outcome.py
+++ b/src/willowpost/proxy/routing/outcome.py
@@ -1,4 +1,5 @@
 """What a carried-out plan comes to."""
+
 from dataclasses import dataclass
 
 from willowpost.proxy.origin.exchange import WholeAnswer
@@ -9,6 +10,6 @@
     """Invariant: `answer` is whole, or streams and aborts if it turns out not to be."""
 
     answer: WholeAnswer
-    source: str               # hit | miss | pass
-    age: int | None = None    # µs
+    source: str  # hit | miss | pass
+    age: int | None = None  # µs
     slot: int = 0
--- a/src/willowpost/proxy/routing/planner.py
+++ b/src/willowpost/proxy/routing/planner.py
@@ -1,7 +1,17 @@
 """Makes the plan of a request: way, lease, cache, and where to fetch. Does nothing itself."""
+
 from willowpost.common.rendezvous import Rendezvous
 from willowpost.proxy.cache.ranges import one_range
-from willowpost.proxy.routing.request import KEPT, ONCE, CachePlan, FetchPlan, Request, RejectPlan, WritePlan, kind_of
+from willowpost.proxy.routing.request import (
+    KEPT,
+    ONCE,
+    CachePlan,
+    FetchPlan,
+    RejectPlan,
+    Request,
+    WritePlan,
+    kind_of,
+)
 from willowpost.proxy.routing.split import ServicePicker
 
 SHIELDS_TRIED = 3
@@ -12,7 +22,7 @@
 
     def __init__(self, node_state, cache, clock, regions=None):
         self.node_state = node_state
-        self.regions = regions or {}         # zone -> region
+        self.regions = regions or {}  # zone -> region
         self.cache = cache
         self.clock = clock
         self.services = ServicePicker()
@@ -32,13 +42,35 @@
         kind, service = kind_of(route, request), self.services.pick(route)
         if kind == ONCE:
             return WritePlan(route, snapshot.slot, route.tries, service=service)
-        part = one_range(request.headers["range"]) if "range" in request.headers and "if-range" not in request.headers else None
-        whole = route.kind == KEPT and kind == KEPT and request.method == "GET" and ("range" not in request.headers or part is not None) and route.keeps_in(self.regions.get(self.node_state.card.zone))
+        part = (
+            one_range(request.headers["range"])
+            if "range" in request.headers and "if-range" not in request.headers
+            else None
+        )
+        whole = (
+            route.kind == KEPT
+            and kind == KEPT
+            and request.method == "GET"
+            and ("range" not in request.headers or part is not None)
+            and route.keeps_in(self.regions.get(self.node_state.card.zone))
+        )
         cacheable = kind == KEPT and route.cache and (whole or "range" not in request.headers)
-        entry = self.cache.find(request.host, request.target, request.headers) if cacheable else None
+        entry = (
+            self.cache.find(request.host, request.target, request.headers) if cacheable else None
+        )
         if entry is not None and entry.fresh(now):
             return CachePlan(entry, part if whole else None)
-        return FetchPlan(route, snapshot.slot, cacheable, self._shields(request, route, now), entry, route.tries, service, whole, part if whole else None)
+        return FetchPlan(
+            route,
+            snapshot.slot,
+            cacheable,
+            self._shields(request, route, now),
+            entry,
+            route.tries,
+            service,
+            whole,
+            part if whole else None,
+        )
 
     def _shields(self, request, route, now):
         if request.hop or not (route.shield and route.cache) or self.node_state.card.role != "edge":
--- a/src/willowpost/proxy/routing/request.py
+++ b/src/willowpost/proxy/routing/request.py
@@ -1,4 +1,5 @@
 """A request as data, and the plan made for it before anything is done."""
+
 from dataclasses import dataclass
 
 from willowpost.configuration.routes import Route
@@ -9,15 +10,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """`received` is when its head was whole (own clock, µs); `left` how long the caller waited from then on, if it said."""
+    """`received` is when its head was whole (own clock, µs).
+
+    `left` how long the caller waited from then on, if it said.
+    """
 
     method: str
     host: str
     target: str
     headers: dict
-    hop: bool = False          # comes from an edge, to a shield
-    extra: bool = False        # an earlier try of it may have reached an origin by way of another hop
-    name: str | None = None    # the caller's id of this try
+    hop: bool = False  # comes from an edge, to a shield
+    # an earlier try of it may have reached an origin by way of another hop
+    extra: bool = False
+    name: str | None = None  # the caller's id of this try
     left: int | None = None
     received: int = 0
 
@@ -55,7 +60,7 @@
 @dataclass(frozen=True, slots=True)
 class CachePlan:
     entry: object
-    part: tuple | None = None      # the range that the caller wants of it
+    part: tuple | None = None  # the range that the caller wants of it
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +74,8 @@
     entry: object = None
     tries: int = 1
     service: str = ""
-    whole: bool = False            # the whole object is asked for, whatever part or state updates of it the caller wants
+    # the whole object is asked for, whatever part or state updates of it the caller wants
+    whole: bool = False
     part: tuple | None = None
 
 
@@ -80,5 +86,5 @@
     route: Route
     slot: int
     tries: int = 1
-    entry: object = None       # never one for a write
+    entry: object = None  # never one for a write
     service: str = ""
--- a/src/willowpost/proxy/routing/split.py
+++ b/src/willowpost/proxy/routing/split.py
@@ -1,4 +1,5 @@
 """Which service of a split way a request goes to: by the operator's weights, anew for each request."""
+
 import random
 
 from willowpost.configuration.routes import Route
--- a/src/willowpost/proxy/routing/tries.py
+++ b/src/willowpost/proxy/routing/tries.py
@@ -1,18 +1,27 @@
-"""One try of a request: toward a shield, or toward an origin that is picked, let in and charged for."""
+"""One try of a request: toward a shield, or toward an origin that is picked.
+
+Let in and charged for.
+"""
+
 from dataclasses import dataclass, field
 
 from willowpost.common.clock import SECOND
 from willowpost.proxy.admission.verdict import Let
 from willowpost.proxy.origin import instance_check as instance_checks
+from willowpost.proxy.origin.exchange import Echo, WholeAnswer
 from willowpost.proxy.origin.failure import ExchangeFailure, Why
 from willowpost.proxy.origin.pick import HEAVY
-from willowpost.proxy.origin.exchange import Echo, WholeAnswer
 from willowpost.proxy.routing.headers import toward
 from willowpost.proxy.routing.request import Request
 from willowpost.proxy.routing.words import Words
 
-SOON = 0.1              # seconds until somebody else, or the same origin, may well take it
-EJECT_SPANS = {Why.BROKE: SECOND, Why.INCARNATION: 5 * SECOND, Why.BUSY: SECOND // 10, Why.SERVICE: 0}
+SOON = 0.1  # seconds until somebody else, or the same origin, may well take it
+EJECT_SPANS = {
+    Why.BROKE: SECOND,
+    Why.INCARNATION: 5 * SECOND,
+    Why.BUSY: SECOND // 10,
+    Why.SERVICE: 0,
+}
 SMOOTH = 0.1
 ROUTES_WEIGHED = 4096
 NOT_RUN = (408, 421, 429, 503)
@@ -28,30 +37,61 @@
 
 @dataclass(slots=True)
 class Trace:
-    """What became of one request so far. Invariant: `pressed` is False only if no byte of it can have reached an
-    origin, here or by way of a hop before or behind us; from then on each try is an extra one."""
+    """What became of one request so far.
+
+    Invariant: `pressed` is False only if no byte of it can have reached an origin, here or by way
+    of a hop before or behind us; from then on each try is an extra one.
+    """
 
     pressed: bool = False
     tried: set = field(default_factory=set)
 
 
 class Tries:
-    """Invariants: an answer comes from an origin of the snapshot in force when the request left, and to this very request;
-    every extra try is charged once, by the proxy that sends it to an origin."""
+    """Invariants: an answer comes from an origin of the snapshot in force when the request left.
+
+    And to this very request; every extra try is charged once, by the proxy that sends it to an
+    origin.
+    """
 
-    def __init__(self, node_state, clock, allowance, ramp, budget, pick, io, stats, words: Words = Words(), regions=None):
+    def __init__(
+        self,
+        node_state,
+        clock,
+        allowance,
+        ramp,
+        budget,
+        pick,
+        io,
+        stats,
+        words: Words = Words(),
+        regions=None,
+    ):
         self.node_state, self.clock = node_state, clock
         self.allowance, self.ramp, self.budget = allowance, ramp, budget
         self.origins, self.io, self.stats = pick, io, stats
         self.words = words
-        self.regions = regions or {}         # zone -> region
-        self.sizes: dict[str, float] = {}    # way -> smoothed bytes of its answers
+        self.regions = regions or {}  # zone -> region
+        self.sizes: dict[str, float] = {}  # way -> smoothed bytes of its answers
 
-    def shield(self, request: Request, plan, name: str, address: str, deadline: int, trace: Trace) -> WholeAnswer:
-        headers = toward(request, address, self.node_state.card.id, plan.slot, plan.entry, trace.pressed)
+    def shield(
+        self, request: Request, plan, name: str, address: str, deadline: int, trace: Trace
+    ) -> WholeAnswer:
+        headers = toward(
+            request, address, self.node_state.card.id, plan.slot, plan.entry, trace.pressed
+        )
         try:
-            answer = self._exchange(f"shield {name} {address}", address, None, request, headers, b"", plan, deadline,
-                                    lambda: name in self.node_state.snapshot.shields)
+            answer = self._exchange(
+                f"shield {name} {address}",
+                address,
+                None,
+                request,
+                headers,
+                b"",
+                plan,
+                deadline,
+                lambda: name in self.node_state.snapshot.shields,
+            )
             trace.pressed = True
             return answer
         except ExchangeFailure as failure:
@@ -59,18 +99,43 @@
             trace.pressed |= failure.sent
             raise
 
-    def origin(self, request: Request, plan, body: bytes, deadline: int, trace: Trace, whole: bool = False) -> WholeAnswer:
+    def origin(
+        self, request: Request, plan, body: bytes, deadline: int, trace: Trace, whole: bool = False
+    ) -> WholeAnswer:
         chosen_origin, service = self._pick(plan, trace)
         trace.tried.add(chosen_origin.name)
         begun = self.clock.now()
         ticket = self.origins.began(chosen_origin.name, begun)
-        headers = toward(request, chosen_origin.address, None, 0, plan.entry, False, self.words, self._handed_on(request, deadline, begun),
-                         chosen_origin.token if service.named else None, whole)
+        headers = toward(
+            request,
+            chosen_origin.address,
+            None,
+            0,
+            plan.entry,
+            False,
+            self.words,
+            self._handed_on(request, deadline, begun),
+            chosen_origin.token if service.named else None,
+            whole,
+        )
         try:
-            answer = self._exchange(chosen_origin.name, chosen_origin.address, chosen_origin.instance_check, request, headers, body, plan, deadline,
-                                    lambda: chosen_origin.name in self.node_state.snapshot.origins, lambda: self._press(plan.service, trace), service)
+            answer = self._exchange(
+                chosen_origin.name,
+                chosen_origin.address,
+                chosen_origin.instance_check,
+                request,
+                headers,
+                body,
+                plan,
+                deadline,
+                lambda: chosen_origin.name in self.node_state.snapshot.origins,
+                lambda: self._press(plan.service, trace),
+                service,
+            )
             now = self.clock.now()
-            self.origins.answered(chosen_origin.name, now - begun, answer.header(self.words.load), now)
+            self.origins.answered(
+                chosen_origin.name, now - begun, answer.header(self.words.load), now
+            )
             self._checked(answer, service)
             self._weigh(plan.route.name, answer)
             return answer
@@ -79,7 +144,8 @@
             self.origins.eject(chosen_origin.name, now, EJECT_SPANS[failure.why])
             unreached = failure.silent and not failure.sent
             if unreached or (failure.died and not (service.named and failure.sent)):
-                # what stands there next is cold, and we may know it before the log does; a named life that ended is told by 421
+                # what stands there next is cold, and we may know it before the log does; a named
+                # life that ended is told by 421
                 self.ramp.suspect(chosen_origin.name, now)
             raise
         finally:
@@ -97,30 +163,67 @@
     def _checked(self, answer, service):
         """Invariant: what passes was the origin's own answer to a request that it may have run."""
         if answer.status == 421:
-            raise ExchangeFailure("another life answers here", sent=True, ran=False, why=Why.INCARNATION)
+            raise ExchangeFailure(
+                "another life answers here", sent=True, ran=False, why=Why.INCARNATION
+            )
         if answer.header(self.words.not_run) is not None:
-            raise ExchangeFailure(f"not run: {answer.status}", sent=True, ran=False, why=Why.SERVICE if answer.status == 429 else Why.BUSY)
+            raise ExchangeFailure(
+                f"not run: {answer.status}",
+                sent=True,
+                ran=False,
+                why=Why.SERVICE if answer.status == 429 else Why.BUSY,
+            )
         if service.sealed and 200 <= answer.status < 300 and answer.header(self.words.seal) is None:
             raise ExchangeFailure("a success without a seal", sent=True)
 
     def _pick(self, plan, trace):
         now = self.clock.now()
-        route, service = plan.route, self.node_state.snapshot.services.get(plan.service or plan.route.service)
-        candidates = self.origins.pick(service.origins, self._zones(route), trace.tried, now, self.sizes.get(route.name, 0) > HEAVY) if service else []
+        route, service = (
+            plan.route,
+            self.node_state.snapshot.services.get(plan.service or plan.route.service),
+        )
+        candidates = (
+            self.origins.pick(
+                service.origins,
+                self._zones(route),
+                trace.tried,
+                now,
+                self.sizes.get(route.name, 0) > HEAVY,
+            )
+            if service
+            else []
+        )
         if not candidates:
-            raise Rejected(503, "no origin in force" if not trace.tried else "no further origin in force", SOON if trace.tried else 2 * SOON)
+            raise Rejected(
+                503,
+                "no origin in force" if not trace.tried else "no further origin in force",
+                SOON if trace.tried else 2 * SOON,
+            )
         if trace.pressed and not self.budget.left(now, plan.service):
             raise Rejected(503, "no extra try left", 2 * SOON)
         warm = [origin for origin in candidates if not self.ramp.cold(origin, service, now)]
         ordered = warm + [origin for origin in candidates if origin not in warm]
         most = self._most(service)
-        roomy = [origin for origin in ordered if self.io.room(origin.name, most)] if most is not None else ordered
+        roomy = (
+            [origin for origin in ordered if self.io.room(origin.name, most)]
+            if most is not None
+            else ordered
+        )
         if not roomy:
             raise Rejected(503, "no connection left", SOON)
-        chosen_origin = next((origin for origin in roomy if self._granted(self.ramp.let_in(origin, service, now), plan.service, origin.name)), None)
+        chosen_origin = next(
+            (
+                origin
+                for origin in roomy
+                if self._granted(self.ramp.let_in(origin, service, now), plan.service, origin.name)
+            ),
+            None,
+        )
         if chosen_origin is None:
             raise Rejected(503, "the origins are still cold", 2 * SOON)
-        if not self._granted(self.allowance.let_in(plan.service or route.service, now), plan.service or route.service):
+        if not self._granted(
+            self.allowance.let_in(plan.service or route.service, now), plan.service or route.service
+        ):
             raise Rejected(503, "no share of the allowance left", 2 * SOON)
         return chosen_origin, service
 
@@ -132,7 +235,11 @@
 
     def _most(self, service):
         """Our part of the connections that one origin of the service takes from all of us."""
-        return None if service.connections is None else max(1, service.connections // max(1, self.node_state.proxies()))
+        return (
+            None
+            if service.connections is None
+            else max(1, service.connections // max(1, self.node_state.proxies()))
+        )
 
     def _granted(self, verdict: Let, service: str, origin: str = "") -> bool:
         return self.io.token(service, origin) if verdict is Let.ASK else verdict is Let.IN
@@ -147,14 +254,32 @@
             self.budget.first(self.clock.now(), service)
         trace.pressed = True
 
-    def _exchange(self, owner, address, instance_check, request, headers, body, plan, deadline, in_force, press=lambda: None, service=None) -> WholeAnswer:
+    def _exchange(
+        self,
+        owner,
+        address,
+        instance_check,
+        request,
+        headers,
+        body,
+        plan,
+        deadline,
+        in_force,
+        press=lambda: None,
+        service=None,
+    ) -> WholeAnswer:
         reuse = request.safe if plan.route.kind is None else plan.route.kind != "once"
-        exchange = self.io.open(owner, address, reuse, self._most(service) if service else None, self._left(deadline))
+        exchange = self.io.open(
+            owner, address, reuse, self._most(service) if service else None, self._left(deadline)
+        )
         answer = None
         try:
             if instance_check is not None and not exchange.reused:
-                exchange.instance_check(instance_check, min(instance_checks.SECONDS, self._left(deadline)))
-            # last look before a byte leaves: the lease by a clock that counts freezes, and that it is still in force
+                exchange.instance_check(
+                    instance_check, min(instance_checks.SECONDS, self._left(deadline))
+                )
+            # last look before a byte leaves: the lease by a clock that counts freezes, and that it
+            # is still in force
             if not self.node_state.leased(self.clock.now()):
                 raise Rejected(503, "no fresh state updates from the core", 2)
             if not in_force():
@@ -162,7 +287,15 @@
             press()
             connection_header = [] if reuse else [("connection", "close")]
             echo = Echo(self.words.request, request.name) if request.name is not None else None
-            answer = exchange.run(request.method, request.target, headers + connection_header, body, self._left(deadline), plan.route.whole_max, echo)
+            answer = exchange.run(
+                request.method,
+                request.target,
+                headers + connection_header,
+                body,
+                self._left(deadline),
+                plan.route.whole_max,
+                echo,
+            )
             return answer
         finally:
             self.io.finish(owner, exchange, reuse, answer)
--- a/src/willowpost/proxy/routing/writes.py
+++ b/src/willowpost/proxy/routing/writes.py
@@ -1,13 +1,20 @@
-"""What may run once: each try to another origin, on a fresh connection, and none once an origin may have run it."""
-from willowpost.proxy.origin.failure import ExchangeFailure, Why
+"""What may run once: each try to another origin, on a fresh connection.
+
+And none once an origin may have run it.
+"""
+
 from willowpost.proxy.origin.exchange import WholeAnswer
+from willowpost.proxy.origin.failure import ExchangeFailure, Why
 from willowpost.proxy.routing.headers import end_to_end
 from willowpost.proxy.routing.outcome import Outcome
 from willowpost.proxy.routing.tries import NOT_RUN, SOON, Rejected, Trace, Tries
 
 
 class Writes:
-    """Invariant: a write runs at most once; `not-run`, and every status that promises it, is said only if it has not and never will."""
+    """Invariant: a write runs at most once; `not-run`, and every status that promises it.
+
+    Is said only if it has not and never will.
+    """
 
     def __init__(self, clock, tries: Tries):
         self.clock, self.tries = clock, tries
@@ -24,14 +31,27 @@
                 last = failure
                 if failure.ran:
                     late = "deadline" in failure.what
-                    raise Rejected(504 if late else 502, f"no whole answer: {failure.what}", 2, "unknown")
+                    raise Rejected(
+                        504 if late else 502, f"no whole answer: {failure.what}", 2, "unknown"
+                    )
                 if failure.why is Why.SERVICE:
                     break
-        raise Rejected(503, f"no origin took it: {last.what if last else 'no try left'}", SOON, "not-run")
+        raise Rejected(
+            503, f"no origin took it: {last.what if last else 'no try left'}", SOON, "not-run"
+        )
 
     def _settled(self, answer):
         if answer.status in NOT_RUN:
-            raise Rejected(502, f"the origin answered {answer.status}, which promises what it does not say", 2, "unknown")
+            raise Rejected(
+                502,
+                f"the origin answered {answer.status}, which promises what it does not say",
+                2,
+                "unknown",
+            )
         words = self.tries.words
-        headers = [pair for pair in end_to_end(answer.headers, words.names()) if pair[0] not in (words.request, words.load)]
+        headers = [
+            pair
+            for pair in end_to_end(answer.headers, words.names())
+            if pair[0] not in (words.request, words.load)
+        ]
         return Outcome(WholeAnswer(answer.status, headers, answer.body, answer.rest), "pass")
--- a/src/willowpost/registry/beats.py
+++ b/src/willowpost/registry/beats.py
@@ -1,4 +1,8 @@
-"""Origins' beats: what they say goes to whoever needs it, at once. And the duty of saying when one has fallen silent. Soft state: rebuilt from those who beat."""
+"""Origins' beats: what they say goes to whoever needs it, at once.
+
+And the duty of saying when one has fallen silent. Soft state: rebuilt from those who beat.
+"""
+
 from dataclasses import dataclass
 
 from willowpost.common.clock import MILLI, SECOND
@@ -8,7 +12,7 @@
 from willowpost.wire.messages import Beat
 
 LOOK_EVERY = 100 * MILLI
-ENTER_AFTER = 2_500 * MILLI     # longer than any lease plus the grace of a request under way
+ENTER_AFTER = 2_500 * MILLI  # longer than any lease plus the grace of a request under way
 DEFAULT_SILENT = 6 * SECOND
 ASK_EVERY = 1 * SECOND
 PROBES_FAILED = 2
@@ -17,23 +21,30 @@
 
 @dataclass(frozen=True, slots=True)
 class Heard:
-    """A beat that an origin brought to this very registry; `told`: it says whether the origin is cold."""
+    """A beat that an origin brought to this very registry; `told`.
+
+    It says whether the origin is cold.
+    """
 
     beat: Beat
     told: bool = False
 
 
 class Beats:
-    """Invariants: only the origin's owner among the live registries proposes for it, but what a beat says of being cold is proposed
-    by whoever took the beat. Silence counts from the later of the last beat, our own start, and the moment the duty came to us.
-    A beat with a number not above the last one that any registry told us of changes nothing."""
+    """Invariants: only the origin's owner among the live registries proposes for it.
+
+    But what a beat says of being cold is proposed by whoever took the beat. Silence counts from the
+    later of the last beat, our own start, and the moment the duty came to us. A beat with a number
+    not above the last one that any registry told us of changes nothing.
+    """
 
     def __init__(self, node_state, command_client, probe):
         self.node_state = node_state
         self.command_client = command_client
-        self.probe = probe              # (origin, address, path) -> None; its outcome comes back as told()
+        # (origin, address, path) -> None; its outcome comes back as told()
+        self.probe = probe
         self.heard: dict[str, int] = {}
-        self.seen: dict[str, tuple] = {}     # origin -> (state, since)
+        self.seen: dict[str, tuple] = {}  # origin -> (state, since)
         self.failed: dict[str, int] = {}
         self.probed_at: dict[str, int] = {}
         self.asked_at: dict[str, int] = {}
@@ -70,20 +81,38 @@
     def _take(self, heard, now, plan):
         beat = heard.beat
         self._hear(beat, now)
-        plan.sends += [(card["address"], beat) for kind in ("registry", "proxy")
-                       for name, card in self.node_state.live(kind).items() if name != self.node_state.card.id]
+        plan.sends += [
+            (card["address"], beat)
+            for kind in ("registry", "proxy")
+            for name, card in self.node_state.live(kind).items()
+            if name != self.node_state.card.id
+        ]
         held = self.node_state.tables.origins.get(beat.origin, {}).get("state")
         wanted = "cold" if beat.cold else "warm"
         if heard.told and held in ("cold", "warm") and held != wanted:
             # The slot says which restoring of its zone we knew of when it called itself warm.
-            self._propose(beat.origin, wanted, now, plan, told=True, **({"number": beat.number} if beat.number else {}),
-                          **({} if beat.cold else {"as_of": self.node_state.tables.slot}))
+            self._propose(
+                beat.origin,
+                wanted,
+                now,
+                plan,
+                told=True,
+                **({"number": beat.number} if beat.number else {}),
+                **({} if beat.cold else {"as_of": self.node_state.tables.slot}),
+            )
 
     def _look(self, now, plan):
         tables = self.node_state.tables
         live = self.node_state.live("registry")
         names = set(live) | {self.node_state.card.id}
-        for held in (self.heard, self.seen, self.failed, self.probed_at, self.asked_at, self.numbers):
+        for held in (
+            self.heard,
+            self.seen,
+            self.failed,
+            self.probed_at,
+            self.asked_at,
+            self.numbers,
+        ):
             for origin in [origin for origin in held if origin not in tables.origins]:
                 del held[origin]
         services = (tables.configuration["tree"] or {}).get("services", {})
@@ -107,7 +136,11 @@
             self._turn(origin, "gone", now, plan, silent=True)
         elif card["state"] == "waiting" and now - since > ENTER_AFTER:
             self._turn(origin, "cold", now, plan)
-        elif card["state"] == "cold" and not card.get("told") and now - since > int(service.get("ramp_seconds", 10.0) * SECOND):
+        elif (
+            card["state"] == "cold"
+            and not card.get("told")
+            and now - since > int(service.get("ramp_seconds", 10.0) * SECOND)
+        ):
             self._turn(origin, "warm", now, plan, as_of=self.node_state.tables.slot)
 
     def _turn(self, origin, state, now, plan, **more):
@@ -116,5 +149,9 @@
             self._propose(origin, state, now, plan, **more)
 
     def _propose(self, origin, state, now, plan, **more):
-        plan.join(self.command_client.step(Asked(None, ({"op": "turn", "origin": origin, "state": state, **more},)), now))
+        plan.join(
+            self.command_client.step(
+                Asked(None, ({"op": "turn", "origin": origin, "state": state, **more},)), now
+            )
+        )
         plan.note("origins", "proposes a turn", origin=origin, state=state)
--- a/src/willowpost/registry/calls/body.py
+++ b/src/willowpost/registry/calls/body.py
@@ -1,4 +1,5 @@
 """Bodies of calls: whole and checked, or every finding at once."""
+
 from pydantic import BaseModel, ConfigDict, ValidationError
 from result import Err, Ok, Result
 
--- a/src/willowpost/registry/calls/orders.py
+++ b/src/willowpost/registry/calls/orders.py
@@ -1,4 +1,5 @@
 """Operators' orders that are no configurations: purges, and zones that are emptied or given back."""
+
 from typing import Annotated, Literal
 
 from pydantic import Field, model_validator
@@ -50,14 +51,31 @@
         )
 
     def _plan(self, call: Call) -> Answer:
-        return Answer(200, {"plan": ZonePlanner().plan(self.control_api.node_state.tables, call.params[0])}) if self.control_api.read() else unread()
+        return (
+            Answer(
+                200,
+                {"plan": ZonePlanner().plan(self.control_api.node_state.tables, call.params[0])},
+            )
+            if self.control_api.read()
+            else unread()
+        )
 
     def _purge(self, call: Call) -> Answer:
         read = parsed(PurgeCall, call.body)
         if read.is_err():
             return read.unwrap_err()
-        ops = [{"op": "purge", "host": item.host, "kind": item.kind, "path": item.tag or item.path or ""} for item in read.unwrap().items]
-        slot = self.control_api.accepted_all([ops[start:start + PURGE_BATCH] for start in range(0, len(ops), PURGE_BATCH)])
+        ops = [
+            {
+                "op": "purge",
+                "host": item.host,
+                "kind": item.kind,
+                "path": item.tag or item.path or "",
+            }
+            for item in read.unwrap().items
+        ]
+        slot = self.control_api.accepted_all(
+            [ops[start : start + PURGE_BATCH] for start in range(0, len(ops), PURGE_BATCH)]
+        )
         return unknown() if slot is None else Answer(200, {"purged": len(ops), "slot": slot})
 
     def _zone(self, call: Call, empty: bool) -> Answer:
@@ -65,5 +83,9 @@
         if read.is_err():
             return read.unwrap_err()
         what = {"what": read.unwrap().what} if empty else {}
-        return self.control_api.accepted({"op": "zone", "zone": call.params[0], "empty": empty, **what},
-                                  lambda answer, slot: Answer(200, {"zone": call.params[0], "empty": empty, **what, "slot": slot}))
+        return self.control_api.accepted(
+            {"op": "zone", "zone": call.params[0], "empty": empty, **what},
+            lambda answer, slot: Answer(
+                200, {"zone": call.params[0], "empty": empty, **what, "slot": slot}
+            ),
+        )
--- a/src/willowpost/registry/calls/origins.py
+++ b/src/willowpost/registry/calls/origins.py
@@ -1,4 +1,5 @@
 """Origins: they register, beat, drain and leave."""
+
 from typing import Annotated, Literal
 
 from pydantic import Field, model_validator
@@ -16,16 +17,19 @@
 from willowpost.wire.messages import Beat
 
 SMALL = 64 * 1024
-BEAT_SECONDS = 0.9              # whoever beats tries another registry after a second
+BEAT_SECONDS = 0.9  # whoever beats tries another registry after a second
 DRAINING, GONE = OriginState.DRAINING.value, OriginState.GONE.value
-Token = Annotated[str, Field(pattern=r"^[!-~]{1,256}$")]       # goes into a header
+Token = Annotated[str, Field(pattern=r"^[!-~]{1,256}$")]  # goes into a header
 
 
 RATE, RATE_MOST = 100.0, 1_000_000
 
 
 class OriginCall(Strict):
-    """Hot: a pydantic model reads it in a third of the time that plain code takes for the same findings."""
+    """Hot.
+
+    A pydantic model reads it in a third of the time that plain code takes for the same findings.
+    """
 
     service: Name
     address: Address
@@ -34,7 +38,7 @@
     cold_rate: Annotated[float, Field(gt=0, le=1_000_000)] | None = None
     load: Annotated[int, Field(ge=0, le=1_000_000)] = 0
     token: Token | None = None
-    number: Annotated[int, Field(ge=0, lt=2 ** 63)] = 0
+    number: Annotated[int, Field(ge=0, lt=2**63)] = 0
     state: Literal["ready", "draining"] = "ready"
     cold_ms: Annotated[float, Field(ge=0, le=1e9)] | None = None
     slots: Annotated[int, Field(ge=0, le=1_000_000)] | None = None
@@ -53,8 +57,11 @@
 
 
 class OriginCalls:
-    """Invariants: a beat of a known life is answered without the log, unless it says that the life is about to end: then only
-    once the log has accepted that. Whatever is said twice of a life is answered as if it were said once."""
+    """Invariants: a beat of a known life is answered without the log.
+
+    Unless it says that the life is about to end: then only once the log has accepted that. Whatever
+    is said twice of a life is answered as if it were said once.
+    """
 
     def __init__(self, control_api: ControlApi):
         self.control_api = control_api
@@ -76,12 +83,33 @@
         return read.unwrap_err() if read.is_err() else self._entered(read.unwrap(), 201)
 
     def _entered(self, origin, code, **how) -> Answer:
-        # who says how many it works on at once has said what it bears: only the service's own rate limits it then
-        rate = origin.rate if origin.rate is not None else RATE if origin.slots is None else float(RATE_MOST)
-        op = {"op": "register", **origin.model_dump(include={"service", "address", "zone", "token", "slots"}, exclude_none=True),
-              "rate": rate, "cold_rate": origin.cold_rate or rate / 10, **({"number": origin.number} if origin.number else {}),
-              **({"cold": origin.cold_ms > 0} if origin.cold_ms is not None else {}), **({"state": DRAINING} if origin.state == DRAINING else {})}
-        return self.control_api.accepted(op, lambda answer, slot: Answer(code, {"origin": answer["origin"], "state": answer["state"], "slot": slot}), **how)
+        # who says how many it works on at once has said what it bears: only the service's own rate
+        # limits it then
+        rate = (
+            origin.rate
+            if origin.rate is not None
+            else RATE
+            if origin.slots is None
+            else float(RATE_MOST)
+        )
+        op = {
+            "op": "register",
+            **origin.model_dump(
+                include={"service", "address", "zone", "token", "slots"}, exclude_none=True
+            ),
+            "rate": rate,
+            "cold_rate": origin.cold_rate or rate / 10,
+            **({"number": origin.number} if origin.number else {}),
+            **({"cold": origin.cold_ms > 0} if origin.cold_ms is not None else {}),
+            **({"state": DRAINING} if origin.state == DRAINING else {}),
+        }
+        return self.control_api.accepted(
+            op,
+            lambda answer, slot: Answer(
+                code, {"origin": answer["origin"], "state": answer["state"], "slot": slot}
+            ),
+            **how,
+        )
 
     def _beat(self, call: Call) -> Answer:
         read = parsed(OriginCall, call.body)
@@ -94,16 +122,28 @@
         state = self.tables.origins.get(name, {}).get("state", GONE)
         if name is not None and (origin.state != DRAINING or state == DRAINING):
             cold = None if origin.cold_ms is None else int(origin.cold_ms * MILLI)
-            self.control_api.runner.inbox.put(Heard(Beat(name, origin.load, cold or 0, origin.slots or 0, origin.number), cold is not None))
+            self.control_api.runner.inbox.put(
+                Heard(
+                    Beat(name, origin.load, cold or 0, origin.slots or 0, origin.number),
+                    cold is not None,
+                )
+            )
             return Answer(200, {"origin": name, "state": state})
         if name is not None and origin.token is None:
             return self._turned({"op": "turn", "origin": name, "state": DRAINING})
         # A life enters the log once, whoever brings it: nothing need be read first, nor followed.
-        return self._entered(origin, 200 if origin.token else 201, seconds=BEAT_SECONDS if origin.token else ACCEPT_SECONDS,
-                             follow=origin.token is None, refused=lambda answer: _over() if answer["why"] == OVER else _refused(answer))
+        return self._entered(
+            origin,
+            200 if origin.token else 201,
+            seconds=BEAT_SECONDS if origin.token else ACCEPT_SECONDS,
+            follow=origin.token is None,
+            refused=lambda answer: _over() if answer["why"] == OVER else _refused(answer),
+        )
 
     def _incarnation(self, origin):
-        find = lambda: same_incarnation(self.tables, origin.address, origin.service, origin.token)
+        def find():
+            return same_incarnation(self.tables, origin.address, origin.service, origin.token)
+
         return find() if origin.token else self._known(find)
 
     def _turn(self, call: Call, state: str) -> Answer:
@@ -112,14 +152,28 @@
             return read.unwrap_err()
         leaving = read.unwrap()
         if leaving.token is not None:
-            op = {"op": "end", "token": leaving.token} if state == GONE else {"op": "turn", "token": leaving.token, "state": state}
+            op = (
+                {"op": "end", "token": leaving.token}
+                if state == GONE
+                else {"op": "turn", "token": leaving.token, "state": state}
+            )
             return self._turned(op, named(self.tables, leaving.token), follow=False)
         name = self._known(lambda: origin_at(self.tables, leaving.address, leaving.service))
-        return _unknown("address") if name is None else self._turned({"op": "turn", "origin": name, "state": state})
+        return (
+            _unknown("address")
+            if name is None
+            else self._turned({"op": "turn", "origin": name, "state": state})
+        )
 
     def _turned(self, op, name=None, follow=True):
-        return self.control_api.accepted(op, lambda answer, slot: Answer(200, {"origin": op.get("origin", name), "state": answer["state"], "slot": slot}),
-                                  follow=follow, refused=lambda answer: _unknown("token") if "token" in op else _refused(answer))
+        return self.control_api.accepted(
+            op,
+            lambda answer, slot: Answer(
+                200, {"origin": op.get("origin", name), "state": answer["state"], "slot": slot}
+            ),
+            follow=follow,
+            refused=lambda answer: _unknown("token") if "token" in op else _refused(answer),
+        )
 
     def _known(self, find):
         """Not known here may only mean not known yet: look again after a quorum read."""
--- a/src/willowpost/registry/daemon.py
+++ b/src/willowpost/registry/daemon.py
@@ -1,4 +1,5 @@
 """wpregistry: takes the outside calls of origins and operators."""
+
 import gevent
 
 from willowpost.common.clock import Clock
@@ -22,12 +23,15 @@
         gevent.spawn(self._probe, origin, address, path)
 
     def _probe(self, origin, address, path):
-        from geventhttpclient import HTTPClient      # 9 MB, and many a registry never asks
+        from geventhttpclient import HTTPClient  # 9 MB, and many a registry never asks
+
         host, port = split(address)
-        client = HTTPClient(host, port, connection_timeout=PROBE_SECONDS, network_timeout=PROBE_SECONDS)
+        client = HTTPClient(
+            host, port, connection_timeout=PROBE_SECONDS, network_timeout=PROBE_SECONDS
+        )
         try:
             sound = client.get(path or "/").status_code < 500
-        except Exception:        # whatever the library raises: it did not answer
+        except Exception:  # whatever the library raises: it did not answer
             sound = False
         finally:
             client.close()
@@ -35,14 +39,28 @@
 
 
 class RegistryDaemon:
-    """`routes` makes the outside calls of the front; another entry may put calls of its own before the front's."""
+    """`routes` makes the outside calls of the front.
+
+    Another entry may put calls of its own before the front's.
+    """
 
     def __init__(self, place, logs, routes=Front.routes):
         self.runner = Runner(place.address, logs)
         clock = Clock()
-        card = Card(f"{place.name}/registry", "registry", "core", place.name, place.zone, place.address, place.http, clock.wall())
+        card = Card(
+            f"{place.name}/registry",
+            "registry",
+            "core",
+            place.name,
+            place.zone,
+            place.address,
+            place.http,
+            clock.wall(),
+        )
         self.node = RegistryNode(card, place.seeds, clock.wall, Prober(self.runner).probe)
-        router = Router(routes(Front(self.runner, logs)), logs, lambda: self.node.node_state.draining)
+        router = Router(
+            routes(Front(self.runner, logs)), logs, lambda: self.node.node_state.draining
+        )
         self.node.leaver.spans = place.spans()
         self.node.leaver.in_flight = lambda: router.in_flight
         self.web = WebServer(place.http, router, CountingHandler)
--- a/src/willowpost/registry/main.py
+++ b/src/willowpost/registry/main.py
@@ -1,6 +1,7 @@
 """The command `wpregistry`."""
-from willowpost.shell.program import DaemonCommand, run
+
 from willowpost.registry.daemon import RegistryDaemon
+from willowpost.shell.program import DaemonCommand, run
 
 
 class RegistryCommand(DaemonCommand):
--- a/src/willowpost/registry/node.py
+++ b/src/willowpost/registry/node.py
@@ -1,10 +1,11 @@
 """One registry: a follower of the log that takes the outside calls."""
+
 from willowpost.common.plan import Plan
-from willowpost.node.node_state import Card, NodeState
 from willowpost.node.command_client import CommandClient
 from willowpost.node.follower import Follower
 from willowpost.node.joiner import Joiner
 from willowpost.node.leaver import Leaver
+from willowpost.node.node_state import Card, NodeState
 from willowpost.node.quorum_read import QuorumRead
 from willowpost.node.watch import Watch
 from willowpost.registry.beats import Beats
@@ -16,12 +17,22 @@
     def __init__(self, card: Card, seeds, wall, probe):
         self.node_state = NodeState(card)
         self.command_client = CommandClient(card.id, card.incarnation, self.node_state.cores, wall)
-        tables = lambda: self.node_state.tables
+
+        def tables():
+            return self.node_state.tables
+
         self.joiner = Joiner(card, tables, self.command_client)
         self.leaver = Leaver(self.node_state, self.command_client, self.joiner)
         follower = Follower(self.node_state, seeds, tree=False)
-        self.controllers = [follower, QuorumRead(self.node_state, follower), self.command_client, Watch(card, tables, self.command_client),
-                            self.joiner, self.leaver, Beats(self.node_state, self.command_client, probe)]
+        self.controllers = [
+            follower,
+            QuorumRead(self.node_state, follower),
+            self.command_client,
+            Watch(card, tables, self.command_client),
+            self.joiner,
+            self.leaver,
+            Beats(self.node_state, self.command_client, probe),
+        ]
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
--- a/src/willowpost/registry/status.py
+++ b/src/willowpost/registry/status.py
@@ -1,11 +1,15 @@
 """The status page: what the fleet is, and every loss, for people who look once a day."""
+
 from collections import Counter
 
 from willowpost.configuration.routes import routes_of
 
 
 class StatusPage:
-    """Invariant: a loss stays on the page after its repair, with the slot that repaired it. A configuration is counted once, not at each look."""
+    """Invariant: a loss stays on the page after its repair, with the slot that repaired it.
+
+    A configuration is counted once, not at each look.
+    """
 
     def __init__(self):
         self.counted = (None, {})
@@ -17,24 +21,53 @@
         return {
             "registry": node_state.card.id,
             "age_ms": None if age is None else age // 1000,
-            "slot": tables.slot, "epoch": tables.epoch, "digest": tables.digest(),
-            "core": [{**member, "state": tables.daemons.get(member["identity"], {}).get("state", "unknown")} for member in tables.core],
-            "daemons": {name: {key: card[key] for key in ("kind", "role", "name", "zone", "address", "http", "state")}
-                        for name, card in sorted(tables.daemons.items())},
-            "configuration": {"version": tables.configuration["version"], **self._routes(tables.configuration)},
+            "slot": tables.slot,
+            "epoch": tables.epoch,
+            "digest": tables.digest(),
+            "core": [
+                {
+                    **member,
+                    "state": tables.daemons.get(member["identity"], {}).get("state", "unknown"),
+                }
+                for member in tables.core
+            ],
+            "daemons": {
+                name: {
+                    key: card[key]
+                    for key in ("kind", "role", "name", "zone", "address", "http", "state")
+                }
+                for name, card in sorted(tables.daemons.items())
+            },
+            "configuration": {
+                "version": tables.configuration["version"],
+                **self._routes(tables.configuration),
+            },
             "origins": tables.origins,
             "origin_states": Counter(card["state"] for card in tables.origins.values()),
             "ended": len(tables.ended),
             "zones": tables.zones,
             "fences": tables.fences,
             "failure_verdicts": list(tables.failure_verdicts),
-            "open": [failure_verdict for failure_verdict in tables.failure_verdicts if failure_verdict["repaired"] is None],
+            "open": [
+                failure_verdict
+                for failure_verdict in tables.failure_verdicts
+                if failure_verdict["repaired"] is None
+            ],
         }
 
     def _routes(self, configuration):
-        """How many routes there are, of which kinds, and how many split their requests between services."""
+        """How many routes there are, of which kinds.
+
+        And how many split their requests between services.
+        """
         if self.counted[0] is not configuration:
             routes = routes_of(configuration["tree"]) if configuration["tree"] else ()
-            self.counted = (configuration, {"routes": len(routes), "kinds": Counter(route.kind or "by method" for route in routes),
-                                     "splits": sum(bool(route.split) for route in routes)})
+            self.counted = (
+                configuration,
+                {
+                    "routes": len(routes),
+                    "kinds": Counter(route.kind or "by method" for route in routes),
+                    "splits": sum(bool(route.split) for route in routes),
+                },
+            )
         return self.counted[1]
--- a/src/willowpost/shell/disk.py
+++ b/src/willowpost/shell/disk.py
@@ -1,4 +1,8 @@
-"""The store's one folder: one file per segment, written aside, synced, renamed; then appended to and synced."""
+"""The store's one folder: one file per segment, written aside, synced, renamed.
+
+Then appended to and synced.
+"""
+
 import errno
 import json
 import os
@@ -6,13 +10,17 @@
 
 import gevent
 
-WAITS = {errno.ENOSPC, errno.EDQUOT, errno.EMFILE, errno.ENFILE}      # may pass: files are deleted, connections close
+# may pass: files are deleted, connections close
+WAITS = {errno.ENOSPC, errno.EDQUOT, errno.EMFILE, errno.ENFILE}
 AGAIN_SECONDS = 0.25
 PREFIX = "segment-"
 
 
 class DiskDamaged(Exception):
-    """Records after a bad one: more than a torn tail. The disk cannot be trusted; its identity is lost."""
+    """Records after a bad one: more than a torn tail.
+
+    The disk cannot be trusted; its identity is lost.
+    """
 
 
 def line_of(record: dict) -> bytes:
@@ -46,8 +54,11 @@
 
 
 class PatientDisk:
-    """Invariants: returns only when it is written and synced; whoever waits here says nothing meanwhile. Waits for room on
-    the disk and for free handles; any other failure is raised, since what a disk does after it is not known."""
+    """Invariants: returns only when it is written and synced.
+
+    Whoever waits here says nothing meanwhile. Waits for room on the disk and for free handles; any
+    other failure is raised, since what a disk does after it is not known.
+    """
 
     def __init__(self, disk, logs, wait=gevent.sleep):
         self.disk, self.logs, self.wait = disk, logs, wait
@@ -67,27 +78,39 @@
                 if problem.errno not in WAITS:
                     raise
                 if waits % 40 == 0:
-                    self.logs.say("disk", "cannot write; this store says nothing until it can", level="error", problem=str(problem))
+                    self.logs.say(
+                        "disk",
+                        "cannot write; this store says nothing until it can",
+                        level="error",
+                        problem=str(problem),
+                    )
                 waits += 1
                 self.wait(AGAIN_SECONDS)
 
 
 class Disk:
-    """Invariants: what append() and turn() were given is synced when they return, and if they raise nothing of it is behind `end`
-    or in a segment that load() would take; the newest whole segment holds all that the older ones did.
+    """Invariants: what append() and turn() were given is synced when they return.
+
+    And if they raise nothing of it is behind `end` or in a segment that load() would take; the
+    newest whole segment holds all that the older ones did.
 
-    Syncs are made in the loop: the one task that steps the node waits for them in any case, and a thread costs more
-    than it spares (docs/design/rabia.md)."""
+    Syncs are made in the loop: the one task that steps the node waits for them in any case, and a
+    thread costs more than it spares (docs/design/rabia.md).
+    """
 
     def __init__(self, folder: str):
         self.folder = folder
         self.number = 0
         self.file = None
-        self.end = 0              # of what is synced in `file`
+        self.end = 0  # of what is synced in `file`
         os.makedirs(folder, exist_ok=True)
 
     def load(self) -> list[dict]:
-        names = sorted(name for name in os.listdir(self.folder) if name.startswith(PREFIX) and name.endswith(".wp"))
+        names = sorted(
+            name
+            for name in os.listdir(self.folder)
+            if name.startswith(PREFIX) and name.endswith(".wp")
+        )
         for stale in (name for name in os.listdir(self.folder) if name.endswith(".aside")):
             os.unlink(os.path.join(self.folder, stale))
         if not names:
@@ -95,7 +118,7 @@
         path = os.path.join(self.folder, names[-1])
         with open(path, "rb") as held:
             records, sound = parse(held.read())
-        self.number = int(names[-1][len(PREFIX):-3])
+        self.number = int(names[-1][len(PREFIX) : -3])
         self.file = os.open(path, os.O_RDWR)
         self.end = sound
         self._cut()
@@ -140,7 +163,7 @@
     def _write(self, file, data):
         left = memoryview(data)
         while left:
-            left = left[os.write(file, left):]
+            left = left[os.write(file, left) :]
 
     def _cut(self):
         os.ftruncate(self.file, self.end)
--- a/src/willowpost/shell/logs.py
+++ b/src/willowpost/shell/logs.py
@@ -1,4 +1,5 @@
 """JSON logs: short sentences, a fixed prefix for each part."""
+
 import logging
 import sys
 
@@ -11,9 +12,13 @@
     def __init__(self, program: str, name: str, level: str = "INFO", stream=None):
         self.logger = logging.Logger(program, getattr(logging, level))
         handler = logging.StreamHandler(stream or sys.stderr)
-        handler.setFormatter(JsonFormatter("%(asctime)s %(levelname)s %(message)s",
-                                           rename_fields={"asctime": "time", "levelname": "level"},
-                                           static_fields={"program": program, "daemon": name}))
+        handler.setFormatter(
+            JsonFormatter(
+                "%(asctime)s %(levelname)s %(message)s",
+                rename_fields={"asctime": "time", "levelname": "level"},
+                static_fields={"program": program, "daemon": name},
+            )
+        )
         self.logger.addHandler(handler)
 
     def heed(self, level: str) -> None:
--- a/src/willowpost/shell/mesh.py
+++ b/src/willowpost/shell/mesh.py
@@ -1,4 +1,6 @@
 """Framed TCP between the fleet's processes: one connection out per peer, owned by its own task."""
+
+import contextlib
 import struct
 import zlib
 
@@ -11,13 +13,15 @@
 from willowpost.common.events import Received
 from willowpost.wire.codec import Codec
 
-HEAD = struct.Struct("!II")      # length and checksum
+HEAD = struct.Struct("!II")  # length and checksum
 FRAME_MOST = 64 * 1024 * 1024
 QUEUE_MOST = 1024
 INBOX_MOST = 16_384
 CONNECT_SECONDS = 0.5
 BACKOFF_SECONDS = 0.1
-HELD_MOST_MS = 1000      # sent and not acknowledged for so long: the connection is given up, and the next frame opens another
+# sent and not acknowledged for so long: the connection is given up, and the next frame opens
+# another
+HELD_MOST_MS = 1000
 IDLE_SECONDS = 30
 
 
@@ -27,9 +31,12 @@
 
 
 class Mesh:
-    """Invariants: messages to one peer leave in order; one that cannot leave soon is dropped, never held, neither here nor by
-    the kernel, whose pauses between repeats outlast the cut or the loss of power that began them; and so is dropped what comes
-    while the node has INBOX_MOST before it; only whole frames with their checksum come to the node, junk ends its connection."""
+    """Invariants: messages to one peer leave in order; one that cannot leave soon is dropped.
+
+    Never held, neither here nor by the kernel, whose pauses between repeats outlast the cut or the
+    loss of power that began them; and so is dropped what comes while the node has INBOX_MOST before
+    it; only whole frames with their checksum come to the node, junk ends its connection.
+    """
 
     def __init__(self, address: str, inbox):
         self.address = address
@@ -56,10 +63,8 @@
         if self.encoded[0] is not message:
             frame = self.codec.encode(self.address, message)
             self.encoded = (message, HEAD.pack(len(frame), zlib.crc32(frame)) + frame)
-        try:
+        with contextlib.suppress(Full):
             line.put_nowait(self.encoded[1])
-        except Full:
-            pass
 
     def _drive(self, address, line):
         connection = None
@@ -89,11 +94,13 @@
     def _connect(self, address):
         connection = None
         try:
-            connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)      # create_connection asks a resolver, in a thread
+            # create_connection asks a resolver, in a thread
+            connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             connection.settimeout(CONNECT_SECONDS)
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, HELD_MOST_MS)
             connection.connect(split(address))
-        except (OSError, ValueError, OverflowError):      # nobody there, no handle left, or not an address
+        # nobody there, no handle left, or not an address
+        except (OSError, ValueError, OverflowError):
             if connection is not None:
                 connection.close()
             return None
@@ -118,8 +125,8 @@
                 received = Received(*self.codec.decode(frame))
                 if self.inbox.qsize() < INBOX_MOST:
                     self.inbox.put(received)
-        except Exception:      # what reading junk as tables may raise has no end
-            return      # not one of ours, or cut off: its sender will say it again
+        except Exception:  # what reading junk as tables may raise has no end
+            return  # not one of ours, or cut off: its sender will say it again
         finally:
             stream.close()
             connection.close()
--- a/src/willowpost/shell/parsing.py
+++ b/src/willowpost/shell/parsing.py
@@ -1,4 +1,8 @@
-"""geventhttpclient's parser of answers alone. The package's own start loads TLS, cookies and certificates: 9 MB."""
+"""geventhttpclient's parser of answers alone.
+
+The package's own start loads TLS, cookies and certificates: 9 MB.
+"""
+
 import sys
 from importlib.machinery import ModuleSpec, PathFinder
 from importlib.util import module_from_spec
@@ -13,7 +17,7 @@
         return sys.modules[NAME]
     package = PathFinder.find_spec("geventhttpclient")
     spec: ModuleSpec = PathFinder.find_spec(NAME, package.submodule_search_locations)
-    with without("ssl"):      # by way of http.client, whose exceptions it shares
+    with without("ssl"):  # by way of http.client, whose exceptions it shares
         parser = module_from_spec(spec)
         spec.loader.exec_module(parser)
     return parser
--- a/src/willowpost/shell/place.py
+++ b/src/willowpost/shell/place.py
@@ -1,4 +1,5 @@
 """What a process needs to know of its place: plain, already checked by whoever made it."""
+
 from dataclasses import dataclass, field
 
 from willowpost.common.clock import MILLI
@@ -8,29 +9,35 @@
 
 @dataclass(frozen=True, slots=True)
 class Place:
-    """Invariant: plain data; checked settings turn into it (shell/settings.py), and another entry may make one itself."""
+    """Invariant: plain data; checked settings turn into it (shell/settings.py).
+
+    And another entry may make one itself.
+    """
 
     name: str
     zone: str
     address: str
     seeds: tuple[str, ...]
     http: str | None = None
-    health: str | None = None                # where a proxy tells its health, if apart from its requests
+    # where a proxy tells its health, if apart from its requests
+    health: str | None = None
     role: str = "core"
     data: str | None = None
-    voters: int = 5                             # bootstrap members of the core
-    max_voters: int = 0                         # what the core may grow to; 0: it does not grow
-    may_bootstrap: bool = True                       # False: an empty store only learns
-    bootstrap_from_seeds: bool = False              # only a store that is itself a seed founds
-    regions: dict = field(default_factory=dict) # zone -> region
-    serve_on_ms: int = 1500                       # a proxy serves on this long after its last state updates
-    drain_ms: int = 3000                         # a leaver goes on serving all
-    finish_ms: int = 30000                       # then finishes what is under way
-    leave_ms: int = 1500                         # then waits to be out of the log
-    cache_bytes: int = 128 * 1024 * 1024         # a proxy keeps copies up to this
-    extra_part: float = 0.2                      # extra tries of all proxies: this part of the demand
-    extra_slack: float = 60                      # and these
-    extra_window_ms: int = 10_000                 # in any such span
+    voters: int = 5  # bootstrap members of the core
+    max_voters: int = 0  # what the core may grow to; 0: it does not grow
+    may_bootstrap: bool = True  # False: an empty store only learns
+    bootstrap_from_seeds: bool = False  # only a store that is itself a seed founds
+    regions: dict = field(default_factory=dict)  # zone -> region
+    # a proxy serves on this long after its last state updates
+    serve_on_ms: int = 1500
+    drain_ms: int = 3000  # a leaver goes on serving all
+    finish_ms: int = 30000  # then finishes what is under way
+    leave_ms: int = 1500  # then waits to be out of the log
+    cache_bytes: int = 128 * 1024 * 1024  # a proxy keeps copies up to this
+    # extra tries of all proxies: this part of the demand
+    extra_part: float = 0.2
+    extra_slack: float = 60  # and these
+    extra_window_ms: int = 10_000  # in any such span
     pace: Pace = Pace()
     level: str = "INFO"
 
--- a/src/willowpost/shell/program.py
+++ b/src/willowpost/shell/program.py
@@ -1,4 +1,5 @@
 """The command line that the daemons share."""
+
 import json
 import sys
 
@@ -7,9 +8,9 @@
 from cleo.helpers import option
 
 from willowpost.shell.logs import Logs
-from willowpost.shell.settings import DaemonSettings, SettingsReader
 from willowpost.shell.reload import SettingsReload
 from willowpost.shell.serving import serve
+from willowpost.shell.settings import DaemonSettings, SettingsReader
 
 
 class DaemonCommand(Command):
@@ -31,7 +32,10 @@
     ]
 
     def handle(self) -> int:
-        flags = {name: self.option(name) for name in ("name", "zone", "address", "http", "role", "data", "voters", "level")}
+        flags = {
+            name: self.option(name)
+            for name in ("name", "zone", "address", "http", "role", "data", "voters", "level")
+        }
         flags["seeds"] = self.option("seeds").split(",") if self.option("seeds") else None
         read = SettingsReader().read(self.option("settings"), flags, self.needs)
         if read.is_err():
@@ -44,7 +48,11 @@
             return 0
         logs = Logs(self.name, settings.name, settings.level)
         reload = SettingsReload(self.option("settings"), flags, self.needs, settings, logs)
-        serve(self.build(settings.place(), logs), logs, lambda: reload.step().map(DaemonSettings.place).unwrap_or(None))
+        serve(
+            self.build(settings.place(), logs),
+            logs,
+            lambda: reload.step().map(DaemonSettings.place).unwrap_or(None),
+        )
         return 0
 
     def build(self, place, logs):
--- a/src/willowpost/shell/runner.py
+++ b/src/willowpost/shell/runner.py
@@ -1,4 +1,8 @@
-"""Runs one node: takes events from its inbox, lets it step, and carries its plans out in their order."""
+"""Runs one node: takes events from its inbox, lets it step.
+
+And carries its plans out in their order.
+"""
+
 import os
 
 import gevent
@@ -17,7 +21,9 @@
 
 class Runner:
     """Invariants: one task steps the node; everybody else talks to it by messages in the inbox.
-    If that task breaks down (a full disk, a bug), the process ends at once: half a daemon is worse than none.
+
+    If that task breaks down (a full disk, a bug), the process ends at once: half a daemon is worse
+    than none.
     """
 
     def __init__(self, address: str, logs, disk=None, die=os._exit):
@@ -60,7 +66,10 @@
             self.waiters.pop(token, None)
 
     def leave(self, close) -> None:
-        """A planned end: close() is called when nothing new is to be taken; returns when the node may be let go."""
+        """A planned end: close() is called when nothing new is to be taken.
+
+        Returns when the node may be let go.
+        """
         self.inbox.put(Leave())
         for reached, then in ((Stage.FINISHING, close), (Stage.GONE, lambda: None)):
             while STAGES.index(self.node.leaver.stage) < STAGES.index(reached):
@@ -72,7 +81,9 @@
         while True:
             now = self.clock.now()
             try:
-                event = self.inbox.get(timeout=max(0, tick_at - now) / 1e6) if now < tick_at else Tick()
+                event = (
+                    self.inbox.get(timeout=max(0, tick_at - now) / 1e6) if now < tick_at else Tick()
+                )
             except Empty:
                 event = Tick()
             if isinstance(event, Tick):
--- a/src/willowpost/shell/serving.py
+++ b/src/willowpost/shell/serving.py
@@ -1,4 +1,5 @@
 """Runs a daemon until the machine wants it to end; the signals are the same for every entry."""
+
 import signal
 
 import gevent
@@ -9,7 +10,10 @@
 
 
 def serve(daemon, logs, reload=lambda: None) -> None:
-    """reload() gives the Place to go on with, or None when the old one stays. Returns when the daemon has ended as planned."""
+    """reload() gives the Place to go on with, or None when the old one stays.
+
+    Returns when the daemon has ended as planned.
+    """
     stopped = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopped.set)
--- a/src/willowpost/shell/settings.py
+++ b/src/willowpost/shell/settings.py
@@ -1,4 +1,8 @@
-"""A daemon's own settings: from a file, flags on top; all findings reported together with their place."""
+"""A daemon's own settings: from a file, flags on top.
+
+All findings reported together with their place.
+"""
+
 import json
 import re
 from typing import Annotated, Literal
@@ -28,7 +32,12 @@
     rotate: int = Field(2048, ge=16)
 
     def micros(self) -> Pace:
-        return Pace(**{name: value * (1 if name in ("keep", "rotate") else MILLI) for name, value in self.model_dump().items()})
+        return Pace(
+            **{
+                name: value * (1 if name in ("keep", "rotate") else MILLI)
+                for name, value in self.model_dump().items()
+            }
+        )
 
 
 class DaemonSettings(BaseModel):
@@ -58,9 +67,13 @@
     @field_validator("address", "http", "health", "seeds")
     @classmethod
     def _number(cls, value):
-        for address in ([] if value is None else value if isinstance(value, list) else [value]):
+        for address in [] if value is None else value if isinstance(value, list) else [value]:
             host, port = address.rsplit(":", 1)
-            if not re.fullmatch(r"\d+", port) or not 0 < int(port) < 65536 or any(int(part) > 255 for part in host.split(".")):
+            if (
+                not re.fullmatch(r"\d+", port)
+                or not 0 < int(port) < 65536
+                or any(int(part) > 255 for part in host.split("."))
+            ):
                 raise ValueError(f"{address} is not an IP address with a port")
         return value
 
@@ -77,14 +90,18 @@
 
 
 def findings_of(error: ValidationError) -> list[dict]:
-    return [{"place": "/".join(map(str, finding["loc"])) or "/", "finding": finding["msg"]} for finding in error.errors()]
+    return [
+        {"place": "/".join(map(str, finding["loc"])) or "/", "finding": finding["msg"]}
+        for finding in error.errors()
+    ]
 
 
 def _parse(path: str, text: str):
     """By the file's ending; raises ValueError."""
     if not path.endswith((".yaml", ".yml")):
         return json.loads(text)
-    import yaml      # only for who has such a file
+    import yaml  # only for who has such a file
+
     try:
         return yaml.safe_load(text)
     except yaml.YAMLError as problem:
@@ -94,7 +111,9 @@
 class SettingsReader:
     """Invariant: either whole checked settings, or every finding at once."""
 
-    def read(self, path: str | None, flags: dict, needs: tuple[str, ...] = ()) -> Result[DaemonSettings, list[dict]]:
+    def read(
+        self, path: str | None, flags: dict, needs: tuple[str, ...] = ()
+    ) -> Result[DaemonSettings, list[dict]]:
         held = {}
         if path is not None:
             try:
@@ -105,8 +124,14 @@
             if not isinstance(held, dict) or not all(isinstance(name, str) for name in held):
                 return Err([{"place": path, "finding": "not an object of named settings"}])
         try:
-            settings = DaemonSettings(**{**held, **{name: value for name, value in flags.items() if value is not None}})
+            settings = DaemonSettings(
+                **{**held, **{name: value for name, value in flags.items() if value is not None}}
+            )
         except ValidationError as error:
             return Err(findings_of(error))
-        missing = [{"place": need, "finding": "needed by this program"} for need in needs if getattr(settings, need) is None]
+        missing = [
+            {"place": need, "finding": "needed by this program"}
+            for need in needs
+            if getattr(settings, need) is None
+        ]
         return Err(missing) if missing else Ok(settings)
--- a/src/willowpost/shell/web.py
+++ b/src/willowpost/shell/web.py
@@ -1,4 +1,5 @@
 """JSON over gevent's WSGI server for operators and origins: routes as data, every answer whole."""
+
 import json
 from dataclasses import dataclass, field
 
@@ -8,13 +9,30 @@
 from willowpost.common.lean import without
 from willowpost.shell.mesh import split
 
-with without("ssl"):      # http.client takes it if it is there; nothing here speaks TLS, and it costs 4 MB
-    from gevent.pywsgi import Input, WSGIHandler, WSGIServer
-
-REASONS = {200: "OK", 201: "Created", 202: "Accepted", 204: "No Content", 304: "Not Modified", 400: "Bad Request",
-           404: "Not Found", 405: "Method Not Allowed", 409: "Conflict", 411: "Length Required", 412: "Precondition Failed",
-           413: "Content Too Large", 422: "Unprocessable Content", 500: "Internal Server Error", 502: "Bad Gateway",
-           503: "Service Unavailable", 504: "Gateway Timeout"}
+# http.client takes it if it is there; nothing here speaks TLS, and it costs 4 MB
+with without("ssl"):
+    from gevent.pywsgi import Input as Input
+    from gevent.pywsgi import WSGIHandler, WSGIServer
+
+REASONS = {
+    200: "OK",
+    201: "Created",
+    202: "Accepted",
+    204: "No Content",
+    304: "Not Modified",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    411: "Length Required",
+    412: "Precondition Failed",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
 
 
 def status_line(code: int) -> str:
@@ -66,12 +84,18 @@
 
 
 class Router:
-    """Invariant: routes is a table of (method, path parts, body_max, handler); "*" in a path is a param."""
+    """Invariant: routes is a table of (method, path parts, body_max, handler).
+
+    "*" in a path is a param.
+    """
 
     def __init__(self, routes, logs, closing=lambda: False):
         self.in_flight = 0
-        self.closing = closing           # () -> whether connections should not be kept
-        self.routes = tuple((method, tuple(path.strip("/").split("/")), most, handler) for method, path, most, handler in routes)
+        self.closing = closing  # () -> whether connections should not be kept
+        self.routes = tuple(
+            (method, tuple(path.strip("/").split("/")), most, handler)
+            for method, path, most, handler in routes
+        )
         self.logs = logs
 
     def __call__(self, environ, start_response):
@@ -81,29 +105,59 @@
             answer = Answer(413, {"findings": [{"place": "/", "finding": "body too large"}]})
         except (EOFError, ValueError, OSError):
             answer = Answer(400, {"findings": [{"place": "/", "finding": "malformed request"}]})
-        except Exception as problem:     # a bug must not look like a success, nor hold the caller
+        except Exception as problem:  # a bug must not look like a success, nor hold the caller
             self.logs.say("web", "call broke down", level="error", problem=repr(problem))
             answer = reject(500, "broke down")
         body = b"" if answer.value is None else json.dumps(answer.value).encode() + b"\n"
-        start_response(status_line(answer.code), [("Content-Type", "application/json"), ("Content-Length", str(len(body))),
-                                                  *answer.headers, *([("Connection", "close")] if self.closing() else [])])
+        start_response(
+            status_line(answer.code),
+            [
+                ("Content-Type", "application/json"),
+                ("Content-Length", str(len(body))),
+                *answer.headers,
+                *([("Connection", "close")] if self.closing() else []),
+            ],
+        )
         return [body]
 
     def _answer(self, environ):
         parts = tuple(environ["PATH_INFO"].strip("/").split("/"))
-        fits = [(method, path, most, handler) for method, path, most, handler in self.routes
-                if len(path) == len(parts) and all(want in ("*", part) for want, part in zip(path, parts))]
+        fits = [
+            (method, path, most, handler)
+            for method, path, most, handler in self.routes
+            if len(path) == len(parts)
+            and all(want in ("*", part) for want, part in zip(path, parts, strict=False))
+        ]
         if not fits:
-            return Answer(404, {"findings": [{"place": environ["PATH_INFO"], "finding": "no such call"}]})
-        chosen_route = next((route for route in fits if route[0] == environ["REQUEST_METHOD"]), None)
+            return Answer(
+                404, {"findings": [{"place": environ["PATH_INFO"], "finding": "no such call"}]}
+            )
+        chosen_route = next(
+            (route for route in fits if route[0] == environ["REQUEST_METHOD"]), None
+        )
         if chosen_route is None:
-            return Answer(405, {"findings": [{"place": environ["PATH_INFO"], "finding": "no such method"}]},
-                          (("Allow", ", ".join(sorted({route[0] for route in fits}))),))
+            return Answer(
+                405,
+                {"findings": [{"place": environ["PATH_INFO"], "finding": "no such method"}]},
+                (("Allow", ", ".join(sorted({route[0] for route in fits}))),),
+            )
         _, path, most, handler = chosen_route
-        headers = {name[5:].replace("_", "-").lower(): value for name, value in environ.items() if name.startswith("HTTP_")}
-        params = tuple(part for want, part in zip(path, parts) if want == "*")
-        return handler(Call(environ["REQUEST_METHOD"], environ["PATH_INFO"], environ.get("QUERY_STRING", ""),
-                            headers, read_body(environ, most), params))
+        headers = {
+            name[5:].replace("_", "-").lower(): value
+            for name, value in environ.items()
+            if name.startswith("HTTP_")
+        }
+        params = tuple(part for want, part in zip(path, parts, strict=False) if want == "*")
+        return handler(
+            Call(
+                environ["REQUEST_METHOD"],
+                environ["PATH_INFO"],
+                environ.get("QUERY_STRING", ""),
+                headers,
+                read_body(environ, most),
+                params,
+            )
+        )
 
 
 class QuietHandler(WSGIHandler):
@@ -136,7 +190,14 @@
 
 class WebServer:
     def __init__(self, address: str, application, handler=QuietHandler, most: int = 4096):
-        self.server = WSGIServer(split(address), application, handler_class=handler, log=None, error_log=None, spawn=Pool(most))
+        self.server = WSGIServer(
+            split(address),
+            application,
+            handler_class=handler,
+            log=None,
+            error_log=None,
+            spawn=Pool(most),
+        )
 
     def start(self) -> None:
         self.server.start()
--- a/src/willowpost/sim/core.py
+++ b/src/willowpost/sim/core.py
@@ -1,10 +1,11 @@
 """Simulated cores: five stores, and callers that hand ops to them."""
+
 from dataclasses import replace
 
 from willowpost.common.events import Asked
-from willowpost.consensus.replica.replica_state import Pace
 from willowpost.consensus.replica.bootstrap import Rights
 from willowpost.consensus.replica.records import identity_record
+from willowpost.consensus.replica.replica_state import Pace
 from willowpost.consensus.thresholds import Thresholds
 from willowpost.node.command_client import CommandClient
 from willowpost.sim.rules import CoreRules
@@ -26,15 +27,25 @@
 
 
 class CoreWorld(World):
-    def __init__(self, seed, weather=None, unsafe_send=False, pace=Pace(), thresholds=Thresholds,
-                 zones=ZONES, regions=None, members=None, rights=Rights()):
+    def __init__(
+        self,
+        seed,
+        weather=None,
+        unsafe_send=False,
+        pace=Pace(),
+        thresholds=Thresholds,
+        zones=ZONES,
+        regions=None,
+        members=None,
+        rights=Rights(),
+    ):
         super().__init__(seed, weather, unsafe_send)
         self.members, self.rights = members or len(zones), rights
         self.pace, self.thresholds = pace, thresholds
         self.rules = CoreRules()
         self.checks.append(self.rules)
         self.names = [f"s{number}" for number in range(len(zones))]
-        self.zones = dict(zip(self.names, zones))
+        self.zones = dict(zip(self.names, zones, strict=False))
         for number, name in enumerate(self.names):
             self.add_store(name, name, zones[number], (regions or {}).get(zones[number], "one"))
         self.asked = 0
@@ -51,16 +62,35 @@
             held = records[0]
             me = Member(held["identity"], held["name"], held["zone"], held["address"])
             # where bootstrap members are seeds, only the first start of all may found
-            rights = replace(self.rights, may_bootstrap=self.rights.may_bootstrap and (held.get("may_bootstrap", False) or not self.rights.bootstrap_from_seeds))
-            return StoreNode(me, self.seeds_of_stores(), size, records, now, wall, incarnation, self.pace, self.thresholds, rights=rights)
+            rights = replace(
+                self.rights,
+                may_bootstrap=self.rights.may_bootstrap
+                and (held.get("may_bootstrap", False) or not self.rights.bootstrap_from_seeds),
+            )
+            return StoreNode(
+                me,
+                self.seeds_of_stores(),
+                size,
+                records,
+                now,
+                wall,
+                incarnation,
+                self.pace,
+                self.thresholds,
+                rights=rights,
+            )
+
         return self.add(address, build, region)
 
     def seeds_of_stores(self):
         return self.names[:3]
 
     def add_caller(self, address, cores, region="one"):
-        return self.add(address, lambda records, now, wall, incarnation:
-                        Caller(address, cores, wall, incarnation), region)
+        return self.add(
+            address,
+            lambda records, now, wall, incarnation: Caller(address, cores, wall, incarnation),
+            region,
+        )
 
     def ask(self, caller, *ops):
         self.asked += 1
@@ -68,7 +98,11 @@
         return self.asked
 
     def node_states(self):
-        return [(seat, seat.node.node_state) for seat in self.seats.values() if hasattr(seat.node, "node_state")]
+        return [
+            (seat, seat.node.node_state)
+            for seat in self.seats.values()
+            if hasattr(seat.node, "node_state")
+        ]
 
     def bootstrapped(self):
         return all(node_state.bootstrapped for _, node_state in self.node_states())
@@ -77,7 +111,11 @@
         """Close every fault and let the core come to rest; its logs must then be one."""
         self.heal()
         self.weather.drop = 0.0
-        for name in [address for address, seat in self.seats.items() if seat.node is None and not seat.retired]:
+        for name in [
+            address
+            for address, seat in self.seats.items()
+            if seat.node is None and not seat.retired
+        ]:
             self.start(name)
         for seat in self.seats.values():
             seat.crash_on_write = 0.0
--- a/src/willowpost/sim/fault_schedules.py
+++ b/src/willowpost/sim/fault_schedules.py
@@ -1,4 +1,8 @@
-"""Seeded fault schedules over a simulated core: kills alone and in herds, torn writes, cuts, freezes, clock jumps."""
+"""Seeded fault schedules over a simulated core: kills alone and in herds, torn writes, cuts.
+
+Freezes, clock jumps.
+"""
+
 from willowpost.consensus.replica.bootstrap import Rights
 from willowpost.sim.core import CoreWorld
 from willowpost.sim.world import Weather, seconds
@@ -7,15 +11,27 @@
 
 
 class CoreFaultSchedule:
-    """Invariant: run() raises Broken at the first step that breaks a rule; else the fleet came to rest whole."""
+    """Invariant: run() raises Broken at the first step that breaks a rule.
+
+    Else the fleet came to rest whole.
+    """
 
     rounds = ROUNDS
 
     def __init__(self, seed: int, **world):
         self.world = CoreWorld(seed, Weather(drop=0.05, twice=0.05, spread=5000), **world)
         self.tokens: list[int] = []
-        self.faults = ((0.10, self._kill), (0.20, self._start_all), (0.25, self._cut), (0.30, self.world.heal),
-                      (0.35, self._freeze), (0.45, self._tear), (0.50, self._mend), (0.53, self._herd), (0.56, self._jump))
+        self.faults = (
+            (0.10, self._kill),
+            (0.20, self._start_all),
+            (0.25, self._cut),
+            (0.30, self.world.heal),
+            (0.35, self._freeze),
+            (0.45, self._tear),
+            (0.50, self._mend),
+            (0.53, self._herd),
+            (0.56, self._jump),
+        )
 
     def run(self) -> "CoreFaultSchedule":
         world = self.world
@@ -25,7 +41,9 @@
         world.add_caller("r1", list(reversed(world.names)))
         for number in range(self.rounds):
             caller = world.chance.choice(["r0", "r1"])
-            self.tokens.append(world.ask(caller, {"op": "zone", "zone": f"z{number % 7}", "empty": True}))
+            self.tokens.append(
+                world.ask(caller, {"op": "zone", "zone": f"z{number % 7}", "empty": True})
+            )
             picked = world.chance.random()
             next((fault for limit, fault in self.faults if picked < limit), lambda: None)()
             world.run(world.chance.randrange(300_000))
@@ -36,7 +54,10 @@
         return [token for token in self.tokens if token not in self.world.replies]
 
     def digests(self):
-        return {(node_state.tables.slot, node_state.tables.digest()) for _, node_state in self.world.node_states()}
+        return {
+            (node_state.tables.slot, node_state.tables.digest())
+            for _, node_state in self.world.node_states()
+        }
 
     def _up(self):
         return [name for name in self.world.names if self.world.seats[name].node is not None]
@@ -56,7 +77,9 @@
         self.world.cut(sorted(side), sorted(set(self.world.seats) - side))
 
     def _freeze(self):
-        self.world.freeze(self.world.chance.choice(self.world.names), self.world.chance.randrange(2_000_000))
+        self.world.freeze(
+            self.world.chance.choice(self.world.names), self.world.chance.randrange(2_000_000)
+        )
 
     def _tear(self):
         self.world.seats[self.world.chance.choice(self.world.names)].crash_on_write = 0.05
@@ -70,31 +93,46 @@
         self._start_all()
 
     def _jump(self):
-        self.world.seats[self.world.chance.choice(["r0", "r1"])].wall_skew = self.world.chance.randrange(-10**12, 10**12)
+        self.world.seats[
+            self.world.chance.choice(["r0", "r1"])
+        ].wall_skew = self.world.chance.randrange(-(10**12), 10**12)
 
 
 class SeatFaultSchedule(CoreFaultSchedule):
-    """A core of three bootstrap members, alone or with learners that it grows by; disks are wiped as well, one at a time.
+    """A core of three bootstrap members, alone or with learners that it grows by.
 
-    Invariant: a disk is wiped only while every voter's own disk is there and all know of the last replacement, so one loss at a time."""
+    Disks are wiped as well, one at a time.
+
+    Invariant: a disk is wiped only while every voter's own disk is there and all know of the last
+    replacement, so one loss at a time.
+    """
 
     rounds = 2 * ROUNDS
 
     def __init__(self, seed: int, zones=("a", "b", "c"), max_voters: int = 3, **world):
-        super().__init__(seed, zones=zones, members=3, rights=Rights(bootstrap_from_seeds=True, max_voters=max_voters), **world)
-        self.core: tuple = (0, ())       # (epoch, members) as far as anybody has got
-        self.swapped = 0                 # the epoch that the last replacement began
+        super().__init__(
+            seed,
+            zones=zones,
+            members=3,
+            rights=Rights(bootstrap_from_seeds=True, max_voters=max_voters),
+            **world,
+        )
+        self.core: tuple = (0, ())  # (epoch, members) as far as anybody has got
+        self.swapped = 0  # the epoch that the last replacement began
         self.wiped = 0
         self.world.checks.append(self._look)
-        self.faults = tuple(self.faults) + ((0.64, self._wipe),)
+        self.faults = (*tuple(self.faults), (0.64, self._wipe))
 
     def voters(self) -> int:
         return len(self.core[1])
 
     def unseated(self) -> list[str]:
         """Voters whose disk is not there any more: their seats were not taken."""
-        return [member["name"] for member in self.core[1]
-                if self.world.seats[member["address"]].disk.records[0]["identity"] != member["identity"]]
+        return [
+            member["name"]
+            for member in self.core[1]
+            if self.world.seats[member["address"]].disk.records[0]["identity"] != member["identity"]
+        ]
 
     def _look(self, world, seat, event, plan):
         tables = getattr(getattr(seat.node, "node_state", None), "tables", None)
@@ -103,10 +141,17 @@
             self.core = (tables.epoch, tables.core)
 
     def _wipe(self):
-        """Right after something was accepted, if anything was; and another machine loses its power at the same moment."""
+        """Right after something was accepted, if anything was.
+
+        And another machine loses its power at the same moment.
+        """
         world, seats = self.world, [self.world.seats[member["address"]] for member in self.core[1]]
-        there = all(seat.node is not None and seat.disk.records[0]["identity"] == member["identity"]
-                    and seat.node.node_state.tables.epoch >= self.swapped for seat, member in zip(seats, self.core[1]))
+        there = all(
+            seat.node is not None
+            and seat.disk.records[0]["identity"] == member["identity"]
+            and seat.node.node_state.tables.epoch >= self.swapped
+            for seat, member in zip(seats, self.core[1], strict=False)
+        )
         if not there:
             return
         before = len(world.rules.accepted)
--- a/src/willowpost/sim/fleet/bounded_faults.py
+++ b/src/willowpost/sim/fleet/bounded_faults.py
@@ -1,4 +1,8 @@
-"""The calm fault schedule: a deployment in its rush, hit only by what it must bear, one thing at a time; and refusals are counted."""
+"""The calm fault schedule: a deployment in its rush, hit only by what it must bear.
+
+One thing at a time; and refusals are counted.
+"""
+
 from dataclasses import dataclass
 from itertools import permutations
 
@@ -20,29 +24,60 @@
 
     @property
     def handful(self) -> int:
-        """Ten, or one in five hundred of the requests asked from the fault until all is whole again. What a loss must cost: each edge has
-        some requests under way toward what is lost, and of those a write may not be tried again; at these peaks that is up to a dozen."""
+        """Ten.
+
+        Or one in five hundred of the requests asked from the fault until all is whole again. What a
+        loss must cost: each edge has some requests under way toward what is lost, and of those a
+        write may not be tried again; at these peaks that is up to a dozen.
+        """
         return max(FEWEST, self.asked // ONE_IN)
 
 
 class BoundedFaultSchedule:
-    """Invariant: run() raises Broken when a rule breaks or a fault costs more than a handful, or drops what it may not."""
+    """Invariant: run() raises Broken when a rule breaks or a fault costs more than a handful.
 
-    def __init__(self, seed: int, deployment: str, only=None, rounds: int = ROUNDS, part: float = 1.0):
+    Or drops what it may not.
+    """
+
+    def __init__(
+        self, seed: int, deployment: str, only=None, rounds: int = ROUNDS, part: float = 1.0
+    ):
         self.shape, regions, between = shipped(deployment)
-        far = {(one, other): between * MILLI for one, other in permutations(sorted(set(regions.values())), 2)}
-        self.world = FleetWorld(seed, Weather(drop=0.0005, between=far), rate=self.shape.rate * part, regions=regions, shape=self.shape)
-        kinds = (self.core_machine_dies, self.core_machine_dark, self.core_machine_cut, self.disk_lost, self.zone_dies, self.zone_dark, self.zone_cut,
-                 self.zone_emptied, self.restart_in_turn, self.daemon_dies, self.owner_dies, self.home_dies, self.release)
+        far = {
+            (one, other): between * MILLI
+            for one, other in permutations(sorted(set(regions.values())), 2)
+        }
+        self.world = FleetWorld(
+            seed,
+            Weather(drop=0.0005, between=far),
+            rate=self.shape.rate * part,
+            regions=regions,
+            shape=self.shape,
+        )
+        kinds = (
+            self.core_machine_dies,
+            self.core_machine_dark,
+            self.core_machine_cut,
+            self.disk_lost,
+            self.zone_dies,
+            self.zone_dark,
+            self.zone_cut,
+            self.zone_emptied,
+            self.restart_in_turn,
+            self.daemon_dies,
+            self.owner_dies,
+            self.home_dies,
+            self.release,
+        )
         self.kinds = [kind for kind in kinds if only is None or kind.__name__ in only]
         self.rounds = rounds
         self.faults: list[Fault] = []
-        self.trace: list[tuple[int, str]] = []      # (moment, fault), as it began
+        self.trace: list[tuple[int, str]] = []  # (moment, fault), as it began
 
     def run(self) -> "BoundedFaultSchedule":
         world = self.world
         world.open()
-        world.run(seconds(10))      # the morning: origins warm, caches fill
+        world.run(seconds(10))  # the morning: origins warm, caches fill
         for _ in range(self.rounds):
             chosen_fault = world.chance.choice(self.kinds)
             self._judge(chosen_fault)
@@ -57,11 +92,21 @@
         world.run(seconds(6))
         self._mend()
         world.run(seconds(8))
-        found = Fault(fault.__name__, traffic.count - asked, len(traffic.refusals) - refused, 0 if excused else len(traffic.dropped) - dropped)
+        found = Fault(
+            fault.__name__,
+            traffic.count - asked,
+            len(traffic.refusals) - refused,
+            0 if excused else len(traffic.dropped) - dropped,
+        )
         self.faults.append(found)
         why = list(traffic.refusals)[refused:][:3]
-        traffic.say(found.refused <= found.handful, f"{found.name}: {found.refused} refused of {found.asked}, a handful is {found.handful}: {why}")
-        traffic.say(not found.dropped, f"{found.name}: {found.dropped} dropped: {traffic.dropped[-3:]}")
+        traffic.say(
+            found.refused <= found.handful,
+            f"{found.name}: {found.refused} refused of {found.asked}, a handful is {found.handful}: {why}",
+        )
+        traffic.say(
+            not found.dropped, f"{found.name}: {found.dropped} dropped: {traffic.dropped[-3:]}"
+        )
         traffic._margin("refused at one fault", found.refused)
         traffic._margin("refused at one fault, in 10000", 10000 * found.refused // found.asked)
 
@@ -80,7 +125,9 @@
 
     def _machine(self):
         number = self.world.chance.randrange(5)
-        return [name for name in (f"s{number}", f"r{number}", f"h{number}") if name in self.world.seats]
+        return [
+            name for name in (f"s{number}", f"r{number}", f"h{number}") if name in self.world.seats
+        ]
 
     def _zone(self):
         return self.world.chance.choice(self.shape.zones)
@@ -91,13 +138,32 @@
 
     # what the fleet must bear
 
-    def core_machine_dies(self): return self._die(self._machine())
-    def core_machine_dark(self): return self._die(self._machine(), dark=True)
-    def core_machine_cut(self): return self._cut(self._machine())
-    def zone_dies(self): return self._die(self.world.zone_seats(self._zone()))
-    def zone_dark(self): return self._die(self.world.zone_seats(self._zone()), dark=True)
-    def zone_cut(self): return self._cut(self.world.zone_seats(self._zone()))
-    def daemon_dies(self): return self._die([self.world.chance.choice(self.world.names + self.world.registries + self.world.edges + self.world.shields)])
+    def core_machine_dies(self):
+        return self._die(self._machine())
+
+    def core_machine_dark(self):
+        return self._die(self._machine(), dark=True)
+
+    def core_machine_cut(self):
+        return self._cut(self._machine())
+
+    def zone_dies(self):
+        return self._die(self.world.zone_seats(self._zone()))
+
+    def zone_dark(self):
+        return self._die(self.world.zone_seats(self._zone()), dark=True)
+
+    def zone_cut(self):
+        return self._cut(self.world.zone_seats(self._zone()))
+
+    def daemon_dies(self):
+        return self._die(
+            [
+                self.world.chance.choice(
+                    self.world.names + self.world.registries + self.world.edges + self.world.shields
+                )
+            ]
+        )
 
     def disk_lost(self):
         name = self.world.chance.choice(self.world.names)
@@ -121,7 +187,13 @@
 
     def owner_dies(self):
         tables = self.world.seats["r0"].node.registry.tables
-        return self._die([self.world.chance.choice(sorted({card["owner"] for card in tables.fences.values()})).split("/")[0]])
+        return self._die(
+            [
+                self.world.chance.choice(
+                    sorted({card["owner"] for card in tables.fences.values()})
+                ).split("/")[0]
+            ]
+        )
 
     def home_dies(self):
         """The proxy that the others of its zone get their state updates from."""
--- a/src/willowpost/sim/fleet/day.py
+++ b/src/willowpost/sim/fleet/day.py
@@ -1,4 +1,8 @@
-"""A day in little: callers move from zone to zone, and the shares of the allowances must follow them."""
+"""A day in little: callers move from zone to zone.
+
+And the shares of the allowances must follow them.
+"""
+
 import math
 from dataclasses import dataclass
 
@@ -11,12 +15,15 @@
 class DayFigures:
     calls: int
     refused: int
-    worst_second: int          # refusals in the worst second
-    busiest_part: float        # the most of all calls that one edge got in a second
+    worst_second: int  # refusals in the worst second
+    busiest_part: float  # the most of all calls that one edge got in a second
 
 
 class DayWorld(FleetWorld):
-    """Invariant: the sum of calls is steady; only where they come in moves, once round all edges in `period` seconds."""
+    """Invariant: the sum of calls is steady; only where they come in moves.
+
+    Once round all edges in `period` seconds.
+    """
 
     def __init__(self, seed: int, period: float, rate: float, sharp: float = 3.0, **more):
         super().__init__(seed, rate=rate, **more)
@@ -28,7 +35,9 @@
             return
         edges = self.sound_edges()
         if edges:
-            chosen_edge = self.chance.choices(edges, [self._weight(int(edge[1:])) for edge in edges])[0]
+            chosen_edge = self.chance.choices(
+                edges, [self._weight(int(edge[1:])) for edge in edges]
+            )[0]
             held = self.per_second.setdefault(self.time // SECOND, {})
             held[chosen_edge] = held.get(chosen_edge, 0) + 1
             self._one(chosen_edge)
@@ -47,5 +56,14 @@
         counts: dict[int, int] = {}
         for moment in refused:
             counts[moment // SECOND] = counts.get(moment // SECOND, 0) + 1
-        busiest = max(max(held.values()) / sum(held.values()) for second, held in self.per_second.items() if second > since // SECOND)
-        return DayFigures(sum(self.traffic.outcomes.values()) - calls, len(refused), max(counts.values(), default=0), busiest)
+        busiest = max(
+            max(held.values()) / sum(held.values())
+            for second, held in self.per_second.items()
+            if second > since // SECOND
+        )
+        return DayFigures(
+            sum(self.traffic.outcomes.values()) - calls,
+            len(refused),
+            max(counts.values(), default=0),
+            busiest,
+        )
--- a/src/willowpost/sim/fleet/fault_injector.py
+++ b/src/willowpost/sim/fleet/fault_injector.py
@@ -1,10 +1,11 @@
 """A carrier's hands in the simulator: virtual sockets, and tasks that wait on them."""
+
 from greenlet import getcurrent, greenlet
 
 from willowpost.common.clock import SECOND
 from willowpost.proxy.admission.admission_tokens import AdmissionTokenWanted
-from willowpost.proxy.origin.failure import ExchangeFailure
 from willowpost.proxy.origin.exchange import WholeAnswer
+from willowpost.proxy.origin.failure import ExchangeFailure
 from willowpost.sim.fleet.messages import HEALTH, SimRequest
 
 CONNECT = 1 * SECOND
@@ -38,21 +39,50 @@
 
 class SimExchange:
     def __init__(self, fault_injector, owner, address, incarnation):
-        self.fault_injector, self.owner, self.address, self.incarnation = fault_injector, owner, address, incarnation
+        self.fault_injector, self.owner, self.address, self.incarnation = (
+            fault_injector,
+            owner,
+            address,
+            incarnation,
+        )
         self.reused = False
 
     def instance_check(self, instance_check, seconds):
-        answer = self.fault_injector.call(self.address, SimRequest(self.fault_injector.next(), "GET", HEALTH, (), "", self.incarnation), int(seconds * SECOND))
+        answer = self.fault_injector.call(
+            self.address,
+            SimRequest(self.fault_injector.next(), "GET", HEALTH, (), "", self.incarnation),
+            int(seconds * SECOND),
+        )
         if answer is None or not answer.whole:
-            raise ExchangeFailure("instance check: deadline" if answer is None else "instance check: closed", sent=False)
+            raise ExchangeFailure(
+                "instance check: deadline" if answer is None else "instance check: closed",
+                sent=False,
+            )
         instance_check.judge(WholeAnswer(answer.status, list(answer.headers), answer.body))
 
     def run(self, method, target, headers, body, seconds, whole_max, echo=None):
-        answer = self.fault_injector.call(self.address, SimRequest(self.fault_injector.next(), method, target, tuple(headers), body or "", self.incarnation),
-                                 int(seconds * SECOND))
-        if answer is None or not answer.whole or (self.incarnation is not None and answer.incarnation != self.incarnation):
-            raise ExchangeFailure("deadline" if answer is None else "read: the answer ended short", sent=True,
-                            died=answer is not None and answer.incarnation != self.incarnation)
+        answer = self.fault_injector.call(
+            self.address,
+            SimRequest(
+                self.fault_injector.next(),
+                method,
+                target,
+                tuple(headers),
+                body or "",
+                self.incarnation,
+            ),
+            int(seconds * SECOND),
+        )
+        if (
+            answer is None
+            or not answer.whole
+            or (self.incarnation is not None and answer.incarnation != self.incarnation)
+        ):
+            raise ExchangeFailure(
+                "deadline" if answer is None else "read: the answer ended short",
+                sent=True,
+                died=answer is not None and answer.incarnation != self.incarnation,
+            )
         self.incarnation = answer.incarnation
         return WholeAnswer(answer.status, list(answer.headers), answer.body)
 
@@ -115,9 +145,13 @@
         incarnation = self.pool.get(owner) if reuse else None
         reused = incarnation is not None
         if not reused:
-            instance_checked = self.call(address, SimRequest(self.next(), "CONNECT", "", (), "", None), CONNECT)
+            instance_checked = self.call(
+                address, SimRequest(self.next(), "CONNECT", "", (), "", None), CONNECT
+            )
             if instance_checked is None or not instance_checked.whole:
-                raise ExchangeFailure("connect: refused", sent=False, died=instance_checked is not None)
+                raise ExchangeFailure(
+                    "connect: refused", sent=False, died=instance_checked is not None
+                )
             incarnation = instance_checked.incarnation
         exchange = SimExchange(self, owner, address, incarnation)
         exchange.reused = reused
@@ -126,7 +160,9 @@
     def token(self, service, origin):
         ticket = ("token", self.next())
         self.waiting[ticket] = getcurrent()
-        self.world.at(0, self.world.give, self.seat.address, AdmissionTokenWanted(ticket, service, origin))
+        self.world.at(
+            0, self.world.give, self.seat.address, AdmissionTokenWanted(ticket, service, origin)
+        )
         return bool(self.pause())
 
     def told(self, ticket, given):
--- a/src/willowpost/sim/fleet/fault_schedule.py
+++ b/src/willowpost/sim/fleet/fault_schedule.py
@@ -1,4 +1,5 @@
 """Seeded fault schedules over a whole simulated fleet, across the brief's list of what fails."""
+
 from itertools import permutations
 
 from willowpost.common.clock import MILLI, SECOND
@@ -10,20 +11,77 @@
 
 
 class FleetFaultSchedule:
-    """Invariant: run() raises Broken at the first step that breaks a promise; `trace` tells what was done until then."""
-
-    def __init__(self, seed: int, only=None, rounds: int = ROUNDS, wide: bool = False, regions=None, between: int = 0, **world):
-        far = {(one, other): between * MILLI for one, other in permutations(sorted(set((regions or {}).values())), 2)}
+    """Invariant: run() raises Broken at the first step that breaks a promise.
+
+    `trace` tells what was done until then.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        only=None,
+        rounds: int = ROUNDS,
+        wide: bool = False,
+        regions=None,
+        between: int = 0,
+        **world,
+    ):
+        far = {
+            (one, other): between * MILLI
+            for one, other in permutations(sorted(set((regions or {}).values())), 2)
+        }
         self.world = FleetWorld(seed, Weather(drop=0.002, between=far), regions=regions, **world)
         self.rounds = rounds
         self.trace: list[tuple[int, str]] = []
         self.newcomers = 0
-        kinds = (self.kill_store, self.kill_registry, self.kill_proxy, self.kill_shield, self.kill_stores, self.kill_edges, self.dark_zone,
-                 self.cut_zone, self.split_core, self.isolate, self.freeze, self.freeze, self.jump, self.tear, self.lose_disk, self.newcomer,
-                 self.origin_down, self.origin_mode, self.origin_back, self.drain, self.move_address, self.service_down, self.configuration,
-                 self.race, self.purge, self.purges, self.replace, self.replace, self.empty, self.restore, self.mend, self.mend, self.mend)
-        # `wide` came later: without it, the seeds that were recorded before still mean what they did
-        kinds += (self.cut_pair, self.cut_one_way, self.lossy, self.fault_schedule_of_purges, self.replace_voter_seeds) if wide else ()
+        kinds = (
+            self.kill_store,
+            self.kill_registry,
+            self.kill_proxy,
+            self.kill_shield,
+            self.kill_stores,
+            self.kill_edges,
+            self.dark_zone,
+            self.cut_zone,
+            self.split_core,
+            self.isolate,
+            self.freeze,
+            self.freeze,
+            self.jump,
+            self.tear,
+            self.lose_disk,
+            self.newcomer,
+            self.origin_down,
+            self.origin_mode,
+            self.origin_back,
+            self.drain,
+            self.move_address,
+            self.service_down,
+            self.configuration,
+            self.race,
+            self.purge,
+            self.purges,
+            self.replace,
+            self.replace,
+            self.empty,
+            self.restore,
+            self.mend,
+            self.mend,
+            self.mend,
+        )
+        # `wide` came later: without it, the seeds that were recorded before still mean what they
+        # did
+        kinds += (
+            (
+                self.cut_pair,
+                self.cut_one_way,
+                self.lossy,
+                self.fault_schedule_of_purges,
+                self.replace_voter_seeds,
+            )
+            if wide
+            else ()
+        )
         self.kinds = [kind for kind in kinds if only is None or kind.__name__ in only]
 
     def run(self) -> "FleetFaultSchedule":
@@ -54,15 +112,26 @@
 
     def _machine(self):
         number = self.world.chance.randrange(5)
-        return [name for name in (f"s{number}", f"r{number}", f"h{number}") if name in self.world.seats]
+        return [
+            name for name in (f"s{number}", f"r{number}", f"h{number}") if name in self.world.seats
+        ]
 
     # kills
 
-    def kill_store(self): self._kill([self._one(self.world.stores())])
-    def kill_registry(self): self._kill([self._one(self.world.registries)])
-    def kill_proxy(self): self._kill([self._one(self.world.edges)])
-    def kill_shield(self): self._kill([self._one(self.world.shields)])
-    def kill_edges(self): self._kill(self.world.edges)
+    def kill_store(self):
+        self._kill([self._one(self.world.stores())])
+
+    def kill_registry(self):
+        self._kill([self._one(self.world.registries)])
+
+    def kill_proxy(self):
+        self._kill([self._one(self.world.edges)])
+
+    def kill_shield(self):
+        self._kill([self._one(self.world.shields)])
+
+    def kill_edges(self):
+        self._kill(self.world.edges)
 
     def kill_stores(self):
         up = self._up(self.world.stores())
@@ -79,8 +148,19 @@
     def lose_disk(self):
         """At most one disk is lost at a time: the fleet is asked to bear one."""
         world = self.world
-        holders = [member["name"] for _, node_state in world.node_states() for member in node_state.tables.core]
-        whole = {name for name in world.names if any(seat.address == name and node_state.voter for seat, node_state in world.node_states())}
+        holders = [
+            member["name"]
+            for _, node_state in world.node_states()
+            for member in node_state.tables.core
+        ]
+        whole = {
+            name
+            for name in world.names
+            if any(
+                seat.address == name and node_state.voter
+                for seat, node_state in world.node_states()
+            )
+        }
         if holders and len(whole) == 5:
             name = self._one(world.names)
             world.crash(name, lose_disk=True)
@@ -90,7 +170,11 @@
         """A core machine is gone for good; an empty one stands up at a new address."""
         world = self.world
         voters = {seat.address for seat, node_state in world.node_states() if node_state.voter}
-        if self.newcomers < NEWCOMERS and len(voters) == 5 and voters <= set(self._up(world.stores())):
+        if (
+            self.newcomers < NEWCOMERS
+            and len(voters) == 5
+            and voters <= set(self._up(world.stores()))
+        ):
             self.newcomers += 1
             lost = self._one(sorted(voters))
             zone = world.zones[lost]
@@ -114,7 +198,11 @@
         self.world.cut(sorted(side), sorted(set(self.world.seats) - side))
 
     def isolate(self):
-        alone = set(self._machine()) if self.world.chance.random() < 0.5 else {self._one(self.world.edges)}
+        alone = (
+            set(self._machine())
+            if self.world.chance.random() < 0.5
+            else {self._one(self.world.edges)}
+        )
         self.world.heal()
         self.world.cut(sorted(alone), sorted(set(self.world.seats) - alone))
 
@@ -126,34 +214,53 @@
 
     def cut_one_way(self):
         """What one machine says is not heard; what is said to it is."""
-        mute = self._machine() if self.world.chance.random() < 0.5 else [self._one(self.world.edges)]
+        mute = (
+            self._machine() if self.world.chance.random() < 0.5 else [self._one(self.world.edges)]
+        )
         self.world.heal()
-        self.world.cuts |= {(name, other) for name in mute for other in self.world.seats if other not in mute}
+        self.world.cuts |= {
+            (name, other) for name in mute for other in self.world.seats if other not in mute
+        }
 
-    def lossy(self): self.world.weather.drop = 0.08
+    def lossy(self):
+        self.world.weather.drop = 0.08
 
     def fault_schedule_of_purges(self):
         for number in range(60):
-            self.world.operate(number % 5, {"op": "purge", "kind": "item", "host": "*", "path": f"/art/{number % 40}"}, lambda answer: None)
+            self.world.operate(
+                number % 5,
+                {"op": "purge", "kind": "item", "host": "*", "path": f"/art/{number % 40}"},
+                lambda answer: None,
+            )
 
     def replace_voter_seeds(self):
         """The seeds are others from now on: proxies and registries that start later get them."""
-        self.world.seed_names = self.world.chance.sample(self.world.registries + self.world.edges, 3)
+        self.world.seed_names = self.world.chance.sample(
+            self.world.registries + self.world.edges, 3
+        )
 
     def freeze(self):
-        names = self._machine() if self.world.chance.random() < 0.4 else [self._one(self.world.edges + self.world.shields)]
+        names = (
+            self._machine()
+            if self.world.chance.random() < 0.4
+            else [self._one(self.world.edges + self.world.shields)]
+        )
         span = self.world.chance.randrange(4 * SECOND)
         for name in names:
             self.world.freeze(name, span)
 
     def jump(self):
-        self.world.seats[self._one(self.world.seats)].wall_skew = self.world.chance.randrange(-10**10, 10**10)
+        self.world.seats[self._one(self.world.seats)].wall_skew = self.world.chance.randrange(
+            -(10**10), 10**10
+        )
 
-    def tear(self): self.world.seats[self._one(self.world.stores())].crash_on_write = 0.02
+    def tear(self):
+        self.world.seats[self._one(self.world.stores())].crash_on_write = 0.02
 
     # origins
 
-    def origin_down(self): self._kill([self._one(self.world.origins)])
+    def origin_down(self):
+        self._kill([self._one(self.world.origins)])
 
     def origin_mode(self):
         seat = self.world.seats[self._one(self.world.origins)]
@@ -165,11 +272,14 @@
             if self.world.seats[name].node is None:
                 self.world.start(name)
 
-    def drain(self): self.world.drain_origin(self._registry(), self._one(self.world.origins))
+    def drain(self):
+        self.world.drain_origin(self._registry(), self._one(self.world.origins))
 
     def move_address(self):
-        """An origin ends without a word, and its address comes up at once in another service; a polite
-        one listens only once it is told that it is in force there."""
+        """An origin ends without a word, and its address comes up at once in another service.
+
+        A polite one listens only once it is told that it is in force there.
+        """
         name = self._one(self.world.origins)
         self.world.polite = {**self.world.polite, name: self.world.chance.random() < 0.5}
         self.world.homes[name] = "apps" if self.world.homes[name] == "art" else "art"
@@ -183,22 +293,30 @@
     # operators
 
     def configuration(self):
-        self.world.configuration["settings"]["deadline_ms"] = 1500 + self.world.chance.randrange(1000)
+        self.world.configuration["settings"]["deadline_ms"] = 1500 + self.world.chance.randrange(
+            1000
+        )
         self.world.put_configuration(self._registry())
 
     def race(self):
         for registry in range(3):
-            self.world.configuration["settings"]["deadline_ms"] = 1500 + self.world.chance.randrange(1000)
+            self.world.configuration["settings"]["deadline_ms"] = (
+                1500 + self.world.chance.randrange(1000)
+            )
             self.world.put_configuration(registry)
 
-    def purge(self): self.world.purge(self._registry())
+    def purge(self):
+        self.world.purge(self._registry())
 
     def purges(self):
         for _ in range(20):
             self.world.purge(self._registry())
 
-    def replace(self): self.world.traffic.replace()
-    def empty(self): self.world.empty_zone(self._registry(), self._one("abcd"), True)
+    def replace(self):
+        self.world.traffic.replace()
+
+    def empty(self):
+        self.world.empty_zone(self._registry(), self._one("abcd"), True)
 
     def restore(self):
         for zone in list(self.world.traffic.emptied):
--- a/src/willowpost/sim/fleet/messages.py
+++ b/src/willowpost/sim/fleet/messages.py
@@ -1,4 +1,5 @@
 """What travels in the simulator between proxies, origins and callers in place of HTTP."""
+
 from dataclasses import dataclass, field
 
 HEALTH = "/health"
--- a/src/willowpost/sim/fleet/nodes.py
+++ b/src/willowpost/sim/fleet/nodes.py
@@ -1,4 +1,5 @@
 """The fleet's proxies and registries in the simulator: their own control nodes and carriers."""
+
 from collections import Counter
 
 from greenlet import greenlet
@@ -6,8 +7,8 @@
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Asked, Received
 from willowpost.common.plan import Plan
-from willowpost.node.node_state import Card
 from willowpost.node.leaver import Stage
+from willowpost.node.node_state import Card
 from willowpost.proxy.admission.buckets import Allowance, Ramp
 from willowpost.proxy.admission.budget import RetryBudget
 from willowpost.proxy.node import ProxyNode
@@ -23,7 +24,10 @@
 
 
 class SimProxy:
-    """Invariant: the snapshot, the cache and the carrier are the daemon's own; only time, wires and sockets are not."""
+    """Invariant: the snapshot, the cache and the carrier are the daemon's own; only time.
+
+    Wires and sockets are not.
+    """
 
     def __init__(self, world, seat, card: Card, seeds, wall):
         self.world, self.seat = world, seat
@@ -32,17 +36,32 @@
         self.stats = Counter()
         self.fault_injector = SimFaultInjector(world, seat)
         clock = SimClock(world, seat)
-        self.tries = Tries(self.proxy, clock, Allowance(self.proxy), Ramp(self.proxy), RetryBudget(self.proxy.proxies, clock.now()),
-                           OriginPicker(card.zone, world.chance, lambda: self.proxy.reports), self.fault_injector, self.stats)
+        self.tries = Tries(
+            self.proxy,
+            clock,
+            Allowance(self.proxy),
+            Ramp(self.proxy),
+            RetryBudget(self.proxy.proxies, clock.now()),
+            OriginPicker(card.zone, world.chance, lambda: self.proxy.reports),
+            self.fault_injector,
+            self.stats,
+        )
         self.carrier = Carrier(self.proxy, self.node.cache, clock, self.tries, self.stats)
         self.planner = RequestPlanner(self.proxy, self.node.cache, clock)
         self.in_flight = 0
         self.node.leaver.in_flight = lambda: self.in_flight
 
     def step(self, event, now):
-        if isinstance(event, Received) and isinstance(event.message, SimCall | SimRequest) and self._closed(event.message):
+        if (
+            isinstance(event, Received)
+            and isinstance(event.message, SimCall | SimRequest)
+            and self._closed(event.message)
+        ):
             plan = Plan()
-            plan.send(event.source, SimAnswer(event.message.number, 0, whole=False, incarnation=self.seat.incarnation))
+            plan.send(
+                event.source,
+                SimAnswer(event.message.number, 0, whole=False, incarnation=self.seat.incarnation),
+            )
             return plan
         match event:
             case Received(_, SimAnswer() as answer):
@@ -53,13 +72,23 @@
                 return Plan()
             case Received(source, SimRequest(method="CONNECT") as instance_check):
                 plan = Plan()
-                plan.send(source, SimAnswer(instance_check.number, 200, incarnation=self.seat.incarnation))
+                plan.send(
+                    source, SimAnswer(instance_check.number, 200, incarnation=self.seat.incarnation)
+                )
                 return plan
             case Received(source, SimRequest() as asked):
                 headers = dict(asked.headers)
-                request = Request(asked.method, headers.get("host", ""), asked.target,
-                                  {name: value for name, value in headers.items() if name != "host"}, True, "wp-extra" in headers)
-                self._spawn(self._serve, source, asked.number, request, asked.body, asked.incarnation)
+                request = Request(
+                    asked.method,
+                    headers.get("host", ""),
+                    asked.target,
+                    {name: value for name, value in headers.items() if name != "host"},
+                    True,
+                    "wp-extra" in headers,
+                )
+                self._spawn(
+                    self._serve, source, asked.number, request, asked.body, asked.incarnation
+                )
                 return Plan()
         plan = self.node.step(event, now)
         for ticket, given in plan.replies:
@@ -69,7 +98,9 @@
 
     def _closed(self, message):
         """The listener is closed: connections that are open go on."""
-        return self.node.leaver.stage not in (Stage.SERVING, Stage.DRAINING) and (isinstance(message, SimCall) or message.method == "CONNECT")
+        return self.node.leaver.stage not in (Stage.SERVING, Stage.DRAINING) and (
+            isinstance(message, SimCall) or message.method == "CONNECT"
+        )
 
     def _spawn(self, call, *args):
         task = greenlet(call)
@@ -92,10 +123,21 @@
             headers = [pair for pair in outcome.answer.headers if pair[0] != "age"]
             headers += [("age", str(outcome.age // SECOND))] if outcome.age is not None else []
             headers += [("wp-slot", str(outcome.slot))] if request.hop else []
-            answer = SimAnswer(number, outcome.answer.status, tuple(headers), outcome.answer.body, incarnation=self.seat.incarnation)
+            answer = SimAnswer(
+                number,
+                outcome.answer.status,
+                tuple(headers),
+                outcome.answer.body,
+                incarnation=self.seat.incarnation,
+            )
         except Rejected as reject:
-            answer = SimAnswer(number, reject.code, (("wp-outcome", reject.outcome), ("retry-after", str(reject.after))),
-                               reject.reason.encode(), incarnation=self.seat.incarnation)
+            answer = SimAnswer(
+                number,
+                reject.code,
+                (("wp-outcome", reject.outcome), ("retry-after", str(reject.after))),
+                reject.reason.encode(),
+                incarnation=self.seat.incarnation,
+            )
         self.fault_injector.sends.append((source, answer))
 
 
@@ -105,13 +147,23 @@
         self.node = RegistryNode(card, seeds, wall, self._probe)
         self.registry = self.node.node_state
         command_client = self.node.command_client
-        self.node.leaver.in_flight = lambda: sum(token is not None for entry in command_client.pending.values() for token, _ in entry[1]) \
+        self.node.leaver.in_flight = lambda: (
+            sum(
+                token is not None
+                for entry in command_client.pending.values()
+                for token, _ in entry[1]
+            )
             + sum(token is not None for token, _ in command_client.gathered)
+        )
 
     def _probe(self, origin, address, path):
         held = self.world.seats.get(address)
-        there = held is not None and held.node is not None and held.frozen_until <= self.world.time \
+        there = (
+            held is not None
+            and held.node is not None
+            and held.frozen_until <= self.world.time
             and (self.seat.address, address) not in self.world.cuts
+        )
         self.world.at(5 * MILLI, self.world.give, self.seat.address, ("probed", origin, there))
 
     def step(self, event, now):
@@ -122,6 +174,21 @@
                 if name is not None:
                     self.world.traffic.learned_move(beat.address, beat.service)
                     return self.node.step(("beat", name, beat.load), now)
-                return self.node.step(Asked(None, ({"op": "register", "service": beat.service, "address": beat.address, "zone": beat.zone,
-                                                    "rate": beat.rate, "cold_rate": beat.cold_rate, "token": beat.token or None},)), now)
+                return self.node.step(
+                    Asked(
+                        None,
+                        (
+                            {
+                                "op": "register",
+                                "service": beat.service,
+                                "address": beat.address,
+                                "zone": beat.zone,
+                                "rate": beat.rate,
+                                "cold_rate": beat.cold_rate,
+                                "token": beat.token or None,
+                            },
+                        ),
+                    ),
+                    now,
+                )
         return self.node.step(event, now)
--- a/src/willowpost/sim/fleet/outside.py
+++ b/src/willowpost/sim/fleet/outside.py
@@ -1,4 +1,5 @@
 """Who stands round a simulated fleet: origins and callers."""
+
 import json
 
 from willowpost.common.clock import MILLI, SECOND
@@ -11,7 +12,11 @@
 
 
 class SimOrigin:
-    """An origin. Modes: sound, lost (runs, answer lost), short, slow (later than any deadline), tired (late, but whole), brisk (takes 20 ms)."""
+    """An origin.
+
+    Modes: sound, lost (runs, answer lost), short, slow (later than any deadline), tired (late, but
+    whole), brisk (takes 20 ms).
+    """
 
     def __init__(self, world, seat, service, zone, rate, registries):
         self.world, self.seat = world, seat
@@ -19,7 +24,7 @@
         self.mode = "sound"
         self.beat_at = -10 * SECOND
         self.load = self.served = 0
-        self.lie = None          # says this of its load instead
+        self.lie = None  # says this of its load instead
         self.turn = 0
         self.silent = False
         self.listening = False
@@ -30,29 +35,69 @@
         match event:
             case Tick() if now - self.beat_at >= SECOND and not self.silent:
                 self.beat_at, self.turn = now, self.turn + 1
-                plan.send(self.registries[self.turn % len(self.registries)],
-                          SimBeat(self.service, self.seat.address, self.zone, self.rate, self.rate * self.world.cold_part,
-                                  self.load if self.lie is None else self.lie, self.token))
+                plan.send(
+                    self.registries[self.turn % len(self.registries)],
+                    SimBeat(
+                        self.service,
+                        self.seat.address,
+                        self.zone,
+                        self.rate,
+                        self.rate * self.world.cold_part,
+                        self.load if self.lie is None else self.lie,
+                        self.token,
+                    ),
+                )
             case Received(source, SimRequest(method="CONNECT") as instance_check):
-                plan.send(source, SimAnswer(instance_check.number, 200, whole=self._listens(), incarnation=self.seat.incarnation))
-            case Received(source, SimRequest() as instance_check) if instance_check.target == HEALTH:
+                plan.send(
+                    source,
+                    SimAnswer(
+                        instance_check.number,
+                        200,
+                        whole=self._listens(),
+                        incarnation=self.seat.incarnation,
+                    ),
+                )
+            case Received(source, SimRequest() as instance_check) if (
+                instance_check.target == HEALTH
+            ):
                 said = ((TOKEN_HEADER, self.token),) if self.token else ()
-                plan.send(source, SimAnswer(instance_check.number, 200, said, whole=instance_check.incarnation == self.seat.incarnation, incarnation=self.seat.incarnation))
+                plan.send(
+                    source,
+                    SimAnswer(
+                        instance_check.number,
+                        200,
+                        said,
+                        whole=instance_check.incarnation == self.seat.incarnation,
+                        incarnation=self.seat.incarnation,
+                    ),
+                )
             case Received(source, SimRequest() as asked):
                 self._answer(source, asked, plan)
         return plan
 
     def _listens(self):
-        """A polite origin that was given a used address waits until a registry tells it that it is in force."""
-        self.listening = self.listening or not self.world.polite.get(self.seat.address) or any(
-            card["address"] == self.seat.address and card["service"] == self.service and card["state"] in ("cold", "warm")
-            for name in self.registries if self.world.seats[name].node is not None
-            for card in self.world.seats[name].node.registry.tables.origins.values())
+        """A polite origin that was given a used address waits until a registry tells it that it is
+        in force.
+        """
+        self.listening = (
+            self.listening
+            or not self.world.polite.get(self.seat.address)
+            or any(
+                card["address"] == self.seat.address
+                and card["service"] == self.service
+                and card["state"] in ("cold", "warm")
+                for name in self.registries
+                if self.world.seats[name].node is not None
+                for card in self.world.seats[name].node.registry.tables.origins.values()
+            )
+        )
         return self.listening
 
     def _answer(self, source, asked, plan):
         if asked.incarnation != self.seat.incarnation:
-            plan.send(source, SimAnswer(asked.number, 0, whole=False, incarnation=self.seat.incarnation))
+            plan.send(
+                source, SimAnswer(asked.number, 0, whole=False, incarnation=self.seat.incarnation)
+            )
             return
         path = asked.target.partition("?")[0]
         self.world.traffic.at_origin(self, source, asked, path)
@@ -60,14 +105,26 @@
         if self.mode == "lost":
             return
         headers = dict(asked.headers)
-        body = json.dumps({"path": asked.target, "user": headers.get("authorization", ""), "service": self.service,
-                           "version": self.world.traffic.version, "wrote": asked.body}).encode()
+        body = json.dumps(
+            {
+                "path": asked.target,
+                "user": headers.get("authorization", ""),
+                "service": self.service,
+                "version": self.world.traffic.version,
+                "wrote": asked.body,
+            }
+        ).encode()
         shared = asked.method == "GET" and "authorization" not in headers
-        said = (("cache-control", f"max-age={self.world.keep}" if shared else "private"), ("etag", f'"{self.world.traffic.version}"'))
+        said = (
+            ("cache-control", f"max-age={self.world.keep}" if shared else "private"),
+            ("etag", f'"{self.world.traffic.version}"'),
+        )
         if shared and headers.get("if-none-match") == f'"{self.world.traffic.version}"':
             plan.send(source, SimAnswer(asked.number, 304, said, incarnation=self.seat.incarnation))
             return
-        answer = SimAnswer(asked.number, 200, said, body, self.mode != "short", self.seat.incarnation)
+        answer = SimAnswer(
+            asked.number, 200, said, body, self.mode != "short", self.seat.incarnation
+        )
         if self.mode in LATE:
             self.load += 1
             self.world.at(LATE[self.mode], self._late, source, answer, self.seat.incarnation)
