--- a/src/willowpost/sim/fleet/rules.py
+++ b/src/willowpost/sim/fleet/rules.py
@@ -1,4 +1,5 @@
 """The brief's promises, checked as the simulated traffic flows."""
+
 import json
 from collections import Counter, deque
 
@@ -7,30 +8,35 @@
 
 GRACE = 2 * SECOND
 ZONE_GRACE = 5 * SECOND
-ROUTE = 20_000       # µs that a message may have been on its way when the limit passed
+ROUTE = 20_000  # µs that a message may have been on its way when the limit passed
 
 
 class TrafficRules:
-    """Invariants checked: see docs/design/promises.md; every one raises Broken at the step that breaks it."""
+    """Invariants checked: see docs/design/promises.md.
+
+    Every one raises Broken at the step that breaks it.
+    """
 
     def __init__(self, world):
         self.world = world
         self.version = 1
-        self.moved: dict = {}                     # (address, service) -> when first known to a registry
-        self.replaced: dict[int, int] = {}        # version -> when the next one replaced it
+        # (address, service) -> when first known to a registry
+        self.moved: dict = {}
+        self.replaced: dict[int, int] = {}  # version -> when the next one replaced it
         self.asked: dict[int, tuple] = {}
-        self.count = 0                            # of all asked ever
+        self.count = 0  # of all asked ever
         self.runs: Counter = Counter()
         self.not_run: set[str] = set()
         self.configurations: list[tuple[int, int]] = []  # (accepted at, version)
-        self.purges: list[tuple[int, int]] = []   # (accepted at, version then)
-        self.leaving: dict[str, tuple] = {}       # origin address -> (accepted at, life)
+        self.purges: list[tuple[int, int]] = []  # (accepted at, version then)
+        self.leaving: dict[str, tuple] = {}  # origin address -> (accepted at, life)
         self.emptied: dict[str, int] = {}
         self.outcomes: Counter = Counter()
         self.refusals: deque = deque()
-        self.dropped: list = []                   # requests whose connection was refused or broke
-        self.presses: deque = deque()             # (moment, whether it is an extra try), as the origins saw them
-        self.extras = 0                           # of them
+        self.dropped: list = []  # requests whose connection was refused or broke
+        # (moment, whether it is an extra try), as the origins saw them
+        self.presses: deque = deque()
+        self.extras = 0  # of them
         self.seen_asks: set = set()
         self.pressed: dict[str, deque] = {}
         self.per_origin: dict[str, deque] = {}
@@ -49,10 +55,15 @@
         self.world.arrivals[origin.service].append(now)
         self._extra_tries(dict(asked.headers)["x-ask"], now)
         if wanted != origin.service:
-            # The new service took its caller before we could know of it. See promises.md: it should listen only when told.
+            # The new service took its caller before we could know of it. See promises.md: it should
+            # listen only when told.
             learned = self.moved.get((address, origin.service))
-            self.say(not self.world.polite.get(address) and not origin.token and (learned is None or now <= learned + GRACE + ROUTE),
-                     f"{path} of service {wanted} reached {address} of service {origin.service}")
+            self.say(
+                not self.world.polite.get(address)
+                and not origin.token
+                and (learned is None or now <= learned + GRACE + ROUTE),
+                f"{path} of service {wanted} reached {address} of service {origin.service}",
+            )
             self._margin("address moved rudely, ms", now - learned if learned else 0)
             if asked.body:
                 self.runs[asked.body] += 1
@@ -64,20 +75,32 @@
         left = self.leaving.get(address)
         if left is not None and left[1] == origin.seat.incarnation:
             self._margin("leaving origin, ms", now - left[0])
-            self.say(now <= left[0] + GRACE + ROUTE, f"{address} got a request {(now - left[0]) / SECOND:.2f} s after it left")
+            self.say(
+                now <= left[0] + GRACE + ROUTE,
+                f"{address} got a request {(now - left[0]) / SECOND:.2f} s after it left",
+            )
         emptied = self.emptied.get(origin.zone)
         if emptied is not None:
-            self.say(now <= emptied + ZONE_GRACE + ROUTE, f"emptied zone {origin.zone} got a request after 5 s")
+            self.say(
+                now <= emptied + ZONE_GRACE + ROUTE,
+                f"emptied zone {origin.zone} got a request after 5 s",
+            )
         pressed = self.pressed.setdefault(origin.service, deque())
         self._window(pressed, now, 5 * SECOND)
         rate = self.world.rates[origin.service]
         self._margin(f"{origin.service} in 5 s, % of rate", int(100 * len(pressed) / (5 * rate)))
-        self.say(len(pressed) <= 1.1 * rate * 5 + 1, f"service {origin.service} got {len(pressed)} in 5 s at rate {rate}")
+        self.say(
+            len(pressed) <= 1.1 * rate * 5 + 1,
+            f"service {origin.service} got {len(pressed)} in 5 s at rate {rate}",
+        )
         own = self.per_origin.setdefault((address, origin.seat.incarnation), deque())
         self._window(own, now, SECOND)
         part = min(1.0, (now - origin.born_at) / SECOND / self.world.ramp)
         bears = origin.rate * (self.world.cold_part + (1 - self.world.cold_part) * part)
-        self.say(len(own) <= 1.5 * bears + 1, f"cold {address} got {len(own)} in a second, bears {bears:.0f}")
+        self.say(
+            len(own) <= 1.5 * bears + 1,
+            f"cold {address} got {len(own)} in a second, bears {bears:.0f}",
+        )
 
     def _window(self, held, now, span):
         held.append(now)
@@ -85,8 +108,10 @@
             held.popleft()
 
     def learned_move(self, address, service):
-        self.moved = {**{key: at for key, at in self.moved.items() if key[0] != address},
-                      (address, service): self.moved.get((address, service), self.world.time)}
+        self.moved = {
+            **{key: at for key, at in self.moved.items() if key[0] != address},
+            (address, service): self.moved.get((address, service), self.world.time),
+        }
 
     # what callers see
 
@@ -98,7 +123,7 @@
         asked = self.asked.pop(answer.number, None)
         if asked is None:
             return
-        began, edge, kind, path, user, write = asked
+        began, edge, _kind, path, user, write = asked
         self.outcomes[answer.status] += 1
         if not answer.status:
             self.dropped.append((self.world.time, source, path))
@@ -114,22 +139,34 @@
             return
         said = json.loads(answer.body)
         rude = any(not self.world.polite.get(address, True) for address in self.world.polite)
-        self.say(said["path"] == path and said["user"] == user and said["wrote"] == write
-                 and (said["service"] == self.world.service_of(path) or rude), f"wrong answer for {path}: {said}")
+        self.say(
+            said["path"] == path
+            and said["user"] == user
+            and said["wrote"] == write
+            and (said["service"] == self.world.service_of(path) or rude),
+            f"wrong answer for {path}: {said}",
+        )
         self.served.append((self.world.time, edge))
         if write or user:
             return
         for accepted, version in self.purges:
             if began > accepted + GRACE:
-                self.say(said["version"] > version, f"{path} at {edge}: version {said['version']} purged "
-                                                    f"{(began - accepted) / SECOND:.2f} s before was served")
+                self.say(
+                    said["version"] > version,
+                    f"{path} at {edge}: version {said['version']} purged "
+                    f"{(began - accepted) / SECOND:.2f} s before was served",
+                )
             elif said["version"] <= version and self.world.time > accepted:
                 self._margin("purged content, ms", self.world.time - accepted)
         replaced = self.replaced.get(said["version"])
         if replaced is not None:
-            self._margin("past keep time, ms", self.world.time - replaced - self.world.keep * SECOND)
-            self.say(self.world.time <= replaced + self.world.keep * SECOND + GRACE + ROUTE,
-                     f"{path}: replaced content served past its keep time")
+            self._margin(
+                "past keep time, ms", self.world.time - replaced - self.world.keep * SECOND
+            )
+            self.say(
+                self.world.time <= replaced + self.world.keep * SECOND + GRACE + ROUTE,
+                f"{path}: replaced content served past its keep time",
+            )
 
     def _margin(self, name, value):
         self.margin[name] = max(self.margin[name], value)
@@ -148,14 +185,32 @@
     # after each step of a proxy
 
     def _whole(self, world, seat):
-        """What says that it knows all up to a moment must hold every configuration accepted by then: the next read is answered from it."""
-        node_state = next((held for held in (getattr(seat.node, name, None) for name in ("proxy", "registry", "node_state")) if held is not None), None)
+        """What says that it knows all up to a moment must hold every configuration accepted by
+        then: the next read is answered from it.
+        """
+        node_state = next(
+            (
+                held
+                for held in (
+                    getattr(seat.node, name, None) for name in ("proxy", "registry", "node_state")
+                )
+                if held is not None
+            ),
+            None,
+        )
         fresh = getattr(node_state, "fresh_as_of", None)
         if fresh is not None and self.configurations:
-            accepted, version = max(((at, held) for at, held in self.configurations if at <= fresh - seat.clock_base), default=(0, 0), key=lambda held: held[1])
+            accepted, version = max(
+                ((at, held) for at, held in self.configurations if at <= fresh - seat.clock_base),
+                default=(0, 0),
+                key=lambda held: held[1],
+            )
             held = node_state.tables.configuration["version"]
-            self.say(held >= version, f"{seat.address} calls itself whole as of t={fresh - seat.clock_base} with configuration {held}, "
-                                         f"{version} was accepted at t={accepted}")
+            self.say(
+                held >= version,
+                f"{seat.address} calls itself whole as of t={fresh - seat.clock_base} with configuration {held}, "
+                f"{version} was accepted at t={accepted}",
+            )
 
     def __call__(self, world, seat, event, plan):
         self._whole(world, seat)
@@ -166,9 +221,11 @@
         if proxy.leased(now) and seat.frozen_until <= world.time:
             for accepted, version in self.configurations[-3:]:
                 if world.time > accepted + GRACE:
-                    self.say(proxy.snapshot.version >= version,
-                             f"{seat.address} may deliver with configuration {proxy.snapshot.version}, {version} was accepted "
-                             f"{(world.time - accepted) / SECOND:.2f} s ago")
+                    self.say(
+                        proxy.snapshot.version >= version,
+                        f"{seat.address} may deliver with configuration {proxy.snapshot.version}, {version} was accepted "
+                        f"{(world.time - accepted) / SECOND:.2f} s ago",
+                    )
                 elif proxy.snapshot.version < version:
                     self._margin("configuration not in force, ms", world.time - accepted)
         slot = proxy.tables.slot
@@ -178,7 +235,10 @@
         self.world.proxy_slots[place] = slot
 
     def _extra_tries(self, ask, now):
-        """Counted where it hurts: whatever comes for the same ask after its first, by whichever hops, is extra."""
+        """Counted where it hurts: whatever comes for the same ask after its first.
+
+        By whichever hops, is extra.
+        """
         extra = ask in self.seen_asks
         self.seen_asks.add(ask)
         self.presses.append((now, extra))
@@ -186,5 +246,9 @@
         while self.presses[0][0] <= now - 10 * SECOND:
             self.extras -= self.presses.popleft()[1]
         firsts = len(self.presses) - self.extras
-        self._margin("extra tries over a fifth of first, of 60", max(0, int(self.extras - 0.2 * firsts)))
-        self.say(self.extras <= 0.2 * firsts + 60, f"{self.extras} extra tries on {firsts} first in 10 s")
+        self._margin(
+            "extra tries over a fifth of first, of 60", max(0, int(self.extras - 0.2 * firsts))
+        )
+        self.say(
+            self.extras <= 0.2 * firsts + 60, f"{self.extras} extra tries on {firsts} first in 10 s"
+        )
--- a/src/willowpost/sim/fleet/world.py
+++ b/src/willowpost/sim/fleet/world.py
@@ -1,10 +1,14 @@
-"""A whole fleet in the simulator: the core, registries, edges, shields, origins, callers, operators."""
+"""A whole fleet in the simulator: the core, registries, edges, shields, origins, callers.
+
+Operators.
+"""
+
 import copy
 
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.configuration.checker import ConfigurationChecker
-from willowpost.node.node_state import Card
 from willowpost.node.leaver import Leave, Stage
+from willowpost.node.node_state import Card
 from willowpost.proxy.routing.request import Request
 from willowpost.sim.core import CoreWorld
 from willowpost.sim.fleet.messages import SimAnswer, SimCall, SimRequest
@@ -16,7 +20,10 @@
 
 
 class FleetWorld(CoreWorld):
-    """Invariant: operators' answers, callers' answers and origins' logs all go through `traffic`, which checks them."""
+    """Invariant: operators' answers, callers' answers and origins' logs all go through `traffic`.
+
+    Which checks them.
+    """
 
     def __init__(self, seed, weather=None, rate=None, regions=None, shape=SMALL, **core):
         super().__init__(seed, weather or Weather(), zones=shape.cores, regions=regions, **core)
@@ -25,22 +32,40 @@
         self.calling = False
         self.polite: dict = {}
         self.seed_names: list = []
-        self.rate, self.keep, self.ramp, self.cold_part = rate or shape.rate, shape.keep, shape.ramp, 0.25
-        self.rates = {name: float(service["rate"]) for name, service in shape.configuration["services"].items()}
+        self.rate, self.keep, self.ramp, self.cold_part = (
+            rate or shape.rate,
+            shape.keep,
+            shape.ramp,
+            0.25,
+        )
+        self.rates = {
+            name: float(service["rate"])
+            for name, service in shape.configuration["services"].items()
+        }
         self.shares = [kind.share for kind in shape.kinds]
         self.services = {kind.path: kind.service for kind in shape.kinds}
-        self.arrivals = {service: [] for service in self.rates}      # when a request of its service came to an origin
-        self.tokened = lambda address: True       # which origins opt in to the instance check
+        # when a request of its service came to an origin
+        self.arrivals = {service: [] for service in self.rates}
+        self.tokened = lambda address: True  # which origins opt in to the instance check
         self.traffic = TrafficRules(self)
         self.checks.append(self.traffic)
         self.proxy_slots: dict = {}
         self.regions = regions or {}
         self.registries = [self._registry(number, zone) for number, zone in enumerate(shape.cores)]
-        self.edges = [self._proxy(f"e{number}", "edge", zone) for number, zone in enumerate(shape.edges)]
-        self.shields = [self._proxy(f"h{number}", "shield", shape.cores[number]) for number in shape.shields]
-        self.origins = [self._origin(f"{service}{number}", service, zone, rate)
-                        for service, members in shape.origins.items() for number, (zone, rate) in enumerate(members)]
-        self.add("caller", lambda records, now, wall, incarnation: SimCaller(self, self.seats["caller"]))
+        self.edges = [
+            self._proxy(f"e{number}", "edge", zone) for number, zone in enumerate(shape.edges)
+        ]
+        self.shields = [
+            self._proxy(f"h{number}", "shield", shape.cores[number]) for number in shape.shields
+        ]
+        self.origins = [
+            self._origin(f"{service}{number}", service, zone, rate)
+            for service, members in shape.origins.items()
+            for number, (zone, rate) in enumerate(members)
+        ]
+        self.add(
+            "caller", lambda records, now, wall, incarnation: SimCaller(self, self.seats["caller"])
+        )
         self.configuration = copy.deepcopy(shape.configuration)
         self.version = 0
 
@@ -56,15 +81,25 @@
             self._post(seat, address, message)
 
     def _arrive(self, address, source, message):
-        """A machine whose process is gone refuses at once; one without power, or cut off, says nothing."""
+        """A machine whose process is gone refuses at once; one without power, or cut off.
+
+        Says nothing.
+        """
         seat = self.seats[address]
-        if isinstance(message, SimRequest) and seat.node is None and not seat.dark and (source, address) not in self.cuts:
+        if (
+            isinstance(message, SimRequest)
+            and seat.node is None
+            and not seat.dark
+            and (source, address) not in self.cuts
+        ):
             self._post(seat, source, SimAnswer(message.number, 0, whole=False, incarnation=-1))
             return
         super()._arrive(address, source, message)
 
     def token(self, seat):
-        return f"{seat.address}-incarnation-{seat.incarnation}" if self.tokened(seat.address) else ""
+        return (
+            f"{seat.address}-incarnation-{seat.incarnation}" if self.tokened(seat.address) else ""
+        )
 
     def service_of(self, path):
         return self.services["/" + path.split("/")[1]]
@@ -75,19 +110,51 @@
 
     def _registry(self, number, zone):
         address = f"r{number}"
-        return self._add(address, zone, lambda records, now, wall, incarnation: SimRegistry(
-            self, self.seats[address], Card(f"{address}/registry", "registry", "core", f"s{number}", zone, address, address, incarnation),
-            self.seeds(address), wall))
+        return self._add(
+            address,
+            zone,
+            lambda records, now, wall, incarnation: SimRegistry(
+                self,
+                self.seats[address],
+                Card(
+                    f"{address}/registry",
+                    "registry",
+                    "core",
+                    f"s{number}",
+                    zone,
+                    address,
+                    address,
+                    incarnation,
+                ),
+                self.seeds(address),
+                wall,
+            ),
+        )
 
     def _proxy(self, address, role, zone):
-        return self._add(address, zone, lambda records, now, wall, incarnation: SimProxy(
-            self, self.seats[address], Card(f"{address}/proxy", "proxy", role, address, zone, address, address, incarnation),
-            self.seeds(address), wall))
+        return self._add(
+            address,
+            zone,
+            lambda records, now, wall, incarnation: SimProxy(
+                self,
+                self.seats[address],
+                Card(
+                    f"{address}/proxy", "proxy", role, address, zone, address, address, incarnation
+                ),
+                self.seeds(address),
+                wall,
+            ),
+        )
 
     def _origin(self, address, service, zone, rate):
         self.homes = {**getattr(self, "homes", {}), address: service}
-        return self._add(address, zone, lambda records, now, wall, incarnation: SimOrigin(
-            self, self.seats[address], self.homes[address], zone, rate, self.registries))
+        return self._add(
+            address,
+            zone,
+            lambda records, now, wall, incarnation: SimOrigin(
+                self, self.seats[address], self.homes[address], zone, rate, self.registries
+            ),
+        )
 
     def zone_seats(self, zone):
         """Every machine of a zone: stores with their registries, proxies and origins."""
@@ -96,8 +163,12 @@
         registries = [f"r{number}" for number, held in enumerate(self.shape.cores) if held == zone]
         proxies = [f"e{number}" for number, held in enumerate(self.shape.edges) if held == zone]
         shields = [name for name in (f"h{held[1:]}" for held in registries) if name in self.seats]
-        origins = [f"{service}{number}" for service, members in self.shape.origins.items()
-                   for number, (held, _) in enumerate(members) if held == zone]
+        origins = [
+            f"{service}{number}"
+            for service, members in self.shape.origins.items()
+            for number, (held, _) in enumerate(members)
+            if held == zone
+        ]
         return stores + registries + proxies + shields + origins
 
     def open(self):
@@ -130,25 +201,39 @@
         def accepted(answer):
             self.version = max(self.version, answer["version"])
             self.traffic.accepted_configuration(answer["version"])
+
         self.operate(registry, {"op": "configuration", "tree": tree, "if_match": None}, accepted)
 
     def purge(self, registry, kind="prefix", path="/"):
         """The content changes, then its old self is purged."""
         old = self.traffic.replace()
-        self.operate(registry, {"op": "purge", "kind": kind, "host": "*", "path": path},
-                     lambda answer: self.traffic.purges.append((self.time, old)))
+        self.operate(
+            registry,
+            {"op": "purge", "kind": kind, "host": "*", "path": path},
+            lambda answer: self.traffic.purges.append((self.time, old)),
+        )
 
     def drain_origin(self, registry, address):
         tables = self.seats[f"r{registry}"].node
         if tables is None:
             return
-        name = next((name for name, card in tables.registry.tables.origins.items() if card["address"] == address), None)
+        name = next(
+            (
+                name
+                for name, card in tables.registry.tables.origins.items()
+                if card["address"] == address
+            ),
+            None,
+        )
         seat = self.seats[address]
         if name is not None and seat.node is not None:
             seat.node.silent = True
             incarnation = seat.incarnation
-            self.operate(registry, {"op": "turn", "origin": name, "state": "draining"},
-                         lambda answer: self.traffic.leaving.update({address: (self.time, incarnation)}))
+            self.operate(
+                registry,
+                {"op": "turn", "origin": name, "state": "draining"},
+                lambda answer: self.traffic.leaving.update({address: (self.time, incarnation)}),
+            )
 
     def empty_zone(self, registry, zone, empty):
         def done(answer):
@@ -156,6 +241,7 @@
                 self.traffic.emptied[zone] = self.time
             else:
                 self.traffic.emptied.pop(zone, None)
+
         if not empty:
             self.traffic.emptied.pop(zone, None)
         self.operate(registry, {"op": "zone", "zone": zone, "empty": empty}, done)
@@ -163,7 +249,7 @@
     def restart(self, address):
         """A planned restart by the platform: asked to leave, waited for, started again."""
         leaver = getattr(getattr(self.seats[address].node, "node", None), "leaver", None)
-        if leaver is None:                # a store may stop at any moment
+        if leaver is None:  # a store may stop at any moment
             self.crash(address)
             self.at(SECOND, self.start, address)
             return
@@ -179,12 +265,23 @@
 
     def sound_edges(self):
         """As the platform's balancer sees them: by their own word, if they answer."""
-        return [edge for edge in self.edges if (seat := self.seats[edge]).node is not None and seat.frozen_until <= self.time
-                and ("caller", edge) not in self.cuts and self._sound(seat)]
+        return [
+            edge
+            for edge in self.edges
+            if (seat := self.seats[edge]).node is not None
+            and seat.frozen_until <= self.time
+            and ("caller", edge) not in self.cuts
+            and self._sound(seat)
+        ]
 
     def _sound(self, seat):
         node_state, now = seat.node.proxy, self.now(seat)
-        return node_state.leased(now) and node_state.warmed_up(now) and not node_state.draining and node_state.emptied_at is None
+        return (
+            node_state.leased(now)
+            and node_state.warmed_up(now)
+            and not node_state.draining
+            and node_state.emptied_at is None
+        )
 
     def _call(self):
         if not self.calling:
@@ -206,10 +303,16 @@
         self._post(self.seats["caller"], edge, SimCall(self.number, request, write))
 
     def node_states(self):
-        return [(seat, seat.node.node_state) for name, seat in self.seats.items() if name in self.stores() and seat.node is not None]
+        return [
+            (seat, seat.node.node_state)
+            for name, seat in self.seats.items()
+            if name in self.stores() and seat.node is not None
+        ]
 
     def stores(self):
-        return [name for name, seat in self.seats.items() if name.startswith("s") and not seat.retired]
+        return [
+            name for name, seat in self.seats.items() if name.startswith("s") and not seat.retired
+        ]
 
     def settle(self, span=15.0):
         """Faults are closed: within 15 s every proxy delivers again, and what was accepted stands."""
@@ -220,9 +323,12 @@
             if seat.node is None and not seat.retired:
                 self.start(address)
         closed = self.time
-        for zone in self.shape.zones:      # an operator whose earlier answer was lost asks again
+        for zone in self.shape.zones:  # an operator whose earlier answer was lost asks again
             self.empty_zone(0, zone, False)
-        whole = lambda: all(self._sound(self.seats[name]) for name in self.edges)
+
+        def whole():
+            return all(self._sound(self.seats[name]) for name in self.edges)
+
         self.run(seconds(2))
         for zone in self.shape.zones:
             self.empty_zone(0, zone, False)
@@ -233,5 +339,11 @@
         served = [edge for moment, edge in self.traffic.served if moment > self.time - seconds(3)]
         self.traffic.say(len(served) > self.rate, f"only {len(served)} served in the last 3 s")
         self.rules.finish(self, self.node_states())
-        versions = {seat.node.registry.tables.configuration["version"] for name, seat in self.seats.items() if name in self.registries}
-        self.traffic.say(min(versions) >= self.version, f"read back {versions}, accepted {self.version}")
+        versions = {
+            seat.node.registry.tables.configuration["version"]
+            for name, seat in self.seats.items()
+            if name in self.registries
+        }
+        self.traffic.say(
+            min(versions) >= self.version, f"read back {versions}, accepted {self.version}"
+        )
--- a/src/willowpost/sim/pace.py
+++ b/src/willowpost/sim/pace.py
@@ -1,4 +1,8 @@
-"""How the core decides under a deployment's distances: fast path, forfeits, time to acceptance. Virtual time, seeded."""
+"""How the core decides under a deployment's distances: fast path, forfeits, time to acceptance.
+
+Virtual time, seeded.
+"""
+
 from dataclasses import dataclass
 
 from willowpost.common.clock import MILLI, SECOND
@@ -13,15 +17,29 @@
     slots: int
     null_part: float
     fast_part: float
-    accept_p_50: float      # ms
+    accept_p_50: float  # ms
     accept_p_99: float
 
 
 class PaceMeasure:
-    """Invariant: fast_part counts the slots that a voter decided by votes in the first phase, of all it decided by votes."""
+    """Invariant: fast_part counts the slots that a voter decided by votes in the first phase.
+
+    Of all it decided by votes.
+    """
 
-    def __init__(self, zones, regions, between: int, jitter: int, pace: Pace, rate: float, seed: int = 1):
-        self.weather = Weather(least=100, spread=jitter, between={(a, b): between for a in set(regions.values()) for b in set(regions.values()) if a != b})
+    def __init__(
+        self, zones, regions, between: int, jitter: int, pace: Pace, rate: float, seed: int = 1
+    ):
+        self.weather = Weather(
+            least=100,
+            spread=jitter,
+            between={
+                (a, b): between
+                for a in set(regions.values())
+                for b in set(regions.values())
+                if a != b
+            },
+        )
         self.world = CoreWorld(seed, self.weather, pace=pace, zones=zones, regions=regions)
         self.regions, self.zones, self.rate = regions, zones, rate
         self.asked: dict[int, int] = {}
@@ -31,7 +49,11 @@
         world = self.world
         world.until(world.bootstrapped, seconds(10))
         for number, zone in enumerate(self.zones):
-            world.add_caller(f"r{number}", [f"s{number}"] + [name for name in world.names if name != f"s{number}"], self.regions[zone])
+            world.add_caller(
+                f"r{number}",
+                [f"s{number}"] + [name for name in world.names if name != f"s{number}"],
+                self.regions[zone],
+            )
         world.run(seconds(1))
         end = world.time + seconds(span)
         due = world.time
@@ -40,16 +62,24 @@
             while world.time < due:
                 world.run(min(MILLI, due - world.time))
                 self._collect()
-            token = world.ask(f"r{world.chance.randrange(len(self.zones))}", {"op": "zone", "zone": f"z{len(self.asked) % 9}", "empty": True})
+            token = world.ask(
+                f"r{world.chance.randrange(len(self.zones))}",
+                {"op": "zone", "zone": f"z{len(self.asked) % 9}", "empty": True},
+            )
             self.asked[token] = world.time
         world.run(seconds(1))
         self._collect()
         node_states = [node_state for _, node_state in world.node_states()]
         held = sorted(self.took)
         voted = sum(node_state.stats["voted"] for node_state in node_states)
-        return PaceFigures(len(held), node_states[0].stats["decided"], node_states[0].stats["null"] / node_states[0].stats["decided"],
-                           sum(node_state.stats["fast"] for node_state in node_states) / max(1, voted),
-                           held[len(held) // 2] / 1000, held[int(len(held) * 0.99)] / 1000)
+        return PaceFigures(
+            len(held),
+            node_states[0].stats["decided"],
+            node_states[0].stats["null"] / node_states[0].stats["decided"],
+            sum(node_state.stats["fast"] for node_state in node_states) / max(1, voted),
+            held[len(held) // 2] / 1000,
+            held[int(len(held) * 0.99)] / 1000,
+        )
 
     def _collect(self):
         done = [token for token in self.asked if token in self.world.replies]
--- a/src/willowpost/sim/rules.py
+++ b/src/willowpost/sim/rules.py
@@ -1,9 +1,10 @@
 """What is checked after each step of a simulated run of the core."""
+
 import json
 import re
 
 from willowpost.consensus.replica.records import decision_from
-from willowpost.wire.messages import Accepted, Decision, BallotState, Submit
+from willowpost.wire.messages import Accepted, BallotState, Decision, Submit
 
 
 class Broken(AssertionError):
@@ -11,14 +12,19 @@
 
     @property
     def rule(self) -> str:
-        """The text without its moment, names, numbers and examples: what breaks of one rule have in common."""
+        """The text without its moment, names, numbers and examples.
+
+        What breaks of one rule have in common.
+        """
         said = re.sub(r"[:;,(\[] *[\[({].*", "", re.sub(r"^t=\d+: ", "", str(self)))
         return re.sub(r"[\w./@%-]*\d[\w./@%-]*", "N", said)
 
 
 class CoreRules:
-    """Invariants checked: agreement, weak validity, no ballot state unsaid, accepted commands on n - f disks
-    and in every later log, and no node going back a slot."""
+    """Invariants checked: agreement, weak validity, no ballot state unsaid.
+
+    Accepted commands on n - f disks and in every later log, and no node going back a slot.
+    """
 
     def __init__(self):
         self.submitted: set[str] = set()
@@ -26,14 +32,19 @@
         self.accepted: dict[str, int] = {}
         self.said: dict[tuple, BallotState] = {}
         self.slots: dict[tuple, int] = {}
-        self.held: dict[str, int] = {}      # what each machine's disk has held, also if it was lost since
+        # what each machine's disk has held, also if it was lost since
+        self.held: dict[str, int] = {}
 
     def __call__(self, world, seat, event, plan):
-        self.submitted |= {message.command.key for _, message in plan.sends if isinstance(message, Submit)}
+        self.submitted |= {
+            message.command.key for _, message in plan.sends if isinstance(message, Submit)
+        }
         node_state = getattr(seat.node, "node_state", None)
         if node_state is None:
             return
-        self.held[seat.address] = max(self.held.get(seat.address, 0), disk_slot([*(plan.rotate or ()), *plan.records]))
+        self.held[seat.address] = max(
+            self.held.get(seat.address, 0), disk_slot([*(plan.rotate or ()), *plan.records])
+        )
         for record in plan.records:
             if record["k"] == "decision":
                 self._agree(world, seat, decision_from(record))
@@ -43,7 +54,9 @@
             if isinstance(message, Accepted) and isinstance(json.loads(message.answers), list):
                 self._accept(world, seat, message)
         place = (seat.address, seat.incarnation)
-        self._say(node_state.tables.slot >= self.slots.get(place, 0), world, seat, "went back a slot")
+        self._say(
+            node_state.tables.slot >= self.slots.get(place, 0), world, seat, "went back a slot"
+        )
         self.slots[place] = node_state.tables.slot
 
     def _say(self, kept, world, seat, what):
@@ -52,42 +65,82 @@
 
     def _agree(self, world, seat, decision: Decision):
         known = self.decided.setdefault(decision.slot, decision.key)
-        self._say(known == decision.key, world, seat, f"slot {decision.slot} decided {decision.key!r}, elsewhere {known!r}")
-        self._say(not decision.key or decision.key in self.submitted, world, seat, f"{decision.key} was never submitted")
+        self._say(
+            known == decision.key,
+            world,
+            seat,
+            f"slot {decision.slot} decided {decision.key!r}, elsewhere {known!r}",
+        )
+        self._say(
+            not decision.key or decision.key in self.submitted,
+            world,
+            seat,
+            f"{decision.key} was never submitted",
+        )
 
     def _stand(self, world, seat, ballot_state):
         place = (ballot_state.identity, ballot_state.epoch, ballot_state.slot)
         known = self.said.get(place)
         if known is not None:
-            same = (known.proposal == ballot_state.proposal
-                    and all(a == b for a, b in zip(known.states, ballot_state.states))
-                    and all(a == b for a, b in zip(known.votes, ballot_state.votes))
-                    and (not known.agreed or not ballot_state.agreed or known.agreed == ballot_state.agreed)
-                    and (1 not in (*ballot_state.states, *ballot_state.votes) or bool(ballot_state.agreed)))
+            same = (
+                known.proposal == ballot_state.proposal
+                and all(a == b for a, b in zip(known.states, ballot_state.states, strict=False))
+                and all(a == b for a, b in zip(known.votes, ballot_state.votes, strict=False))
+                and (
+                    not known.agreed
+                    or not ballot_state.agreed
+                    or known.agreed == ballot_state.agreed
+                )
+                and (
+                    1 not in (*ballot_state.states, *ballot_state.votes)
+                    or bool(ballot_state.agreed)
+                )
+            )
             self._say(same, world, seat, f"unsaid its ballot state in slot {ballot_state.slot}")
-        if known is None or len(ballot_state.states) + len(ballot_state.votes) > len(known.states) + len(known.votes):
+        if known is None or len(ballot_state.states) + len(ballot_state.votes) > len(
+            known.states
+        ) + len(known.votes):
             self.said[place] = ballot_state
 
     def _accept(self, world, seat, accepted):
         self.accepted[accepted.key] = accepted.slot
         node_state = seat.node.node_state
         members = {member["address"] for member in node_state.tables.core}
-        holding = sum(max(self.held.get(address, 0), disk_slot(world.seats[address].disk.records)) > accepted.slot
-                      for address in members if address in world.seats)
-        self._say(holding >= len(members) - (len(members) - 1) // 2, world, seat,
-                  f"{accepted.key} accepted with only {holding} disks holding it")
+        holding = sum(
+            max(self.held.get(address, 0), disk_slot(world.seats[address].disk.records))
+            > accepted.slot
+            for address in members
+            if address in world.seats
+        )
+        self._say(
+            holding >= len(members) - (len(members) - 1) // 2,
+            world,
+            seat,
+            f"{accepted.key} accepted with only {holding} disks holding it",
+        )
 
     def finish(self, world, node_states):
-        """After the fault is closed and the run went on: all live stores hold all that was accepted."""
+        """After the fault is closed and the run went on.
+
+        All live stores hold all that was accepted.
+        """
         for seat, node_state in node_states:
-            lost = [key for key, slot in self.accepted.items()
-                    if node_state.tables.slot <= slot or self.decided.get(slot) not in (key,) and slot in self.decided
-                    and not node_state.is_decided(_command(key))]
+            lost = [
+                key
+                for key, slot in self.accepted.items()
+                if node_state.tables.slot <= slot
+                or (
+                    self.decided.get(slot) not in (key,)
+                    and slot in self.decided
+                    and not node_state.is_decided(_command(key))
+                )
+            ]
             self._say(not lost, world, seat, f"accepted commands lost: {lost[:3]}")
 
 
 def _command(key):
     from willowpost.wire.messages import Command
+
     daemon, incarnation, counter = key.rsplit("/", 2)
     return Command(daemon, int(incarnation), int(counter))
 
--- a/src/willowpost/sim/world.py
+++ b/src/willowpost/sim/world.py
@@ -1,4 +1,8 @@
-"""A virtual clock, network and disks, seeded. The nodes in it are the daemons' own state machines."""
+"""A virtual clock, network and disks, seeded.
+
+The nodes in it are the daemons' own state machines.
+"""
+
 import random
 from collections import Counter
 from dataclasses import dataclass, field
@@ -16,19 +20,22 @@
     spread: int = 800
     drop: float = 0.0
     twice: float = 0.0
-    between: dict = field(default_factory=dict)   # (region, region) -> extra delay
+    between: dict = field(default_factory=dict)  # (region, region) -> extra delay
 
 
 @dataclass(slots=True)
 class SimDisk:
-    """Invariant: `records` is what a restart finds; a crash may cut the batch being written, never older ones."""
+    """Invariant: `records` is what a restart finds; a crash may cut the batch being written.
+
+    Never older ones.
+    """
 
     records: list = field(default_factory=list)
 
     def write(self, plan, upto: int | None = None) -> None:
         if plan.rotate is not None:
             if upto is not None:
-                return      # the new segment was not renamed yet: the old one stands
+                return  # the new segment was not renamed yet: the old one stands
             self.records = list(plan.rotate)
         self.records += plan.records if upto is None else plan.records[:upto]
 
@@ -39,7 +46,7 @@
 
     address: str
     region: str
-    build: object                  # (records, now, wall, incarnation) -> node
+    build: object  # (records, now, wall, incarnation) -> node
     disk: SimDisk = field(default_factory=SimDisk)
     node: object = None
     incarnation: int = 0
@@ -47,8 +54,8 @@
     wall_skew: int = 0
     frozen_until: int = 0
     crash_on_write: float = 0.0
-    dark: bool = False             # the machine has no power: nothing refuses connections for it
-    retired: bool = False          # the machine is gone for good
+    dark: bool = False  # the machine has no power: nothing refuses connections for it
+    retired: bool = False  # the machine is gone for good
 
 
 class World:
@@ -59,20 +66,22 @@
     def __init__(self, seed: int, weather: Weather = None, unsafe_send: bool = False):
         self.chance = random.Random(seed)
         self.weather = weather or Weather()
-        self.unsafe_send = unsafe_send          # for proving the checks: sends before it writes
+        self.unsafe_send = unsafe_send  # for proving the checks: sends before it writes
         self.time = 0
         self.order = 0
         self.heap: list = []
         self.seats: dict[str, Seat] = {}
         self.cuts: set[tuple[str, str]] = set()
-        self.checks: list = []                # called (world, seat, event, plan) after each step
+        self.checks: list = []  # called (world, seat, event, plan) after each step
         self.replies: dict = {}
         self.notes: list = []
         self.sent = Counter()
         self.trace: list = []
 
     def add(self, address: str, build, region: str = "one") -> Seat:
-        seat = self.seats[address] = Seat(address, region, build, clock_base=self.chance.randrange(10**12))
+        seat = self.seats[address] = Seat(
+            address, region, build, clock_base=self.chance.randrange(10**12)
+        )
         self.start(address)
         return seat
 
@@ -82,8 +91,12 @@
             return
         seat.incarnation += 1
         seat.dark = False
-        seat.node = seat.build(list(seat.disk.records), self.now(seat), lambda: self.wall(seat),
-                               10**15 + self.time + seat.wall_skew + seat.incarnation)
+        seat.node = seat.build(
+            list(seat.disk.records),
+            self.now(seat),
+            lambda: self.wall(seat),
+            10**15 + self.time + seat.wall_skew + seat.incarnation,
+        )
         self.at(self.chance.randrange(self.TICK), self._tick, address, seat.incarnation)
 
     def crash(self, address: str, lose_disk: bool = False) -> None:
@@ -130,7 +143,13 @@
         if seat.node is None:
             return
         if seat.frozen_until > self.time:
-            self.at(seat.frozen_until - self.time + self.chance.randrange(50), self._late, address, seat.incarnation, event)
+            self.at(
+                seat.frozen_until - self.time + self.chance.randrange(50),
+                self._late,
+                address,
+                seat.incarnation,
+                event,
+            )
             return
         plan = seat.node.step(event, self.now(seat))
         self._carry(seat, event, plan)
@@ -150,7 +169,9 @@
         if self.unsafe_send:
             self._send(seat, plan)
         if torn:
-            seat.disk.write(plan, self.chance.randrange(len(plan.records) + 1) if plan.records else 0)
+            seat.disk.write(
+                plan, self.chance.randrange(len(plan.records) + 1) if plan.records else 0
+            )
             self.crash(seat.address)
             return
         seat.disk.write(plan)
@@ -174,7 +195,11 @@
         if target is None:
             return
         extra = self.weather.between.get((seat.region, target.region), 0)
-        delay = 10 if address == seat.address else self.weather.least + self.chance.randrange(self.weather.spread + 1) + extra
+        delay = (
+            10
+            if address == seat.address
+            else self.weather.least + self.chance.randrange(self.weather.spread + 1) + extra
+        )
         self.at(delay, self._arrive, address, seat.address, message)
 
     def _arrive(self, address, source, message):
--- a/src/willowpost/stand_ins/callers.py
+++ b/src/willowpost/stand_ins/callers.py
@@ -1,4 +1,8 @@
-"""Callers with the day's mix. Each answer carries its identity, so a wrong or mixed one is noticed."""
+"""Callers with the day's mix.
+
+Each answer carries its identity, so a wrong or mixed one is noticed.
+"""
+
 import json
 import random
 from collections import Counter, deque
@@ -21,16 +25,22 @@
     not_run: set = field(default_factory=set)
     unknown: set = field(default_factory=set)
     done: set = field(default_factory=set)
-    refusals: list = field(default_factory=list)      # (moment, code, reason)
-    versions: deque = field(default_factory=lambda: deque(maxlen=200_000))      # (began, version, path, cache)
+    refusals: list = field(default_factory=list)  # (moment, code, reason)
+    # (began, version, path, cache)
+    versions: deque = field(default_factory=lambda: deque(maxlen=200_000))
     per_edge: dict = field(default_factory=dict)
-    dropped: list = field(default_factory=list)       # (moment, edge, what)
+    dropped: list = field(default_factory=list)  # (moment, edge, what)
 
 
 class Callers:
-    """Sends the mix at a steady rate to the edges that call themselves sound, as the platform's balancer would."""
+    """Sends the mix at a steady rate to the edges that call themselves sound.
 
-    def __init__(self, clock, edges: list[str], mix: list[dict], host: str, rate: float, seed: int = 1):
+    As the platform's balancer would.
+    """
+
+    def __init__(
+        self, clock, edges: list[str], mix: list[dict], host: str, rate: float, seed: int = 1
+    ):
         self.clock, self.edges, self.mix, self.host, self.rate = clock, edges, mix, host, rate
         self.chance = random.Random(seed)
         self.tally = Tally()
@@ -72,7 +82,10 @@
             self.pool.spawn(self._call, self.chance.choices(self.mix, self.weights)[0])
 
     def _call(self, kind):
-        """The edge is chosen when the call leaves: one that waited for its turn must not go by what was sound when it was due."""
+        """The edge is chosen when the call leaves.
+
+        One that waited for its turn must not go by what was sound when it was due.
+        """
         if not self.sound:
             return
         edge = self.chance.choice(self.sound)
@@ -106,44 +119,74 @@
                 said = json.loads(text.partition(b"\n")[0])
             except ValueError:
                 said = {}
-            right = said.get("path") == path and said.get("user") == user and said.get("service") == kind["service"] \
+            right = (
+                said.get("path") == path
+                and said.get("user") == user
+                and said.get("service") == kind["service"]
                 and said.get("wrote") == (identity if write else None)
+            )
             if not right:
                 tally.wrong.append((began, edge, path, text[:120].decode(errors="replace")))
             if write:
                 tally.done.add(identity)
             elif not user:
-                tally.versions.append((began, said.get("version"), path, headers.get("wp-cache"), edge))
+                tally.versions.append(
+                    (began, said.get("version"), path, headers.get("wp-cache"), edge)
+                )
             return
         reason = text[:100].decode(errors="replace")
         tally.refusals.append((began, code, reason))
         if write:
-            (tally.not_run if headers.get("wp-outcome") == "not-run" else tally.unknown).add(identity)
+            (tally.not_run if headers.get("wp-outcome") == "not-run" else tally.unknown).add(
+                identity
+            )
         if "retry-after" not in headers and "wp-cache" not in headers and code >= 500:
             tally.wrong.append((began, edge, path, f"{code} without Retry-After: {reason}"))
 
     def _send(self, edge, method, path, headers, body):
         held = self.clients.setdefault(edge, [])
-        client = held.pop() if held else HTTPClient(*split(edge), connection_timeout=1, network_timeout=10, concurrency=1)
+        client = (
+            held.pop()
+            if held
+            else HTTPClient(*split(edge), connection_timeout=1, network_timeout=10, concurrency=1)
+        )
         try:
             answer = client.request(method, path, body=body.encode(), headers=headers)
             text = answer.read()
-            result = (answer.status_code, {name.lower(): value for name, value in answer.headers}, bytes(text))
+            result = (
+                answer.status_code,
+                {name.lower(): value for name, value in answer.headers},
+                bytes(text),
+            )
             held.append(client)
             return result
-        except Exception as problem:      # refused, reset, short: the caller sees a dropped request
+        except Exception as problem:  # refused, reset, short: the caller sees a dropped request
             client.close()
             return f"{type(problem).__name__}: {problem}"
 
 
 def ask(address: str, method: str, path: str, value=None, headers=None, seconds: float = 6):
     """One call: (code, headers, value), or None when nobody answered."""
-    client = HTTPClient(*split(address), connection_timeout=min(1, seconds), network_timeout=seconds)
+    client = HTTPClient(
+        *split(address), connection_timeout=min(1, seconds), network_timeout=seconds
+    )
     try:
-        body = b"" if value is None else value if isinstance(value, bytes) else json.dumps(value).encode()
-        answer = client.request(method, path, body=body, headers={"Content-Type": "application/json", **(headers or {})})
+        body = (
+            b""
+            if value is None
+            else value
+            if isinstance(value, bytes)
+            else json.dumps(value).encode()
+        )
+        answer = client.request(
+            method, path, body=body, headers={"Content-Type": "application/json", **(headers or {})}
+        )
         text = answer.read()
-        return answer.status_code, {name.lower(): value for name, value in answer.headers}, json.loads(text) if text else None
+        return (
+            answer.status_code,
+            {name.lower(): value for name, value in answer.headers},
+            json.loads(text) if text else None,
+        )
     except Exception:
         return None
     finally:
--- a/src/willowpost/stand_ins/main.py
+++ b/src/willowpost/stand_ins/main.py
@@ -1,4 +1,5 @@
 """All origins of a drill in one process, steered over HTTP by the drill."""
+
 import json
 import sys
 
@@ -11,11 +12,16 @@
 
 
 class Standins:
-    """Invariant: the ledger is one for all origins, so a write that ran on two of them counts twice."""
+    """Invariant: the ledger is one for all origins.
+
+    So a write that ran on two of them counts twice.
+    """
 
     def __init__(self, cards):
         self.ledger, self.clock = Ledger(), Clock()
-        self.origins = {card["address"]: StandInsOrigin(self.ledger, self.clock, **card) for card in cards}
+        self.origins = {
+            card["address"]: StandInsOrigin(self.ledger, self.clock, **card) for card in cards
+        }
 
     def steer(self, call):
         asked = json.loads(call.body)
@@ -39,16 +45,33 @@
         return Answer(200, {})
 
     def ledger_page(self, call):
-        return Answer(200, {"writes": dict(self.ledger.writes), "version": self.ledger.version,
-                            "seen": {address: dict(counts) for address, counts in self.ledger.seen.items()},
-                            "services": {address: dict(counts) for address, counts in self.ledger.services.items()}})
+        return Answer(
+            200,
+            {
+                "writes": dict(self.ledger.writes),
+                "version": self.ledger.version,
+                "seen": {address: dict(counts) for address, counts in self.ledger.seen.items()},
+                "services": {
+                    address: dict(counts) for address, counts in self.ledger.services.items()
+                },
+            },
+        )
 
 
 def main() -> None:
     settings = json.load(open(sys.argv[1], encoding="utf-8"))
     standins = Standins(settings["origins"])
     logs = Logs("stand_ins", "origins")
-    WebServer(settings["control"], Router([("POST", "/steer", 65536, standins.steer), ("GET", "/ledger", 0, standins.ledger_page)], logs)).start()
+    WebServer(
+        settings["control"],
+        Router(
+            [
+                ("POST", "/steer", 65536, standins.steer),
+                ("GET", "/ledger", 0, standins.ledger_page),
+            ],
+            logs,
+        ),
+    ).start()
     for origin in standins.origins.values():
         origin.start()
     gevent.event.Event().wait()
--- a/src/willowpost/stand_ins/origin.py
+++ b/src/willowpost/stand_ins/origin.py
@@ -1,4 +1,5 @@
 """Stand-ins for the origins: content stores and applications that can break down on demand."""
+
 import base64
 import hashlib
 import json
@@ -16,7 +17,6 @@
 from willowpost.shell.mesh import split
 from willowpost.shell.web import QuietHandler, status_line
 
-
 WARM_SECONDS = 8
 HEALTH = "/health"
 CONNECTIONS_MOST = 2000
@@ -24,22 +24,46 @@
 
 @dataclass(slots=True)
 class Ledger:
-    """What every origin of one stand-in process saw. Invariant: `writes` counts each write's runs by its id."""
+    """What every origin of one stand-in process saw.
+
+    Invariant: `writes` counts each write's runs by its id.
+    """
 
     writes: Counter = field(default_factory=Counter)
-    seen: dict = field(default_factory=dict)          # address -> Counter of whole seconds
-    services: dict = field(default_factory=dict)        # address -> Counter of paths' first parts
+    seen: dict = field(default_factory=dict)  # address -> Counter of whole seconds
+    services: dict = field(default_factory=dict)  # address -> Counter of paths' first parts
     version: int = 1
-    overrun: Counter = field(default_factory=Counter)  # requests that came to an origin at over twice what it bears
+    # requests that came to an origin at over twice what it bears
+    overrun: Counter = field(default_factory=Counter)
 
 
 class StandInsOrigin:
-    """One origin. `mode` makes it break down: slow, short (truncated), lying (wrong bytes), lost (runs, no answer), down."""
-
-    def __init__(self, ledger: Ledger, clock, address: str, service: str, zone: str, rate: float, keep: int, registries: list[str],
-                 beat_seconds: float = 1.0):
+    """One origin.
+
+    `mode` makes it break down: slow, short (truncated), lying (wrong bytes), lost (runs, no
+    answer), down.
+    """
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        clock,
+        address: str,
+        service: str,
+        zone: str,
+        rate: float,
+        keep: int,
+        registries: list[str],
+        beat_seconds: float = 1.0,
+    ):
         self.ledger, self.clock = ledger, clock
-        self.address, self.service, self.zone, self.rate, self.keep = address, service, zone, rate, keep
+        self.address, self.service, self.zone, self.rate, self.keep = (
+            address,
+            service,
+            zone,
+            rate,
+            keep,
+        )
         self.registries, self.beat_seconds = registries, beat_seconds
         self.mode = "sound"
         self.server = None
@@ -54,9 +78,19 @@
         return self.rate / 4 + self.rate * 0.75 * part
 
     def start(self, quiet: float = 0.0) -> None:
-        """A new life, with a token of its own; one that is rude serves for a while before it says a word."""
+        """A new life, with a token of its own.
+
+        One that is rude serves for a while before it says a word.
+        """
         self.started_at, self.token = self.clock.now(), secrets.token_hex(8)
-        self.server = WSGIServer(split(self.address), self._serve, handler_class=QuietHandler, log=None, error_log=None, spawn=Pool(CONNECTIONS_MOST))
+        self.server = WSGIServer(
+            split(self.address),
+            self._serve,
+            handler_class=QuietHandler,
+            log=None,
+            error_log=None,
+            spawn=Pool(CONNECTIONS_MOST),
+        )
         self.server.start()
         self.beating = gevent.spawn_later(quiet, self._beat)
 
@@ -72,18 +106,27 @@
             host, port = split(self.registries[number])
             client = HTTPClient(host, port, connection_timeout=1, network_timeout=6)
             try:
-                answer = client.post(f"/v1/origins{call}", json.dumps(value), headers={"Content-Type": "application/json"})
+                answer = client.post(
+                    f"/v1/origins{call}",
+                    json.dumps(value),
+                    headers={"Content-Type": "application/json"},
+                )
                 held = json.loads(answer.read())
                 if answer.status_code in (200, 201):
                     return held
-            except Exception:       # that registry is not there: say it to the next
+            except Exception:  # that registry is not there: say it to the next
                 continue
             finally:
                 client.close()
         return None
 
     def _card(self):
-        return {"zone": self.zone, "rate": self.rate, "cold_rate": max(1.0, self.rate / 4), "token": self.token}
+        return {
+            "zone": self.zone,
+            "rate": self.rate,
+            "cold_rate": max(1.0, self.rate / 4),
+            "token": self.token,
+        }
 
     def _beat(self):
         self.say("", **self._card())
@@ -120,18 +163,34 @@
             environ["wp.socket"].shutdown(socket.SHUT_RDWR)
             return []
         user = environ.get("HTTP_AUTHORIZATION", "")
-        answer = {"path": path, "query": environ.get("QUERY_STRING", ""), "user": user, "service": self.service,
-                  "version": self.ledger.version, "wrote": json.loads(body)["id"] if body else None}
+        answer = {
+            "path": path,
+            "query": environ.get("QUERY_STRING", ""),
+            "user": user,
+            "service": self.service,
+            "version": self.ledger.version,
+            "wrote": json.loads(body)["id"] if body else None,
+        }
         shared = environ["REQUEST_METHOD"] == "GET" and not user and self.keep
-        text = json.dumps(answer).encode() + b"\n" + (b"." * (200 + zlib.crc32(path.encode()) % 20_000) if shared else b"")
+        text = (
+            json.dumps(answer).encode()
+            + b"\n"
+            + (b"." * (200 + zlib.crc32(path.encode()) % 20_000) if shared else b"")
+        )
         digest = base64.b64encode(hashlib.sha256(text).digest()).decode()
-        headers = [("Content-Type", "text/plain"), ("Content-Digest", f"sha-256=:{digest}:"),
-                   ("ETag", f'"{self.ledger.version}-{len(text)}"'),
-                   ("Cache-Control", f"max-age={self.keep}" if shared else "private, no-store")]
+        headers = [
+            ("Content-Type", "text/plain"),
+            ("Content-Digest", f"sha-256=:{digest}:"),
+            ("ETag", f'"{self.ledger.version}-{len(text)}"'),
+            ("Cache-Control", f"max-age={self.keep}" if shared else "private, no-store"),
+        ]
         if self.mode == "lying":
             text = b"x" + text[1:]
         if self.mode == "short":
-            start_response("200 OK", [*headers, ("Content-Length", str(len(text) + 1)), ("Connection", "close")])
+            start_response(
+                "200 OK",
+                [*headers, ("Content-Length", str(len(text) + 1)), ("Connection", "close")],
+            )
             return [text]
-        start_response(status_line(200), headers + [("Content-Length", str(len(text)))])
+        start_response(status_line(200), [*headers, ("Content-Length", str(len(text)))])
         return [text]
--- a/src/willowpost/state/apply/__init__.py
+++ b/src/willowpost/state/apply/__init__.py
@@ -1,4 +1,5 @@
 """Applies one decision of the log to the tables; pure, and equal at every daemon."""
+
 import json
 from dataclasses import replace
 
@@ -8,9 +9,19 @@
 from willowpost.wire.messages import Command, Decision
 
 OPS = {
-    "join": membership.join, "leave": membership.leave, "drain": membership.drain, "suspicion": membership.suspicion,
-    "replace_voter": core.replace_voter, "add_voters": core.add_voters, "register": origins.register, "turn": origins.turn, "end": origins.end,
-    "configuration": operators.configuration, "purge": operators.purge, "zone": operators.zone, "own": operators.own,
+    "join": membership.join,
+    "leave": membership.leave,
+    "drain": membership.drain,
+    "suspicion": membership.suspicion,
+    "replace_voter": core.replace_voter,
+    "add_voters": core.add_voters,
+    "register": origins.register,
+    "turn": origins.turn,
+    "end": origins.end,
+    "configuration": operators.configuration,
+    "purge": operators.purge,
+    "zone": operators.zone,
+    "own": operators.own,
 }
 
 
@@ -33,7 +44,10 @@
 
 
 class Apply:
-    """Invariant: step(tables, decision) has slot == decision.slot + 1, and a repeated command changes nothing else."""
+    """Invariant: step(tables, decision) has slot == decision.slot + 1.
+
+    And a repeated command changes nothing else.
+    """
 
     def step(self, tables: Tables, decision: Decision) -> Tables:
         if decision.slot != tables.slot:
@@ -47,13 +61,24 @@
         for part, op in enumerate(ops):
             tables, answer = self._change(tables, op, part)
             answers.append(answer)
-        return replace(tables, slot=tables.slot + 1, seen={**tables.seen, command.daemon: self._seen(tables, command, answers)})
+        return replace(
+            tables,
+            slot=tables.slot + 1,
+            seen={**tables.seen, command.daemon: self._seen(tables, command, answers)},
+        )
 
     def _change(self, tables, op, part):
-        """A malformed op changes nothing, equally at every daemon: else one in the log would end each process that comes to it, for ever."""
+        """A malformed op changes nothing, equally at every daemon.
+
+        Else one in the log would end each process that comes to it, for ever.
+        """
         try:
             change = OPS.get(op.get("op"))
-            return change(tables, {**op, "part": part}) if change else (tables, {"ok": False, "why": "unknown op"})
+            return (
+                change(tables, {**op, "part": part})
+                if change
+                else (tables, {"ok": False, "why": "unknown op"})
+            )
         except (KeyError, TypeError, ValueError, AttributeError) as problem:
             return tables, {"ok": False, "why": f"malformed op: {type(problem).__name__}"}
 
--- a/src/willowpost/state/apply/operators.py
+++ b/src/willowpost/state/apply/operators.py
@@ -1,4 +1,5 @@
 """What operators ask: configurations, purges, zones; and the fences of duties."""
+
 from dataclasses import replace
 
 from willowpost.state.apply.origins import turned_cold
@@ -7,8 +8,12 @@
 
 
 def configuration(tables: Tables, op: dict):
-    """Invariant: the version only goes up. With a number of the operator's, the highest one holds, and one that is not above it
-    is acknowledged and changes nothing, whatever order they come in; without one, the next number is taken."""
+    """Invariant: the version only goes up.
+
+    With a number of the operator's, the highest one holds, and one that is not above it is
+    acknowledged and changes nothing, whatever order they come in; without one, the next number is
+    taken.
+    """
     held, wanted = tables.configuration["version"], op.get("version")
     if wanted is not None and wanted <= held and tables.configuration["tree"] is not None:
         return tables, {"ok": True, "version": held, "changed": False}
@@ -16,13 +21,25 @@
         return tables, {"ok": False, "why": "stale", "version": held}
     if op.get("tree") is None or (wanted is not None and wanted < held):
         return tables, {"ok": False, "why": "no configuration", "version": held}
-    card = {"version": held + 1 if wanted is None else wanted, "tree": op["tree"],
-            **({"source": op["source"]} if op.get("source") is not None else {})}
-    return replace(tables, configuration=card), {"ok": True, "version": card["version"], "changed": True}
+    card = {
+        "version": held + 1 if wanted is None else wanted,
+        "tree": op["tree"],
+        **({"source": op["source"]} if op.get("source") is not None else {}),
+    }
+    return replace(tables, configuration=card), {
+        "ok": True,
+        "version": card["version"],
+        "changed": True,
+    }
 
 
 def purge(tables: Tables, op: dict):
-    entry = {"slot": tables.slot, "host": op.get("host", ""), "kind": op["kind"], "path": op.get("path", "")}
+    entry = {
+        "slot": tables.slot,
+        "host": op.get("host", ""),
+        "kind": op["kind"],
+        "path": op.get("path", ""),
+    }
     held = (*tables.purges, entry)
     floor = tables.purge_floor
     if len(held) > PURGES_KEPT:
@@ -32,20 +49,30 @@
 
 
 def zone(tables: Tables, op: dict):
-    """`what` is emptied: all (daemons reject there too), or the origins alone. Given back, origins that a cold rate protects count as
-    cold from this slot on: nobody knows what they became meanwhile."""
+    """`what` is emptied: all (daemons reject there too), or the origins alone.
+
+    Given back, origins that a cold rate protects count as cold from this slot on: nobody knows what
+    they became meanwhile.
+    """
     before = tables.zones.get(op["zone"], {})
     what = op.get("what", "all") if op["empty"] else before.get("what", "all")
     held = {**tables.zones, op["zone"]: {"empty": op["empty"], "slot": tables.slot, "what": what}}
     back = not op["empty"] and before.get("empty") and what == "origins"
-    return replace(tables, zones=held, origins=_cold(tables, op["zone"]) if back else tables.origins), {"ok": True}
+    return replace(
+        tables, zones=held, origins=_cold(tables, op["zone"]) if back else tables.origins
+    ), {"ok": True}
 
 
 def _cold(tables, zone):
     services = (tables.configuration["tree"] or {}).get("services") or {}
-    return {name: turned_cold(card, tables.slot)
-            if card["zone"] == zone and card["state"] in IN_FORCE and services.get(card["service"], {}).get("cold_rate") is not None else card
-            for name, card in tables.origins.items()}
+    return {
+        name: turned_cold(card, tables.slot)
+        if card["zone"] == zone
+        and card["state"] in IN_FORCE
+        and services.get(card["service"], {}).get("cold_rate") is not None
+        else card
+        for name, card in tables.origins.items()
+    }
 
 
 def own(tables: Tables, op: dict):
@@ -54,4 +81,7 @@
     if held["fence"] != op["fence"]:
         return tables, {"ok": False, "why": "fence moved on"}
     card = {"owner": op["owner"], "fence": held["fence"] + 1}
-    return replace(tables, fences={**tables.fences, op["key"]: card}), {"ok": True, "fence": card["fence"]}
+    return replace(tables, fences={**tables.fences, op["key"]: card}), {
+        "ok": True,
+        "fence": card["fence"],
+    }
--- a/src/willowpost/state/apply/origins.py
+++ b/src/willowpost/state/apply/origins.py
@@ -1,4 +1,5 @@
 """Origins register, enter, warm, drain and go; a life that is over does not come back."""
+
 from dataclasses import replace
 
 from willowpost.state.kinds import NEXT_ORIGIN, OriginState
@@ -8,37 +9,66 @@
 
 
 def register(tables: Tables, op: dict):
-    """`cold` says whether it is cold, and that its beats will go on saying so (`told`): then nobody guesses.
+    """`cold` says whether it is cold, and that its beats will go on saying so (`told`).
+
+    Then nobody guesses.
 
-    Invariants: an address that last served another service waits until the log says it may enter, unless the service's origins
-    honour the name of a life; a life registers once, whoever asks and how often."""
+    Invariants: an address that last served another service waits until the log says it may enter,
+    unless the service's origins honour the name of a life; a life registers once, whoever asks and
+    how often.
+    """
     address, service, token = op["address"], op["service"], op.get("token")
     if token in tables.ended:
         return tables, {"ok": False, "why": OVER}
     known = named(tables, token)
-    if known is not None and (tables.origins[known]["address"], tables.origins[known]["service"]) == (address, service):
+    if known is not None and (
+        tables.origins[known]["address"],
+        tables.origins[known]["service"],
+    ) == (address, service):
         return _again(tables, known, op)
     former = {name for name, origin in tables.origins.items() if origin["address"] == address}
     moved = tables.bound.get(address, {}).get("service", service) != service
-    waits = not _service(tables, service).get("named") and (moved or any(
-        tables.origins[name]["state"] == OriginState.WAITING.value for name in former))
+    waits = not _service(tables, service).get("named") and (
+        moved or any(tables.origins[name]["state"] == OriginState.WAITING.value for name in former)
+    )
     name = f"{address}@{tables.slot}.{op.get('part', 0)}"
-    card = {"service": service, "address": address, "zone": op["zone"], "rate": op["rate"], "cold_rate": op["cold_rate"], "slot": tables.slot,
-            **{name: op[name] for name in ("token", "slots", "number") if op.get(name)},
-            **({"told": True} if op.get("cold") is not None else {}), "state": _first(op, waits).value}
-    others = {other: origin for other, origin in tables.origins.items() if other not in former and other != known}
-    return _over(replace(tables, origins={**others, name: card}, bound=_bound(tables, address, service)),
-                 [tables.origins[other] for other in former if other != known]), {"ok": True, "origin": name, "state": card["state"]}
+    card = {
+        "service": service,
+        "address": address,
+        "zone": op["zone"],
+        "rate": op["rate"],
+        "cold_rate": op["cold_rate"],
+        "slot": tables.slot,
+        **{name: op[name] for name in ("token", "slots", "number") if op.get(name)},
+        **({"told": True} if op.get("cold") is not None else {}),
+        "state": _first(op, waits).value,
+    }
+    others = {
+        other: origin
+        for other, origin in tables.origins.items()
+        if other not in former and other != known
+    }
+    return _over(
+        replace(tables, origins={**others, name: card}, bound=_bound(tables, address, service)),
+        [tables.origins[other] for other in former if other != known],
+    ), {"ok": True, "origin": name, "state": card["state"]}
 
 
 def turn(tables: Tables, op: dict):
-    """Of `origin`, or of the life `token`. Invariants: a turn that a beat brought (`number`) gives way to one of a later beat;
-    and a beat says that it is warm only of the time after the log turned it cold (`as_of`: the slot its taker stood at)."""
+    """Of `origin`, or of the life `token`.
+
+    Invariants: a turn that a beat brought (`number`) gives way to one of a later beat; and a beat
+    says that it is warm only of the time after the log turned it cold (`as_of`: the slot its taker
+    stood at).
+    """
     name = op["origin"] if op.get("origin") is not None else named(tables, op.get("token"))
     card = tables.origins.get(name)
     if card is None:
         over = op.get("token") is not None and op["token"] in tables.ended
-        return tables, {"ok": True, "state": OriginState.GONE.value} if over else {"ok": False, "why": "unknown origin"}
+        return tables, {"ok": True, "state": OriginState.GONE.value} if over else {
+            "ok": False,
+            "why": "unknown origin",
+        }
     state = OriginState(op["state"])
     if op.get("number") and op["number"] <= card.get("number", 0):
         return tables, {"ok": True, "state": card["state"]}
@@ -49,19 +79,40 @@
     if state not in NEXT_ORIGIN[OriginState(card["state"])]:
         return tables, {"ok": False, "why": f"{card['state']} does not turn {state.value}"}
     if state is OriginState.GONE:
-        rest = replace(tables, origins={other: origin for other, origin in tables.origins.items() if other != name})
-        incarnations = [] if op.get("silent") and card["state"] != OriginState.DRAINING.value else [card]
+        rest = replace(
+            tables,
+            origins={other: origin for other, origin in tables.origins.items() if other != name},
+        )
+        incarnations = (
+            [] if op.get("silent") and card["state"] != OriginState.DRAINING.value else [card]
+        )
         return _over(rest, incarnations), {"ok": True, "state": state.value}
-    turned = turned_cold(card, tables.slot) if state is OriginState.COLD else {**card, "state": state.value}
+    turned = (
+        turned_cold(card, tables.slot)
+        if state is OriginState.COLD
+        else {**card, "state": state.value}
+    )
     turned |= {name: op[name] for name in ("number", "told") if op.get(name)}
-    return replace(tables, origins={**tables.origins, name: turned}), {"ok": True, "state": state.value}
+    return replace(tables, origins={**tables.origins, name: turned}), {
+        "ok": True,
+        "state": state.value,
+    }
 
 
 def end(tables: Tables, op: dict):
-    """The life `token` is over, whether or not it ever registered: a late beat of it changes nothing."""
+    """The life `token` is over, whether or not it ever registered.
+
+    A late beat of it changes nothing.
+    """
     name = named(tables, op["token"])
-    rest = replace(tables, origins={other: origin for other, origin in tables.origins.items() if other != name})
-    return _over(rest, [{"token": op["token"]}]), {"ok": True, "state": OriginState.GONE.value, "origin": name}
+    rest = replace(
+        tables, origins={other: origin for other, origin in tables.origins.items() if other != name}
+    )
+    return _over(rest, [{"token": op["token"]}]), {
+        "ok": True,
+        "state": OriginState.GONE.value,
+        "origin": name,
+    }
 
 
 def turned_cold(card: dict, slot: int) -> dict:
@@ -70,13 +121,20 @@
 
 def named(tables: Tables, token: str | None) -> str | None:
     """The origin that is this life."""
-    return next((name for name, card in tables.origins.items() if card.get("token") == token), None) if token else None
+    return (
+        next((name for name, card in tables.origins.items() if card.get("token") == token), None)
+        if token
+        else None
+    )
 
 
 def _again(tables, name, op):
     """The same life once more: only its leaving is state updates."""
     card = tables.origins[name]
-    if op.get("state") == OriginState.DRAINING.value and card["state"] != OriginState.DRAINING.value:
+    if (
+        op.get("state") == OriginState.DRAINING.value
+        and card["state"] != OriginState.DRAINING.value
+    ):
         card = {**card, "state": OriginState.DRAINING.value}
         tables = replace(tables, origins={**tables.origins, name: card})
     return tables, {"ok": True, "origin": name, "state": card["state"]}
@@ -103,5 +161,7 @@
 
 
 def _over(tables, cards):
-    tokens = [card["token"] for card in cards if card.get("token") and card["token"] not in tables.ended]
+    tokens = [
+        card["token"] for card in cards if card.get("token") and card["token"] not in tables.ended
+    ]
     return replace(tables, ended=(*tables.ended, *tokens)[-ENDED_KEPT:]) if tokens else tables
--- a/src/willowpost/state/kinds.py
+++ b/src/willowpost/state/kinds.py
@@ -1,4 +1,5 @@
 """The states of daemons and origins in the log, and what may follow what."""
+
 from enum import Enum
 
 
@@ -9,17 +10,18 @@
 
 
 class OriginState(str, Enum):
-    WAITING = "waiting"    # its address served another service; not in force yet
-    COLD = "cold"          # in force; its allowance ramps, or its beats say how long
+    WAITING = "waiting"  # its address served another service; not in force yet
+    COLD = "cold"  # in force; its allowance ramps, or its beats say how long
     WARM = "warm"
     DRAINING = "draining"  # no new requests
-    GONE = "gone"          # leaves the table
+    GONE = "gone"  # leaves the table
 
 
 NEXT_ORIGIN = {
     OriginState.WAITING: {OriginState.COLD, OriginState.GONE, OriginState.DRAINING},
     OriginState.COLD: {OriginState.WARM, OriginState.DRAINING, OriginState.GONE},
-    # Warm ones turn cold again: their own beats say so, or their zone was emptied and is given back.
+    # Warm ones turn cold again: their own beats say so, or their zone was emptied and is given
+    # back.
     OriginState.WARM: {OriginState.COLD, OriginState.DRAINING, OriginState.GONE},
     OriginState.DRAINING: {OriginState.GONE},
     OriginState.GONE: set(),
--- a/src/willowpost/state/tables.py
+++ b/src/willowpost/state/tables.py
@@ -1,4 +1,5 @@
 """The fleet's shared tables: what the decided log amounts to. Immutable, swapped whole."""
+
 import json
 from dataclasses import dataclass, field, fields
 
@@ -16,14 +17,18 @@
 class Tables:
     """Invariants:
 
-    - `slot` is the next slot to apply: the tables are what slots 0..slot-1 amount to, and nothing else.
+    - `slot` is the next slot to apply: the tables are what slots 0..slot-1 amount to, and nothing
+      else.
     - `core` names the voters of slot `slot`, `epoch` counts its changes.
     - `former` holds the voters before the last change and the slot that changed them.
     - `configuration` holds `source`, the operator's own document, if it was given one.
-    - an address is bound to at most one origin, and so is a token; `bound` remembers the service an address last served.
-    - `ended` holds the tokens of the last lives that are over, oldest first; none of them is among `origins`, or will be again.
+    - an address is bound to at most one origin, and so is a token; `bound` remembers the service an
+      address last served.
+    - `ended` holds the tokens of the last lives that are over, oldest first; none of them is among
+      `origins`, or will be again.
     - `purges` holds every purge of a slot >= purge_floor, oldest first.
-    - `seen` holds for each daemon its newest incarnation; a counter <= floor has been applied or never will be.
+    - `seen` holds for each daemon its newest incarnation; a counter <= floor has been applied or
+      never will be.
     """
 
     slot: int = 0
@@ -47,8 +52,11 @@
         return daemon, self.daemons[daemon]["incarnation"]
 
     def text(self) -> str:
-        return json.dumps({name.name: getattr(self, name.name) for name in fields(self)},
-                          sort_keys=True, separators=(",", ":"))
+        return json.dumps(
+            {name.name: getattr(self, name.name) for name in fields(self)},
+            sort_keys=True,
+            separators=(",", ":"),
+        )
 
     def digest(self) -> str:
         return blake2b(self.text().encode(), digest_size=8).hexdigest()
@@ -58,4 +66,6 @@
     """A text of an earlier build lacks the newer fields: they have their defaults."""
     with uncollected():
         held = json.loads(text)
-    return Tables(**{name: tuple(value) if isinstance(value, list) else value for name, value in held.items()})
+    return Tables(
+        **{name: tuple(value) if isinstance(value, list) else value for name, value in held.items()}
+    )
--- a/src/willowpost/store/daemon.py
+++ b/src/willowpost/store/daemon.py
@@ -1,4 +1,5 @@
 """wpstore: one replica of the fleet's log."""
+
 import os
 
 from willowpost.common.clock import Clock
@@ -11,7 +12,10 @@
 
 
 class StoreDaemon:
-    """Invariant: an identity is made once, for an empty folder, and is on disk before it is told to anybody."""
+    """Invariant: an identity is made once, for an empty folder.
+
+    And is on disk before it is told to anybody.
+    """
 
     def __init__(self, place, logs):
         self.place = place
@@ -26,21 +30,45 @@
             # what it said cannot be known any more: as good as lost
             aside = f"{disk.folder}.damaged-{clock.wall()}"
             os.rename(disk.folder, aside)
-            self.logs.say("disk", "damaged, set aside", level="error", damage=str(damage), aside=aside)
+            self.logs.say(
+                "disk", "damaged, set aside", level="error", damage=str(damage), aside=aside
+            )
             disk = Disk(disk.folder)
             records = disk.load()
         self.runner.disk = PatientDisk(disk, self.logs)
         if not records:
-            me = Member(f"{place.name}-{os.urandom(6).hex()}", place.name, place.zone, place.address)
+            me = Member(
+                f"{place.name}-{os.urandom(6).hex()}", place.name, place.zone, place.address
+            )
             records = [{**identity_record(me), "may_bootstrap": place.may_bootstrap}]
             self.runner.disk.rotate(records)
             self.logs.say("disk", "empty: a new identity was made", identity=me.identity)
         held = records[0]
         me = Member(held["identity"], place.name, place.zone, place.address)
-        # an identity made when it might found may go on founding, else bootstrap members that restart meanwhile would stop the founding
-        rights = Rights(place.may_bootstrap or held.get("may_bootstrap", False), place.bootstrap_from_seeds, place.max_voters)
-        node = StoreNode(me, place.seeds, place.voters, records, clock.now(), clock.wall, clock.wall(), place.pace, rights=rights)
-        self.logs.say("store", "restored", slot=node.node_state.tables.slot, epoch=node.node_state.tables.epoch)
+        # an identity made when it might found may go on founding, else bootstrap members that
+        # restart meanwhile would stop the founding
+        rights = Rights(
+            place.may_bootstrap or held.get("may_bootstrap", False),
+            place.bootstrap_from_seeds,
+            place.max_voters,
+        )
+        node = StoreNode(
+            me,
+            place.seeds,
+            place.voters,
+            records,
+            clock.now(),
+            clock.wall,
+            clock.wall(),
+            place.pace,
+            rights=rights,
+        )
+        self.logs.say(
+            "store",
+            "restored",
+            slot=node.node_state.tables.slot,
+            epoch=node.node_state.tables.epoch,
+        )
         self.runner.start(node)
 
     def stop(self) -> None:
--- a/src/willowpost/store/main.py
+++ b/src/willowpost/store/main.py
@@ -1,4 +1,5 @@
 """The command `wpstore`."""
+
 from willowpost.shell.program import DaemonCommand, run
 from willowpost.store.daemon import StoreDaemon
 
--- a/src/willowpost/store/node.py
+++ b/src/willowpost/store/node.py
@@ -1,16 +1,17 @@
 """One store: its controllers round one shared state."""
+
 from willowpost.common.plan import Plan
 from willowpost.consensus.replica.acceptance import Acceptance
-from willowpost.consensus.replica.replica_state import Pace, ReplicaState
+from willowpost.consensus.replica.bootstrap import Bootstrap, Rights
 from willowpost.consensus.replica.catchup import Catchup
 from willowpost.consensus.replica.compaction import Compaction
-from willowpost.consensus.replica.bootstrap import Bootstrap, Rights
 from willowpost.consensus.replica.reads import Reads
+from willowpost.consensus.replica.replica_state import Pace, ReplicaState
 from willowpost.consensus.replica.voting import Voting
 from willowpost.consensus.thresholds import Thresholds
 from willowpost.node.command_client import CommandClient
-from willowpost.node.node_state import Card
 from willowpost.node.joiner import Joiner
+from willowpost.node.node_state import Card
 from willowpost.node.watch import Watch
 from willowpost.store.repair import Repair
 from willowpost.wire.messages import Member
@@ -19,16 +20,38 @@
 class StoreNode:
     """Invariant: whatever happens goes through step(); nothing else touches the board."""
 
-    def __init__(self, me: Member, seeds, size: int, records: list, now: int, wall, incarnation: int,
-                 pace: Pace = Pace(), thresholds=Thresholds, http: str = "", rights: Rights = Rights()):
+    def __init__(
+        self,
+        me: Member,
+        seeds,
+        size: int,
+        records: list,
+        now: int,
+        wall,
+        incarnation: int,
+        pace: Pace = Pace(),
+        thresholds=Thresholds,
+        http: str = "",
+        rights: Rights = Rights(),
+    ):
         self.node_state = ReplicaState(me, pace, thresholds)
         self.node_state.restore(records, now)
         self.command_client = CommandClient(me.identity, incarnation, self._cores, wall)
-        self.card = Card(me.identity, "store", "core", me.name, me.zone, me.address, http, incarnation)
-        self.controllers = [Bootstrap(self.node_state, tuple(seeds), size, rights), Catchup(self.node_state), Voting(self.node_state),
-                            Acceptance(self.node_state), Reads(self.node_state), Compaction(self.node_state), self.command_client,
-                            Repair(self.node_state, self.command_client, incarnation, rights.max_voters), Watch(self.card, self._tables, self.command_client),
-                            Joiner(self.card, self._tables, self.command_client)]
+        self.card = Card(
+            me.identity, "store", "core", me.name, me.zone, me.address, http, incarnation
+        )
+        self.controllers = [
+            Bootstrap(self.node_state, tuple(seeds), size, rights),
+            Catchup(self.node_state),
+            Voting(self.node_state),
+            Acceptance(self.node_state),
+            Reads(self.node_state),
+            Compaction(self.node_state),
+            self.command_client,
+            Repair(self.node_state, self.command_client, incarnation, rights.max_voters),
+            Watch(self.card, self._tables, self.command_client),
+            Joiner(self.card, self._tables, self.command_client),
+        ]
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
--- a/src/willowpost/toolbox/folder.py
+++ b/src/willowpost/toolbox/folder.py
@@ -1,4 +1,5 @@
 """Reads a store's folder: checks it, and replays its log to any slot. Writes nothing."""
+
 import json
 import os
 from dataclasses import dataclass
@@ -16,16 +17,28 @@
 
 
 class FolderChecker:
-    """Invariant: reports everything it finds, each with file and record; no finding means a store would start from it."""
+    """Invariant: reports everything it finds, each with file and record.
+
+    No finding means a store would start from it.
+    """
 
     def check(self, folder: str) -> tuple[list[Finding], dict]:
         findings, facts = [], {}
         if not os.path.isdir(folder):
             return [Finding(folder, "no such folder")], facts
-        names = sorted(name for name in os.listdir(folder) if name.startswith(PREFIX) and name.endswith(".wp"))
-        findings += [Finding(name, "left from an unfinished write; a store drops it") for name in sorted(os.listdir(folder)) if name.endswith(".aside")]
+        names = sorted(
+            name for name in os.listdir(folder) if name.startswith(PREFIX) and name.endswith(".wp")
+        )
+        findings += [
+            Finding(name, "left from an unfinished write; a store drops it")
+            for name in sorted(os.listdir(folder))
+            if name.endswith(".aside")
+        ]
         if not names:
-            return [*findings, Finding(folder, "no version: a store would start empty, under a new identity")], facts
+            return [
+                *findings,
+                Finding(folder, "no version: a store would start empty, under a new identity"),
+            ], facts
         path = os.path.join(folder, names[-1])
         data = open(path, "rb").read()
         try:
@@ -33,7 +46,12 @@
         except DiskDamaged as damage:
             return [*findings, Finding(names[-1], str(damage))], facts
         if sound < len(data):
-            findings.append(Finding(f"{names[-1]} byte {sound}", f"torn tail of {len(data) - sound} bytes; a store cuts it"))
+            findings.append(
+                Finding(
+                    f"{names[-1]} byte {sound}",
+                    f"torn tail of {len(data) - sound} bytes; a store cuts it",
+                )
+            )
         findings += self._walk(names[-1], records, facts)
         return findings, {**facts, "version": names[-1], "records": len(records)}
 
@@ -49,16 +67,31 @@
                 case "snapshot":
                     slot, bootstrapped = json.loads(record["text"])["slot"], True
                 case "decision" if record["slot"] != slot:
-                    findings.append(Finding(place, f"decides slot {record['slot']} where {slot} is due"))
+                    findings.append(
+                        Finding(place, f"decides slot {record['slot']} where {slot} is due")
+                    )
                     slot = record["slot"] + 1
                 case "decision":
                     slot += 1
                 case "ballot_state":
                     now = (record["epoch"], record["slot"])
-                    if ballot_state and ballot_state[0] == now and (ballot_state[1] != record["states"][:len(ballot_state[1])] or ballot_state[2] != record["votes"][:len(ballot_state[2])]):
-                        findings.append(Finding(place, f"unsays its ballot state in slot {record['slot']}"))
+                    if (
+                        ballot_state
+                        and ballot_state[0] == now
+                        and (
+                            ballot_state[1] != record["states"][: len(ballot_state[1])]
+                            or ballot_state[2] != record["votes"][: len(ballot_state[2])]
+                        )
+                    ):
+                        findings.append(
+                            Finding(place, f"unsays its ballot state in slot {record['slot']}")
+                        )
                     ballot_state = (now, record["states"], record["votes"])
-        facts.update(identity=records[0].get("identity") if records else None, slot=slot, bootstrapped=bootstrapped)
+        facts.update(
+            identity=records[0].get("identity") if records else None,
+            slot=slot,
+            bootstrapped=bootstrapped,
+        )
         return findings
 
 
@@ -66,7 +99,9 @@
     """Invariant: run() gives the tables as they were when `slot` was the next slot to decide."""
 
     def run(self, folder: str, slot: int | None = None) -> Tables:
-        names = sorted(name for name in os.listdir(folder) if name.startswith(PREFIX) and name.endswith(".wp"))
+        names = sorted(
+            name for name in os.listdir(folder) if name.startswith(PREFIX) and name.endswith(".wp")
+        )
         records, _ = parse(open(os.path.join(folder, names[-1]), "rb").read())
         tables = Tables()
         for record in records:
@@ -79,5 +114,9 @@
             elif record["k"] == "decision":
                 tables = Apply().step(tables, decision_from(record))
         if slot is not None and tables.slot != slot:
-            raise ValueError(f"the folder holds slots {tables.slot} and later" if tables.slot > slot else f"the folder ends at slot {tables.slot}")
+            raise ValueError(
+                f"the folder holds slots {tables.slot} and later"
+                if tables.slot > slot
+                else f"the folder ends at slot {tables.slot}"
+            )
         return tables
--- a/src/willowpost/toolbox/planner.py
+++ b/src/willowpost/toolbox/planner.py
@@ -1,4 +1,5 @@
 """What a configuration or an emptied zone would change, told before it is sent. Changes nothing."""
+
 from dataclasses import asdict
 
 from willowpost.configuration.routes import routes_of
@@ -23,18 +24,41 @@
     def plan(self, tables: Tables, tree: dict) -> dict:
         held, wanted = tables.configuration["tree"], tree
         before, after = _routes(held), _routes(wanted)
-        services_before, services_after = (held or {}).get("services", {}), wanted.get("services", {})
+        services_before, services_after = (
+            (held or {}).get("services", {}),
+            wanted.get("services", {}),
+        )
         reached = {service for route in after.values() for service in route.services}
-        in_force = {card["service"] for card in tables.origins.values() if card["state"] in ("cold", "warm")}
+        in_force = {
+            card["service"] for card in tables.origins.values() if card["state"] in ("cold", "warm")
+        }
         return {
             "version": tables.configuration["version"],
-            "routes": {"added": sorted(after.keys() - before.keys()), "removed": sorted(before.keys() - after.keys()),
-                     "changed": {name: _changed(before[name], after[name]) for name in sorted(after.keys() & before.keys()) if after[name] != before[name]}},
-            "services": {"added": sorted(services_after.keys() - services_before.keys()), "removed": sorted(services_before.keys() - services_after.keys()),
-                       "changed": {name: [services_before[name], services_after[name]] for name in sorted(services_after.keys() & services_before.keys())
-                                   if services_after[name] != services_before[name]}},
-            "warnings": [f"service {name} has no origin in force" for name in sorted(reached - in_force)]
-            + [f"origins of service {name} would have no way" for name in sorted(in_force - reached)],
+            "routes": {
+                "added": sorted(after.keys() - before.keys()),
+                "removed": sorted(before.keys() - after.keys()),
+                "changed": {
+                    name: _changed(before[name], after[name])
+                    for name in sorted(after.keys() & before.keys())
+                    if after[name] != before[name]
+                },
+            },
+            "services": {
+                "added": sorted(services_after.keys() - services_before.keys()),
+                "removed": sorted(services_before.keys() - services_after.keys()),
+                "changed": {
+                    name: [services_before[name], services_after[name]]
+                    for name in sorted(services_after.keys() & services_before.keys())
+                    if services_after[name] != services_before[name]
+                },
+            },
+            "warnings": [
+                f"service {name} has no origin in force" for name in sorted(reached - in_force)
+            ]
+            + [
+                f"origins of service {name} would have no way"
+                for name in sorted(in_force - reached)
+            ],
         }
 
 
@@ -44,18 +68,42 @@
     def plan(self, tables: Tables, zone: str) -> dict:
         emptied, _ = empty_zone(tables, {"zone": zone, "empty": True})
         before, after = SnapshotMaker().make(tables), SnapshotMaker().make(emptied)
-        allowed = {name for name, service in (tables.configuration["tree"] or {}).get("services", {}).items() if service.get("rate") is not None}
-        services = {name: {"origins": [len(card.origins), len(after.services[name].origins)],
-                         "rate": [sum(origin.rate for origin in card.origins), sum(origin.rate for origin in after.services[name].origins)],
-                         "allowance": card.rate if name in allowed else None}
-                  for name, card in before.services.items()}
-        edges = [card for card in tables.daemons.values() if card["kind"] == "proxy" and card["role"] == "edge" and card["state"] == "up"]
+        allowed = {
+            name
+            for name, service in (tables.configuration["tree"] or {}).get("services", {}).items()
+            if service.get("rate") is not None
+        }
+        services = {
+            name: {
+                "origins": [len(card.origins), len(after.services[name].origins)],
+                "rate": [
+                    sum(origin.rate for origin in card.origins),
+                    sum(origin.rate for origin in after.services[name].origins),
+                ],
+                "allowance": card.rate if name in allowed else None,
+            }
+            for name, card in before.services.items()
+        }
+        edges = [
+            card
+            for card in tables.daemons.values()
+            if card["kind"] == "proxy" and card["role"] == "edge" and card["state"] == "up"
+        ]
         return {
-            "zone": zone, "services": services, "shields": [len(before.shields), len(after.shields)],
+            "zone": zone,
+            "services": services,
+            "shields": [len(before.shields), len(after.shields)],
             "edges": [len(edges), sum(card["zone"] != zone for card in edges)],
             "voters there, which stay": sum(member["zone"] == zone for member in tables.core),
-            "warnings": [f"service {name} would have no origin in force" for name, held in services.items() if held["origins"][0] and not held["origins"][1]]
-            + [f"service {name}: what is left bears {held['rate'][1]:.0f} of an allowance of {held['allowance']:.0f}"
-               for name, held in services.items() if held["allowance"] is not None and 0 < held["rate"][1] < held["allowance"]]
+            "warnings": [
+                f"service {name} would have no origin in force"
+                for name, held in services.items()
+                if held["origins"][0] and not held["origins"][1]
+            ]
+            + [
+                f"service {name}: what is left bears {held['rate'][1]:.0f} of an allowance of {held['allowance']:.0f}"
+                for name, held in services.items()
+                if held["allowance"] is not None and 0 < held["rate"][1] < held["allowance"]
+            ]
             + (["no shield would be left"] if before.shields and not after.shields else []),
         }
--- a/src/willowpost/wire/messages.py
+++ b/src/willowpost/wire/messages.py
@@ -1,10 +1,14 @@
 """The messages of wire.fbs as plain immutable values; the logic knows only these."""
+
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
 class Command:
-    """Invariant: `key` names one body for ever; `stamp` orders queues and never runs backward at its daemon."""
+    """Invariant: `key` names one body for ever.
+
+    `stamp` orders queues and never runs backward at its daemon.
+    """
 
     daemon: str = ""
     incarnation: int = 0
@@ -21,9 +25,9 @@
 class BallotState:
     """One replica's standing in one slot.
 
-    Invariant: for one identity, epoch and slot, any two ballot states ever sent agree on
-    the proposal, and one's states and votes are a prefix of the other's.
-    A state or vote of 1 comes only with `agreed`, the one proposal that a majority named.
+    Invariant: for one identity, epoch and slot, any two ballot states ever sent agree on the
+    proposal, and one's states and votes are a prefix of the other's. A state or vote of 1 comes
+    only with `agreed`, the one proposal that a majority named.
     """
 
     identity: str = ""
@@ -56,7 +60,10 @@
 
 def members_of(core) -> tuple[Member, ...]:
     """The voters of the tables, as they are told to others."""
-    return tuple(Member(member["identity"], member["name"], member["zone"], member["address"]) for member in core)
+    return tuple(
+        Member(member["identity"], member["name"], member["zone"], member["address"])
+        for member in core
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,8 +183,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Beat:
-    """`cold`: µs for which the origin is still cold, 0 if it is warm or does not say (the log's card knows which: `told`).
-    `number` rises with each beat of one life; 0 if it has none."""
+    """`cold`: µs for which the origin is still cold.
+
+    0 if it is warm or does not say (the log's card knows which: `told`). `number` rises with each
+    beat of one life; 0 if it has none.
+    """
 
     origin: str = ""
     load: int = 0
@@ -202,6 +212,25 @@
     given: bool = False
 
 
-BODIES = (BallotState, Hello, Forward, SyncedIndex, Ask, Tell, Submit, Accepted, ReadAsk, ReadTell,
-          Poll, StateUpdate, Ping, Pong, QuotaShareAsk, QuotaShareTell, Beat, AdmissionTokenAsk, AdmissionTokenTell)
+BODIES = (
+    BallotState,
+    Hello,
+    Forward,
+    SyncedIndex,
+    Ask,
+    Tell,
+    Submit,
+    Accepted,
+    ReadAsk,
+    ReadTell,
+    Poll,
+    StateUpdate,
+    Ping,
+    Pong,
+    QuotaShareAsk,
+    QuotaShareTell,
+    Beat,
+    AdmissionTokenAsk,
+    AdmissionTokenTell,
+)
 NESTED = (Command, Decision, Member)
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,4 +1,8 @@
-"""Runs every test, several processes side by side; each test is its own seeded world, so their order does not matter."""
+"""Runs every test, several processes side by side; each test is its own seeded world.
+
+So their order does not matter.
+"""
+
 import io
 import os
 import sys
@@ -9,7 +13,16 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-FIRST = ("test_bounded_faults", "test_small_rates", "test_split_core", "test_fleet_promises", "test_restarts", "test_read_back", "test_faults")      # the longest
+# the longest
+FIRST = (
+    "test_bounded_faults",
+    "test_small_rates",
+    "test_split_core",
+    "test_fleet_promises",
+    "test_restarts",
+    "test_read_back",
+    "test_faults",
+)
 
 
 def names(suite):
@@ -20,13 +33,25 @@
 def run(name):
     sys.path.insert(0, str(HERE))
     begun, out = time.monotonic(), io.StringIO()
-    result = unittest.TextTestRunner(out, verbosity=0).run(unittest.defaultTestLoader.loadTestsFromName(name))
-    return name, result.testsRun, len(result.failures) + len(result.errors), len(result.skipped), time.monotonic() - begun, out.getvalue()
+    result = unittest.TextTestRunner(out, verbosity=0).run(
+        unittest.defaultTestLoader.loadTestsFromName(name)
+    )
+    return (
+        name,
+        result.testsRun,
+        len(result.failures) + len(result.errors),
+        len(result.skipped),
+        time.monotonic() - begun,
+        out.getvalue(),
+    )
 
 
 def main() -> int:
     sys.path.insert(0, str(HERE))
-    found = sorted(set(names(unittest.defaultTestLoader.discover(str(HERE)))), key=lambda name: (not name.startswith(FIRST), name))
+    found = sorted(
+        set(names(unittest.defaultTestLoader.discover(str(HERE)))),
+        key=lambda name: (not name.startswith(FIRST), name),
+    )
     ran = failed = skipped = 0
     with ProcessPoolExecutor(max(1, (os.cpu_count() or 2) - 1), get_context("spawn")) as pool:
         for task in as_completed([pool.submit(run, name) for name in found]):
--- a/tests/served.py
+++ b/tests/served.py
@@ -1,4 +1,8 @@
-"""A proxy's data side over real sockets, its control side set by hand; origins are scripted byte for byte."""
+"""A proxy's data side over real sockets, its control side set by hand.
+
+Origins are scripted byte for byte.
+"""
+
 from collections import Counter
 from types import MappingProxyType
 
@@ -10,23 +14,28 @@
 from willowpost.node.node_state import Card
 from willowpost.proxy.admission.buckets import Allowance, Ramp
 from willowpost.proxy.admission.budget import RetryBudget
-from willowpost.proxy.proxy_state import Grant, ProxyState
 from willowpost.proxy.cache.store import CacheStore
 from willowpost.proxy.front import Front
 from willowpost.proxy.handler import ProxyHandler
-from willowpost.proxy.origin.pick import OriginPicker
 from willowpost.proxy.origin.io import SocketIo
+from willowpost.proxy.origin.pick import OriginPicker
 from willowpost.proxy.origin.pool import ConnectionPool
+from willowpost.proxy.proxy_state import Grant, ProxyState
 from willowpost.proxy.routing.carrier import Carrier
-from willowpost.proxy.routing.snapshot import ServiceCard, OriginCard, RoutingSnapshot
 from willowpost.proxy.routing.planner import RequestPlanner
+from willowpost.proxy.routing.snapshot import OriginCard, RoutingSnapshot, ServiceCard
 from willowpost.proxy.routing.tries import Tries
 from willowpost.shell.web import WebServer
 from willowpost.state.tables import Tables
 
-CONFIGURATION = {"services": {"g": {"rate": 1000}}, "settings": {"service": "g", "keep_seconds": 60, "body_max": 1000, "whole_max": 5000},
-          "branches": {"all": {"host": "h.example", "path": "/", "settings": {"methods": ["GET", "HEAD"]}},
-                       "write": {"host": "h.example", "path": "/w", "settings": {"methods": ["POST"]}}}}
+CONFIGURATION = {
+    "services": {"g": {"rate": 1000}},
+    "settings": {"service": "g", "keep_seconds": 60, "body_max": 1000, "whole_max": 5000},
+    "branches": {
+        "all": {"host": "h.example", "path": "/", "settings": {"methods": ["GET", "HEAD"]}},
+        "write": {"host": "h.example", "path": "/w", "settings": {"methods": ["POST"]}},
+    },
+}
 
 
 class HandClock:
@@ -40,15 +49,18 @@
 
 
 class ScriptedOrigin:
-    """Answers each request with the next of `answers`: bytes, None (close without a word), or "hang"."""
+    """Answers each request with the next of `answers`: bytes, None (close without a word).
+
+    Or "hang".
+    """
 
     def __init__(self, *answers):
         self.answers = list(answers)
         self.requests: list[bytes] = []
-        self.connections: list[int] = []     # for each request, the number of its connection
+        self.connections: list[int] = []  # for each request, the number of its connection
         self.opened = 0
         self.open: list = []
-        self.hold = None                     # called with each request before it is answered
+        self.hold = None  # called with each request before it is answered
         self.server = StreamServer(("127.0.0.1", 0), self._serve)
         self.server.start()
         self.address = f"127.0.0.1:{self.server.server_port}"
@@ -65,7 +77,14 @@
                     return
                 data += block
             head, _, body = data.partition(b"\r\n\r\n")
-            length = next((int(line.split(b":")[1]) for line in head.lower().split(b"\r\n") if line.startswith(b"content-length")), 0)
+            length = next(
+                (
+                    int(line.split(b":")[1])
+                    for line in head.lower().split(b"\r\n")
+                    if line.startswith(b"content-length")
+                ),
+                0,
+            )
             while len(body) < length:
                 body += connection.recv(65536)
             self.requests.append(head + b"\r\n\r\n" + body)
@@ -95,22 +114,44 @@
     def __init__(self, *origins, role="edge", configuration=CONFIGURATION):
         assert ConfigurationChecker().check_value(configuration).is_ok()
         self.clock = HandClock()
-        self.node_state = ProxyState(Card("p", "proxy", role, "p", "a", "127.0.0.1:1", "127.0.0.1:1", 1), Tables(slot=5, epoch=1))
+        self.node_state = ProxyState(
+            Card("p", "proxy", role, "p", "a", "127.0.0.1:1", "127.0.0.1:1", 1),
+            Tables(slot=5, epoch=1),
+        )
         self.node_state.fresh_as_of = self.clock.now()
         self.configuration = ConfigurationChecker().check_value(configuration).unwrap()
         self.cache = CacheStore()
         self.stats = Counter()
         self.pool = ConnectionPool(self.clock)
         self.set_origins(origins)
-        self.node_state.tables = Tables(slot=5, epoch=1, fences={"quota_share/g": {"owner": "p", "fence": 1}})
+        self.node_state.tables = Tables(
+            slot=5, epoch=1, fences={"quota_share/g": {"owner": "p", "fence": 1}}
+        )
         self.node_state.grants = {"g": Grant(1000.0, self.clock.now() + 10**12, 1)}
         self.allowance = Allowance(self.node_state)
-        tries = Tries(self.node_state, self.clock, self.allowance, Ramp(self.node_state), RetryBudget(lambda: 1, 0), OriginPicker("a"),
-                      SocketIo(self.pool), self.stats)
+        tries = Tries(
+            self.node_state,
+            self.clock,
+            self.allowance,
+            Ramp(self.node_state),
+            RetryBudget(lambda: 1, 0),
+            OriginPicker("a"),
+            SocketIo(self.pool),
+            self.stats,
+        )
         carrier = Carrier(self.node_state, self.cache, self.clock, tries, self.stats)
-        logs = type("Quiet", (), {"say": lambda self, *a, **k: self.held.append((a, k)), "held": []})()
+        logs = type(
+            "Quiet", (), {"say": lambda self, *a, **k: self.held.append((a, k)), "held": []}
+        )()
         self.logs = logs
-        self.front = Front(self.node_state, self.clock, RequestPlanner(self.node_state, self.cache, self.clock), carrier, self.stats, logs)
+        self.front = Front(
+            self.node_state,
+            self.clock,
+            RequestPlanner(self.node_state, self.cache, self.clock),
+            carrier,
+            self.stats,
+            logs,
+        )
         self.web = WebServer("127.0.0.1:0", self.front, ProxyHandler)
         self.web.start()
         self.allowance.let_in("g", self.clock.now())
@@ -118,11 +159,32 @@
         self.node_state.fresh_as_of = self.clock.now()
 
     def set_origins(self, origins, instance_check=None, zones=(), cold=False, **said):
-        """`said`: what the service's card says besides; with `named`, the life of the first origin is "life-0", and so on."""
-        cards = tuple(OriginCard(origin.address + "@1", origin.address, zones[number] if zones else "a", 100, 10, cold, instance_check, f"incarnation-{number}")
-                      for number, origin in enumerate(origins))
-        self.node_state.snapshot = RoutingSnapshot(5, 1, RouteTable(routes_of(self.configuration)), MappingProxyType({"g": ServiceCard(1000, 10, ("p",), MappingProxyType({"p": 1.0}), cards, **said)}),
-                                        frozenset(card.name for card in cards))
+        """`said`: what the service's card says besides; with `named`.
+
+        The life of the first origin is "life-0", and so on.
+        """
+        cards = tuple(
+            OriginCard(
+                origin.address + "@1",
+                origin.address,
+                zones[number] if zones else "a",
+                100,
+                10,
+                cold,
+                instance_check,
+                f"incarnation-{number}",
+            )
+            for number, origin in enumerate(origins)
+        )
+        self.node_state.snapshot = RoutingSnapshot(
+            5,
+            1,
+            RouteTable(routes_of(self.configuration)),
+            MappingProxyType(
+                {"g": ServiceCard(1000, 10, ("p",), MappingProxyType({"p": 1.0}), cards, **said)}
+            ),
+            frozenset(card.name for card in cards),
+        )
 
     @property
     def address(self):
@@ -131,9 +193,16 @@
     def ask(self, method, path, body=b"", **headers):
         client = HTTPClient(*self.address, network_timeout=5)
         try:
-            sent = {"Host": "h.example", **{name.replace("_", "-"): value for name, value in headers.items()}}
+            sent = {
+                "Host": "h.example",
+                **{name.replace("_", "-"): value for name, value in headers.items()},
+            }
             held = client.request(method, path, body=body, headers=sent)
-            return held.status_code, bytes(held.read()), {name.lower(): value for name, value in held.headers}
+            return (
+                held.status_code,
+                bytes(held.read()),
+                {name.lower(): value for name, value in held.headers},
+            )
         finally:
             client.close()
 
--- a/tests/test_bounded_faults.py
+++ b/tests/test_bounded_faults.py
@@ -1,4 +1,8 @@
-"""Both deployments in their rush, hit by what they must bear: refusals of proper requests are counted, and stay a handful."""
+"""Both deployments in their rush, hit by what they must bear.
+
+Refusals of proper requests are counted, and stay a handful.
+"""
+
 import unittest
 from unittest.mock import patch
 
@@ -16,15 +20,29 @@
         self.assertGreater(found.asked, 5000)
         self.assertLessEqual(found.refused, found.handful)
 
-    def test_invitations_core_machine_dark(self): self.holds("invitations", "core_machine_dark")
-    def test_invitations_zone_cut(self): self.holds("invitations", "zone_cut")
-    def test_invitations_owner_dies(self): self.holds("invitations", "owner_dies")
-    def test_screening_zone_dark(self): self.holds("screening", "zone_dark")
-    def test_screening_restart_in_turn(self): self.holds("screening", "restart_in_turn")
-    def test_screening_release(self): self.holds("screening", "release")
+    def test_invitations_core_machine_dark(self):
+        self.holds("invitations", "core_machine_dark")
+
+    def test_invitations_zone_cut(self):
+        self.holds("invitations", "zone_cut")
+
+    def test_invitations_owner_dies(self):
+        self.holds("invitations", "owner_dies")
+
+    def test_screening_zone_dark(self):
+        self.holds("screening", "zone_dark")
+
+    def test_screening_restart_in_turn(self):
+        self.holds("screening", "restart_in_turn")
+
+    def test_screening_release(self):
+        self.holds("screening", "release")
 
     def test_without_a_base_share_an_owners_death_is_refused_in_numbers(self):
-        with patch("willowpost.proxy.admission.quota_shares.BASE_QUOTA_PART", 0.0), self.assertRaisesRegex(Broken, "owner_dies: [0-9]+ refused"):
+        with (
+            patch("willowpost.proxy.admission.quota_shares.BASE_QUOTA_PART", 0.0),
+            self.assertRaisesRegex(Broken, "owner_dies: [0-9]+ refused"),
+        ):
             bounded("screening", "owner_dies")
 
     def test_a_morning_in_which_origins_and_callers_come_together(self):
@@ -40,7 +58,8 @@
             world.rate = fault_schedule.shape.rate * part
             world.run(3_000_000)
         world.traffic.refusals.clear()
-        for name in world.origins:      # and once more in the rush: one service after the other has been cold for a moment
+        # and once more in the rush: one service after the other has been cold for a moment
+        for name in world.origins:
             if name.endswith("0"):
                 world.crash(name)
                 world.start(name)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,4 +1,8 @@
-"""The measuring of lightweight fleets: it repeats by seed, counts what it should, and its fits say how far they miss."""
+"""The measuring of lightweight fleets: it repeats by seed, counts what it should.
+
+And its fits say how far they miss.
+"""
+
 import unittest
 from dataclasses import replace
 
@@ -22,7 +26,10 @@
 
 
 def counted(figures):
-    return {role: tuple(getattr(held, name) for name in COUNTED) + (held.kinds,) for role, held in figures.items()}
+    return {
+        role: (*tuple(getattr(held, name) for name in COUNTED), held.kinds)
+        for role, held in figures.items()
+    }
 
 
 class Lightweight(unittest.TestCase):
@@ -31,7 +38,10 @@
         cls.fleet, cls.figures = measured(SMALL)
 
     def test_the_same_seed_gives_the_same_messages_and_another_seed_others(self):
-        first, again, other = counted(self.figures), *(counted(measured(SMALL, seed)[1]) for seed in (1, 2))
+        first, again, other = (
+            counted(self.figures),
+            *(counted(measured(SMALL, seed)[1]) for seed in (1, 2)),
+        )
         self.assertEqual(first, again)
         self.assertNotEqual(first, other)
 
@@ -39,34 +49,64 @@
         """Purges are decided, followed and carried out; every follower is fresh; an owner grants."""
         fleet, figures = self.fleet, self.figures
         began = fleet.tables.slot
-        slots = {card.kind: [seat.node.node_state.tables.slot for seat in fleet.seats.values() if seat.node.node_state.tables.daemons[card.id]["kind"] == card.kind]
-                 for card in fleet.cards.all}
+        slots = {
+            card.kind: [
+                seat.node.node_state.tables.slot
+                for seat in fleet.seats.values()
+                if seat.node.node_state.tables.daemons[card.id]["kind"] == card.kind
+            ]
+            for card in fleet.cards.all
+        }
         asked = int(SMALL.purges * (WARM + SPAN))
         self.assertGreater(min(slots["store"]) - began, asked - 5)
-        followers = [seat for seat in fleet.seats.values() if hasattr(seat.node.node_state, "leased")]
+        followers = [
+            seat for seat in fleet.seats.values() if hasattr(seat.node.node_state, "leased")
+        ]
         for seat in followers:
             self.assertTrue(seat.node.node_state.leased(fleet.now(seat)), seat.address)
             self.assertGreater(seat.node.node_state.tables.slot - began, asked - 10, seat.address)
-            self.assertIs(fleet.tables.daemons, seat.node.node_state.tables.daemons)     # nobody joined, left or was suspected
+            # nobody joined, left or was suspected
+            self.assertIs(fleet.tables.daemons, seat.node.node_state.tables.daemons)
         self.assertGreater(figures["owner"].kinds["out QuotaShareTell"], 0)
 
     def test_what_is_counted_grows_as_the_fleet_does(self):
-        """Twice the daemons: twice the beats sent, and nothing more for a proxy to hear. Twice the origins: twice the beats heard."""
+        """Twice the daemons: twice the beats sent, and nothing more for a proxy to hear.
+
+        Twice the origins: twice the beats heard.
+        """
         base = self.figures
         daemons = measured(replace(SMALL, daemons=60))[1]
         origins = measured(replace(SMALL, origins=20))[1]
         purges = measured(replace(SMALL, purges=40.0))[1]
-        beats = lambda figures, role, side: figures[role].kinds[f"{side} Beat"]
-        self.assertAlmostEqual(beats(daemons, "registry", "out") / beats(base, "registry", "out"), 54 / 24, delta=0.1)
+
+        def beats(figures, role, side):
+            return figures[role].kinds[f"{side} Beat"]
+
+        self.assertAlmostEqual(
+            beats(daemons, "registry", "out") / beats(base, "registry", "out"), 54 / 24, delta=0.1
+        )
         self.assertEqual(beats(daemons, "proxy", "in"), beats(base, "proxy", "in"))
-        self.assertAlmostEqual(beats(origins, "proxy", "in") / beats(base, "proxy", "in"), 2.0, delta=0.01)
-        self.assertGreater(purges["proxy"].kinds["in State updates"], 1.8 * base["proxy"].kinds["in State updates"])
+        self.assertAlmostEqual(
+            beats(origins, "proxy", "in") / beats(base, "proxy", "in"), 2.0, delta=0.01
+        )
+        self.assertGreater(
+            purges["proxy"].kinds["in State updates"], 1.8 * base["proxy"].kinds["in State updates"]
+        )
 
     def test_simulated_peers_say_what_the_stepped_would(self):
-        """The same size with every daemon stepped: what a role hears, by kind, is the same but for phases and unequal luck in who watches whom."""
+        """The same size with every daemon stepped: what a role hears, by kind.
+
+        Is the same but for phases and unequal luck in who watches whom.
+        """
         whole, sampled = measured(SMALL, whole=True)[1], self.figures
         for role in ("store", "registry", "proxy", "owner"):
-            for kind in ("in Beat", "in State updates", "in QuotaShareAsk", "in Poll", "out State updates"):
+            for kind in (
+                "in Beat",
+                "in State updates",
+                "in QuotaShareAsk",
+                "in Poll",
+                "out State updates",
+            ):
                 wanted, found = whole[role].kinds.get(kind, 0), sampled[role].kinds.get(kind, 0)
                 if wanted > 400:
                     self.assertAlmostEqual(found / wanted, 1.0, delta=0.25, msg=(role, kind))
@@ -78,8 +118,14 @@
         self.assertEqual((len(tables.daemons), len(tables.origins)), (SMALL.daemons, SMALL.origins))
         watched = WatchSets().make(tables)
         self.assertEqual(sum(map(len, watched.values())), WATCHERS * SMALL.daemons)
-        self.assertEqual({card.id for zone in range(SMALL.zones) for card in homes_of(f"zone-{zone}", cards_of(SMALL))},
-                         {card.id for card in cards_of(SMALL).proxies})
+        self.assertEqual(
+            {
+                card.id
+                for zone in range(SMALL.zones)
+                for card in homes_of(f"zone-{zone}", cards_of(SMALL))
+            },
+            {card.id for card in cards_of(SMALL).proxies},
+        )
 
 
 class Fits(unittest.TestCase):
@@ -98,7 +144,9 @@
         points = [(50, 100.0), (150, 300.0), (400, 1600.0), (1000, 2000.0)]
         fit = Fitter().fit(points)
         self.assertGreater(fit.residual, 0.2)
-        self.assertAlmostEqual(fit.residual, max(abs(fit.at(n) - value) / value for n, value in points))
+        self.assertAlmostEqual(
+            fit.residual, max(abs(fit.at(n) - value) / value for n, value in points)
+        )
 
     def test_one_size_alone_fits_nothing(self):
         with self.assertRaises(ValueError):
@@ -127,9 +175,17 @@
         self.assertTrue(all(f"{fit.residual:.1%}" in text for fit in report.fits.values()))
 
     def test_pieces_of_work_grow_with_what_drives_them(self):
-        costs = {unit.name: unit for unit in (*UnitCosts().by_daemons((40, 160)), *UnitCosts().by_routes((100, 1600)))}
-        for name, least in (("watch sets after one change of a card", 6), ("tables as text", 1.05), ("configuration in one message", 10),
-                            ("routes made of a configuration", 2), ("tables in memory", 1.05)):
+        costs = {
+            unit.name: unit
+            for unit in (*UnitCosts().by_daemons((40, 160)), *UnitCosts().by_routes((100, 1600)))
+        }
+        for name, least in (
+            ("watch sets after one change of a card", 6),
+            ("tables as text", 1.05),
+            ("configuration in one message", 10),
+            ("routes made of a configuration", 2),
+            ("tables in memory", 1.05),
+        ):
             (_, small), (_, large) = costs[name].points
             self.assertGreater(large, least * small, name)
 
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -1,4 +1,8 @@
-"""Copies and purges by tag: what the origin said of an answer decides, whoever asked for it, and also while it is fetched."""
+"""Copies and purges by tag: what the origin said of an answer decides, whoever asked for it.
+
+And also while it is fetched.
+"""
+
 import random
 import unittest
 from dataclasses import replace
@@ -14,7 +18,9 @@
 
 def purges(*made):
     """(slot, kind, path) each."""
-    return tuple({"slot": slot, "host": "", "kind": kind, "path": path} for slot, kind, path in made)
+    return tuple(
+        {"slot": slot, "host": "", "kind": kind, "path": path} for slot, kind, path in made
+    )
 
 
 class Tags(unittest.TestCase):
@@ -29,7 +35,10 @@
         for path, tags in (("/1", ("a", "b")), ("/2", ("b",)), ("/3", ("c",)), ("/4", ())):
             self.cache.keep(entry(path, tags))
         self.cache.purge(Tables(slot=7, epoch=1, purges=purges((6, "tag", "b"))))
-        self.assertEqual([True, True, False, False], [self.find(path) is None for path in ("/1", "/2", "/3", "/4")])
+        self.assertEqual(
+            [True, True, False, False],
+            [self.find(path) is None for path in ("/1", "/2", "/3", "/4")],
+        )
 
     def test_an_answer_whose_fetch_began_before_the_purge_is_not_kept(self):
         self.cache.purge(Tables(slot=7, epoch=1, purges=purges((6, "tag", "b"))))
@@ -45,10 +54,23 @@
 
     def test_the_index_of_tags_holds_what_is_kept_and_no_more(self):
         chance = random.Random(7)
-        for number in range(2000):
-            self.cache.keep(entry(f"/{chance.randrange(60)}", {f"t{chance.randrange(9)}" for _ in range(2)}, body=b"x" * chance.randrange(500)))
-        held = {(tag, key) for key, entries in self.cache.held.items() for each in entries for tag in each.tags}
-        self.assertEqual(held, {(tag, key) for tag, keys in self.cache.tagged.items() for key in keys})
+        for _number in range(2000):
+            self.cache.keep(
+                entry(
+                    f"/{chance.randrange(60)}",
+                    {f"t{chance.randrange(9)}" for _ in range(2)},
+                    body=b"x" * chance.randrange(500),
+                )
+            )
+        held = {
+            (tag, key)
+            for key, entries in self.cache.held.items()
+            for each in entries
+            for tag in each.tags
+        }
+        self.assertEqual(
+            held, {(tag, key) for tag, keys in self.cache.tagged.items() for key in keys}
+        )
         self.assertLessEqual(self.cache.size, 10_000)
         for key in list(self.cache.held):
             self.cache._drop(key)
@@ -59,15 +81,29 @@
         for slot in range(6, 300):
             kept = entry(f"/{chance.randrange(30)}", (f"t{chance.randrange(5)}",), slot=slot)
             self.cache.keep(kept)
-            made.append((slot, *chance.choice((("tag", f"t{chance.randrange(5)}"), ("item", f"/{chance.randrange(30)}")))))
+            made.append(
+                (
+                    slot,
+                    *chance.choice(
+                        (("tag", f"t{chance.randrange(5)}"), ("item", f"/{chance.randrange(30)}"))
+                    ),
+                )
+            )
             self.cache.purge(replace(Tables(slot=slot + 1, epoch=1), purges=purges(*made)))
             left = [held for entries in self.cache.held.values() for held in entries]
-            wrong = [held.target for held in left for at, kind, path in made
-                     if at >= held.slot and (path in held.tags if kind == "tag" else path == held.target)]
+            wrong = [
+                held.target
+                for held in left
+                for at, kind, path in made
+                if at >= held.slot and (path in held.tags if kind == "tag" else path == held.target)
+            ]
             self.assertEqual([], wrong)
 
     def test_switched_off_the_stream_shows_it(self):
-        with patch.object(CacheStore, "purge", lambda *args: None), self.assertRaises(AssertionError):
+        with (
+            patch.object(CacheStore, "purge", lambda *args: None),
+            self.assertRaises(AssertionError),
+        ):
             self.test_a_stream_of_purges_leaves_nothing_older_than_them()
 
 
--- a/tests/test_core_fault_schedules.py
+++ b/tests/test_core_fault_schedules.py
@@ -1,11 +1,12 @@
 """The core under seeded fault schedules; each protection, switched off, must be caught."""
+
 import unittest
 from dataclasses import dataclass
 from unittest.mock import patch
 
 from willowpost.consensus.thresholds import Thresholds
-from willowpost.sim.rules import Broken
 from willowpost.sim.fault_schedules import CoreFaultSchedule
+from willowpost.sim.rules import Broken
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,11 +47,13 @@
         self.assertIsNotNone(first_broken(range(30), thresholds=MinorityDecides))
 
     def test_sending_before_the_sync_is_caught(self):
-        seed, text = first_broken(range(60), unsafe_send=True)
+        _seed, text = first_broken(range(60), unsafe_send=True)
         self.assertRegex(text, "unsaid|disks|elsewhere")
 
     def test_saying_accepted_too_early_is_caught(self):
-        with patch("willowpost.consensus.replica.replica_state.ReplicaState.safe", lambda self: 10**9):
+        with patch(
+            "willowpost.consensus.replica.replica_state.ReplicaState.safe", lambda self: 10**9
+        ):
             _, text = first_broken(range(10))
         self.assertIn("disks holding it", text)
 
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -1,4 +1,8 @@
-"""The allowances' shares follow the callers from zone to zone; without that, the same day is refused in numbers."""
+"""The allowances' shares follow the callers from zone to zone; without that.
+
+The same day is refused in numbers.
+"""
+
 import unittest
 from unittest.mock import patch
 
@@ -18,9 +22,14 @@
         world = DayWorld(1, 30, 200)
 
         def lose():
-            owner = world.seats["r0"].node.registry.tables.fences["quota_share/art"]["owner"].split("/")[0]
+            owner = (
+                world.seats["r0"]
+                .node.registry.tables.fences["quota_share/art"]["owner"]
+                .split("/")[0]
+            )
             world.crash(owner)
             world.at(8 * SECOND, world.start, owner)
+
         world.at(20 * SECOND, lose)
         self.assertLessEqual(world.day().refused, 12)
 
@@ -31,6 +40,7 @@
             self.node_state.demand = {}
             self.smooth = {}
             ask(self, now, plan)
+
         with patch.object(QuotaShareTaker, "_ask", unasked):
             self.assertGreater(DayWorld(1, 30, 240).day().refused, 100)
 
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,4 +1,5 @@
 """The store's folder: torn tails are cut, damage is refused, segments replace each other whole."""
+
 import errno
 import os
 import tempfile
@@ -78,11 +79,18 @@
                 before(real, *args)
                 raise OSError(code, os.strerror(code))
             return real(*args)
+
         return patch(f"willowpost.shell.disk.os.{call}", fails)
 
     def test_a_failed_append_leaves_what_was_and_can_be_said_again(self):
-        half = lambda real, file, data: real(file, data[:len(data) // 2])
-        for call, before in (("write", half), ("write", lambda *args: None), ("fdatasync", lambda *args: None)):
+        def half(real, file, data):
+            return real(file, data[: len(data) // 2])
+
+        for call, before in (
+            ("write", half),
+            ("write", lambda *args: None),
+            ("fdatasync", lambda *args: None),
+        ):
             count = len(self.held())
             with self.failing(call, errno.ENOSPC, before=before), self.assertRaises(OSError):
                 self.disk.append([{"k": "decision", "slot": count}])
@@ -118,7 +126,11 @@
 
 class FullDisk(unittest.TestCase):
     def test_a_store_that_cannot_write_ends_and_says_nothing(self):
-        """What was not synced must not be sent, and the process must not linger without its task (a disk that waits for room stands before this)."""
+        """What was not synced must not be sent.
+
+        And the process must not linger without its task (a disk that waits for room stands before
+        this).
+        """
         sent, died, said = [], [], []
 
         class Node:
@@ -131,6 +143,7 @@
         class Full:
             def append(self, records):
                 raise OSError(28, "No space left on device")
+
         logs = type("Logs", (), {"say": lambda self, *words, **more: said.append((words, more))})()
         runner = Runner("127.0.0.1:0", logs, Full(), died.append)
         runner.mesh.send = lambda *args: sent.append(args)
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -1,4 +1,8 @@
-"""Processes end as planned: on SIGTERM, with code 0, within their spans; also without any core to tell."""
+"""Processes end as planned: on SIGTERM, with code 0, within their spans.
+
+Also without any core to tell.
+"""
+
 import signal
 import socket
 import subprocess
@@ -18,7 +22,12 @@
 logs = Logs("{kind}", "m")
 serve({name}(place, logs), logs)
 """
-KINDS = {"store": ("StoreDaemon", 0.0), "registry": ("RegistryDaemon", 0.5), "proxy": ("ProxyDaemon", 0.5)}     # least time to serve on
+# least time to serve on
+KINDS = {
+    "store": ("StoreDaemon", 0.0),
+    "registry": ("RegistryDaemon", 0.5),
+    "proxy": ("ProxyDaemon", 0.5),
+}
 
 
 def ports(count):
@@ -35,10 +44,15 @@
     def test_every_daemon_ends_with_code_0_when_asked(self):
         for kind, (name, least) in KINDS.items():
             for number in (signal.SIGTERM, signal.SIGINT):
-                with self.subTest(kind=kind, signal=number.name), tempfile.TemporaryDirectory() as folder:
+                with (
+                    self.subTest(kind=kind, signal=number.name),
+                    tempfile.TemporaryDirectory() as folder,
+                ):
                     inner, http, seed = ports(3)
                     text = ENTRY.format(kind=kind, name=name, inner=inner, http=http, seed=seed)
-                    process = subprocess.Popen([sys.executable, "-c", text, folder], stderr=subprocess.PIPE, text=True)
+                    process = subprocess.Popen(
+                        [sys.executable, "-c", text, folder], stderr=subprocess.PIPE, text=True
+                    )
                     said = []
                     while not said or "program: started" not in said[-1]:
                         said.append(process.stderr.readline())
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,4 +1,5 @@
 """Faults taken one by one and exhaustively, where a fault schedule would only draw some of them."""
+
 import itertools
 import unittest
 
@@ -6,13 +7,13 @@
 from willowpost.consensus.replica.replica_state import Pace, ReplicaState
 from willowpost.consensus.replica.voting import Voting
 from willowpost.sim.core import CoreWorld
+from willowpost.sim.fault_schedules import CoreFaultSchedule
 from willowpost.sim.fleet.fault_schedule import FleetFaultSchedule
 from willowpost.sim.fleet.world import FleetWorld
-from willowpost.sim.fault_schedules import CoreFaultSchedule
 from willowpost.sim.world import seconds
 from willowpost.state.apply.core import replace_voter
 from willowpost.state.tables import Tables
-from willowpost.wire.messages import Ask, Command, Member, ReadAsk, ReadTell, BallotState
+from willowpost.wire.messages import Ask, BallotState, Command, Member, ReadAsk, ReadTell
 
 TWO_REGIONS = {"a": "east", "b": "east", "c": "west", "d": "west"}
 
@@ -34,7 +35,9 @@
                     world.crash(name)
                     world.seats[name].dark = True
                 calls = sum(world.traffic.outcomes.values())
-                world.put_configuration(next(number for number in range(5) if f"r{number}" not in names))
+                world.put_configuration(
+                    next(number for number in range(5) if f"r{number}" not in names)
+                )
                 world.run(seconds(8))
                 calls = sum(world.traffic.outcomes.values()) - calls
                 self.assertEqual(2, world.version)
@@ -48,7 +51,8 @@
             with self.subTest(side=side):
                 world = opened()
                 world.cut(side, [name for name in world.seats if name not in side])
-                # operators on both sides: those with the minority get no yes, and nothing is decided twice
+                # operators on both sides: those with the minority get no yes, and nothing is
+                # decided twice
                 for number in range(5):
                     world.put_configuration(number)
                 world.run(seconds(5))
@@ -75,25 +79,43 @@
                 world.settle()
 
     def test_a_voter_learns_from_a_read_that_it_is_behind(self):
-        """Wide fleet seed 4180: put out while cut off, with nothing of its own to say, it got no marks any more."""
+        """Wide fleet seed 4180: put out while cut off, with nothing of its own to say.
+
+        It got no marks any more.
+        """
         world = CoreWorld(3)
         world.until(world.bootstrapped, seconds(5))
         world.run(seconds(2))
         seat = world.seats["s0"]
         now, asked = world.now(seat), []
-        other = next(identity for identity, address in seat.node.node_state.members.items() if address == "s1")
+        other = next(
+            identity
+            for identity, address in seat.node.node_state.members.items()
+            if address == "s1"
+        )
         for _ in range(30):
             now += 20_000
             plan = seat.node.step(Tick(), now)
             asked += [message for _, message in plan.sends if isinstance(message, Ask)]
-            for nonce in {message.nonce for _, message in plan.sends if isinstance(message, ReadAsk)}:
-                seat.node.step(Received("s1", ReadTell(nonce, other, seat.node.node_state.tables.slot + 9)), now)
+            for nonce in {
+                message.nonce for _, message in plan.sends if isinstance(message, ReadAsk)
+            }:
+                seat.node.step(
+                    Received("s1", ReadTell(nonce, other, seat.node.node_state.tables.slot + 9)),
+                    now,
+                )
         self.assertTrue(asked)
 
     def test_a_lost_daemon_whose_suspecting_ended_is_found_again(self):
-        """Wide fleet seeds 1 and 2: held lost by two, who were then restarted; nobody was left to take a suspicion back."""
+        """Wide fleet seeds 1 and 2: held lost by two, who were then restarted.
+
+        Nobody was left to take a suspicion back.
+        """
         world = opened()
-        card = lambda: world.seats["r0"].node.registry.tables.daemons["e1/proxy"]
+
+        def card():
+            return world.seats["r0"].node.registry.tables.daemons["e1/proxy"]
+
         world.cut(["e1"], [name for name in world.seats if name != "e1"])
         self.assertTrue(world.until(lambda: card()["state"] == "lost", seconds(6)))
         for name in [name for name in world.seats if name not in ("e1", "caller", *world.origins)]:
@@ -101,28 +123,68 @@
             world.start(name)
         world.run(seconds(0.1))
         world.heal()
-        self.assertTrue(world.until(lambda: "e1/proxy" in world.seats["r0"].node.registry.tables.daemons and card()["state"] == "up", seconds(10)))
+        self.assertTrue(
+            world.until(
+                lambda: (
+                    "e1/proxy" in world.seats["r0"].node.registry.tables.daemons
+                    and card()["state"] == "up"
+                ),
+                seconds(10),
+            )
+        )
 
     def test_a_suspicion_by_a_voter_that_was_swapped_out_is_void(self):
-        """Wide fleet seed 8721 with two regions: a store's former identity suspected an edge; nobody could take that back."""
+        """Wide fleet seed 8721 with two regions: a store's former identity suspected an edge.
+
+        Nobody could take that back.
+        """
         member = {"identity": "old", "name": "s4", "zone": "a", "address": "s4"}
         card = {"id": "e2/proxy", "kind": "proxy", "name": "e2", "state": "lost"}
-        tables = Tables(epoch=1, core=(member,), daemons={"e2/proxy": card}, suspicions={"e2/proxy": {"old": True}, "old": {"e2/proxy": True}})
-        swapped, answer = replace_voter(tables, {"old": "old", "new": {**member, "identity": "new"}})
+        tables = Tables(
+            epoch=1,
+            core=(member,),
+            daemons={"e2/proxy": card},
+            suspicions={"e2/proxy": {"old": True}, "old": {"e2/proxy": True}},
+        )
+        swapped, answer = replace_voter(
+            tables, {"old": "old", "new": {**member, "identity": "new"}}
+        )
         self.assertTrue(answer["ok"])
         self.assertEqual({}, swapped.suspicions)
 
     def test_a_new_epochs_first_slot_waits_for_the_former_voters(self):
-        """Until n - f of the former voters hold the replacement, a read by one who has not heard of it could miss it."""
-        member = lambda name: {"identity": name, "name": name, "zone": name, "address": name}
+        """Until n - f of the former voters hold the replacement.
+
+        A read by one who has not heard of it could miss it.
+        """
+
+        def member(name):
+            return {"identity": name, "name": name, "zone": name, "address": name}
+
         former = [member(name) for name in "abcde"]
         node_state = ReplicaState(Member("a", "a", "a", "a"))
-        node_state.take(Tables(slot=10, epoch=2, core=tuple(former[:4]) + (member("f"),), former={"slot": 9, "core": former}))
+        node_state.take(
+            Tables(
+                slot=10,
+                epoch=2,
+                core=(*tuple(former[:4]), member("f")),
+                former={"slot": 9, "core": former},
+            )
+        )
         node_state.queue.push(Command("x", 1, 1, 1, "[]"), 0)
         voting = Voting(node_state)
-        for synced_indexes, proposes in (({}, False), ({"f": 10}, False), ({"f": 10, "b": 10}, False), ({"b": 10, "c": 10}, True)):
+        for synced_indexes, proposes in (
+            ({}, False),
+            ({"f": 10}, False),
+            ({"f": 10, "b": 10}, False),
+            ({"b": 10, "c": 10}, True),
+        ):
             node_state.synced_indexes.update(synced_indexes)
-            sent = [message for _, message in voting.step(Tick(), 1).sends if isinstance(message, BallotState)]
+            sent = [
+                message
+                for _, message in voting.step(Tick(), 1).sends
+                if isinstance(message, BallotState)
+            ]
             self.assertEqual(proposes, bool(sent), synced_indexes)
 
     def test_snapshots_stand_in_for_dropped_decisions_in_fault_schedules(self):
@@ -130,7 +192,9 @@
         for seed in range(12):
             with self.subTest(seed=seed):
                 fault_schedule = CoreFaultSchedule(seed, pace=Pace(keep=4, rotate=8)).run()
-                self.assertEqual(([], 1), (fault_schedule.unanswered(), len(fault_schedule.digests())))
+                self.assertEqual(
+                    ([], 1), (fault_schedule.unanswered(), len(fault_schedule.digests()))
+                )
                 snapshots += sum(note[3] == "snapshot taken" for note in fault_schedule.world.notes)
         self.assertGreater(snapshots, 10)
 
--- a/tests/test_fleet_promises.py
+++ b/tests/test_fleet_promises.py
@@ -1,12 +1,16 @@
-"""Each promise of the brief in a simulated fleet: kept as it is, broken when its protection is switched off."""
+"""Each promise of the brief in a simulated fleet: kept as it is.
+
+Broken when its protection is switched off.
+"""
+
 import unittest
 from dataclasses import replace
 from unittest.mock import patch
 
-from willowpost.proxy.origin.failure import Why
 from willowpost.common.clock import SECOND
 from willowpost.proxy.admission.verdict import Let
 from willowpost.proxy.cache.storing import Storing
+from willowpost.proxy.origin.failure import Why
 from willowpost.proxy.routing.headers import toward
 from willowpost.sim.fleet.fault_schedule import FleetFaultSchedule
 from willowpost.sim.fleet.world import FleetWorld
@@ -36,7 +40,10 @@
 
 
 def failing_behind_shields(world):
-    """Every content origin breaks its answers off, in the rush: edges try one shield after the other, shields one origin."""
+    """Every content origin breaks its answers off, in the rush.
+
+    Edges try one shield after the other, shields one origin.
+    """
     world.rate = 400
     for name in world.origins:
         if name.startswith("art"):
@@ -45,7 +52,10 @@
 
 
 def configuration_behind_a_cut(world):
-    """The edges are cut from the core, not from callers and origins; the operator sends a new configuration."""
+    """The edges are cut from the core, not from callers and origins.
+
+    The operator sends a new configuration.
+    """
     edges = set(world.edges)
     rest = set(world.stores()) | set(world.registries) | set(world.shields)
     world.cut(sorted(edges), sorted(rest))
@@ -119,7 +129,10 @@
 
 
 def rude_newcomer(world):
-    """Another service stands up at an origin's address at once, without a word, and takes whoever comes."""
+    """Another service stands up at an origin's address at once, without a word.
+
+    And takes whoever comes.
+    """
     world.rate = 600
     for name, service in (("apps1", "art"), ("art2", "apps"), ("apps3", "art")):
         world.homes[name] = service
@@ -129,7 +142,10 @@
 
 
 def silent_restart(world):
-    """In the rush one origin carries its service; it restarts faster than anybody notices, is cold, and beats a second later."""
+    """In the rush one origin carries its service; it restarts faster than anybody notices, is cold.
+
+    And beats a second later.
+    """
     world.run(seconds(4))
     world.rate = 400
     for name in ("apps1", "apps2", "apps3"):
@@ -143,7 +159,10 @@
 
 
 def address_moves(world):
-    """As the rude newcomer, without the instance check: the newcomer listens only once it is told that it is in force."""
+    """As the rude newcomer, without the instance check.
+
+    The newcomer listens only once it is told that it is in force.
+    """
     world.tokened = lambda address: False
     for name in world.origins:
         world.crash(name)
@@ -154,7 +173,10 @@
 
 
 def address_moves_behind_a_cut(world):
-    """As above, while the edges are cut from the core and still have a lease: only the wait of a used address covers them."""
+    """As above, while the edges are cut from the core and still have a lease.
+
+    Only the wait of a used address covers them.
+    """
     world.tokened = lambda address: False
     for name in world.origins:
         world.crash(name)
@@ -177,11 +199,21 @@
 
 
 def owner_cut_off(world):
-    """The owner of the shares is cut from the core and the watchers, but still reaches those who ask it."""
+    """The owner of the shares is cut from the core and the watchers.
+
+    But still reaches those who ask it.
+    """
     world.rate = 900
     world.run(seconds(3))
     owner = world.seats["r0"].node.registry.tables.fences["quota_share/apps"]["owner"].split("/")[0]
-    world.cut([owner], [name for name in world.seats if name not in world.edges + world.shields + world.origins + ["caller"]])
+    world.cut(
+        [owner],
+        [
+            name
+            for name in world.seats
+            if name not in world.edges + world.shields + world.origins + ["caller"]
+        ],
+    )
     world.run(seconds(10))
     world.settle()
 
@@ -198,34 +230,97 @@
 
 
 def never_sent(failure, what, sent, died=False, ran=None, silent=False, why=Why.BROKE):
-    failure.what, failure.sent, failure.died, failure.ran, failure.silent, failure.why = what, False, died, False, silent, why
+    failure.what, failure.sent, failure.died, failure.ran, failure.silent, failure.why = (
+        what,
+        False,
+        died,
+        False,
+        silent,
+        why,
+    )
 
 
 OFF = (
     # scenario, what is switched off, the words the check must use
-    (lost_answers, {"willowpost.proxy.origin.failure.ExchangeFailure.__init__": never_sent},
-     "ran twice|called not-run"),
-    (short_answers, {"willowpost.proxy.admission.budget.RetryBudget.left": always(True)}, "extra tries"),
-    (failing_behind_shields, {"willowpost.proxy.routing.tries.toward": lambda *args: toward(*args[:5])}, "extra tries"),
-    (configuration_behind_a_cut, {"willowpost.node.node_state.LEASE": 60 * SECOND}, "may deliver with configuration"),
+    (
+        lost_answers,
+        {"willowpost.proxy.origin.failure.ExchangeFailure.__init__": never_sent},
+        "ran twice|called not-run",
+    ),
+    (
+        short_answers,
+        {"willowpost.proxy.admission.budget.RetryBudget.left": always(True)},
+        "extra tries",
+    ),
+    (
+        failing_behind_shields,
+        {"willowpost.proxy.routing.tries.toward": lambda *args: toward(*args[:5])},
+        "extra tries",
+    ),
+    (
+        configuration_behind_a_cut,
+        {"willowpost.node.node_state.LEASE": 60 * SECOND},
+        "may deliver with configuration",
+    ),
     (purges, {"willowpost.proxy.cache.store.CacheStore.purge": always(None)}, "purged"),
-    (purge_races_fetch, {"willowpost.proxy.cache.store.CacheStore.purged_since": always(False)}, "purged"),
+    (
+        purge_races_fetch,
+        {"willowpost.proxy.cache.store.CacheStore.purged_since": always(False)},
+        "purged",
+    ),
     (content_replaced, {"willowpost.proxy.cache.store.Entry.fresh": always(True)}, "keep time"),
-    (origin_leaves, {"willowpost.proxy.routing.snapshot.FORCE": {"cold", "warm", "draining"}}, "after it left"),
-    (pressed_hard, {"willowpost.proxy.admission.buckets.Window.take": always(True)}, "in 5 s at rate"),
+    (
+        origin_leaves,
+        {"willowpost.proxy.routing.snapshot.FORCE": {"cold", "warm", "draining"}},
+        "after it left",
+    ),
+    (
+        pressed_hard,
+        {"willowpost.proxy.admission.buckets.Window.take": always(True)},
+        "in 5 s at rate",
+    ),
     (cold_rush, {"willowpost.proxy.admission.buckets.Ramp.let_in": always(Let.IN)}, "in a second"),
-    (personal, {"willowpost.proxy.cache.storing.StoringRules.judge": always(Storing(3_000_000, (), True))}, "wrong answer"),
-    (rude_newcomer, {"willowpost.proxy.origin.instance_check.InstanceCheck.judge": always(None)}, "reached"),
-    (silent_restart, {"willowpost.proxy.origin.instance_check.InstanceCheck.judge": always(None), "willowpost.proxy.admission.buckets.Ramp.suspect": always(None)},
-     "in a second"),
-    (address_moves_behind_a_cut, {"willowpost.state.apply.OPS": {**OPS, "register": lambda tables, op: register(replace(tables, bound={}), op)}}, "reached"),
+    (
+        personal,
+        {"willowpost.proxy.cache.storing.StoringRules.judge": always(Storing(3_000_000, (), True))},
+        "wrong answer",
+    ),
+    (
+        rude_newcomer,
+        {"willowpost.proxy.origin.instance_check.InstanceCheck.judge": always(None)},
+        "reached",
+    ),
+    (
+        silent_restart,
+        {
+            "willowpost.proxy.origin.instance_check.InstanceCheck.judge": always(None),
+            "willowpost.proxy.admission.buckets.Ramp.suspect": always(None),
+        },
+        "in a second",
+    ),
+    (
+        address_moves_behind_a_cut,
+        {
+            "willowpost.state.apply.OPS": {
+                **OPS,
+                "register": lambda tables, op: register(replace(tables, bound={}), op),
+            }
+        },
+        "reached",
+    ),
     (address_moves, {"willowpost.sim.fleet.outside.SimOrigin._listens": always(True)}, "reached"),
 )
 
 
 class Promises(unittest.TestCase):
     def test_each_scenario_keeps_every_promise(self):
-        for scenario in (*(scenario for scenario, *_ in OFF), owners_change, owner_cut_off, purge_while_frozen, zone_emptied):
+        for scenario in (
+            *(scenario for scenario, *_ in OFF),
+            owners_change,
+            owner_cut_off,
+            purge_while_frozen,
+            zone_emptied,
+        ):
             with self.subTest(scenario=scenario.__name__):
                 scenario(opened())
 
@@ -245,18 +340,26 @@
 
     def test_an_emptied_zone_that_stays_in_the_snapshot_is_caught(self):
         from willowpost.proxy.routing.snapshot import SnapshotMaker
+
         make = SnapshotMaker.make
         world = opened()
         for name in ("apps0", "apps2", "apps3"):
             world.crash(name)
-        with patch.object(SnapshotMaker, "make", lambda self, tables: make(self, replace(tables, zones={}))):
-            with self.assertRaisesRegex(Broken, "emptied zone"):
-                zone_emptied(world)
+        with (
+            patch.object(
+                SnapshotMaker, "make", lambda self, tables: make(self, replace(tables, zones={}))
+            ),
+            self.assertRaisesRegex(Broken, "emptied zone"),
+        ):
+            zone_emptied(world)
 
 
 class FaultSchedules(unittest.TestCase):
     def test_a_decided_slot_is_finished_after_a_lost_disk_and_a_herd_restart(self):
-        """Seed 1379: the slot was decided 1, and the majority's third proposal had gone with a disk."""
+        """Seed 1379: the slot was decided 1.
+
+        And the majority's third proposal had gone with a disk.
+        """
         FleetFaultSchedule(1379).run()
 
     def test_promises_hold_over_fixed_seeds(self):
@@ -266,7 +369,10 @@
 
     def test_a_seed_replays_exactly(self):
         first, second = FleetFaultSchedule(5).run().world, FleetFaultSchedule(5).run().world
-        self.assertEqual((first.order, first.sent, first.traffic.outcomes), (second.order, second.sent, second.traffic.outcomes))
+        self.assertEqual(
+            (first.order, first.sent, first.traffic.outcomes),
+            (second.order, second.sent, second.traffic.outcomes),
+        )
 
 
 if __name__ == "__main__":
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -1,18 +1,21 @@
 """Whom a follower asks when nobody it knows of answers any more."""
+
 import unittest
 
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Changed, Received, Tick
-from willowpost.node.node_state import Card, NodeState
 from willowpost.node.follower import WITHOUT_SOURCE_AFTER, Follower
+from willowpost.node.node_state import Card, NodeState
 from willowpost.state.tables import Tables
-from willowpost.wire.messages import Member, Hello, StateUpdate, Poll
+from willowpost.wire.messages import Hello, Member, Poll, StateUpdate
 
 CARD = Card("r/registry", "registry", "core", "r", "a", "r:1", "r:2", 7)
 
 
 def core(*names):
-    return tuple({"identity": name, "name": name, "zone": "a", "address": f"{name}:1"} for name in names)
+    return tuple(
+        {"identity": name, "name": name, "zone": "a", "address": f"{name}:1"} for name in names
+    )
 
 
 def known(*names):
@@ -21,11 +24,17 @@
 
 class WithoutSource(unittest.TestCase):
     def setUp(self):
-        self.node_state = NodeState(CARD, Tables(slot=50, epoch=1, core=core("A", "B", "C")), fresh_as_of=0)
+        self.node_state = NodeState(
+            CARD, Tables(slot=50, epoch=1, core=core("A", "B", "C")), fresh_as_of=0
+        )
         self.follower = Follower(self.node_state, ["x:1"], tree=False)
 
     def ticks(self, start, span=3 * SECOND):
-        return [send for now in range(start, start + span, 20 * MILLI) for send in self.follower.step(Tick(), now).sends]
+        return [
+            send
+            for now in range(start, start + span, 20 * MILLI)
+            for send in self.follower.step(Tick(), now).sends
+        ]
 
     def greeted(self, sends):
         return {address for address, message in sends if isinstance(message, Hello)}
@@ -40,23 +49,36 @@
     def test_what_the_new_seeds_name_is_polled_and_forgotten_once_there_are_state_update(self):
         self.follower.step(Changed(("y:1",)), 0)
         self.assertEqual({"y:1"}, self.greeted(self.ticks(4 * SECOND)))
-        self.follower.step(Received("y:1", Hello(answer=True, bootstrapped=True, known=known("C", "D", "E"))), 7 * SECOND)
+        self.follower.step(
+            Received("y:1", Hello(answer=True, bootstrapped=True, known=known("C", "D", "E"))),
+            7 * SECOND,
+        )
         polls = self.polled(self.ticks(7 * SECOND))
         self.assertEqual({"A:1", "B:1", "C:1", "D:1", "E:1"}, polls)
         newer = Tables(slot=90, epoch=3, core=core("C", "D", "E"))
-        self.follower.step(Received("D:1", StateUpdate(self.follower.nonce, 90, 0, True, snapshot=newer.text())), 10 * SECOND)
+        self.follower.step(
+            Received("D:1", StateUpdate(self.follower.nonce, 90, 0, True, snapshot=newer.text())),
+            10 * SECOND,
+        )
         self.assertEqual((90, ()), (self.node_state.tables.slot, self.node_state.seed_cores))
         self.assertEqual({"C:1", "D:1", "E:1"}, set(self.node_state.cores()))
 
     def test_it_never_goes_back_whomever_it_asks(self):
         self.ticks(4 * SECOND)
-        self.follower.step(Received("x:1", Hello(answer=True, bootstrapped=True, known=known("D"))), 7 * SECOND)
+        self.follower.step(
+            Received("x:1", Hello(answer=True, bootstrapped=True, known=known("D"))), 7 * SECOND
+        )
         older = Tables(slot=40, epoch=9, core=core("D"))
-        self.follower.step(Received("D:1", StateUpdate(self.follower.nonce, 40, 0, True, snapshot=older.text())), 7 * SECOND)
+        self.follower.step(
+            Received("D:1", StateUpdate(self.follower.nonce, 40, 0, True, snapshot=older.text())),
+            7 * SECOND,
+        )
         self.assertEqual((50, 1), (self.node_state.tables.slot, self.node_state.tables.epoch))
 
     def test_who_has_state_update_heeds_no_greeting(self):
-        self.follower.step(Received("x:1", Hello(answer=True, bootstrapped=True, known=known("D"))), SECOND)
+        self.follower.step(
+            Received("x:1", Hello(answer=True, bootstrapped=True, known=known("D"))), SECOND
+        )
         self.assertEqual((), self.node_state.seed_cores)
 
 
--- a/tests/test_kinds.py
+++ b/tests/test_kinds.py
@@ -1,19 +1,35 @@
-"""Kinds of routes, named lives, echoed ids, seals: byte for byte over real sockets, origins scripted."""
+"""Kinds of routes, named lives, echoed ids, seals: byte for byte over real sockets.
+
+Origins scripted.
+"""
+
 import os
 import unittest
 
 import gevent
 from gevent import socket
+from served import ScriptedOrigin, ServedProxy, answer
 
 from willowpost.proxy.origin.pool import quiet
 
-from served import ScriptedOrigin, ServedProxy, answer
-
-CONFIGURATION = {"services": {"g": {"rate": 1000, "named": True, "sealed": True}}, "settings": {"service": "g", "tries": 2, "deadline_ms": 2000},
-          "branches": {"once": {"host": "h.example", "path": "/once/", "settings": {"kind": "once"}},
-                       "again": {"host": "h.example", "path": "/again/", "settings": {"kind": "repeatable"}},
-                       "home": {"host": "h.example", "path": "/home/", "settings": {"kind": "kept", "keep_seconds": 60, "homes": ["here"]}},
-                       "kept": {"host": "h.example", "path": "/kept/", "settings": {"kind": "kept", "keep_seconds": 60}}}}
+CONFIGURATION = {
+    "services": {"g": {"rate": 1000, "named": True, "sealed": True}},
+    "settings": {"service": "g", "tries": 2, "deadline_ms": 2000},
+    "branches": {
+        "once": {"host": "h.example", "path": "/once/", "settings": {"kind": "once"}},
+        "again": {"host": "h.example", "path": "/again/", "settings": {"kind": "repeatable"}},
+        "home": {
+            "host": "h.example",
+            "path": "/home/",
+            "settings": {"kind": "kept", "keep_seconds": 60, "homes": ["here"]},
+        },
+        "kept": {
+            "host": "h.example",
+            "path": "/kept/",
+            "settings": {"kind": "kept", "keep_seconds": 60},
+        },
+    },
+}
 
 
 def sealed(body=b"ok", status="200 OK", name="n1", **headers):
@@ -37,12 +53,19 @@
         for status, headers in (("503 Full", {"wp_not_run": "1"}), ("421 Misdirected", {})):
             with self.subTest(status=status):
                 proxy = self.served((answer(b"", status, **headers),), (sealed(),))
-                proxy.front.carrier.tries.origins.load[self.origins[1].address + "@1"] = 50     # the other one is picked first
+                # the other one is picked first
+                proxy.front.carrier.tries.origins.load[self.origins[1].address + "@1"] = 50
                 self.assertEqual(200, proxy.ask("POST", "/once/1", b"x", wp_request="n1")[0])
                 self.assertEqual(2, len(self.asked()))
 
     def test_nothing_else_is_and_no_promise_is_made_of_it(self):
-        for script in (None, answer(b"", "503 Busy"), answer(b"", "429 Many"), answer(b"", "408 Late"), answer(b"junk", length=50, connection="close")):
+        for script in (
+            None,
+            answer(b"", "503 Busy"),
+            answer(b"", "429 Many"),
+            answer(b"", "408 Late"),
+            answer(b"junk", length=50, connection="close"),
+        ):
             with self.subTest(script=script):
                 proxy = self.served((script,), (script,))
                 status, _, headers = proxy.ask("POST", "/once/1", b"x", wp_request="n1")
@@ -51,15 +74,21 @@
                 self.assertEqual(1, len(self.asked()))
 
     def test_all_say_not_run_and_so_do_we_with_a_time_to_come_back(self):
-        proxy = self.served((answer(b"", "503 Full", wp_not_run="1"),), (answer(b"", "421 Misdirected"),))
+        proxy = self.served(
+            (answer(b"", "503 Full", wp_not_run="1"),), (answer(b"", "421 Misdirected"),)
+        )
         status, _, headers = proxy.ask("POST", "/once/1", b"x", wp_request="n1")
         self.assertEqual((503, "not-run"), (status, headers["wp-outcome"]))
         self.assertLess(float(headers["retry-after"]), 1)
 
     def test_the_incarnation_and_what_is_left_go_along_and_the_id_comes_back(self):
         proxy = self.served((sealed(),))
-        status, body, headers = proxy.ask("POST", "/once/a?b=c", b"x", wp_request="n1", wp_left="700")
-        self.assertEqual((200, b"ok", "n1", "s"), (status, body, headers["wp-request"], headers["wp-seal"]))
+        status, body, headers = proxy.ask(
+            "POST", "/once/a?b=c", b"x", wp_request="n1", wp_left="700"
+        )
+        self.assertEqual(
+            (200, b"ok", "n1", "s"), (status, body, headers["wp-request"], headers["wp-seal"])
+        )
         request = self.asked()[0].decode().lower()
         self.assertIn("post /once/a?b=c http/1.1", request)
         self.assertIn("wp-incarnation: incarnation-0", request)
@@ -68,13 +97,23 @@
 
     def test_any_method_goes_by_the_kind_of_the_route(self):
         proxy = self.served((sealed(),))
-        self.assertEqual([200, 200], [proxy.ask(method, "/once/1", wp_request="n1")[0] for method in ("GET", "DELETE")])
-        self.assertEqual([1, 2], self.origins[0].connections)       # a GET that may run once takes a fresh connection too
+        self.assertEqual(
+            [200, 200],
+            [proxy.ask(method, "/once/1", wp_request="n1")[0] for method in ("GET", "DELETE")],
+        )
+        # a GET that may run once takes a fresh connection too
+        self.assertEqual([1, 2], self.origins[0].connections)
 
 
 class Repeatable(Scripted):
     def test_a_broken_answer_or_a_failure_is_tried_elsewhere(self):
-        for script in (None, answer(b"", "500 Oops", wp_request="n1"), answer(b"half", length=50, connection="close"), answer(b"no seal", wp_request="n1"), b"junk\r\n\r\n"):
+        for script in (
+            None,
+            answer(b"", "500 Oops", wp_request="n1"),
+            answer(b"half", length=50, connection="close"),
+            answer(b"no seal", wp_request="n1"),
+            b"junk\r\n\r\n",
+        ):
             with self.subTest(script=script):
                 proxy = self.served((script,), (sealed(),))
                 proxy.front.carrier.tries.origins.load[self.origins[1].address + "@1"] = 50
@@ -107,17 +146,30 @@
         proxy = self.served((sealed(b"slow"),))
         origin, gate = self.origins[0], gevent.event.Event()
         origin.hold = lambda request: gate.wait() if b"/again/1" in request else None
-        origin.answers = [lambda request: sealed(request.split(b" ")[1], name=request.lower().split(b"wp-request: ")[1].split(b"\r\n")[0].decode())]
+        origin.answers = [
+            lambda request: sealed(
+                request.split(b" ")[1],
+                name=request.lower().split(b"wp-request: ")[1].split(b"\r\n")[0].decode(),
+            )
+        ]
         connection = socket.create_connection(proxy.address)
-        connection.sendall(b"".join(b"GET /again/%d HTTP/1.1\r\nHost: h.example\r\nWp-Request: n%d\r\n\r\n" % (number, number) for number in (1, 2, 3)))
-        while len(origin.requests) < 3:        # all three are under way though the first is held
+        connection.sendall(
+            b"".join(
+                b"GET /again/%d HTTP/1.1\r\nHost: h.example\r\nWp-Request: n%d\r\n\r\n"
+                % (number, number)
+                for number in (1, 2, 3)
+            )
+        )
+        while len(origin.requests) < 3:  # all three are under way though the first is held
             gevent.sleep(0.001)
         gate.set()
         connection.settimeout(5)
         data = b""
         while data.count(b"/again/") < 3:
             data += connection.recv(65536)
-        self.assertEqual(sorted(range(3), key=lambda number: data.index(b"/again/%d" % (number + 1))), [0, 1, 2])
+        self.assertEqual(
+            sorted(range(3), key=lambda number: data.index(b"/again/%d" % (number + 1))), [0, 1, 2]
+        )
 
     def test_a_route_without_room_for_more_connections_rejects_at_once(self):
         proxy = self.served((sealed(),), connections=1)
@@ -135,9 +187,16 @@
 class Connections(Scripted):
     def test_an_idle_connection_with_a_high_descriptor_is_used_again(self):
         proxy = self.served((sealed(), sealed(name="n2")))
-        held = [os.dup(0) for _ in range(1100)]       # select() would take no descriptor from 1024 on
+        # select() would take no descriptor from 1024 on
+        held = [os.dup(0) for _ in range(1100)]
         try:
-            self.assertEqual([200, 200], [proxy.ask("GET", f"/again/{number}", wp_request=f"n{number}")[0] for number in (1, 2)])
+            self.assertEqual(
+                [200, 200],
+                [
+                    proxy.ask("GET", f"/again/{number}", wp_request=f"n{number}")[0]
+                    for number in (1, 2)
+                ],
+            )
         finally:
             for number in held:
                 os.close(number)
@@ -160,7 +219,12 @@
 class Kept(Scripted):
     def test_a_part_is_cut_from_the_whole_that_is_kept_with_its_seal(self):
         proxy = self.served((sealed(b"0123456789", etag='"e"', wp_tags="t1 t2"),))
-        for said, status, body in (("bytes=3-5", 206, b"345"), ("bytes=7-", 206, b"789"), ("bytes=0-99", 206, b"0123456789"), ("bytes=10-", 416, b"")):
+        for said, status, body in (
+            ("bytes=3-5", 206, b"345"),
+            ("bytes=7-", 206, b"789"),
+            ("bytes=0-99", 206, b"0123456789"),
+            ("bytes=10-", 416, b""),
+        ):
             held = proxy.ask("GET", "/kept/1", wp_request="n1", range=said)
             self.assertEqual((status, body, "s"), (held[0], held[1], held[2]["wp-seal"]))
         self.assertEqual(1, len(self.asked()))
@@ -168,7 +232,13 @@
 
     def test_each_caller_gets_its_own_id_back(self):
         proxy = self.served((sealed(),))
-        self.assertEqual(["n1", "n2"], [proxy.ask("GET", "/kept/1", wp_request=name)[2]["wp-request"] for name in ("n1", "n2")])
+        self.assertEqual(
+            ["n1", "n2"],
+            [
+                proxy.ask("GET", "/kept/1", wp_request=name)[2]["wp-request"]
+                for name in ("n1", "n2")
+            ],
+        )
         self.assertEqual(1, len(self.asked()))
 
     def test_a_host_may_have_an_underscore(self):
@@ -177,7 +247,13 @@
 
     def test_a_caller_who_has_it_already_is_told_so(self):
         proxy = self.served((sealed(etag='"e"'),))
-        self.assertEqual([304, 304, 200], [proxy.ask("GET", "/kept/1", wp_request="n1", if_none_match=tag)[0] for tag in ('"e"', '"e"', '"f"')])
+        self.assertEqual(
+            [304, 304, 200],
+            [
+                proxy.ask("GET", "/kept/1", wp_request="n1", if_none_match=tag)[0]
+                for tag in ('"e"', '"e"', '"f"')
+            ],
+        )
         self.assertEqual(1, len(self.asked()))
 
     def test_no_copy_is_kept_outside_the_home_regions(self):
@@ -186,14 +262,19 @@
                 proxy = self.served((sealed(),))
                 proxy.front.carrier.tries.regions = {"a": region, "b": "here"}
                 proxy.set_origins(self.origins, zones=("b",), named=True, sealed=True)
-                self.assertEqual([200, 200], [proxy.ask("GET", "/home/1", wp_request="n1")[0] for _ in range(2)])
+                self.assertEqual(
+                    [200, 200], [proxy.ask("GET", "/home/1", wp_request="n1")[0] for _ in range(2)]
+                )
                 self.assertEqual(asked, len(self.asked()))
 
     def test_where_no_copy_may_be_kept_only_the_part_is_fetched(self):
         for region, wanted in (("here", False), ("there", True)):
             with self.subTest(region=region):
                 proxy = self.served((sealed(b"0123456789"),))
-                proxy.front.carrier.tries.regions = proxy.front.planner.regions = {"a": region, "b": "here"}
+                proxy.front.carrier.tries.regions = proxy.front.planner.regions = {
+                    "a": region,
+                    "b": "here",
+                }
                 proxy.set_origins(self.origins, zones=("b",), named=True, sealed=True)
                 proxy.ask("GET", "/home/1", wp_request="n1", range="bytes=3-")
                 self.assertEqual(wanted, b"range: bytes=3-" in self.asked()[0].lower())
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -1,4 +1,8 @@
-"""Configurations at the limit and snapshots of many MB: how long one step holds a daemon's loop, and what catches up with it."""
+"""Configurations at the limit and snapshots of many MB: how long one step holds a daemon's loop.
+
+And what catches up with it.
+"""
+
 import json
 import time
 import unittest
@@ -10,22 +14,35 @@
 
 def large(routes, depth=1):
     """Thousands of routes beside the ones in use, or a deep tree of them."""
+
     def branch(number, left):
         below = {"branches": {f"d{left}": branch(number, left - 1)}} if left else {}
-        return {"path": f"/bulk/{number}/{left}" + "x" * 470, "settings": {"deadline_ms": 1000 + number % 500}, **below}
+        return {
+            "path": f"/bulk/{number}/{left}" + "x" * 470,
+            "settings": {"deadline_ms": 1000 + number % 500},
+            **below,
+        }
+
     return {f"w{number}": branch(number, depth - 1) for number in range(routes)}
 
 
 class Large(unittest.TestCase):
     def accept(self, world, routes, depth):
-        world.configuration["branches"]["bulk"] = {"host": "bulk.example", "settings": {"service": "art"}, "branches": large(routes, depth)}
+        world.configuration["branches"]["bulk"] = {
+            "host": "bulk.example",
+            "settings": {"service": "art"},
+            "branches": large(routes, depth),
+        }
         before = world.version
         world.put_configuration(0)
         self.assertTrue(world.until(lambda: world.version > before, seconds(5)))
         return len(json.dumps(world.configuration))
 
     def test_a_configuration_near_the_limit_is_in_force_and_a_lost_disk_comes_back_with_it(self):
-        """The rules check at every step that it is in force in time; the longest step is measured in real time."""
+        """The rules check at every step that it is in force in time.
+
+        The longest step is measured in real time.
+        """
         world = FleetWorld(5)
         world.open()
         longest = {}
@@ -35,28 +52,58 @@
             begun = time.perf_counter()
             give(address, event)
             longest[address[0]] = max(longest.get(address[0], 0.0), time.perf_counter() - begun)
+
         world.give = timed
         size = self.accept(world, 600, 7)
         self.assertGreater(size, BYTES_MOST // 2)
         self.assertLess(size, BYTES_MOST)
         world.run(seconds(3))
-        self.assertEqual({world.version}, {world.seats[name].node.proxy.snapshot.version for name in world.edges + world.shields})
+        self.assertEqual(
+            {world.version},
+            {world.seats[name].node.proxy.snapshot.version for name in world.edges + world.shields},
+        )
         world.crash("s1", lose_disk=True)
         world.start("s1")
         world.crash("e0")
         world.start("e0")
-        self.assertTrue(world.until(lambda: all(node_state.voter for _, node_state in world.node_states()) and
-                                    world.seats["e0"].node.proxy.snapshot.version == world.version, seconds(15)))
-        print({kind: round(held * 1000) for kind, held in sorted(longest.items())}, "ms at most in one step;", size, "bytes")
+        self.assertTrue(
+            world.until(
+                lambda: (
+                    all(node_state.voter for _, node_state in world.node_states())
+                    and world.seats["e0"].node.proxy.snapshot.version == world.version
+                ),
+                seconds(15),
+            )
+        )
+        print(
+            {kind: round(held * 1000) for kind, held in sorted(longest.items())},
+            "ms at most in one step;",
+            size,
+            "bytes",
+        )
         # a lease lasts 1.5 s: no step may come near it, whatever the machine
         self.assertLess(max(longest.values()), 1.2)
 
     def test_beyond_each_limit_it_is_refused_with_its_place(self):
         tree = json.loads(json.dumps(FleetWorld(5).configuration))
-        for bulk, place in ((large(1, 9), "branches/bulk/branches/w0"), (large(3000, 7), "branches")):
-            tree["branches"]["bulk"] = {"host": "bulk.example", "settings": {"service": "art"}, "branches": bulk}
-            findings = ConfigurationChecker().check_value(tree).unwrap_err() if ConfigurationChecker().check_value(tree).is_err() else []
-            self.assertTrue(any(finding["place"].startswith(place) for finding in findings), (place, findings[:2]))
+        for bulk, place in (
+            (large(1, 9), "branches/bulk/branches/w0"),
+            (large(3000, 7), "branches"),
+        ):
+            tree["branches"]["bulk"] = {
+                "host": "bulk.example",
+                "settings": {"service": "art"},
+                "branches": bulk,
+            }
+            findings = (
+                ConfigurationChecker().check_value(tree).unwrap_err()
+                if ConfigurationChecker().check_value(tree).is_err()
+                else []
+            )
+            self.assertTrue(
+                any(finding["place"].startswith(place) for finding in findings),
+                (place, findings[:2]),
+            )
 
     def test_a_stream_of_single_purges_keeps_tables_and_memory_bounded(self):
         world = FleetWorld(5)
@@ -64,7 +111,11 @@
         sizes = []
         for second in range(6):
             for number in range(900):
-                world.operate(number % 5, {"op": "purge", "kind": "item", "host": "*", "path": f"/art/{second}-{number}"}, lambda answer: None)
+                world.operate(
+                    number % 5,
+                    {"op": "purge", "kind": "item", "host": "*", "path": f"/art/{second}-{number}"},
+                    lambda answer: None,
+                )
             world.run(seconds(1))
             sizes.append(len(world.seats["r0"].node.registry.tables.text()))
         tables = world.seats["r0"].node.registry.tables
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -1,12 +1,31 @@
 """What a daemon loads when it is imported; memory on small machines has its price."""
+
 import json
 import subprocess
 import sys
 import unittest
 
-FOREIGN = {     # entry -> what it must not load
-    "willowpost.store.daemon": {"pydantic", "cleo", "yaml", "ssl", "asyncio", "email", "_hashlib", "geventhttpclient", "gevent.pywsgi"},
-    "willowpost.proxy.daemon": {"pydantic", "cleo", "yaml", "asyncio", "ssl", "_hashlib", "geventhttpclient"},
+FOREIGN = {  # entry -> what it must not load
+    "willowpost.store.daemon": {
+        "pydantic",
+        "cleo",
+        "yaml",
+        "ssl",
+        "asyncio",
+        "email",
+        "_hashlib",
+        "geventhttpclient",
+        "gevent.pywsgi",
+    },
+    "willowpost.proxy.daemon": {
+        "pydantic",
+        "cleo",
+        "yaml",
+        "asyncio",
+        "ssl",
+        "_hashlib",
+        "geventhttpclient",
+    },
     "willowpost.registry.daemon": {"cleo", "yaml", "asyncio", "ssl", "geventhttpclient"},
 }
 
@@ -15,7 +34,11 @@
     def test_each_daemon_leaves_out_what_it_does_not_need(self):
         for entry, foreign in FOREIGN.items():
             asked = f"import json, sys, {entry}; print(json.dumps(sorted(sys.modules)))"
-            loaded = json.loads(subprocess.run([sys.executable, "-c", asked], capture_output=True, check=True).stdout)
+            loaded = json.loads(
+                subprocess.run(
+                    [sys.executable, "-c", asked], capture_output=True, check=True
+                ).stdout
+            )
             self.assertIn(entry, loaded)
             self.assertEqual(set(), foreign & set(loaded), entry)
 
--- a/tests/test_leaver.py
+++ b/tests/test_leaver.py
@@ -1,11 +1,12 @@
 """The stages of a planned end, by the clock alone."""
+
 import unittest
 
 from willowpost.common.clock import MILLI
 from willowpost.common.events import Tick
 from willowpost.common.plan import Plan
-from willowpost.node.node_state import Card, NodeState
 from willowpost.node.leaver import Leave, Leaver, Spans, Stage
+from willowpost.node.node_state import Card, NodeState
 from willowpost.state.tables import Tables
 
 CARD = Card("e/proxy", "proxy", "edge", "e", "a", "127.0.0.1:1", "127.0.0.1:2", 7)
@@ -24,17 +25,29 @@
     def setUp(self):
         self.node_state = NodeState(CARD, Tables(daemons={CARD.id: {"incarnation": 7}}))
         self.command_client = Asker()
-        self.leaver = Leaver(self.node_state, self.command_client, type("Joins", (), {"leaving": False})(), Spans(2500 * MILLI, 2000 * MILLI, 600 * MILLI))
+        self.leaver = Leaver(
+            self.node_state,
+            self.command_client,
+            type("Joins", (), {"leaving": False})(),
+            Spans(2500 * MILLI, 2000 * MILLI, 600 * MILLI),
+        )
         self.in_flight = 0
         self.leaver.in_flight = lambda: self.in_flight
         self.leaver.step(Leave(), 0)
 
     def until(self, stage):
-        return next(now for now in range(0, 20_000, 20) if self.leaver.step(Tick(), now * MILLI) and self.leaver.stage is stage)
+        return next(
+            now
+            for now in range(0, 20_000, 20)
+            if self.leaver.step(Tick(), now * MILLI) and self.leaver.stage is stage
+        )
 
     def test_idle_it_is_gone_soon_after_the_drain(self):
         self.assertTrue(self.node_state.draining)
-        self.assertEqual((2500, 2600, 3200), (self.until(Stage.FINISHING), self.until(Stage.LEAVING), self.until(Stage.GONE)))
+        self.assertEqual(
+            (2500, 2600, 3200),
+            (self.until(Stage.FINISHING), self.until(Stage.LEAVING), self.until(Stage.GONE)),
+        )
         self.assertEqual(["drain", "leave"], self.command_client.ops)
 
     def test_whoever_has_left_the_log_need_not_wait(self):
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -1,4 +1,6 @@
 """The wires between processes, over real sockets: junk, and handles that run out."""
+
+import contextlib
 import os
 import random
 import resource
@@ -59,8 +61,8 @@
             elif number % 4 == 1:
                 junk[chance.randrange(len(junk))] ^= 1 << chance.randrange(8)
             elif number % 4 == 2:
-                junk = junk[:chance.randrange(1, len(junk))]
-            else:       # with a checksum that fits
+                junk = junk[: chance.randrange(1, len(junk))]
+            else:  # with a checksum that fits
                 body = chance.randbytes(chance.randrange(1, 200))
                 junk = bytearray(HEAD.pack(len(body), zlib.crc32(body)) + body)
             with self.raw() as connection:
@@ -76,10 +78,8 @@
         for _ in range(200):
             frame = bytearray(Codec().encode("x", SyncedIndex("s", 1)))
             frame[chance.randrange(len(frame))] ^= 1 << chance.randrange(8)
-            try:
+            with contextlib.suppress(Exception):
                 taken += Codec().decode(bytes(frame)) != ("x", SyncedIndex("s", 1))
-            except Exception:
-                pass
         self.assertGreater(taken, 10)
 
     def test_a_node_that_waits_is_not_buried(self):
@@ -95,7 +95,7 @@
     def test_handles_that_run_out_on_either_side_are_waited_for(self):
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         self.assertTrue(self.came(1))
-        del self.there.lines[self.here.address]      # a new connection is needed
+        del self.there.lines[self.here.address]  # a new connection is needed
         held = []
         resource.setrlimit(resource.RLIMIT_NOFILE, (len(os.listdir("/proc/self/fd")) + 8, hard))
         try:
@@ -114,12 +114,20 @@
         self.assertTrue(self.came(3))
 
     def test_what_a_peer_does_not_acknowledge_is_not_held_for_long(self):
-        """After a cut or a loss of power TCP alone repeats at 0.2, 0.6, 1.4, 3, 6 and 12 s: a machine that came back hears nothing till then."""
+        """After a cut or a loss of power TCP alone repeats at 0.2, 0.6, 1.4, 3, 6 and 12 s.
+
+        A machine that came back hears nothing till then.
+        """
         made, make = [], socket.socket
-        with mock.patch.object(mesh_module.socket, "socket", lambda *args: made.append(make(*args)) or made[-1]):
+        with mock.patch.object(
+            mesh_module.socket, "socket", lambda *args: made.append(make(*args)) or made[-1]
+        ):
             self.assertTrue(self.came(5))
         self.assertLessEqual(HELD_MOST_MS, 1500)
-        self.assertEqual([HELD_MOST_MS], [held.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) for held in made])
+        self.assertEqual(
+            [HELD_MOST_MS],
+            [held.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) for held in made],
+        )
 
     def test_an_address_that_is_none_harms_nobody(self):
         for address in ("127.0.0.1:99999", "nowhere:1"):
--- a/tests/test_numbered.py
+++ b/tests/test_numbered.py
@@ -1,13 +1,18 @@
-"""Numbered configurations: the highest number holds, whatever order they come in; what is not above it is acknowledged."""
+"""Numbered configurations: the highest number holds, whatever order they come in.
+
+What is not above it is acknowledged.
+"""
+
 import json
 import random
 import unittest
 
+import test_registry
+
 from willowpost.sim.world import seconds
 from willowpost.state.apply import Apply
 from willowpost.state.tables import Tables, tables_from
 from willowpost.wire.messages import Command, Decision
-import test_registry
 
 
 def tree(number):
@@ -27,27 +32,44 @@
 
 
 class Numbers(unittest.TestCase):
-    def test_in_every_order_with_repeats_and_uneven_steps_the_highest_holds_and_none_goes_back(self):
+    def test_in_every_order_with_repeats_and_uneven_steps_the_highest_holds_and_none_goes_back(
+        self,
+    ):
         for seed in range(200):
             chance, log, highest = random.Random(seed), Log(), None
             numbers = [chance.randrange(40) for _ in range(8)]
             for number in chance.sample(numbers * 2, 16):
-                answer = log.put(op="configuration", version=number, tree=tree(number), source=f"s{number}")
+                answer = log.put(
+                    op="configuration", version=number, tree=tree(number), source=f"s{number}"
+                )
                 above = highest is None or number > highest
                 highest = number if above else highest
-                self.assertEqual({"ok": True, "version": highest, "changed": above}, answer, (seed, number))
-                self.assertEqual({"version": highest, "tree": tree(highest), "source": f"s{highest}"}, log.tables.configuration)
+                self.assertEqual(
+                    {"ok": True, "version": highest, "changed": above}, answer, (seed, number)
+                )
+                self.assertEqual(
+                    {"version": highest, "tree": tree(highest), "source": f"s{highest}"},
+                    log.tables.configuration,
+                )
 
     def test_a_number_said_again_with_another_configuration_changes_nothing(self):
         log = Log()
         log.put(op="configuration", version=7, tree=tree(1), source="first")
-        self.assertFalse(log.put(op="configuration", version=7, tree=tree(2), source="second")["changed"])
+        self.assertFalse(
+            log.put(op="configuration", version=7, tree=tree(2), source="second")["changed"]
+        )
         self.assertEqual("first", log.tables.configuration["source"])
 
     def test_without_a_number_the_next_one_is_taken_and_an_old_source_does_not_stay(self):
         log = Log()
         log.put(op="configuration", version=7, tree=tree(1), source="first")
-        self.assertEqual((False, 7), ((answer := log.put(op="configuration", tree=tree(2), if_match=6))["ok"], answer["version"]))
+        self.assertEqual(
+            (False, 7),
+            (
+                (answer := log.put(op="configuration", tree=tree(2), if_match=6))["ok"],
+                answer["version"],
+            ),
+        )
         self.assertEqual(8, log.put(op="configuration", tree=tree(2), if_match=7)["version"])
         self.assertEqual({"version": 8, "tree": tree(2)}, log.tables.configuration)
         self.assertFalse(log.put(op="configuration", version=8, tree=tree(3))["changed"])
@@ -66,24 +88,58 @@
 
 class Calls(test_registry.World):
     def number(self, version, first=0, **more):
-        return self.call("POST", "/v1/configurations", {"version": version, "configuration": self.world.configuration, **more}, first=first)
+        return self.call(
+            "POST",
+            "/v1/configurations",
+            {"version": version, "configuration": self.world.configuration, **more},
+            first=first,
+        )
 
     def test_numbers_come_through_any_registry(self):
-        held = [self.number(7, source="first"), self.number(3, first=1), self.number(7), self.number(12, first=1, source="later"), self.number(11)]
-        self.assertEqual([(200, 7, True), (200, 7, False), (200, 7, False), (200, 12, True), (200, 12, False)],
-                         [(answer.code, answer.value["version"], answer.value["changed"]) for answer in held])
-        self.assertEqual((12, "later"), ((read := self.call("GET", "/v1/configuration", first=1).value)["version"], read["source"]))
+        held = [
+            self.number(7, source="first"),
+            self.number(3, first=1),
+            self.number(7),
+            self.number(12, first=1, source="later"),
+            self.number(11),
+        ]
+        self.assertEqual(
+            [(200, 7, True), (200, 7, False), (200, 7, False), (200, 12, True), (200, 12, False)],
+            [(answer.code, answer.value["version"], answer.value["changed"]) for answer in held],
+        )
+        self.assertEqual(
+            (12, "later"),
+            (
+                (read := self.call("GET", "/v1/configuration", first=1).value)["version"],
+                read["source"],
+            ),
+        )
 
     def test_numbers_that_race_through_all_registries_leave_the_highest_everywhere(self):
         chance = random.Random(3)
         for base in (10, 50):
             numbers = chance.sample(range(base, base + 40), 5) * 2
-            tokens = [self.world.ask(f"r{place % 5}", {"op": "configuration", "version": number, "tree": tree(number)}) for place, number in enumerate(numbers)]
-            self.assertTrue(self.world.until(lambda: all(token in self.world.replies for token in tokens), seconds(8)))
+            tokens = [
+                self.world.ask(
+                    f"r{place % 5}",
+                    {"op": "configuration", "version": number, "tree": tree(number)},
+                )
+                for place, number in enumerate(numbers)
+            ]
+            self.assertTrue(
+                self.world.until(
+                    lambda: all(token in self.world.replies for token in tokens), seconds(8)
+                )
+            )
             self.assertTrue(all(self.world.replies[token]["answers"][0]["ok"] for token in tokens))
             self.world.run(seconds(1))
-            held = {(configuration["version"], configuration["tree"]["settings"]["deadline_ms"]) for configuration in
-                    (self.world.seats[f"r{number}"].node.registry.tables.configuration for number in range(5))}
+            held = {
+                (configuration["version"], configuration["tree"]["settings"]["deadline_ms"])
+                for configuration in (
+                    self.world.seats[f"r{number}"].node.registry.tables.configuration
+                    for number in range(5)
+                )
+            }
             self.assertEqual({(max(numbers), max(numbers) + 100)}, held)
 
     def test_a_source_is_given_back_to_the_byte_and_goes_with_its_configuration(self):
@@ -95,12 +151,21 @@
 
     def test_what_is_invalid_is_refused_with_its_place_also_when_its_number_is_low(self):
         self.number(9)
-        for value, place in (({"version": 4, "configuration": {"services": {}, "x": 1}}, "configuration/x"), ({"version": "10", "configuration": self.world.configuration}, "version"),
-                             ({"version": -1, "configuration": self.world.configuration}, "version"), ({"configuration": self.world.configuration}, "version"),
-                             ({"version": 10}, "configuration"), ({"version": 10, "configuration": None}, "configuration"), ([], "/"), (b'{"version": 1', "/"),
-                             (b'{"version": 1, "version": 2, "configuration": {}}', "/")):
+        for value, place in (
+            ({"version": 4, "configuration": {"services": {}, "x": 1}}, "configuration/x"),
+            ({"version": "10", "configuration": self.world.configuration}, "version"),
+            ({"version": -1, "configuration": self.world.configuration}, "version"),
+            ({"configuration": self.world.configuration}, "version"),
+            ({"version": 10}, "configuration"),
+            ({"version": 10, "configuration": None}, "configuration"),
+            ([], "/"),
+            (b'{"version": 1', "/"),
+            (b'{"version": 1, "version": 2, "configuration": {}}', "/"),
+        ):
             answer = self.call("POST", "/v1/configurations", value)
-            self.assertEqual((422, place), (answer.code, answer.value["findings"][0]["place"]), value)
+            self.assertEqual(
+                (422, place), (answer.code, answer.value["findings"][0]["place"]), value
+            )
         self.assertEqual(9, self.call("GET", "/v1/configuration").value["version"])
 
 
