--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -1,20 +1,31 @@
-"""Origins: a life registers once and ends once; late words change nothing; who is cold is known by beats."""
+"""Origins: a life registers once and ends once; late words change nothing.
+
+Who is cold is known by beats.
+"""
+
+import itertools
 import json
 import unittest
 
+import test_registry
+from test_numbered import Log
+
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Received, Tick
 from willowpost.common.rendezvous import Rendezvous
-from willowpost.node.node_state import Card, NodeState
 from willowpost.node.command_client import CommandClient
+from willowpost.node.node_state import Card, NodeState
 from willowpost.registry.beats import Beats, Heard
 from willowpost.sim.world import seconds
 from willowpost.state.tables import BOUND_KEPT, ENDED_KEPT, Tables, tables_from
 from willowpost.wire.messages import Beat, Submit
-from test_numbered import Log
-import test_registry
 
-SERVICES = {"plain": {}, "other": {}, "named": {"named": True, "cold_rate": 5.0}, "careful": {"cold_rate": 5.0}}
+SERVICES = {
+    "plain": {},
+    "other": {},
+    "named": {"named": True, "cold_rate": 5.0},
+    "careful": {"cold_rate": 5.0},
+}
 
 
 class Incarnations(unittest.TestCase):
@@ -23,7 +34,16 @@
         self.log.put(op="configuration", tree={"services": SERVICES})
 
     def register(self, token=None, address="127.0.0.1:1", service="plain", zone="a", **more):
-        return self.log.put(op="register", address=address, service=service, zone=zone, rate=9.0, cold_rate=1.0, **({"token": token} if token else {}), **more)
+        return self.log.put(
+            op="register",
+            address=address,
+            service=service,
+            zone=zone,
+            rate=9.0,
+            cold_rate=1.0,
+            **({"token": token} if token else {}),
+            **more,
+        )
 
     def turn(self, origin, state, **more):
         return self.log.put(op="turn", origin=origin, state=state, **more)
@@ -33,11 +53,17 @@
 
     def test_a_incarnation_registers_once_however_often_it_is_said(self):
         first = self.register("one", cold=False)
-        self.assertEqual({"ok": True, "origin": first["origin"], "state": "warm"}, self.register("one", cold=True))
+        self.assertEqual(
+            {"ok": True, "origin": first["origin"], "state": "warm"},
+            self.register("one", cold=True),
+        )
         self.assertEqual([first["origin"]], list(self.log.tables.origins))
 
     def test_a_incarnation_that_left_does_not_come_back(self):
-        for end in (lambda name: self.turn(name, "gone"), lambda name: self.log.put(op="end", token="one")):
+        for end in (
+            lambda name: self.turn(name, "gone"),
+            lambda name: self.log.put(op="end", token="one"),
+        ):
             self.setUp()
             end(self.register("one")["origin"])
             for _ in range(2):
@@ -45,7 +71,9 @@
             self.assertFalse(self.register("one", address="127.0.0.1:2", state="draining")["ok"])
             self.assertEqual({}, self.log.tables.origins)
             self.assertTrue(self.log.put(op="end", token="one")["ok"])
-            self.assertEqual("gone", self.log.put(op="turn", token="one", state="draining")["state"])
+            self.assertEqual(
+                "gone", self.log.put(op="turn", token="one", state="draining")["state"]
+            )
             self.assertEqual(("one",), self.log.tables.ended)
             self.assertTrue(self.register("two")["ok"])
 
@@ -77,13 +105,22 @@
             self.log.put(op="end", token=f"t{number}")
         self.log.tables = tables_from(self.log.tables.text())
         self.assertEqual(ENDED_KEPT, len(self.log.tables.ended))
-        self.assertEqual([True, False, False], [self.register(f"t{number}")["ok"] for number in (4, 5, ENDED_KEPT + 4)])
+        self.assertEqual(
+            [True, False, False],
+            [self.register(f"t{number}")["ok"] for number in (4, 5, ENDED_KEPT + 4)],
+        )
 
     def test_it_enters_cold_or_warm_as_it_says(self):
-        for cold, state, told in ((True, "cold", True), (False, "warm", True), (None, "cold", None)):
+        for cold, state, told in (
+            (True, "cold", True),
+            (False, "warm", True),
+            (None, "cold", None),
+        ):
             self.setUp()
             name = self.register("one", **({} if cold is None else {"cold": cold}))["origin"]
-            self.assertEqual((state, told), (self.state(name), self.log.tables.origins[name].get("told")))
+            self.assertEqual(
+                (state, told), (self.state(name), self.log.tables.origins[name].get("told"))
+            )
 
     def test_draining_is_the_end_of_being_ready(self):
         name = self.register("one", state="draining")["origin"]
@@ -93,7 +130,9 @@
             self.assertFalse(self.turn(name, state)["ok"])
         self.assertEqual("draining", self.state(name))
         other = self.register("two", address="127.0.0.1:2")["origin"]
-        self.assertEqual("draining", self.register("two", address="127.0.0.1:2", state="draining")["state"])
+        self.assertEqual(
+            "draining", self.register("two", address="127.0.0.1:2", state="draining")["state"]
+        )
         self.assertEqual("draining", self.state(other))
         self.assertTrue(self.turn(other, "draining")["ok"])
 
@@ -114,18 +153,29 @@
         self.assertEqual("warm", self.state(name))
 
     def test_a_zone_that_is_given_back_is_cold_until_a_later_beat(self):
-        held = {service + zone: self.register(service + zone, f"127.0.0.1:{port}", service, zone, cold=False)["origin"]
-                for port, (service, zone) in enumerate((("careful", "a"), ("careful", "b"), ("plain", "a")), 1)}
-        leaving = self.register("leaving", "127.0.0.1:9", "careful", "a", state="draining")["origin"]
+        held = {
+            service + zone: self.register(
+                service + zone, f"127.0.0.1:{port}", service, zone, cold=False
+            )["origin"]
+            for port, (service, zone) in enumerate(
+                (("careful", "a"), ("careful", "b"), ("plain", "a")), 1
+            )
+        }
+        leaving = self.register("leaving", "127.0.0.1:9", "careful", "a", state="draining")[
+            "origin"
+        ]
         self.log.put(op="zone", zone="a", empty=True, what="origins")
         before = self.log.tables.slot
         self.log.put(op="zone", zone="a", empty=False)
-        self.assertEqual({"carefula": "cold", "carefulb": "warm", "plaina": "warm"}, {name: self.state(origin) for name, origin in held.items()})
+        self.assertEqual(
+            {"carefula": "cold", "carefulb": "warm", "plaina": "warm"},
+            {name: self.state(origin) for name, origin in held.items()},
+        )
         self.assertEqual("draining", self.state(leaving))
         self.assertFalse(self.turn(held["carefula"], "warm", as_of=before)["ok"])
         self.assertEqual("cold", self.state(held["carefula"]))
         self.assertTrue(self.turn(held["carefula"], "warm", as_of=before + 1)["ok"])
-        self.log.put(op="zone", zone="a", empty=False)       # said again
+        self.log.put(op="zone", zone="a", empty=False)  # said again
         self.assertEqual("warm", self.state(held["carefula"]))
 
     def test_one_that_was_cold_already_is_cold_anew_when_its_zone_is_given_back(self):
@@ -137,52 +187,135 @@
 
     def test_giving_back_what_was_not_emptied_of_origins_alone_turns_nothing_cold(self):
         name = self.register("one", service="careful", cold=False)["origin"]
-        for empty, what in ((False, {}), (True, {}), (False, {}), (True, {"what": "origins"}), (True, {"what": "all"}), (False, {})):
+        for empty, what in (
+            (False, {}),
+            (True, {}),
+            (False, {}),
+            (True, {"what": "origins"}),
+            (True, {"what": "all"}),
+            (False, {}),
+        ):
             self.log.put(op="zone", zone="a", empty=empty, **what)
             self.assertEqual("warm", self.state(name), (empty, what))
 
     def test_the_oldest_bound_address_is_forgotten_first_also_after_a_snapshot(self):
-        tables = Tables(epoch=1, slot=BOUND_KEPT, bound={f"z{number}": {"service": "plain", "slot": BOUND_KEPT - number} for number in range(BOUND_KEPT)})
+        tables = Tables(
+            epoch=1,
+            slot=BOUND_KEPT,
+            bound={
+                f"z{number}": {"service": "plain", "slot": BOUND_KEPT - number}
+                for number in range(BOUND_KEPT)
+            },
+        )
         self.log.tables = tables_from(tables.text())
         self.register()
-        self.assertEqual((BOUND_KEPT, False, True), (len(self.log.tables.bound), f"z{BOUND_KEPT - 1}" in self.log.tables.bound, "z0" in self.log.tables.bound))
+        self.assertEqual(
+            (BOUND_KEPT, False, True),
+            (
+                len(self.log.tables.bound),
+                f"z{BOUND_KEPT - 1}" in self.log.tables.bound,
+                "z0" in self.log.tables.bound,
+            ),
+        )
 
 
 class Duty(unittest.TestCase):
     """One registry's part, with others and a proxy beside it."""
 
     def setUp(self):
-        card = lambda kind, name: {"id": f"{name}/{kind}", "kind": kind, "role": "core", "name": name, "zone": "a", "address": name, "http": name,
-                                   "incarnation": 1, "state": "up", "since": 0}
-        daemons = {held["id"]: held for held in (card("registry", "r0"), card("registry", "r1"), card("proxy", "p0"))}
-        origin = {"service": "careful", "address": "127.0.0.1:9", "zone": "a", "rate": 9.0, "cold_rate": 1.0, "slot": 1, "state": "warm", "told": True}
-        self.node_state = NodeState(Card("r0/registry", "registry", "core", "r0", "a", "r0", "r0", 1), Tables(
-            slot=7, epoch=1, core=({"identity": "s", "name": "s", "zone": "a", "address": "s0"},), daemons=daemons, origins={"o": origin},
-            configuration={"version": 1, "tree": {"services": {"careful": {"silent_seconds": 4.0, "ramp_seconds": 2.0}}}}))
+        def card(kind, name):
+            return {
+                "id": f"{name}/{kind}",
+                "kind": kind,
+                "role": "core",
+                "name": name,
+                "zone": "a",
+                "address": name,
+                "http": name,
+                "incarnation": 1,
+                "state": "up",
+                "since": 0,
+            }
+
+        daemons = {
+            held["id"]: held
+            for held in (card("registry", "r0"), card("registry", "r1"), card("proxy", "p0"))
+        }
+        origin = {
+            "service": "careful",
+            "address": "127.0.0.1:9",
+            "zone": "a",
+            "rate": 9.0,
+            "cold_rate": 1.0,
+            "slot": 1,
+            "state": "warm",
+            "told": True,
+        }
+        self.node_state = NodeState(
+            Card("r0/registry", "registry", "core", "r0", "a", "r0", "r0", 1),
+            Tables(
+                slot=7,
+                epoch=1,
+                core=({"identity": "s", "name": "s", "zone": "a", "address": "s0"},),
+                daemons=daemons,
+                origins={"o": origin},
+                configuration={
+                    "version": 1,
+                    "tree": {"services": {"careful": {"silent_seconds": 4.0, "ramp_seconds": 2.0}}},
+                },
+            ),
+        )
         self.probed, self.now = [], 100 * SECOND
-        self.beats = Beats(self.node_state, CommandClient("r0/registry", 1, self.node_state.cores, lambda: 1), lambda *probe: self.probed.append((self.now, probe)))
+        self.beats = Beats(
+            self.node_state,
+            CommandClient("r0/registry", 1, self.node_state.cores, lambda: 1),
+            lambda *probe: self.probed.append((self.now, probe)),
+        )
 
     def card(self, **more):
-        self.node_state.tables = Tables(**{**{name: getattr(self.node_state.tables, name) for name in Tables.__slots__},
-                                      "origins": {"o": {**self.node_state.tables.origins["o"], **more}}})
+        self.node_state.tables = Tables(
+            **{
+                **{name: getattr(self.node_state.tables, name) for name in Tables.__slots__},
+                "origins": {"o": {**self.node_state.tables.origins["o"], **more}},
+            }
+        )
 
     def step(self, event, after=0):
         """The messages sent, and the ops proposed: the command client submits them some ms later."""
         self.now += after
         plan = self.beats.step(event, self.now)
         plan.join(self.beats.command_client.step(Tick(), self.now + 10 * MILLI))
-        ops = [op for _, message in plan.sends if isinstance(message, Submit) for op in json.loads(message.command.body)]
+        ops = [
+            op
+            for _, message in plan.sends
+            if isinstance(message, Submit)
+            for op in json.loads(message.command.body)
+        ]
         self.beats.command_client.pending.clear()
-        return [(address, message) for address, message in plan.sends if not isinstance(message, Submit)], ops
+        return [
+            (address, message) for address, message in plan.sends if not isinstance(message, Submit)
+        ], ops
 
     def pass_time(self, span, step=100 * MILLI):
         return [op for _ in range(0, span, step) for op in self.step(Tick(), step)[1]]
 
     def owned(self, own=True):
         """Whether this registry has the duty: by the origin's name."""
-        name = next(name for name in map(str, range(99)) if (Rendezvous().rank(f"origin/{name}", ["r0/registry", "r1/registry"])[0] == "r0/registry") == own)
-        self.node_state.tables = Tables(**{**{held: getattr(self.node_state.tables, held) for held in Tables.__slots__},
-                                      "origins": {name: self.node_state.tables.origins["o"]}})
+        name = next(
+            name
+            for name in map(str, range(99))
+            if (
+                Rendezvous().rank(f"origin/{name}", ["r0/registry", "r1/registry"])[0]
+                == "r0/registry"
+            )
+            == own
+        )
+        self.node_state.tables = Tables(
+            **{
+                **{held: getattr(self.node_state.tables, held) for held in Tables.__slots__},
+                "origins": {name: self.node_state.tables.origins["o"]},
+            }
+        )
         return name
 
     def test_a_beat_goes_to_every_other_registry_and_proxy_at_once_whole(self):
@@ -195,7 +328,9 @@
             self.setUp()
             self.step(later)
             for number in (6, 5, 0):
-                self.assertEqual(([], []), self.step(Heard(Beat("o", 1, 1500, number=number), True), SECOND))
+                self.assertEqual(
+                    ([], []), self.step(Heard(Beat("o", 1, 1500, number=number), True), SECOND)
+                )
                 self.assertEqual(([], []), self.step(Received("r1", Beat("o", number=number))))
             self.assertEqual(100 * SECOND, self.beats.heard["o"])
             self.assertEqual(2, len(self.step(Heard(Beat("o", number=7)))[0]))
@@ -207,10 +342,15 @@
         self.assertEqual(self.now, self.beats.heard["o"])
 
     def test_who_takes_a_beat_proposes_at_once_what_it_says_of_being_cold(self):
-        self.assertEqual([{"op": "turn", "origin": "o", "state": "cold", "told": True, "number": 6}], self.step(Heard(Beat("o", 0, 1500, number=6), True))[1])
+        self.assertEqual(
+            [{"op": "turn", "origin": "o", "state": "cold", "told": True, "number": 6}],
+            self.step(Heard(Beat("o", 0, 1500, number=6), True))[1],
+        )
         self.card(state="cold")
-        self.assertEqual([{"op": "turn", "origin": "o", "state": "warm", "told": True, "number": 7, "as_of": 7}],
-                         self.step(Heard(Beat("o", number=7), True), 10 * MILLI)[1])
+        self.assertEqual(
+            [{"op": "turn", "origin": "o", "state": "warm", "told": True, "number": 7, "as_of": 7}],
+            self.step(Heard(Beat("o", number=7), True), 10 * MILLI)[1],
+        )
         self.assertEqual([], self.step(Heard(Beat("o", 0, 1500, number=8), True))[1])
         self.assertEqual([], self.step(Heard(Beat("o", number=9)))[1])
         self.assertEqual([], self.step(Received("r1", Beat("o", number=10)))[1])
@@ -224,7 +364,10 @@
             self.beats.seen.clear()
             self.node_state.tables.origins[name].update(state="cold", told=told)
             self.step(Heard(Beat(name)))
-            self.assertEqual(states, [(op["state"], op.get("as_of")) for op in self.pass_time(int(2.5 * SECOND))][:1])
+            self.assertEqual(
+                states,
+                [(op["state"], op.get("as_of")) for op in self.pass_time(int(2.5 * SECOND))][:1],
+            )
             self.step(Heard(Beat(name)))
 
     def test_a_silent_one_is_probed_once_a_second_by_whose_duty_it_is_then_gone(self):
@@ -237,73 +380,190 @@
         self.assertEqual([{"op": "turn", "origin": name, "state": "gone", "silent": True}], ops[:1])
         moments = [moment for moment, _ in self.probed]
         self.assertEqual(3, len(moments))
-        self.assertGreaterEqual(min(later - earlier for earlier, later in zip(moments, moments[1:])), SECOND)
+        self.assertGreaterEqual(
+            min(later - earlier for earlier, later in itertools.pairwise(moments)), SECOND
+        )
 
 
 class Calls(test_registry.World):
     def setUp(self):
         super().setUp()
-        self.call("PUT", "/v1/configuration", {**self.world.configuration, "services": {
-            name: {**service, "cold_rate": 5.0} for name, service in self.world.configuration["services"].items()}})
+        self.call(
+            "PUT",
+            "/v1/configuration",
+            {
+                **self.world.configuration,
+                "services": {
+                    name: {**service, "cold_rate": 5.0}
+                    for name, service in self.world.configuration["services"].items()
+                },
+            },
+        )
 
     def beat(self, number, token="incarnation-one", first=0, address="127.0.0.1:99", **more):
-        return self.call("POST", "/v1/origins/beat", {"service": "art", "address": address, "zone": "x", "rate": 9, "token": token, "number": number, **more}, first)
+        return self.call(
+            "POST",
+            "/v1/origins/beat",
+            {
+                "service": "art",
+                "address": address,
+                "zone": "x",
+                "rate": 9,
+                "token": token,
+                "number": number,
+                **more,
+            },
+            first,
+        )
 
     def tables(self, first=1):
         self.world.run(seconds(0.5))
         return self.world.seats[f"r{first}"].node.registry.tables
 
     def states(self, token="incarnation-one", first=1):
-        return [card["state"] for card in self.tables(first).origins.values() if card.get("token") == token]
+        return [
+            card["state"]
+            for card in self.tables(first).origins.values()
+            if card.get("token") == token
+        ]
 
     def test_a_incarnation_from_its_first_beat_to_its_end_through_two_registries(self):
-        self.assertEqual((200, "warm"), ((answer := self.beat(1, cold_ms=0, slots=32)).code, answer.value["state"]))
-        self.assertEqual((200, "warm"), ((answer := self.beat(1, first=1, cold_ms=0)).code, answer.value["state"]))
+        self.assertEqual(
+            (200, "warm"),
+            ((answer := self.beat(1, cold_ms=0, slots=32)).code, answer.value["state"]),
+        )
+        self.assertEqual(
+            (200, "warm"),
+            ((answer := self.beat(1, first=1, cold_ms=0)).code, answer.value["state"]),
+        )
         self.assertEqual(["warm"], self.states())
-        self.assertEqual((200, "draining"), ((answer := self.beat(3, state="draining")).code, answer.value["state"]))
+        self.assertEqual(
+            (200, "draining"),
+            ((answer := self.beat(3, state="draining")).code, answer.value["state"]),
+        )
         self.assertEqual(["draining"], self.states())
         for number, first in ((2, 1), (3, 0), (4, 1)):
-            self.assertEqual((200, "draining"), ((answer := self.beat(number, first=first, cold_ms=0)).code, answer.value["state"]))
+            self.assertEqual(
+                (200, "draining"),
+                ((answer := self.beat(number, first=first, cold_ms=0)).code, answer.value["state"]),
+            )
         for first in (0, 1, 0):
-            self.assertEqual(200, self.call("POST", "/v1/origins/drain", {"token": "incarnation-one"}, first).code)
+            self.assertEqual(
+                200,
+                self.call("POST", "/v1/origins/drain", {"token": "incarnation-one"}, first).code,
+            )
         self.assertEqual(["draining"], self.states())
         for first in (1, 0, 0):
-            self.assertEqual((200, "gone"), ((answer := self.call("POST", "/v1/origins/leave", {"token": "incarnation-one"}, first)).code, answer.value["state"]))
+            self.assertEqual(
+                (200, "gone"),
+                (
+                    (
+                        answer := self.call(
+                            "POST", "/v1/origins/leave", {"token": "incarnation-one"}, first
+                        )
+                    ).code,
+                    answer.value["state"],
+                ),
+            )
         self.assertEqual([], self.states())
         for first in (0, 1):
             for state in ("ready", "draining"):
-                self.assertEqual((200, "gone"), ((answer := self.beat(9, first=first, state=state)).code, answer.value["state"]))
-            self.assertEqual(200, self.call("POST", "/v1/origins/drain", {"token": "incarnation-one"}, first).code)
+                self.assertEqual(
+                    (200, "gone"),
+                    (
+                        (answer := self.beat(9, first=first, state=state)).code,
+                        answer.value["state"],
+                    ),
+                )
+            self.assertEqual(
+                200,
+                self.call("POST", "/v1/origins/drain", {"token": "incarnation-one"}, first).code,
+            )
         self.assertEqual([], self.states())
-        self.assertEqual(409, self.call("POST", "/v1/origins", {"service": "art", "address": "127.0.0.1:99", "zone": "x", "token": "incarnation-one"}).code)
+        self.assertEqual(
+            409,
+            self.call(
+                "POST",
+                "/v1/origins",
+                {
+                    "service": "art",
+                    "address": "127.0.0.1:99",
+                    "zone": "x",
+                    "token": "incarnation-one",
+                },
+            ).code,
+        )
 
     def test_who_says_its_slots_and_no_rate_is_bound_by_its_services_rate_alone(self):
-        for number, said, rate in ((1, {}, 100.0), (2, {"slots": 32}, 1e6), (3, {"slots": 32, "rate": 50}, 50.0)):
-            self.call("POST", "/v1/origins/beat", {"service": "art", "address": f"127.0.0.1:{number}", "zone": "x", "token": f"incarnation-{number}", "cold_ms": 0, **said}, 0)
-            self.assertEqual([rate], [card["rate"] for card in self.tables().origins.values() if card.get("token") == f"incarnation-{number}"])
+        for number, said, rate in (
+            (1, {}, 100.0),
+            (2, {"slots": 32}, 1e6),
+            (3, {"slots": 32, "rate": 50}, 50.0),
+        ):
+            self.call(
+                "POST",
+                "/v1/origins/beat",
+                {
+                    "service": "art",
+                    "address": f"127.0.0.1:{number}",
+                    "zone": "x",
+                    "token": f"incarnation-{number}",
+                    "cold_ms": 0,
+                    **said,
+                },
+                0,
+            )
+            self.assertEqual(
+                [rate],
+                [
+                    card["rate"]
+                    for card in self.tables().origins.values()
+                    if card.get("token") == f"incarnation-{number}"
+                ],
+            )
 
     def test_a_registry_that_has_not_heard_the_end_yet_does_not_undo_it(self):
-        """The beat and the end go through two registries at the same moment; the tables of neither know of the other."""
+        """The beat and the end go through two registries at the same moment.
+
+        The tables of neither know of the other.
+        """
         self.beat(1, cold_ms=0)
         self.states()
         self.call("POST", "/v1/origins/leave", {"token": "incarnation-one"})
         self.beat(2, first=1, cold_ms=0)
         self.assertEqual([], self.states())
 
-    def test_a_beat_after_the_end_is_answered_by_the_log_where_the_end_is_not_known_yet_and_without_it_where_it_is(self):
+    def test_a_beat_after_the_end_is_answered_by_the_log_where_the_end_is_not_known_yet_and_without_it_where_it_is(
+        self,
+    ):
         self.call("POST", "/v1/origins/leave", {"token": "incarnation-one"})
         self.assertNotIn("incarnation-one", self.world.seats["r1"].node.registry.tables.ended)
-        self.assertEqual((200, "gone"), ((answer := self.beat(2, first=1)).code, answer.value["state"]))
+        self.assertEqual(
+            (200, "gone"), ((answer := self.beat(2, first=1)).code, answer.value["state"])
+        )
         self.assertIn("incarnation-one", self.tables().ended)
         for name in ("s0", "s1", "s2"):
             self.world.crash(name)
-        self.assertEqual((200, "gone"), ((answer := self.beat(3, first=1, state="draining")).code, answer.value["state"]))
+        self.assertEqual(
+            (200, "gone"),
+            ((answer := self.beat(3, first=1, state="draining")).code, answer.value["state"]),
+        )
 
     def test_an_unknown_incarnation_may_register_as_draining_and_an_unknown_one_cannot_drain(self):
-        self.assertEqual(404, self.call("POST", "/v1/origins/drain", {"token": "incarnation-one"}).code)
-        self.assertEqual((200, "draining"), ((answer := self.beat(1, state="draining")).code, answer.value["state"]))
+        self.assertEqual(
+            404, self.call("POST", "/v1/origins/drain", {"token": "incarnation-one"}).code
+        )
+        self.assertEqual(
+            (200, "draining"),
+            ((answer := self.beat(1, state="draining")).code, answer.value["state"]),
+        )
         self.assertEqual(["draining"], self.states())
-        for wrong in ({}, {"token": "t", "address": "127.0.0.1:99"}, {"token": ""}, {"token": "a b"}):
+        for wrong in (
+            {},
+            {"token": "t", "address": "127.0.0.1:99"},
+            {"token": ""},
+            {"token": "a b"},
+        ):
             self.assertEqual(422, self.call("POST", "/v1/origins/drain", wrong).code)
 
     def test_draining_is_answered_only_once_accepted(self):
@@ -314,12 +574,14 @@
         self.assertEqual(504, self.beat(2, state="draining").code)
         self.assertEqual(504, self.beat(2, state="draining", first=1).code)
         self.assertEqual(200, self.beat(3, cold_ms=0).code)
-        self.assertEqual(504, self.call("POST", "/v1/origins/leave", {"token": "incarnation-one"}).code)
+        self.assertEqual(
+            504, self.call("POST", "/v1/origins/leave", {"token": "incarnation-one"}).code
+        )
 
     def test_an_origin_turns_cold_and_warm_by_its_beats_and_by_nothing_else(self):
         self.beat(1, cold_ms=4000)
         self.assertEqual(["cold"], self.states())
-        for number in range(2, 14):           # longer than the ramp
+        for number in range(2, 14):  # longer than the ramp
             self.beat(number, first=number % 2, cold_ms=4000)
             self.world.run(seconds(1))
         self.assertEqual(["cold"], self.states())
@@ -340,10 +602,20 @@
         self.assertEqual(["warm"], self.states())
 
     def test_findings_have_their_place(self):
-        for more, place in (({"number": -1}, "number"), ({"number": "x"}, "number"), ({"state": "ill"}, "state"), ({"cold_ms": -1}, "cold_ms"),
-                            ({"slots": -1}, "slots"), ({"token": ""}, "token"), ({"address": "here"}, "address"), ({"x": 1}, "x")):
+        for more, place in (
+            ({"number": -1}, "number"),
+            ({"number": "x"}, "number"),
+            ({"state": "ill"}, "state"),
+            ({"cold_ms": -1}, "cold_ms"),
+            ({"slots": -1}, "slots"),
+            ({"token": ""}, "token"),
+            ({"address": "here"}, "address"),
+            ({"x": 1}, "x"),
+        ):
             answer = self.beat(**{"number": 1, **more})
-            self.assertEqual((422, place), (answer.code, answer.value["findings"][0]["place"]), more)
+            self.assertEqual(
+                (422, place), (answer.code, answer.value["findings"][0]["place"]), more
+            )
 
 
 if __name__ == "__main__":
--- a/tests/test_picker.py
+++ b/tests/test_picker.py
@@ -1,4 +1,5 @@
 """The draw feels what origins report, and nobody's word draws a herd or does harm."""
+
 import random
 import unittest
 from collections import Counter
@@ -24,7 +25,16 @@
 def spread(world, span):
     before = Counter({name: world.seats[name].node.served for name in world.origins})
     world.run(seconds(span))
-    return Counter({name: world.seats[name].node.served for name in world.origins if name.startswith("apps")}) - before
+    return (
+        Counter(
+            {
+                name: world.seats[name].node.served
+                for name in world.origins
+                if name.startswith("apps")
+            }
+        )
+        - before
+    )
 
 
 def part(counts, name="apps1"):
@@ -66,7 +76,9 @@
         for name, took in (("a", 50_000), ("b", 30_000), ("c", 20_000)):
             pick.answered(name, took, "0,0,8", 0)
         self.assertEqual("c", pick.pick(cards, None, (), 0)[0].name)
-        self.assertEqual(["a", "b", "c"], [card.name for card in pick.pick(cards, None, (), 0, True)])
+        self.assertEqual(
+            ["a", "b", "c"], [card.name for card in pick.pick(cards, None, (), 0, True)]
+        )
 
     def test_one_that_was_slow_once_is_asked_again_after_a_while(self):
         cards = [OriginCard(name, name, "a", 100, 10, False, slots=8) for name in "ab"]
@@ -76,14 +88,17 @@
         self.assertEqual({"b"}, {pick.pick(cards, None, (), 0)[0].name for _ in range(20)})
         later = 20 * 1_000_000
         pick.answered("b", 30_000, "0,0,8", later)
-        self.assertEqual({"a", "b"}, {pick.pick(cards, None, (), later)[0].name for _ in range(200)})
+        self.assertEqual(
+            {"a", "b"}, {pick.pick(cards, None, (), later)[0].name for _ in range(200)}
+        )
 
     def test_stale_reports_count_for_nothing_and_no_report_outweighs_silence(self):
         cards = [OriginCard(name, name, "a", 100, 10, False) for name in "abc"]
         pick = OriginPicker("a", reports=lambda: {"a": (90, 0), "b": (0, 0)})
         self.assertEqual("a", pick.pick(cards, None, (), REPORT_SPAN)[-1].name)
         firsts = Counter(pick.pick(cards, None, (), REPORT_SPAN)[0].name for _ in range(200))
-        self.assertGreater(min(firsts["b"], firsts["c"]), 50)     # the idle one draws no more than the silent one
+        # the idle one draws no more than the silent one
+        self.assertGreater(min(firsts["b"], firsts["c"]), 50)
         lasts = Counter(pick.pick(cards, None, (), REPORT_SPAN + 1)[-1].name for _ in range(200))
         self.assertGreater(min(lasts[name] for name in "abc"), 30)
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -1,4 +1,5 @@
 """Every outside call against a simulated fleet, through the registry's own front."""
+
 import json
 import unittest
 from unittest.mock import patch
@@ -48,23 +49,54 @@
     def call(self, method, path, value=b"", first=0, **headers):
         body = value if isinstance(value, bytes) else json.dumps(value).encode()
         parts = tuple(path.strip("/").split("/"))
-        handler, params = next((handler, tuple(part for want, part in zip(route.strip("/").split("/"), parts) if want == "*"))
-                               for held, route, _, handler in self.fronts[first].routes() if held == method
-                               and len(route.strip("/").split("/")) == len(parts)
-                               and all(want in ("*", part) for want, part in zip(route.strip("/").split("/"), parts)))
-        return handler(Call(method, path, "", {name.replace("_", "-").lower(): held for name, held in headers.items()}, body, params))
+        handler, params = next(
+            (
+                handler,
+                tuple(
+                    part
+                    for want, part in zip(route.strip("/").split("/"), parts, strict=False)
+                    if want == "*"
+                ),
+            )
+            for held, route, _, handler in self.fronts[first].routes()
+            if held == method
+            and len(route.strip("/").split("/")) == len(parts)
+            and all(
+                want in ("*", part)
+                for want, part in zip(route.strip("/").split("/"), parts, strict=False)
+            )
+        )
+        return handler(
+            Call(
+                method,
+                path,
+                "",
+                {name.replace("_", "-").lower(): held for name, held in headers.items()},
+                body,
+                params,
+            )
+        )
 
 
 class RegistryCalls(World):
     def test_configurations_are_checked_matched_raced_and_read_back_elsewhere(self):
         tree = self.world.configuration
-        self.assertEqual((200, 1), (answer := self.call("PUT", "/v1/configuration", tree)).code and (answer.code, answer.value["version"]))
+        self.assertEqual(
+            (200, 1),
+            (answer := self.call("PUT", "/v1/configuration", tree)).code
+            and (answer.code, answer.value["version"]),
+        )
         self.assertEqual(1, self.call("GET", "/v1/configuration", first=1).value["version"])
         self.assertEqual(422, self.call("PUT", "/v1/configuration", {**tree, "x": 1}).code)
-        self.assertEqual(422, self.call("PUT", "/v1/configuration", json.dumps(tree).encode()[:-1]).code)
+        self.assertEqual(
+            422, self.call("PUT", "/v1/configuration", json.dumps(tree).encode()[:-1]).code
+        )
         self.assertEqual(412, self.call("PUT", "/v1/configuration", tree, If_Match='"7"').code)
         self.assertEqual(400, self.call("PUT", "/v1/configuration", tree, If_Match="seven").code)
-        codes = [self.call("PUT", "/v1/configuration", tree, first=number, If_Match='"1"').code for number in range(2)]
+        codes = [
+            self.call("PUT", "/v1/configuration", tree, first=number, If_Match='"1"').code
+            for number in range(2)
+        ]
         self.assertEqual([200, 412], codes)
         self.assertEqual(2, self.call("GET", "/v1/configuration", first=1).value["version"])
 
@@ -75,42 +107,109 @@
         plan = self.call("POST", "/v1/configuration/patch/plan", change).value["plan"]
         self.assertEqual([3, 2], plan["routes"]["changed"]["art"]["tries"])
         self.assertEqual(1, self.call("GET", "/v1/configuration").value["version"])
-        self.assertEqual((200, 2), ((answer := self.call("PATCH", "/v1/configuration", change, If_Match='"1"')).code, answer.value["version"]))
+        self.assertEqual(
+            (200, 2),
+            (
+                (answer := self.call("PATCH", "/v1/configuration", change, If_Match='"1"')).code,
+                answer.value["version"],
+            ),
+        )
         self.assertEqual(412, self.call("PATCH", "/v1/configuration", change, If_Match='"1"').code)
-        for wrong in ([{"op": "replace", "path": "/nowhere/x", "value": 1}], [{"op": "add", "path": "/x", "value": 1}], {"a": 1}, [1], b"{"):
+        for wrong in (
+            [{"op": "replace", "path": "/nowhere/x", "value": 1}],
+            [{"op": "add", "path": "/x", "value": 1}],
+            {"a": 1},
+            [1],
+            b"{",
+        ):
             self.assertEqual(422, self.call("PATCH", "/v1/configuration", wrong).code, wrong)
 
     def test_origins_register_beat_drain_and_leave(self):
         origin = {"service": "art", "address": "127.0.0.1:99", "zone": "a", "rate": 9}
-        code = lambda path, value: self.call("POST", f"/v1/origins{path}", value).code
-        self.assertEqual([201, 200, 200, 200, 404], [code("", origin), code("/beat", origin), code("/drain", {"address": "127.0.0.1:99"}),
-                                                     code("/leave", {"address": "127.0.0.1:99"}), code("/drain", {"address": "127.0.0.1:99"})])
-        self.assertEqual("waiting", self.call("POST", "/v1/origins/beat", {**origin, "service": "apps"}).value["state"])
+
+        def code(path, value):
+            return self.call("POST", f"/v1/origins{path}", value).code
+
+        self.assertEqual(
+            [201, 200, 200, 200, 404],
+            [
+                code("", origin),
+                code("/beat", origin),
+                code("/drain", {"address": "127.0.0.1:99"}),
+                code("/leave", {"address": "127.0.0.1:99"}),
+                code("/drain", {"address": "127.0.0.1:99"}),
+            ],
+        )
+        self.assertEqual(
+            "waiting",
+            self.call("POST", "/v1/origins/beat", {**origin, "service": "apps"}).value["state"],
+        )
         self.assertEqual(422, code("", {**origin, "rate": "much", "address": "nowhere"}))
 
     def test_zones_and_purges(self):
         self.call("PUT", "/v1/configuration", self.world.configuration)
         self.world.run(seconds(2))
-        self.assertEqual([1, 0], [self.call("GET", "/v1/zones/b/plan").value["plan"]["services"]["art"]["origins"][0] // 4,
-                                  len(self.call("GET", "/v1/zones/b/plan").value["plan"]["warnings"]) // 9])
+        self.assertEqual(
+            [1, 0],
+            [
+                self.call("GET", "/v1/zones/b/plan").value["plan"]["services"]["art"]["origins"][0]
+                // 4,
+                len(self.call("GET", "/v1/zones/b/plan").value["plan"]["warnings"]) // 9,
+            ],
+        )
         self.assertEqual(200, self.call("POST", "/v1/zones/b/empty").code)
         items = [{"kind": "item", "path": f"/art/{number}"} for number in range(700)]
-        self.assertEqual((200, 700), ((answer := self.call("POST", "/v1/purges", {"items": items})).code, answer.value["purged"]))
-        self.assertEqual(422, self.call("POST", "/v1/purges", {"items": [{"kind": "item"}, {"kind": "all", "path": "/"}]}).code)
+        self.assertEqual(
+            (200, 700),
+            (
+                (answer := self.call("POST", "/v1/purges", {"items": items})).code,
+                answer.value["purged"],
+            ),
+        )
+        self.assertEqual(
+            422,
+            self.call(
+                "POST", "/v1/purges", {"items": [{"kind": "item"}, {"kind": "all", "path": "/"}]}
+            ).code,
+        )
 
     def test_purges_by_tag(self):
-        self.assertEqual(200, self.call("POST", "/v1/purges", {"items": [{"kind": "tag", "tag": "t03a9f1"}, {"kind": "tag", "tag": "x" * 256}]}).code)
+        self.assertEqual(
+            200,
+            self.call(
+                "POST",
+                "/v1/purges",
+                {"items": [{"kind": "tag", "tag": "t03a9f1"}, {"kind": "tag", "tag": "x" * 256}]},
+            ).code,
+        )
         self.world.run(seconds(1))
         held = self.world.seats["r1"].node.registry.tables.purges
-        self.assertEqual([("tag", "t03a9f1"), ("tag", "x" * 256)], [(purge["kind"], purge["path"]) for purge in held])
-        for wrong in ({"kind": "tag"}, {"kind": "tag", "tag": ""}, {"kind": "tag", "tag": "x" * 257}, {"kind": "tag", "tag": "a b"},
-                      {"kind": "tag", "tag": "t", "path": "/"}, {"kind": "item", "path": "/", "tag": "t"}):
+        self.assertEqual(
+            [("tag", "t03a9f1"), ("tag", "x" * 256)],
+            [(purge["kind"], purge["path"]) for purge in held],
+        )
+        for wrong in (
+            {"kind": "tag"},
+            {"kind": "tag", "tag": ""},
+            {"kind": "tag", "tag": "x" * 257},
+            {"kind": "tag", "tag": "a b"},
+            {"kind": "tag", "tag": "t", "path": "/"},
+            {"kind": "item", "path": "/", "tag": "t"},
+        ):
             self.assertEqual(422, self.call("POST", "/v1/purges", {"items": [wrong]}).code, wrong)
 
     def test_a_zone_is_emptied_of_its_origins_alone_or_whole(self):
-        held = lambda: self.world.seats["r0"].node.registry.tables.zones["b"]
+        def held():
+            return self.world.seats["r0"].node.registry.tables.zones["b"]
+
         for body, what in ((b"", "all"), ({"what": "origins"}, "origins"), ({}, "all")):
-            self.assertEqual((200, what), ((answer := self.call("POST", "/v1/zones/b/empty", body)).code, answer.value["what"]))
+            self.assertEqual(
+                (200, what),
+                (
+                    (answer := self.call("POST", "/v1/zones/b/empty", body)).code,
+                    answer.value["what"],
+                ),
+            )
             self.assertEqual((True, what), (held()["empty"], held()["what"]))
         self.assertEqual(422, self.call("POST", "/v1/zones/b/empty", {"what": "nothing"}).code)
         self.assertEqual(200, self.call("POST", "/v1/zones/b/restore").code)
@@ -126,21 +225,40 @@
         self.assertEqual(503, self.call("GET", "/v1/health").code)
 
     def test_a_loss_is_named_and_stays_named_after_its_repair(self):
-        status = lambda: self.call("GET", "/v1/status").value
+        def status():
+            return self.call("GET", "/v1/status").value
+
         self.world.crash("s4", lose_disk=True)
         self.assertTrue(self.world.until(lambda: status()["open"], seconds(6)))
         self.world.start("s4")
-        self.assertTrue(self.world.until(lambda: status()["epoch"] == 2 and not status()["open"], seconds(15)))
-        self.assertEqual(["s4"], [loss["name"] for loss in status()["failure_verdicts"] if loss["kind"] == "store"])
+        self.assertTrue(
+            self.world.until(lambda: status()["epoch"] == 2 and not status()["open"], seconds(15))
+        )
+        self.assertEqual(
+            ["s4"],
+            [loss["name"] for loss in status()["failure_verdicts"] if loss["kind"] == "store"],
+        )
 
     def test_the_status_page_counts_kinds_and_splits(self):
         tree = json.loads(json.dumps(self.world.configuration))
         first, second = list(tree["branches"].values())[:2]
-        first["settings"] = {"kind": "kept", "split": [{"service": name, "weight": 1} for name in list(tree["services"])[:2]]}
+        first["settings"] = {
+            "kind": "kept",
+            "split": [{"service": name, "weight": 1} for name in list(tree["services"])[:2]],
+        }
         second.setdefault("settings", {})["kind"] = "once"
         self.call("PUT", "/v1/configuration", tree)
         held = self.call("GET", "/v1/status").value["configuration"]
-        self.assertEqual((1, len(tree["branches"]), 1, 1, 1), (held["version"], held["routes"], held["kinds"]["kept"], held["kinds"]["once"], held["splits"]))
+        self.assertEqual(
+            (1, len(tree["branches"]), 1, 1, 1),
+            (
+                held["version"],
+                held["routes"],
+                held["kinds"]["kept"],
+                held["kinds"]["once"],
+                held["splits"],
+            ),
+        )
 
 
 if __name__ == "__main__":
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -1,4 +1,8 @@
-"""Planned restarts and releases in the rush: nothing under way is dropped, and refusals stay a handful."""
+"""Planned restarts and releases in the rush: nothing under way is dropped.
+
+And refusals stay a handful.
+"""
+
 import unittest
 from unittest.mock import patch
 
@@ -12,7 +16,8 @@
 def rush(seed=6):
     world = FleetWorld(seed, rate=RATE)
     for name in world.origins:
-        world.seats[name].node.mode = "tired"      # each answer takes 400 ms, so much is under way at any moment
+        # each answer takes 400 ms, so much is under way at any moment
+        world.seats[name].node.mode = "tired"
     world.open()
     world.run(seconds(6))
     world.traffic.refusals.clear()
@@ -21,7 +26,11 @@
 
 def unanswered(world):
     """Asked longer ago than any deadline, and no answer came."""
-    return [number for number, asked in world.traffic.asked.items() if asked[0] < world.time - seconds(4)]
+    return [
+        number
+        for number, asked in world.traffic.asked.items()
+        if asked[0] < world.time - seconds(4)
+    ]
 
 
 class PlannedRestarts(unittest.TestCase):
@@ -43,8 +52,11 @@
         self.assertLessEqual(len(world.traffic.refusals), HANDFUL, list(world.traffic.refusals)[:5])
 
     def test_without_the_drain_requests_in_flight_are_dropped(self):
-        with patch("willowpost.node.leaver.DRAIN_SPAN", 0), patch("willowpost.node.leaver.FINISH_SPAN", 0), \
-                patch("willowpost.node.leaver.LEAVE_SPAN", 0):
+        with (
+            patch("willowpost.node.leaver.DRAIN_SPAN", 0),
+            patch("willowpost.node.leaver.FINISH_SPAN", 0),
+            patch("willowpost.node.leaver.LEAVE_SPAN", 0),
+        ):
             world = rush()
             self.restart_all(world, ["e0", "e1", "e2"])
         self.assertGreater(len(world.traffic.dropped) + len(unanswered(world)), 10)
@@ -52,7 +64,10 @@
 
 class Releases(unittest.TestCase):
     def release(self, world):
-        """Every application is replaced, one by one: says that it leaves, finishes, comes back cold under a new life."""
+        """Every application is replaced, one by one: says that it leaves, finishes.
+
+        Comes back cold under a new life.
+        """
         for name in [name for name in world.origins if name.startswith("apps")]:
             world.drain_origin(0, name)
             world.run(seconds(3))
@@ -68,7 +83,10 @@
 
     def test_without_heed_of_the_drain_what_is_in_flight_is_lost(self):
         world = rush()
-        with patch("willowpost.proxy.routing.snapshot.FORCE", {"cold", "warm", "draining"}), self.assertRaises(AssertionError):
+        with (
+            patch("willowpost.proxy.routing.snapshot.FORCE", {"cold", "warm", "draining"}),
+            self.assertRaises(AssertionError),
+        ):
             self.release(world)
             self.assertLessEqual(len(world.traffic.refusals), HANDFUL)
 
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -1,17 +1,20 @@
-"""Three bootstrap members: fault schedules with wiped disks, and the core's growth to five, struck at each step."""
+"""Three bootstrap members: fault schedules with wiped disks, and the core's growth to five.
+
+Struck at each step.
+"""
+
 import json
 import unittest
 from dataclasses import dataclass, replace
 from unittest.mock import patch
 
-from willowpost.common.plan import Plan
 from willowpost.consensus.replica.bootstrap import Rights
 from willowpost.consensus.replica.voting import Voting
 from willowpost.consensus.thresholds import Thresholds
 from willowpost.sim.core import CoreWorld
+from willowpost.sim.fault_schedules import SeatFaultSchedule
 from willowpost.sim.fleet.world import FleetWorld
 from willowpost.sim.rules import Broken
-from willowpost.sim.fault_schedules import SeatFaultSchedule
 from willowpost.sim.world import seconds
 from willowpost.state.apply import Apply, answer_of
 from willowpost.state.apply.core import add_voters, replace_voter
@@ -65,7 +68,10 @@
                 fault_schedule = SeatFaultSchedule(seed, **shape).run()
                 wiped += fault_schedule.wiped
                 self.assertEqual(([], []), (fault_schedule.unanswered(), fault_schedule.unseated()))
-                self.assertEqual((1, shape["max_voters"]), (len(fault_schedule.digests()), fault_schedule.voters()))
+                self.assertEqual(
+                    (1, shape["max_voters"]),
+                    (len(fault_schedule.digests()), fault_schedule.voters()),
+                )
         self.assertGreater(wiped, len(seeds) // 2)
 
     def test_three_alone(self):
@@ -81,7 +87,9 @@
                     self.assertIsNotNone(first_broken(range(20), thresholds=thresholds, **shape))
 
     def test_saying_accepted_too_early_is_caught(self):
-        with patch("willowpost.consensus.replica.replica_state.ReplicaState.safe", lambda self: 10**9):
+        with patch(
+            "willowpost.consensus.replica.replica_state.ReplicaState.safe", lambda self: 10**9
+        ):
             self.assertIn("disks holding it", first_broken(range(10), **ALONE))
 
 
@@ -90,16 +98,25 @@
 
 
 MOMENTS = {
-    "a first one offered itself": lambda world: any("voter_offer" in card for _, node_state in world.node_states() for card in node_state.tables.daemons.values()),
+    "a first one offered itself": lambda world: any(
+        "voter_offer" in card
+        for _, node_state in world.node_states()
+        for card in node_state.tables.daemons.values()
+    ),
     "one has decided it": lambda world: epochs(world).count(2) >= 1,
     "two have": lambda world: epochs(world).count(2) >= 2,
-    "one has opened the new epoch": lambda world: any(node_state.passed >= 2 for _, node_state in world.node_states()),
+    "one has opened the new epoch": lambda world: any(
+        node_state.passed >= 2 for _, node_state in world.node_states()
+    ),
     "all have": lambda world: epochs(world).count(2) == 5,
 }
 
 
 class Struck:
-    """A core of three that grows by two; at a moment of it something happens, and what is asked then must be answered."""
+    """A core of three that grows by two; at a moment of it something happens.
+
+    And what is asked then must be answered.
+    """
 
     def __init__(self, seed, moment, fault, victims):
         self.world = world = CoreWorld(seed, zones=GROWING["zones"], members=3, rights=RIGHTS)
@@ -136,14 +153,18 @@
         world.run(seconds(1.5))
         answered = [token for token in tokens if token in world.replies]
         world.settle(8)
-        return len(answered), sorted({len(node_state.tables.core) for _, node_state in world.node_states()})
+        return len(answered), sorted(
+            {len(node_state.tables.core) for _, node_state in world.node_states()}
+        )
 
 
 class Growth(unittest.TestCase):
     def strike(self, moment, victims):
         for number, fault in enumerate(("dark", "wiped", "cut")):
             with self.subTest(moment=moment, fault=fault, victims=victims):
-                self.assertEqual((8, [5]), Struck(number + 10 * int(victims[0][1]), moment, fault, victims).run())
+                self.assertEqual(
+                    (8, [5]), Struck(number + 10 * int(victims[0][1]), moment, fault, victims).run()
+                )
 
     def test_one_loss_at_any_moment_of_it_stops_nothing(self):
         for moment in MOMENTS:
@@ -167,27 +188,45 @@
             self.assertNotIn(token, world.replies)
 
     def test_nothing_grows_unless_set(self):
-        world = CoreWorld(1, zones=GROWING["zones"], members=3, rights=Rights(bootstrap_from_seeds=True))
+        world = CoreWorld(
+            1, zones=GROWING["zones"], members=3, rights=Rights(bootstrap_from_seeds=True)
+        )
         world.run(seconds(8))
-        self.assertEqual({3}, {len(node_state.tables.core) for _, node_state in world.node_states()})
+        self.assertEqual(
+            {3}, {len(node_state.tables.core) for _, node_state in world.node_states()}
+        )
 
     def test_a_learner_that_is_behind_does_not_offer_itself(self):
         world = CoreWorld(1, zones=GROWING["zones"], members=3, rights=RIGHTS)
-        world.cut(["s4"], ["s1", "s2"])        # it is told by one voter, and cannot know whether that is all
+        # it is told by one voter, and cannot know whether that is all
+        world.cut(["s4"], ["s1", "s2"])
         world.run(seconds(6))
-        self.assertEqual({3}, {len(node_state.tables.core) for _, node_state in world.node_states()})
+        self.assertEqual(
+            {3}, {len(node_state.tables.core) for _, node_state in world.node_states()}
+        )
         world.heal()
         world.run(seconds(6))
-        self.assertEqual({5}, {len(node_state.tables.core) for _, node_state in world.node_states()})
+        self.assertEqual(
+            {5}, {len(node_state.tables.core) for _, node_state in world.node_states()}
+        )
 
 
 class Members(unittest.TestCase):
     def test_an_empty_fleet_that_may_not_found_never_does(self):
-        for rights in (Rights(may_bootstrap=False), Rights(may_bootstrap=False, bootstrap_from_seeds=True, max_voters=5)):
+        for rights in (
+            Rights(may_bootstrap=False),
+            Rights(may_bootstrap=False, bootstrap_from_seeds=True, max_voters=5),
+        ):
             world = CoreWorld(3, zones=GROWING["zones"], members=3, rights=rights)
             world.run(seconds(20))
             self.assertEqual({0}, set(epochs(world)))
-            self.assertFalse([node_state for _, node_state in world.node_states() if node_state.bootstrap_promise])
+            self.assertFalse(
+                [
+                    node_state
+                    for _, node_state in world.node_states()
+                    if node_state.bootstrap_promise
+                ]
+            )
 
     def test_two_that_may_and_one_that_may_not_do_not_found(self):
         world = CoreWorld(3, zones=("a", "b", "c"), members=3)
@@ -203,45 +242,79 @@
 
     def test_only_seeds_found_whoever_else_is_there_first(self):
         for seed in range(6):
-            world = CoreWorld(seed, zones=GROWING["zones"], members=3, rights=Rights(bootstrap_from_seeds=True))
+            world = CoreWorld(
+                seed, zones=GROWING["zones"], members=3, rights=Rights(bootstrap_from_seeds=True)
+            )
             world.crash("s0")
             world.run(seconds(3))
             self.assertEqual({0}, set(epochs(world)))
             world.start("s0")
             self.assertTrue(world.until(world.bootstrapped, seconds(5)))
-            self.assertEqual([["s0", "s1", "s2"]] * 5, [sorted(member["name"] for member in node_state.tables.core) for _, node_state in world.node_states()])
+            self.assertEqual(
+                [["s0", "s1", "s2"]] * 5,
+                [
+                    sorted(member["name"] for member in node_state.tables.core)
+                    for _, node_state in world.node_states()
+                ],
+            )
 
     def test_more_seeds_than_members_found_one_fleet(self):
         for seed in range(6):
-            world = CoreWorld(seed, zones=("a", "b"), members=1, rights=Rights(bootstrap_from_seeds=True))
+            world = CoreWorld(
+                seed, zones=("a", "b"), members=1, rights=Rights(bootstrap_from_seeds=True)
+            )
             world.cut(["s0"], ["s1"])
             world.run(seconds(3))
             self.assertEqual([1, 0], epochs(world))
             world.heal()
             world.run(seconds(3))
-            self.assertEqual([["s0"]] * 2, [[member["name"] for member in node_state.tables.core] for _, node_state in world.node_states()])
+            self.assertEqual(
+                [["s0"]] * 2,
+                [
+                    [member["name"] for member in node_state.tables.core]
+                    for _, node_state in world.node_states()
+                ],
+            )
 
     def test_members_that_restart_before_they_promised_go_on_bootstrap(self):
-        world = CoreWorld(3, zones=("a", "b", "c"), members=3, rights=Rights(bootstrap_from_seeds=True))
+        world = CoreWorld(
+            3, zones=("a", "b", "c"), members=3, rights=Rights(bootstrap_from_seeds=True)
+        )
         for name in world.names:
             world.crash(name)
         for name in world.names:
-            world.start(name)        # a second life: only the disk says that it may
+            world.start(name)  # a second life: only the disk says that it may
         self.assertTrue(world.until(world.bootstrapped, seconds(5)))
 
     def test_a_store_whose_voters_are_all_gone_finds_the_new_ones_by_its_seeds(self):
-        world = CoreWorld(4, zones=("a", "b", "c"), members=3, rights=Rights(bootstrap_from_seeds=True, max_voters=3))
+        world = CoreWorld(
+            4,
+            zones=("a", "b", "c"),
+            members=3,
+            rights=Rights(bootstrap_from_seeds=True, max_voters=3),
+        )
         self.assertTrue(world.until(world.bootstrapped, seconds(5)))
         world.crash("s0")
-        for number, zone in enumerate("abc"):        # three newcomers take the seats, one by one, at other addresses
+        # three newcomers take the seats, one by one, at other addresses
+        for number, zone in enumerate("abc"):
             name = f"n{number}"
             world.zones[name], world.names = zone, [*world.names, name]
             world.add_store(name, name, zone)
-            world.run(seconds(1))        # while one that it knows of is there
+            world.run(seconds(1))  # while one that it knows of is there
             if number:
                 world.seats[f"s{number}"].retired = True
                 world.crash(f"s{number}")
-            self.assertTrue(world.until(lambda: any(member["name"] == name for _, node_state in world.node_states() for member in node_state.tables.core), seconds(8)), name)
+            self.assertTrue(
+                world.until(
+                    lambda: any(
+                        member["name"] == name
+                        for _, node_state in world.node_states()
+                        for member in node_state.tables.core
+                    ),
+                    seconds(8),
+                ),
+                name,
+            )
             world.run(seconds(1))
         with patch.object(CoreWorld, "seeds_of_stores", lambda self: ["n0", "n1", "n2"]):
             world.start("s0")
@@ -251,8 +324,11 @@
 
 
 class UnheardGrowth:
-    """The moment one founder has decided the growth, the core splits: it and the newcomers are enough of five to accept;
-    the two bootstrap members that have not decided it are enough of three to be read. Edges, shields and registries hear only them."""
+    """The moment one founder has decided the growth, the core splits.
+
+    It and the newcomers are enough of five to accept; the two bootstrap members that have not
+    decided it are enough of three to be read. Edges, shields and registries hear only them.
+    """
 
     def __init__(self, seed):
         self.world = world = FleetWorld(seed, members=3, rights=Rights(bootstrap_from_seeds=True))
@@ -265,9 +341,16 @@
             world.start(name)
 
     def look(self, world, seat, event, plan):
-        if self.knows is None and getattr(seat.node, "node_state", None) is not None and seat.node.node_state.tables.epoch == 2:
+        if (
+            self.knows is None
+            and getattr(seat.node, "node_state", None) is not None
+            and seat.node.node_state.tables.epoch == 2
+        ):
             self.knows = seat.address
-            ignorant, knowing = [name for name in ("s0", "s1", "s2") if name != self.knows], [self.knows, "s3", "s4"]
+            ignorant, knowing = (
+                [name for name in ("s0", "s1", "s2") if name != self.knows],
+                [self.knows, "s3", "s4"],
+            )
             world.cut([ignorant[0]], [ignorant[1]])
             ignorant += [f"r{name[1]}" for name in ignorant] + world.edges + world.shields
             world.cut(ignorant, [*knowing, *(f"r{name[1]}" for name in knowing)])
@@ -293,13 +376,25 @@
                 self.assertEqual(2, world.version)
 
     def test_without_the_barrier_a_reader_misses_what_was_accepted(self):
-        with patch.object(Voting, "_opened", lambda self, plan: True), self.assertRaisesRegex(Broken, "calls itself whole"):
+        with (
+            patch.object(Voting, "_opened", lambda self, plan: True),
+            self.assertRaisesRegex(Broken, "calls itself whole"),
+        ):
             for seed in range(5):
                 UnheardGrowth(seed).run()
 
 
 def store(name, zone, state="up", **more):
-    return {"id": name, "kind": "store", "name": name, "zone": zone, "address": name, "incarnation": 1, "state": state, **more}
+    return {
+        "id": name,
+        "kind": "store",
+        "name": name,
+        "zone": zone,
+        "address": name,
+        "incarnation": 1,
+        "state": state,
+        **more,
+    }
 
 
 def member(name, zone):
@@ -308,12 +403,15 @@
 
 class Op(unittest.TestCase):
     def setUp(self):
-        core = tuple(member(name, zone) for name, zone in zip("ABC", "abc"))
-        daemons = {name: store(name, zone) for name, zone in zip("ABCDE", "abcab")}
+        core = tuple(member(name, zone) for name, zone in zip("ABC", "abc", strict=False))
+        daemons = {name: store(name, zone) for name, zone in zip("ABCDE", "abcab", strict=False)}
         self.tables = Tables(slot=9, epoch=1, core=core, daemons=daemons)
 
     def ask(self, tables, learner, most=5, incarnation=1):
-        return add_voters(tables, {"op": "add_voters", "learner": learner, "incarnation": incarnation, "most": most})
+        return add_voters(
+            tables,
+            {"op": "add_voters", "learner": learner, "incarnation": incarnation, "most": most},
+        )
 
     def after(self, tables, *learners, **more):
         for learner in learners:
@@ -330,17 +428,33 @@
         tables, answer = self.ask(self.tables, "D")
         self.assertEqual((1, 3, False), (tables.epoch, len(tables.core), answer["ok"]))
         tables, answer = self.ask(tables, "E")
-        self.assertEqual((2, "ABCED", True), (tables.epoch, "".join(held["name"] for held in tables.core), answer["ok"]))
+        self.assertEqual(
+            (2, "ABCED", True),
+            (tables.epoch, "".join(held["name"] for held in tables.core), answer["ok"]),
+        )
         self.assertEqual({"slot": 9, "core": list(self.tables.core)}, tables.former)
 
     def test_whoever_may_not(self):
         for learner, more in (("A", {}), ("D", {"incarnation": 2}), ("Z", {})):
-            self.assertEqual((self.tables, False), (self.ask(self.tables, learner, **more)[0], self.ask(self.tables, learner, **more)[1]["ok"]))
-        for tables in (self.with_daemons(self.changed("B", state="lost")), self.with_daemons(self.changed("B", state="draining")),
-                       self.with_daemons({name: card for name, card in self.tables.daemons.items() if name != "B"}),
-                       self.with_daemons(self.changed("D", state="lost")), self.with_daemons(self.changed("D", name="A")),
-                       self.with_daemons(self.changed("D", name="E")), self.with_daemons(self.changed("D", address="C")),
-                       self.with_daemons({**self.changed("D", zone="a"), "E": store("E", "a")})):
+            self.assertEqual(
+                (self.tables, False),
+                (
+                    self.ask(self.tables, learner, **more)[0],
+                    self.ask(self.tables, learner, **more)[1]["ok"],
+                ),
+            )
+        for tables in (
+            self.with_daemons(self.changed("B", state="lost")),
+            self.with_daemons(self.changed("B", state="draining")),
+            self.with_daemons(
+                {name: card for name, card in self.tables.daemons.items() if name != "B"}
+            ),
+            self.with_daemons(self.changed("D", state="lost")),
+            self.with_daemons(self.changed("D", name="A")),
+            self.with_daemons(self.changed("D", name="E")),
+            self.with_daemons(self.changed("D", address="C")),
+            self.with_daemons({**self.changed("D", zone="a"), "E": store("E", "a")}),
+        ):
             self.assertFalse(self.after(tables, "D", "E")[1]["ok"])
         self.assertFalse(self.after(self.tables, "D", "E", most=3)[1]["ok"])
         self.assertFalse(self.after(self.tables, "D", "D")[1]["ok"])
@@ -348,8 +462,15 @@
         self.assertFalse(self.after(registry, "D", "E")[1]["ok"])
 
     def test_a_malformed_op_ends_nobody(self):
-        for op in ({"op": "add_voters"}, {"op": "add_voters", "learner": "D", "incarnation": 1, "most": "many"}, {"op": "replace_voter", "old": [], "new": 7},
-                   {"op": ["add_voters"]}, "add_voters", None, {"op": "join", "daemon": 3}):
+        for op in (
+            {"op": "add_voters"},
+            {"op": "add_voters", "learner": "D", "incarnation": 1, "most": "many"},
+            {"op": "replace_voter", "old": [], "new": 7},
+            {"op": ["add_voters"]},
+            "add_voters",
+            None,
+            {"op": "join", "daemon": 3},
+        ):
             body = json.dumps([op, {"op": "zone", "zone": "z", "empty": True}])
             tables = Apply().step(self.tables, Decision(9, "r/1/1", Command("r", 1, 1, 1, body)))
             self.assertEqual((10, True), (tables.slot, "z" in tables.zones))
@@ -357,15 +478,33 @@
 
     def test_an_offer_from_before_a_loss_is_void(self):
         tables, _ = self.ask(self.tables, "D")
-        tables = replace(tables, slot=11, failure_verdicts=({"slot": 10, "daemon": "D", "name": "D", "kind": "store", "zone": "a", "repaired": 11},))
+        tables = replace(
+            tables,
+            slot=11,
+            failure_verdicts=(
+                {
+                    "slot": 10,
+                    "daemon": "D",
+                    "name": "D",
+                    "kind": "store",
+                    "zone": "a",
+                    "repaired": 11,
+                },
+            ),
+        )
         self.assertFalse(self.ask(tables, "E")[1]["ok"])
         self.assertTrue(self.after(tables, "E", "D")[1]["ok"])
 
     def test_the_zone_rule_follows_f_and_few_zones_get_no_worse(self):
         lost = self.with_daemons({**self.changed("C", state="lost")})
-        self.assertFalse(replace_voter(lost, {"old": "C", "new": member("D", "a")})[1]["ok"], "two of three in one zone")
+        self.assertFalse(
+            replace_voter(lost, {"old": "C", "new": member("D", "a")})[1]["ok"],
+            "two of three in one zone",
+        )
         self.assertTrue(replace_voter(lost, {"old": "C", "new": member("D", "d")})[1]["ok"])
-        narrow = replace(lost, core=tuple(member(name, zone) for name, zone in zip("ABC", "aab")))
+        narrow = replace(
+            lost, core=tuple(member(name, zone) for name, zone in zip("ABC", "aab", strict=False))
+        )
         self.assertTrue(replace_voter(narrow, {"old": "C", "new": member("D", "b")})[1]["ok"])
         self.assertFalse(replace_voter(narrow, {"old": "C", "new": member("D", "a")})[1]["ok"])
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,4 +1,8 @@
-"""Settings that change: read again as a whole, live where they can be; and seeds swapped under a running fleet."""
+"""Settings that change: read again as a whole, live where they can be.
+
+And seeds swapped under a running fleet.
+"""
+
 import io
 import json
 import os
@@ -12,12 +16,18 @@
 from willowpost.node.node_state import LEASE, Card, NodeState
 from willowpost.node.watch import watchers_of
 from willowpost.shell.logs import Logs
-from willowpost.shell.settings import DaemonSettings, SettingsReader
 from willowpost.shell.reload import SettingsReload
+from willowpost.shell.settings import DaemonSettings, SettingsReader
 from willowpost.sim.fleet.world import FleetWorld
 from willowpost.sim.world import seconds
 
-HELD = {"name": "edge-1", "zone": "a", "address": "127.0.0.1:7000", "http": "127.0.0.1:8000", "seeds": ["127.0.0.2:7000"]}
+HELD = {
+    "name": "edge-1",
+    "zone": "a",
+    "address": "127.0.0.1:7000",
+    "http": "127.0.0.1:8000",
+    "seeds": ["127.0.0.2:7000"],
+}
 
 
 class Reload(unittest.TestCase):
@@ -25,7 +35,13 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.path, self.said = os.path.join(folder.name, "settings.json"), io.StringIO()
-        self.reload = SettingsReload(self.path, {}, ("http",), DaemonSettings(**HELD), Logs("wpproxy", "edge-1", stream=self.said))
+        self.reload = SettingsReload(
+            self.path,
+            {},
+            ("http",),
+            DaemonSettings(**HELD),
+            Logs("wpproxy", "edge-1", stream=self.said),
+        )
 
     def read(self, **changes):
         with open(self.path, "w") as file:
@@ -37,14 +53,21 @@
 
     def test_what_can_change_live_does_and_the_rest_is_named_until_a_restart(self):
         for _ in range(2):
-            settings = self.read(seeds=["127.0.0.3:7000"], level="DEBUG", address="127.0.0.1:7001", zone="b").unwrap()
-            self.assertEqual((["127.0.0.3:7000"], "DEBUG", "127.0.0.1:7000", "a"), (settings.seeds, settings.level, settings.address, settings.zone))
+            settings = self.read(
+                seeds=["127.0.0.3:7000"], level="DEBUG", address="127.0.0.1:7001", zone="b"
+            ).unwrap()
+            self.assertEqual(
+                (["127.0.0.3:7000"], "DEBUG", "127.0.0.1:7000", "a"),
+                (settings.seeds, settings.level, settings.address, settings.zone),
+            )
             self.assertEqual({"zone", "address"}, set(self.last()["needs_restart"]))
         self.assertEqual([], self.last()["changed"])
 
     def test_one_wrong_prop_keeps_all_the_old_ones_and_every_finding_is_told(self):
         read = self.read(seeds=["127.0.0.3:7000"], level="LOUD", zone="B!", nonsense=1)
-        self.assertEqual({"level", "zone", "nonsense"}, {finding["place"] for finding in read.unwrap_err()})
+        self.assertEqual(
+            {"level", "zone", "nonsense"}, {finding["place"] for finding in read.unwrap_err()}
+        )
         self.assertEqual((HELD["seeds"], "ERROR"), (self.reload.held.seeds, self.last()["level"]))
         with open(self.path, "w") as file:
             file.write("{")
@@ -78,15 +101,40 @@
 """
         for name in ("settings.yaml", "settings.yml"):
             place = self.read(name, text).unwrap().place()
-            self.assertEqual((3, False, {"a": "north", "b": "south"}, 60_000, 30 * MILLI), (place.voters, place.may_bootstrap, place.regions, place.serve_on_ms, place.pace.resend))
-            self.assertEqual(place, self.read("settings.json", json.dumps(yaml.safe_load(text))).unwrap().place())
-            self.assertEqual((2500 * MILLI, 30_000 * MILLI), (place.spans().drain, place.spans().finish))
+            self.assertEqual(
+                (3, False, {"a": "north", "b": "south"}, 60_000, 30 * MILLI),
+                (
+                    place.voters,
+                    place.may_bootstrap,
+                    place.regions,
+                    place.serve_on_ms,
+                    place.pace.resend,
+                ),
+            )
+            self.assertEqual(
+                place, self.read("settings.json", json.dumps(yaml.safe_load(text))).unwrap().place()
+            )
+            self.assertEqual(
+                (2500 * MILLI, 30_000 * MILLI), (place.spans().drain, place.spans().finish)
+            )
 
     def test_findings_as_before(self):
-        for name, text in (("settings.yaml", "a: [1"), ("settings.yaml", "- 1"), ("settings.yaml", "1: 2"), ("settings.json", "[]"), ("settings.json", "{")):
+        for name, text in (
+            ("settings.yaml", "a: [1"),
+            ("settings.yaml", "- 1"),
+            ("settings.yaml", "1: 2"),
+            ("settings.json", "[]"),
+            ("settings.json", "{"),
+        ):
             self.assertEqual(1, len(self.read(name, text).unwrap_err()), text)
-        held = self.read("settings.yaml", "name: e\nzone: a\naddress: 127.0.0.1:0\nsoundness: x\nseeds: [127.0.0.1:1]\nserve_on_ms: 1\nvoters_most: 4\n")
-        self.assertEqual({"address", "health", "serve_on_ms", "max_voters"}, {finding["place"] for finding in held.unwrap_err()})
+        held = self.read(
+            "settings.yaml",
+            "name: e\nzone: a\naddress: 127.0.0.1:0\nsoundness: x\nseeds: [127.0.0.1:1]\nserve_on_ms: 1\nvoters_most: 4\n",
+        )
+        self.assertEqual(
+            {"address", "health", "serve_on_ms", "max_voters"},
+            {finding["place"] for finding in held.unwrap_err()},
+        )
 
 
 class ServingOn(unittest.TestCase):
@@ -94,11 +142,18 @@
         card = Card("e/proxy", "proxy", "edge", "e", "a", "127.0.0.1:1", "127.0.0.1:2", 7)
         node_state = NodeState(card, fresh_as_of=0)
         self.assertEqual((True, True), (node_state.leased(LEASE), node_state.ruling(LEASE)))
-        self.assertEqual((False, False), (node_state.leased(LEASE + 1), node_state.ruling(LEASE + 1)))
+        self.assertEqual(
+            (False, False), (node_state.leased(LEASE + 1), node_state.ruling(LEASE + 1))
+        )
         node_state.serve_on = 60 * SECOND
-        self.assertEqual((True, False), (node_state.leased(60 * SECOND), node_state.ruling(LEASE + 1)))
+        self.assertEqual(
+            (True, False), (node_state.leased(60 * SECOND), node_state.ruling(LEASE + 1))
+        )
         self.assertFalse(node_state.leased(60 * SECOND + 1))
-        self.assertFalse(NodeState(card, serve_on=60 * SECOND).leased(0), "a new life has no state updates at all")
+        self.assertFalse(
+            NodeState(card, serve_on=60 * SECOND).leased(0),
+            "a new life has no state updates at all",
+        )
 
 
 class SwappedSeeds(unittest.TestCase):
@@ -107,21 +162,25 @@
         world.open()
         world.crash("e1")
         world.run(seconds(3))
-        world.seed_names = ["x1", "x2"]       # nobody is there
-        world.cut(["e1"], [name for name in world.seats if name != "e1"])     # nor does a watcher reach it
+        world.seed_names = ["x1", "x2"]  # nobody is there
+        # nor does a watcher reach it
+        world.cut(["e1"], [name for name in world.seats if name != "e1"])
         world.start("e1")
         world.run(seconds(4))
         node_state = world.seats["e1"].node.proxy
         watchers = watchers_of("e1/proxy", world.seats["r0"].node.registry.tables.daemons)
         helper = next(name for name in ("e0", "e2", "e3", "e4") if f"{name}/proxy" not in watchers)
-        world.cuts -= {("e1", helper), (helper, "e1")}      # it would answer, but e1 does not know of it
+        # it would answer, but e1 does not know of it
+        world.cuts -= {("e1", helper), (helper, "e1")}
         world.run(seconds(1))
         self.assertEqual((0, ()), (node_state.tables.epoch, node_state.seed_cores))
         world.give("e1", Changed((helper,)))
         world.run(seconds(1))
         self.assertEqual(5, len(node_state.seed_cores))
         world.heal()
-        self.assertTrue(world.until(lambda: node_state.leased(world.now(world.seats["e1"])), seconds(3)))
+        self.assertTrue(
+            world.until(lambda: node_state.leased(world.now(world.seats["e1"])), seconds(3))
+        )
 
     def test_seeds_swapped_on_a_running_and_a_restarting_fleet_stores_included(self):
         world = FleetWorld(8)
--- a/tests/test_small_rates.py
+++ b/tests/test_small_rates.py
@@ -1,4 +1,5 @@
 """Allowances too small to be shared out: used in full by whoever has a request, and never exceeded."""
+
 import unittest
 from unittest.mock import patch
 
@@ -7,11 +8,17 @@
 from willowpost.sim.world import seconds
 
 TOKENS = "willowpost.proxy.admission.admission_tokens"
-SHARED = lambda service: False
+
+
+def SHARED(service):
+    return False
 
 
 def small(rate, seed=4):
-    """The applications' service may get `rate` requests a second from eight proxies; callers ask for some twenty."""
+    """The applications' service may get `rate` requests a second from eight proxies.
+
+    Callers ask for some twenty.
+    """
     world = FleetWorld(seed)
     world.configuration["services"]["apps"]["rate"] = rate
     world.rates = {**world.rates, "apps": rate}
@@ -34,26 +41,44 @@
                 self.assertLessEqual(got, rate * 40 + 1)
 
     def test_shared_out_it_would_get_a_fraction_and_below_that_nothing_at_all(self):
-        with patch(f"{TOKENS}.in_whole_tokens", SHARED), patch("willowpost.proxy.admission.buckets.in_whole_tokens", SHARED), \
-                patch("willowpost.proxy.admission.quota_shares.in_whole_tokens", SHARED):
+        with (
+            patch(f"{TOKENS}.in_whole_tokens", SHARED),
+            patch("willowpost.proxy.admission.buckets.in_whole_tokens", SHARED),
+            patch("willowpost.proxy.admission.quota_shares.in_whole_tokens", SHARED),
+        ):
             self.assertEqual(0, arrived(small(0.5), 20))
             self.assertLess(arrived(small(0.8), 20), 0.4 * 0.8 * 20)
 
     def test_an_owner_that_gives_without_count_is_caught(self):
-        with patch(f"{TOKENS}.Bucket.take", lambda *args: True), self.assertRaisesRegex(Broken, "at rate 1.0"):
+        with (
+            patch(f"{TOKENS}.Bucket.take", lambda *args: True),
+            self.assertRaisesRegex(Broken, "at rate 1.0"),
+        ):
             arrived(small(1.0), 20)
 
     def test_the_rate_holds_while_owners_are_killed_cut_off_and_frozen(self):
         world, faults = small(1.0), []
         for number in range(12):
-            owner = world.seats["r0"].node.registry.tables.fences["quota_share/apps"]["owner"].split("/")[0]
+            owner = (
+                world.seats["r0"]
+                .node.registry.tables.fences["quota_share/apps"]["owner"]
+                .split("/")[0]
+            )
             fault = number % 3
             faults.append(owner)
             if fault == 0:
                 world.crash(owner)
             elif fault == 1:
-                # still heard by those who ask it, but not by the core: its grants must end with its lease
-                world.cut([owner], [name for name in world.seats if name not in world.edges + world.shields + world.origins + ["caller"]])
+                # still heard by those who ask it, but not by the core: its grants must end with its
+                # lease
+                world.cut(
+                    [owner],
+                    [
+                        name
+                        for name in world.seats
+                        if name not in world.edges + world.shields + world.origins + ["caller"]
+                    ],
+                )
             else:
                 world.freeze(owner, seconds(3))
             world.run(seconds(7))
@@ -69,7 +94,9 @@
         """Each origin bears one request a second at first: too few for a token at every sender."""
         world = FleetWorld(4)
         world.cold_part, world.ramp = 1 / 120, 20.0
-        world.configuration["services"]["apps"]["ramp_seconds"] = world.configuration["services"]["art"]["ramp_seconds"] = 20.0
+        world.configuration["services"]["apps"]["ramp_seconds"] = world.configuration["services"][
+            "art"
+        ]["ramp_seconds"] = 20.0
         world.open()
         world.run(seconds(20))
         for name in world.origins:
--- a/tests/test_split_core.py
+++ b/tests/test_split_core.py
@@ -1,4 +1,8 @@
-"""A core whose voters cannot all talk to each other: what serves, what is read back, and the replacement nobody on one side has heard of."""
+"""A core whose voters cannot all talk to each other: what serves, what is read back.
+
+And the replacement nobody on one side has heard of.
+"""
+
 import itertools
 import unittest
 from unittest.mock import patch
@@ -14,10 +18,18 @@
 
 def parts(*sides):
     """Stores of different sides cannot talk to each other; everybody else talks to all."""
-    return {pair for one, other in itertools.permutations(sides, 2) for pair in itertools.product(one, other)}
+    return {
+        pair
+        for one, other in itertools.permutations(sides, 2)
+        for pair in itertools.product(one, other)
+    }
 
 
-RING = {(one, other) for one, other in itertools.permutations(STORES, 2) if (int(one[1]) - int(other[1])) % 5 not in (1, 4)}
+RING = {
+    (one, other)
+    for one, other in itertools.permutations(STORES, 2)
+    if (int(one[1]) - int(other[1])) % 5 not in (1, 4)
+}
 # shape: (cuts among the stores, do configurations still go through, do proxies serve)
 SHAPES = {
     "3-2": (parts(STORES[:3], STORES[3:]), True, True),
@@ -43,7 +55,10 @@
             world.configuration["settings"]["deadline_ms"] = 1900 + registry
             world.put_configuration(registry)
         world.run(seconds(6))
-        served = len([1 for moment, _ in world.traffic.served if moment > world.time - seconds(3)]) > 2 * world.rate
+        served = (
+            len([1 for moment, _ in world.traffic.served if moment > world.time - seconds(3)])
+            > 2 * world.rate
+        )
         return world, world.version > 1, served
 
     def test_each_shape_keeps_every_rule_and_serves_as_the_table_says(self):
@@ -67,10 +82,14 @@
 
 
 class UnheardReplaceVoter:
-    """s4 is cut off and held lost, and an empty machine takes its seat. The moment one voter has decided that, the core
-    splits: it, another and the newcomer are enough to accept; the two that have not decided, and s4, are enough to be read.
+    """s4 is cut off and held lost, and an empty machine takes its seat.
+
+    The moment one voter has decided that, the core splits: it, another and the newcomer are enough
+    to accept; the two that have not decided, and s4, are enough to be read.
 
-    Those three do not hear each other either, else they would finish the slot. Edges, shields and a registry hear only them."""
+    Those three do not hear each other either, else they would finish the slot. Edges, shields and a
+    registry hear only them.
+    """
 
     def __init__(self, seed):
         self.world = world = opened(seed)
@@ -82,8 +101,15 @@
         world.add_store("s9", "s9", "a")
 
     def look(self, world, seat, event, plan):
-        if self.knows is None and getattr(seat.node, "node_state", None) is not None and seat.node.node_state.tables.epoch == 2:
-            self.knows, helper, *rest = [seat.address, *(name for name in STORES[:4] if name != seat.address)]
+        if (
+            self.knows is None
+            and getattr(seat.node, "node_state", None) is not None
+            and seat.node.node_state.tables.epoch == 2
+        ):
+            self.knows, helper, *rest = [
+                seat.address,
+                *(name for name in STORES[:4] if name != seat.address),
+            ]
             ignorant, knowing = [*rest, "s4"], [self.knows, helper, "s9"]
             world.heal()
             world.cuts |= parts(*([name] for name in ignorant))
@@ -108,7 +134,10 @@
                 self.assertEqual(2, world.version)
 
     def test_without_the_barrier_a_reader_misses_what_was_accepted(self):
-        with patch.object(Voting, "_opened", lambda self, plan: True), self.assertRaisesRegex(Broken, "calls itself whole"):
+        with (
+            patch.object(Voting, "_opened", lambda self, plan: True),
+            self.assertRaisesRegex(Broken, "calls itself whole"),
+        ):
             for seed in range(6):
                 UnheardReplaceVoter(seed).run()
 
--- a/tests/test_sweep.py
+++ b/tests/test_sweep.py
@@ -1,4 +1,8 @@
-"""A sweep tells what broke, with what was done until then, and goes on to the next seeds when asked."""
+"""A sweep tells what broke, with what was done until then.
+
+And goes on to the next seeds when asked.
+"""
+
 import unittest
 from types import SimpleNamespace
 from unittest.mock import patch
@@ -16,11 +20,16 @@
     def __init__(self, seed, deployment):
         self.seed = seed
         self.trace = [(1_500_000, "zone_cut")]
-        self.world = SimpleNamespace(notes=[(2_000_000, "e1", "shares", "claims")], traffic=SimpleNamespace(margin={"widest": seed}))
+        self.world = SimpleNamespace(
+            notes=[(2_000_000, "e1", "shares", "claims")],
+            traffic=SimpleNamespace(margin={"widest": seed}),
+        )
 
     def run(self):
         if self.seed in (1, 3):
-            raise Broken(f"t={self.seed}000: zone_cut: {self.seed} refused of 6365, a handful is 12: [(1, 503)]")
+            raise Broken(
+                f"t={self.seed}000: zone_cut: {self.seed} refused of 6365, a handful is 12: [(1, 503)]"
+            )
         if self.seed == 4:
             raise KeyError("x")
 
--- a/tests/test_toolbox.py
+++ b/tests/test_toolbox.py
@@ -1,4 +1,5 @@
 """The folder checker finds what is wrong, with its place; the replay gives the tables of any slot."""
+
 import os
 import tempfile
 import unittest
@@ -45,17 +46,33 @@
             LogReplay().run(folder, self.tables.slot + 1)
 
     def test_each_damage_is_told_with_its_place(self):
-        decisions = [number for number, record in enumerate(self.records) if record["k"] == "decision"]
-        ballot_states = [number for number, record in enumerate(self.records) if record["k"] == "ballot_state" and record["votes"]]
-        gone = self.records[:decisions[3]] + self.records[decisions[3] + 1:]
+        decisions = [
+            number for number, record in enumerate(self.records) if record["k"] == "decision"
+        ]
+        ballot_states = [
+            number
+            for number, record in enumerate(self.records)
+            if record["k"] == "ballot_state" and record["votes"]
+        ]
+        gone = self.records[: decisions[3]] + self.records[decisions[3] + 1 :]
         unsaid = list(self.records)
-        unsaid.insert(ballot_states[-1] + 1, {**unsaid[ballot_states[-1]], "votes": [1 - unsaid[ballot_states[-1]]["votes"][0]]})
+        unsaid.insert(
+            ballot_states[-1] + 1,
+            {**unsaid[ballot_states[-1]], "votes": [1 - unsaid[ballot_states[-1]]["votes"][0]]},
+        )
         data = bytearray(self.whole())
         data[len(data) // 2] ^= 1
-        for broken, words in ((self.whole(gone), "is due"), (self.whole(unsaid), "unsays"), (bytes(data), "bad record"),
-                              (self.whole()[:-5], "torn tail"), (b"", "not an identity")):
+        for broken, words in (
+            (self.whole(gone), "is due"),
+            (self.whole(unsaid), "unsays"),
+            (bytes(data), "bad record"),
+            (self.whole()[:-5], "torn tail"),
+            (b"", "not an identity"),
+        ):
             findings, _ = FolderChecker().check(self.folder(broken))
-            self.assertTrue(any(words in finding.finding for finding in findings), (words, findings))
+            self.assertTrue(
+                any(words in finding.finding for finding in findings), (words, findings)
+            )
 
 
 if __name__ == "__main__":
--- a/tests/test_weakmvc.py
+++ b/tests/test_weakmvc.py
@@ -1,4 +1,8 @@
-"""Weak-MVC in a small model: any order of hearing, then a herd restart that leaves only what each has on disk, and one disk gone."""
+"""Weak-MVC in a small model: any order of hearing.
+
+Then a herd restart that leaves only what each has on disk, and one disk gone.
+"""
+
 import random
 import unittest
 from dataclasses import replace
@@ -15,7 +19,10 @@
     def __init__(self, seed, n=5):
         self.chance = random.Random(seed)
         self.limits, self.mvc = Thresholds(n), WeakMvc()
-        self.disk = {f"r{number}": BallotState(f"r{number}", 1, seed, self.chance.choice("XXYZ")) for number in range(n)}
+        self.disk = {
+            f"r{number}": BallotState(f"r{number}", 1, seed, self.chance.choice("XXYZ"))
+            for number in range(n)
+        }
         self.heard = {name: {name: ballot_state} for name, ballot_state in self.disk.items()}
         self.verdicts = {}
 
@@ -45,9 +52,13 @@
             model = Model(seed)
             for before, moved in model.run(600, list(model.disk)):
                 if isinstance(moved, BallotState):
-                    self.assertIn(stage_of(moved.states, moved.votes), NEXT[stage_of(before.states, before.votes)])
+                    self.assertIn(
+                        stage_of(moved.states, moved.votes),
+                        NEXT[stage_of(before.states, before.votes)],
+                    )
                     self.assertTrue(moved.agreed or 1 not in moved.states + moved.votes)
-            # who is left behind when the others have decided is told the decision; that is catch-up's work
+            # who is left behind when the others have decided is told the decision; that is
+            # catch-up's work
             self.assertEqual(1, len(set(model.verdicts.values())), seed)
 
     def test_a_decided_1_can_be_named_after_a_herd_restart_without_any_one_disk(self):
@@ -58,7 +69,9 @@
             if BallotValue.ONE not in model.verdicts.values():
                 continue
             for gone in model.disk:
-                left = {name: ballot_state for name, ballot_state in model.disk.items() if name != gone}
+                left = {
+                    name: ballot_state for name, ballot_state in model.disk.items() if name != gone
+                }
                 named += 1
                 self.assertIsNotNone(agreed_proposal(left, model.limits), (seed, gone, left))
         self.assertGreater(named, 300)
@@ -69,15 +82,27 @@
             model = Model(seed)
             list(model.run(model.chance.randrange(40, 200), list(model.disk)))
             if BallotValue.ONE in model.verdicts.values():
-                unnamed += any(agreed_proposal({name: replace(ballot_state, agreed="") for name, ballot_state in model.disk.items() if name != gone},
-                                               model.limits) is None for gone in model.disk)
+                unnamed += any(
+                    agreed_proposal(
+                        {
+                            name: replace(ballot_state, agreed="")
+                            for name, ballot_state in model.disk.items()
+                            if name != gone
+                        },
+                        model.limits,
+                    )
+                    is None
+                    for gone in model.disk
+                )
         self.assertGreater(unnamed, 0)
 
     def test_thresholds_are_the_papers_for_any_n(self):
         for n in range(1, 12):
             limits = Thresholds(n)
-            self.assertEqual(((n - 1) // 2, n - (n - 1) // 2, n // 2 + 1, (n - 1) // 2 + 1),
-                             (limits.f, limits.heard, limits.majority, limits.decides))
+            self.assertEqual(
+                ((n - 1) // 2, n - (n - 1) // 2, n // 2 + 1, (n - 1) // 2 + 1),
+                (limits.f, limits.heard, limits.majority, limits.decides),
+            )
 
 
 if __name__ == "__main__":
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -1,4 +1,8 @@
-"""What is spent in sliding windows: an allowance's shares and the budget of extra tries, by seeded random days."""
+"""What is spent in sliding windows: an allowance's shares and the budget of extra tries.
+
+By seeded random days.
+"""
+
 import random
 import unittest
 
@@ -21,7 +25,10 @@
 
 class Windows(unittest.TestCase):
     def test_shares_that_move_never_add_up_to_more_than_the_rate(self):
-        """Three holders of one rate, parts moving between them; what leaves one comes to another later."""
+        """Three holders of one rate, parts moving between them.
+
+        What leaves one comes to another later.
+        """
         for seed in range(20):
             chance, rate, now, spent = random.Random(seed), 40.0, 0, []
             parts, coming = [rate / 3] * 3, []
@@ -29,10 +36,15 @@
             while now < 40 * SECOND:
                 now += int(chance.expovariate(chance.choice((30, 200))) * SECOND)
                 if chance.random() < 0.02:
-                    giver, taker, amount = chance.randrange(3), chance.randrange(3), chance.random() * 10
+                    giver, taker, amount = (
+                        chance.randrange(3),
+                        chance.randrange(3),
+                        chance.random() * 10,
+                    )
                     amount = min(amount, parts[giver])
                     parts[giver] -= amount
-                    windows[giver].take(parts[giver], now) and spent.append(now)     # it knows at once, and acts on it
+                    # it knows at once, and acts on it
+                    windows[giver].take(parts[giver], now) and spent.append(now)
                     coming.append((now + chance.randrange(SECOND), taker, amount))
                 for due in [due for due in coming if due[0] <= now]:
                     coming.remove(due)
@@ -60,7 +72,10 @@
         window = Window(0, 100.0)
         for _ in range(100):
             window.take(100.0, 2 * SECOND)
-        self.assertEqual(int(SPENT * 100) - 100, sum(window.take(0.0, 6 * SECOND) for _ in range(50)))     # what was its own until then
+        # what was its own until then
+        self.assertEqual(
+            int(SPENT * 100) - 100, sum(window.take(0.0, 6 * SECOND) for _ in range(50))
+        )
         self.assertEqual(0, sum(window.take(0.0, 7 * SECOND) for _ in range(50)))
 
 
@@ -69,8 +84,13 @@
         budget = RetryBudget(lambda: 4, 0, BudgetSettings(0.2, 40, 10 * SECOND))
         for _ in range(50):
             budget.first(SECOND, "a")
-        self.assertEqual([10, 0], [sum(budget.let_in(SECOND, service) for _ in range(99)) for service in "ab"])
-        self.assertEqual([10, 10], [sum(budget.let_in(12 * SECOND, service) for _ in range(99)) for service in "ab"])
+        self.assertEqual(
+            [10, 0], [sum(budget.let_in(SECOND, service) for _ in range(99)) for service in "ab"]
+        )
+        self.assertEqual(
+            [10, 10],
+            [sum(budget.let_in(12 * SECOND, service) for _ in range(99)) for service in "ab"],
+        )
 
     def test_over_any_window_extras_stay_under_a_part_of_demand_and_the_slack(self):
         for seed in range(10):
@@ -85,7 +105,9 @@
                     extras.append(now)
             for at in extras:
                 asked = sum(at - 10 * SECOND < time <= at for time in firsts)
-                self.assertLessEqual(sum(at - 10 * SECOND < time <= at for time in extras), 0.2 * asked + 12, seed)
+                self.assertLessEqual(
+                    sum(at - 10 * SECOND < time <= at for time in extras), 0.2 * asked + 12, seed
+                )
 
 
 if __name__ == "__main__":
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,4 +1,6 @@
 """Every message survives the wire, and a frame that is not ours is refused without harm."""
+
+import contextlib
 import os
 import random
 import struct
@@ -18,8 +20,11 @@
 
 
 def value(chance, field):
-    plain = {int: lambda: chance.randrange(200), bool: lambda: chance.random() < 0.5,
-             str: lambda: "".join(chance.choices("aé\n\"x", k=chance.randrange(5)))}
+    plain = {
+        int: lambda: chance.randrange(200),
+        bool: lambda: chance.random() < 0.5,
+        str: lambda: "".join(chance.choices('aé\n"x', k=chance.randrange(5))),
+    }
     if field.type in plain:
         return plain[field.type]()
     if field.name in ("states", "votes"):
@@ -28,7 +33,10 @@
         return made(chance, Command)
     if field.name == "bootstrap_promise":
         return tuple("v" * chance.randrange(1, 4) for _ in range(chance.randrange(3)))
-    return tuple(made(chance, {"decisions": Decision, "known": Member}[field.name]) for _ in range(chance.randrange(3)))
+    return tuple(
+        made(chance, {"decisions": Decision, "known": Member}[field.name])
+        for _ in range(chance.randrange(3))
+    )
 
 
 class WireTests(unittest.TestCase):
@@ -38,18 +46,28 @@
             self.assertTrue(is_dataclass(kind))
             for _ in range(20):
                 message = made(chance, kind)
-                self.assertEqual(("127.0.0.1:1", message), codec.decode(codec.encode("127.0.0.1:1", message)))
+                self.assertEqual(
+                    ("127.0.0.1:1", message), codec.decode(codec.encode("127.0.0.1:1", message))
+                )
 
     def test_numbers_stay_plain_where_numpy_is_installed(self):
         """One that can be found but not imported: whoever reaches for it breaks down."""
         with tempfile.TemporaryDirectory() as folder:
             Path(folder, "numpy.py").write_text("raise ImportError('reached for')")
-            found = subprocess.run([sys.executable, "-c", "import willowpost.wire.codec as codec, willowpost.wire.messages as messages\n"
-                                    "ballot state = messages.BallotState('i', 1, 0, 'k', None, (1, 2), (0,))\n"
-                                    "assert codec.Codec().decode(codec.Codec().encode('a:1', ballot state)) == ('a:1', ballot state)\n"
-                                    "import importlib.machinery\n"
-                                    "assert importlib.machinery.PathFinder.find_spec('numpy') is not None\n"],
-                                   env={**os.environ, "PYTHONPATH": os.pathsep.join([folder, *sys.path])}, capture_output=True, text=True)
+            found = subprocess.run(
+                [
+                    sys.executable,
+                    "-c",
+                    "import willowpost.wire.codec as codec, willowpost.wire.messages as messages\n"
+                    "ballot state = messages.BallotState('i', 1, 0, 'k', None, (1, 2), (0,))\n"
+                    "assert codec.Codec().decode(codec.Codec().encode('a:1', ballot state)) == ('a:1', ballot state)\n"
+                    "import importlib.machinery\n"
+                    "assert importlib.machinery.PathFinder.find_spec('numpy') is not None\n",
+                ],
+                env={**os.environ, "PYTHONPATH": os.pathsep.join([folder, *sys.path])},
+                capture_output=True,
+                text=True,
+            )
         self.assertEqual((0, ""), (found.returncode, found.stderr))
 
     def test_garbage_raises_what_the_mesh_expects(self):
@@ -59,10 +77,16 @@
             broken = bytearray(frame)
             for _ in range(3):
                 broken[chance.randrange(len(broken))] = chance.randrange(256)
-            try:
+            with contextlib.suppress(
+                OSError,
+                ValueError,
+                struct.error,
+                UnicodeDecodeError,
+                AttributeError,
+                TypeError,
+                IndexError,
+            ):
                 codec.decode(bytes(broken))
-            except (OSError, ValueError, struct.error, UnicodeDecodeError, AttributeError, TypeError, IndexError):
-                pass
 
 
 if __name__ == "__main__":
--- a/tools/rename_identifiers.py
+++ b/tools/rename_identifiers.py
@@ -1,12 +1,16 @@
-"""Renames the words of the withdrawn house style to the field's standard terms, in code, settings, calls, schema and docs.
+"""Renames the words of the withdrawn house style to the field's standard terms, in code, settings.
 
-Usage: ``python tools/rename_identifiers.py ROOT``, once, on a tree that still has the old words. The script stays in
-the repository until the pieces of work that are parked in history have been taken in (it is run on them first) or dropped.
+Calls, schema and docs.
 
-How it works: every Python NAME token is split into its words (``chosenOrigin`` -> ``chosen``, ``origin``), each word is
-looked up, and the name is joined again in the convention it had (snake_case, PascalCase or UPPER_CASE; camelCase becomes
-snake_case). Strings without blanks (keys, paths, record kinds) are treated alike; prose in comments, docstrings, messages
-and Markdown gets only those words that are unambiguous there. Files and folders follow the names of their modules.
+Usage: ``python tools/rename_identifiers.py ROOT``, once, on a tree that still has the old words.
+The script stays in the repository until the pieces of work that are parked in history have been
+taken in (it is run on them first) or dropped.
+
+How it works: every Python NAME token is split into its words (``chosenOrigin`` -> ``chosen``,
+``origin``), each word is looked up, and the name is joined again in the convention it had
+(snake_case, PascalCase or UPPER_CASE; camelCase becomes snake_case). Strings without blanks (keys,
+paths, record kinds) are treated alike; prose in comments, docstrings, messages and Markdown gets
+only those words that are unambiguous there. Files and folders follow the names of their modules.
 """
 
 import io
@@ -82,7 +86,14 @@
 }  # fmt: skip
 
 # file (by the end of its old path) -> word or name -> new one
-ROTATES = {"turn": "rotate", "turns": "rotates", "turned": "rotated", "turnedAt": "rotated_at", "generation": "segment", "generations": "segments"}
+ROTATES = {
+    "turn": "rotate",
+    "turns": "rotates",
+    "turned": "rotated",
+    "turnedAt": "rotated_at",
+    "generation": "segment",
+    "generations": "segments",
+}
 VERDICTS = {"loss": "failure_verdict"}
 SYNCED = {"mark": "synced_index"}
 BY_FILE = {
@@ -123,7 +134,11 @@
     "ripe": "warmed up", "sheds": "rejects", "shed": "reject", "news": "state updates", "forsaken": "without a source",
     "drawn": "picked", "swap": "replacement", "founders": "bootstrap members", "ways": "routes",
 }  # fmt: skip
-PROSE_NAMES = {name: new for name, new in NAMES.items() if re.search(r"[a-z][A-Z]|_", name) or name[0].isupper() and len(name) > 5}
+PROSE_NAMES = {
+    name: new
+    for name, new in NAMES.items()
+    if re.search(r"[a-z][A-Z]|_", name) or (name[0].isupper() and len(name) > 5)
+}
 DOTTED = (
     ("consensus.replica.node_state", "consensus.replica.replica_state"), ("willowpost.proxy.node_state", "willowpost.proxy.proxy_state"),
     ("proxy.route.", "proxy.routing."), ("sim.fleet.bounded", "sim.fleet.bounded_faults"),
@@ -158,7 +173,9 @@
     if name.isupper():
         return lead + "_".join(mapped).upper() + tail
     if name.lstrip("_")[:1].isupper():
-        return lead + "".join(word.capitalize() for part in mapped for word in part.split("_")) + tail
+        return (
+            lead + "".join(word.capitalize() for part in mapped for word in part.split("_")) + tail
+        )
     return lead + "_".join(mapped) + tail
 
 
@@ -169,10 +186,14 @@
         word = found[0]
         if word in FOREIGN:
             return word
-        if word in PROSE_NAMES or CAMEL.search(word) and word[0].islower():
+        if word in PROSE_NAMES or (CAMEL.search(word) and word[0].islower()):
             return renamed(word, local)
         lower = word.lower()
-        new = "segment" + lower[10:] if lower.startswith("generation") and local.get("generation") else PROSE.get(lower)
+        new = (
+            "segment" + lower[10:]
+            if lower.startswith("generation") and local.get("generation")
+            else PROSE.get(lower)
+        )
         if new is None:
             return word
         return new.capitalize() if word[0].isupper() else new
@@ -181,11 +202,22 @@
 
 
 def string(token: str, local: dict[str, str]) -> str:
-    """A string literal: a key or path like a name, anything with blanks like prose; replacement fields like code."""
+    """A string literal: a key or path like a name, anything with blanks like prose.
+
+    Replacement fields like code.
+    """
     prefix = re.match(r"[A-Za-z]*", token)[0]
-    quote = token[len(prefix) :][:3] if token[len(prefix) :][:3] in ('"""', "'''") else token[len(prefix)]
+    quote = (
+        token[len(prefix) :][:3]
+        if token[len(prefix) :][:3] in ('"""', "'''")
+        else token[len(prefix)]
+    )
     body = token[len(prefix) + len(quote) : -len(quote)]
-    words = (lambda text: prose(text, local)) if re.search(r"\s", body) else (lambda text: WORD.sub(lambda found: renamed(found[0], local), text))
+    words = (
+        (lambda text: prose(text, local))
+        if re.search(r"\s", body)
+        else (lambda text: WORD.sub(lambda found: renamed(found[0], local), text))
+    )
     if "f" not in prefix.lower():
         return prefix + quote + words(body) + quote
     out, depth, start = "", 0, 0
@@ -203,7 +235,11 @@
 
 def code(text: str, local: dict[str, str]) -> str:
     """Source text within a replacement field."""
-    return re.sub(r"'[^']*'|\"[^\"]*\"|[A-Za-z_]\w*", lambda found: string(found[0], local) if found[0][0] in "'\"" else renamed(found[0], local), text)
+    return re.sub(
+        r"'[^']*'|\"[^\"]*\"|[A-Za-z_]\w*",
+        lambda found: string(found[0], local) if found[0][0] in "'\"" else renamed(found[0], local),
+        text,
+    )
 
 
 def module(source: str, local: dict[str, str], names: dict[str, str]) -> str:
@@ -214,7 +250,10 @@
         starts.append(starts[-1] + len(line))
     out, last = [], 0
     for token in tokenize.generate_tokens(io.StringIO(source).readline):
-        begin, end = starts[token.start[0] - 1] + token.start[1], starts[token.end[0] - 1] + token.end[1]
+        begin, end = (
+            starts[token.start[0] - 1] + token.start[1],
+            starts[token.end[0] - 1] + token.end[1],
+        )
         if token.type == tokenize.NAME:
             new = renamed(token.string, local | names)
         elif token.type == tokenize.STRING:
@@ -225,28 +264,44 @@
             continue
         out += [source[last:begin], new]
         last = end
-    return FENCE_KEY.sub(r"\1quota_share/", dotted("".join(out) + source[last:])).replace("wp-life", "wp-incarnation")
+    return FENCE_KEY.sub(r"\1quota_share/", dotted("".join(out) + source[last:])).replace(
+        "wp-life", "wp-incarnation"
+    )
 
 
 def dotted(text: str) -> str:
     """Modules that their package's name would make ambiguous."""
     for old, new in DOTTED:
-        text = re.sub(rf"(?<![\w.]){re.escape(old)}" if "/" in old and not old.startswith("consensus") else re.escape(old) + ("" if old.endswith((".", "/")) else r"(?!\w)"), new, text)
+        text = re.sub(
+            rf"(?<![\w.]){re.escape(old)}"
+            if "/" in old and not old.startswith("consensus")
+            else re.escape(old) + ("" if old.endswith((".", "/")) else r"(?!\w)"),
+            new,
+            text,
+        )
     return text
 
 
 def markdown(text: str) -> str:
     """Prose outside code spans, names within them."""
     pieces = re.split(r"(```.*?```|`[^`\n]*`|^    .*$)", text, flags=re.S | re.M)
-    return dotted("".join(
-        WORD.sub(lambda found: renamed(found[0], {}), piece) if piece.startswith(("`", "    ")) else prose(piece, {}) for piece in pieces
-    ))
+    return dotted(
+        "".join(
+            WORD.sub(lambda found: renamed(found[0], {}), piece)
+            if piece.startswith(("`", "    "))
+            else prose(piece, {})
+            for piece in pieces
+        )
+    )
 
 
 def table(value):
     """A JSON document: its keys, but for those that are a deployment's own names; and nothing else."""
     if isinstance(value, dict):
-        return {name if name in OWN_NAMES else renamed(name, {}): table(held) for name, held in value.items()}
+        return {
+            name if name in OWN_NAMES else renamed(name, {}): table(held)
+            for name, held in value.items()
+        }
     return [table(held) for held in value] if isinstance(value, list) else value
 
 
@@ -256,17 +311,26 @@
     stem, dot, ending = name.partition(".")
     if path.endswith("drill/losses.py"):
         return path
-    parts = [renamed(part, {}) if part not in ("common", "docs") else part for part in folder.split("/")]
+    parts = [
+        renamed(part, {}) if part not in ("common", "docs") else part for part in folder.split("/")
+    ]
     return dotted("/".join([*parts, renamed(stem, {}) + dot + ending]))
 
 
 def main(root: Path) -> None:
     """Renames everything under src, platform, tests, docs and deploy."""
-    tracked = subprocess.run(["git", "ls-files"], cwd=root, capture_output=True, text=True, check=True).stdout.split()
+    tracked = subprocess.run(
+        ["git", "ls-files"], cwd=root, capture_output=True, text=True, check=True
+    ).stdout.split()
     for path in tracked:
-        if not path.startswith(("src/", "platform/", "tests/", "docs/", "README", "CONTRIBUTING")) or path.endswith("generated.py"):
+        if not path.startswith(
+            ("src/", "platform/", "tests/", "docs/", "README", "CONTRIBUTING")
+        ) or path.endswith("generated.py"):
             continue
-        file, local = root / path, next((held for end, held in BY_FILE.items() if path.endswith(end)), {})
+        file, local = (
+            root / path,
+            next((held for end, held in BY_FILE.items() if path.endswith(end)), {}),
+        )
         text = file.read_text()
         if path.endswith(".py"):
             names = next((held for end, held in NAMES_BY_FILE.items() if path.endswith(end)), {})
@@ -277,7 +341,11 @@
             file.write_text(WORD.sub(lambda found: renamed(found[0], {}), text))
         elif path.endswith(".json"):
             file.write_text(json.dumps(table(json.loads(text)), indent=2) + "\n")
-        new = path_of(path) if path.endswith((".py", ".json")) and not path.startswith("docs") else path
+        new = (
+            path_of(path)
+            if path.endswith((".py", ".json")) and not path.startswith("docs")
+            else path
+        )
         if new != path:
             (root / new).parent.mkdir(parents=True, exist_ok=True)
             subprocess.run(["git", "mv", path, new], cwd=root, check=True)
