Two names of the renaming in the lightweight fleet that its tests found

Cause: lightweight.py uses the store's disk segment and its rotation by attributes that the script renamed by file. Found by test_capacity, seven tests, which pass again.

--- a/src/willowpost/drill/capacity/lightweight.py
+++ b/src/willowpost/drill/capacity/lightweight.py
@@ -99,10 +99,10 @@
                 me = Member(card.id, card.name, card.zone, card.address)
                 node_state = ReplicaState(me)
                 node_state.take(self.tables)
-                node_state.log_floor = node_state.turned_at = self.tables.slot
+                node_state.log_floor = node_state.rotated_at = self.tables.slot
                 node_state.passed = self.tables.epoch
                 node = StoreNode(
-                    me, seeds, self.size.voters, node_state.version(), now, wall, card.incarnation
+                    me, seeds, self.size.voters, node_state.segment(), now, wall, card.incarnation
                 )
             else:
                 node = (
--- a/tools/rename_identifiers.py
+++ b/tools/rename_identifiers.py
@@ -112,7 +112,7 @@
     "proxy/admission/shares.py": {"share": "quota_share", "shares": "quota_shares", "base": "base_quota"},
     "proxy/admission/buckets.py": {"share": "quota_share", "shares": "quota_shares", "base": "base_quota"},
     "proxy/admission/tokens.py": {"share": "quota_share", "shares": "quota_shares"},
-    "drill/capacity/filled.py": {"turnedAt": "rotated_at"},
+    "drill/capacity/hollow.py": {"turnedAt": "rotated_at", "generation": "segment"},
     "platform/adapter/settings.py": {"groups": "groups", "props": "values"},
     "platform/adapter/control.py": {"turn": "action"},
     "platform/adapter/names.py": {},
