Left-overs of the renaming that the full tests found

Cause: the script renames strings without blanks by word, and prose by a smaller table; keys within longer strings (settings in YAML, command lines, counters) and attributes typed in another file were missed. Tests' expectations follow the new names and nothing else in them changed.

--- a/src/willowpost/drill/capacity/simulated_peers.py
+++ b/src/willowpost/drill/capacity/simulated_peers.py
@@ -34,7 +34,7 @@
             case StateUpdate(_, slot):
                 self.slots[address] = max(self.slots[address], slot)
             case Ping(nonce, _):
-                self._say(address, source, Pong(nonce, self.cards[address].incarnation))
+                self._say(address, source, Pong(nonce, self.cards[address].incarnation_id))
             case QuotaShareAsk(nonce, service, fence, _):
                 self._say(address, source, QuotaShareTell(nonce, service, fence, 1000))
 
@@ -69,7 +69,7 @@
                     self._every(
                         PING_EVERY,
                         lambda card=card, address=address: self._say(
-                            card.address, address, Ping(self._next(), card.incarnation)
+                            card.address, address, Ping(self._next(), card.incarnation_id)
                         ),
                     )
             if card.kind == "proxy":
--- a/src/willowpost/drill/tools.py
+++ b/src/willowpost/drill/tools.py
@@ -114,7 +114,7 @@
     arguments = [
         argument(
             "what",
-            "core (stores only), fleet (everything), or calm (a deployment at its peak, hit by what it must bear).",
+            "core (stores only), fleet (everything), or bounded (a deployment at its peak, hit by what it must bear).",
         )
     ]
     options = [
@@ -147,7 +147,7 @@
 
     def handle(self) -> int:
         if self.argument("what") not in ("core", "fleet", "bounded"):
-            self.line_error(json.dumps({"place": "what", "finding": "core, fleet or calm"}))
+            self.line_error(json.dumps({"place": "what", "finding": "core, fleet or bounded"}))
             return 2
         held = json.loads(
             (files("willowpost.deployments") / f"{self.option('deployment')}.json").read_text()
--- a/src/willowpost/toolbox/folder.py
+++ b/src/willowpost/toolbox/folder.py
@@ -37,7 +37,7 @@
         if not names:
             return [
                 *findings,
-                Finding(folder, "no version: a store would start empty, under a new identity"),
+                Finding(folder, "no segment: a store would start empty, under a new identity"),
             ], facts
         path = os.path.join(folder, names[-1])
         data = open(path, "rb").read()
@@ -53,7 +53,7 @@
                 )
             )
         findings += self._walk(names[-1], records, facts)
-        return findings, {**facts, "version": names[-1], "records": len(records)}
+        return findings, {**facts, "segment": names[-1], "records": len(records)}
 
     def _walk(self, name, records, facts):
         findings, slot, ballot_state, bootstrapped = [], None, None, False
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -90,7 +90,7 @@
             beats(origins, "proxy", "in") / beats(base, "proxy", "in"), 2.0, delta=0.01
         )
         self.assertGreater(
-            purges["proxy"].kinds["in State updates"], 1.8 * base["proxy"].kinds["in State updates"]
+            purges["proxy"].kinds["in StateUpdate"], 1.8 * base["proxy"].kinds["in StateUpdate"]
         )
 
     def test_simulated_peers_say_what_the_stepped_would(self):
@@ -102,7 +102,7 @@
         for role in ("store", "registry", "proxy", "owner"):
             for kind in (
                 "in Beat",
-                "in State updates",
+                "in StateUpdate",
                 "in QuotaShareAsk",
                 "in Poll",
                 "out State updates",
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -129,7 +129,7 @@
             self.assertEqual(1, len(self.read(name, text).unwrap_err()), text)
         held = self.read(
             "settings.yaml",
-            "name: e\nzone: a\naddress: 127.0.0.1:0\nsoundness: x\nseeds: [127.0.0.1:1]\nserve_on_ms: 1\nvoters_most: 4\n",
+            "name: e\nzone: a\naddress: 127.0.0.1:0\nhealth: x\nseeds: [127.0.0.1:1]\nserve_on_ms: 1\nmax_voters: 4\n",
         )
         self.assertEqual(
             {"address", "health", "serve_on_ms", "max_voters"},
--- a/tests/test_sweep.py
+++ b/tests/test_sweep.py
@@ -45,7 +45,7 @@
 
 class Sweep(unittest.TestCase):
     def test_it_stops_at_the_first_that_breaks_and_tells_what_was_done(self):
-        code, said = sweep("calm --first 0 --count 5")
+        code, said = sweep("bounded --first 0 --count 5")
         self.assertEqual(1, code)
         self.assertIn("seed 1 broke: t=1000: zone_cut: 1 refused", said)
         self.assertIn("t=1.500 s  zone_cut", said)
@@ -54,14 +54,14 @@
         self.assertIn("1 of 2 seeds kept every rule, 1 broke one", said)
 
     def test_it_goes_on_when_asked_and_counts_by_rule(self):
-        code, said = sweep("calm --first 0 --count 6 --go-on")
+        code, said = sweep("bounded --first 0 --count 6 --go-on")
         self.assertEqual(1, code)
         self.assertIn("3 of 6 seeds kept every rule, 3 broke one", said)
         self.assertIn("  2 broke: zone_cut: N refused of N, a handful is N", said)
         self.assertIn("  1 broke: nothing raises: KeyError", said)
 
     def test_kept_seeds_end_well_with_their_trace(self):
-        code, said = sweep("calm --first 5 --count 2 --trace")
+        code, said = sweep("bounded --first 5 --count 2 --trace")
         self.assertEqual(0, code)
         self.assertIn("2 seeds kept every rule", said)
         self.assertEqual(2, said.count("zone_cut"))
--- a/tests/test_toolbox.py
+++ b/tests/test_toolbox.py
@@ -25,7 +25,7 @@
     def folder(self, data):
         held = tempfile.TemporaryDirectory()
         self.addCleanup(held.cleanup)
-        with open(os.path.join(held.name, "version-000000000001.wp"), "wb") as file:
+        with open(os.path.join(held.name, "segment-000000000001.wp"), "wb") as file:
             file.write(data)
         return held.name
 
