--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -105,7 +105,7 @@
                 "in StateUpdate",
                 "in QuotaShareAsk",
                 "in Poll",
-                "out State updates",
+                "out StateUpdate",
             ):
                 wanted, found = whole[role].kinds.get(kind, 0), sampled[role].kinds.get(kind, 0)
                 if wanted > 400:
