--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -31,7 +31,7 @@
         return tuple(chance.randrange(3) for _ in range(chance.randrange(4)))
     if field.name == "command":
         return made(chance, Command)
-    if field.name == "bootstrap_promise":
+    if field.name == "promise":
         return tuple("v" * chance.randrange(1, 4) for _ in range(chance.randrange(3)))
     return tuple(
         made(chance, {"decisions": Decision, "known": Member}[field.name])
@@ -59,8 +59,8 @@
                     sys.executable,
                     "-c",
                     "import willowpost.wire.codec as codec, willowpost.wire.messages as messages\n"
-                    "ballot state = messages.BallotState('i', 1, 0, 'k', None, (1, 2), (0,))\n"
-                    "assert codec.Codec().decode(codec.Codec().encode('a:1', ballot state)) == ('a:1', ballot state)\n"
+                    "ballot_state = messages.BallotState('i', 1, 0, 'k', None, (1, 2), (0,))\n"
+                    "assert codec.Codec().decode(codec.Codec().encode('a:1', ballot_state)) == ('a:1', ballot_state)\n"
                     "import importlib.machinery\n"
                     "assert importlib.machinery.PathFinder.find_spec('numpy') is not None\n",
                 ],
