A registry that is out of touch refuses at once; orders left behind a cut undo nothing newer

Cause: a registry that could not reach a majority held a read for 3 s and an order for 4 s while its caller waits one second; an order whose caller had been told "not known" was submitted again for ever, so that an old emptying of a zone (or an old life's registration) was carried out 20 s later, after newer ones that had been acknowledged; a heartbeat was acknowledged by a registry that nobody heard; and a cut-off registry kept proposing as gone origins whose beats went elsewhere, also after the cut, until it heard of them.

Ruled out: 307 to another registry. One that is cut off doesn't know which is not, a caller follows two redirections only, and it goes on to the next by itself after a 503.

CommandClient drops what nobody waits for any more (Withdrawn) or what expired, and tries a store that left a submission unanswered last for 5 s, so that the second try fits into the second. Zones and registrations carry `as_of`; the log turns them away if a newer one stands, and the registry follows and asks anew while its caller waits. A beat of a known life is recorded and passed on, and acknowledged only in touch. Silence counts from the last moment at which this registry was out of touch or not among the live ones, and only on the word of one that is up.

--- a/src/willowpost/common/events.py
+++ b/src/willowpost/common/events.py
@@ -25,7 +25,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Asked:
-    """Someone in this process wants `ops` in the log and waits under `token` (None: nobody waits)."""
+    """Someone in this process wants `ops` in the log and waits under `token` (None: nobody waits).
+
+    `lifetime`: µs after which they are not submitted again; None: as long as somebody waits, or, if
+    nobody does, until the log has answered.
+    """
 
     token: Any
     ops: tuple
+    lifetime: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """Whoever waited under `token` has given up: what it asked for is not submitted again."""
+
+    token: Any
--- a/src/willowpost/node/command_client.py
+++ b/src/willowpost/node/command_client.py
@@ -1,21 +1,78 @@
-"""Brings this daemon's ops into the log: stamps, batches, submits, resubmits elsewhere, answers."""
+"""Brings this daemon's operations into the log: batches, stamps, submits, retries, answers."""
 
 import json
+from dataclasses import dataclass, field
 
-from willowpost.common.clock import MILLI
-from willowpost.common.events import Asked, Received, Tick
+from willowpost.common.clock import MILLI, SECOND
+from willowpost.common.events import Asked, Received, Tick, Withdrawn
 from willowpost.common.plan import Plan
 from willowpost.wire.messages import Accepted, Command, Submit
 
 BATCH_WAIT = 5 * MILLI
 BATCH_MOST = 20
 RETRY_AFTER = 400 * MILLI
+# a store that left a submission unanswered is tried last for so long
+AVOID_FOR = 5 * SECOND
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """Operations that one caller in this process asked for.
+
+    Attributes:
+        token: under which the caller waits for the outcome; None if nobody waits.
+        operations: in the order in which the log is to apply them.
+        expires_at: µs, own clock; from then on nobody needs the operations. None: always needed.
+    """
+
+    token: object
+    operations: tuple
+    expires_at: int | None = None
+
+    @property
+    def lasting(self) -> bool:
+        """Whether it is submitted again until the log answers, however long that takes."""
+        return self.token is None and self.expires_at is None
+
+    def needed(self, now: int) -> bool:
+        return self.expires_at is None or now < self.expires_at
+
+
+@dataclass(slots=True)
+class PendingCommand:
+    """A stamped command without an answer yet, and when it was last submitted, and to whom.
+
+    `requests` are those that the command was made of; the tokens of those that withdrew are in
+    `withdrawn`.
+    """
+
+    command: Command
+    requests: tuple[Request, ...]
+    sent_at: int
+    sent_to: str = ""
+    withdrawn: set = field(default_factory=set)
+
+    def waiting(self) -> list:
+        """The tokens of the callers that still wait."""
+        return [
+            request.token
+            for request in self.requests
+            if request.token is not None and request.token not in self.withdrawn
+        ]
+
+    def needed(self, now: int) -> bool:
+        return any(
+            request.token not in self.withdrawn and request.needed(now) for request in self.requests
+        )
 
 
 class CommandClient:
-    """Invariants: a command is resubmitted under the same key until it is answered.
+    """Submits commands to the stores until they are answered or nobody needs them any more.
 
-    A stamp is greater than every stamp given before it here.
+    Invariants: a command is submitted again under the same key. A stamp is greater than every
+    stamp given before it here. No command is submitted again once every caller that waited for it
+    has withdrawn, or its operations have expired; operations that nobody waits for and that do not
+    expire never share a command with others, so that they don't keep those alive.
     """
 
     def __init__(self, daemon: str, incarnation: int, cores, wall):
@@ -25,65 +82,97 @@
         self.wall = wall  # () -> µs of the wall clock, which may jump
         self.counter = 0
         self.stamp = 0
-        self.gathered: list[tuple] = []
+        self.gathered: list[Request] = []
         self.gathered_at = 0
-        self.pending: dict[str, list] = {}  # key -> [command, tokens, sent_at, tries]
+        self.pending: dict[str, PendingCommand] = {}
+        self.unanswered_at: dict[str, int] = {}  # address of a store -> when it was given up
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
         match event:
-            case Asked(token, ops):
-                self.gathered_at = now if not self.gathered else self.gathered_at
-                self.gathered.append((token, ops))
-            case Received(_, Accepted() as accepted) if accepted.key in self.pending:
-                self._settle(accepted, now, plan)
-        full = sum(len(ops) for _, ops in self.gathered) >= BATCH_MOST
-        if self.gathered and (full or now - self.gathered_at >= BATCH_WAIT):
+            case Asked() as asked:
+                self._gather(asked, now)
+            case Withdrawn(token):
+                self._withdraw(token)
+            case Received(source, Accepted() as accepted):
+                self.unanswered_at.pop(source, None)
+                if accepted.key in self.pending:
+                    self._settle(accepted, now, plan)
+        if self.gathered and (self._full() or now - self.gathered_at >= BATCH_WAIT):
             self._stamp(now, plan)
         if isinstance(event, Tick):
-            for entry in self.pending.values():
-                if now - entry[2] >= RETRY_AFTER:
-                    self._submit(entry, now, plan)
+            self._retry(now, plan)
         return plan
 
+    def waiting(self) -> int:
+        """How many callers in this process wait for an outcome."""
+        gathered = sum(request.token is not None for request in self.gathered)
+        return gathered + sum(len(entry.waiting()) for entry in self.pending.values())
+
+    def _gather(self, asked, now):
+        if not self.gathered:
+            self.gathered_at = now
+        expires_at = None if asked.lifetime is None else now + asked.lifetime
+        self.gathered.append(Request(asked.token, asked.ops, expires_at))
+
+    def _full(self):
+        return sum(len(request.operations) for request in self.gathered) >= BATCH_MOST
+
+    def _withdraw(self, token):
+        self.gathered = [request for request in self.gathered if request.token != token]
+        for entry in self.pending.values():
+            if token in entry.waiting():
+                entry.withdrawn.add(token)
+
     def _stamp(self, now, plan):
         gathered, self.gathered = self.gathered, []
-        body = json.dumps([op for _, ops in gathered for op in ops], separators=(",", ":"))
-        tokens = [(token, len(ops)) for token, ops in gathered]
-        self._open(body, tokens, now, plan)
+        for lasting in (True, False):
+            requests = tuple(request for request in gathered if request.lasting is lasting)
+            if requests:
+                operations = [op for request in requests for op in request.operations]
+                self._open(json.dumps(operations, separators=(",", ":")), requests, now, plan)
 
-    def _open(self, body, tokens, now, plan):
+    def _open(self, body, requests, now, plan):
         self.counter += 1
         self.stamp = max(self.stamp + 1, self.wall())
         command = Command(self.daemon, self.incarnation, self.counter, self.stamp, body)
-        entry = self.pending[command.key] = [command, tokens, now, 0]
+        entry = self.pending[command.key] = PendingCommand(command, requests, now)
         self._submit(entry, now, plan)
+        return entry
+
+    def _retry(self, now, plan):
+        self.pending = {key: entry for key, entry in self.pending.items() if entry.needed(now)}
+        for entry in self.pending.values():
+            if now - entry.sent_at >= RETRY_AFTER:
+                self.unanswered_at[entry.sent_to] = now
+                self._submit(entry, now, plan)
 
     def _submit(self, entry, now, plan):
+        self.unanswered_at = {
+            address: moment
+            for address, moment in self.unanswered_at.items()
+            if now - moment < AVOID_FOR
+        }
         cores = self.cores()
         if cores:
-            plan.send(cores[entry[3] % len(cores)], Submit(entry[0]))
-        entry[2], entry[3] = now, entry[3] + 1
+            entry.sent_to = min(cores, key=lambda address: self.unanswered_at.get(address, 0))
+            plan.send(entry.sent_to, Submit(entry.command))
+        entry.sent_at = now
 
     def _settle(self, accepted, now, plan):
-        command, tokens, *_ = self.pending.pop(accepted.key)
+        entry = self.pending.pop(accepted.key)
         answers = json.loads(accepted.answers)
         if isinstance(answers, dict):
             # A former life of this daemon had a later incarnation (its clock ran ahead): the
             # command was barred, so it never ran and may be stamped anew.
             self.incarnation = max(self.incarnation, answers["barred"]) + 1
-            self._open(command.body, tokens, now, plan)
+            renewed = self._open(entry.command.body, entry.requests, now, plan)
+            renewed.withdrawn = entry.withdrawn
             return
         start = 0
-        for token, count in tokens:
-            if token is not None:
-                plan.replies.append(
-                    (
-                        token,
-                        {
-                            "slot": accepted.slot,
-                            "answers": None if answers is None else answers[start : start + count],
-                        },
-                    )
-                )
-            start += count
+        for request in entry.requests:
+            end = start + len(request.operations)
+            if request.token is not None and request.token not in entry.withdrawn:
+                told = None if answers is None else answers[start:end]
+                plan.replies.append((request.token, {"slot": accepted.slot, "answers": told}))
+            start = end
--- a/src/willowpost/node/node_state.py
+++ b/src/willowpost/node/node_state.py
@@ -9,6 +9,9 @@
 # how long an owner may believe in its duty without state updates, and a proxy serves on unless its
 # settings say longer
 LEASE = 1_500 * MILLI
+# Without a quorum-confirmed update for so long, calls are refused at once. In normal running the age
+# is 150 to 400 ms, and up to 800 ms when the source has just died.
+OUT_OF_TOUCH_AFTER = 1_200 * MILLI
 TAIL_KEPT = 512
 
 
@@ -66,6 +69,11 @@
         """
         return self.fresh_as_of is not None and now - self.fresh_as_of <= LEASE
 
+    def in_touch(self, now: int) -> bool:
+        """Whether a majority of the voters was heard of lately. False in a process just started."""
+        age = self.age(now)
+        return age is not None and age <= OUT_OF_TOUCH_AFTER
+
     def cores(self) -> list[str]:
         """Addresses of stores, those of the own machine and zone first.
 
--- a/src/willowpost/registry/beats.py
+++ b/src/willowpost/registry/beats.py
@@ -15,6 +15,8 @@
 ENTER_AFTER = 2_500 * MILLI  # longer than any lease plus the grace of a request under way
 DEFAULT_SILENT = 6 * SECOND
 ASK_EVERY = 1 * SECOND
+# proposed anew as long as it holds: it must not be carried out long after it ceased to hold
+PROPOSAL_LIFETIME = 2 * SECOND
 PROBES_FAILED = 2
 PROBE_EVERY = 1 * SECOND
 
@@ -34,7 +36,9 @@
     """Invariants: only the origin's owner among the live registries proposes for it.
 
     But what a beat says of being cold is proposed by whoever took the beat. Silence counts from the
-    later of the last beat, our own start, and the moment the duty came to us. A beat with a number
+    later of the last beat, our own start, the moment the duty came to us, and the last moment at
+    which we were out of touch with the core or not among its live registries: beats may have gone
+    elsewhere until then, and nobody passed them on to us. A beat with a number
     not above the last one that any registry told us of changes nothing.
     """
 
@@ -50,6 +54,8 @@
         self.asked_at: dict[str, int] = {}
         self.numbers: dict[str, int] = {}
         self.looked_at = 0
+        # the last moment (µs) at which beats that others took did not surely come here
+        self.unaware_at = 0
 
     def step(self, event, now: int) -> Plan:
         plan = Plan()
@@ -115,25 +121,32 @@
         ):
             for origin in [origin for origin in held if origin not in tables.origins]:
                 del held[origin]
+        if not self._informed(live, now):
+            self.unaware_at = now
         services = (tables.configuration["tree"] or {}).get("services", {})
         for origin, card in tables.origins.items():
             state, since = self.seen.get(origin, (None, now))
             if state != card["state"]:
                 self.seen[origin] = (card["state"], now)
                 since = now
+            if self.unaware_at == now:
+                continue
             if Rendezvous().rank(f"origin/{origin}", names)[0] != self.node_state.card.id:
                 continue
             self._care(origin, card, since, services.get(card["service"], {}), now, plan)
 
+    def _informed(self, live, now):
+        """Whether the others pass on to us what they hear, as far as we know."""
+        return self.node_state.in_touch(now) and self.node_state.card.id in live
+
     def _care(self, origin, card, since, service, now, plan):
         silent = int(service.get("silent_seconds", 6.0) * SECOND)
-        heard = self.heard.setdefault(origin, now)
-        quiet = now - heard
+        quiet = now - max(self.heard.setdefault(origin, now), self.unaware_at)
         if quiet > silent // 2 and now - self.probed_at.get(origin, -PROBE_EVERY) >= PROBE_EVERY:
             self.probed_at[origin] = now
             self.probe(origin, card["address"], service.get("health_check_path"))
         if quiet > silent or (quiet > silent // 2 and self.failed.get(origin, 0) >= PROBES_FAILED):
-            self._turn(origin, "gone", now, plan, silent=True)
+            self._turn(origin, "gone", now, plan, silent=True, by=self.node_state.card.id)
         elif card["state"] == "waiting" and now - since > ENTER_AFTER:
             self._turn(origin, "cold", now, plan)
         elif (
@@ -149,9 +162,6 @@
             self._propose(origin, state, now, plan, **more)
 
     def _propose(self, origin, state, now, plan, **more):
-        plan.join(
-            self.command_client.step(
-                Asked(None, ({"op": "turn", "origin": origin, "state": state, **more},)), now
-            )
-        )
+        op = {"op": "turn", "origin": origin, "state": state, **more}
+        plan.join(self.command_client.step(Asked(None, (op,), PROPOSAL_LIFETIME), now))
         plan.note("origins", "proposes a turn", origin=origin, state=state)
--- a/src/willowpost/registry/calls/orders.py
+++ b/src/willowpost/registry/calls/orders.py
@@ -1,4 +1,4 @@
-"""Operators' orders that are no configurations: purges, and zones that are emptied or given back."""
+"""Operators' orders other than configurations: purges, and zones emptied or given back."""
 
 from typing import Annotated, Literal
 
@@ -6,7 +6,7 @@
 
 from willowpost.configuration.model import Host
 from willowpost.registry.calls.body import Strict, parsed
-from willowpost.registry.calls.control_api import ControlApi, unknown, unread
+from willowpost.registry.calls.control_api import ControlApi, unread
 from willowpost.shell.web import Answer, Call
 from willowpost.toolbox.planner import ZonePlanner
 
@@ -39,6 +39,8 @@
 
 
 class OrderCalls:
+    """Invariant: a success is answered only for what the log accepted in this very call."""
+
     def __init__(self, control_api: ControlApi):
         self.control_api = control_api
 
@@ -51,41 +53,44 @@
         )
 
     def _plan(self, call: Call) -> Answer:
-        return (
-            Answer(
-                200,
-                {"plan": ZonePlanner().plan(self.control_api.node_state.tables, call.params[0])},
-            )
-            if self.control_api.read()
-            else unread()
-        )
+        if not self.control_api.read(self.control_api.deadline(call)):
+            return unread()
+        plan = ZonePlanner().plan(self.control_api.node_state.tables, call.params[0])
+        return Answer(200, {"plan": plan})
 
     def _purge(self, call: Call) -> Answer:
+        """A purge that takes effect late drops kept answers once more, and nothing else."""
+        deadline = self.control_api.deadline(call)
         read = parsed(PurgeCall, call.body)
         if read.is_err():
             return read.unwrap_err()
-        ops = [
-            {
-                "op": "purge",
-                "host": item.host,
-                "kind": item.kind,
-                "path": item.tag or item.path or "",
-            }
-            for item in read.unwrap().items
-        ]
-        slot = self.control_api.accepted_all(
-            [ops[start : start + PURGE_BATCH] for start in range(0, len(ops), PURGE_BATCH)]
+        ops = [_purge_op(item) for item in read.unwrap().items]
+        return self.control_api.accepted_all(
+            [ops[start : start + PURGE_BATCH] for start in range(0, len(ops), PURGE_BATCH)],
+            lambda slot: Answer(200, {"purged": len(ops), "slot": slot}),
+            deadline,
         )
-        return unknown() if slot is None else Answer(200, {"purged": len(ops), "slot": slot})
 
     def _zone(self, call: Call, empty: bool) -> Answer:
+        """Empty a zone or give it back; fenced, so that a late order undoes no newer one."""
+        deadline = self.control_api.deadline(call)
         read = parsed(ZoneCall, call.body.strip() or b"{}")
         if read.is_err():
             return read.unwrap_err()
+        name = call.params[0]
         what = {"what": read.unwrap().what} if empty else {}
         return self.control_api.accepted(
-            {"op": "zone", "zone": call.params[0], "empty": empty, **what},
-            lambda answer, slot: Answer(
-                200, {"zone": call.params[0], "empty": empty, **what, "slot": slot}
-            ),
+            {"op": "zone", "zone": name, "empty": empty, **what},
+            lambda answer, slot: Answer(200, {"zone": name, "empty": empty, **what, "slot": slot}),
+            deadline,
+            fenced=True,
         )
+
+
+def _purge_op(item: PurgeItem) -> dict:
+    return {
+        "op": "purge",
+        "host": item.host,
+        "kind": item.kind,
+        "path": item.tag or item.path or "",
+    }
--- a/src/willowpost/registry/calls/origins.py
+++ b/src/willowpost/registry/calls/origins.py
@@ -8,7 +8,7 @@
 from willowpost.configuration.model import Name
 from willowpost.registry.beats import Heard
 from willowpost.registry.calls.body import Strict, parsed
-from willowpost.registry.calls.control_api import ACCEPT_SECONDS, ControlApi
+from willowpost.registry.calls.control_api import ControlApi, out_of_touch, unread
 from willowpost.registry.origins import origin_at, same_incarnation
 from willowpost.shell.settings import Address
 from willowpost.shell.web import Answer, Call
@@ -17,9 +17,9 @@
 from willowpost.wire.messages import Beat
 
 SMALL = 64 * 1024
-BEAT_SECONDS = 0.9  # whoever beats tries another registry after a second
 DRAINING, GONE = OriginState.DRAINING.value, OriginState.GONE.value
-Token = Annotated[str, Field(pattern=r"^[!-~]{1,256}$")]  # goes into a header
+# It goes into a header, so it has no spaces.
+Token = Annotated[str, Field(pattern=r"^[!-~]{1,256}$")]
 
 
 RATE, RATE_MOST = 100.0, 1_000_000
@@ -79,8 +79,11 @@
         return self.control_api.node_state.tables
 
     def _register(self, call: Call) -> Answer:
+        deadline = self.control_api.deadline(call)
         read = parsed(OriginCall, call.body)
-        return read.unwrap_err() if read.is_err() else self._entered(read.unwrap(), 201)
+        if read.is_err():
+            return read.unwrap_err()
+        return self._entered(read.unwrap(), 201, deadline=deadline)
 
     def _entered(self, origin, code, **how) -> Answer:
         # who says how many it works on at once has said what it bears: only the service's own rate
@@ -108,78 +111,94 @@
             lambda answer, slot: Answer(
                 code, {"origin": answer["origin"], "state": answer["state"], "slot": slot}
             ),
+            fenced=True,
             **how,
         )
 
     def _beat(self, call: Call) -> Answer:
+        """A heartbeat.
+
+        That of a known life is recorded and passed on in any case, but acknowledged only while this
+        registry is in touch: else those who judge silence may not hear of it, and the origin is to
+        go to another registry.
+        """
+        deadline = self.control_api.deadline(call)
         read = parsed(OriginCall, call.body)
         if read.is_err():
             return read.unwrap_err()
         origin = read.unwrap()
         if origin.token in self.tables.ended:
             return _over()
-        name = self._incarnation(origin)
+        name = self._incarnation(origin, deadline)
         state = self.tables.origins.get(name, {}).get("state", GONE)
         if name is not None and (origin.state != DRAINING or state == DRAINING):
-            cold = None if origin.cold_ms is None else int(origin.cold_ms * MILLI)
-            self.control_api.runner.inbox.put(
-                Heard(
-                    Beat(name, origin.load, cold or 0, origin.slots or 0, origin.number),
-                    cold is not None,
-                )
-            )
-            return Answer(200, {"origin": name, "state": state})
+            return self._heard(name, state, origin)
         if name is not None and origin.token is None:
-            return self._turned({"op": "turn", "origin": name, "state": DRAINING})
+            return self._turned({"op": "turn", "origin": name, "state": DRAINING}, deadline)
         # A life enters the log once, whoever brings it: nothing need be read first, nor followed.
         return self._entered(
             origin,
             200 if origin.token else 201,
-            seconds=BEAT_SECONDS if origin.token else ACCEPT_SECONDS,
+            deadline=deadline,
             follow=origin.token is None,
             refused=lambda answer: _over() if answer["why"] == OVER else _refused(answer),
         )
 
-    def _incarnation(self, origin):
+    def _heard(self, name: str, state: str, origin: OriginCall) -> Answer:
+        cold = None if origin.cold_ms is None else int(origin.cold_ms * MILLI)
+        beat = Beat(name, origin.load, cold or 0, origin.slots or 0, origin.number)
+        self.control_api.runner.inbox.put(Heard(beat, cold is not None))
+        # That it drains is in the log: so much is true whatever has happened since.
+        if state != DRAINING and not self.control_api.in_touch():
+            return out_of_touch()
+        return Answer(200, {"origin": name, "state": state})
+
+    def _incarnation(self, origin, deadline):
         def find():
             return same_incarnation(self.tables, origin.address, origin.service, origin.token)
 
-        return find() if origin.token else self._known(find)
+        name = find()
+        if name is None and origin.token is None and self.control_api.read(deadline):
+            return find()
+        return name
 
     def _turn(self, call: Call, state: str) -> Answer:
+        """Draining or leaving. A life that drains or is over stays so: late, it undoes nothing."""
+        deadline = self.control_api.deadline(call)
         read = parsed(LeaveCall, call.body)
         if read.is_err():
             return read.unwrap_err()
         leaving = read.unwrap()
         if leaving.token is not None:
-            op = (
-                {"op": "end", "token": leaving.token}
-                if state == GONE
-                else {"op": "turn", "token": leaving.token, "state": state}
-            )
-            return self._turned(op, named(self.tables, leaving.token), follow=False)
-        name = self._known(lambda: origin_at(self.tables, leaving.address, leaving.service))
-        return (
-            _unknown("address")
-            if name is None
-            else self._turned({"op": "turn", "origin": name, "state": state})
-        )
-
-    def _turned(self, op, name=None, follow=True):
+            return self._turn_life(leaving.token, state, deadline)
+        name = origin_at(self.tables, leaving.address, leaving.service)
+        if name is None:
+            # Not known here may only mean not known yet: look again after a quorum read.
+            if not self.control_api.read(deadline):
+                return unread()
+            name = origin_at(self.tables, leaving.address, leaving.service)
+        if name is None:
+            return _unknown("address")
+        return self._turned({"op": "turn", "origin": name, "state": state}, deadline)
+
+    def _turn_life(self, token: str, state: str, deadline: int) -> Answer:
+        if state == GONE:
+            op = {"op": "end", "token": token}
+        else:
+            op = {"op": "turn", "token": token, "state": state}
+        return self._turned(op, deadline, named(self.tables, token), follow=False)
+
+    def _turned(self, op, deadline, name=None, follow=True):
         return self.control_api.accepted(
             op,
             lambda answer, slot: Answer(
                 200, {"origin": op.get("origin", name), "state": answer["state"], "slot": slot}
             ),
+            deadline,
             follow=follow,
             refused=lambda answer: _unknown("token") if "token" in op else _refused(answer),
         )
 
-    def _known(self, find):
-        """Not known here may only mean not known yet: look again after a quorum read."""
-        name = find()
-        return name if name is not None or not self.control_api.read() else find()
-
 
 def _over() -> Answer:
     return Answer(200, {"origin": None, "state": GONE})
--- a/src/willowpost/registry/calls/pages.py
+++ b/src/willowpost/registry/calls/pages.py
@@ -6,6 +6,11 @@
 
 
 class PageCalls:
+    """Answered from what is held here, at once, whether or not that is fresh.
+
+    The status says how old it is.
+    """
+
     def __init__(self, control_api: ControlApi):
         self.control_api = control_api
         self.page = StatusPage()
@@ -14,17 +19,14 @@
         return ("GET", "/v1/status", 0, self._status), ("GET", "/v1/health", 0, self._health)
 
     def _status(self, call: Call) -> Answer:
-        return Answer(
-            200, self.page.make(self.control_api.runner.node, self.control_api.runner.clock.now())
-        )
+        node, now = self.control_api.runner.node, self.control_api.now()
+        in_touch = self.control_api.in_touch()
+        return Answer(200, {**self.page.make(node, now), "in_touch": in_touch})
 
     def _health(self, call: Call) -> Answer:
         node_state = self.control_api.node_state
-        sound = node_state.leased(self.control_api.runner.clock.now()) and not node_state.draining
-        return (
-            Answer(200, {"sound": True})
-            if sound
-            else reject(
-                503, "draining" if node_state.draining else "no fresh state updates from the core"
-            )
-        )
+        if node_state.draining:
+            return reject(503, "draining")
+        if not node_state.leased(self.control_api.now()):
+            return reject(503, "no fresh state updates from the core")
+        return Answer(200, {"sound": True})
--- a/src/willowpost/shell/runner.py
+++ b/src/willowpost/shell/runner.py
@@ -10,7 +10,7 @@
 from gevent.queue import Empty, Queue
 
 from willowpost.common.clock import Clock
-from willowpost.common.events import Asked, Tick
+from willowpost.common.events import Asked, Tick, Withdrawn
 from willowpost.node.leaver import Leave, Stage
 from willowpost.shell.mesh import Mesh
 
@@ -53,7 +53,10 @@
         return self.want(lambda token: Asked(token, ops), timeout)
 
     def want(self, make, timeout: float):
-        """Give the node an event under a new token, and wait for the reply to it."""
+        """Give the node an event under a new token, and wait for the reply to it.
+
+        Once nobody waits any more, the node is told so (`Withdrawn`).
+        """
         self.counter += 1
         token, waiter = self.counter, AsyncResult()
         self.waiters[token] = waiter
@@ -64,6 +67,8 @@
             return None
         finally:
             self.waiters.pop(token, None)
+            if not waiter.ready():
+                self.inbox.put(Withdrawn(token))
 
     def leave(self, close) -> None:
         """A planned end: close() is called when nothing new is to be taken.
--- a/src/willowpost/state/apply/operators.py
+++ b/src/willowpost/state/apply/operators.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from willowpost.state.apply.origins import turned_cold
-from willowpost.state.kinds import IN_FORCE
+from willowpost.state.kinds import IN_FORCE, SUPERSEDED
 from willowpost.state.tables import PURGES_KEPT, Tables
 
 
@@ -53,9 +53,16 @@
 
     Given back, origins that a cold rate protects count as cold from this slot on: nobody knows what
     they became meanwhile.
+
+    Invariant: what a registry proposes that knew the tables only up to slot `as_of` changes nothing
+    if the zone changed in a later one. So an order that was left in a queue behind a cut takes no
+    effect after a newer one.
     """
     before = tables.zones.get(op["zone"], {})
     what = op.get("what", "all") if op["empty"] else before.get("what", "all")
+    if op.get("as_of") is not None and before.get("slot", -1) >= op["as_of"]:
+        stands = (before["empty"], before["what"]) == (op["empty"], what)
+        return tables, {"ok": True} if stands else {"ok": False, "why": SUPERSEDED}
     held = {**tables.zones, op["zone"]: {"empty": op["empty"], "slot": tables.slot, "what": what}}
     back = not op["empty"] and before.get("empty") and what == "origins"
     return replace(
--- a/src/willowpost/state/apply/origins.py
+++ b/src/willowpost/state/apply/origins.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from willowpost.state.kinds import NEXT_ORIGIN, OriginState
+from willowpost.state.kinds import NEXT_ORIGIN, SUPERSEDED, DaemonState, OriginState
 from willowpost.state.tables import BOUND_KEPT, ENDED_KEPT, Tables
 
 OVER = "this life is over"
@@ -15,7 +15,8 @@
 
     Invariants: an address that last served another service waits until the log says it may enter,
     unless the service's origins honour the name of a life; a life registers once, whoever asks and
-    how often.
+    how often; a registration from before a later one at the same address (`as_of`: the slot its
+    taker stood at) changes nothing.
     """
     address, service, token = op["address"], op["service"], op.get("token")
     if token in tables.ended:
@@ -26,6 +27,8 @@
         tables.origins[known]["service"],
     ) == (address, service):
         return _again(tables, known, op)
+    if op.get("as_of") is not None and tables.bound.get(address, {}).get("slot", -1) >= op["as_of"]:
+        return tables, {"ok": False, "why": SUPERSEDED}
     former = {name for name, origin in tables.origins.items() if origin["address"] == address}
     moved = tables.bound.get(address, {}).get("service", service) != service
     waits = not _service(tables, service).get("named") and (
@@ -59,8 +62,10 @@
 
     Invariants: a turn that a beat brought (`number`) gives way to one of a later beat; and a beat
     says that it is warm only of the time after the log turned it cold (`as_of`: the slot its taker
-    stood at).
+    stood at). Silence counts only on the word of a registry (`by`) that is not lost itself.
     """
+    if op.get("by") is not None and not _up(tables, op["by"]):
+        return tables, {"ok": False, "why": "its registry is lost"}
     name = op["origin"] if op.get("origin") is not None else named(tables, op.get("token"))
     card = tables.origins.get(name)
     if card is None:
@@ -128,6 +133,10 @@
     )
 
 
+def _up(tables, daemon):
+    return tables.daemons.get(daemon, {}).get("state") == DaemonState.UP.value
+
+
 def _again(tables, name, op):
     """The same life once more: only its leaving is state updates."""
     card = tables.origins[name]
--- a/src/willowpost/state/kinds.py
+++ b/src/willowpost/state/kinds.py
@@ -2,6 +2,9 @@
 
 from enum import Enum
 
+# why the log turns away an operation that was based on what has been replaced since
+SUPERSEDED = "superseded"
+
 
 class DaemonState(str, Enum):
     UP = "up"
