Suspicions from behind a cut no longer have sound daemons held lost when it heals

Cause: a daemon that is cut off suspects all it watches; these operations were submitted again for ever and stood in the queues of its side's stores, and were decided as soon as the cut healed, with two of them enough to hold a daemon lost, stores too.

Ruled out: taking suspicions in only from daemons that are in touch by their own word (one that has just been cut off does not know it yet, and its operation stays in a store's queue).

Change: the log takes no new suspicion from a watcher that it holds lost itself; and a suspicion is not submitted again 2 s after it was reported (it is reported anew each second as long as it holds).

Also tested: seeds that name only cut-off machines, a wall clock stepped by an hour during the cut.

--- a/src/willowpost/node/watch.py
+++ b/src/willowpost/node/watch.py
@@ -14,6 +14,8 @@
 FROZE_AFTER = 600 * MILLI
 WATCHERS = 3
 REPORT_EVERY = 1 * SECOND
+# reported anew as long as it holds: it must not be taken in long after it ceased to hold
+REPORT_LIFETIME = 2 * SECOND
 
 
 def watchers_of(target: str, daemons: dict) -> tuple[str, ...]:
@@ -104,7 +106,7 @@
         )
         if ops:
             self.reported.update({op["target"]: now for op in ops})
-            plan.join(self.command_client.step(Asked(None, ops), now))
+            plan.join(self.command_client.step(Asked(None, ops, REPORT_LIFETIME), now))
             for op in ops:
                 plan.note(
                     "watch",
--- a/src/willowpost/state/apply/membership.py
+++ b/src/willowpost/state/apply/membership.py
@@ -61,10 +61,11 @@
 
 
 def suspicion(tables: Tables, op: dict):
-    """Invariant.
+    """A watcher suspects a daemon, or hears it again.
 
-    A daemon is lost only while at least two others (or all others) suspicion this incarnation of
-    it.
+    Invariants: a daemon is lost only while at least two others (or all others) suspect this
+    incarnation of it. A watcher that is held lost itself suspects nobody: behind a cut it misses
+    everybody on the other side, and may say so long afterwards.
     """
     target, watcher = op["target"], op["watcher"]
     card = tables.daemons.get(target)
@@ -75,6 +76,8 @@
         or watcher == target
     ):
         return tables, {"ok": False, "why": "unknown daemon"}
+    if op["suspected"] and tables.daemons[watcher]["state"] == DaemonState.LOST.value:
+        return tables, {"ok": False, "why": "its watcher is lost"}
     held = tables.suspicions.get(target, {})
     suspecting = (
         {**held, watcher: True}
--- a/tests/test_cutoff.py
+++ b/tests/test_cutoff.py
@@ -2,7 +2,7 @@
 
 import json
 import unittest
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from unittest.mock import patch
 
 from test_registry import World
@@ -12,8 +12,10 @@
 from willowpost.common.rendezvous import Rendezvous
 from willowpost.node.command_client import AVOID_FOR, RETRY_AFTER, CommandClient
 from willowpost.registry.beats import Beats
+from willowpost.sim.fleet.world import FleetWorld
 from willowpost.sim.world import seconds
 from willowpost.state.apply import OPS, Apply
+from willowpost.state.apply.membership import suspicion
 from willowpost.state.apply.operators import zone
 from willowpost.state.apply.origins import register, turn
 from willowpost.state.kinds import SUPERSEDED
@@ -144,6 +146,38 @@
         self.world.run(5 * SECOND)
         self.assertEqual(200, self.told("GET", "/v1/configuration").code)
 
+    def test_seeds_that_name_only_the_cut_off_are_enough_once_the_cut_heals(self):
+        self.open()
+        self.cut_off()
+        self.world.seed_names = ["s0"]
+        for name in CUT_MACHINE:
+            self.world.crash(name)
+            self.world.start(name)
+        self.world.run(5 * SECOND)
+        self.refused_at_once()
+        self.world.heal()
+        self.world.run(5 * SECOND)
+        self.assertEqual(200, self.told("GET", "/v1/configuration").code)
+
+    def test_a_wall_clock_that_was_stepped_meanwhile_changes_nothing(self):
+        for step in (-3600 * SECOND, 3600 * SECOND):
+            with self.subTest(step=step):
+                self.setUp()
+                self.open()
+                self.cut_off()
+                for name in CUT_MACHINE:
+                    self.world.seats[name].wall_skew = step
+                self.world.run(2 * SECOND)
+                self.refused_at_once()
+                self.world.crash("r0")
+                self.world.start("r0")
+                self.world.heal()
+                self.world.run(5 * SECOND)
+                for first in (0, 1, 0):
+                    for action in ("empty", "restore"):
+                        told = self.told("POST", f"/v1/zones/b/{action}", first=first)
+                        self.assertEqual(200, told.code)
+
     def test_with_its_own_store_down_orders_go_by_way_of_the_next_from_the_second_on(self):
         self.open()
         self.world.crash("s0")
@@ -351,6 +385,56 @@
         self.assertTrue(self.world.until(lambda: not self.held(), 15 * SECOND))
 
 
+class Suspicions(unittest.TestCase):
+    def held_lost(self, seed):
+        """Two zones are cut off for twenty seconds: who of the others is held lost afterwards?"""
+        world = FleetWorld(seed)
+        world.until(world.bootstrapped, 10 * SECOND)
+        world.run(4 * SECOND)
+        side = [name for zone in ("b", "c") for name in world.zone_seats(zone)]
+        world.cut(side, [name for name in world.seats if name not in (*side, "caller")])
+        world.run(CUT_SPAN)
+        world.heal()
+        lost = set()
+        for _ in range(60):
+            world.run(50 * MILLI)
+            daemons = world.seats["r0"].node.registry.tables.daemons
+            lost |= {
+                name
+                for name, card in daemons.items()
+                if card["state"] == "lost" and card["zone"] not in ("b", "c")
+            }
+        return lost
+
+    def test_who_was_cut_off_has_nobody_held_lost_when_it_is_back(self):
+        self.assertEqual(set(), self.held_lost(3))
+
+    def test_if_the_lost_may_suspect_it_has(self):
+        def unguarded(tables, op):
+            watcher = tables.daemons.get(op["watcher"], {})
+            daemons = {**tables.daemons, op["watcher"]: {**watcher, "state": "up"}}
+            changed, answer = suspicion(replace(tables, daemons=daemons), op)
+            restored = {**changed.daemons, op["watcher"]: watcher}
+            return replace(changed, daemons=restored), answer
+
+        with patch.dict(OPS, suspicion=unguarded):
+            self.assertNotEqual(set(), self.held_lost(3))
+
+    def test_only_a_watcher_that_is_not_lost_suspects_and_any_may_take_it_back(self):
+        cards = {
+            name: {"incarnation": 1, "state": "up", "name": name, "kind": "registry"}
+            for name in ("one", "two", "target")
+        }
+        cards = {name: {**card, "zone": "a"} for name, card in cards.items()}
+        cards["two"]["state"] = "lost"
+        tables = Tables(daemons=cards)
+        op = {"target": "target", "incarnation": 1, "watcher": "two", "suspected": True}
+        self.assertFalse(suspicion(tables, op)[1]["ok"])
+        tables, told = suspicion(tables, {**op, "watcher": "one"})
+        self.assertEqual(({"one": True}, True), (tables.suspicions["target"], told["ok"]))
+        self.assertTrue(suspicion(tables, {**op, "suspected": False})[1]["ok"])
+
+
 class Submissions(unittest.TestCase):
     def setUp(self):
         self.client = CommandClient("r/registry", 1, lambda: ["a:1", "b:1", "c:1"], lambda: 5)
