A repeated change of the configuration is known; one number, one content

Cause: `PUT` with `If-Match: 1` that was taken and whose answer was lost met version 2 when it was sent again, and was refused with 412; so was a PATCH. `POST /v1/configurations` with the held number was acknowledged without a look at the content, so that two operators were both answered 200 for two configurations under one number.

Ruled out: recognising repeats at the registry (another registry, or the same one restarted, would not know); comparing with the held configuration alone (a newer change hides it).

A repeat is answered with the version of the first answer; the held number with other content is refused (409). `Idempotency-Key` names a PUT or PATCH that requires no version (422 if the key belongs to another change). A version that is no number ("²", 5,000 digits) is 400, not an exception; no version follows 2^63-1. `configuration()` has a module of its own, typed.

--- a/src/willowpost/registry/calls/configurations.py
+++ b/src/willowpost/registry/calls/configurations.py
@@ -1,20 +1,33 @@
 """Operators' configurations: read, put, numbered, patched, and what a change would mean."""
 
-import json
+from dataclasses import replace
 from typing import Annotated
 
 from pydantic import Field, ValidationError
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from willowpost.configuration.checker import BYTES_MOST, ConfigurationChecker
 from willowpost.registry.calls.body import Strict, unfit
 from willowpost.registry.calls.control_api import ControlApi, unread
+from willowpost.registry.calls.patches import Patch
+from willowpost.registry.calls.preconditions import Preconditions
 from willowpost.shell.settings import findings_of
 from willowpost.shell.web import Answer, Call
+from willowpost.state.configuration_changes import (
+    VERSION_MOST,
+    ChangeRefusal,
+    ConfigurationProposal,
+    content_digest,
+)
+from willowpost.state.tables import Tables
 from willowpost.toolbox.planner import ConfigurationPlanner
 
 PATCH_MOST = 64 * 1024
 NUMBERED_MOST = 16 * 1024 * 1024  # a configuration and the document it was made from
+REFUSALS = {
+    ChangeRefusal.OTHER_CONTENT.value: (409, "version"),
+    ChangeRefusal.KEY_REUSED.value: (422, "Idempotency-Key"),
+}
 
 
 class NumberedCall(Strict):
@@ -23,7 +36,7 @@
     As the body of every other call that carries one.
     """
 
-    version: Annotated[int, Field(strict=True, ge=0, lt=2**63)]
+    version: Annotated[int, Field(strict=True, ge=0, le=VERSION_MOST)]
     configuration: object
     source: str | None = None
 
@@ -57,54 +70,44 @@
         )
 
     def _put(self, call: Call) -> Answer:
-        match = call.headers.get("if-match")
-        wanted = None
-        if match not in (None, "*"):
-            if not match.strip().strip('"').isdigit():
-                return Answer(
-                    400, {"findings": [{"place": "If-Match", "finding": "not a version"}]}
-                )
-            wanted = int(match.strip().strip('"'))
+        required = Preconditions.read(call.headers)
+        if required.is_err():
+            return required.unwrap_err()
         checked = self.checker.check(call.body)
-        return (
-            unfit(checked.unwrap_err())
-            if checked.is_err()
-            else self._propose(checked.unwrap(), wanted)
+        if checked.is_err():
+            return unfit(checked.unwrap_err())
+        tree = checked.unwrap()
+        return self._propose(
+            ConfigurationProposal(
+                content=content_digest(tree, None),
+                tree=tree,
+                if_match=required.unwrap().version,
+                key=required.unwrap().key,
+            )
         )
 
-    def _propose(self, tree, wanted) -> Answer:
-        return self.control_api.accepted(
-            {"op": "configuration", "tree": tree, "if_match": wanted},
-            lambda answer, slot: Answer(
-                200, {"version": answer["version"], "slot": slot}, _tag(answer)
-            ),
-            refused=_moved_on,
-        )
+    def _propose(self, proposal: ConfigurationProposal) -> Answer:
+        """Has the log judge the proposal; a repeat is acknowledged as the first was."""
+        return self.control_api.accepted(proposal.as_op(), _changed, refused=_not_accepted)
 
     def _number(self, call: Call) -> Answer:
         """The operator numbers it: the highest number holds.
 
-        And one that is not above that is acknowledged all the same.
+        And one that is not above that is acknowledged all the same, unless it is the held number
+        with other content.
         """
         read = self._numbered(call.body)
         if read.is_err():
             return unfit(read.unwrap_err())
-        version, tree, source = read.unwrap()
+        proposal = read.unwrap()
         held = self.node_state.tables.configuration
-        op = {"op": "configuration", "version": version}
-        if version > held["version"] or held["tree"] is None:
-            # else the log need not carry it again
-            op |= {"tree": tree, **({"source": source} if source is not None else {})}
-        return self.control_api.accepted(
-            op,
-            lambda answer, slot: Answer(
-                200,
-                {"version": answer["version"], "changed": answer["changed"], "slot": slot},
-                _tag(answer),
-            ),
-        )
+        if proposal.version <= held["version"] and held["tree"] is not None:
+            # The log is never behind these tables and its version only goes up: it compares the
+            # digest and need not carry the tree again.
+            proposal = replace(proposal, tree=None, source=None)
+        return self._propose(proposal)
 
-    def _numbered(self, body):
+    def _numbered(self, body: bytes) -> Result[ConfigurationProposal, list[dict]]:
         read = self.checker.read(body)
         if read.is_err():
             return read
@@ -120,7 +123,15 @@
                     for finding in checked.unwrap_err()
                 ]
             )
-        return Ok((numbered.version, checked.unwrap(), numbered.source))
+        tree = checked.unwrap()
+        return Ok(
+            ConfigurationProposal(
+                content=content_digest(tree, numbered.source),
+                tree=tree,
+                source=numbered.source,
+                version=numbered.version,
+            )
+        )
 
     def _plan(self, call: Call) -> Answer:
         checked = self.checker.check(call.body)
@@ -134,54 +145,95 @@
         )
 
     def _patch(self, call: Call) -> Answer:
-        """Invariant.
+        """Proposes the patched tree only against the version it was worked out from.
 
-        The patched tree is proposed only against the very version it was worked out from.
+        A patch that was accepted before is known by its digest and its `If-Match`, or its key; one
+        that requires no version, by its effect.
         """
-        patched = self._patched(call)
-        return patched if isinstance(patched, Answer) else self._propose(*patched)
+        read = self._patch_call(call)
+        if read.is_err():
+            return read.unwrap_err()
+        patch, required = read.unwrap()
+        tables = self.node_state.tables
+        held = tables.configuration
+        proposal = ConfigurationProposal(
+            patch=patch.digest, if_match=required.version, key=required.key
+        )
+        moved_on = required.version not in (None, held["version"])
+        if moved_on or tables.changes.by_key(required.key) is not None:
+            return self._propose(proposal)  # the log knows whether it is a repeat
+        if held["tree"] is None:
+            return _nothing_to_patch()
+        applied = patch.applied(held["tree"], self.checker)
+        if required == Preconditions() and _stands(tables, patch, applied):
+            return _changed({"version": held["version"], "changed": False}, tables.slot - 1)
+        if applied.is_err():
+            return unfit(applied.unwrap_err())
+        tree = applied.unwrap()
+        return self._propose(
+            replace(
+                proposal,
+                tree=tree,
+                content=content_digest(tree, None),
+                if_match=held["version"],
+            )
+        )
 
     def _plan_patch(self, call: Call) -> Answer:
-        patched = self._patched(call)
-        return patched if isinstance(patched, Answer) else self._planned(patched[0])
-
-    def _patched(self, call):
-        import jsonpatch  # few registries are ever asked for a patch
-        import jsonpointer
-
-        if not self.control_api.read():
-            return unread()
+        read = self._patch_call(call)
+        if read.is_err():
+            return read.unwrap_err()
+        patch, required = read.unwrap()
         held = self.node_state.tables.configuration
-        match = (call.headers.get("if-match") or "*").strip().strip('"')
-        if match not in ("*", str(held["version"])):
+        if required.version not in (None, held["version"]):
             return _moved_on(held)
         if held["tree"] is None:
-            return Answer(
-                409,
-                {
-                    "findings": [
-                        {
-                            "place": "configuration",
-                            "finding": "there is no configuration to patch yet",
-                        }
-                    ]
-                },
-            )
-        try:
-            tree = jsonpatch.JsonPatch(json.loads(call.body)).apply(held["tree"])
-        except (
-            ValueError,
-            TypeError,
-            KeyError,
-            AttributeError,
-            jsonpatch.JsonPatchException,
-            jsonpointer.JsonPointerException,
-        ) as problem:
-            return unfit([{"place": "patch", "finding": str(problem)}])
-        checked = self.checker.check_value(tree)
-        return (
-            unfit(checked.unwrap_err()) if checked.is_err() else (checked.unwrap(), held["version"])
-        )
+            return _nothing_to_patch()
+        applied = patch.applied(held["tree"], self.checker)
+        return unfit(applied.unwrap_err()) if applied.is_err() else self._planned(applied.unwrap())
+
+    def _patch_call(self, call: Call) -> Result[tuple[Patch, Preconditions], Answer]:
+        """The patch and its conditions, once the tables held here are known to be whole."""
+        required = Preconditions.read(call.headers)
+        if required.is_err():
+            return required
+        patch = Patch.read(call.body)
+        if patch.is_err():
+            return Err(unfit(patch.unwrap_err()))
+        if not self.control_api.read():
+            return Err(unread())
+        return Ok((patch.unwrap(), required.unwrap()))
+
+
+def _stands(tables: Tables, patch: Patch, applied: Result[dict, list[dict]]) -> bool:
+    """Whether the effect of a patch stands already.
+
+    It changes nothing, or it made the version in force and does not fit a second time.
+    """
+    if applied.is_err():
+        newest = tables.changes.newest()
+        return newest is not None and newest.patch == patch.digest
+    return applied.unwrap() == tables.configuration["tree"]
+
+
+def _changed(answer: dict, slot: int) -> Answer:
+    told = {name: answer[name] for name in ("version", "changed", "held") if name in answer}
+    return Answer(200, {**told, "slot": slot}, _tag(answer))
+
+
+def _not_accepted(answer: dict) -> Answer:
+    """The answer to a proposal that the log refused."""
+    why = answer["why"]
+    if why == ChangeRefusal.STALE.value:
+        return _moved_on(answer)
+    code, place = REFUSALS.get(why, (409, "configuration"))
+    finding = {"place": place, "finding": why}
+    return Answer(code, {"findings": [finding], "version": answer["version"]})
+
+
+def _nothing_to_patch() -> Answer:
+    finding = {"place": "configuration", "finding": "there is no configuration to patch yet"}
+    return Answer(409, {"findings": [finding]})
 
 
 def _tag(held):
--- a/src/willowpost/state/apply/__init__.py
+++ b/src/willowpost/state/apply/__init__.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from willowpost.common.uncollected import uncollected
-from willowpost.state.apply import core, membership, operators, origins
+from willowpost.state.apply import configurations, core, membership, operators, origins
 from willowpost.state.tables import ANSWERS_KEPT, Tables
 from willowpost.wire.messages import Command, Decision
 
@@ -18,7 +18,7 @@
     "register": origins.register,
     "turn": origins.turn,
     "end": origins.end,
-    "configuration": operators.configuration,
+    "configuration": configurations.configuration,
     "purge": operators.purge,
     "zone": operators.zone,
     "own": operators.own,
--- a/src/willowpost/state/apply/operators.py
+++ b/src/willowpost/state/apply/operators.py
@@ -1,4 +1,4 @@
-"""What operators ask: configurations, purges, zones; and the fences of duties."""
+"""What operators ask besides configurations: purges, zones; and the fences of duties."""
 
 from dataclasses import replace
 
@@ -7,32 +7,6 @@
 from willowpost.state.tables import PURGES_KEPT, Tables
 
 
-def configuration(tables: Tables, op: dict):
-    """Invariant: the version only goes up.
-
-    With a number of the operator's, the highest one holds, and one that is not above it is
-    acknowledged and changes nothing, whatever order they come in; without one, the next number is
-    taken.
-    """
-    held, wanted = tables.configuration["version"], op.get("version")
-    if wanted is not None and wanted <= held and tables.configuration["tree"] is not None:
-        return tables, {"ok": True, "version": held, "changed": False}
-    if wanted is None and op.get("if_match") is not None and op["if_match"] != held:
-        return tables, {"ok": False, "why": "stale", "version": held}
-    if op.get("tree") is None or (wanted is not None and wanted < held):
-        return tables, {"ok": False, "why": "no configuration", "version": held}
-    card = {
-        "version": held + 1 if wanted is None else wanted,
-        "tree": op["tree"],
-        **({"source": op["source"]} if op.get("source") is not None else {}),
-    }
-    return replace(tables, configuration=card), {
-        "ok": True,
-        "version": card["version"],
-        "changed": True,
-    }
-
-
 def purge(tables: Tables, op: dict):
     entry = {
         "slot": tables.slot,
--- /dev/null
+++ b/src/willowpost/state/configuration_changes.py
@@ -0,0 +1,147 @@
+"""Changes of the configuration: as proposed to the log, and as the tables remember them.
+
+The tables remember the last accepted changes, so that an order that is sent again after its answer
+was lost is known and acknowledged again.
+"""
+
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from willowpost.common.digest import blake2b
+
+CHANGES_KEPT = 1024
+VERSION_MOST = 2**63 - 1
+DIGEST_BYTES = 16
+
+
+class ChangeRefusal(str, Enum):
+    """Why the log does not accept a change; the value is what its answer says."""
+
+    STALE = "stale"
+    OTHER_CONTENT = "another configuration holds under this number"
+    KEY_REUSED = "the idempotency key belongs to another change"
+    NO_CONFIGURATION = "no configuration"
+    NO_VERSION_LEFT = "no version number is left"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationProposal:
+    """One change as its sender meant it.
+
+    Attributes:
+        content: Digest of the tree and its source; None if only `patch` names the change.
+        tree: The checked configuration; left out where the log cannot need it.
+        source: The document that the operator made the tree from.
+        version: The operator's own number; None if the next one is to be taken.
+        if_match: The version that must hold; None if any may.
+        patch: Digest of the JSON Patch that the tree was worked out with.
+        key: Digest of the sender's idempotency key.
+    """
+
+    content: str | None = None
+    tree: dict | None = None
+    source: str | None = None
+    version: int | None = None
+    if_match: int | None = None
+    patch: str | None = None
+    key: str | None = None
+
+    def as_op(self) -> dict[str, Any]:
+        """The op that carries the proposal in a command of the log."""
+        fields = {name: getattr(self, name) for name in self.__slots__}
+        said = {name: value for name, value in fields.items() if value is not None}
+        return {"op": "configuration", **said}
+
+    @classmethod
+    def from_op(cls, op: dict[str, Any]) -> "ConfigurationProposal":
+        """Reads an op; one of an earlier build names no digest, so it is worked out here."""
+        said = {name: op.get(name) for name in cls.__slots__}
+        if said["content"] is None and said["tree"] is not None:
+            said["content"] = content_digest(said["tree"], said["source"])
+        return cls(**said)
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptedChange:
+    """What the tables remember of one accepted change.
+
+    Attributes:
+        version: The version that it made.
+        based_on: The version that its sender required; None if it required none.
+        content: Digest of the configuration in force from then on.
+        patch: Digest of the patch as it was sent; None if the whole configuration was sent.
+        key: Digest of the idempotency key; None if there was none.
+    """
+
+    version: int
+    based_on: int | None
+    content: str
+    patch: str | None = None
+    key: str | None = None
+
+    def is_of(self, proposal: ConfigurationProposal) -> bool:
+        """Whether the proposal says what this change said."""
+        if self.patch is not None or proposal.patch is not None:
+            return self.patch == proposal.patch
+        return self.content == proposal.content
+
+    def as_row(self) -> list:
+        """The change in the text of the tables."""
+        return [getattr(self, name) for name in self.__slots__]
+
+    @classmethod
+    def from_row(cls, row: list) -> "AcceptedChange":
+        """Reads what `as_row` gave."""
+        return cls(*row)
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeLog:
+    """The last accepted changes, oldest first; at most `CHANGES_KEPT`."""
+
+    changes: tuple[AcceptedChange, ...] = ()
+
+    def with_change(self, change: AcceptedChange) -> "ChangeLog":
+        """The log with one more change at its end."""
+        return ChangeLog((*self.changes, change)[-CHANGES_KEPT:])
+
+    def by_key(self, key: str | None) -> AcceptedChange | None:
+        """The change that came under this idempotency key."""
+        if key is None:
+            return None
+        return self._newest(lambda change: change.key == key)
+
+    def repeated(self, proposal: ConfigurationProposal) -> AcceptedChange | None:
+        """The change that says the same and was made on the same version."""
+        return self._newest(
+            lambda change: change.based_on == proposal.if_match and change.is_of(proposal)
+        )
+
+    def newest(self) -> AcceptedChange | None:
+        """The change that made the version in force, if it is remembered."""
+        return self.changes[-1] if self.changes else None
+
+    def _newest(self, fits) -> AcceptedChange | None:
+        return next((change for change in reversed(self.changes) if fits(change)), None)
+
+    def as_rows(self) -> list[list]:
+        """The changes in the text of the tables."""
+        return [change.as_row() for change in self.changes]
+
+    @classmethod
+    def from_rows(cls, rows: list[list]) -> "ChangeLog":
+        """Reads what `as_rows` gave."""
+        return cls(tuple(AcceptedChange.from_row(row) for row in rows))
+
+
+def digest_of(value: object) -> str:
+    """Digest of a JSON value, whatever the order of its names."""
+    text = json.dumps(value, sort_keys=True, separators=(",", ":"))
+    return blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
+
+
+def content_digest(tree: dict, source: str | None) -> str:
+    """Digest of a checked configuration and the document it was made from."""
+    return digest_of([tree, source])
--- a/src/willowpost/state/tables.py
+++ b/src/willowpost/state/tables.py
@@ -5,6 +5,7 @@
 
 from willowpost.common.digest import blake2b
 from willowpost.common.uncollected import uncollected
+from willowpost.state.configuration_changes import ChangeLog
 
 PURGES_KEPT = 4096
 ANSWERS_KEPT = 64
@@ -22,6 +23,7 @@
     - `core` names the voters of slot `slot`, `epoch` counts its changes.
     - `former` holds the voters before the last change and the slot that changed them.
     - `configuration` holds `source`, the operator's own document, if it was given one.
+    - `changes` holds the last accepted changes of the configuration; the newest made the held one.
     - an address is bound to at most one origin, and so is a token; `bound` remembers the service an
       address last served.
     - `ended` holds the tokens of the last lives that are over, oldest first; none of them is among
@@ -47,16 +49,16 @@
     failure_verdicts: tuple = ()
     seen: dict = field(default_factory=dict)
     ended: tuple = ()
+    changes: ChangeLog = ChangeLog()
 
     def incarnation(self, daemon: str) -> tuple[str, int]:
         return daemon, self.daemons[daemon]["incarnation"]
 
     def text(self) -> str:
-        return json.dumps(
-            {name.name: getattr(self, name.name) for name in fields(self)},
-            sort_keys=True,
-            separators=(",", ":"),
-        )
+        """The tables as JSON, the same at every daemon."""
+        held = {name.name: getattr(self, name.name) for name in fields(self)}
+        held["changes"] = self.changes.as_rows()
+        return json.dumps(held, sort_keys=True, separators=(",", ":"))
 
     def digest(self) -> str:
         return blake2b(self.text().encode(), digest_size=8).hexdigest()
@@ -66,6 +68,8 @@
     """A text of an earlier build lacks the newer fields: they have their defaults."""
     with uncollected():
         held = json.loads(text)
-    return Tables(
-        **{name: tuple(value) if isinstance(value, list) else value for name, value in held.items()}
-    )
+    changes = ChangeLog.from_rows(held.pop("changes", []))
+    tuples = {
+        name: tuple(value) if isinstance(value, list) else value for name, value in held.items()
+    }
+    return Tables(**tuples, changes=changes)
