Numbers of questions between daemons never repeat those of an earlier incarnation

Cause: each incarnation counted its questions from 0. An answer to the incarnation before, kept by a peer's queue until the address answered again, bore the number of a question of the new one and was taken for its answer: a store's quorum read counted a voter's slot from before an accepted order (false fresh_as_of), a follower likewise, a proxy took over an old quota share or another service's token, a watcher an old sign of life. Change: common/nonce.py starts each sequence at a hash of daemon, incarnation and purpose; Pong counts only if its number was issued here; a quota share only for the service that was asked about. test_follower reads the number from the sequence in place of a bare counter.

--- a/src/willowpost/consensus/replica/reads.py
+++ b/src/willowpost/consensus/replica/reads.py
@@ -1,6 +1,7 @@
 """Quorum reads: how old is what this store knows? And state updates for those who follow the log."""
 
 from willowpost.common.events import Received, Tick
+from willowpost.common.nonce import NonceSequence
 from willowpost.common.plan import Plan
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.wire.messages import Poll, ReadAsk, ReadTell, StateUpdate
@@ -11,12 +12,14 @@
 class Reads:
     """Invariant: fresh_as_of is a moment before which everything accepted is applied here.
 
-    A read counts only if the epoch did not change while it ran.
+    A read counts only if the epoch did not change while it ran, and only answers to it: an answer to
+    an earlier incarnation's read may name a slot from before an order that was accepted meanwhile.
     """
 
-    def __init__(self, node_state: ReplicaState):
+    def __init__(self, node_state: ReplicaState, incarnation: int = 0):
         self.node_state = node_state
-        self.nonce = 0
+        self.nonces = NonceSequence(node_state.me.identity, incarnation, "read")
+        self.nonce: int | None = None  # of the read that was begun last
         self.begun_at = 0
         self.epoch = 0
         self.told: dict[str, int] = {}
@@ -47,7 +50,7 @@
         node_state = self.node_state
         if not node_state.bootstrapped or now - self.begun_at < node_state.pace.read:
             return
-        self.nonce += 1
+        self.nonce = self.nonces.next()
         self.begun_at, self.epoch, self.open = now, node_state.tables.epoch, True
         # a learner counts for nothing, but reads
         self.told = {node_state.me.identity: node_state.tables.slot} if node_state.voter else {}
--- a/src/willowpost/node/follower.py
+++ b/src/willowpost/node/follower.py
@@ -5,6 +5,7 @@
 
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Changed, Received, Tick
+from willowpost.common.nonce import NonceSequence
 from willowpost.common.plan import Plan
 from willowpost.common.rendezvous import Rendezvous
 from willowpost.node.node_state import TAIL_KEPT, NodeState
@@ -34,7 +35,8 @@
         self.seeds = tuple(seeds)
         self.tree = tree
         self.apply = Apply()
-        self.nonce = 0
+        card = node_state.card
+        self.nonces = NonceSequence(card.id, card.incarnation, "poll")
         self.polls: dict[int, int] = {}
         self.polled_at = -POLL_EVERY
         self.heard_at = 0
@@ -108,11 +110,11 @@
         return age is None or age > WITHOUT_SOURCE_AFTER
 
     def poll(self, address, now, plan):
-        self.nonce += 1
+        nonce = self.nonces.next()
         self.polls = {nonce: sent for nonce, sent in self.polls.items() if now - sent < 2 * SECOND}
-        self.polls[self.nonce] = now
+        self.polls[nonce] = now
         plan.send(
-            address, Poll(self.nonce, self.node_state.tables.slot, not self.node_state.tables.epoch)
+            address, Poll(nonce, self.node_state.tables.slot, not self.node_state.tables.epoch)
         )
 
     def _judge(self, now):
--- a/src/willowpost/node/quorum_read.py
+++ b/src/willowpost/node/quorum_read.py
@@ -5,6 +5,7 @@
 
 from willowpost.common.clock import MILLI
 from willowpost.common.events import Received, Tick
+from willowpost.common.nonce import NonceSequence
 from willowpost.common.plan import Plan
 from willowpost.consensus.thresholds import Thresholds
 from willowpost.node.follower import TOO_OLD, Follower
@@ -24,7 +25,9 @@
 
     def __init__(self, node_state: NodeState, follower: Follower):
         self.node_state, self.follower = node_state, follower
-        self.nonce = 0
+        card = node_state.card
+        self.nonces = NonceSequence(card.id, card.incarnation, "read")
+        self.nonce: int | None = None  # of the questions that were asked last
         self.asked_at = -ASK_EVERY
         self.epoch = 0
         self.told: dict[str, int] = {}
@@ -44,7 +47,7 @@
                 and self._stale(now)
             ):
                 self.nonce, self.asked_at, self.epoch, self.told = (
-                    self.nonce + 1,
+                    self.nonces.next(),
                     now,
                     self.node_state.tables.epoch,
                     {},
--- a/src/willowpost/node/watch.py
+++ b/src/willowpost/node/watch.py
@@ -5,6 +5,7 @@
 
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Asked, Received, Tick
+from willowpost.common.nonce import NonceSequence
 from willowpost.common.plan import Plan
 from willowpost.common.rendezvous import Rendezvous
 from willowpost.wire.messages import Ping, Pong
@@ -37,7 +38,7 @@
         self.card = card
         self.tables = tables  # () -> Tables
         self.command_client = command_client
-        self.nonce = 0
+        self.nonces = NonceSequence(card.id, card.incarnation, "ping")
         self.heard: dict[str, int] = {}  # life -> last answer
         self.reported: dict[str, int] = {}
         self.pinged_at = 0
@@ -50,7 +51,7 @@
         match event:
             case Received(source, Ping(nonce, _)):
                 plan.send(source, Pong(nonce, self.card.incarnation_id))
-            case Received(_, Pong(_, incarnation_id)):
+            case Received(_, Pong(nonce, incarnation_id)) if self.nonces.issued(nonce):
                 self.heard[incarnation_id] = now
             case Tick():
                 self._tick(now, plan)
@@ -71,10 +72,10 @@
                 for name in tables.daemons
                 if name != self.card.id and self.card.id in watchers_of(name, tables.daemons)
             )
-        self.nonce += 1
+        nonce = self.nonces.next()
         cards = {name: tables.daemons[name] for name in self.watched if name in tables.daemons}
         plan.sends += [
-            (card["address"], Ping(self.nonce, self.card.incarnation_id)) for card in cards.values()
+            (card["address"], Ping(nonce, self.card.incarnation_id)) for card in cards.values()
         ]
         incarnation_ids = {name: f"{name}@{card['incarnation']}" for name, card in cards.items()}
         self.heard = {
--- a/src/willowpost/proxy/admission/admission_tokens.py
+++ b/src/willowpost/proxy/admission/admission_tokens.py
@@ -7,6 +7,7 @@
 
 from willowpost.common.clock import MILLI
 from willowpost.common.events import Received, Tick
+from willowpost.common.nonce import NonceSequence
 from willowpost.common.plan import Plan
 from willowpost.proxy.admission.buckets import Bucket, ramped, ramps_in_tokens
 from willowpost.proxy.admission.quota_shares import QuotaShareOwner, in_whole_tokens
@@ -33,7 +34,8 @@
 
     def __init__(self, node_state: ProxyState):
         self.node_state = node_state
-        self.nonce = 0
+        card = node_state.card
+        self.nonces = NonceSequence(card.id, card.incarnation, "admission_token")
         self.open: dict[int, tuple] = {}  # nonce -> (ticket, asked at)
 
     def step(self, event, now: int) -> Plan:
@@ -56,11 +58,11 @@
         if owner is None:
             plan.replies.append((wanted.ticket, False))
             return
-        self.nonce += 1
-        self.open[self.nonce] = (wanted.ticket, now)
+        nonce = self.nonces.next()
+        self.open[nonce] = (wanted.ticket, now)
         plan.send(
             owner["address"],
-            AdmissionTokenAsk(self.nonce, wanted.service, held["fence"], wanted.origin),
+            AdmissionTokenAsk(nonce, wanted.service, held["fence"], wanted.origin),
         )
 
 
--- a/src/willowpost/proxy/admission/quota_shares.py
+++ b/src/willowpost/proxy/admission/quota_shares.py
@@ -8,6 +8,7 @@
 
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Asked, Received, Tick
+from willowpost.common.nonce import NonceSequence
 from willowpost.common.plan import Plan
 from willowpost.common.rendezvous import Rendezvous
 from willowpost.node.node_state import LEASE
@@ -46,7 +47,8 @@
 
     def __init__(self, node_state: ProxyState):
         self.node_state = node_state
-        self.nonce = 0
+        card = node_state.card
+        self.nonces = NonceSequence(card.id, card.incarnation, "quota_share")
         self.asked: dict[int, tuple] = {}
         self.looked_at = 0
         self.smooth: dict[str, float] = {}
@@ -55,10 +57,10 @@
         plan = Plan()
         match event:
             case Received(_, QuotaShareTell(nonce, service, fence, rate)) if nonce in self.asked:
-                _, sent_at = self.asked.pop(nonce)
-                if fence == self.node_state.tables.fences.get(f"quota_share/{service}", {}).get(
-                    "fence"
-                ):
+                asked_for, sent_at = self.asked.pop(nonce)
+                if service == asked_for and fence == self.node_state.tables.fences.get(
+                    f"quota_share/{service}", {}
+                ).get("fence"):
                     self.node_state.grants = {
                         **self.node_state.grants,
                         service: Grant(rate / 1000, sent_at + GRANT_SPAN, fence),
@@ -81,11 +83,11 @@
             held = node_state.tables.fences.get(f"quota_share/{name}")
             owner = node_state.tables.daemons.get(held["owner"]) if held else None
             if owner is not None:
-                self.nonce += 1
-                self.asked[self.nonce] = (name, now)
+                nonce = self.nonces.next()
+                self.asked[nonce] = (name, now)
                 plan.send(
                     owner["address"],
-                    QuotaShareAsk(self.nonce, name, held["fence"], int(self.smooth[name] * 1000)),
+                    QuotaShareAsk(nonce, name, held["fence"], int(self.smooth[name] * 1000)),
                 )
 
 
--- a/src/willowpost/store/node.py
+++ b/src/willowpost/store/node.py
@@ -45,7 +45,7 @@
             Catchup(self.node_state),
             Voting(self.node_state),
             Acceptance(self.node_state),
-            Reads(self.node_state),
+            Reads(self.node_state, incarnation),
             Compaction(self.node_state),
             self.command_client,
             Repair(self.node_state, self.command_client, incarnation, rights.max_voters),
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -57,7 +57,9 @@
         self.assertEqual({"A:1", "B:1", "C:1", "D:1", "E:1"}, polls)
         newer = Tables(slot=90, epoch=3, core=core("C", "D", "E"))
         self.follower.step(
-            Received("D:1", StateUpdate(self.follower.nonce, 90, 0, True, snapshot=newer.text())),
+            Received(
+                "D:1", StateUpdate(self.follower.nonces.last, 90, 0, True, snapshot=newer.text())
+            ),
             10 * SECOND,
         )
         self.assertEqual((90, ()), (self.node_state.tables.slot, self.node_state.seed_cores))
@@ -70,7 +72,9 @@
         )
         older = Tables(slot=40, epoch=9, core=core("D"))
         self.follower.step(
-            Received("D:1", StateUpdate(self.follower.nonce, 40, 0, True, snapshot=older.text())),
+            Received(
+                "D:1", StateUpdate(self.follower.nonces.last, 40, 0, True, snapshot=older.text())
+            ),
             7 * SECOND,
         )
         self.assertEqual((50, 1), (self.node_state.tables.slot, self.node_state.tables.epoch))
--- /dev/null
+++ b/tests/test_incarnations.py
@@ -0,0 +1,193 @@
+"""Answers to the questions of a process's earlier incarnation, which reach the next one late."""
+
+import unittest
+from itertools import pairwise
+
+from willowpost.common.clock import MILLI, SECOND
+from willowpost.common.events import Received, Tick
+from willowpost.common.nonce import NonceSequence
+from willowpost.node.follower import Follower
+from willowpost.node.node_state import Card, NodeState
+from willowpost.node.quorum_read import QuorumRead
+from willowpost.node.watch import Watch
+from willowpost.proxy.admission.admission_tokens import AdmissionTokenTaker, AdmissionTokenWanted
+from willowpost.proxy.admission.quota_shares import QuotaShareTaker
+from willowpost.proxy.proxy_state import ProxyState
+from willowpost.proxy.routing.snapshot import RoutingSnapshot, ServiceCard
+from willowpost.state.tables import Tables
+from willowpost.store.node import StoreNode
+from willowpost.wire.codec import Codec
+from willowpost.wire.messages import (
+    AdmissionTokenAsk,
+    AdmissionTokenTell,
+    Member,
+    Ping,
+    Poll,
+    Pong,
+    QuotaShareAsk,
+    QuotaShareTell,
+    ReadAsk,
+    ReadTell,
+    StateUpdate,
+)
+
+VOTERS = tuple(Member(name, name, name, f"{name}:1") for name in ("A", "B", "C"))
+CORE = tuple(
+    {"identity": held.identity, "name": held.name, "zone": held.zone, "address": held.address}
+    for held in VOTERS
+)
+FOUND = [{"k": "found", "core": list(CORE)}]
+FIRST, SECOND_INCARNATION = 1_000_000, 9_000_000
+
+
+def card(incarnation):
+    return Card("p/proxy", "proxy", "edge", "p", "a", "p:1", "p:2", incarnation)
+
+
+def proxy_state(incarnation, service=None):
+    tables = Tables(
+        slot=5,
+        epoch=1,
+        core=CORE,
+        daemons={"o": {"kind": "proxy", "zone": "a", "address": "o:1", "state": "up"}},
+        fences={"quota_share/g": {"owner": "o", "fence": 1}},
+    )
+    node_state = ProxyState(card(incarnation), tables)
+    if service is not None:
+        node_state.snapshot = RoutingSnapshot(5, 1, services={"g": service})
+    return node_state
+
+
+def asked(sends, kind):
+    return next(message for _, message in sends if isinstance(message, kind))
+
+
+class StoreReads(unittest.TestCase):
+    """A voter's word about its slot, given to an incarnation that is gone, is too old for a read."""
+
+    def store(self, incarnation):
+        return StoreNode(VOTERS[0], ["A:2"], 3, FOUND, 0, lambda: incarnation, incarnation)
+
+    def read(self, store):
+        """The first question, and the moment it was asked."""
+        for now in range(0, SECOND, 20 * MILLI):
+            sends = store.step(Tick(), now).sends
+            if any(isinstance(message, ReadAsk) for _, message in sends):
+                return asked(sends, ReadAsk), now
+        raise AssertionError("no quorum read was begun")
+
+    def test_an_answer_to_the_incarnation_before_counts_for_nothing(self):
+        old, _ = self.read(self.store(FIRST))
+        store = self.store(SECOND_INCARNATION)
+        _, now = self.read(store)
+        # B said so before it accepted another order with C
+        store.step(Received("B:1", ReadTell(old.nonce, "B", 0)), now + MILLI)
+        self.assertIsNone(store.node_state.fresh_as_of)
+
+    def test_an_answer_to_its_own_question_counts(self):
+        store = self.store(SECOND_INCARNATION)
+        question, now = self.read(store)
+        store.step(Received("B:1", ReadTell(question.nonce, "B", 0)), now + MILLI)
+        self.assertEqual(now, store.node_state.fresh_as_of)
+
+
+class FollowerReads(unittest.TestCase):
+    def polled(self, incarnation):
+        node_state = NodeState(card(incarnation), Tables(slot=5, epoch=1, core=CORE))
+        follower = Follower(node_state, ["x:1"], tree=False)
+        return follower, asked(follower.step(Tick(), SECOND).sends, Poll)
+
+    def test_a_state_update_for_the_incarnation_before_makes_nothing_fresh(self):
+        _, old = self.polled(FIRST)
+        follower, _ = self.polled(SECOND_INCARNATION)
+        follower.step(Received("A:1", StateUpdate(old.nonce, 5, 0, True)), SECOND + MILLI)
+        self.assertIsNone(follower.node_state.fresh_as_of)
+
+    def read(self, incarnation):
+        node_state = NodeState(card(incarnation), Tables(slot=5, epoch=1, core=CORE))
+        reads = QuorumRead(node_state, Follower(node_state, ["x:1"], tree=False))
+        return reads, asked(reads.step(Tick(), SECOND).sends, ReadAsk)
+
+    def test_voters_that_answered_the_incarnation_before_make_nothing_fresh(self):
+        _, old = self.read(FIRST)
+        reads, question = self.read(SECOND_INCARNATION)
+        for name in "AB":
+            reads.step(Received(f"{name}:1", ReadTell(old.nonce, name, 5)), SECOND + MILLI)
+        self.assertIsNone(reads.node_state.fresh_as_of)
+        for name in "AB":
+            reads.step(Received(f"{name}:1", ReadTell(question.nonce, name, 5)), SECOND + MILLI)
+        self.assertEqual(SECOND, reads.node_state.fresh_as_of)
+
+
+class Admission(unittest.TestCase):
+    def share(self, incarnation):
+        service = ServiceCard(1000, 10, ("p/proxy",), {"p/proxy": 1.0}, ())
+        taker = QuotaShareTaker(proxy_state(incarnation, service))
+        return taker, asked(taker.step(Tick(), SECOND).sends, QuotaShareAsk)
+
+    def test_a_grant_to_the_incarnation_before_is_not_prolonged(self):
+        _, old = self.share(FIRST)
+        taker, question = self.share(SECOND_INCARNATION)
+        taker.step(Received("o:1", QuotaShareTell(old.nonce, "g", 1, 9000)), SECOND + MILLI)
+        self.assertEqual({}, taker.node_state.grants)
+        # nor one for another service than the question was about
+        taker.step(Received("o:1", QuotaShareTell(question.nonce, "h", 1, 9000)), SECOND + MILLI)
+        self.assertEqual({}, taker.node_state.grants)
+
+    def wanted(self, incarnation):
+        taker = AdmissionTokenTaker(proxy_state(incarnation))
+        return taker, asked(
+            taker.step(AdmissionTokenWanted("ticket", "g"), SECOND).sends, AdmissionTokenAsk
+        )
+
+    def test_a_token_given_to_the_incarnation_before_lets_nothing_in(self):
+        _, old = self.wanted(FIRST)
+        taker, question = self.wanted(SECOND_INCARNATION)
+        given = AdmissionTokenTell(old.nonce, True)
+        self.assertEqual([], taker.step(Received("o:1", given), SECOND).replies)
+        given = AdmissionTokenTell(question.nonce, True)
+        self.assertEqual([("ticket", True)], taker.step(Received("o:1", given), SECOND).replies)
+
+
+class Pings(unittest.TestCase):
+    def test_a_pong_for_the_watcher_before_is_no_sign_of_being_alive_now(self):
+        def pinged(incarnation):
+            tables = Tables(
+                slot=5,
+                epoch=1,
+                daemons={
+                    name: {"zone": name, "address": f"{name}:1", "state": "up", "incarnation": 3}
+                    for name in ("p/proxy", "o")
+                },
+            )
+            watch = Watch(card(incarnation), lambda: tables, None)
+            return watch, asked(watch.step(Tick(), SECOND).sends, Ping)
+
+        _, old = pinged(FIRST)
+        watch, question = pinged(SECOND_INCARNATION)
+        watch.step(Received("o:1", Pong(old.nonce, "o@3")), 2 * SECOND)
+        self.assertEqual(SECOND, watch.heard["o@3"])
+        watch.step(Received("o:1", Pong(question.nonce, "o@3")), 2 * SECOND)
+        self.assertEqual(2 * SECOND, watch.heard["o@3"])
+
+
+class Nonces(unittest.TestCase):
+    def test_each_incarnation_daemon_and_purpose_counts_from_its_own_start(self):
+        firsts = {
+            NonceSequence(daemon, incarnation, purpose).next()
+            for daemon in ("p", "q")
+            for incarnation in range(100)
+            for purpose in ("read", "poll")
+        }
+        self.assertEqual(400, len(firsts))
+        ordered = sorted(firsts)
+        apart = min(after - before for before, after in pairwise(ordered))
+        self.assertGreater(apart, 1_000_000)
+
+    def test_the_greatest_of_them_goes_over_the_wire(self):
+        held = ReadAsk(2**56 + 2**40)
+        self.assertEqual(("a:1", held), Codec().decode(Codec().encode("a:1", held)))
+
+
+if __name__ == "__main__":
+    unittest.main()
