Histories of control calls, and a linearizability check that judges them

Calls of operators and readers as typed records, JSON lines with a format number, and a Wing and Gong search with memoisation, key by key. A call with an unknown outcome may take effect late or never. 'wpdrill check history FILE' prints the shortest part that has no explanation.

Cause: nothing judged the calls of several operators together; each rule looked at one answer.

--- a/src/willowpost/drill/main.py
+++ b/src/willowpost/drill/main.py
@@ -14,6 +14,7 @@
 from willowpost.drill.capacity.command import CapacityCommand
 from willowpost.drill.deployment import Deployment, known
 from willowpost.drill.fleet import Fleet, free_port
+from willowpost.drill.history_command import CheckHistoryCommand
 from willowpost.drill.script import FleetDrill
 from willowpost.drill.tools import CheckCommand, PaceCommand, ReplayCommand, SweepCommand
 from willowpost.drill.zones import ZoneDrill
@@ -185,6 +186,7 @@
         FleetCommand(),
         ZoneCommand(),
         CheckCommand(),
+        CheckHistoryCommand(),
         PaceCommand(),
         ReplayCommand(),
         SweepCommand(),
--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,285 @@
+"""Histories made from a sequential register are explained; each injected violation is caught."""
+
+import random
+import tempfile
+import unittest
+from dataclasses import replace
+from pathlib import Path
+
+from cleo.application import Application
+from cleo.testers.command_tester import CommandTester
+
+from willowpost.drill.history_command import CheckHistoryCommand
+from willowpost.history.checker import HistoryChecker, register_of
+from willowpost.history.codec import HistoryFormatError, read_history, write_history
+from willowpost.history.records import (
+    CONFIGURATION_KEY,
+    UNANSWERED,
+    Answer,
+    Call,
+    Operation,
+    Outcome,
+    Request,
+)
+from willowpost.history.search import Finding, search
+
+OK, REFUSED = Outcome.OK, Outcome.REFUSED
+ZONE = "zone/a"
+
+
+def judged(calls):
+    return {verdict.key: verdict for verdict in HistoryChecker().judge(calls)}
+
+
+class Maker:
+    """A register served one call after the other; the calls' intervals overlap at random."""
+
+    def __init__(self, seed, unknown=0.2):
+        self.chance = random.Random(seed)
+        self.unknown = unknown
+        self.version, self.content, self.evacuated = 0, None, False
+        self.time = 0
+        self.calls = []
+
+    def make(self, count):
+        for _ in range(count):
+            self.one()
+        return self
+
+    def one(self):
+        self.time += self.chance.randrange(1, 1000)
+        step = self.chance.choice(
+            (self.put, self.conditional, self.numbered, self.read, self.read, self.zone, self.seen)
+        )
+        step()
+
+    def call(self, request, answer, taken=True):
+        """`taken`: it took effect now; the caller may not hear of it either way."""
+        number = len(self.calls) + 1
+        invoked = self.time - self.chance.randrange(3000)
+        returned = self.time + self.chance.randrange(3000)
+        if not taken or self.chance.random() < self.unknown:
+            returned, answer = None, UNANSWERED
+        self.calls.append(Call(number, "operator", request, invoked, returned, answer))
+
+    def never(self):
+        return self.chance.random() < self.unknown / 2
+
+    def hold(self, version, content):
+        self.version, self.content = version, content
+
+    def put(self, match=None):
+        content = f"c{len(self.calls)}"
+        request = Request(Operation.PUT, CONFIGURATION_KEY, match, content)
+        if match is not None and match != self.version:
+            return self.call(request, Answer(REFUSED, self.version))
+        if self.never():
+            return self.call(request, UNANSWERED, taken=False)
+        self.hold(self.version + 1, content)
+        return self.call(request, Answer(OK, self.version))
+
+    def conditional(self):
+        self.put(max(0, self.version - self.chance.randrange(2)))
+
+    def numbered(self):
+        number = max(1, self.version + self.chance.randrange(-3, 5))
+        content = f"c{len(self.calls)}"
+        if number == self.version:
+            content = self.content
+        request = Request(Operation.REPLACE, CONFIGURATION_KEY, number, content)
+        if self.never():
+            return self.call(request, UNANSWERED, taken=False)
+        if number > self.version:
+            self.hold(number, content)
+        return self.call(request, Answer(OK, self.version))
+
+    def read(self):
+        self.call(
+            Request(Operation.READ, CONFIGURATION_KEY), Answer(OK, self.version, self.content)
+        )
+
+    def zone(self):
+        begin = self.chance.random() < 0.5
+        operation = Operation.EVACUATION_BEGIN if begin else Operation.EVACUATION_FINISH
+        if self.never():
+            return self.call(Request(operation, ZONE), UNANSWERED, taken=False)
+        self.evacuated = begin
+        return self.call(Request(operation, ZONE), Answer(OK))
+
+    def seen(self):
+        self.call(Request(Operation.EVACUATION_READ, ZONE), Answer(OK, evacuated=self.evacuated))
+
+    def later(self):
+        """Let every call that is open now end before the next one is sent."""
+        self.time += 10_000
+
+    def certain(self, step):
+        """Take a step whose answer comes, apart from all others in time."""
+        self.later()
+        unknown, self.unknown = self.unknown, 0.0
+        step()
+        self.unknown = unknown
+        self.later()
+        return self.calls[-1]
+
+
+class Explained(unittest.TestCase):
+    def test_overlapping_histories_of_a_sequential_register_are_explained(self):
+        for seed in range(150):
+            with self.subTest(seed=seed):
+                for verdict in judged(Maker(seed).make(60).calls).values():
+                    self.assertIs(Finding.EXPLAINED, verdict.finding)
+
+    def test_a_long_history_is_judged_within_the_bound(self):
+        for verdict in judged(Maker(7, unknown=0.05).make(1500).calls).values():
+            self.assertIs(Finding.EXPLAINED, verdict.finding)
+
+    def test_an_unknown_outcome_may_take_effect_late_or_never(self):
+        put = Call(1, "a", Request(Operation.PUT, CONFIGURATION_KEY, None, "x"), 0)
+        before = Call(
+            2, "b", Request(Operation.READ, CONFIGURATION_KEY), 9_000, 9_001, Answer(OK, 0)
+        )
+        after = Call(
+            3,
+            "b",
+            Request(Operation.READ, CONFIGURATION_KEY),
+            9_999_000,
+            9_999_001,
+            Answer(OK, 1, "x"),
+        )
+        for calls in ((put, before), (put, before, after)):
+            self.assertIs(Finding.EXPLAINED, judged(calls)[CONFIGURATION_KEY].finding)
+
+    def test_a_repeat_is_acknowledged_with_its_version(self):
+        request = Request(Operation.PUT, CONFIGURATION_KEY, 0, "x")
+        first = Call(1, "a", request, 0)
+        second = Call(2, "a", request, 10, 20, Answer(OK, 1))
+        refused = replace(second, answer=Answer(REFUSED, 1))
+        read = Call(3, "b", Request(Operation.READ, CONFIGURATION_KEY), 5, 6, Answer(OK, 1, "x"))
+        self.assertIs(Finding.EXPLAINED, judged((first, second, read))[CONFIGURATION_KEY].finding)
+        self.assertIs(
+            Finding.UNEXPLAINED, judged((first, refused, read))[CONFIGURATION_KEY].finding
+        )
+
+
+class Injected(unittest.TestCase):
+    """Each violation is put between two ordinary stretches of calls."""
+
+    def caught(self, inject, key):
+        for seed in range(40):
+            with self.subTest(seed=seed):
+                maker = Maker(seed).make(25)
+                inject(maker)
+                maker.later()
+                maker.make(10)
+                calls = tuple(call for call in maker.calls if call.request.key == key)
+                self.assertIs(Finding.UNEXPLAINED, search(register_of(key), calls))
+
+    def test_a_stale_read(self):
+        def inject(maker):
+            before = maker.version, maker.content
+            while (maker.version, maker.content) == before:
+                maker.certain(maker.put)
+            read = maker.certain(maker.read)
+            maker.calls[-1] = replace(read, answer=Answer(OK, *before))
+
+        self.caught(inject, CONFIGURATION_KEY)
+
+    def test_a_lost_order_of_a_zone(self):
+        def inject(maker):
+            # nothing of before may take effect later: its outcomes are known
+            maker.calls = [call for call in maker.calls if call.outcome is not Outcome.UNKNOWN]
+            wanted = not maker.evacuated
+            while maker.evacuated is not wanted:
+                maker.certain(maker.zone)
+            read = maker.certain(maker.seen)
+            maker.calls[-1] = replace(read, answer=Answer(OK, evacuated=not wanted))
+
+        self.caught(inject, ZONE)
+
+    def test_two_contents_under_one_number(self):
+        def inject(maker):
+            number = maker.version + 10
+            for content in ("one", "two"):
+                request = Request(Operation.REPLACE, CONFIGURATION_KEY, number, content)
+                maker.certain(lambda request=request: maker.call(request, Answer(OK, number)))
+            maker.hold(number, "one")
+
+        self.caught(inject, CONFIGURATION_KEY)
+
+    def test_confirmed_and_lost(self):
+        def inject(maker):
+            before = maker.version, maker.content
+            while (maker.version, maker.content) == before:
+                maker.certain(maker.put)
+            maker.hold(*before)
+            maker.certain(maker.read)
+
+        self.caught(inject, CONFIGURATION_KEY)
+
+    def test_two_conditional_orders_that_both_win(self):
+        def inject(maker):
+            held = maker.version
+            maker.later()
+            for content in ("one", "two"):
+                request = Request(Operation.PUT, CONFIGURATION_KEY, held, content)
+                maker.certain(lambda request=request: maker.call(request, Answer(OK, held + 1)))
+            maker.hold(held + 1, "one")
+
+        self.caught(inject, CONFIGURATION_KEY)
+
+    def test_the_window_is_the_part_that_contradicts_itself(self):
+        maker = Maker(3, unknown=0.0).make(80)
+        put = maker.certain(maker.put)
+        maker.certain(maker.read)
+        maker.calls[-1] = replace(maker.calls[-1], answer=Answer(OK, put.answer.version - 1, "c0"))
+        window = judged(maker.calls)[CONFIGURATION_KEY].window
+        self.assertIn(maker.calls[-1].number, {call.number for call in window})
+        self.assertLessEqual(len(window), 3)
+
+
+class Files(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "history.jsonl"
+
+    def checked(self):
+        application = Application()
+        application.add(CheckHistoryCommand())
+        tester = CommandTester(application.find("check history"))
+        return tester.execute(str(self.path)), tester.io.fetch_output()
+
+    def test_a_history_is_read_back_as_written(self):
+        calls = tuple(Maker(1).make(40).calls)
+        write_history(self.path, calls)
+        self.assertEqual(calls, read_history(self.path))
+        code, said = self.checked()
+        self.assertEqual(0, code)
+        self.assertIn("configuration: explained", said)
+
+    def test_a_violation_is_printed_with_its_window(self):
+        read = Request(Operation.READ, CONFIGURATION_KEY)
+        write_history(self.path, [Call(1, "reader", read, 0, 5, Answer(OK, 4, "never written"))])
+        code, said = self.checked()
+        self.assertEqual(1, code)
+        self.assertIn("unexplained", said)
+        self.assertIn("content=never written", said)
+
+    def test_an_unknown_format_is_refused(self):
+        for text in (
+            "",
+            "{}",
+            '{"kind": "control-history", "format": 99}',
+            '{"kind": "control-history", "format": 1}\n{"number": 1}',
+            '{"kind": "control-history", "format": 1}\n[]',
+        ):
+            with self.subTest(text=text):
+                self.path.write_text(text)
+                with self.assertRaises(HistoryFormatError):
+                    read_history(self.path)
+                self.assertEqual(2, self.checked()[0])
+
+
+if __name__ == "__main__":
+    unittest.main()
