Simulated disks: segments, slow and stalled writes, folder entries lost one by one

A write that takes time holds its node (no step, nothing sent) until it ends, and a crash meanwhile cuts it anywhere. A loss of power keeps or loses each removal whose folder was not synced. World, seats and disks are modules of their own.

--- a/src/willowpost/sim/world.py
+++ b/src/willowpost/sim/world.py
@@ -5,57 +5,14 @@
 
 import random
 from collections import Counter
-from dataclasses import dataclass, field
 from heapq import heappop, heappush
 
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Received, Tick
+from willowpost.sim.disk import SimDisk
+from willowpost.sim.seat import Seat, Weather
 
-
-@dataclass(slots=True)
-class Weather:
-    """How the network behaves: delays in µs, chances in [0, 1)."""
-
-    least: int = 200
-    spread: int = 800
-    drop: float = 0.0
-    twice: float = 0.0
-    between: dict = field(default_factory=dict)  # (region, region) -> extra delay
-
-
-@dataclass(slots=True)
-class SimDisk:
-    """Invariant: `records` is what a restart finds; a crash may cut the batch being written.
-
-    Never older ones.
-    """
-
-    records: list = field(default_factory=list)
-
-    def write(self, plan, upto: int | None = None) -> None:
-        if plan.rotate is not None:
-            if upto is not None:
-                return  # the new segment was not renamed yet: the old one stands
-            self.records = list(plan.rotate)
-        self.records += plan.records if upto is None else plan.records[:upto]
-
-
-@dataclass(slots=True)
-class Seat:
-    """One machine's process: its node while it is up, its disk, its own clocks."""
-
-    address: str
-    region: str
-    build: object  # (records, now, wall, incarnation) -> node
-    disk: SimDisk = field(default_factory=SimDisk)
-    node: object = None
-    incarnation: int = 0
-    clock_base: int = 0
-    wall_skew: int = 0
-    frozen_until: int = 0
-    crash_on_write: float = 0.0
-    dark: bool = False  # the machine has no power: nothing refuses connections for it
-    retired: bool = False  # the machine is gone for good
+__all__ = ["Seat", "SimDisk", "Weather", "World", "seconds"]
 
 
 class World:
@@ -78,6 +35,11 @@
         self.sent = Counter()
         self.trace: list = []
 
+    def let_folders_vary(self, seed: int) -> None:
+        """From now on a loss of power keeps or loses each unsynced folder entry by itself."""
+        for number, seat in enumerate(self.seats.values()):
+            seat.disk.folder_chance = random.Random(seed * 1000 + number)
+
     def add(self, address: str, build, region: str = "one") -> Seat:
         seat = self.seats[address] = Seat(
             address, region, build, clock_base=self.chance.randrange(10**12)
@@ -100,10 +62,21 @@
         self.at(self.chance.randrange(self.TICK), self._tick, address, seat.incarnation)
 
     def crash(self, address: str, lose_disk: bool = False) -> None:
+        """The process is gone at once; a write under way is cut anywhere."""
         seat = self.seats[address]
+        if seat.pending_write is not None:
+            plan, seat.pending_write = seat.pending_write, None
+            seat.disk.write(plan, self.chance.randrange(len(plan.records) + 1))
         seat.node, seat.incarnation = None, seat.incarnation + 1
         if lose_disk:
-            seat.disk = SimDisk()
+            seat.disk = SimDisk(folder_chance=seat.disk.folder_chance)
+
+    def lose_power(self, address: str, lose_disk: bool = False) -> None:
+        """The machine goes dark: its process is gone, unsynced folder entries may be lost."""
+        self.crash(address, lose_disk)
+        seat = self.seats[address]
+        seat.disk.lose_power()
+        seat.dark = True
 
     def now(self, seat: Seat) -> int:
         return seat.clock_base + self.time
@@ -138,13 +111,17 @@
         return condition()
 
     def give(self, address: str, event) -> None:
-        """Hand an event to a node, unless it is down; a frozen one gets it when it thaws."""
+        """Hand an event to a node, unless it is down.
+
+        One that is frozen, or waits for its disk, gets it afterwards.
+        """
         seat = self.seats[address]
         if seat.node is None:
             return
-        if seat.frozen_until > self.time:
+        held_until = seat.held_until(self.time)
+        if held_until > self.time:
             self.at(
-                seat.frozen_until - self.time + self.chance.randrange(50),
+                held_until - self.time + self.chance.randrange(50),
                 self._late,
                 address,
                 seat.incarnation,
@@ -165,6 +142,26 @@
         self.at(self.TICK, self._tick, address, incarnation)
 
     def _carry(self, seat, event, plan):
+        span = seat.disk.span_of_write(self.time) if plan.records or plan.rotate else 0
+        if span:
+            seat.pending_write, seat.written_at = plan, self.time + span
+            self.at(span, self._written, seat.address, seat.incarnation, event)
+            return
+        self._carry_out(seat, event, plan)
+
+    def _written(self, address, incarnation, event):
+        """A slow or stalled write has ended; a frozen process hears of it when it thaws."""
+        seat = self.seats[address]
+        if seat.incarnation != incarnation:
+            return
+        if seat.frozen_until > self.time:
+            seat.written_at = seat.frozen_until
+            self.at(seat.frozen_until - self.time, self._written, address, incarnation, event)
+            return
+        plan, seat.pending_write = seat.pending_write, None
+        self._carry_out(seat, event, plan)
+
+    def _carry_out(self, seat, event, plan):
         torn = bool(plan.records or plan.rotate) and self.chance.random() < seat.crash_on_write
         if self.unsafe_send:
             self._send(seat, plan)
