--- /dev/null
+++ b/tests/test_operator_days.py
@@ -0,0 +1,141 @@
+"""Long days of operators and origins: many orders under way, each repeated, heartbeats in time."""
+
+import copy
+import json
+import unittest
+
+import test_registry
+
+from willowpost.sim.world import seconds
+
+UNDER_WAY = 8
+CHANGES = 304
+ACKNOWLEDGED_SECONDS = 4.0
+HEARTBEAT_SECONDS = 1.0
+HEARTBEAT_BYTES = 4096
+ZONES = ("a", "b")
+
+
+class Orders(test_registry.World):
+    def order(self, number):
+        """Of every kind of order in turn: the call and its body."""
+        match number % 4:
+            case 0 | 1:
+                return "/v1/configurations", {
+                    "version": number + 1,
+                    "configuration": self.configuration(number),
+                }
+            case 2:
+                action = "empty" if number % 8 == 2 else "restore"
+                return f"/v1/zones/{ZONES[number // 8 % 2]}/{action}", {"what": "origins"}
+            case _:
+                return "/v1/purges", {"items": [{"kind": "item", "path": f"/cards/{number}"}]}
+
+    def configuration(self, number):
+        held = copy.deepcopy(self.world.configuration)
+        held["settings"] = {**held.get("settings", {}), "deadline_ms": 1000 + number}
+        return held
+
+    def tables(self, registry):
+        return self.world.seats[f"r{registry}"].node.registry.tables
+
+    def test_eight_at_a_time_hundreds_of_changes_are_acknowledged_and_held_everywhere(self):
+        # the registries' own calls wait one by one, so the operations go to the log directly here
+        for start in range(0, CHANGES, UNDER_WAY):
+            begun = self.world.time
+            tokens = [
+                self.world.ask(
+                    f"r{number % 2}",
+                    {
+                        "op": "configuration",
+                        "version": number + 1,
+                        "tree": self.configuration(number),
+                    },
+                )
+                for number in range(start, start + UNDER_WAY)
+            ]
+            self.assertTrue(
+                self.world.until(
+                    lambda tokens=tokens: all(token in self.world.replies for token in tokens),
+                    seconds(ACKNOWLEDGED_SECONDS),
+                ),
+                f"changes from {start} on",
+            )
+            answers = [self.world.replies[token]["answers"][0] for token in tokens]
+            self.assertTrue(all(answer["ok"] for answer in answers), answers)
+            self.assertLess(self.world.time - begun, seconds(1))
+        self.world.run(seconds(1))
+        for registry in range(2):
+            held = self.tables(registry).configuration
+            self.assertEqual(CHANGES, held["version"])
+            self.assertEqual(999 + CHANGES, held["tree"]["settings"]["deadline_ms"])
+
+    def test_each_kind_of_order_is_acknowledged_again_through_any_registry(self):
+        for number in range(16):
+            path, body = self.order(number)
+            for registry in (0, 0, 1):
+                answer = self.call("POST", path, body, first=registry)
+                self.assertEqual(200, answer.code, (path, answer.value))
+        self.world.run(seconds(1))
+        for registry in range(2):
+            self.assertEqual(14, self.tables(registry).configuration["version"])
+
+    def test_an_order_repeated_after_all_stores_restarted_is_acknowledged(self):
+        orders = [self.order(number) for number in range(4)]
+        for path, body in orders:
+            self.assertEqual(200, self.call("POST", path, body).code)
+        for name in self.world.names:
+            self.world.crash(name)
+            self.world.start(name)
+        self.world.run(seconds(3))
+        for path, body in orders:
+            self.assertEqual(200, self.call("POST", path, body, first=1).code, path)
+
+
+class Heartbeats(test_registry.World):
+    def setUp(self):
+        super().setUp()
+        self.call("PUT", "/v1/configuration", self.world.configuration)
+
+    def beat(self, number, token, **more):
+        """The answer's code; it comes within the origin's patience and fits what it reads."""
+        begun = self.world.time
+        value = {
+            "service": "art",
+            "address": "127.0.0.1:99",
+            "zone": "x",
+            "token": token,
+            "number": number,
+            "slots": 4,
+            "cold_ms": 0,
+            **more,
+        }
+        answer = self.call("POST", "/v1/origins/beat", value)
+        self.assertLess(self.world.time - begun, seconds(HEARTBEAT_SECONDS))
+        self.assertLessEqual(len(json.dumps(answer.value)), HEARTBEAT_BYTES)
+        return answer.code
+
+    def test_each_is_answered_within_a_second_whatever_became_of_the_core(self):
+        longest = "t" * 256
+        self.assertEqual([200, 200], [self.beat(number, longest) for number in (1, 2)])
+        self.world.run(seconds(0.5))  # until this registry has followed the log that far
+        for name in self.world.names[:3]:
+            self.world.crash(name)
+        self.assertEqual(200, self.beat(3, longest))
+        self.assertEqual(504, self.beat(4, longest, state="draining"))
+        self.assertEqual(504, self.beat(1, "another", address="127.0.0.1:98"))
+        self.assertEqual(422, self.beat(1, "t" * 257))
+
+    def test_an_origin_that_serves_on_for_long_after_its_drain_stays_draining(self):
+        self.assertEqual(200, self.beat(1, "one"))
+        self.assertEqual(200, self.beat(2, "one", state="draining"))
+        for number in range(3, 33):
+            self.world.run(seconds(1))
+            state = "draining" if number % 2 else "ready"
+            self.assertEqual(200, self.beat(number, "one", state=state))
+        origins = self.world.seats["r1"].node.registry.tables.origins.values()
+        self.assertEqual(["draining"], [o["state"] for o in origins if o.get("token") == "one"])
+
+
+if __name__ == "__main__":
+    unittest.main()
