--- a/src/willowpost/drill/losses.py
+++ b/src/willowpost/drill/losses.py
@@ -7,12 +7,13 @@
 import gevent
 
 from willowpost.common.clock import SECOND
+from willowpost.drill.base import DrillBase, rounded
 
 QUIET_SECONDS = 6
 ROUNDS_OF_POWER = 5
 
 
-class LossSteps:
+class LossSteps(DrillBase):
     """Steps of the fleet drill.
 
     Invariant: refusals count in all of them but while daemons stand still; the fleet is asked to
@@ -36,45 +37,45 @@
             ),
             5,
         )
-        edge, store = self._edges()[3] + "/wpproxy", self._cores()[0] + "/wpstore"
+        edge, store = self.edge_names()[3] + "/wpproxy", self.core_names()[0] + "/wpstore"
         self.fleet.stop(edge)
         self.fleet.kill(store)
         for key in (edge, store):
             self.fleet.start(key)
-        back = self.fleet.until(lambda: self._all_up() and self._in_force(), 15, 0.2)
+        back = self.fleet.until(lambda: self.all_up() and self.in_force(), 15, 0.2)
         self.findings.add(
             "swapped seeds: heard by all, and enough to start by",
-            f"heard in {heard and round(heard, 2)} s, back in {back and round(back, 2)} s",
+            f"heard in {rounded(heard)} s, back in {rounded(back)} s",
             heard is not None and back is not None,
         )
 
     def stopped_past_the_lease(self) -> None:
         """A store, a registry and two edges stand still for four seconds, and go on."""
-        edges = [name + "/wpproxy" for name in self._edges()[4:6]]
-        keys = [self._cores()[0] + "/wpstore", self._cores()[1] + "/wpregistry", *edges]
+        edges = [name + "/wpproxy" for name in self.edge_names()[4:6]]
+        keys = [self.core_names()[0] + "/wpstore", self.core_names()[1] + "/wpregistry", *edges]
         began = self.clock.now()
         for key in keys:
             self.fleet.freeze(key)
         gevent.sleep(1)
-        self.configuration["settings"]["deadline_ms"] += 1
-        accepted = self.fleet.call("PUT", "/v1/configuration", self.configuration)
+        accepted = self.change_deadline()
         self.version = accepted[2]["version"]
         gevent.sleep(3)
         for key in keys:
             self.fleet.thaw(key)
-        back = self.fleet.until(lambda: self._all_up() and self._in_force(), 15, 0.1)
+        back = self.fleet.until(lambda: self.all_up() and self.in_force(), 15, 0.1)
         for edge in edges:  # callers under way there waited, and some gave up
             self.excused.append((self.fleet.proxies()[edge], began - 4 * SECOND, self.clock.now()))
         self.excuse_refusals(began, self.clock.now())
         self.findings.add(
             "daemons stopped past the lease: whole again within 15 s",
-            f"{back and round(back, 2)} s",
+            f"{rounded(back)} s",
             back is not None,
         )
 
     def power_loss(self) -> None:
-        """Configurations stream in from three operators while one or two stores at a time die in
-        the middle of their writes.
+        """Stores die in the middle of their writes, one or two at a time.
+
+        Three operators send configurations all the while.
         """
         accepted, stopped = [self.version], []
 
@@ -85,7 +86,7 @@
                     accepted.append(held[2]["version"])
 
         tasks = [gevent.spawn(operate, number) for number in range(3)]
-        stores = [name + "/wpstore" for name in self._cores()]
+        stores = [name + "/wpstore" for name in self.core_names()]
         for number in range(ROUNDS_OF_POWER):
             dying = [stores[number % 5], stores[(number + 2) % 5]][: 1 + number % 2]
             gevent.sleep(0.7)
@@ -94,7 +95,7 @@
             gevent.sleep(1.0)
             for key in dying:
                 self.fleet.start(key)
-            self.fleet.until(lambda: self._all_up(), 15, 0.2)
+            self.fleet.until(self.all_up, 15, 0.2)
         stopped.append(True)
         gevent.joinall(tasks, timeout=10)
         held = self.fleet.call("GET", "/v1/configuration", first=2)
@@ -107,7 +108,7 @@
 
     def new_machine(self) -> None:
         """A core machine is gone for good; an empty one comes up at an address of its own."""
-        lost, epoch = self._cores()[1], self._status()["epoch"]
+        lost, epoch = self.core_names()[1], self.status()["epoch"]
         began = self.clock.now()
         for key in [
             key for key, process in self.fleet.processes.items() if process.machine == lost
@@ -122,17 +123,17 @@
                 self.fleet.start(process.key)
 
         def voters():
-            return {member["name"] for member in self._status().get("core", ())}
+            return {member["name"] for member in self.status().get("core", ())}
 
         took = self.fleet.until(
-            lambda: self._status()["epoch"] == epoch + 1 and name in voters() and self._all_up(),
+            lambda: self.status()["epoch"] == epoch + 1 and name in voters() and self.all_up(),
             30,
             0.2,
         )
-        self.figures["machine replaced by an empty one, voter after, s"] = took and round(took, 2)
+        self.figures["machine replaced by an empty one, voter after, s"] = rounded(took)
         self.findings.add(
             "a core machine replaced at a new address votes, unattended",
-            f"{took and round(took, 2)} s, gone for {(self.clock.now() - began) / SECOND:.1f} s",
+            f"{rounded(took)} s, gone for {(self.clock.now() - began) / SECOND:.1f} s",
             took is not None,
         )
 
@@ -172,7 +173,7 @@
             self.findings.add(words, f"{count} requests in {QUIET_SECONDS} s", count == 0)
         self.fleet.steer("move", taken, service=services[1])
         self.fleet.until(
-            lambda: all(card["state"] == "warm" for card in self._status()["origins"].values()),
+            self.all_warm,
             20,
             0.5,
         )
--- a/src/willowpost/drill/main.py
+++ b/src/willowpost/drill/main.py
@@ -6,7 +6,6 @@
 import tempfile
 from pathlib import Path
 
-import gevent
 from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
@@ -14,6 +13,7 @@
 from willowpost.drill.capacity.command import CapacityCommand
 from willowpost.drill.deployment import Deployment, known
 from willowpost.drill.fleet import Fleet, free_port
+from willowpost.drill.hold import Hold
 from willowpost.drill.script import FleetDrill
 from willowpost.drill.tools import CheckCommand, PaceCommand, ReplayCommand, SweepCommand
 from willowpost.drill.zones import ZoneDrill
@@ -101,12 +101,16 @@
         self.line(f"edges: {' '.join(fleet.edges())}")
         self.line(f"registries: {' '.join(fleet.registries())}")
         self.line(f"host: {fleet.deployment.host}")
-        self.line("serving; a line ends it")
-        sys.stdout.flush()
         drill.callers.stop()
-        gevent.get_hub().threadpool.apply(sys.stdin.readline)
+        hold = Hold(self._say)
+        self._say("serving; a line, SIGINT or SIGTERM ends it")
+        hold.wait()
         return 0
 
+    def _say(self, text):
+        self.line(text)
+        sys.stdout.flush()
+
 
 class FleetCommand(DrillCommand):
     name = "fleet"
@@ -120,7 +124,7 @@
         option(
             "hold",
             None,
-            "After the configuration is in force, hold the fleet until a line is read, and end.",
+            "Once the configuration is in force, hold the fleet until a line or a signal comes.",
         ),
     ]
     help = """The drill stands in for the platform: it starts and ends the processes, runs stand-in
--- a/src/willowpost/drill/zones.py
+++ b/src/willowpost/drill/zones.py
@@ -6,7 +6,9 @@
 import gevent
 
 from willowpost.common.clock import SECOND
-from willowpost.drill.script import RETURN_SECONDS, FleetDrill
+from willowpost.drill.base import RETURN_SECONDS, rounded
+from willowpost.drill.rules import Findings
+from willowpost.drill.script import FleetDrill
 
 DARK_SECONDS = 6
 HANDFUL_PART = 0.01
@@ -15,7 +17,8 @@
 class ZoneDrill(FleetDrill):
     """Invariant: refusals are counted while the zone is out, too: losing one zone is no excuse."""
 
-    def run_zones(self, zones, routes):
+    def run_zones(self, zones, routes) -> Findings:
+        """Take out each zone by each way (methods' names), and judge as the fleet drill does."""
         self.open()
         for zone in zones:
             for route in routes:
@@ -37,18 +40,15 @@
             refused <= max(5, HANDFUL_PART * begun),
         )
 
-    def emptying(self, zone):
+    def emptying(self, zone: str) -> None:
+        """The zone is emptied by an order, and given back by one."""
         mark = self._mark()
         accepted = self.fleet.call("POST", f"/v1/zones/{zone}/empty")
         asked = self.clock.now()
         gevent.sleep(8)
         limit = (asked + 5 * SECOND) // SECOND
-        late = self._origin_requests(zone, limit) + sum(
-            count
-            for edge in self._edges_of(zone)
-            for second, count in self.callers.tally.per_edge.get(edge, {}).items()
-            if second > limit
-        )
+        late = self.origin_requests(self.origins_in(zone), limit)
+        late += self.edge_answers(self.edges_in(zone), limit)
         self.findings.add(
             f"zone {zone} by emptying: nothing after 5 s",
             f"{late} requests",
@@ -58,20 +58,18 @@
         self._back(zone, "emptying")
         self._judge_refusals(zone, "emptying", mark)
 
-    def killing(self, zone):
+    def killing(self, zone: str) -> None:
+        """All of the zone's processes and origins die at once, and start again."""
         mark = self._mark()
         keys = [key for key, process in self.fleet.processes.items() if process.zone == zone]
-        origins = [
-            origin["address"] for origin in self.deployment.origins if origin["zone"] == zone
-        ]
+        origins = self.origins_in(zone)
         began = self.clock.now()
         for key in keys:
             self.fleet.kill(key)
         for address in origins:
             self.fleet.steer("crash", address)
         gevent.sleep(DARK_SECONDS)
-        self.configuration["settings"]["deadline_ms"] += 1
-        accepted = self.fleet.call("PUT", "/v1/configuration", self.configuration)
+        accepted = self.change_deadline()
         during = accepted is not None and accepted[0] == 200
         self.version = accepted[2]["version"] if during else self.version
         self.findings.add(
@@ -83,25 +81,19 @@
             self.fleet.start(key)
         for address in origins:
             self.fleet.steer("start", address)
-        for edge in self._edges_of(zone):
+        for edge in self.edges_in(zone):
             self.excused.append((edge, began, self.clock.now()))
         self._back(zone, "killing")
         self._judge_refusals(zone, "killing", mark)
 
     def _back(self, zone, route):
         began = self.clock.now()
-        edges = self._edges_of(zone)
+        edges = self.edges_in(zone)
         back = self.fleet.until(
             lambda: (
-                self._all_up()
-                and self._in_force()
-                and all(
-                    any(
-                        second > began // SECOND
-                        for second in self.callers.tally.per_edge.get(edge, {})
-                    )
-                    for edge in edges
-                )
+                self.all_up()
+                and self.in_force()
+                and all(self.edge_answers([edge], began // SECOND) > 0 for edge in edges)
             ),
             RETURN_SECONDS,
             0.1,
@@ -111,23 +103,6 @@
         )
         self.findings.add(
             f"zone {zone} by {route}: back within 15 s",
-            f"{back and round(back, 2)} s",
+            f"{rounded(back)} s",
             back is not None,
         )
-
-    def _edges_of(self, zone):
-        return [
-            self.deployment.proxy_http(machine)
-            for machine in self.deployment.machines
-            if machine["zone"] == zone and machine["kind"] == "edge"
-        ]
-
-    def _origin_requests(self, zone, after):
-        seen = self.fleet.ledger()["seen"]
-        return sum(
-            count
-            for origin in self.deployment.origins
-            if origin["zone"] == zone
-            for second, count in seen.get(origin["address"], {}).items()
-            if int(second) > after
-        )
