Model checker: the stores' own controllers through every order of deliveries and faults

Cause: faults of the control side that a seeded fault schedule does not reach need every interleaving of a small scope, not chance.

Change: willowpost.model drives StoreNode (less joining and watching), CommandClient, Follower and QuorumRead through deliveries, losses, duplicates, crashes with records written in part, restarts, wipes, removals, cuts and ticks. Breadth-first search with kept steps and 16-byte digests, seeded random walks with shortened traces, replay, and protections that can be switched off.

Ruled out: copying whole worlds for each step (only the process that steps is copied, and equal processes with equal events step once); absolute times (a timed tick ages the times held instead).

--- /dev/null
+++ b/src/willowpost/model/processes.py
@@ -0,0 +1,154 @@
+"""Builds the processes of a model from the daemons' own parts."""
+
+import json
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from willowpost.common.events import Received
+from willowpost.common.events import Tick as TickEvent
+from willowpost.common.plan import Plan
+from willowpost.consensus.replica.bootstrap import Rights
+from willowpost.consensus.replica.records import decision_record, identity_record
+from willowpost.consensus.replica.replica_state import ReplicaState
+from willowpost.consensus.thresholds import Thresholds
+from willowpost.model.logical_time import NOW, wall_clock
+from willowpost.model.scope import Machine, Role, Scope
+from willowpost.node.command_client import CommandClient
+from willowpost.node.follower import Follower
+from willowpost.node.joiner import Joiner
+from willowpost.node.node_state import Card, NodeState
+from willowpost.node.quorum_read import QuorumRead
+from willowpost.node.watch import Watch
+from willowpost.state.tables import Tables
+from willowpost.store.node import StoreNode
+from willowpost.wire.messages import Command, Decision, Member
+
+READER = "reader"
+Record = dict[str, Any]
+# Joining and watching put commands of their own into the log; the scopes give their outcome in
+# the log's prefix instead.
+NOT_MODELLED = (Joiner, Watch)
+
+
+@dataclass(frozen=True, slots=True)
+class Addresses:
+    """A fixed list of stores, nearest first, for a command client."""
+
+    held: tuple[str, ...]
+
+    def __call__(self) -> list[str]:
+        return list(self.held)
+
+
+class ReaderNode:
+    """A follower that only its own quorum reads keep fresh, as a registry has it."""
+
+    def __init__(self, tables: Tables) -> None:
+        card = Card(READER, "registry", "core", READER, "z", READER, "", 1)
+        self.node_state = NodeState(card, tables)
+        self.follower = Follower(self.node_state, (), tree=False)
+        self.quorum_read = QuorumRead(self.node_state, self.follower)
+
+    def step(self, event: Any, now: int) -> Plan:
+        """One event through the follower, then through the quorum read."""
+        plan = Plan()
+        if not isinstance(event, Received | TickEvent):
+            return plan
+        plan.join(self.follower.step(event, now))
+        return plan.join(self.quorum_read.step(event, now))
+
+
+def identity_of(machine: str, disks_lost: int) -> str:
+    """A new identity for each disk that the machine has had."""
+    return f"{machine}#{disks_lost}"
+
+
+def member_of(machine: Machine, disks_lost: int = 0) -> Member:
+    """The machine's store as a member of the core; its address is the machine's name."""
+    return Member(identity_of(machine.name, disks_lost), machine.name, machine.zone, machine.name)
+
+
+def empty_disk(machine: Machine, disks_lost: int) -> list[Record]:
+    """What a store writes to an empty folder before it says anything."""
+    return [{**identity_record(member_of(machine, disks_lost)), "may_bootstrap": False}]
+
+
+def voters_of(scope: Scope) -> list[Machine]:
+    """The machines that founded the core."""
+    return [machine for machine in scope.machines if machine.role is Role.VOTER]
+
+
+def first_disk(scope: Scope, machine: Machine) -> list[Record]:
+    """The machine's disk when the model begins."""
+    match machine.role:
+        case Role.EMPTY:
+            return empty_disk(machine, 0)
+        case Role.LEARNER:
+            state = ReplicaState(member_of(machine))
+            state.take(first_tables(scope))
+            state.log_floor = state.rotated_at = state.tables.slot
+            return state.segment()
+        case Role.VOTER:
+            return _founded_disk(scope, machine)
+
+
+def first_tables(scope: Scope) -> Tables:
+    """The tables that the founding and the scope's prefix amount to."""
+    voter = voters_of(scope)[0]
+    state = ReplicaState(member_of(voter))
+    state.restore(_founded_disk(scope, voter), NOW)
+    return state.tables
+
+
+def _founded_disk(scope: Scope, machine: Machine) -> list[Record]:
+    core = [asdict(member_of(each)) for each in voters_of(scope)]
+    records = [identity_record(member_of(machine)), {"k": "found", "core": core}]
+    records += [decision_record(decision) for decision in prefix_decisions(scope)]
+    return records
+
+
+def prefix_decisions(scope: Scope) -> list[Decision]:
+    """The decisions of the scope's log prefix: one command with all its operations."""
+    if not scope.log_prefix:
+        return []
+    body = json.dumps(list(scope.log_prefix), separators=(",", ":"))
+    command = Command("prefix", 1, 1, 0, body)
+    return [Decision(0, command.key, command)]
+
+
+def build_store(
+    scope: Scope,
+    machine: Machine,
+    records: Sequence[Record],
+    incarnation: int,
+    thresholds: type[Thresholds],
+) -> StoreNode:
+    """A store process that starts from these records."""
+    held = records[0]
+    me = Member(held["identity"], machine.name, machine.zone, machine.name)
+    seeds = tuple(each.name for each in voters_of(scope))
+    node = StoreNode(
+        me,
+        seeds,
+        len(seeds),
+        list(records),
+        NOW,
+        wall_clock,
+        incarnation,
+        scope.pace,
+        thresholds,
+        rights=Rights(may_bootstrap=False, max_voters=scope.max_voters),
+    )
+    node.controllers = [each for each in node.controllers if not isinstance(each, NOT_MODELLED)]
+    return node
+
+
+def build_client(name: str, stores: Sequence[str]) -> CommandClient:
+    """A command client that tries the stores in this order."""
+    return CommandClient(name, 1, Addresses(tuple(stores)), wall_clock)
+
+
+def build_reader(tables: Tables) -> ReaderNode:
+    """A reader that holds the tables which the model begins with."""
+    return ReaderNode(tables)
--- /dev/null
+++ b/src/willowpost/model/protections.py
@@ -0,0 +1,118 @@
+"""The protections that can be switched off, each with a scope that shows what it is for."""
+
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+from typing import Any
+
+from willowpost.consensus.replica.reads import Reads
+from willowpost.consensus.replica.replica_state import ReplicaState
+from willowpost.consensus.replica.voting import Voting
+from willowpost.consensus.thresholds import Thresholds
+from willowpost.model.system import Switches
+from willowpost.node.quorum_read import QuorumRead
+from willowpost.store.repair import Repair
+
+_ALL_SLOTS = 10**9
+
+
+@dataclass(frozen=True, slots=True)
+class EachAlone(Thresholds):
+    """One replica is a quorum of its own."""
+
+    @property
+    def heard(self) -> int:
+        """One."""
+        return 1
+
+    @property
+    def majority(self) -> int:
+        """One."""
+        return 1
+
+    @property
+    def decides(self) -> int:
+        """One."""
+        return 1
+
+
+@dataclass(frozen=True, slots=True)
+class Replacement:
+    """A method of a controller and what stands in its place."""
+
+    owner: type
+    method: str
+    function: Callable[..., Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Protection:
+    """One protection: how it is switched off, and the scope in which that breaks an invariant."""
+
+    name: str
+    scope: str
+    switches: Switches = Switches()
+    replacements: tuple[Replacement, ...] = ()
+
+    @contextmanager
+    def switched_off(self) -> Iterator[Switches]:
+        """Within it the controllers lack the protection; yields the switches for the system."""
+        with ExitStack() as stack:
+            for replacement in self.replacements:
+                stack.enter_context(_replaced(replacement))
+            yield self.switches
+
+
+@contextmanager
+def _replaced(replacement: Replacement) -> Iterator[None]:
+    original = getattr(replacement.owner, replacement.method)
+    setattr(replacement.owner, replacement.method, replacement.function)
+    try:
+        yield
+    finally:
+        setattr(replacement.owner, replacement.method, original)
+
+
+def _whatever_the_epoch(owner: type) -> Replacement:
+    original: Callable[[Any], None] = owner._settle  # type: ignore[attr-defined]
+
+    def settle(self: Any) -> None:
+        self.epoch = self.node_state.tables.epoch
+        original(self)
+
+    return Replacement(owner, "_settle", settle)
+
+
+PROTECTIONS = {
+    protection.name: protection
+    for protection in (
+        Protection("quorum", "two-commands", Switches(thresholds=EachAlone)),
+        Protection("sync-before-send", "one-command", Switches(send_before_sync=True)),
+        Protection(
+            "synced-before-accepted",
+            "one-command",
+            replacements=(Replacement(ReplicaState, "safe", lambda self: _ALL_SLOTS),),
+        ),
+        Protection(
+            "epoch-barrier",
+            "unheard",
+            replacements=(Replacement(Voting, "_opened", lambda self, plan: True),),
+        ),
+        Protection("new-identity", "wiped", Switches(reuse_identity=True)),
+        Protection(
+            "learner-caught-up",
+            "learner-behind",
+            replacements=(Replacement(Repair, "_whole", lambda self, now: True),),
+        ),
+        Protection(
+            "store-read-in-one-epoch",
+            "store-read-over-epochs",
+            replacements=(_whatever_the_epoch(Reads),),
+        ),
+        Protection(
+            "reader-read-in-one-epoch",
+            "unheard",
+            replacements=(_whatever_the_epoch(QuorumRead),),
+        ),
+    )
+}
--- /dev/null
+++ b/src/willowpost/model/scope.py
@@ -0,0 +1,78 @@
+"""How large a model is: its machines, its commands, and how much of each fault may come."""
+
+from dataclasses import dataclass, field, replace
+from enum import Enum
+from typing import NamedTuple
+
+from willowpost.consensus.replica.replica_state import Pace
+from willowpost.model.logical_time import NEVER
+
+READS_OFF = NEVER
+
+
+class Budget(NamedTuple):
+    """How often each kind of action may still happen; a count each, for the whole system."""
+
+    crashes: int = 0
+    torn: int = 0  # crashes while a step's records are being written
+    wipes: int = 0
+    removals: int = 0
+    duplicates: int = 0
+    losses: int = 0  # explicit ones; a message never delivered is lost in any case
+    cuts: int = 0
+    short_ticks: int = 0
+
+
+class Role(Enum):
+    """What a machine's store is when the model begins."""
+
+    VOTER = "voter"  # one of those that founded the core
+    LEARNER = "learner"  # holds all that the voters hold, and has no vote
+    EMPTY = "empty"  # has an identity and nothing else
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """A machine that runs one store."""
+
+    name: str
+    zone: str
+    role: Role = Role.VOTER
+
+
+def _no_ticks() -> dict[str, int]:
+    return {}
+
+
+@dataclass(frozen=True, slots=True)
+class Scope:
+    """A bounded model. Invariant: finitely many states are reachable in it.
+
+    Every command of `commands` is an operation of the log, each submitted by a client of its own to
+    the store of `first_store` (by index) first. `log_prefix` holds operations that all voters have
+    decided and synced before the model begins. `ticks` says how many timed ticks each process may
+    have; a process that is not named has none.
+
+    With `messages_stay` a message that was sent can arrive at any later moment, any number of
+    times, or never: delivering it leaves it in flight. That covers every delay, order, loss and
+    duplicate, and states differ no more by what is left of the network. Without it, a delivery
+    takes the message out, unless a duplicate is paid from the budget.
+    """
+
+    name: str
+    machines: tuple[Machine, ...]
+    commands: tuple[dict[str, object], ...] = ()
+    first_store: tuple[int, ...] = (0, 1, 2)
+    log_prefix: tuple[dict[str, object], ...] = ()
+    reader: bool = False
+    ticks: dict[str, int] = field(default_factory=_no_ticks)
+    budget: Budget = Budget()
+    pace: Pace = Pace(read=READS_OFF, synced_index=NEVER, rotate=NEVER)
+    max_voters: int = 0
+    may_crash: tuple[str, ...] = ()  # empty: every store may
+    may_lose_disk: tuple[str, ...] = ()  # empty: every store may
+    messages_stay: bool = True
+
+    def with_budget(self, **changes: int) -> "Scope":
+        """The same scope with other counts of some faults."""
+        return replace(self, budget=self.budget._replace(**changes))
--- /dev/null
+++ b/src/willowpost/model/walks.py
@@ -0,0 +1,92 @@
+"""Seeded random walks, for scopes too large to search."""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from willowpost.model.actions import Action, Deliver
+from willowpost.model.invariants import Violation
+from willowpost.model.replay import shortened
+from willowpost.model.search import PROGRESS_EVERY_SECONDS, Counterexample
+from willowpost.model.system import System
+
+# A walk delivers so much more often than it breaks something, so that commands get through.
+_DELIVERY_WEIGHT = 12
+
+
+@dataclass(frozen=True, slots=True)
+class WalkProgress:
+    """How many walks ended, with how many steps in all."""
+
+    walks: int
+    steps: int
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class WalkResult:
+    """What the walks found; the counterexample is shortened."""
+
+    progress: WalkProgress
+    counterexample: Counterexample | None
+
+
+def _nothing(_: WalkProgress) -> None:
+    return None
+
+
+class RandomWalks:
+    """Invariant: the same seed gives the same walks, whatever was walked before."""
+
+    def __init__(
+        self,
+        system: System,
+        depth: int,
+        seed: int,
+        report: Callable[[WalkProgress], None] = _nothing,
+    ) -> None:
+        self.system = system
+        self.depth = depth
+        self.seed = seed
+        self.report = report
+        self._steps = 0
+
+    def run(self, walks: int, seconds: float | None = None) -> WalkResult:
+        """Up to so many walks; ends at the first violation, or when the time is over."""
+        begun = reported = time.monotonic()
+        for number in range(walks):
+            found = self._walk(random.Random(f"{self.seed}/{number}"))
+            now = time.monotonic()
+            progress = WalkProgress(number + 1, self._steps, now - begun)
+            if found is not None:
+                return WalkResult(progress, shortened(self.system, found))
+            if seconds is not None and now - begun >= seconds:
+                return WalkResult(progress, None)
+            if now - reported >= PROGRESS_EVERY_SECONDS:
+                reported = now
+                self.report(progress)
+        return WalkResult(WalkProgress(walks, self._steps, time.monotonic() - begun), None)
+
+    def _walk(self, chance: random.Random) -> Counterexample | None:
+        state = self.system.initial()
+        taken: list[Action] = []
+        for _ in range(self.depth):
+            actions = list(self.system.actions(state))
+            if not actions:
+                return None
+            action = self._chosen(chance, actions)
+            self._steps += 1
+            try:
+                state = self.system.successor(state, action)
+            except Violation as violation:
+                return Counterexample(violation.rule, str(violation), (*taken, action))
+            taken.append(action)
+        return None
+
+    def _chosen(self, chance: random.Random, actions: list[Action]) -> Action:
+        weights = [
+            _DELIVERY_WEIGHT if isinstance(action, Deliver) and not action.keep else 1
+            for action in actions
+        ]
+        return chance.choices(actions, weights)[0]
