--- a/src/willowpost/drill/main.py
+++ b/src/willowpost/drill/main.py
@@ -14,6 +14,7 @@
 from willowpost.drill.capacity.command import CapacityCommand
 from willowpost.drill.deployment import Deployment, known
 from willowpost.drill.fleet import Fleet, free_port
+from willowpost.drill.model import ModelCommand
 from willowpost.drill.script import FleetDrill
 from willowpost.drill.tools import CheckCommand, PaceCommand, ReplayCommand, SweepCommand
 from willowpost.drill.zones import ZoneDrill
@@ -189,6 +190,7 @@
         ReplayCommand(),
         SweepCommand(),
         CapacityCommand(),
+        ModelCommand(),
     ):
         application.add(command)
     sys.exit(application.run())
--- a/src/willowpost/model/processes.py
+++ b/src/willowpost/model/processes.py
@@ -25,6 +25,9 @@
 from willowpost.wire.messages import Command, Decision, Member
 
 READER = "reader"
+# A life's incarnation lies so far above the one before that no counter of a life reaches the next,
+# as microseconds of a wall clock do that is not stepped back.
+_INCARNATION_STEP = 1_000
 Record = dict[str, Any]
 # Joining and watching put commands of their own into the log; the scopes give their outcome in
 # the log's prefix instead.
@@ -45,7 +48,7 @@
     """A follower that only its own quorum reads keep fresh, as a registry has it."""
 
     def __init__(self, tables: Tables) -> None:
-        card = Card(READER, "registry", "core", READER, "z", READER, "", 1)
+        card = Card(READER, "registry", "core", READER, "z", READER, "", incarnation_of(1))
         self.node_state = NodeState(card, tables)
         self.follower = Follower(self.node_state, (), tree=False)
         self.quorum_read = QuorumRead(self.node_state, self.follower)
@@ -59,6 +62,11 @@
         return plan.join(self.quorum_read.step(event, now))
 
 
+def incarnation_of(life: int) -> int:
+    """The incarnation of a machine's first, second, ... process; lives count from 1."""
+    return life * _INCARNATION_STEP
+
+
 def identity_of(machine: str, disks_lost: int) -> str:
     """A new identity for each disk that the machine has had."""
     return f"{machine}#{disks_lost}"
@@ -121,7 +129,7 @@
     scope: Scope,
     machine: Machine,
     records: Sequence[Record],
-    incarnation: int,
+    life: int,
     thresholds: type[Thresholds],
 ) -> StoreNode:
     """A store process that starts from these records."""
@@ -135,7 +143,7 @@
         list(records),
         NOW,
         wall_clock,
-        incarnation,
+        incarnation_of(life),
         scope.pace,
         thresholds,
         rights=Rights(may_bootstrap=False, max_voters=scope.max_voters),
--- a/src/willowpost/model/scopes.py
+++ b/src/willowpost/model/scopes.py
@@ -4,7 +4,7 @@
 
 from willowpost.consensus.replica.replica_state import Pace
 from willowpost.model.logical_time import NEVER
-from willowpost.model.processes import member_of
+from willowpost.model.processes import incarnation_of, member_of
 from willowpost.model.scope import READS_OFF, Budget, Machine, Role, Scope
 
 THREE = (Machine("s0", "a"), Machine("s1", "b"), Machine("s2", "c"))
@@ -28,7 +28,7 @@
         "name": machine.name,
         "zone": machine.zone,
         "address": machine.name,
-        "incarnation": 1,
+        "incarnation": incarnation_of(1),
         "state": state,
     }
 
@@ -41,7 +41,7 @@
     return {
         "op": "suspicion",
         "target": member_of(target).identity,
-        "incarnation": 1,
+        "incarnation": incarnation_of(1),
         "watcher": member_of(watcher).identity,
         "suspected": True,
     }
--- a/src/willowpost/model/system.py
+++ b/src/willowpost/model/system.py
@@ -148,7 +148,7 @@
             network=tuple(sorted(messages)),
             cuts=frozenset(),
             ticks=tuple(self.scope.ticks.get(name, 0) for name in self.names),
-            incarnations=(1,) * len(self.stores),
+            lives=(1,) * len(self.stores),
             disks_lost=(0,) * len(self.stores),
             budget=self.scope.budget,
             history=self._first_history(disks),
@@ -519,21 +519,21 @@
             budget=state.budget._replace(torn=state.budget.torn - 1),
         )
 
-    def _start(self, number: int, disk: int, incarnation: int) -> int:
+    def _start(self, number: int, disk: int, life: int) -> int:
         records = [json.loads(line) for line in self.disks[disk]]
         machine = self.scope.machines[number]
-        store = build_store(self.scope, machine, records, incarnation, self.switches.thresholds)
+        store = build_store(self.scope, machine, records, life, self.switches.thresholds)
         return self._number_image(store)
 
     def _restart(self, state: SystemState, name: str) -> SystemState:
         number = self.index[name]
         if state.processes[number] != DOWN:
             raise NotPossible(f"{name} is not down")
-        disk, incarnation = state.disks[number], state.incarnations[number] + 1
+        disk, life = state.disks[number], state.lives[number] + 1
         check_restart(self.facts(disk), self.histories[state.history], name)
         return state._replace(
-            processes=_set(state.processes, number, self._start(number, disk, incarnation)),
-            incarnations=_set(state.incarnations, number, incarnation),
+            processes=_set(state.processes, number, self._start(number, disk, life)),
+            lives=_set(state.lives, number, life),
         )
 
     def _wipe(self, state: SystemState, name: str) -> SystemState:
@@ -546,11 +546,11 @@
         if self.switches.reuse_identity:
             records = [{**records[0], "identity": identity_of(name, 0)}]
         disk = self._number_disk(tuple(map(_text, records)))
-        incarnation = state.incarnations[number] + 1
+        life = state.lives[number] + 1
         return state._replace(
-            processes=_set(state.processes, number, self._start(number, disk, incarnation)),
+            processes=_set(state.processes, number, self._start(number, disk, life)),
             disks=_set(state.disks, number, disk),
-            incarnations=_set(state.incarnations, number, incarnation),
+            lives=_set(state.lives, number, life),
             disks_lost=_set(state.disks_lost, number, lost),
             budget=state.budget._replace(wipes=state.budget.wipes - 1),
         )
--- a/src/willowpost/model/system_state.py
+++ b/src/willowpost/model/system_state.py
@@ -23,7 +23,7 @@
     network: tuple[int, ...]
     cuts: frozenset[tuple[str, str]]
     ticks: tuple[int, ...]  # timed ticks left for each process
-    incarnations: tuple[int, ...]
+    lives: tuple[int, ...]
     disks_lost: tuple[int, ...]
     budget: Budget
     history: int
@@ -36,7 +36,7 @@
             self.network,
             tuple(sorted(self.cuts)),
             self.ticks,
-            self.incarnations,
+            self.lives,
             self.disks_lost,
             tuple(self.budget),
             self.history,
