--- a/src/willowpost/model/invariants.py
+++ b/src/willowpost/model/invariants.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from willowpost.common.digest import blake2b
-from willowpost.consensus.replica.records import decision_from
 from willowpost.consensus.thresholds import Thresholds
 from willowpost.model.disk_facts import DiskFacts
 from willowpost.model.history import BallotPlace, History
@@ -28,6 +27,7 @@
 STALE_READ = "read misses an accepted entry"
 WENT_BACK = "node went back a slot"
 ONE_CONTENT = "two contents under one version"
+FAILED = "a process fails"
 
 
 def record_decisions(history: History, records: Iterable[dict[str, Any]], where: str) -> History:
@@ -35,14 +35,11 @@
     for record in records:
         if record["k"] not in ("decision", "kept"):
             continue
-        decision = decision_from(record)
-        known = dict(history.decided).get(decision.slot, decision.key)
-        if known != decision.key:
-            raise Violation(
-                AGREEMENT,
-                f"{where} decides {decision.key!r} in slot {decision.slot}, decided {known!r}",
-            )
-        history = history.with_decided(decision.slot, decision.key)
+        slot, key = record["slot"], record["key"]
+        known = dict(history.decided).get(slot, key)
+        if known != key:
+            raise Violation(AGREEMENT, f"{where} decides {key!r} in slot {slot}, decided {known!r}")
+        history = history.with_decided(slot, key)
     return history
 
 
--- a/src/willowpost/model/system.py
+++ b/src/willowpost/model/system.py
@@ -27,6 +27,7 @@
 from willowpost.model.disk_facts import DiskFacts, read_disk
 from willowpost.model.history import History
 from willowpost.model.invariants import (
+    FAILED,
     Violation,
     check_durability,
     check_progress,
@@ -195,7 +196,10 @@
     def facts(self, disk: int) -> DiskFacts:
         """What the disk of this number holds."""
         if disk not in self._facts:
-            self._facts[disk] = read_disk(self.disks[disk])
+            try:
+                self._facts[disk] = read_disk(self.disks[disk])
+            except Exception as problem:  # whatever it is, a store could not start from this disk
+                raise Violation(FAILED, f"a disk cannot be read: {problem!r}") from problem
         return self._facts[disk]
 
     def disk_facts(self, state: SystemState) -> list[DiskFacts]:
@@ -418,7 +422,10 @@
         before = self.images[process]
         after = copy_of(before, aged) if timed else copy_of(before)
         name = self._name_of(after)
-        plan = after.step(self._event(name, number), NOW)
+        try:
+            plan = after.step(self._event(name, number), NOW)
+        except Exception as problem:  # whatever it is, the daemon would end by it
+            return Violation(FAILED, f"{name}: {problem!r}")
         completed = False
         if hasattr(after, "node_state"):
             completed = after.node_state.fresh_as_of == NOW and (
@@ -522,7 +529,10 @@
     def _start(self, number: int, disk: int, life: int) -> int:
         records = [json.loads(line) for line in self.disks[disk]]
         machine = self.scope.machines[number]
-        store = build_store(self.scope, machine, records, life, self.switches.thresholds)
+        try:
+            store = build_store(self.scope, machine, records, life, self.switches.thresholds)
+        except Exception as problem:  # whatever it is, the daemon would not start
+            raise Violation(FAILED, f"{machine.name} cannot start: {problem!r}") from problem
         return self._number_image(store)
 
     def _restart(self, state: SystemState, name: str) -> SystemState:
