--- a/src/willowpost/drill/main.py
+++ b/src/willowpost/drill/main.py
@@ -15,6 +15,7 @@
 from willowpost.drill.fleet import Fleet, free_port
 from willowpost.drill.history_command import CheckHistoryCommand
 from willowpost.drill.hold import Hold
+from willowpost.drill.model import ModelCommand
 from willowpost.drill.script import FleetDrill
 from willowpost.drill.tools import CheckCommand, PaceCommand, ReplayCommand, SweepCommand
 from willowpost.drill.zones import ZoneDrill
@@ -195,6 +196,7 @@
         ReplayCommand(),
         SweepCommand(),
         CapacityCommand(),
+        ModelCommand(),
     ):
         application.add(command)
     sys.exit(application.run())
