A change of the voters is finished only when the new ones hold it too; a store hands over

Cause: after a replacement the next slot opened once n - f of the former voters, the one put out among them, held it. With A, B, C, Z accepted on A and C, and C replaced by D while B lags, the barrier was passed with neither B nor D holding Z; A was then the only copy. A store that got a SIGTERM just stopped, so it could take the second copy along. A voter whose former peers were all gone never heard who votes now. A zone that held two voters and lost one could not be filled from the other zone. A late replace_voter could seat a learner that was gone.

Ruled out: a loss of what was accepted within fault_tolerance by the first alone. Each decision needs n - f voters at its slot, so a decision of the new epoch implied n - f new voters that hold all before it; what was missing is the moment from which the next machine may go.

Change: consensus/replica/barrier.py (both quorums, also for ReplicaState.safe), FormerVoter, MissedChange, store/leaver.py (hand-over by agreement, else settle and stop), replace_voter checks the learner's card, allows a leaving voter, once a slot; registry/removal.py on the status page. test_faults: its learner now has a card in the log, as replace_voter asks; the check is the same.

--- /dev/null
+++ b/src/willowpost/consensus/replica/barrier.py
@@ -0,0 +1,98 @@
+"""The opening barrier of an epoch: when a change of the voters counts as finished.
+
+A change of the voters that is decided in slot s takes effect in slot s + 1, the epoch's *first
+slot*. The barrier is passed when
+
+- n - f of the voters before the change hold every slot up to s on disk, so that a quorum read
+  under the former epoch meets one that names the change, and
+- n - f of the voters after the change hold every slot up to s on disk, so that the members that
+  the change put out, and any f of the new ones, may be lost at once.
+
+Both count synced indexes by identity; an identity is lost with its disk, so no index is ever
+counted for a disk that came back empty.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from willowpost.common.events import Tick
+from willowpost.common.plan import Plan
+from willowpost.consensus.thresholds import Thresholds
+from willowpost.state.tables import Tables
+from willowpost.wire.messages import SyncedIndex
+
+
+def quorum_index(
+    identities: Iterable[str],
+    synced_indexes: Mapping[str, int],
+    thresholds: type[Thresholds] = Thresholds,
+) -> int:
+    """The slot below which n - f of these n identities hold everything on disk."""
+    held = sorted((synced_indexes.get(identity, 0) for identity in identities), reverse=True)
+    needed = thresholds(len(held)).heard
+    return held[needed - 1] if 0 < needed <= len(held) else 0
+
+
+def first_slot(tables: Tables) -> int:
+    """The first slot of the epoch in force; 0 in the epoch that the bootstrap members founded."""
+    return tables.former["slot"] + 1 if tables.former else 0
+
+
+def former_identities(tables: Tables) -> list[str]:
+    """The voters of the epoch before the one in force; none in the first epoch."""
+    return [member["identity"] for member in tables.former["core"]] if tables.former else []
+
+
+def holds_both_quorums(node_state) -> bool:
+    """Whether n - f of the former and n - f of the new voters hold the change on disk."""
+    return all(
+        quorum_index(identities, node_state.synced_indexes, node_state.thresholds)
+        >= first_slot(node_state.tables)
+        for identities in (former_identities(node_state.tables), node_state.members)
+    )
+
+
+def is_passed(node_state) -> bool:
+    """Whether the barrier of the epoch in force is known to be passed.
+
+    It is, as well, when the log or another voter is beyond it: a ballot state for the first slot
+    leaves a voter only after that voter saw the barrier passed, and a slot is decided only by
+    n - f such voters.
+    """
+    tables = node_state.tables
+    begins = first_slot(tables)
+    return (
+        not tables.former
+        or node_state.passed >= tables.epoch
+        or tables.slot > begins
+        or any(identity != node_state.me.identity for identity in node_state.heard)
+        or any(
+            node_state.synced_indexes.get(identity, 0) > begins for identity in node_state.members
+        )
+        or holds_both_quorums(node_state)
+    )
+
+
+class FormerVoter:
+    """A voter that was put out goes on saying what it holds until the barrier is passed.
+
+    The new voters may need it for the quorum of the former ones. Voters do the same in Catchup.
+    """
+
+    def __init__(self, node_state):
+        self.node_state = node_state
+        self.sent_at = 0
+
+    def step(self, event, now: int) -> Plan:
+        """On a tick: the own synced index to all voters, if they may still wait for it."""
+        plan, node_state = Plan(), self.node_state
+        if (
+            isinstance(event, Tick)
+            and now - self.sent_at >= node_state.pace.synced_index
+            and not node_state.voter
+            and node_state.me.identity in former_identities(node_state.tables)
+            and not is_passed(node_state)
+        ):
+            self.sent_at = now
+            index = SyncedIndex(node_state.me.identity, node_state.tables.slot)
+            plan.sends += [(address, index) for address in node_state.others()]
+        return plan
--- a/src/willowpost/consensus/replica/replica_state.py
+++ b/src/willowpost/consensus/replica/replica_state.py
@@ -5,6 +5,7 @@
 from willowpost.common.clock import MILLI
 from willowpost.common.plan import Plan
 from willowpost.consensus.queue import PendingQueue
+from willowpost.consensus.replica.barrier import former_identities, is_passed, quorum_index
 from willowpost.consensus.replica.records import (
     ballot_state_record,
     command_from,
@@ -84,13 +85,16 @@
         self.synced_indexes[identity] = max(self.synced_indexes.get(identity, 0), slot)
 
     def safe(self) -> int:
-        """Below this slot all is synced on n - f members."""
-        synced_indexes = sorted(
-            (self.synced_indexes.get(identity, 0) for identity in self.members), reverse=True
-        )
-        return (
-            synced_indexes[self.limits.heard - 1] if len(synced_indexes) >= self.limits.heard else 0
-        )
+        """Below this slot all is synced on n - f voters, and stays so if those put out are lost.
+
+        Until the barrier of the epoch in force is passed: on n - f of the former voters as well,
+        whom a reader that has not heard of the change asks.
+        """
+        index = quorum_index(self.members, self.synced_indexes, self.thresholds)
+        if is_passed(self):
+            return index
+        former = former_identities(self.tables)
+        return min(index, quorum_index(former, self.synced_indexes, self.thresholds))
 
     def is_decided(self, command: Command) -> bool:
         return decided(self.tables, command)
--- a/src/willowpost/consensus/replica/voting.py
+++ b/src/willowpost/consensus/replica/voting.py
@@ -4,6 +4,7 @@
 
 from willowpost.common.events import Received, Tick
 from willowpost.common.plan import Plan
+from willowpost.consensus.replica.barrier import first_slot, is_passed
 from willowpost.consensus.replica.records import ballot_state_record
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.consensus.weakmvc import Verdict, WeakMvc, agreed_proposal
@@ -131,30 +132,18 @@
             ]
 
     def _opened(self, plan) -> bool:
-        """A new epoch's first slot opens once n - f of the former voters hold the replacement on
-        disk, so that a read by a voter who has not heard of the replacement still meets one who
-        has.
+        """Whether the slot may be voted on: the barrier of its epoch is passed, and on disk as such.
+
+        See `consensus/replica/barrier.py`.
         """
         node_state = self.node_state
-        former = node_state.tables.former
-        if (
-            not former
-            or node_state.passed >= node_state.tables.epoch
-            or node_state.tables.slot > former["slot"] + 1
-        ):
-            return True
-        swapped = former["slot"] + 1
-        synced = sum(
-            node_state.synced_indexes.get(member["identity"], 0) >= swapped
-            for member in former["core"]
-        )
-        beyond = any(
-            node_state.synced_indexes.get(identity, 0) > swapped for identity in node_state.members
-        )
-        if synced < node_state.thresholds(len(former["core"])).heard and not beyond:
+        if not is_passed(node_state):
             return False
-        node_state.passed = node_state.tables.epoch
-        plan.records.append({"k": "passed", "epoch": node_state.passed})
+        tables = node_state.tables
+        begins = bool(tables.former) and tables.slot == first_slot(tables)
+        if begins and node_state.passed < tables.epoch:
+            node_state.passed = tables.epoch
+            plan.records.append({"k": "passed", "epoch": tables.epoch})
         return True
 
     def _stand(self, ballot_state, now, plan, first):
--- a/src/willowpost/node/leaver.py
+++ b/src/willowpost/node/leaver.py
@@ -65,7 +65,13 @@
         # () -> requests or calls not answered yet; set by who serves them
         self.in_flight = lambda: 0
 
+    @property
+    def gone(self) -> bool:
+        """Whether the process may end."""
+        return self.stage is Stage.GONE
+
     def step(self, event, now: int) -> Plan:
+        """Leave begins the end; each tick looks whether the next stage is due."""
         plan = Plan()
         if isinstance(event, Leave) and self.stage is Stage.SERVING:
             self.node_state.draining = True
--- a/src/willowpost/registry/status.py
+++ b/src/willowpost/registry/status.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from willowpost.configuration.routes import routes_of
+from willowpost.registry.removal import safe_to_remove
 
 
 class StatusPage:
@@ -31,6 +32,7 @@
                 }
                 for member in tables.core
             ],
+            "safe_to_remove": safe_to_remove(tables, node_state.ruling(now)).as_json(),
             "daemons": {
                 name: {
                     key: card[key]
--- a/src/willowpost/shell/place.py
+++ b/src/willowpost/shell/place.py
@@ -5,6 +5,7 @@
 from willowpost.common.clock import MILLI
 from willowpost.consensus.replica.replica_state import Pace
 from willowpost.node.leaver import Spans
+from willowpost.store.leaver import LeaveSpans
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,3 +44,8 @@
 
     def spans(self) -> Spans:
         return Spans(self.drain_ms * MILLI, self.finish_ms * MILLI, self.leave_ms * MILLI)
+
+    def store_spans(self) -> LeaveSpans:
+        """A store's hand-over may take the whole planned end; a restart only its last part."""
+        whole = self.drain_ms + self.finish_ms + self.leave_ms
+        return LeaveSpans(whole * MILLI, self.leave_ms * MILLI)
--- a/src/willowpost/sim/fleet/world.py
+++ b/src/willowpost/sim/fleet/world.py
@@ -7,7 +7,7 @@
 
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.configuration.checker import ConfigurationChecker
-from willowpost.node.leaver import Leave, Stage
+from willowpost.node.leaver import Leave
 from willowpost.node.node_state import Card
 from willowpost.proxy.routing.request import Request
 from willowpost.sim.core import CoreWorld
@@ -248,8 +248,9 @@
 
     def restart(self, address):
         """A planned restart by the platform: asked to leave, waited for, started again."""
-        leaver = getattr(getattr(self.seats[address].node, "node", None), "leaver", None)
-        if leaver is None:  # a store may stop at any moment
+        node = self.seats[address].node
+        leaver = getattr(getattr(node, "node", node), "leaver", None)
+        if leaver is None:  # it is down
             self.crash(address)
             self.at(SECOND, self.start, address)
             return
@@ -257,7 +258,7 @@
         self.at(20 * MILLI, self._left, address, leaver)
 
     def _left(self, address, leaver):
-        if leaver.stage is Stage.GONE:
+        if leaver.gone:
             self.crash(address)
             self.at(SECOND, self.start, address)
         else:
--- a/src/willowpost/state/apply/__init__.py
+++ b/src/willowpost/state/apply/__init__.py
@@ -15,6 +15,7 @@
     "suspicion": membership.suspicion,
     "replace_voter": core.replace_voter,
     "add_voters": core.add_voters,
+    "epoch_opened": core.epoch_opened,
     "register": origins.register,
     "turn": origins.turn,
     "end": origins.end,
--- a/src/willowpost/state/apply/core.py
+++ b/src/willowpost/state/apply/core.py
@@ -7,26 +7,27 @@
 from willowpost.state.kinds import DaemonState
 from willowpost.state.tables import Tables
 
+# a voter in one of these states may be replaced by a learner of another machine
+REPLACEABLE = (DaemonState.LOST.value, DaemonState.DRAINING.value)
+
 
 def replace_voter(tables: Tables, op: dict):
-    """Invariant: n never changes; one lost member leaves and one learner enters.
+    """A member that is lost or leaves goes out, a learner comes in, from the next slot on.
+
+    Invariant: n never changes, and one slot changes the voters once. The learner is up by the log,
+    so that a command that comes late puts nobody in who is gone meanwhile.
 
-    From the next slot on.
+    Args:
+        tables: the tables before the op.
+        op: `old`, the identity that goes out; `new`, the learner's Member as a mapping.
     """
     old, new = op["old"], op["new"]
-    members = {member["identity"]: member for member in tables.core}
-    if old not in members or new["identity"] in members:
-        return tables, {"ok": False, "why": "not a replacement of a member for a learner"}
-    same_seat = members[old]["name"] == new["name"]
-    card = tables.daemons.get(old)
-    if not same_seat and (card is None or card["state"] != DaemonState.LOST.value):
-        return tables, {"ok": False, "why": "the member is not lost"}
-    core = tuple(new if member["identity"] == old else member for member in tables.core)
-    if not spread(tables.core, core):
-        return tables, {"ok": False, "why": f"more than {borne(len(core))} voters in one zone"}
+    refusal = replacement_refused(tables, old, new)
+    if refusal:
+        return tables, {"ok": False, "why": refusal}
     return replace(
         tables,
-        core=core,
+        core=_with_replaced(tables, old, new),
         epoch=tables.epoch + 1,
         former={"slot": tables.slot, "core": list(tables.core)},
         daemons={name: card for name, card in tables.daemons.items() if name != old},
@@ -40,6 +41,82 @@
     ), {"ok": True, "epoch": tables.epoch + 1}
 
 
+def replacement_refused(tables: Tables, old: str, new: dict) -> str | None:
+    """Why the log would not replace the voter `old` by the learner `new`; None if it would."""
+    members = {member["identity"]: member for member in tables.core}
+    if old not in members or new["identity"] in members:
+        return "not a replacement of a member for a learner"
+    if changed_in_this_slot(tables):
+        return "the voters change once in a slot"
+    if not _is_store_up(tables, new["identity"]):
+        return "the learner is not up"
+    if not _same_machine(members[old], new) and _state(tables, old) not in REPLACEABLE:
+        return "the member neither is lost nor leaves"
+    core = _with_replaced(tables, old, new)
+    if not spread(tables.core, core):
+        return f"more than {borne(len(core))} voters in one zone"
+    return None
+
+
+def seat_for(tables: Tables, learner: dict) -> dict | None:
+    """The voter whom the log would let this learner (a Member as a mapping) replace, if any.
+
+    The former identity of its own machine comes first, then lost voters, then those that leave.
+    """
+
+    def order(member):
+        same = _same_machine(member, learner)
+        lost = _state(tables, member["identity"]) == DaemonState.LOST.value
+        return not same, not lost
+
+    candidates = [
+        member
+        for member in tables.core
+        if replacement_refused(tables, member["identity"], learner) is None
+    ]
+    return min(candidates, key=order, default=None)
+
+
+def successor_of(tables: Tables, identity: str) -> str | None:
+    """A learner that the log would let in for this voter once it says that it leaves, if any."""
+    card = tables.daemons.get(identity)
+    if card is None:
+        return None
+    leaving = {**card, "state": DaemonState.DRAINING.value}
+    after = replace(tables, daemons={**tables.daemons, identity: leaving})
+    return next(
+        (
+            name
+            for name, other in sorted(tables.daemons.items())
+            if other["kind"] == "store"
+            and replacement_refused(after, identity, _member(other)) is None
+        ),
+        None,
+    )
+
+
+def changed_in_this_slot(tables: Tables) -> bool:
+    """Whether an earlier op of the command that is being applied has changed the voters."""
+    return bool(tables.former) and tables.former["slot"] == tables.slot
+
+
+def epoch_opened(tables: Tables, op: dict):
+    """A new voter makes the first slot of its epoch be decided: the log's word that it is open.
+
+    Changes nothing: the slot itself says it (`is_settled`).
+    """
+    return tables, {"ok": op["epoch"] <= tables.epoch}
+
+
+def is_settled(tables: Tables) -> bool:
+    """Whether the last change of the voters is finished: a later slot was decided.
+
+    That slot opened behind the barrier (`consensus/replica/barrier.py`), so n - f of the new voters
+    hold everything that was accepted before the change.
+    """
+    return not tables.former or tables.slot > tables.former["slot"] + 1
+
+
 def add_voters(tables: Tables, op: dict):
     """A learner that holds what the voters hold says that it may be one; when a second fits.
 
@@ -64,7 +141,7 @@
             learner: {**card, "voter_offer": {"slot": tables.slot, "most": op["most"]}},
         },
     )
-    core = with_voters_added(asked, learner)
+    core = None if changed_in_this_slot(tables) else with_voters_added(asked, learner)
     if core is None:
         return asked, {"ok": False, "why": "waits for a second, or for the core to be whole"}
     return replace(
@@ -101,15 +178,17 @@
 
 
 def spread(before: tuple, core: tuple) -> bool:
-    """No zone holds more voters than may be lost.
+    """Whether no zone holds more voters than may be lost, or than the fullest zone held before.
 
-    Or than it held before (few zones may leave the bootstrap members no choice).
+    With few zones the bootstrap members leave no better choice, and a seat that stays lost is worse
+    than one in the other zone.
     """
-    held, most = Counter(member["zone"] for member in before), borne(len(core))
-    return all(
-        count <= max(most, held[zone])
-        for zone, count in Counter(member["zone"] for member in core).items()
-    )
+    allowed = max(borne(len(core)), _fullest_zone(before))
+    return _fullest_zone(core) <= allowed
+
+
+def _fullest_zone(core: tuple) -> int:
+    return max(Counter(member["zone"] for member in core).values(), default=0)
 
 
 def voters(tables: Tables) -> set[str]:
@@ -147,6 +226,20 @@
     )
 
 
+def _with_replaced(tables: Tables, old: str, new: dict) -> tuple:
+    return tuple(new if member["identity"] == old else member for member in tables.core)
+
+
+def _same_machine(member: dict, learner: dict) -> bool:
+    """The learner runs where the member ran, which therefore is gone with its disk."""
+    return member["name"] == learner["name"] or member["address"] == learner["address"]
+
+
+def _is_store_up(tables: Tables, identity: str) -> bool:
+    card = tables.daemons.get(identity)
+    return card is not None and card["kind"] == "store" and card["state"] == DaemonState.UP.value
+
+
 def _member(card) -> dict:
     return {
         "identity": card["id"],
--- a/src/willowpost/store/daemon.py
+++ b/src/willowpost/store/daemon.py
@@ -2,11 +2,14 @@
 
 import os
 
+import gevent
+
 from willowpost.common.clock import Clock
 from willowpost.consensus.replica.bootstrap import Rights
 from willowpost.consensus.replica.records import identity_record
+from willowpost.node.leaver import Leave
 from willowpost.shell.disk import Disk, DiskDamaged, PatientDisk
-from willowpost.shell.runner import Runner
+from willowpost.shell.runner import TICK_SECONDS, Runner
 from willowpost.store.node import StoreNode
 from willowpost.wire.messages import Member
 
@@ -21,6 +24,7 @@
         self.place = place
         self.logs = logs
         self.runner = Runner(place.address, logs)
+        self.node: StoreNode | None = None
 
     def start(self) -> None:
         place, disk, clock = self.place, Disk(os.path.join(self.place.data, "store")), Clock()
@@ -69,8 +73,19 @@
             slot=node.node_state.tables.slot,
             epoch=node.node_state.tables.epoch,
         )
+        node.leaver.spans = place.store_spans()
+        self.node = node
         self.runner.start(node)
 
     def stop(self) -> None:
-        """A store may stop at any moment: all it has said is on disk."""
+        """Hands the seat over, or settles (`store/leaver.py`); then ends.
+
+        A store that is stopped at any other moment loses nothing either: all it has said is on its
+        disk. A disk that hangs doesn't hold the end up: the spans are kept by this task's clock.
+        """
+        spans, clock = self.node.leaver.spans, self.runner.clock
+        give_up_at = clock.now() + max(spans.handover, spans.settle)
+        self.runner.inbox.put(Leave())
+        while not self.node.leaver.gone and clock.now() < give_up_at:
+            gevent.sleep(TICK_SECONDS)
         self.runner.mesh.stop()
--- a/src/willowpost/store/node.py
+++ b/src/willowpost/store/node.py
@@ -2,9 +2,11 @@
 
 from willowpost.common.plan import Plan
 from willowpost.consensus.replica.acceptance import Acceptance
+from willowpost.consensus.replica.barrier import FormerVoter
 from willowpost.consensus.replica.bootstrap import Bootstrap, Rights
 from willowpost.consensus.replica.catchup import Catchup
 from willowpost.consensus.replica.compaction import Compaction
+from willowpost.consensus.replica.missed_change import MissedChange
 from willowpost.consensus.replica.reads import Reads
 from willowpost.consensus.replica.replica_state import Pace, ReplicaState
 from willowpost.consensus.replica.voting import Voting
@@ -13,6 +15,7 @@
 from willowpost.node.joiner import Joiner
 from willowpost.node.node_state import Card
 from willowpost.node.watch import Watch
+from willowpost.store.leaver import StoreLeaver
 from willowpost.store.repair import Repair
 from willowpost.wire.messages import Member
 
@@ -40,17 +43,23 @@
         self.card = Card(
             me.identity, "store", "core", me.name, me.zone, me.address, http, incarnation
         )
+        repair = Repair(self.node_state, self.command_client, incarnation, rights.max_voters)
+        joiner = Joiner(self.card, self._tables, self.command_client)
+        self.leaver = StoreLeaver(self.node_state, self.command_client, joiner, repair, incarnation)
         self.controllers = [
             Bootstrap(self.node_state, tuple(seeds), size, rights),
             Catchup(self.node_state),
+            MissedChange(self.node_state),
             Voting(self.node_state),
             Acceptance(self.node_state),
             Reads(self.node_state, incarnation),
             Compaction(self.node_state),
             self.command_client,
-            Repair(self.node_state, self.command_client, incarnation, rights.max_voters),
+            FormerVoter(self.node_state),
+            repair,
             Watch(self.card, self._tables, self.command_client),
-            Joiner(self.card, self._tables, self.command_client),
+            joiner,
+            self.leaver,
         ]
 
     def step(self, event, now: int) -> Plan:
--- a/src/willowpost/store/repair.py
+++ b/src/willowpost/store/repair.py
@@ -1,4 +1,5 @@
-"""A learner's way into the core: into a lost voter's seat, or as one of two that the core grows by.
+"""A learner's way into the core: into the seat of a voter that is lost or leaves, or as one of two
+that the core grows by.
 
 It asks; the log decides.
 """
@@ -9,8 +10,7 @@
 from willowpost.common.events import Asked, Tick
 from willowpost.common.plan import Plan
 from willowpost.consensus.replica.replica_state import ReplicaState
-from willowpost.state.apply.core import with_voters_added
-from willowpost.state.kinds import DaemonState
+from willowpost.state.apply.core import is_settled, seat_for, with_voters_added
 
 ASK_EVERY = 1 * SECOND
 WHOLE_WITHIN = 500 * MILLI
@@ -19,7 +19,8 @@
 class Repair:
     """Invariant: asks only while it holds what the voters hold.
 
-    By a read of its own that n - f of them answered.
+    By a read of its own that n - f of them answered. Once it votes, it has the first slot of its
+    epoch decided, so that the log shows the change to be finished.
     """
 
     def __init__(
@@ -30,66 +31,65 @@
         self.incarnation = incarnation
         self.max_voters = max_voters
         self.asked_at = 0
+        self.leaving = False  # set by who ends this process: it asks for nothing any more
 
     def step(self, event, now: int) -> Plan:
-        node_state = self.node_state
+        """On a tick, at most once a second: the op that is due, if one is."""
         if (
             not isinstance(event, Tick)
-            or not node_state.bootstrapped
-            or node_state.voter
+            or not self.node_state.bootstrapped
             or now - self.asked_at < ASK_EVERY
-            or not self._whole(now)
         ):
             return Plan()
+        if self.node_state.voter:
+            return self._open_epoch(now)
+        if self.leaving or not self._whole(now):
+            return Plan()
         lost = self._lost()
-        if lost is None and not self._may_add_voters():
+        if lost is not None:
+            return self._ask_for_seat(lost, now)
+        return self._offer(now) if self._may_add_voters() else Plan()
+
+    def _open_epoch(self, now) -> Plan:
+        tables = self.node_state.tables
+        if is_settled(tables) or self._was_voter_before(tables):
             return Plan()
-        self.asked_at = now
-        if lost is None:
-            op = {
-                "op": "add_voters",
-                "learner": node_state.me.identity,
-                "incarnation": self.incarnation,
-                "most": self.max_voters,
-            }
-            plan = self.command_client.step(Asked(None, (op,)), now)
-            plan.note(
-                "repair", "offers itself as one more voter", voters=len(node_state.tables.core)
-            )
-            return plan
-        plan = self.command_client.step(
-            Asked(
-                None,
-                ({"op": "replace_voter", "old": lost["identity"], "new": asdict(node_state.me)},),
-            ),
-            now,
-        )
-        plan.note("repair", "asks for a lost voter's seat", lost=lost["name"])
+        return self._ask({"op": "epoch_opened", "epoch": tables.epoch}, now)
+
+    def _was_voter_before(self, tables) -> bool:
+        me = self.node_state.me.identity
+        return any(member["identity"] == me for member in tables.former["core"])
+
+    def _ask_for_seat(self, member, now) -> Plan:
+        learner = asdict(self.node_state.me)
+        op = {"op": "replace_voter", "old": member["identity"], "new": learner}
+        plan = self._ask(op, now)
+        plan.note("repair", "asks for a voter's seat", replaced=member["name"])
         return plan
 
+    def _offer(self, now) -> Plan:
+        op = {
+            "op": "add_voters",
+            "learner": self.node_state.me.identity,
+            "incarnation": self.incarnation,
+            "most": self.max_voters,
+        }
+        plan = self._ask(op, now)
+        voters = len(self.node_state.tables.core)
+        plan.note("repair", "offers itself as one more voter", voters=voters)
+        return plan
+
+    def _ask(self, op, now) -> Plan:
+        self.asked_at = now
+        return self.command_client.step(Asked(None, (op,)), now)
+
     def _whole(self, now):
-        return (
-            self.node_state.fresh_as_of is not None
-            and now - self.node_state.fresh_as_of <= WHOLE_WITHIN
-        )
+        fresh_as_of = self.node_state.fresh_as_of
+        return fresh_as_of is not None and now - fresh_as_of <= WHOLE_WITHIN
 
     def _lost(self):
-        node_state = self.node_state
-        seat = next(
-            (member for member in node_state.tables.core if member["name"] == node_state.me.name),
-            None,
-        )
-        if seat is not None:
-            return seat
-        known = node_state.tables.daemons
-        return next(
-            (
-                member
-                for member in node_state.tables.core
-                if known.get(member["identity"], {}).get("state") == DaemonState.LOST.value
-            ),
-            None,
-        )
+        """The voter to replace: its own machine's former identity, else one lost, else one leaving."""
+        return seat_for(self.node_state.tables, asdict(self.node_state.me))
 
     def _may_add_voters(self):
         """Once in a life, and again when the log would now say yes.
--- /dev/null
+++ b/tests/scripted_core.py
@@ -0,0 +1,132 @@
+"""A simulated core in which a test decides which messages are lost, for schedules of a few steps."""
+
+from willowpost.consensus.replica.bootstrap import Rights
+from willowpost.node.leaver import Leave
+from willowpost.sim.core import CoreWorld
+from willowpost.sim.world import seconds
+from willowpost.state.apply.core import is_settled
+from willowpost.store.leaver import LeaveSpans
+from willowpost.wire.messages import Pong, Submit, SyncedIndex
+
+WATCHER_SPAN = 6  # s, within which the watchers have a loss in the log
+
+
+class ScriptedCore(CoreWorld):
+    """`blocked` holds predicates (source, address, message): what one of them names is lost."""
+
+    def __init__(self, seed=1, zones=("a", "b", "c", "c"), members=3, max_voters=3, **world):
+        self.blocked = []
+        rights = Rights(bootstrap_from_seeds=True, max_voters=max_voters)
+        super().__init__(seed, zones=zones, members=members, rights=rights, **world)
+        self.add_caller("r0", ["s0"])
+
+    def seeds_of_stores(self):
+        """All bootstrap members."""
+        return self.names[: self.members]
+
+    def _arrive(self, address, source, message):
+        if not any(blocks(source, address, message) for blocks in self.blocked):
+            super()._arrive(address, source, message)
+
+    def founded(self):
+        """Until all stores hold the founding and each other's cards."""
+        stores = len(self.names)
+        return self.until(lambda: self.bootstrapped() and self.joined() >= stores, seconds(8))
+
+    def joined(self):
+        return min(len(state.tables.daemons) for _, state in self.node_states())
+
+    def state(self, name):
+        return self.seats[name].node.node_state
+
+    def identity(self, name):
+        return self.state(name).me.identity
+
+    def accept(self, zone, caller="r0", span=3.0):
+        """Submits an order; whether it was accepted in that span (s)."""
+        token = self.ask(caller, {"op": "zone", "zone": zone, "empty": True})
+        return self.until(lambda: token in self.replies, seconds(span))
+
+    def holds(self, name, zone):
+        return zone in self.state(name).tables.zones
+
+    def epoch(self, name):
+        return self.state(name).tables.epoch
+
+    def until_epoch(self, name, epoch, span=8.0):
+        return self.until(lambda: self.epoch(name) >= epoch, seconds(span))
+
+    def voters(self, name):
+        return {member["name"] for member in self.state(name).tables.core}
+
+    def hold_lost(self, target):
+        """The log holds a live store lost: its answers to its watchers don't come."""
+        self.blocked.append(
+            lambda source, address, message: source == target and isinstance(message, Pong)
+        )
+        identity = self.identity(target)
+
+        def lost():
+            return all(
+                state.tables.daemons.get(identity, {}).get("state") == "lost"
+                for _, state in self.node_states()
+            )
+
+        return self.until(lost, seconds(WATCHER_SPAN))
+
+    def deafen(self, *names):
+        """These hear nothing from now on; returns the predicate, to be taken out again."""
+        blocks = lambda source, address, message: address in names and source != address  # noqa: E731
+        self.blocked.append(blocks)
+        return blocks
+
+    def hold_back(self, source, op):
+        """This store's commands of one op are lost; returns the predicate."""
+
+        def blocks(sender, address, message):
+            return sender == source and isinstance(message, Submit) and op in message.command.body
+
+        self.blocked.append(blocks)
+        return blocks
+
+    def asked_for(self, source, op):
+        """Whether this store has stamped such a command."""
+        pending = self.seats[source].node.command_client.pending.values()
+        return any(op in entry[0].body for entry in pending)
+
+    def take_away(self, *names):
+        """Machines that are gone for good, disk and all, at the same moment."""
+        for name in names:
+            self.crash(name, lose_disk=True)
+            self.seats[name].retired = True
+
+    def terminate(self, name, **spans):
+        """SIGTERM; the machine is taken away, disk and all, once the store says that it may be."""
+        leaver = self.seats[name].node.leaver
+        leaver.spans = LeaveSpans(**spans)
+        self.give(name, Leave())
+        return lambda: leaver.gone
+
+    def epochs(self):
+        return {state.tables.epoch for _, state in self.node_states()}
+
+    def votes(self, name):
+        return self.state(name).voter
+
+    def settled(self, name):
+        """Whether the log shows, to this store, that the last change of the voters is finished."""
+        return is_settled(self.state(name).tables)
+
+    def lose_first_index(self, source):
+        """The index that this store tells with its decisions is lost; later ones are not."""
+        told = set()
+
+        def blocks(sender, address, message):
+            if sender != source or not isinstance(message, SyncedIndex):
+                return False
+            first = (address, message.slot) not in told
+            told.add((address, message.slot))
+            return first
+
+        self.blocked.append(blocks)
+        return blocks
--- /dev/null
+++ b/tests/test_epoch_barrier.py
@@ -0,0 +1,238 @@
+"""What of a former epoch, or of a replaced identity, counts in the epoch in force: nothing."""
+
+import unittest
+from dataclasses import asdict, replace
+
+from willowpost.common.events import Received, Tick
+from willowpost.consensus.replica.barrier import is_passed, quorum_index
+from willowpost.consensus.replica.records import ballot_state_record, identity_record
+from willowpost.consensus.replica.replica_state import ReplicaState
+from willowpost.consensus.replica.voting import Voting
+from willowpost.registry.removal import safe_to_remove
+from willowpost.state.apply.core import (
+    add_voters,
+    epoch_opened,
+    replace_voter,
+    seat_for,
+    successor_of,
+)
+from willowpost.state.tables import Tables
+from willowpost.wire.messages import BallotState, Command, Member
+
+FIRST = 10  # the first slot of epoch 2, in which D has replaced C
+
+
+def member(name, zone=None):
+    return asdict(Member(name, name, zone or name.lower(), name))
+
+
+def store(name, state="up", **more):
+    return {"id": name, "kind": "store", "state": state, "incarnation": 1, **member(name), **more}
+
+
+FORMER = tuple(member(name) for name in "ABC")
+CORE = tuple(member(name) for name in "ABD")
+TABLES = Tables(
+    slot=FIRST,
+    epoch=2,
+    core=CORE,
+    former={"slot": FIRST - 1, "core": list(FORMER)},
+    daemons={name: store(name) for name in "ABD"},
+)
+
+
+def replica(tables=TABLES):
+    node_state = ReplicaState(Member("A", "A", "a", "A"))
+    node_state.take(tables)
+    return node_state
+
+
+class Barrier(unittest.TestCase):
+    def test_both_quorums_are_needed_by_identity(self):
+        for synced, passed in (
+            ({}, False),
+            ({"C": FIRST}, False),  # two of A B C, but of A B D only A
+            ({"D": FIRST}, False),  # two of A B D, but of A B C only A
+            ({"C": FIRST, "D": FIRST}, True),
+            ({"B": FIRST}, True),
+            ({"B": FIRST - 1, "C2": FIRST}, False),
+            ({"D": FIRST + 1}, True),  # D is beyond: the slot was decided
+        ):
+            node_state = replica()
+            for identity, slot in synced.items():
+                node_state.hear_synced_index(identity, slot)
+            self.assertEqual(passed, is_passed(node_state), synced)
+
+    def test_nothing_of_the_slot_of_the_change_is_accepted_before(self):
+        node_state = replica()
+        node_state.hear_synced_index("D", FIRST)
+        self.assertEqual(0, node_state.safe())
+        node_state.hear_synced_index("C", FIRST - 1)
+        self.assertEqual(FIRST - 1, node_state.safe())
+        node_state.hear_synced_index("B", FIRST)
+        self.assertEqual(FIRST, node_state.safe())
+
+    def test_a_ballot_state_of_the_first_slot_says_that_its_sender_passed(self):
+        node_state = replica()
+        voting = Voting(node_state)
+        voting.step(Received("C", BallotState("C", 1, FIRST, "x")), 0)
+        voting.step(Received("D", BallotState("D", 1, FIRST, "x")), 0)
+        self.assertFalse(is_passed(node_state))
+        voting.step(Received("D", BallotState("D", 2, FIRST, "x")), 0)
+        self.assertTrue(is_passed(node_state))
+
+    def test_it_is_on_disk_before_the_first_ballot_state_leaves(self):
+        node_state = replica()
+        node_state.hear_synced_index("B", FIRST)
+        node_state.queue.push(Command("x", 1, 1, 1, "[]"), 0)
+        plan = Voting(node_state).step(Tick(), 1)
+        self.assertEqual(["passed", "ballot_state"], [record["k"] for record in plan.records])
+
+    def test_a_quorum_index_of_few_or_none(self):
+        self.assertEqual(0, quorum_index([], {}))
+        self.assertEqual(7, quorum_index(["A"], {"A": 7}))
+        self.assertEqual(4, quorum_index("ABCDE", {"A": 9, "B": 4, "C": 6}))
+
+
+class FormerEpochs(unittest.TestCase):
+    """Rabia's messages of another epoch, or of an identity that was replaced."""
+
+    def heard(self, *ballot_states, tables=TABLES):
+        node_state = replica(tables)
+        voting = Voting(node_state)
+        for ballot_state in ballot_states:
+            voting.step(Received(ballot_state.identity, ballot_state), 0)
+        return node_state
+
+    def test_late_votes_of_a_replaced_identity_are_not_heard(self):
+        node_state = self.heard(BallotState("C", 1, FIRST, "x", None, (1,), (1,), agreed="x"))
+        self.assertEqual({}, node_state.heard)
+        self.assertNotIn("C", node_state.synced_indexes)
+
+    def test_a_ballot_state_of_a_former_epoch_by_a_member_is_not_heard(self):
+        node_state = self.heard(BallotState("B", 1, FIRST, "x", None, (1,), (1,), agreed="x"))
+        self.assertEqual({}, node_state.heard)
+
+    def test_early_ballot_states_are_taken_only_in_their_epoch_and_of_members(self):
+        before = replace(TABLES, slot=FIRST - 1, epoch=1, core=FORMER, former={})
+        node_state = self.heard(
+            BallotState("B", 1, FIRST, "old"),
+            BallotState("C", 2, FIRST, "late"),
+            BallotState("D", 2, FIRST, "new"),
+            tables=before,
+        )
+        node_state.take(TABLES)
+        self.assertEqual({"D": "new"}, {name: b.proposal for name, b in node_state.heard.items()})
+
+    def test_the_own_ballot_state_ends_with_its_slot(self):
+        node_state = replica(replace(TABLES, slot=FIRST - 1, epoch=1, core=FORMER, former={}))
+        node_state.own = BallotState("A", 1, FIRST - 1, "x", None, (1,), (1,), agreed="x")
+        node_state.take(TABLES)
+        self.assertEqual((None, {}), (node_state.own, node_state.heard))
+
+    def test_a_restart_with_a_torn_tail_knows_less_but_says_nothing_else(self):
+        snapshot = {"k": "snapshot", "text": TABLES.text(), "log_floor": FIRST, "passed": 2}
+        ballot_state = BallotState("A", 2, FIRST, "x/1/1", Command("x", 1, 1, 1, "[]"))
+        whole = [
+            identity_record(Member("A", "A", "a", "A")),
+            snapshot,
+            ballot_state_record(ballot_state, True),
+            ballot_state_record(replace(ballot_state, states=(1,), agreed="x/1/1"), False),
+        ]
+        for kept, states in ((4, (1,)), (3, ())):
+            node_state = ReplicaState(Member("A", "A", "a", "A"))
+            node_state.restore(whole[:kept], 0)
+            self.assertEqual(
+                ("x/1/1", states, "[]"),
+                (node_state.own.proposal, node_state.own.states, node_state.own.command.body),
+            )
+            self.assertTrue(is_passed(node_state))
+
+
+class Ops(unittest.TestCase):
+    """What the log refuses, whoever asks and however late."""
+
+    def setUp(self):
+        core = tuple(member(name) for name in "ABC")
+        daemons = {name: store(name) for name in "ABCDE"}
+        self.tables = Tables(slot=9, epoch=1, core=core, daemons=daemons)
+
+    def with_card(self, name, **card):
+        daemons = {**self.tables.daemons, name: {**self.tables.daemons[name], **card}}
+        return replace(self.tables, daemons=daemons)
+
+    def refused(self, tables, old, new):
+        return replace_voter(tables, {"old": old, "new": new})[1].get("why")
+
+    def test_only_a_lost_a_leaving_or_a_wiped_voter_is_replaced(self):
+        learner = member("D")
+        self.assertIn("neither is lost", self.refused(self.tables, "C", learner))
+        for state in ("lost", "draining"):
+            self.assertIsNone(self.refused(self.with_card("C", state=state), "C", learner))
+        for same in ({"name": "C"}, {"address": "C"}):
+            self.assertIsNone(self.refused(self.tables, "C", {**learner, **same}))
+
+    def test_a_learner_that_is_not_up_by_the_log_is_refused(self):
+        for card in ({"state": "lost"}, {"state": "draining"}, {"kind": "registry"}):
+            tables = self.with_card("D", **card)
+            self.assertEqual("the learner is not up", self.refused(tables, "C", member("D")))
+        self.assertEqual("the learner is not up", self.refused(self.tables, "C", member("Z")))
+
+    def test_the_voters_change_once_in_a_slot(self):
+        tables = self.with_card("C", state="lost")
+        tables, answer = replace_voter(tables, {"old": "C", "new": member("D")})
+        self.assertTrue(answer["ok"])
+        daemons = {**tables.daemons, "B": store("B", "lost")}
+        lost_again = replace(tables, daemons=daemons)
+        self.assertEqual(
+            "the voters change once in a slot", self.refused(lost_again, "B", member("E"))
+        )
+        self.assertIsNone(self.refused(replace(lost_again, slot=10), "B", member("E")))
+        offer = {"op": "add_voters", "incarnation": 1, "most": 5}
+        held = replace(tables, daemons={**tables.daemons, "F": store("F")})
+        for learner in "EF":
+            held, answer = add_voters(held, {**offer, "learner": learner})
+        self.assertFalse(answer["ok"])
+
+    def test_the_own_seat_comes_first_then_the_lost_then_the_leaving(self):
+        tables = self.with_card("A", state="draining")
+        self.assertEqual("A", seat_for(tables, member("D"))["identity"])
+        tables = replace(tables, daemons={**tables.daemons, "B": store("B", "lost")})
+        self.assertEqual("B", seat_for(tables, member("D"))["identity"])
+        back = {**member("D"), "name": "C"}
+        self.assertEqual("C", seat_for(tables, back)["identity"])
+        self.assertIsNone(seat_for(self.tables, member("D")))
+
+    def test_a_successor_is_a_learner_that_is_up_and_fits_the_zones(self):
+        self.assertEqual("D", successor_of(self.tables, "C"))
+        self.assertEqual("E", successor_of(self.with_card("D", state="lost"), "C"))
+        self.assertIsNone(successor_of(self.tables, "Z"))
+        crowded = {name: store(name, zone="a") for name in "DE"}
+        tables = replace(self.tables, daemons={**self.tables.daemons, **crowded})
+        self.assertIsNone(successor_of(tables, "C"))
+        self.assertEqual("D", successor_of(tables, "A"))
+
+    def test_epoch_opened_changes_nothing_but_the_slot(self):
+        self.assertEqual((TABLES, {"ok": True}), epoch_opened(TABLES, {"epoch": 2}))
+
+
+class SafeToRemove(unittest.TestCase):
+    def reasons(self, fresh=True, **changed):
+        verdict = safe_to_remove(replace(TABLES, **changed), fresh)
+        self.assertEqual(verdict.safe, not verdict.reasons)
+        return verdict.reasons
+
+    def test_each_reason_against_it(self):
+        settled = {"slot": FIRST + 1}
+        self.assertEqual((), self.reasons(**settled))
+        self.assertIn("out of touch", self.reasons(fresh=False, **settled)[0])
+        self.assertIn("not finished", self.reasons()[0])
+        self.assertIn("not founded", safe_to_remove(Tables(), True).reasons[0])
+        for state in ("lost", "draining"):
+            daemons = {**TABLES.daemons, "B": store("B", state)}
+            self.assertEqual((f"voter B is {state}",), self.reasons(daemons=daemons, **settled))
+        self.assertEqual(3, len(self.reasons(daemons={}, **settled)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -140,10 +140,11 @@
         """
         member = {"identity": "old", "name": "s4", "zone": "a", "address": "s4"}
         card = {"id": "e2/proxy", "kind": "proxy", "name": "e2", "state": "lost"}
+        learner = {"id": "new", "kind": "store", "name": "s4", "state": "up"}
         tables = Tables(
             epoch=1,
             core=(member,),
-            daemons={"e2/proxy": card},
+            daemons={"e2/proxy": card, "new": learner},
             suspicions={"e2/proxy": {"old": True}, "old": {"e2/proxy": True}},
         )
         swapped, answer = replace_voter(
--- /dev/null
+++ b/tests/test_replacement_faults.py
@@ -0,0 +1,36 @@
+"""Replaced core machines and the next loss right after `catch_up`, over seeds."""
+
+import unittest
+from unittest.mock import patch
+
+from willowpost.sim.replacement_faults import CYCLES, ReplacementFaultSchedule
+from willowpost.store.repair import Repair
+
+
+class Replacements(unittest.TestCase):
+    def holds(self, seeds, voters):
+        planned = 0
+        for seed in seeds:
+            with self.subTest(seed=seed, voters=voters):
+                schedule = ReplacementFaultSchedule(seed, voters).run()
+                self.assertEqual(([], 0), (schedule.unanswered(), schedule.late_ends))
+                self.assertTrue(schedule.seats_filled())
+                planned += schedule.planned
+        self.assertGreater(planned, 0)
+        self.assertLess(planned, CYCLES * len(seeds))
+
+    def test_three_voters_bear_the_next_loss(self):
+        self.holds(range(4), 3)
+
+    def test_five_voters_bear_the_next_two(self):
+        self.holds(range(2), 5)
+
+    def test_without_replacements_the_next_loss_stops_the_core(self):
+        with patch.object(Repair, "_lost", lambda self: None):
+            schedule = ReplacementFaultSchedule(0).run()
+        self.assertNotEqual([], schedule.unanswered())
+        self.assertFalse(schedule.seats_filled())
+
+
+if __name__ == "__main__":
+    unittest.main()
