A request for a seat expires after 2 s; it is asked for anew while it is wanted

Cause: a learner's replace_voter was submitted again until it was answered, also after it stopped holding what the voters hold. The client's new lifetime bounds it; so is the drain of a leaving store. tests/scripted_core.py follows the client's typed pending commands.

--- a/src/willowpost/store/leaver.py
+++ b/src/willowpost/store/leaver.py
@@ -82,7 +82,7 @@
         self._move(LeaveStage.HANDING_OVER, plan)
         identity = self.node_state.me.identity
         op = {"op": "drain", "id": identity, "incarnation": self.incarnation}
-        plan.join(self.command_client.step(Asked(None, (op,)), now))
+        plan.join(self.command_client.step(Asked(None, (op,), self.spans.handover), now))
 
     def _tick(self, now, plan):
         if self.stage is LeaveStage.HANDING_OVER:
--- a/src/willowpost/store/repair.py
+++ b/src/willowpost/store/repair.py
@@ -14,6 +14,9 @@
 
 ASK_EVERY = 1 * SECOND
 WHOLE_WITHIN = 500 * MILLI
+# a request for a seat that was not decided by then is not submitted again: it is asked for anew
+# while it is still wanted
+ASKED_FOR = 2 * SECOND
 
 
 class Repair:
@@ -54,7 +57,7 @@
         tables = self.node_state.tables
         if is_settled(tables) or self._was_voter_before(tables):
             return Plan()
-        return self._ask({"op": "epoch_opened", "epoch": tables.epoch}, now)
+        return self._ask({"op": "epoch_opened", "epoch": tables.epoch}, now, ASKED_FOR)
 
     def _was_voter_before(self, tables) -> bool:
         me = self.node_state.me.identity
@@ -63,7 +66,7 @@
     def _ask_for_seat(self, member, now) -> Plan:
         learner = asdict(self.node_state.me)
         op = {"op": "replace_voter", "old": member["identity"], "new": learner}
-        plan = self._ask(op, now)
+        plan = self._ask(op, now, ASKED_FOR)
         plan.note("repair", "asks for a voter's seat", replaced=member["name"])
         return plan
 
@@ -79,9 +82,9 @@
         plan.note("repair", "offers itself as one more voter", voters=voters)
         return plan
 
-    def _ask(self, op, now) -> Plan:
+    def _ask(self, op, now, lifetime: int | None = None) -> Plan:
         self.asked_at = now
-        return self.command_client.step(Asked(None, (op,)), now)
+        return self.command_client.step(Asked(None, (op,), lifetime), now)
 
     def _whole(self, now):
         fresh_as_of = self.node_state.fresh_as_of
--- a/tests/scripted_core.py
+++ b/tests/scripted_core.py
@@ -92,7 +92,7 @@
     def asked_for(self, source, op):
         """Whether this store has stamped such a command."""
         pending = self.seats[source].node.command_client.pending.values()
-        return any(op in entry[0].body for entry in pending)
+        return any(op in entry.command.body for entry in pending)
 
     def take_away(self, *names):
         """Machines that are gone for good, disk and all, at the same moment."""
