--- a/src/willowpost/store/repair.py
+++ b/src/willowpost/store/repair.py
@@ -34,6 +34,7 @@
         self.incarnation = incarnation
         self.max_voters = max_voters
         self.asked_at = 0
+        self.noted = False
         self.leaving = False  # set by who ends this process: it asks for nothing any more
 
     def step(self, event, now: int) -> Plan:
@@ -48,10 +49,19 @@
             return self._open_epoch(now)
         if self.leaving or not self._whole(now):
             return Plan()
+        plan = Plan()
+        self._note_readiness(plan)
         lost = self._lost()
         if lost is not None:
-            return self._ask_for_seat(lost, now)
-        return self._offer(now) if self._may_add_voters() else Plan()
+            return plan.join(self._ask_for_seat(lost, now))
+        return plan.join(self._offer(now)) if self._may_add_voters() else plan
+
+    def _note_readiness(self, plan) -> None:
+        """Once in a life: from now on a voter's seat may be handed over to this store."""
+        tables = self.node_state.tables
+        if not self.noted and self.node_state.me.identity in tables.daemons:
+            self.noted = True
+            plan.note("repair", "a learner that holds what the voters hold", slot=tables.slot)
 
     def _open_epoch(self, now) -> Plan:
         tables = self.node_state.tables
--- /dev/null
+++ b/tests/test_store_leave.py
@@ -0,0 +1,116 @@
+"""Planned ends of stores, with real processes on loopback: a restart, and a machine taken away."""
+
+import json
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+MAIN = "from willowpost.store.main import main; main()"
+UP_SECONDS = 15
+HANDOVER_SECONDS = 10  # drain, finish and leave as set below
+SETTLE_SECONDS = 1
+POLL_SECONDS = 0.02
+
+
+class Stores:
+    """Store processes on free ports; each of the first three is a seed."""
+
+    def __init__(self, folder: Path):
+        self.folder = folder
+        self.addresses = [f"127.0.0.1:{port}" for port in free_ports(4)]
+        self.running: dict[int, subprocess.Popen] = {}
+
+    def start(self, number: int, **more) -> None:
+        settings = {
+            "name": f"core-{number}",
+            "zone": "abcc"[number],
+            "address": self.addresses[number],
+            "seeds": self.addresses[:3],
+            "data": str(self.folder / str(number)),
+            "voters": 3,
+            "bootstrap_from_seeds": True,
+            "drain_ms": 1000,
+            "finish_ms": 1000 * (HANDOVER_SECONDS - SETTLE_SECONDS) - 1000,
+            "leave_ms": 1000 * SETTLE_SECONDS,
+            **more,
+        }
+        path = self.folder / f"{number}.json"
+        path.write_text(json.dumps(settings))
+        with open(self.folder / f"{number}.log", "ab") as log:
+            self.running[number] = subprocess.Popen(
+                [sys.executable, "-c", MAIN, "--settings", str(path)],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def said(self, number: int, words: str) -> int:
+        """How often its log has these words."""
+        return (self.folder / f"{number}.log").read_text().count(words)
+
+    def terminate(self, number: int) -> tuple[int | None, float]:
+        """SIGTERM; its exit code and how long it took, in seconds."""
+        process, began = self.running[number], time.monotonic()
+        process.terminate()
+        try:
+            code = process.wait(HANDOVER_SECONDS + 5)
+        except subprocess.TimeoutExpired:
+            return None, time.monotonic() - began
+        del self.running[number]
+        return code, time.monotonic() - began
+
+    def end(self) -> None:
+        for process in self.running.values():
+            process.kill()
+            process.wait()
+
+
+def free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for held in sockets:
+        held.bind(("127.0.0.1", 0))
+    ports = [held.getsockname()[1] for held in sockets]
+    for held in sockets:
+        held.close()
+    return ports
+
+
+def until(condition, seconds: float) -> bool:
+    end = time.monotonic() + seconds
+    while not condition() and time.monotonic() < end:
+        time.sleep(POLL_SECONDS)
+    return condition()
+
+
+class PlannedEnds(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.stores = Stores(Path(folder.name))
+        self.addCleanup(self.stores.end)
+
+    def test_a_restart_settles_and_with_a_learner_there_the_seat_is_handed_over(self):
+        stores = self.stores
+        for number in range(3):
+            stores.start(number)
+        for number in range(3):
+            self.assertTrue(until(lambda n=number: stores.said(n, "fleet founded"), UP_SECONDS))
+        code, seconds = stores.terminate(1)
+        self.assertEqual((0, 0), (code, stores.said(1, "handing over")))
+        self.assertEqual(1, stores.said(1, "settling"))
+        self.assertLess(seconds, SETTLE_SECONDS + 2)
+        stores.start(1)
+        stores.start(3, may_bootstrap=False)
+        self.assertTrue(until(lambda: stores.said(3, "a learner that holds"), UP_SECONDS))
+        code, seconds = stores.terminate(2)
+        self.assertEqual((0, 1), (code, stores.said(2, "handing over")))
+        self.assertEqual(1, stores.said(3, "asks for a voter's seat"))
+        self.assertLess(seconds, HANDOVER_SECONDS)
+
+
+if __name__ == "__main__":
+    unittest.main()
