One that is put out tells on until a voter is beyond the first slot; its end waits for that too

Cause: the former voter stopped telling its synced index by its own view of the quorums, which may be ahead of the new voters' (its first word is lost, B is down: A and D wait for ever). The newcomer has the epoch's first slot decided as soon as it votes.

--- a/src/willowpost/consensus/replica/barrier.py
+++ b/src/willowpost/consensus/replica/barrier.py
@@ -51,6 +51,14 @@
     )
 
 
+def is_beyond(node_state) -> bool:
+    """Whether a voter of the epoch in force has said that it holds the epoch's first slot."""
+    begins = first_slot(node_state.tables)
+    return any(
+        node_state.synced_indexes.get(identity, 0) > begins for identity in node_state.members
+    )
+
+
 def is_passed(node_state) -> bool:
     """Whether the barrier of the epoch in force is known to be passed.
 
@@ -65,17 +73,17 @@
         or node_state.passed >= tables.epoch
         or tables.slot > begins
         or any(identity != node_state.me.identity for identity in node_state.heard)
-        or any(
-            node_state.synced_indexes.get(identity, 0) > begins for identity in node_state.members
-        )
+        or is_beyond(node_state)
         or holds_both_quorums(node_state)
     )
 
 
 class FormerVoter:
-    """A voter that was put out goes on saying what it holds until the barrier is passed.
+    """A voter that was put out goes on saying what it holds until the new epoch has begun.
 
-    The new voters may need it for the quorum of the former ones. Voters do the same in Catchup.
+    The new voters may need it for the quorum of the former ones, and its first word may be lost:
+    so it stops only when it hears that a voter is beyond the first slot. Voters say the same in
+    Catchup.
     """
 
     def __init__(self, node_state):
@@ -85,14 +93,19 @@
     def step(self, event, now: int) -> Plan:
         """On a tick: the own synced index to all voters, if they may still wait for it."""
         plan, node_state = Plan(), self.node_state
-        if (
-            isinstance(event, Tick)
-            and now - self.sent_at >= node_state.pace.synced_index
-            and not node_state.voter
-            and node_state.me.identity in former_identities(node_state.tables)
-            and not is_passed(node_state)
-        ):
+        due = now - self.sent_at >= node_state.pace.synced_index
+        if isinstance(event, Tick) and due and self._may_be_needed():
             self.sent_at = now
             index = SyncedIndex(node_state.me.identity, node_state.tables.slot)
             plan.sends += [(address, index) for address in node_state.others()]
         return plan
+
+    def _may_be_needed(self) -> bool:
+        node_state = self.node_state
+        tables = node_state.tables
+        return (
+            not node_state.voter
+            and tables.slot == first_slot(tables)
+            and node_state.me.identity in former_identities(tables)
+            and not is_beyond(node_state)
+        )
--- a/src/willowpost/store/leaver.py
+++ b/src/willowpost/store/leaver.py
@@ -2,8 +2,8 @@
 
 The platform says only that the process is to end. If a learner is there that may take the seat,
 the machine is likely to be taken away, disk and all: the store says that it leaves, the learner
-replaces it by agreement, and the store goes on serving as a voter, then as a source, until n - f of
-the new voters hold everything. If there is none, it is a restart: the seat stays, and the store
+replaces it by agreement, and the store goes on serving as a voter, then as a source, until the new
+epoch has begun, so that n - f of the new voters hold everything. If there is none, it is a restart: the seat stays, and the store
 ends as soon as n - f other voters hold what it holds, or after a short span.
 """
 
@@ -15,7 +15,7 @@
 from willowpost.common.plan import Plan
 from willowpost.consensus.replica.barrier import former_identities
 from willowpost.node.leaver import Leave
-from willowpost.state.apply.core import successor_of
+from willowpost.state.apply.core import is_settled, successor_of
 
 
 class LeaveStage(Enum):
@@ -99,10 +99,15 @@
         return successor_of(node_state.tables, node_state.me.identity) if node_state.voter else None
 
     def _settled(self) -> bool:
-        """Whether n - f of the voters in force, itself not counted, hold all that it holds."""
+        """Whether all that this store holds and was counted for is held without it.
+
+        As a voter: n - f others hold every slot that it holds. As one that was replaced: the log
+        went on behind the barrier of the change. A learner was never counted.
+        """
         node_state, me = self.node_state, self.node_state.me.identity
-        if not node_state.voter and me not in former_identities(node_state.tables):
-            return True  # a learner: nothing ever counted on its disk
+        if not node_state.voter:
+            replaced = me in former_identities(node_state.tables)
+            return not replaced or is_settled(node_state.tables)
         others = [identity for identity in node_state.members if identity != me]
         holding = sum(
             node_state.synced_indexes.get(identity, 0) >= node_state.tables.slot
--- a/src/willowpost/store/repair.py
+++ b/src/willowpost/store/repair.py
@@ -35,19 +35,16 @@
         self.max_voters = max_voters
         self.asked_at = 0
         self.noted = False
+        self.opened = 0  # the last epoch whose first slot it asked for
         self.leaving = False  # set by who ends this process: it asks for nothing any more
 
     def step(self, event, now: int) -> Plan:
         """On a tick, at most once a second: the op that is due, if one is."""
-        if (
-            not isinstance(event, Tick)
-            or not self.node_state.bootstrapped
-            or now - self.asked_at < ASK_EVERY
-        ):
+        if not isinstance(event, Tick) or not self.node_state.bootstrapped:
             return Plan()
         if self.node_state.voter:
             return self._open_epoch(now)
-        if self.leaving or not self._whole(now):
+        if self.leaving or now - self.asked_at < ASK_EVERY or not self._whole(now):
             return Plan()
         plan = Plan()
         self._note_readiness(plan)
@@ -64,9 +61,12 @@
             plan.note("repair", "a learner that holds what the voters hold", slot=tables.slot)
 
     def _open_epoch(self, now) -> Plan:
+        """As soon as it votes, and again each second until the log has gone on."""
         tables = self.node_state.tables
-        if is_settled(tables) or self._was_voter_before(tables):
+        asked = self.opened == tables.epoch and now - self.asked_at < ASK_EVERY
+        if asked or is_settled(tables) or self._was_voter_before(tables):
             return Plan()
+        self.opened = tables.epoch
         return self._ask({"op": "epoch_opened", "epoch": tables.epoch}, now, ASKED_FOR)
 
     def _was_voter_before(self, tables) -> bool:
