--- a/tests/scripted_core.py
+++ b/tests/scripted_core.py
@@ -110,6 +110,10 @@
     def epochs(self):
         return {state.tables.epoch for _, state in self.node_states()}
 
+    def card_state(self, teller, name):
+        """What one store's tables say of another."""
+        return self.state(teller).tables.daemons[self.identity(name)]["state"]
+
     def votes(self, name):
         return self.state(name).voter
 
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -231,6 +231,19 @@
                 self.assertEqual({"s0", "s1", "s3"}, world.voters("s2"))
                 self.assertTrue(world.holds("s2", "y"))
 
+    def test_a_leaver_that_is_killed_and_back_before_it_is_replaced_keeps_its_seat(self):
+        world = self.core()
+        withheld = world.hold_back("s3", "replace_voter")
+        world.terminate("s2")
+        self.assertTrue(world.until(lambda: world.asked_for("s3", "replace_voter"), seconds(3)))
+        world.crash("s2")
+        world.start("s2")
+        self.assertTrue(world.until(lambda: world.card_state("s0", "s2") == "up", seconds(2)))
+        world.blocked.remove(withheld)
+        world.run(seconds(3))
+        self.assertEqual({1}, world.epochs())
+        self.assertTrue(world.accept("y"))
+
     def test_a_restart_keeps_its_seat_and_is_quick(self):
         world = self.core(zones=("a", "b", "c"))
         for name in ("s0", "s1", "s2"):
