--- a/src/willowpost/state/apply/core.py
+++ b/src/willowpost/state/apply/core.py
@@ -50,7 +50,7 @@
         return "the voters change once in a slot"
     if not _is_store_up(tables, new["identity"]):
         return "the learner is not up"
-    if not _same_machine(members[old], new) and _state(tables, old) not in REPLACEABLE:
+    if not _is_former_self(tables, members[old], new) and _state(tables, old) not in REPLACEABLE:
         return "the member neither is lost nor leaves"
     core = _with_replaced(tables, old, new)
     if not spread(tables.core, core):
@@ -65,7 +65,7 @@
     """
 
     def order(member):
-        same = _same_machine(member, learner)
+        same = _is_former_self(tables, member, learner)
         lost = _state(tables, member["identity"]) == DaemonState.LOST.value
         return not same, not lost
 
@@ -230,9 +230,16 @@
     return tuple(new if member["identity"] == old else member for member in tables.core)
 
 
-def _same_machine(member: dict, learner: dict) -> bool:
-    """The learner runs where the member ran, which therefore is gone with its disk."""
-    return member["name"] == learner["name"] or member["address"] == learner["address"]
+def _is_former_self(tables: Tables, member: dict, learner: dict) -> bool:
+    """The learner runs where the member ran, which therefore is gone with its disk.
+
+    Two machines of one name at two addresses are two: the one that is up stays, else each would
+    take the seat back from the other.
+    """
+    if member["address"] == learner["address"]:
+        return True
+    is_up = _state(tables, member["identity"]) == DaemonState.UP.value
+    return member["name"] == learner["name"] and not is_up
 
 
 def _is_store_up(tables: Tables, identity: str) -> bool:
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -234,12 +234,18 @@
         def status():
             return self.call("GET", "/v1/status").value
 
+        def safe_to_remove():
+            return status()["safe_to_remove"]["safe"]
+
+        self.assertTrue(self.world.until(safe_to_remove, seconds(2)))
         self.world.crash("s4", lose_disk=True)
         self.assertTrue(self.world.until(lambda: status()["open"], seconds(6)))
+        self.assertEqual(("voter s4 is lost",), status()["safe_to_remove"]["reasons"])
         self.world.start("s4")
         self.assertTrue(
             self.world.until(lambda: status()["epoch"] == 2 and not status()["open"], seconds(15))
         )
+        self.assertTrue(self.world.until(safe_to_remove, seconds(2)))
         self.assertEqual(
             ["s4"],
             [loss["name"] for loss in status()["failure_verdicts"] if loss["kind"] == "store"],
