--- a/src/willowpost/consensus/replica/acceptance.py
+++ b/src/willowpost/consensus/replica/acceptance.py
@@ -1,52 +1,76 @@
 """Answers those who submitted: accepted means decided, and synced on n - f replicas."""
 
 import json
+from dataclasses import dataclass
 
 from willowpost.common.events import Received
 from willowpost.common.plan import Plan
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.state.apply import answer_of
-from willowpost.wire.messages import Accepted, Submit
+from willowpost.wire.messages import Accepted, Command, Submit
 
 WAITING_MOST = 4096
 
 
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A command that was submitted here, and the address that wants its answer."""
+
+    command: Command
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What the log says of a command.
+
+    Attributes:
+        slot: the answer may leave once this slot is synced on n - f voters.
+        answers: one per operation; None if they are not kept any more; a mapping with `barred` if
+            a later incarnation of the sender barred the command.
+    """
+
+    slot: int
+    answers: list | dict | None
+
+
 class Acceptance:
-    """Invariant.
+    """Invariant: Accepted leaves only when n - f voters hold every slot up to the command's on disk.
 
-    Accepted leaves only when n - f members hold every slot up to the command's on disk.
+    See ReplicaState.safe.
     """
 
     def __init__(self, node_state: ReplicaState):
         self.node_state = node_state
-        self.waiting: dict[str, tuple] = {}  # key -> (command, source)
+        self.waiting: dict[str, Waiting] = {}  # by the command's key
 
     def step(self, event, now: int) -> Plan:
+        """Takes note of a Submit; answers all whose slots are safe by now."""
         plan = Plan()
-        if isinstance(event, Received) and isinstance(event.message, Submit):
-            if len(self.waiting) < WAITING_MOST:
-                self.waiting[event.message.command.key] = (event.message.command, event.source)
+        match event:
+            case Received(source, Submit(command)) if len(self.waiting) < WAITING_MOST:
+                self.waiting[command.key] = Waiting(command, source)
         if self.waiting:
             self._answer(plan)
         return plan
 
     def _answer(self, plan):
         safe = self.node_state.safe()
-        ready = [
-            (command, source, answer)
-            for command, source in self.waiting.values()
-            for answer in (self._outcome(command),)
-            if answer is not None and answer[0] < safe
-        ]
-        for command, source, (slot, answers) in ready:
-            del self.waiting[command.key]
-            plan.send(source, Accepted(command.key, slot, json.dumps(answers)))
-
-    def _outcome(self, command):
+        for key, waiting in tuple(self.waiting.items()):
+            outcome = self._outcome(waiting.command)
+            if outcome is None or outcome.slot >= safe:
+                continue
+            del self.waiting[key]
+            plan.send(waiting.source, Accepted(key, outcome.slot, json.dumps(outcome.answers)))
+
+    def _outcome(self, command) -> Outcome | None:
+        """None while the command is not decided."""
         node_state = self.node_state
         if not node_state.is_decided(command):
             return None
+        newest_slot = node_state.tables.slot - 1
         held = node_state.tables.seen[command.daemon]
         if held["incarnation"] > command.incarnation:
-            return node_state.tables.slot - 1, {"barred": held["incarnation"]}
-        return answer_of(node_state.tables, command) or (node_state.tables.slot - 1, None)
+            return Outcome(newest_slot, {"barred": held["incarnation"]})
+        answer = answer_of(node_state.tables, command)
+        return Outcome(*answer) if answer else Outcome(newest_slot, None)
--- a/src/willowpost/consensus/replica/voting.py
+++ b/src/willowpost/consensus/replica/voting.py
@@ -23,6 +23,7 @@
         self.asked_at = 0
 
     def step(self, event, now: int) -> Plan:
+        """Takes commands and ballot states in, then goes as far as what was heard allows."""
         plan = Plan()
         match event:
             case Received(_, BallotState() as ballot_state):
@@ -117,19 +118,20 @@
         return True
 
     def _fetch(self, strangers, now, plan):
-        """Somebody proposes a command whose body has not come: ask for it.
-
-        So that it can be proposed here too.
-        """
+        """Somebody proposes a command whose body has not come: so that it can be proposed here too."""
         key = next(
             (ballot_state.proposal for ballot_state in strangers if ballot_state.proposal), ""
         )
-        if key and now - self.asked_at >= self.node_state.pace.resend // 2:
-            self.asked_at = now
-            plan.sends += [
-                (address, Ask(self.node_state.tables.slot, key))
-                for address in self.node_state.others()
-            ]
+        if key:
+            self._ask_for_body(key, now, plan)
+
+    def _ask_for_body(self, key, now, plan):
+        """Asks all other voters for a command's body, at most twice per `pace.resend`."""
+        if now - self.asked_at < self.node_state.pace.resend // 2:
+            return
+        self.asked_at = now
+        question = Ask(self.node_state.tables.slot, key)
+        plan.sends += [(address, question) for address in self.node_state.others()]
 
     def _opened(self, plan) -> bool:
         """Whether the slot may be voted on: the barrier of its epoch is passed, and on disk as such.
@@ -154,52 +156,60 @@
         self._say(ballot_state if first else replace(ballot_state, command=None), now, plan)
 
     def _say(self, ballot_state, now, plan):
+        """Sends the ballot state to all others, in place of an earlier one of this plan and slot.
+
+        The earlier one may carry the command's body, which then goes with this one.
+        """
         self.sent_at = now
-        superseded = {(address, ballot_state.slot) for address in self.node_state.others()}
-        carried = next(
-            (
-                sent.command
-                for _, sent in plan.sends
-                if isinstance(sent, BallotState) and sent.slot == ballot_state.slot and sent.command
-            ),
-            ballot_state.command,
-        )
+        earlier = [
+            sent
+            for _, sent in plan.sends
+            if isinstance(sent, BallotState) and sent.slot == ballot_state.slot
+        ]
+        body = next((sent.command for sent in earlier if sent.command), ballot_state.command)
         plan.sends = [
             (address, sent)
             for address, sent in plan.sends
-            if not (isinstance(sent, BallotState) and (address, sent.slot) in superseded)
-        ]
-        plan.sends += [
-            (address, replace(ballot_state, command=carried))
-            for address in self.node_state.others()
+            if not isinstance(sent, BallotState) or sent.slot != ballot_state.slot
         ]
+        newest = replace(ballot_state, command=body)
+        plan.sends += [(address, newest) for address in self.node_state.others()]
 
     def _decide(self, verdict, now, plan) -> bool:
+        """Writes the slot's decision down; False while the command's key or body is not known."""
         node_state = self.node_state
-        key = (
-            (node_state.own.agreed or agreed_proposal(node_state.heard, node_state.limits))
-            if verdict.value
-            else ""
-        )
+        key = self._decided_key(verdict)
         if key is None:
             return False
-        command = node_state.queue.commands.get(key) if key else None
-        if key and command is None and node_state.own.proposal == key:
-            command = node_state.own.command
+        command = self._body_of(key) if key else None
         if key and command is None:
-            if now - self.asked_at >= node_state.pace.resend // 2:
-                self.asked_at = now
-                plan.sends += [
-                    (address, Ask(node_state.tables.slot, key)) for address in node_state.others()
-                ]
+            self._ask_for_body(key, now, plan)
             return False
-        node_state.stats["voted"] += 1
-        node_state.stats["fast"] += verdict.phase == 1
-        node_state.stats["phases"] += verdict.phase
+        self._count(verdict)
         node_state.commit(Decision(node_state.tables.slot, key, command), plan)
         node_state.heard_since = now
         return True
 
+    def _decided_key(self, verdict) -> str | None:
+        """The command that a 1 stands for, "" for a 0; None while the proposal is not known."""
+        node_state = self.node_state
+        if not verdict.value:
+            return ""
+        return node_state.own.agreed or agreed_proposal(node_state.heard, node_state.limits)
+
+    def _body_of(self, key):
+        node_state = self.node_state
+        command = node_state.queue.commands.get(key)
+        if command is None and node_state.own.proposal == key:
+            return node_state.own.command
+        return command
+
+    def _count(self, verdict):
+        stats = self.node_state.stats
+        stats["voted"] += 1
+        stats["fast"] += verdict.phase == 1
+        stats["phases"] += verdict.phase
+
     def _resend(self, now, plan):
         node_state = self.node_state
         if (
