--- a/src/willowpost/store/repair.py
+++ b/src/willowpost/store/repair.py
@@ -22,8 +22,8 @@
 class Repair:
     """Invariant: asks only while it holds what the voters hold.
 
-    By a read of its own that n - f of them answered. Once it votes, it has the first slot of its
-    epoch decided, so that the log shows the change to be finished.
+    By a read of its own that n - f of them answered. Voters have the first slot of a new epoch
+    decided, so that the log shows the change to be finished.
     """
 
     def __init__(
@@ -35,7 +35,8 @@
         self.max_voters = max_voters
         self.asked_at = 0
         self.noted = False
-        self.opened = 0  # the last epoch whose first slot it asked for
+        self.opening = 0  # the last epoch whose first slot it saw to
+        self.open_at = 0  # when it asks for that slot
         self.leaving = False  # set by who ends this process: it asks for nothing any more
 
     def step(self, event, now: int) -> Plan:
@@ -61,12 +62,19 @@
             plan.note("repair", "a learner that holds what the voters hold", slot=tables.slot)
 
     def _open_epoch(self, now) -> Plan:
-        """As soon as it votes, and again each second until the log has gone on."""
+        """Has a slot decided behind the last change of the voters, until the log has gone on.
+
+        A newcomer asks as soon as it votes; the others a second later, if it is lost meanwhile.
+        """
         tables = self.node_state.tables
-        asked = self.opened == tables.epoch and now - self.asked_at < ASK_EVERY
-        if asked or is_settled(tables) or self._was_voter_before(tables):
+        if is_settled(tables):
+            return Plan()
+        if self.opening != tables.epoch:
+            self.opening = tables.epoch
+            self.open_at = now + ASK_EVERY if self._was_voter_before(tables) else now
+        if now < self.open_at:
             return Plan()
-        self.opened = tables.epoch
+        self.open_at = now + ASK_EVERY
         return self._ask({"op": "epoch_opened", "epoch": tables.epoch}, now, ASKED_FOR)
 
     def _was_voter_before(self, tables) -> bool:
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -179,6 +179,13 @@
                     world.add_caller("r1", ["s1", "s3"])
                     self.assertTrue(world.accept("x", "r1"))
 
+    def test_a_change_is_finished_without_any_order_though_the_newcomer_is_lost(self):
+        world = self.core()
+        world.take_away("s2")
+        self.assertTrue(world.until(lambda: 2 in world.epochs(), seconds(8)))
+        world.crash("s3")
+        self.assertTrue(world.until(lambda: world.settled("s0"), seconds(2)))
+
     def test_a_replaced_machine_that_comes_back_late_with_its_old_disk_only_learns(self):
         world = self.core()
         world.crash("s2")
