Disk: folder synced before an older segment goes; a batch is one line; segments have a format

Ruled out: power lost inside the rotation alone (it held before). Change: load() syncs the folder and its parent before it removes anything; a folder set aside is synced and only the latest is kept (bounded disk). An append is one line, so a batch torn in any page is a torn tail and no damage (it made the store give up its identity); a segment without a sound header is damage, no longer an empty folder; an unknown format number is an error.

--- a/src/willowpost/shell/disk.py
+++ b/src/willowpost/shell/disk.py
@@ -3,96 +3,32 @@
 Then appended to and synced.
 """
 
-import errno
-import json
+import contextlib
 import os
-import zlib
+import shutil
 
-import gevent
+from willowpost.shell.segment_format import batch_of, parse, segment_of
 
-# may pass: files are deleted, connections close
-WAITS = {errno.ENOSPC, errno.EDQUOT, errno.EMFILE, errno.ENFILE}
-AGAIN_SECONDS = 0.25
 PREFIX = "segment-"
+SUFFIX = ".wp"
+ASIDE = ".aside"
+DAMAGED = ".damaged-"
 
 
-class DiskDamaged(Exception):
-    """Records after a bad one: more than a torn tail.
-
-    The disk cannot be trusted; its identity is lost.
-    """
-
-
-def line_of(record: dict) -> bytes:
-    body = json.dumps(record, separators=(",", ":")).encode()
-    return b"%08x %s\n" % (zlib.crc32(body), body)
-
-
-def parse(data: bytes):
-    """(records, length of the sound part); raises DiskDamaged when sound records follow a bad one."""
-    records, sound, start = [], 0, 0
-    while start < len(data):
-        end = data.find(b"\n", start)
-        record = _record(data[start:end]) if end >= 0 else None
-        if record is None:
-            break
-        records.append(record)
-        start = sound = end + 1
-    rest = data[sound:].split(b"\n")[1:]
-    if any(_record(line) is not None for line in rest if line):
-        raise DiskDamaged(f"a bad record at byte {sound}, sound ones behind it")
-    return records, sound
-
-
-def _record(line: bytes):
-    if len(line) < 10 or line[8:9] != b" ":
-        return None
-    try:
-        return json.loads(line[9:]) if int(line[:8], 16) == zlib.crc32(line[9:]) else None
-    except ValueError:
-        return None
-
-
-class PatientDisk:
-    """Invariants: returns only when it is written and synced.
-
-    Whoever waits here says nothing meanwhile. Waits for room on the disk and for free handles; any
-    other failure is raised, since what a disk does after it is not known.
-    """
-
-    def __init__(self, disk, logs, wait=gevent.sleep):
-        self.disk, self.logs, self.wait = disk, logs, wait
-
-    def append(self, records: list[dict]) -> None:
-        self._until_done(self.disk.append, records)
-
-    def rotate(self, records: list[dict]) -> None:
-        self._until_done(self.disk.rotate, records)
-
-    def _until_done(self, write, records):
-        waits = 0
-        while True:
-            try:
-                return write(records)
-            except OSError as problem:
-                if problem.errno not in WAITS:
-                    raise
-                if waits % 40 == 0:
-                    self.logs.say(
-                        "disk",
-                        "cannot write; this store says nothing until it can",
-                        level="error",
-                        problem=str(problem),
-                    )
-                waits += 1
-                self.wait(AGAIN_SECONDS)
+def segments_in(folder: str) -> list[str]:
+    """Names of the folder's segments, oldest first."""
+    return sorted(
+        name for name in os.listdir(folder) if name.startswith(PREFIX) and name.endswith(SUFFIX)
+    )
 
 
 class Disk:
-    """Invariants: what append() and turn() were given is synced when they return.
+    """Invariants: what append() and rotate() were given is synced when they return.
 
     And if they raise nothing of it is behind `end` or in a segment that load() would take; the
-    newest whole segment holds all that the older ones did.
+    newest segment holds all that the older ones did. An older segment is removed only once the
+    folder entry of the newer one is synced: until then each of the two entries may be lost by
+    itself with the power.
 
     Syncs are made in the loop: the one task that steps the node waits for them in any case, and a
     thread costs more than it spares (docs/design/rabia.md).
@@ -106,30 +42,38 @@
         os.makedirs(folder, exist_ok=True)
 
     def load(self) -> list[dict]:
-        names = sorted(
-            name
-            for name in os.listdir(self.folder)
-            if name.startswith(PREFIX) and name.endswith(".wp")
-        )
-        for stale in (name for name in os.listdir(self.folder) if name.endswith(".aside")):
-            os.unlink(os.path.join(self.folder, stale))
-        if not names:
-            return []
-        path = os.path.join(self.folder, names[-1])
+        """The records of the newest segment; none if the folder has no segment.
+
+        Raises:
+            DiskDamaged: it cannot be trusted; see segment_format.
+            UnknownFormat: it was written by another build.
+        """
+        names = segments_in(self.folder)
+        if names:
+            records = self._open_newest(names[-1])
+        # What is here may have been renamed by a life that was killed before it synced the folder.
+        _sync_folder(self.folder)
+        _sync_folder(os.path.dirname(os.path.abspath(self.folder)))
+        self._drop([name for name in os.listdir(self.folder) if name.endswith(ASIDE)])
+        self._drop(names[:-1])
+        return records if names else []
+
+    def _open_newest(self, name):
+        path = os.path.join(self.folder, name)
         with open(path, "rb") as held:
             records, sound = parse(held.read())
-        self.number = int(names[-1][len(PREFIX) : -3])
+        self.number = int(name[len(PREFIX) : -len(SUFFIX)])
         self.file = os.open(path, os.O_RDWR)
         self.end = sound
         self._cut()
         os.fsync(self.file)
-        self._drop(names[:-1])
         return records
 
     def append(self, records: list[dict]) -> None:
-        data = b"".join(map(line_of, records))
+        """Writes one batch behind what is there and syncs it; OSError if it could not."""
+        data = batch_of(records)
         try:
-            self._write(self.file, data)
+            _write(self.file, data)
             os.fdatasync(self.file)
         except OSError:
             self._cut()
@@ -137,33 +81,42 @@
         self.end += len(data)
 
     def rotate(self, records: list[dict]) -> None:
-        older = [f"{PREFIX}{self.number:012d}.wp"] if self.file is not None else []
-        path = os.path.join(self.folder, f"{PREFIX}{self.number + 1:012d}.wp")
-        data = b"".join(map(line_of, records))
-        folder = file = None
-        try:
-            folder = os.open(self.folder, os.O_RDONLY)
-            file = os.open(path + ".aside", os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o644)
-            self._write(file, data)
-            os.fsync(file)
-            os.rename(path + ".aside", path)
-            os.fsync(folder)
-        except OSError:
-            if file is not None:
-                os.close(file)
-            raise
-        finally:
-            if folder is not None:
-                os.close(folder)
+        """Replaces all that is there by a new segment of these records; OSError if it could not."""
+        older = [self._name(self.number)] if self.file is not None else []
+        data = segment_of(records)
+        file = self._written(self._name(self.number + 1), data)
         if self.file is not None:
             os.close(self.file)
         self.file, self.end, self.number = file, len(data), self.number + 1
         self._drop(older)
 
-    def _write(self, file, data):
-        left = memoryview(data)
-        while left:
-            left = left[os.write(file, left) :]
+    def _written(self, name, data) -> int:
+        """The open file of a new segment that is on disk under its name."""
+        path = os.path.join(self.folder, name)
+        file = os.open(path + ASIDE, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o644)
+        try:
+            _write(file, data)
+            os.fsync(file)
+            os.rename(path + ASIDE, path)
+            _sync_folder(self.folder)
+        except OSError:
+            os.close(file)
+            raise
+        return file
+
+    def set_aside(self, moment: int) -> str:
+        """Moves a damaged folder out of the way and gives its new path; only the latest is kept."""
+        parent, name = os.path.split(os.path.abspath(self.folder))
+        for former in os.listdir(parent):
+            if former.startswith(name + DAMAGED):
+                shutil.rmtree(os.path.join(parent, former))
+        aside = f"{self.folder}{DAMAGED}{moment}"
+        os.rename(self.folder, aside)
+        _sync_folder(parent)
+        return aside
+
+    def _name(self, number):
+        return f"{PREFIX}{number:012d}{SUFFIX}"
 
     def _cut(self):
         os.ftruncate(self.file, self.end)
@@ -171,6 +124,19 @@
 
     def _drop(self, names):
         for name in names:
-            path = os.path.join(self.folder, name)
-            if os.path.exists(path):
-                os.unlink(path)
+            with contextlib.suppress(FileNotFoundError):
+                os.unlink(os.path.join(self.folder, name))
+
+
+def _write(file, data):
+    left = memoryview(data)
+    while left:
+        left = left[os.write(file, left) :]
+
+
+def _sync_folder(path):
+    folder = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
--- a/src/willowpost/store/daemon.py
+++ b/src/willowpost/store/daemon.py
@@ -5,8 +5,10 @@
 from willowpost.common.clock import Clock
 from willowpost.consensus.replica.bootstrap import Rights
 from willowpost.consensus.replica.records import identity_record
-from willowpost.shell.disk import Disk, DiskDamaged, PatientDisk
+from willowpost.shell.disk import Disk
+from willowpost.shell.patient_disk import PatientDisk
 from willowpost.shell.runner import Runner
+from willowpost.shell.segment_format import DiskDamaged
 from willowpost.store.node import StoreNode
 from willowpost.wire.messages import Member
 
@@ -28,8 +30,7 @@
             records = disk.load()
         except DiskDamaged as damage:
             # what it said cannot be known any more: as good as lost
-            aside = f"{disk.folder}.damaged-{clock.wall()}"
-            os.rename(disk.folder, aside)
+            aside = disk.set_aside(clock.wall())
             self.logs.say(
                 "disk", "damaged, set aside", level="error", damage=str(damage), aside=aside
             )
--- a/src/willowpost/toolbox/folder.py
+++ b/src/willowpost/toolbox/folder.py
@@ -4,8 +4,10 @@
 import os
 from dataclasses import dataclass
 
+from willowpost.common.formats import UnknownFormat
 from willowpost.consensus.replica.records import decision_from
-from willowpost.shell.disk import PREFIX, DiskDamaged, parse
+from willowpost.shell.disk import ASIDE, segments_in
+from willowpost.shell.segment_format import DiskDamaged, parse
 from willowpost.state.apply import Apply
 from willowpost.state.tables import Tables, tables_from
 
@@ -26,13 +28,11 @@
         findings, facts = [], {}
         if not os.path.isdir(folder):
             return [Finding(folder, "no such folder")], facts
-        names = sorted(
-            name for name in os.listdir(folder) if name.startswith(PREFIX) and name.endswith(".wp")
-        )
+        names = segments_in(folder)
         findings += [
             Finding(name, "left from an unfinished write; a store drops it")
             for name in sorted(os.listdir(folder))
-            if name.endswith(".aside")
+            if name.endswith(ASIDE)
         ]
         if not names:
             return [
@@ -43,7 +43,7 @@
         data = open(path, "rb").read()
         try:
             records, sound = parse(data)
-        except DiskDamaged as damage:
+        except (DiskDamaged, UnknownFormat) as damage:
             return [*findings, Finding(names[-1], str(damage))], facts
         if sound < len(data):
             findings.append(
@@ -99,9 +99,7 @@
     """Invariant: run() gives the tables as they were when `slot` was the next slot to decide."""
 
     def run(self, folder: str, slot: int | None = None) -> Tables:
-        names = sorted(
-            name for name in os.listdir(folder) if name.startswith(PREFIX) and name.endswith(".wp")
-        )
+        names = segments_in(folder)
         records, _ = parse(open(os.path.join(folder, names[-1]), "rb").read())
         tables = Tables()
         for record in records:
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -4,13 +4,17 @@
 import os
 import tempfile
 import unittest
+import zlib
 from unittest.mock import patch
 
 import gevent
 
+from willowpost.common.formats import UnknownFormat
 from willowpost.common.plan import Plan
-from willowpost.shell.disk import Disk, DiskDamaged, PatientDisk, line_of, parse
+from willowpost.shell.disk import Disk
+from willowpost.shell.patient_disk import PatientDisk
 from willowpost.shell.runner import Runner
+from willowpost.shell.segment_format import DiskDamaged, batch_of, parse
 
 
 class DiskTests(unittest.TestCase):
@@ -26,7 +30,7 @@
     def test_what_was_appended_comes_back_after_a_torn_tail_at_every_byte(self):
         self.disk.append([{"k": "decision", "slot": 0}])
         whole = open(self._path(), "rb").read()
-        extra = line_of({"k": "decision", "slot": 1})
+        extra = batch_of([{"k": "decision", "slot": 1}, {"k": "passed", "epoch": 2}])
         for cut in range(len(extra)):
             with open(self._path(), "wb") as file:
                 file.write(whole + extra[:cut])
@@ -37,13 +41,53 @@
         self.assertEqual([0, 1], [held["slot"] for held in Disk(self.folder.name).load()[1:]])
 
     def test_damage_before_sound_records_is_refused(self):
-        self.disk.append([{"k": "decision", "slot": slot} for slot in range(3)])
+        for slot in range(3):
+            self.disk.append([{"k": "decision", "slot": slot}])
         data = bytearray(open(self._path(), "rb").read())
         data[len(data) // 2] ^= 1
         open(self._path(), "wb").write(data)
         with self.assertRaises(DiskDamaged):
             Disk(self.folder.name).load()
 
+    def test_a_segment_without_its_header_is_refused_at_every_cut(self):
+        whole = open(self._path(), "rb").read()
+        for cut in range(whole.index(b"\n") + 1):
+            with open(self._path(), "wb") as file:
+                file.write(whole[:cut])
+            with self.assertRaises(DiskDamaged):
+                Disk(self.folder.name).load()
+
+    def test_a_torn_batch_is_cut_whatever_part_of_it_came_to_the_disk(self):
+        """A write of several pages may lose any of them; nothing of the batch was ever told."""
+        whole = open(self._path(), "rb").read()
+        batch = batch_of([{"k": "decision", "slot": slot, "key": "x" * 50} for slot in range(20)])
+        page = 64
+        for missing in range(0, len(batch), page):
+            zeros = b"\0" * len(batch[missing : missing + page])
+            torn = batch[:missing] + zeros + batch[missing + page :]
+            with open(self._path(), "wb") as file:
+                file.write(whole + torn)
+            self.assertEqual(1, len(Disk(self.folder.name).load()), missing)
+
+    def test_a_segment_of_an_unknown_format_is_a_clear_error_and_stays(self):
+        for body in (b'{"format":3}', b"{}", b'[{"k":"identity"}]'):
+            line = b"%08x %s\n" % (zlib.crc32(body), body)
+            with open(self._path(), "wb") as file:
+                file.write(line)
+            with self.assertRaisesRegex(UnknownFormat, "this build reads 2"):
+                Disk(self.folder.name).load()
+            self.assertEqual(line, open(self._path(), "rb").read())
+
+    def test_a_damaged_folder_is_set_aside_and_only_the_latest_is_kept(self):
+        for moment in (1, 2):
+            disk = Disk(os.path.join(self.folder.name, "store"))
+            disk.rotate([{"k": "identity"}])
+            aside = disk.set_aside(moment)
+        self.assertEqual(
+            [os.path.basename(aside)],
+            [name for name in os.listdir(self.folder.name) if name.startswith("store")],
+        )
+
     def test_a_segment_not_renamed_leaves_the_old_one(self):
         self.disk.append([{"k": "decision", "slot": 0}])
         open(self._path() + ".aside", "wb").write(b"half of a new")
--- a/tests/test_toolbox.py
+++ b/tests/test_toolbox.py
@@ -4,7 +4,7 @@
 import tempfile
 import unittest
 
-from willowpost.shell.disk import line_of
+from willowpost.shell.segment_format import segment_of
 from willowpost.sim.core import CoreWorld
 from willowpost.sim.world import seconds
 from willowpost.toolbox.folder import FolderChecker, LogReplay
@@ -30,7 +30,7 @@
         return held.name
 
     def whole(self, records=None):
-        return b"".join(map(line_of, records or self.records))
+        return segment_of(records or self.records)
 
     def test_a_sound_folder_has_no_finding_and_replays_to_the_running_tables(self):
         folder = self.folder(self.whole())
@@ -67,7 +67,8 @@
             (self.whole(unsaid), "unsays"),
             (bytes(data), "bad record"),
             (self.whole()[:-5], "torn tail"),
-            (b"", "not an identity"),
+            (b"", "no sound header"),
+            (segment_of([]), "not an identity"),
         ):
             findings, _ = FolderChecker().check(self.folder(broken))
             self.assertTrue(
