--- /dev/null
+++ b/tests/test_former_life.py
@@ -0,0 +1,85 @@
+"""What was asked by a former life is no answer to this one: its numbers are never used again."""
+
+import unittest
+
+from willowpost.common.clock import MILLI, SECOND
+from willowpost.common.events import Received, Tick
+from willowpost.node.follower import Follower
+from willowpost.node.node_state import Card, NodeState
+from willowpost.node.quorum_read import QuorumRead
+from willowpost.sim.core import CoreWorld
+from willowpost.sim.world import seconds
+from willowpost.state.tables import Tables
+from willowpost.wire.messages import Poll, ReadAsk, ReadTell, StateUpdate
+
+CORE = tuple(
+    {"identity": name, "name": name, "zone": "a", "address": f"{name}:1"} for name in "ABC"
+)
+
+
+def follower_of(incarnation, age=None):
+    card = Card("r/registry", "registry", "core", "r", "a", "r:1", "r:2", incarnation)
+    node_state = NodeState(card, Tables(slot=5, epoch=1, core=CORE), fresh_as_of=age)
+    follower = Follower(node_state, [], tree=False)
+    return node_state, [follower, QuorumRead(node_state, follower)]
+
+
+def sent(controllers, span=SECOND):
+    return [
+        message
+        for now in range(0, span, 20 * MILLI)
+        for controller in controllers
+        for _, message in controller.step(Tick(), now).sends
+    ]
+
+
+def hear(controllers, message):
+    for controller in controllers:
+        controller.step(Received("A:1", message), SECOND)
+
+
+class FormerLife(unittest.TestCase):
+    def test_late_answers_to_a_followers_former_life_make_nothing_fresh(self):
+        _, former = follower_of(1_000_000)
+        messages = sent(former)
+        polls = [message for message in messages if isinstance(message, Poll)]
+        reads = [message for message in messages if isinstance(message, ReadAsk)]
+        node_state, controllers = follower_of(9_000_000)
+        sent(controllers)
+        for poll in polls:
+            hear(controllers, StateUpdate(poll.nonce, 5, 0, True))
+        for read in reads:
+            for voter in "AB":
+                hear(controllers, ReadTell(read.nonce, voter, 5))
+        self.assertTrue(polls and reads)
+        self.assertIsNone(node_state.fresh_as_of)
+
+    def test_late_answers_to_a_stores_former_read_do_not_make_it_whole(self):
+        """It restarts from its disk, cut off; what comes late was said to the life before."""
+        world = CoreWorld(3, zones=("a", "b", "c"))
+        self.assertTrue(world.until(world.bootstrapped, seconds(5)))
+        asked = set()
+        world.checks.append(
+            lambda _, seat, event, plan: asked.update(
+                message.nonce
+                for address, message in plan.sends
+                if seat.address == "s0" and isinstance(message, ReadAsk)
+            )
+        )
+        world.run(seconds(3))
+        former = set(asked)
+        world.crash("s0")
+        world.cut(["s0"], ["s1", "s2"])
+        world.start("s0")
+        node_state = world.seats["s0"].node.node_state
+        for _ in range(40):
+            world.run(seconds(0.05))
+            for nonce in former:
+                for member in node_state.tables.core:
+                    world.give("s0", Received("s1", ReadTell(nonce, member["identity"], 0)))
+        self.assertTrue(former)
+        self.assertIsNone(node_state.fresh_as_of)
+
+
+if __name__ == "__main__":
+    unittest.main()
