--- a/src/willowpost/consensus/replica/bootstrap.py
+++ b/src/willowpost/consensus/replica/bootstrap.py
@@ -68,7 +68,7 @@
                 self.sent_at < 0 or now - self.sent_at >= self.node_state.pace.hello
             ):
                 self.sent_at = now
-                self._say(plan)
+                self._say(now, plan)
         if not self.node_state.bootstrapped:
             self._found(plan)
         return plan
@@ -101,7 +101,7 @@
             node_state.bootstrap_promise,
         )
 
-    def _say(self, plan):
+    def _say(self, now, plan):
         addresses = {
             *self.seeds,
             *self.heard_of,
@@ -115,7 +115,9 @@
         # each time another voter: the first may be the very one that was lost
         tellers = sorted(self.bootstrapped_addresses)
         self.round += 1
-        plan.sends += [(tellers[self.round % len(tellers)], Ask(0, blank=True))] if tellers else []
+        if tellers and not self.node_state.incoming_snapshot.progressing(now):
+            request = self.node_state.incoming_snapshot.request()
+            plan.send(tellers[self.round % len(tellers)], Ask(0, blank=True, snapshot=request))
 
     def _hear(self, source, hello, plan):
         node_state = self.node_state
--- a/src/willowpost/consensus/replica/catchup.py
+++ b/src/willowpost/consensus/replica/catchup.py
@@ -1,12 +1,21 @@
-"""Laggards and learners: what was decided without them."""
+"""Replicas and learners that are behind: what was decided without them.
+
+A replica that is behind pulls. It has one question open at a time, goes on at once when an answer
+brought it further, and turns to another source when none came. A source answers with decisions, as
+many as fit into one frame, or with a piece of a snapshot when it has let go of what is asked for.
+"""
 
 from willowpost.common.events import Received, Tick
+from willowpost.common.formats import UnknownFormat
 from willowpost.common.plan import Plan
+from willowpost.consensus.log_size import leading
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.state.tables import tables_from
 from willowpost.wire.messages import Ask, BallotState, SyncedIndex, Tell
 
-TOLD_MOST = 64
+DECISIONS_MOST = 64  # in one Tell
+DECISIONS_BYTES_MOST = 512 * 1024
+SOURCES_TRIED = 3  # the furthest ones; one dead source does not hold us up
 
 
 class Catchup:
@@ -25,108 +34,145 @@
         plan = Plan()
         match event:
             case Received(source, BallotState(again=True, slot=slot)) if (
-                slot < self.node_state.tables.slot
+                self.node_state.log_floor <= slot < self.node_state.tables.slot
             ):
-                self._tell(source, slot, plan)
+                # one that needs a snapshot pulls it, piece by piece
+                self._tell(source, Ask(slot), now, plan)
             case Received(source, Ask() as ask):
-                self._answer(source, ask, plan)
-            case Received(_, Tell() as told):
-                self._take(told, now, plan)
+                self._answer(source, ask, now, plan)
+            case Received(source, Tell() as told):
+                self._take(source, told, now, plan)
             case Received(_, SyncedIndex(identity, slot)):
                 self.node_state.hear_synced_index(identity, slot)
             case Tick():
                 self._tick(now, plan)
         return plan
 
-    def _answer(self, source, ask, plan):
-        node_state = self.node_state
-        if ask.key and ask.slot >= node_state.tables.slot:
-            command = node_state.queue.commands.get(ask.key)
-            if (
-                command is None
-                and node_state.own is not None
-                and node_state.own.proposal == ask.key
-            ):
-                command = node_state.own.command
+    def _answer(self, source, ask, now, plan):
+        if ask.key and ask.slot >= self.node_state.tables.slot:
+            command = self._command(ask.key)
             if command is not None:
                 plan.send(source, Tell(ask.slot, command=command))
-        elif node_state.bootstrapped:
-            self._tell(source, ask.slot, plan, ask.blank)
+        elif self.node_state.bootstrapped:
+            self._tell(source, ask, now, plan)
 
-    def _tell(self, source, slot, plan, blank=False):
+    def _command(self, key):
         node_state = self.node_state
-        if blank or slot < node_state.log_floor:
-            plan.send(source, Tell(node_state.tables.slot, snapshot=node_state.tables.text()))
-        else:
-            last = min(slot + TOLD_MOST, node_state.tables.slot)
-            plan.send(source, Tell(last, tuple(node_state.log[each] for each in range(slot, last))))
+        command = node_state.queue.commands.get(key)
+        if command is None and node_state.own is not None and node_state.own.proposal == key:
+            return node_state.own.command
+        return command
 
-    def _take(self, told, now, plan):
+    def _tell(self, source, ask, now, plan):
         node_state = self.node_state
+        if ask.blank or ask.slot < node_state.log_floor:
+            piece = node_state.outgoing_snapshot.piece(
+                node_state.tables,
+                -1 if ask.blank else ask.slot,
+                node_state.log_floor,
+                ask.snapshot,
+                now,
+            )
+            plan.send(source, Tell(node_state.tables.slot, piece=piece))
+            return
+        last = min(ask.slot + DECISIONS_MOST, node_state.tables.slot)
+        decisions = (node_state.log[slot] for slot in range(ask.slot, last))
+        told = leading(decisions, DECISIONS_BYTES_MOST)
+        plan.send(source, Tell(ask.slot + len(told), told))
+
+    def _take(self, source, told, now, plan):
+        node_state, before = self.node_state, self.node_state.tables.slot
         if told.snapshot:
             self._take_snapshot(told.snapshot, plan)
+        if told.piece is not None:
+            self._take_piece(source, told.piece, now, plan)
         for decision in told.decisions:
             if decision.slot == node_state.tables.slot and node_state.bootstrapped:
                 node_state.commit(decision, plan)
-        if told.decisions or told.snapshot:
-            self.asked_at = 0
-            self.behind_since = (
-                None if self._furthest() <= node_state.tables.slot else self.behind_since
-            )
+        if node_state.tables.slot > before:
+            self._go_on(source, now, plan)
+
+    def _take_piece(self, source, piece, now, plan):
+        node_state, received = self.node_state, self.node_state.incoming_snapshot.received
+        if node_state.bootstrapped and piece.slot <= node_state.tables.slot:
+            return
+        text = node_state.incoming_snapshot.take(piece, now)
+        if text is not None:
+            self._take_snapshot(text, plan)
+        elif node_state.incoming_snapshot.received > received:
+            self._ask(source, now, plan)
 
     def _take_snapshot(self, text, plan):
-        node_state, tables = self.node_state, tables_from(text)
+        node_state = self.node_state
+        try:
+            tables = tables_from(text)
+        except UnknownFormat as problem:
+            plan.note("catchup", "snapshot of an unknown format refused", problem=str(problem))
+            return
         if not self._newer(tables):
             return
-        node_state.log, node_state.log_floor, node_state.rotated_at = {}, tables.slot, tables.slot
+        node_state.log, node_state.log_floor = {}, tables.slot
         node_state.take(tables)
-        plan.rotate = node_state.segment()
-        plan.records.clear()
+        node_state.begin_segment(plan)
         plan.note("catchup", "snapshot taken", slot=tables.slot)
 
     def _newer(self, tables) -> bool:
         return tables.slot > self.node_state.tables.slot or not self.node_state.bootstrapped
 
-    def _furthest(self) -> int:
-        return max(
-            (
-                self.node_state.synced_indexes.get(identity, 0)
-                for identity in self.node_state.members
+    def _go_on(self, source, now, plan):
+        """An answer brought us further: ask the same source for more, if there is more."""
+        if self._furthest() > self.node_state.tables.slot:
+            self._ask(source, now, plan)
+        else:
+            self.asked_at, self.behind_since = 0, None
+
+    def _ask(self, source, now, plan):
+        node_state = self.node_state
+        self.asked_at = now
+        plan.send(
+            source,
+            Ask(
+                node_state.tables.slot,
+                blank=not node_state.bootstrapped,
+                snapshot=node_state.incoming_snapshot.request(),
             ),
-            default=0,
         )
 
+    def _furthest(self) -> int:
+        indexes = self.node_state.synced_indexes
+        return max((indexes.get(identity, 0) for identity in self.node_state.members), default=0)
+
     def _tick(self, now, plan):
         node_state = self.node_state
+        node_state.outgoing_snapshot.release(now)
         if not node_state.bootstrapped:
             return
-        if now - self.synced_index_sent_at >= node_state.pace.synced_index and node_state.voter:
-            self.synced_index_sent_at = now
-            plan.sends += [
-                (address, SyncedIndex(node_state.me.identity, node_state.tables.slot))
-                for address in node_state.others()
-            ]
-        behind = not node_state.voter or self._furthest() > node_state.tables.slot
-        self.behind_since = (
-            None if not behind else self.behind_since if self.behind_since is not None else now
+        self._say_synced_index(now, plan)
+        if node_state.voter and self._furthest() <= node_state.tables.slot:
+            self.behind_since = None
+            return
+        if self.behind_since is None:
+            self.behind_since = now
+        waited = now - self.behind_since >= node_state.pace.ask // 2
+        due = now - self.asked_at >= node_state.pace.ask
+        sources = self._sources()
+        if waited and due and sources and not node_state.incoming_snapshot.progressing(now):
+            self._ask(sources[(now // node_state.pace.ask) % len(sources)], now, plan)
+
+    def _say_synced_index(self, now, plan):
+        node_state = self.node_state
+        if now - self.synced_index_sent_at < node_state.pace.synced_index or not node_state.voter:
+            return
+        self.synced_index_sent_at = now
+        message = SyncedIndex(node_state.me.identity, node_state.tables.slot)
+        plan.sends += [(address, message) for address in node_state.others()]
+
+    def _sources(self) -> list[str]:
+        """Addresses of the voters that are furthest."""
+        node_state = self.node_state
+        ranked = sorted(
+            node_state.members.items(),
+            key=lambda member: -node_state.synced_indexes.get(member[0], 0),
         )
-        if (
-            behind
-            and now - self.behind_since >= node_state.pace.ask // 2
-            and now - self.asked_at >= node_state.pace.ask
-        ):
-            self.asked_at = now
-            ahead = [
-                address
-                for identity, address in sorted(
-                    node_state.members.items(),
-                    key=lambda held: -node_state.synced_indexes.get(held[0], 0),
-                )
-                if identity != node_state.me.identity
-            ]
-            # the furthest first; each round another, so that one dead teller does not hold us up
-            if ahead:
-                plan.send(
-                    ahead[(now // node_state.pace.ask) % min(3, len(ahead))],
-                    Ask(node_state.tables.slot),
-                )
+        others = [address for identity, address in ranked if identity != node_state.me.identity]
+        return others[:SOURCES_TRIED]
--- a/src/willowpost/consensus/replica/compaction.py
+++ b/src/willowpost/consensus/replica/compaction.py
@@ -2,31 +2,45 @@
 
 from willowpost.common.events import Tick
 from willowpost.common.plan import Plan
+from willowpost.consensus.log_size import trailing
 from willowpost.consensus.replica.replica_state import ReplicaState
 
 
 class Compaction:
-    """Invariant: no decision is dropped before n - f members hold it synced."""
+    """Invariants: no decision is dropped before n - f members hold it synced.
+
+    Between two segments at most pace.rotate decisions or pace.rotate_bytes bytes are appended (and
+    what one slot brings); a segment keeps at most pace.keep decisions and pace.keep_bytes bytes of
+    those that may be dropped.
+    """
 
     def __init__(self, node_state: ReplicaState):
         self.node_state = node_state
 
     def step(self, event, now: int) -> Plan:
         plan, node_state = Plan(), self.node_state
-        if (
-            not isinstance(event, Tick)
-            or not node_state.bootstrapped
-            or node_state.tables.slot - node_state.rotated_at < node_state.pace.rotate
-        ):
+        if not isinstance(event, Tick) or not node_state.bootstrapped or not self._due():
             return plan
-        floor = max(
-            node_state.log_floor,
-            min(node_state.safe(), node_state.tables.slot - node_state.pace.keep),
-        )
+        floor = self._floor()
         node_state.log = {
             slot: decision for slot, decision in node_state.log.items() if slot >= floor
         }
-        node_state.log_floor, node_state.rotated_at = floor, node_state.tables.slot
-        plan.rotate = node_state.segment()
+        node_state.log_floor = floor
+        node_state.forget_strangers()
+        node_state.begin_segment(plan)
         plan.note("compaction", "snapshot written", slot=node_state.tables.slot, floor=floor)
         return plan
+
+    def _due(self) -> bool:
+        node_state = self.node_state
+        return (
+            node_state.tables.slot - node_state.rotated_at >= node_state.pace.rotate
+            or node_state.appended_bytes >= node_state.pace.rotate_bytes
+        )
+
+    def _floor(self) -> int:
+        """The first slot whose decision is kept."""
+        node_state = self.node_state
+        decisions = tuple(node_state.log[slot] for slot in sorted(node_state.log))
+        kept = trailing(decisions, node_state.pace.keep, node_state.pace.keep_bytes)
+        return max(node_state.log_floor, min(node_state.safe(), node_state.tables.slot - len(kept)))
--- a/src/willowpost/consensus/replica/reads.py
+++ b/src/willowpost/consensus/replica/reads.py
@@ -3,10 +3,12 @@
 from willowpost.common.events import Received, Tick
 from willowpost.common.nonce import NonceSequence
 from willowpost.common.plan import Plan
+from willowpost.consensus.log_size import leading
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.wire.messages import Poll, ReadAsk, ReadTell, StateUpdate
 
-DECISIONS_MAX = 128
+DECISIONS_MOST = 128  # in one StateUpdate
+DECISIONS_BYTES_MOST = 512 * 1024
 
 
 class Reads:
@@ -69,26 +71,29 @@
 
     def _state_update(self, source, poll, now, plan):
         node_state = self.node_state
-        fresh = node_state.fresh_as_of is not None and node_state.voter
-        age = now - node_state.fresh_as_of if fresh else 0
         if not node_state.bootstrapped:
             return
+        fresh = node_state.fresh_as_of is not None and node_state.voter
+        age = now - node_state.fresh_as_of if fresh else 0
         if poll.blank or poll.slot < node_state.log_floor:
-            plan.send(
-                source,
-                StateUpdate(
-                    poll.nonce,
-                    node_state.tables.slot,
-                    age,
-                    fresh,
-                    snapshot=node_state.tables.text(),
-                ),
-            )
+            self._send_piece(source, poll, age, fresh, now, plan)
             return
-        last = min(poll.slot + DECISIONS_MAX, node_state.tables.slot)
-        told = tuple(node_state.log[slot] for slot in range(poll.slot, last))
+        most = min(poll.slot + DECISIONS_MOST, node_state.tables.slot)
+        decisions = (node_state.log[slot] for slot in range(poll.slot, most))
+        told = leading(decisions, DECISIONS_BYTES_MOST)
+        last = poll.slot + len(told)
         # short of the head, the teller's freshness does not hold for the listener yet
-        plan.send(
-            source,
-            StateUpdate(poll.nonce, last, age, fresh and last == node_state.tables.slot, told),
+        whole = fresh and last >= node_state.tables.slot
+        plan.send(source, StateUpdate(poll.nonce, last, age, whole, told))
+
+    def _send_piece(self, source, poll, age, fresh, now, plan):
+        node_state = self.node_state
+        piece = node_state.outgoing_snapshot.piece(
+            node_state.tables,
+            -1 if poll.blank else poll.slot,
+            node_state.log_floor,
+            poll.snapshot,
+            now,
         )
+        # the listener is fresh only once it holds all that is here, not just the snapshot's slot
+        plan.send(source, StateUpdate(poll.nonce, node_state.tables.slot, age, fresh, piece=piece))
--- a/src/willowpost/consensus/replica/records.py
+++ b/src/willowpost/consensus/replica/records.py
@@ -23,17 +23,24 @@
     }
 
 
-def decision_record(decision: Decision) -> dict:
+def decision_record(decision: Decision, whole: bool = True) -> dict:
+    """Not `whole`: the command is in the segment already, with the own ballot state of the slot."""
     return {
         "k": "decision",
         "slot": decision.slot,
         "key": decision.key,
-        "command": asdict(decision.command) if decision.command else None,
+        "command": asdict(decision.command) if whole and decision.command else None,
     }
 
 
-def decision_from(held: dict) -> Decision:
-    return Decision(held["slot"], held["key"], command_from(held["command"]))
+def decision_from(held: dict, proposed: Command | None = None) -> Decision:
+    """`proposed`: the command of the ballot state before it, for a decision written without its own."""
+    command = command_from(held["command"])
+    if command is None and proposed is not None and proposed.key == held["key"]:
+        command = proposed
+    if command is None and held["key"]:
+        raise ValueError(f"slot {held['slot']} was decided as {held['key']}, which is not there")
+    return Decision(held["slot"], held["key"], command)
 
 
 def identity_record(me: Member) -> dict:
--- a/src/willowpost/consensus/replica/replica_state.py
+++ b/src/willowpost/consensus/replica/replica_state.py
@@ -4,6 +4,7 @@
 
 from willowpost.common.clock import MILLI
 from willowpost.common.plan import Plan
+from willowpost.consensus.log_size import size_of
 from willowpost.consensus.queue import PendingQueue
 from willowpost.consensus.replica.records import (
     ballot_state_record,
@@ -14,6 +15,7 @@
 )
 from willowpost.consensus.thresholds import Thresholds
 from willowpost.state.apply import Apply, decided
+from willowpost.state.snapshot_transfer import SnapshotReceiver, SnapshotSource
 from willowpost.state.tables import Tables, tables_from
 from willowpost.wire.messages import BallotState, Command, Decision, Member, SyncedIndex
 
@@ -29,7 +31,9 @@
     read: int = 150 * MILLI
     hello: int = 200 * MILLI
     keep: int = 512  # decisions kept for laggards beyond what must be kept
+    keep_bytes: int = 8 * 1024 * 1024  # and at most so many bytes of them
     rotate: int = 2048  # decisions between two snapshots
+    rotate_bytes: int = 16 * 1024 * 1024  # bytes appended between two snapshots
 
 
 @dataclass(slots=True)
@@ -56,6 +60,9 @@
     synced_indexes: dict = field(default_factory=dict)
     passed: int = 0  # the last epoch whose opening barrier was passed
     rotated_at: int = 0  # slot of the last snapshot
+    appended_bytes: int = 0  # of commands, since the last snapshot
+    incoming_snapshot: SnapshotReceiver = field(default_factory=SnapshotReceiver)
+    outgoing_snapshot: SnapshotSource = field(default_factory=SnapshotSource)
     bootstrap_promise: tuple = ()
     members: dict = field(default_factory=dict)  # identity -> address, of the epoch in force
     fresh_as_of: int | None = None  # own clock: all accepted before it is applied here
@@ -110,7 +117,9 @@
         self.synced_indexes[self.me.identity] = tables.slot
 
     def commit(self, decision: Decision, plan: Plan) -> None:
-        plan.records.append(decision_record(decision))
+        proposed = self.own is not None and self.own.command is not None
+        written = proposed and self.own.command.key == decision.key
+        plan.records.append(decision_record(decision, whole=not written))
         self.replay(decision)
         plan.sends += [
             (address, SyncedIndex(self.me.identity, self.tables.slot)) for address in self.others()
@@ -120,10 +129,28 @@
         self.log[decision.slot] = decision
         if decision.key:
             self.queue.drop(decision.key)
+        self.appended_bytes += size_of(decision)
         self.stats["decided"] += 1
         self.stats["null"] += not decision.key
         self.take(Apply().step(self.tables, decision))
 
+    def begin_segment(self, plan: Plan) -> None:
+        """Replaces what is on disk by a new segment; what the plan would have appended is in it."""
+        self.rotated_at, self.appended_bytes = self.tables.slot, 0
+        plan.rotate = self.segment()
+        plan.records.clear()
+
+    def forget_strangers(self) -> None:
+        """Synced indexes count only of voters, and of those before the last change of voters."""
+        known = {
+            *self.members,
+            *(member["identity"] for member in self.tables.former.get("core", ())),
+        }
+        self.synced_indexes = {
+            identity: slot for identity, slot in self.synced_indexes.items() if identity in known
+        }
+        self.synced_indexes[self.me.identity] = self.tables.slot
+
     def segment(self) -> list[dict]:
         """The records of a new disk segment: everything this store must still know."""
         snapshot = [
@@ -150,7 +177,7 @@
             "found": self.found,
             "snapshot": self._snapshot,
             "kept": self._kept,
-            "decision": lambda held: self.replay(decision_from(held)),
+            "decision": self._decision,
             "ballot_state": self._ballot_state,
             "passed": self._passed,
         }
@@ -179,6 +206,9 @@
     def _kept(self, held):
         self.log[held["slot"]] = decision_from(held)
 
+    def _decision(self, held):
+        self.replay(decision_from(held, self.own.command if self.own else None))
+
     def _passed(self, held):
         self.passed = held["epoch"]
 
--- a/src/willowpost/node/follower.py
+++ b/src/willowpost/node/follower.py
@@ -6,9 +6,11 @@
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Changed, Received, Tick
 from willowpost.common.nonce import NonceSequence
+from willowpost.common.formats import UnknownFormat
 from willowpost.common.plan import Plan
 from willowpost.common.rendezvous import Rendezvous
-from willowpost.node.node_state import TAIL_KEPT, NodeState
+from willowpost.consensus.log_size import leading, trailing
+from willowpost.node.node_state import TAIL_BYTES_KEPT, TAIL_KEPT, NodeState
 from willowpost.state.apply import Apply
 from willowpost.state.tables import tables_from
 from willowpost.wire.messages import Hello, Ping, Poll, StateUpdate, members_of
@@ -21,6 +23,7 @@
 # no state updates for so long: whom we know may all be gone, and the seeds may be others by now
 WITHOUT_SOURCE_AFTER = 3 * SECOND
 HOMES_TRIED = 2
+DECISIONS_BYTES_MOST = 512 * 1024  # in one StateUpdate
 
 
 class Follower:
@@ -49,7 +52,7 @@
         plan = Plan()
         match event:
             case Received(source, StateUpdate() as state_update):
-                self._take(state_update, now, plan)
+                self._take(source, state_update, now, plan)
             case Received(source, Poll() as poll):
                 self._tell(source, poll, now, plan)
             case Received(source, Hello(answer=True, bootstrapped=True) as hello):
@@ -103,6 +106,7 @@
             return
         self._judge(now)
         self.polled_at = now
+        node_state.outgoing_snapshot.release(now)
         self.poll(sources[self.source_index % len(sources)], now, plan)
 
     def _without_source(self, now):
@@ -110,11 +114,18 @@
         return age is None or age > WITHOUT_SOURCE_AFTER
 
     def poll(self, address, now, plan):
-        nonce = self.nonces.next()
+        """Asks one source for what is new; not while another is sending us a snapshot."""
+        if not self.node_state.incoming_snapshot.progressing(now):
+            self._poll_now(address, now, plan)
+
+    def _poll_now(self, address, now, plan):
+        node_state, nonce = self.node_state, self.nonces.next()
         self.polls = {nonce: sent for nonce, sent in self.polls.items() if now - sent < 2 * SECOND}
         self.polls[nonce] = now
+        request = node_state.incoming_snapshot.request()
         plan.send(
-            address, Poll(nonce, self.node_state.tables.slot, not self.node_state.tables.epoch)
+            address,
+            Poll(nonce, node_state.tables.slot, not node_state.tables.epoch, request),
         )
 
     def _judge(self, now):
@@ -126,58 +137,69 @@
         elif self.source_index and not bad and now - self.source_changed_at > RETRY_HOME:
             self.source_index, self.source_changed_at = 0, now
 
-    def _take(self, state_update, now, plan):
+    def _take(self, source, state_update, now, plan):
         node_state = self.node_state
         sent = self.polls.pop(state_update.nonce, None)
         if sent is None:
             return
         self.heard_at = now
-        if state_update.snapshot:
-            tables = tables_from(state_update.snapshot)
-            if self._newer(tables):
-                node_state.tables, node_state.tail = tables, ()
-        tables, tail = node_state.tables, []
-        for decision in state_update.decisions:
-            if decision.slot == tables.slot and tables.epoch:
-                tables = self.apply.step(tables, decision)
-                tail.append(decision)
-        node_state.tables, node_state.tail = tables, (node_state.tail + tuple(tail))[-TAIL_KEPT:]
-        if state_update.fresh and node_state.tables.slot >= state_update.slot:
+        self._take_snapshot(state_update, now, plan)
+        self._take_decisions(state_update.decisions)
+        reached = node_state.tables.epoch and node_state.tables.slot >= state_update.slot
+        if state_update.fresh and reached:
             node_state.whole_as_of(sent - state_update.age)
             node_state.seed_cores = ()
+        elif state_update.piece is not None and state_update.piece.text:
+            self._poll_now(source, now, plan)  # the next piece, or what was decided since
         elif state_update.decisions and node_state.tables.slot == state_update.slot:
             self.polled_at = now - POLL_EVERY  # more is waiting there
 
+    def _take_snapshot(self, state_update, now, plan):
+        node_state, text = self.node_state, state_update.snapshot
+        piece = state_update.piece
+        if piece is not None and (
+            piece.slot > node_state.tables.slot or not node_state.tables.epoch
+        ):
+            text = node_state.incoming_snapshot.take(piece, now)
+        if not text:
+            return
+        try:
+            tables = tables_from(text)
+        except UnknownFormat as problem:
+            plan.note("follower", "snapshot of an unknown format refused", problem=str(problem))
+            return
+        if self._newer(tables):
+            node_state.tables, node_state.tail = tables, ()
+
+    def _take_decisions(self, decisions):
+        node_state = self.node_state
+        tables, taken = node_state.tables, []
+        for decision in decisions:
+            if decision.slot == tables.slot and tables.epoch:
+                tables = self.apply.step(tables, decision)
+                taken.append(decision)
+        if taken:
+            tail = node_state.tail + tuple(taken)
+            node_state.tables = tables
+            node_state.tail = trailing(tail, TAIL_KEPT, TAIL_BYTES_KEPT)
+
     def _newer(self, tables):
         return tables.slot > self.node_state.tables.slot or not self.node_state.tables.epoch
 
     def _tell(self, source, poll, now, plan):
         node_state = self.node_state
+        if not node_state.tables.epoch:
+            return
         age = node_state.age(now)
-        fresh = age is not None
         first = node_state.tables.slot - len(node_state.tail)
-        if (poll.blank or poll.slot < first) and node_state.tables.epoch:
-            plan.send(
-                source,
-                StateUpdate(
-                    poll.nonce,
-                    node_state.tables.slot,
-                    age or 0,
-                    fresh,
-                    snapshot=node_state.tables.text(),
-                ),
-            )
-        elif node_state.tables.epoch:
-            told = (
-                node_state.tail[poll.slot - first :] if poll.slot < node_state.tables.slot else ()
-            )
-            plan.send(
-                source,
-                StateUpdate(
-                    poll.nonce,
-                    node_state.tables.slot,
-                    age or 0,
-                    fresh and poll.slot <= node_state.tables.slot,
-                    tuple(told),
-                ),
+        piece, told = None, ()
+        if poll.blank or poll.slot < first:
+            asker_slot = -1 if poll.blank else poll.slot
+            piece = node_state.outgoing_snapshot.piece(
+                node_state.tables, asker_slot, first, poll.snapshot, now
             )
+        elif poll.slot < node_state.tables.slot:
+            told = leading(node_state.tail[poll.slot - first :], DECISIONS_BYTES_MOST)
+        last = poll.slot + len(told) if told else node_state.tables.slot
+        whole = age is not None and last >= node_state.tables.slot >= poll.slot
+        plan.send(source, StateUpdate(poll.nonce, last, age or 0, whole, tuple(told), piece=piece))
--- a/src/willowpost/node/node_state.py
+++ b/src/willowpost/node/node_state.py
@@ -4,6 +4,7 @@
 
 from willowpost.common.clock import MILLI
 from willowpost.common.rendezvous import weight
+from willowpost.state.snapshot_transfer import SnapshotReceiver, SnapshotSource
 from willowpost.state.tables import Tables
 
 # how long an owner may believe in its duty without state updates, and a proxy serves on unless its
@@ -13,6 +14,7 @@
 # is 150 to 400 ms, and up to 800 ms when the source has just died.
 OUT_OF_TOUCH_AFTER = 1_200 * MILLI
 TAIL_KEPT = 512
+TAIL_BYTES_KEPT = 2 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +41,8 @@
 
     - `tables` never goes back a slot in one life.
     - everything accepted before `fresh_as_of` (own clock) is in `tables`.
-    - `tail` holds the decisions tables.slot - len(tail) .. tables.slot - 1.
+    - `tail` holds the decisions tables.slot - len(tail) .. tables.slot - 1, at most TAIL_KEPT of
+      them and TAIL_BYTES_KEPT bytes.
     """
 
     card: Card
@@ -49,6 +52,8 @@
     seed_cores: tuple = ()  # stores heard of from seeds, until there are fresh tables
     draining: bool = False  # this process is about to end, as planned
     serve_on: int | None = None  # µs; None: the lease
+    incoming_snapshot: SnapshotReceiver = field(default_factory=SnapshotReceiver)
+    outgoing_snapshot: SnapshotSource = field(default_factory=SnapshotSource)
 
     def age(self, now: int) -> int | None:
         return None if self.fresh_as_of is None else now - self.fresh_as_of
--- a/src/willowpost/sim/rules.py
+++ b/src/willowpost/sim/rules.py
@@ -3,8 +3,7 @@
 import json
 import re
 
-from willowpost.consensus.replica.records import decision_from
-from willowpost.wire.messages import Accepted, BallotState, Decision, Submit
+from willowpost.wire.messages import Accepted, BallotState, Submit
 
 
 class Broken(AssertionError):
@@ -47,7 +46,7 @@
         )
         for record in plan.records:
             if record["k"] == "decision":
-                self._agree(world, seat, decision_from(record))
+                self._agree(world, seat, record["slot"], record["key"])
         for _, message in plan.sends:
             if isinstance(message, BallotState):
                 self._stand(world, seat, message)
@@ -63,19 +62,19 @@
         if not kept:
             raise Broken(f"t={world.time} {seat.address}: {what}")
 
-    def _agree(self, world, seat, decision: Decision):
-        known = self.decided.setdefault(decision.slot, decision.key)
+    def _agree(self, world, seat, slot: int, key: str):
+        known = self.decided.setdefault(slot, key)
         self._say(
-            known == decision.key,
+            known == key,
             world,
             seat,
-            f"slot {decision.slot} decided {decision.key!r}, elsewhere {known!r}",
+            f"slot {slot} decided {key!r}, elsewhere {known!r}",
         )
         self._say(
-            not decision.key or decision.key in self.submitted,
+            not key or key in self.submitted,
             world,
             seat,
-            f"{decision.key} was never submitted",
+            f"{key} was never submitted",
         )
 
     def _stand(self, world, seat, ballot_state):
--- a/src/willowpost/state/tables.py
+++ b/src/willowpost/state/tables.py
@@ -4,9 +4,11 @@
 from dataclasses import dataclass, field, fields
 
 from willowpost.common.digest import blake2b
+from willowpost.common.formats import UnknownFormat
 from willowpost.common.uncollected import uncollected
 from willowpost.state.configuration_changes import ChangeLog
 
+SNAPSHOT_FORMAT = 1  # of the text; another number is refused
 PURGES_KEPT = 4096
 ANSWERS_KEPT = 64
 FAILURE_VERDICTS_KEPT = 64
@@ -55,9 +57,9 @@
         return daemon, self.daemons[daemon]["incarnation"]
 
     def text(self) -> str:
-        """The tables as JSON, the same at every daemon."""
+        """Equal tables have equal texts, at every daemon; ASCII only."""
         held = {name.name: getattr(self, name.name) for name in fields(self)}
-        held["changes"] = self.changes.as_rows()
+        held |= {"format": SNAPSHOT_FORMAT, "changes": self.changes.as_rows()}
         return json.dumps(held, sort_keys=True, separators=(",", ":"))
 
     def digest(self) -> str:
@@ -65,9 +67,16 @@
 
 
 def tables_from(text: str) -> Tables:
-    """A text of an earlier build lacks the newer fields: they have their defaults."""
+    """A text of an earlier build lacks the newer fields: they have their defaults.
+
+    Raises:
+        UnknownFormat: the text was made by a build that writes another format.
+    """
     with uncollected():
         held = json.loads(text)
+    found = held.pop("format", None)
+    if found != SNAPSHOT_FORMAT:
+        raise UnknownFormat("snapshot", found, SNAPSHOT_FORMAT)
     changes = ChangeLog.from_rows(held.pop("changes", []))
     tuples = {
         name: tuple(value) if isinstance(value, list) else value for name, value in held.items()
--- a/src/willowpost/toolbox/folder.py
+++ b/src/willowpost/toolbox/folder.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from willowpost.common.formats import UnknownFormat
-from willowpost.consensus.replica.records import decision_from
+from willowpost.consensus.replica.records import command_from, decision_from
 from willowpost.shell.disk import ASIDE, segments_in
 from willowpost.shell.segment_format import DiskDamaged, parse
 from willowpost.state.apply import Apply
@@ -101,7 +101,7 @@
     def run(self, folder: str, slot: int | None = None) -> Tables:
         names = segments_in(folder)
         records, _ = parse(open(os.path.join(folder, names[-1]), "rb").read())
-        tables = Tables()
+        tables, proposed = Tables(), None
         for record in records:
             if slot is not None and tables.epoch and tables.slot >= slot:
                 break
@@ -109,8 +109,10 @@
                 tables = Tables(epoch=1, core=tuple(record["core"]))
             elif record["k"] == "snapshot":
                 tables = tables_from(record["text"])
+            elif record["k"] == "ballot_state":
+                proposed = command_from(record["command"]) or proposed
             elif record["k"] == "decision":
-                tables = Apply().step(tables, decision_from(record))
+                tables = Apply().step(tables, decision_from(record, proposed))
         if slot is not None and tables.slot != slot:
             raise ValueError(
                 f"the folder holds slots {tables.slot} and later"
--- a/src/willowpost/wire/generated.py
+++ b/src/willowpost/wire/generated.py
@@ -1177,6 +1177,217 @@
         return syncedIndex
 
 
+class SnapshotRequest(object):
+    __slots__ = ['_tab']
+
+    @classmethod
+    def GetRootAs(cls, buf, offset=0):
+        n = flatbuffers.encode.Get(flatbuffers.packer.uoffset, buf, offset)
+        x = SnapshotRequest()
+        x.Init(buf, n + offset)
+        return x
+
+    @classmethod
+    def GetRootAsSnapshotRequest(cls, buf, offset=0):
+        """This method is deprecated. Please switch to GetRootAs."""
+        return cls.GetRootAs(buf, offset)
+    # SnapshotRequest
+    def Init(self, buf, pos):
+        self._tab = flatbuffers.table.Table(buf, pos)
+
+    # SnapshotRequest
+    def Slot(self):
+        o = flatbuffers.number_types.UOffsetTFlags.py_type(self._tab.Offset(4))
+        if o != 0:
+            return self._tab.Get(flatbuffers.number_types.Uint64Flags, o + self._tab.Pos)
+        return 0
+
+    # SnapshotRequest
+    def Offset(self):
+        o = flatbuffers.number_types.UOffsetTFlags.py_type(self._tab.Offset(6))
+        if o != 0:
+            return self._tab.Get(flatbuffers.number_types.Uint64Flags, o + self._tab.Pos)
+        return 0
+
+def SnapshotRequestStart(builder):
+    builder.StartObject(2)
+
+def SnapshotRequestAddSlot(builder, slot):
+    builder.PrependUint64Slot(0, slot, 0)
+
+def SnapshotRequestAddOffset(builder, offset):
+    builder.PrependUint64Slot(1, offset, 0)
+
+def SnapshotRequestEnd(builder):
+    return builder.EndObject()
+
+
+
+class SnapshotRequestT(object):
+
+    # SnapshotRequestT
+    def __init__(
+        self,
+        slot = 0,
+        offset = 0,
+    ):
+        self.slot = slot  # type: int
+        self.offset = offset  # type: int
+
+    @classmethod
+    def InitFromBuf(cls, buf, pos):
+        snapshotRequest = SnapshotRequest()
+        snapshotRequest.Init(buf, pos)
+        return cls.InitFromObj(snapshotRequest)
+
+    @classmethod
+    def InitFromPackedBuf(cls, buf, pos=0):
+        n = flatbuffers.encode.Get(flatbuffers.packer.uoffset, buf, pos)
+        return cls.InitFromBuf(buf, pos+n)
+
+    @classmethod
+    def InitFromObj(cls, snapshotRequest):
+        x = SnapshotRequestT()
+        x._UnPack(snapshotRequest)
+        return x
+
+    # SnapshotRequestT
+    def _UnPack(self, snapshotRequest):
+        if snapshotRequest is None:
+            return
+        self.slot = snapshotRequest.Slot()
+        self.offset = snapshotRequest.Offset()
+
+    # SnapshotRequestT
+    def Pack(self, builder):
+        SnapshotRequestStart(builder)
+        SnapshotRequestAddSlot(builder, self.slot)
+        SnapshotRequestAddOffset(builder, self.offset)
+        snapshotRequest = SnapshotRequestEnd(builder)
+        return snapshotRequest
+
+
+class SnapshotPiece(object):
+    __slots__ = ['_tab']
+
+    @classmethod
+    def GetRootAs(cls, buf, offset=0):
+        n = flatbuffers.encode.Get(flatbuffers.packer.uoffset, buf, offset)
+        x = SnapshotPiece()
+        x.Init(buf, n + offset)
+        return x
+
+    @classmethod
+    def GetRootAsSnapshotPiece(cls, buf, offset=0):
+        """This method is deprecated. Please switch to GetRootAs."""
+        return cls.GetRootAs(buf, offset)
+    # SnapshotPiece
+    def Init(self, buf, pos):
+        self._tab = flatbuffers.table.Table(buf, pos)
+
+    # SnapshotPiece
+    def Slot(self):
+        o = flatbuffers.number_types.UOffsetTFlags.py_type(self._tab.Offset(4))
+        if o != 0:
+            return self._tab.Get(flatbuffers.number_types.Uint64Flags, o + self._tab.Pos)
+        return 0
+
+    # SnapshotPiece
+    def Offset(self):
+        o = flatbuffers.number_types.UOffsetTFlags.py_type(self._tab.Offset(6))
+        if o != 0:
+            return self._tab.Get(flatbuffers.number_types.Uint64Flags, o + self._tab.Pos)
+        return 0
+
+    # SnapshotPiece
+    def Total(self):
+        o = flatbuffers.number_types.UOffsetTFlags.py_type(self._tab.Offset(8))
+        if o != 0:
+            return self._tab.Get(flatbuffers.number_types.Uint64Flags, o + self._tab.Pos)
+        return 0
+
+    # SnapshotPiece
+    def Text(self):
+        o = flatbuffers.number_types.UOffsetTFlags.py_type(self._tab.Offset(10))
+        if o != 0:
+            return self._tab.String(o + self._tab.Pos)
+        return None
+
+def SnapshotPieceStart(builder):
+    builder.StartObject(4)
+
+def SnapshotPieceAddSlot(builder, slot):
+    builder.PrependUint64Slot(0, slot, 0)
+
+def SnapshotPieceAddOffset(builder, offset):
+    builder.PrependUint64Slot(1, offset, 0)
+
+def SnapshotPieceAddTotal(builder, total):
+    builder.PrependUint64Slot(2, total, 0)
+
+def SnapshotPieceAddText(builder, text):
+    builder.PrependUOffsetTRelativeSlot(3, flatbuffers.number_types.UOffsetTFlags.py_type(text), 0)
+
+def SnapshotPieceEnd(builder):
+    return builder.EndObject()
+
+
+
+class SnapshotPieceT(object):
+
+    # SnapshotPieceT
+    def __init__(
+        self,
+        slot = 0,
+        offset = 0,
+        total = 0,
+        text = None,
+    ):
+        self.slot = slot  # type: int
+        self.offset = offset  # type: int
+        self.total = total  # type: int
+        self.text = text  # type: Optional[str]
+
+    @classmethod
+    def InitFromBuf(cls, buf, pos):
+        snapshotPiece = SnapshotPiece()
+        snapshotPiece.Init(buf, pos)
+        return cls.InitFromObj(snapshotPiece)
+
+    @classmethod
+    def InitFromPackedBuf(cls, buf, pos=0):
+        n = flatbuffers.encode.Get(flatbuffers.packer.uoffset, buf, pos)
+        return cls.InitFromBuf(buf, pos+n)
+
+    @classmethod
+    def InitFromObj(cls, snapshotPiece):
+        x = SnapshotPieceT()
+        x._UnPack(snapshotPiece)
+        return x
+
+    # SnapshotPieceT
+    def _UnPack(self, snapshotPiece):
+        if snapshotPiece is None:
+            return
+        self.slot = snapshotPiece.Slot()
+        self.offset = snapshotPiece.Offset()
+        self.total = snapshotPiece.Total()
+        self.text = snapshotPiece.Text()
+
+    # SnapshotPieceT
+    def Pack(self, builder):
+        if self.text is not None:
+            text = builder.CreateString(self.text)
+        SnapshotPieceStart(builder)
+        SnapshotPieceAddSlot(builder, self.slot)
+        SnapshotPieceAddOffset(builder, self.offset)
+        SnapshotPieceAddTotal(builder, self.total)
+        if self.text is not None:
+            SnapshotPieceAddText(builder, text)
+        snapshotPiece = SnapshotPieceEnd(builder)
+        return snapshotPiece
+
+
 class Ask(object):
     __slots__ = ['_tab']
 
@@ -1216,8 +1427,18 @@
             return bool(self._tab.Get(flatbuffers.number_types.BoolFlags, o + self._tab.Pos))
         return False
 
+    # Ask
+    def Snapshot(self):
+        o = flatbuffers.number_types.UOffsetTFlags.py_type(self._tab.Offset(10))
+        if o != 0:
+            x = self._tab.Indirect(o + self._tab.Pos)
+            obj = SnapshotRequest()
+            obj.Init(self._tab.Bytes, x)
+            return obj
+        return None
+
 def AskStart(builder):
-    builder.StartObject(3)
+    builder.StartObject(4)
 
 def AskAddSlot(builder, slot):
     builder.PrependUint64Slot(0, slot, 0)
@@ -1228,10 +1449,17 @@
 def AskAddBlank(builder, blank):
     builder.PrependBoolSlot(2, blank, 0)
 
+def AskAddSnapshot(builder, snapshot):
+    builder.PrependUOffsetTRelativeSlot(3, flatbuffers.number_types.UOffsetTFlags.py_type(snapshot), 0)
+
 def AskEnd(builder):
     return builder.EndObject()
 
 
+try:
+    from typing import Optional
+except:
+    pass
 
 class AskT(object):
 
@@ -1241,10 +1469,12 @@
         slot = 0,
         key = None,
         blank = False,
+        snapshot = None,
     ):
         self.slot = slot  # type: int
         self.key = key  # type: Optional[str]
         self.blank = blank  # type: bool
+        self.snapshot = snapshot  # type: Optional[SnapshotRequestT]
 
     @classmethod
     def InitFromBuf(cls, buf, pos):
@@ -1270,16 +1500,22 @@
         self.slot = ask.Slot()
         self.key = ask.Key()
         self.blank = ask.Blank()
+        if ask.Snapshot() is not None:
+            self.snapshot = SnapshotRequestT.InitFromObj(ask.Snapshot())
 
     # AskT
     def Pack(self, builder):
         if self.key is not None:
             key = builder.CreateString(self.key)
+        if self.snapshot is not None:
+            snapshot = self.snapshot.Pack(builder)
         AskStart(builder)
         AskAddSlot(builder, self.slot)
         if self.key is not None:
             AskAddKey(builder, key)
         AskAddBlank(builder, self.blank)
+        if self.snapshot is not None:
+            AskAddSnapshot(builder, snapshot)
         ask = AskEnd(builder)
         return ask
 
@@ -1350,8 +1586,18 @@
             return obj
         return None
 
+    # Tell
+    def Piece(self):
+        o = flatbuffers.number_types.UOffsetTFlags.py_type(self._tab.Offset(12))
+        if o != 0:
+            x = self._tab.Indirect(o + self._tab.Pos)
+            obj = SnapshotPiece()
+            obj.Init(self._tab.Bytes, x)
+            return obj
+        return None
+
 def TellStart(builder):
-    builder.StartObject(4)
+    builder.StartObject(5)
 
 def TellAddSlot(builder, slot):
     builder.PrependUint64Slot(0, slot, 0)
@@ -1368,6 +1614,9 @@
 def TellAddCommand(builder, command):
     builder.PrependUOffsetTRelativeSlot(3, flatbuffers.number_types.UOffsetTFlags.py_type(command), 0)
 
+def TellAddPiece(builder, piece):
+    builder.PrependUOffsetTRelativeSlot(4, flatbuffers.number_types.UOffsetTFlags.py_type(piece), 0)
+
 def TellEnd(builder):
     return builder.EndObject()
 
@@ -1386,11 +1635,13 @@
         decisions = None,
         snapshot = None,
         command = None,
+        piece = None,
     ):
         self.slot = slot  # type: int
         self.decisions = decisions  # type: Optional[List[DecisionT]]
         self.snapshot = snapshot  # type: Optional[str]
         self.command = command  # type: Optional[CommandT]
+        self.piece = piece  # type: Optional[SnapshotPieceT]
 
     @classmethod
     def InitFromBuf(cls, buf, pos):
@@ -1425,6 +1676,8 @@
         self.snapshot = tell.Snapshot()
         if tell.Command() is not None:
             self.command = CommandT.InitFromObj(tell.Command())
+        if tell.Piece() is not None:
+            self.piece = SnapshotPieceT.InitFromObj(tell.Piece())
 
     # TellT
     def Pack(self, builder):
@@ -1440,6 +1693,8 @@
             snapshot = builder.CreateString(self.snapshot)
         if self.command is not None:
             command = self.command.Pack(builder)
+        if self.piece is not None:
+            piece = self.piece.Pack(builder)
         TellStart(builder)
         TellAddSlot(builder, self.slot)
         if self.decisions is not None:
@@ -1448,6 +1703,8 @@
             TellAddSnapshot(builder, snapshot)
         if self.command is not None:
             TellAddCommand(builder, command)
+        if self.piece is not None:
+            TellAddPiece(builder, piece)
         tell = TellEnd(builder)
         return tell
 
@@ -1871,8 +2128,18 @@
             return bool(self._tab.Get(flatbuffers.number_types.BoolFlags, o + self._tab.Pos))
         return False
 
+    # Poll
+    def Snapshot(self):
+        o = flatbuffers.number_types.UOffsetTFlags.py_type(self._tab.Offset(10))
+        if o != 0:
+            x = self._tab.Indirect(o + self._tab.Pos)
+            obj = SnapshotRequest()
+            obj.Init(self._tab.Bytes, x)
+            return obj
+        return None
+
 def PollStart(builder):
-    builder.StartObject(3)
+    builder.StartObject(4)
 
 def PollAddNonce(builder, nonce):
     builder.PrependUint64Slot(0, nonce, 0)
@@ -1883,10 +2150,17 @@
 def PollAddBlank(builder, blank):
     builder.PrependBoolSlot(2, blank, 0)
 
+def PollAddSnapshot(builder, snapshot):
+    builder.PrependUOffsetTRelativeSlot(3, flatbuffers.number_types.UOffsetTFlags.py_type(snapshot), 0)
+
 def PollEnd(builder):
     return builder.EndObject()
 
 
+try:
+    from typing import Optional
+except:
+    pass
 
 class PollT(object):
 
@@ -1896,10 +2170,12 @@
         nonce = 0,
         slot = 0,
         blank = False,
+        snapshot = None,
     ):
         self.nonce = nonce  # type: int
         self.slot = slot  # type: int
         self.blank = blank  # type: bool
+        self.snapshot = snapshot  # type: Optional[SnapshotRequestT]
 
     @classmethod
     def InitFromBuf(cls, buf, pos):
@@ -1925,13 +2201,19 @@
         self.nonce = poll.Nonce()
         self.slot = poll.Slot()
         self.blank = poll.Blank()
+        if poll.Snapshot() is not None:
+            self.snapshot = SnapshotRequestT.InitFromObj(poll.Snapshot())
 
     # PollT
     def Pack(self, builder):
+        if self.snapshot is not None:
+            snapshot = self.snapshot.Pack(builder)
         PollStart(builder)
         PollAddNonce(builder, self.nonce)
         PollAddSlot(builder, self.slot)
         PollAddBlank(builder, self.blank)
+        if self.snapshot is not None:
+            PollAddSnapshot(builder, snapshot)
         poll = PollEnd(builder)
         return poll
 
@@ -2013,8 +2295,18 @@
             return self._tab.String(o + self._tab.Pos)
         return None
 
+    # StateUpdate
+    def Piece(self):
+        o = flatbuffers.number_types.UOffsetTFlags.py_type(self._tab.Offset(16))
+        if o != 0:
+            x = self._tab.Indirect(o + self._tab.Pos)
+            obj = SnapshotPiece()
+            obj.Init(self._tab.Bytes, x)
+            return obj
+        return None
+
 def StateUpdateStart(builder):
-    builder.StartObject(6)
+    builder.StartObject(7)
 
 def StateUpdateAddNonce(builder, nonce):
     builder.PrependUint64Slot(0, nonce, 0)
@@ -2037,12 +2329,15 @@
 def StateUpdateAddSnapshot(builder, snapshot):
     builder.PrependUOffsetTRelativeSlot(5, flatbuffers.number_types.UOffsetTFlags.py_type(snapshot), 0)
 
+def StateUpdateAddPiece(builder, piece):
+    builder.PrependUOffsetTRelativeSlot(6, flatbuffers.number_types.UOffsetTFlags.py_type(piece), 0)
+
 def StateUpdateEnd(builder):
     return builder.EndObject()
 
 
 try:
-    from typing import List
+    from typing import List, Optional
 except:
     pass
 
@@ -2057,6 +2352,7 @@
         fresh = False,
         decisions = None,
         snapshot = None,
+        piece = None,
     ):
         self.nonce = nonce  # type: int
         self.slot = slot  # type: int
@@ -2064,6 +2360,7 @@
         self.fresh = fresh  # type: bool
         self.decisions = decisions  # type: Optional[List[DecisionT]]
         self.snapshot = snapshot  # type: Optional[str]
+        self.piece = piece  # type: Optional[SnapshotPieceT]
 
     @classmethod
     def InitFromBuf(cls, buf, pos):
@@ -2099,6 +2396,8 @@
                     decision_ = DecisionT.InitFromObj(stateUpdate.Decisions(i))
                     self.decisions.append(decision_)
         self.snapshot = stateUpdate.Snapshot()
+        if stateUpdate.Piece() is not None:
+            self.piece = SnapshotPieceT.InitFromObj(stateUpdate.Piece())
 
     # StateUpdateT
     def Pack(self, builder):
@@ -2112,6 +2411,8 @@
             decisions = builder.EndVector()
         if self.snapshot is not None:
             snapshot = builder.CreateString(self.snapshot)
+        if self.piece is not None:
+            piece = self.piece.Pack(builder)
         StateUpdateStart(builder)
         StateUpdateAddNonce(builder, self.nonce)
         StateUpdateAddSlot(builder, self.slot)
@@ -2121,6 +2422,8 @@
             StateUpdateAddDecisions(builder, decisions)
         if self.snapshot is not None:
             StateUpdateAddSnapshot(builder, snapshot)
+        if self.piece is not None:
+            StateUpdateAddPiece(builder, piece)
         stateUpdate = StateUpdateEnd(builder)
         return stateUpdate
 
--- a/src/willowpost/wire/messages.py
+++ b/src/willowpost/wire/messages.py
@@ -91,21 +91,47 @@
     slot: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotRequest:
+    """The asker holds the first `offset` characters of the snapshot of `slot`."""
+
+    slot: int = 0
+    offset: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotPiece:
+    """A part, from `offset` on, of the text of `total` characters that is the snapshot of `slot`."""
+
+    slot: int = 0
+    offset: int = 0
+    total: int = 0
+    text: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Ask:
-    """`blank`: the asker has no tables at all, not even the founding ones."""
+    """What was decided from `slot` on, or the body of the command `key`.
+
+    `blank`: the asker has no tables at all, not even the founding ones. `snapshot`: the transfer
+    that is under way at the asker.
+    """
 
     slot: int = 0
     key: str = ""
     blank: bool = False
+    snapshot: SnapshotRequest | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Tell:
+    """Decisions, a whole snapshot, a piece of a larger one, or the body of a command."""
+
     slot: int = 0
     decisions: tuple[Decision, ...] = ()
     snapshot: str = ""
     command: Command | None = None
+    piece: SnapshotPiece | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,9 +160,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Poll:
+    """As Ask, by one who follows the log and has no vote."""
+
     nonce: int = 0
     slot: int = 0
     blank: bool = False
+    snapshot: SnapshotRequest | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,6 +178,7 @@
     fresh: bool = False
     decisions: tuple[Decision, ...] = ()
     snapshot: str = ""
+    piece: SnapshotPiece | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -233,4 +263,4 @@
     AdmissionTokenAsk,
     AdmissionTokenTell,
 )
-NESTED = (Command, Decision, Member)
+NESTED = (Command, Decision, Member, SnapshotRequest, SnapshotPiece)
--- /dev/null
+++ b/tests/test_catchup.py
@@ -0,0 +1,206 @@
+"""A member that missed more than is kept comes back, whatever breaks on the way, and stays bounded."""
+
+import json
+import unittest
+
+from willowpost.common.clock import MILLI
+from willowpost.consensus.replica.replica_state import Pace
+from willowpost.shell.segment_format import segment_of
+from willowpost.sim.core import CoreWorld
+from willowpost.sim.world import seconds
+from willowpost.state.snapshot_transfer import PIECE_BYTES
+from willowpost.state.tables import tables_from
+from willowpost.wire.codec import Codec
+from willowpost.wire.messages import StateUpdate, Tell
+
+ROUTES = 700
+FRAME_BYTES_MOST = 2 * 1024 * 1024  # what any message of catch-up stays below
+CODEC = Codec()
+
+
+def tree(number, routes=ROUTES):
+    """A configuration of some hundred routes, about 1,000 bytes each, another at each number."""
+    return {
+        "branches": {
+            f"r{route}": {
+                "path": f"/{number}/{route}" + "x" * 900,
+                "settings": {"deadline_ms": 900},
+            }
+            for route in range(routes)
+        }
+    }
+
+
+class Sizes:
+    """A check of the simulated world: the largest message of catch-up so far, in bytes."""
+
+    def __init__(self):
+        self.largest = 0
+
+    def __call__(self, world, seat, event, plan):
+        for _, message in plan.sends:
+            if isinstance(message, (Tell, StateUpdate)):
+                self.largest = max(self.largest, len(CODEC.encode(seat.address, message)))
+
+
+class LargeCore:
+    """Three stores that take large configurations one after the other."""
+
+    def __init__(self, seed, pace=Pace(), zones=("a", "b", "c")):
+        self.world = world = CoreWorld(seed, pace=pace, zones=zones, members=3)
+        self.sizes = Sizes()
+        world.checks.append(self.sizes)
+        assert world.until(world.bootstrapped, seconds(5))
+        world.add_caller("r", [*world.names])
+        self.changes = 0
+
+    def change(self, count, routes=ROUTES):
+        """Brings so many configurations into the log; waits until each is accepted."""
+        for _ in range(count):
+            self.changes += 1
+            token = self.world.ask(
+                "r", {"op": "configuration", "tree": tree(self.changes, routes), "source": "s"}
+            )
+            assert self.world.until(lambda token=token: token in self.world.replies, seconds(5))
+
+    def slot(self, name):
+        return self.world.seats[name].node.node_state.tables.slot
+
+    def caught_up(self, name, span=10):
+        """The time that `name` took to hold what the furthest holds, in seconds; None if it did not."""
+        world, begun = self.world, self.world.time
+        furthest = max(state.tables.slot for _, state in world.node_states())
+        done = world.until(lambda: self.slot(name) >= furthest, seconds(span))
+        return (world.time - begun) / 1e6 if done else None
+
+    def partial(self, name):
+        return self.world.seats[name].node.node_state.incoming_snapshot
+
+
+class Missed(unittest.TestCase):
+    """A member away for longer than the kept log and more than one snapshot."""
+
+    def away(self, changes, pace, lose_disk=False, texts_held=False):
+        core = LargeCore(7, pace)
+        core.change(3)
+        core.world.crash("s2", lose_disk=lose_disk)
+        core.change(changes)
+        if texts_held:  # both others have just served the snapshot of one slot to somebody
+            self.assertEqual(core.slot("s0"), core.slot("s1"))
+            for seat, state in core.world.node_states():
+                now = core.world.now(seat)
+                state.outgoing_snapshot.piece(state.tables, -1, state.log_floor, None, now)
+        core.world.weather.least = 20 * MILLI  # so that a transfer can be stopped half-way
+        core.world.start("s2")
+        return core
+
+    def test_it_takes_the_snapshot_in_pieces_and_then_the_log(self):
+        pace = Pace(keep=8, rotate=16)
+        for lose_disk in (False, True):
+            core = self.away(50, pace, lose_disk)
+            self.assertIsNotNone(core.caught_up("s2"), lose_disk)
+            self.assertGreater(core.sizes.largest, PIECE_BYTES)
+            self.assertLess(core.sizes.largest, FRAME_BYTES_MOST)
+            core.world.settle(3)
+
+    def test_decisions_are_told_in_frames_that_a_receiver_takes(self):
+        core = self.away(50, Pace())
+        self.assertIsNotNone(core.caught_up("s2"))
+        self.assertLess(core.sizes.largest, FRAME_BYTES_MOST)
+
+    def begun(self, core, parts=2):
+        """Until s2 has so many pieces of the snapshot, but not all."""
+        partial = core.partial("s2")
+        self.assertTrue(core.world.until(lambda: len(partial.pieces) >= parts, seconds(5)))
+        return partial
+
+    def test_another_source_finishes_what_one_that_died_began(self):
+        core, told = self.away(50, Pace(keep=8, rotate=16), texts_held=True), []
+        core.world.checks.append(
+            lambda world, seat, event, plan: told.extend(
+                (seat.address, message.piece.slot, message.piece.offset)
+                for address, message in plan.sends
+                if address == "s2" and isinstance(message, Tell) and message.piece is not None
+            )
+        )
+        partial = self.begun(core)
+        slot, received, begun_by = partial.slot, partial.received, told[0][0]
+        core.world.cut([begun_by], ["s2"])
+        told.clear()
+        self.assertIsNotNone(core.caught_up("s2"))
+        others = [(piece_slot, offset) for source, piece_slot, offset in told if source != begun_by]
+        self.assertEqual((slot, received), others[0])
+        self.assertNotIn(0, [offset for _, offset in others])
+
+    def test_a_source_that_is_cut_off_half_way_holds_nobody_up(self):
+        for source in ("s0", "s1"):
+            core = self.away(50, Pace(keep=8, rotate=16))
+            self.begun(core)
+            core.world.cut([source], ["s2"])
+            core.change(3)
+            self.assertIsNotNone(core.caught_up("s2"), source)
+
+    def test_killed_at_any_piece_it_starts_from_its_disk_and_takes_the_snapshot_anew(self):
+        core = self.away(50, Pace(keep=8, rotate=16))
+        for parts in (1, 2):
+            self.begun(core, parts)
+            core.world.crash("s2")
+            core.world.start("s2")
+        self.assertIsNotNone(core.caught_up("s2"))
+        core.world.settle(3)
+
+    def test_killed_while_the_snapshot_is_written_it_has_the_old_disk_or_the_new(self):
+        core = self.away(50, Pace(keep=8, rotate=16))
+        seat = core.world.seats["s2"]
+        seat.crash_on_write = 1.0  # whatever it writes first is lost, and with it this life
+        self.assertTrue(core.world.until(lambda: seat.node is None, seconds(5)))
+        seat.crash_on_write = 0.0
+        core.world.start("s2")
+        self.assertIsNotNone(core.caught_up("s2"))
+        core.world.settle(3)
+
+    def test_a_text_is_made_once_for_all_that_are_behind(self):
+        core = self.away(50, Pace(keep=8, rotate=16))
+        made = []
+        tables = type(core.world.seats["s0"].node.node_state.tables)
+        text = tables.text
+        tables.text = lambda held: made.append(held.slot) or text(held)
+        try:
+            self.assertIsNotNone(core.caught_up("s2"))
+        finally:
+            tables.text = text
+        # one at each source asked, and one for the segment of the learner
+        self.assertLessEqual(len(made), 3)
+
+
+class Bounded(unittest.TestCase):
+    def test_disk_and_log_do_not_grow_with_the_number_of_changes(self):
+        pace = Pace(keep_bytes=2 * 1024 * 1024, rotate_bytes=4 * 1024 * 1024)
+        core, sizes = LargeCore(3, pace), []
+        for _ in range(3):
+            core.change(12)
+            sizes.append(len(segment_of(core.world.seats["s0"].disk.records)))
+        kept = sum(
+            len(decision.command.body)
+            for decision in core.world.seats["s0"].node.node_state.log.values()
+            if decision.command
+        )
+        snapshot = len(core.world.seats["s0"].node.node_state.tables.text())
+        self.assertLess(max(sizes), 2 * (snapshot + 2 * 1024 * 1024 + 5 * 1024 * 1024))
+        self.assertLess(kept, 7 * 1024 * 1024)
+
+    def test_a_decision_is_replayed_from_the_body_that_its_ballot_state_wrote(self):
+        core = LargeCore(3)
+        core.change(3, routes=20)
+        records = core.world.seats["s0"].disk.records
+        bodies = json.dumps(records).count("/3/19xx")
+        before = core.world.seats["s0"].node.node_state.tables
+        core.world.crash("s0")
+        core.world.start("s0")
+        self.assertEqual(1, bodies)
+        self.assertEqual(before, core.world.seats["s0"].node.node_state.tables)
+        self.assertEqual(before.digest(), tables_from(before.text()).digest())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -12,7 +12,14 @@
 from pathlib import Path
 
 from willowpost.wire.codec import Codec
-from willowpost.wire.messages import BODIES, Command, Decision, Member
+from willowpost.wire.messages import (
+    BODIES,
+    Command,
+    Decision,
+    Member,
+    SnapshotPiece,
+    SnapshotRequest,
+)
 
 
 def made(chance, kind):
@@ -29,8 +36,9 @@
         return plain[field.type]()
     if field.name in ("states", "votes"):
         return tuple(chance.randrange(3) for _ in range(chance.randrange(4)))
-    if field.name == "command":
-        return made(chance, Command)
+    nested = {"command": Command, "piece": SnapshotPiece, SnapshotRequest | None: SnapshotRequest}
+    if field.name in nested or field.type in nested:
+        return made(chance, nested.get(field.name) or nested[field.type])
     if field.name == "promise":
         return tuple("v" * chance.randrange(1, 4) for _ in range(chance.randrange(3)))
     return tuple(
