Bounded in bytes: the inbox, queues to peers; bounded in daemons: the dictionary of commands

Cause: (1) while a disk stalls or a peer does not read, messages waited by count alone, 16,384 to a node and 1,024 to a peer, and each resent ballot state carries its command's whole body: four peers that resend 1 MB every 60 ms fill 296 MB in 5 s. (2) tables.seen kept every daemon that ever spoke (64 answers each): store identities and machine names of replaced machines never went. Change: (1) shell/sized_queue.py: 32 MB in the inbox, 8 MB to one peer, one larger frame when nothing else waits; own events are always taken. (2) 256 daemons that are neither up nor draining are remembered, the one whose last command is oldest goes first, and seen_floor bars every command of an unknown daemon of an incarnation not above the forgotten one's, for ever. Its sender hears that the outcome is not known (it may have run) and goes on above the floor; so does a newcomer whose clock is behind. Ruled out: dropping entries with no floor (a command that wanders about would run again), and telling a forgotten daemon 'barred' (its client would bring the command in again, perhaps a second time).

--- a/src/willowpost/consensus/replica/acceptance.py
+++ b/src/willowpost/consensus/replica/acceptance.py
@@ -46,7 +46,9 @@
         node_state = self.node_state
         if not node_state.is_decided(command):
             return None
-        held = node_state.tables.seen[command.daemon]
+        held = node_state.tables.seen.get(command.daemon)
+        if held is None:
+            return node_state.tables.slot - 1, {"forgotten": node_state.tables.seen_floor}
         if held["incarnation"] > command.incarnation:
             return node_state.tables.slot - 1, {"barred": held["incarnation"]}
         return answer_of(node_state.tables, command) or (node_state.tables.slot - 1, None)
--- a/src/willowpost/drill/capacity/wire.py
+++ b/src/willowpost/drill/capacity/wire.py
@@ -5,10 +5,9 @@
 
 from time import process_time_ns
 
-from gevent.queue import Queue
-
 from willowpost.drill.fleet import free_port
 from willowpost.shell.mesh import Mesh
+from willowpost.shell.sized_queue import inbox
 from willowpost.wire.codec import Codec
 from willowpost.wire.messages import Ping
 
@@ -34,21 +33,21 @@
 class WireCost:
     def run(self) -> float:
         """µs of one message, both ends together, without encoding and decoding."""
-        port, inbox = free_port(), Queue()
-        sender, taker = Mesh(f"127.0.0.1:{port}", Queue()), Mesh(f"127.0.0.1:{port + 1}", inbox)
+        port, taken = free_port(), inbox()
+        sender, taker = Mesh(f"127.0.0.1:{port}", inbox()), Mesh(f"127.0.0.1:{port + 1}", taken)
         sender.codec = taker.codec = Coded()
         taker.start()
         try:
-            self._send(sender, taker, inbox, 1)
+            self._send(sender, taker, taken, 1)
             begun = process_time_ns()
             for _ in range(COUNT // ROUND):
-                self._send(sender, taker, inbox, ROUND)
+                self._send(sender, taker, taken, ROUND)
             return (process_time_ns() - begun) / 1000 / COUNT
         finally:
             taker.stop()
 
-    def _send(self, sender, taker, inbox, count):
+    def _send(self, sender, taker, taken, count):
         for number in range(count):
             sender.send(taker.address, Ping(number, "edge-1/proxy@1"))
         for _ in range(count):
-            inbox.get(timeout=WAIT_SECONDS)
+            taken.get(timeout=WAIT_SECONDS)
--- a/src/willowpost/node/command_client.py
+++ b/src/willowpost/node/command_client.py
@@ -162,7 +162,12 @@
     def _settle(self, accepted, now, plan):
         entry = self.pending.pop(accepted.key)
         answers = json.loads(accepted.answers)
-        if isinstance(answers, dict):
+        if isinstance(answers, dict) and "forgotten" in answers:
+            # The log let go of what it knew of this daemon: whether the command ran is not known,
+            # so it is not brought in again; later ones go under an incarnation that may run.
+            self.incarnation = max(self.incarnation, answers["forgotten"]) + 1
+            answers = None
+        elif isinstance(answers, dict):
             # A former life of this daemon had a later incarnation (its clock ran ahead): the
             # command was barred, so it never ran and may be stamped anew.
             self.incarnation = max(self.incarnation, answers["barred"]) + 1
--- a/src/willowpost/shell/mesh.py
+++ b/src/willowpost/shell/mesh.py
@@ -1,22 +1,21 @@
 """Framed TCP between the fleet's processes: one connection out per peer, owned by its own task."""
 
-import contextlib
 import struct
 import zlib
 
 import gevent
 from gevent import socket
 from gevent.pool import Pool
-from gevent.queue import Full, Queue
 from gevent.server import StreamServer
 
 from willowpost.common.events import Received
+from willowpost.shell.sized_queue import SizedQueue
 from willowpost.wire.codec import Codec
 
 HEAD = struct.Struct("!II")  # length and checksum
 FRAME_MOST = 64 * 1024 * 1024
 QUEUE_MOST = 1024
-INBOX_MOST = 16_384
+QUEUE_BYTES_MOST = 8 * 1024 * 1024  # to one peer; a larger frame leaves when it is alone
 CONNECT_SECONDS = 0.5
 BACKOFF_SECONDS = 0.1
 # sent and not acknowledged for so long: the connection is given up, and the next frame opens
@@ -34,7 +33,7 @@
     """Invariants: messages to one peer leave in order; one that cannot leave soon is dropped.
 
     Never held, neither here nor by the kernel, whose pauses between repeats outlast the cut or the
-    loss of power that began them; and so is dropped what comes while the node has INBOX_MOST before
+    loss of power that began them; and so is dropped what comes while the node's inbox is full before
     it; only whole frames with their checksum come to the node, junk ends its connection.
     """
 
@@ -42,7 +41,7 @@
         self.address = address
         self.inbox = inbox
         self.codec = Codec()
-        self.lines: dict[str, Queue] = {}
+        self.lines: dict[str, SizedQueue] = {}
         self.server = StreamServer(split(address), self._serve, spawn=Pool(512))
         self.encoded = (None, b"")
 
@@ -58,13 +57,12 @@
             return
         line = self.lines.get(address)
         if line is None:
-            line = self.lines[address] = Queue(QUEUE_MOST)
+            line = self.lines[address] = SizedQueue(QUEUE_MOST, QUEUE_BYTES_MOST)
             gevent.spawn(self._drive, address, line)
         if self.encoded[0] is not message:
             frame = self.codec.encode(self.address, message)
             self.encoded = (message, HEAD.pack(len(frame), zlib.crc32(frame)) + frame)
-        with contextlib.suppress(Full):
-            line.put_nowait(self.encoded[1])
+        line.offer(self.encoded[1], len(self.encoded[1]))
 
     def _drive(self, address, line):
         connection = None
@@ -122,9 +120,7 @@
                 frame = stream.read(size)
                 if len(frame) < size or zlib.crc32(frame) != checksum:
                     return
-                received = Received(*self.codec.decode(frame))
-                if self.inbox.qsize() < INBOX_MOST:
-                    self.inbox.put(received)
+                self.inbox.offer(Received(*self.codec.decode(frame)), size)
         except Exception:  # what reading junk as tables may raise has no end
             return  # not one of ours, or cut off: its sender will say it again
         finally:
--- a/src/willowpost/shell/runner.py
+++ b/src/willowpost/shell/runner.py
@@ -7,12 +7,13 @@
 
 import gevent
 from gevent.event import AsyncResult
-from gevent.queue import Empty, Queue
+from gevent.queue import Empty
 
 from willowpost.common.clock import Clock
 from willowpost.common.events import Asked, Tick, Withdrawn
 from willowpost.node.leaver import Leave, Stage
 from willowpost.shell.mesh import Mesh
+from willowpost.shell.sized_queue import inbox
 
 TICK_SECONDS = 0.02
 BROKE_DOWN = 70
@@ -28,7 +29,7 @@
 
     def __init__(self, address: str, logs, disk=None, die=os._exit):
         self.die = die
-        self.inbox = Queue()
+        self.inbox = inbox()
         self.mesh = Mesh(address, self.inbox)
         self.logs = logs
         self.disk = disk
--- a/src/willowpost/state/apply/__init__.py
+++ b/src/willowpost/state/apply/__init__.py
@@ -5,8 +5,11 @@
 
 from willowpost.common.uncollected import uncollected
 from willowpost.state.apply import configurations, core, membership, operators, origins
-from willowpost.state.tables import ANSWERS_KEPT, Tables
-from willowpost.wire.messages import Command, Decision
+from willowpost.state.apply.duplicates import answer_of, decided, remembered
+from willowpost.state.tables import Tables
+from willowpost.wire.messages import Decision
+
+__all__ = ["Apply", "answer_of", "decided"]
 
 OPS = {
     "join": membership.join,
@@ -25,24 +28,6 @@
 }
 
 
-def decided(tables: Tables, command: Command) -> bool:
-    """The dictionary of the paper, bounded: is this command in the log, or barred from it for ever?"""
-    held = tables.seen.get(command.daemon)
-    if held is None or command.incarnation > held["incarnation"]:
-        return False
-    if command.incarnation < held["incarnation"]:
-        return True
-    return command.counter <= held["floor"] or str(command.counter) in held["answers"]
-
-
-def answer_of(tables: Tables, command: Command) -> tuple[int, list] | None:
-    held = tables.seen.get(command.daemon)
-    if held is None or held["incarnation"] != command.incarnation:
-        return None
-    found = held["answers"].get(str(command.counter))
-    return None if found is None else (found[0], found[1])
-
-
 class Apply:
     """Invariant: step(tables, decision) has slot == decision.slot + 1.
 
@@ -61,11 +46,7 @@
         for part, op in enumerate(ops):
             tables, answer = self._change(tables, op, part)
             answers.append(answer)
-        return replace(
-            tables,
-            slot=tables.slot + 1,
-            seen={**tables.seen, command.daemon: self._seen(tables, command, answers)},
-        )
+        return replace(remembered(tables, command, answers), slot=tables.slot + 1)
 
     def _change(self, tables, op, part):
         """A malformed op changes nothing, equally at every daemon.
@@ -81,14 +62,3 @@
             )
         except (KeyError, TypeError, ValueError, AttributeError) as problem:
             return tables, {"ok": False, "why": f"malformed op: {type(problem).__name__}"}
-
-    def _seen(self, tables, command, answers):
-        held = tables.seen.get(command.daemon)
-        if held is None or held["incarnation"] < command.incarnation:
-            held = {"incarnation": command.incarnation, "floor": 0, "answers": {}}
-        kept = {**held["answers"], str(command.counter): [tables.slot, answers]}
-        while len(kept) > ANSWERS_KEPT:
-            least = min(kept, key=int)
-            held = {**held, "floor": max(held["floor"], int(least))}
-            kept.pop(least)
-        return {**held, "answers": kept}
--- /dev/null
+++ b/src/willowpost/state/apply/duplicates.py
@@ -0,0 +1,80 @@
+"""The bounded dictionary of commands: which have run, with what answers, and which never will.
+
+For each daemon the log holds its newest incarnation, a floor, and the last answers. Daemons that are
+gone for long are forgotten as a whole; `seen_floor` then bars what they may still have under way.
+"""
+
+from dataclasses import replace
+
+from willowpost.state.kinds import DaemonState
+from willowpost.state.tables import ANSWERS_KEPT, Tables
+from willowpost.wire.messages import Command
+
+ABSENT_KEPT = 256  # daemons that are neither up nor draining and are still remembered
+
+
+def decided(tables: Tables, command: Command) -> bool:
+    """Whether this command is in the log, or barred from it for ever."""
+    held = tables.seen.get(command.daemon)
+    if held is None:
+        return command.incarnation <= tables.seen_floor
+    if command.incarnation > held["incarnation"]:
+        return False
+    if command.incarnation < held["incarnation"]:
+        return True
+    return command.counter <= held["floor"] or str(command.counter) in held["answers"]
+
+
+def answer_of(tables: Tables, command: Command) -> tuple[int, list] | None:
+    """(slot, answers) of a command that ran, while they are kept."""
+    held = tables.seen.get(command.daemon)
+    if held is None or held["incarnation"] != command.incarnation:
+        return None
+    found = held["answers"].get(str(command.counter))
+    return None if found is None else (found[0], found[1])
+
+
+def remembered(tables: Tables, command: Command, answers: list) -> Tables:
+    """The tables once this command has run in slot tables.slot."""
+    card = _with_answers(tables.seen.get(command.daemon), command, tables.slot, answers)
+    return _bounded(replace(tables, seen={**tables.seen, command.daemon: card}))
+
+
+def _with_answers(held: dict | None, command: Command, slot: int, answers: list) -> dict:
+    if held is None or held["incarnation"] < command.incarnation:
+        held = {"incarnation": command.incarnation, "floor": 0, "answers": {}}
+    kept = {**held["answers"], str(command.counter): [slot, answers]}
+    while len(kept) > ANSWERS_KEPT:
+        least = min(kept, key=int)
+        held = {**held, "floor": max(held["floor"], int(least))}
+        kept.pop(least)
+    return {**held, "answers": kept}
+
+
+def _bounded(tables: Tables) -> Tables:
+    """Forgets the daemon whose last command is oldest once more than ABSENT_KEPT are absent.
+
+    A command of it that still wanders about must never run again: from now on nobody who is unknown
+    runs a command under an incarnation as old as that. Incarnations are wall times of starts, so a
+    newcomer is above it, or learns the floor from its first answer and goes above it.
+    """
+    if len(tables.seen) <= ABSENT_KEPT:
+        return tables
+    absent = [name for name in tables.seen if not _present(tables, name)]
+    if len(absent) <= ABSENT_KEPT:
+        return tables
+    oldest = min(absent, key=lambda name: (_last_slot(tables.seen[name]), name))
+    return replace(
+        tables,
+        seen={name: held for name, held in tables.seen.items() if name != oldest},
+        seen_floor=max(tables.seen_floor, tables.seen[oldest]["incarnation"]),
+    )
+
+
+def _present(tables, name) -> bool:
+    state = tables.daemons.get(name, {}).get("state")
+    return state in (DaemonState.UP.value, DaemonState.DRAINING.value)
+
+
+def _last_slot(held) -> int:
+    return max((slot for slot, _ in held["answers"].values()), default=-1)
--- a/src/willowpost/state/tables.py
+++ b/src/willowpost/state/tables.py
@@ -33,6 +33,7 @@
     - `purges` holds every purge of a slot >= purge_floor, oldest first.
     - `seen` holds for each daemon its newest incarnation; a counter <= floor has been applied or
       never will be.
+    - a daemon not in `seen` runs no command of an incarnation <= seen_floor.
     """
 
     slot: int = 0
@@ -50,6 +51,7 @@
     fences: dict = field(default_factory=dict)
     failure_verdicts: tuple = ()
     seen: dict = field(default_factory=dict)
+    seen_floor: int = 0
     ended: tuple = ()
     changes: ChangeLog = ChangeLog()
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -11,19 +11,19 @@
 
 import gevent
 from gevent import socket
-from gevent.queue import Queue
 
 from willowpost.shell import mesh as mesh_module
-from willowpost.shell.mesh import HEAD, HELD_MOST_MS, INBOX_MOST, Mesh
+from willowpost.shell.mesh import HEAD, HELD_MOST_MS, QUEUE_BYTES_MOST, Mesh
+from willowpost.shell.sized_queue import INBOX_BYTES_MOST, INBOX_MESSAGES_MOST, SizedQueue, inbox
 from willowpost.wire.codec import Codec
-from willowpost.wire.messages import SyncedIndex
+from willowpost.wire.messages import BallotState, Command, SyncedIndex
 
 
 def mesh():
     with plain.socket() as free:
         free.bind(("127.0.0.1", 0))
         address = f"127.0.0.1:{free.getsockname()[1]}"
-    held = Mesh(address, Queue())
+    held = Mesh(address, inbox())
     held.start()
     return held
 
@@ -83,14 +83,49 @@
         self.assertGreater(taken, 10)
 
     def test_a_node_that_waits_is_not_buried(self):
-        for _ in range(INBOX_MOST):
+        for _ in range(INBOX_MESSAGES_MOST):
             self.here.inbox.put(None)
         with self.raw() as connection:
             frame = Codec().encode("x", SyncedIndex("s", 1))
             connection.sendall((HEAD.pack(len(frame), zlib.crc32(frame)) + frame) * 100)
             connection.shutdown(socket.SHUT_WR)
             connection.recv(1)
-        self.assertEqual(INBOX_MOST, self.here.inbox.qsize())
+        self.assertEqual(INBOX_MESSAGES_MOST, self.here.inbox.qsize())
+
+    def test_frames_of_a_node_that_waits_are_bounded_in_bytes(self):
+        """A stalled disk holds the node; peers send ballot states with whole configurations."""
+        command = Command("r", 1, 1, 1, "x" * 1024 * 1024)
+        frame = Codec().encode("x", BallotState("s", 1, 1, command.key, command))
+        with self.raw() as connection:
+            for _ in range(40):
+                connection.sendall(HEAD.pack(len(frame), zlib.crc32(frame)) + frame)
+            connection.shutdown(socket.SHUT_WR)
+            connection.recv(1)
+        held = self.here.inbox
+        self.assertEqual((True, 31), (held.bytes <= INBOX_BYTES_MOST, held.qsize()))
+        while not held.empty():
+            held.get()
+        self.assertEqual(0, held.bytes)
+
+    def test_frames_to_a_peer_that_does_not_read_are_bounded_in_bytes(self):
+        command = Command("r", 1, 1, 1, "x" * 1024 * 1024)
+        with plain.socket() as silent:
+            silent.bind(("127.0.0.1", 0))
+            silent.listen(1)
+            address = f"127.0.0.1:{silent.getsockname()[1]}"
+            for number in range(60):
+                self.here.send(address, BallotState("s", 1, number, command.key, command))
+            self.assertLessEqual(self.here.lines[address].bytes, QUEUE_BYTES_MOST)
+
+    def test_one_frame_larger_than_all_room_is_taken_when_nothing_else_waits(self):
+        queue = SizedQueue(2, 10)
+        self.assertEqual(
+            [True, False, False],
+            [queue.offer(name, size) for name, size in (("a", 50), ("b", 1), ("c", 50))],
+        )
+        queue.put("own")
+        self.assertEqual(["a", "own"], [queue.get(), queue.get()])
+        self.assertTrue(queue.offer("b", 1))
 
     def test_handles_that_run_out_on_either_side_are_waited_for(self):
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
