--- a/src/willowpost/node/follower.py
+++ b/src/willowpost/node/follower.py
@@ -5,8 +5,8 @@
 
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Changed, Received, Tick
-from willowpost.common.nonce import NonceSequence
 from willowpost.common.formats import UnknownFormat
+from willowpost.common.nonce import NonceSequence
 from willowpost.common.plan import Plan
 from willowpost.common.rendezvous import Rendezvous
 from willowpost.consensus.log_size import leading, trailing
