--- a/src/willowpost/drill/main.py
+++ b/src/willowpost/drill/main.py
@@ -14,6 +14,7 @@
 from willowpost.drill.deployment import Deployment, known
 from willowpost.drill.fleet import Fleet, free_port
 from willowpost.drill.history_command import CheckHistoryCommand
+from willowpost.drill.history_size import HistorySizeCommand
 from willowpost.drill.hold import Hold
 from willowpost.drill.model import ModelCommand
 from willowpost.drill.script import FleetDrill
@@ -197,6 +198,7 @@
         SweepCommand(),
         CapacityCommand(),
         ModelCommand(),
+        HistorySizeCommand(),
     ):
         application.add(command)
     sys.exit(application.run())
--- a/src/willowpost/sim/world.py
+++ b/src/willowpost/sim/world.py
@@ -34,6 +34,7 @@
         self.notes: list = []
         self.sent = Counter()
         self.trace: list = []
+        self.make_disk = lambda address: SimDisk()  # another kind of disk may be set
 
     def let_folders_vary(self, seed: int) -> None:
         """From now on a loss of power keeps or loses each unsynced folder entry by itself."""
@@ -42,7 +43,11 @@
 
     def add(self, address: str, build, region: str = "one") -> Seat:
         seat = self.seats[address] = Seat(
-            address, region, build, clock_base=self.chance.randrange(10**12)
+            address,
+            region,
+            build,
+            self.make_disk(address),
+            clock_base=self.chance.randrange(10**12),
         )
         self.start(address)
         return seat
