--- a/src/willowpost/consensus/replica/acceptance.py
+++ b/src/willowpost/consensus/replica/acceptance.py
@@ -27,7 +27,8 @@
     Attributes:
         slot: the answer may leave once this slot is synced on n - f voters.
         answers: one per operation; None if they are not kept any more; a mapping with `barred` if
-            a later incarnation of the sender barred the command.
+            a later incarnation of the sender barred the command, or with `forgotten` if the log no
+            longer knows the sender and its incarnation is not above the one named there.
     """
 
     slot: int
@@ -69,7 +70,9 @@
         if not node_state.is_decided(command):
             return None
         newest_slot = node_state.tables.slot - 1
-        held = node_state.tables.seen[command.daemon]
+        held = node_state.tables.seen.get(command.daemon)
+        if held is None:
+            return Outcome(newest_slot, {"forgotten": node_state.tables.seen_floor})
         if held["incarnation"] > command.incarnation:
             return Outcome(newest_slot, {"barred": held["incarnation"]})
         answer = answer_of(node_state.tables, command)
