--- a/src/willowpost/consensus/replica/voting.py
+++ b/src/willowpost/consensus/replica/voting.py
@@ -8,7 +8,7 @@
 from willowpost.consensus.replica.records import ballot_state_record
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.consensus.weakmvc import Verdict, WeakMvc, agreed_proposal
-from willowpost.wire.messages import Ask, BallotState, Decision, Forward, Submit, Tell
+from willowpost.wire.messages import Ask, BallotState, Command, Decision, Forward, Submit, Tell
 
 EARLY_MOST = 64
 
@@ -80,7 +80,7 @@
             return self._propose(now, plan)
         moved = self.mvc.step(node_state.own, node_state.heard, node_state.limits)
         if isinstance(moved, Verdict):
-            return self._decide(moved, now, plan)
+            return self._decide(moved, node_state.own, now, plan)
         if moved is None:
             return False
         self._stand(moved, now, plan, first=False)
@@ -175,13 +175,13 @@
         newest = replace(ballot_state, command=body)
         plan.sends += [(address, newest) for address in self.node_state.others()]
 
-    def _decide(self, verdict, now, plan) -> bool:
+    def _decide(self, verdict: Verdict, own: BallotState, now, plan) -> bool:
         """Writes the slot's decision down; False while the command's key or body is not known."""
         node_state = self.node_state
-        key = self._decided_key(verdict)
+        key = self._decided_key(verdict, own)
         if key is None:
             return False
-        command = self._body_of(key) if key else None
+        command = self._body_of(key, own) if key else None
         if key and command is None:
             self._ask_for_body(key, now, plan)
             return False
@@ -190,18 +190,17 @@
         node_state.heard_since = now
         return True
 
-    def _decided_key(self, verdict) -> str | None:
+    def _decided_key(self, verdict: Verdict, own: BallotState) -> str | None:
         """The command that a 1 stands for, "" for a 0; None while the proposal is not known."""
         node_state = self.node_state
         if not verdict.value:
             return ""
-        return node_state.own.agreed or agreed_proposal(node_state.heard, node_state.limits)
+        return own.agreed or agreed_proposal(node_state.heard, node_state.limits)
 
-    def _body_of(self, key):
-        node_state = self.node_state
-        command = node_state.queue.commands.get(key)
-        if command is None and node_state.own.proposal == key:
-            return node_state.own.command
+    def _body_of(self, key: str, own: BallotState) -> Command | None:
+        command = self.node_state.queue.commands.get(key)
+        if command is None and own.proposal == key:
+            return own.command
         return command
 
     def _count(self, verdict):
--- a/src/willowpost/store/daemon.py
+++ b/src/willowpost/store/daemon.py
@@ -84,6 +84,8 @@
         A store that is stopped at any other moment loses nothing either: all it has said is on its
         disk. A disk that hangs doesn't hold the end up: the spans are kept by this task's clock.
         """
+        if self.node is None:
+            return
         spans, clock = self.node.leaver.spans, self.runner.clock
         give_up_at = clock.now() + max(spans.handover, spans.settle)
         self.runner.inbox.put(Leave())
