--- a/tests/scripted_core.py
+++ b/src/willowpost/sim/scripted_core.py
@@ -1,4 +1,6 @@
-"""A simulated core in which a test decides which messages are lost, for schedules of a few steps."""
+"""A simulated core whose schedule is written step by step: who hears what, and who is lost when."""
+
+from collections.abc import Callable
 
 from willowpost.consensus.replica.bootstrap import Rights
 from willowpost.node.leaver import Leave
@@ -8,14 +10,19 @@
 from willowpost.store.leaver import LeaveSpans
 from willowpost.wire.messages import Pong, Submit, SyncedIndex
 
+Blocks = Callable[[str, str, object], bool]
 WATCHER_SPAN = 6  # s, within which the watchers have a loss in the log
 
 
 class ScriptedCore(CoreWorld):
-    """`blocked` holds predicates (source, address, message): what one of them names is lost."""
+    """Three voters and one machine to spare, unless told otherwise, and a caller `r0`.
+
+    Attributes:
+        blocked: predicates (source, address, message); what one of them is true for is lost.
+    """
 
     def __init__(self, seed=1, zones=("a", "b", "c", "c"), members=3, max_voters=3, **world):
-        self.blocked = []
+        self.blocked: list[Blocks] = []
         rights = Rights(bootstrap_from_seeds=True, max_voters=max_voters)
         super().__init__(seed, zones=zones, members=members, rights=rights, **world)
         self.add_caller("r0", ["s0"])
@@ -34,12 +41,15 @@
         return self.until(lambda: self.bootstrapped() and self.joined() >= stores, seconds(8))
 
     def joined(self):
+        """How many daemons the store knows that knows the fewest."""
         return min(len(state.tables.daemons) for _, state in self.node_states())
 
     def state(self, name):
+        """A store's replica state."""
         return self.seats[name].node.node_state
 
     def identity(self, name):
+        """The identity that a store has on its disk."""
         return self.state(name).me.identity
 
     def accept(self, zone, caller="r0", span=3.0):
@@ -48,15 +58,19 @@
         return self.until(lambda: token in self.replies, seconds(span))
 
     def holds(self, name, zone):
+        """Whether the order for this zone is applied at this store."""
         return zone in self.state(name).tables.zones
 
     def epoch(self, name):
+        """The epoch in force as this store knows it."""
         return self.state(name).tables.epoch
 
     def until_epoch(self, name, epoch, span=8.0):
+        """Waits until this store knows that epoch; whether it did within the span (s)."""
         return self.until(lambda: self.epoch(name) >= epoch, seconds(span))
 
     def voters(self, name):
+        """The names of the voters as this store knows them."""
         return {member["name"] for member in self.state(name).tables.core}
 
     def hold_lost(self, target):
@@ -76,7 +90,10 @@
 
     def deafen(self, *names):
         """These hear nothing from now on; returns the predicate, to be taken out again."""
-        blocks = lambda source, address, message: address in names and source != address  # noqa: E731
+
+        def blocks(source, address, message):
+            return address in names and source != address
+
         self.blocked.append(blocks)
         return blocks
 
@@ -101,13 +118,19 @@
             self.seats[name].retired = True
 
     def terminate(self, name, **spans):
-        """SIGTERM; the machine is taken away, disk and all, once the store says that it may be."""
+        """SIGTERM to a store; returns a function that says whether it is ready to end.
+
+        Args:
+            name: the store.
+            **spans: of LeaveSpans, in µs.
+        """
         leaver = self.seats[name].node.leaver
         leaver.spans = LeaveSpans(**spans)
         self.give(name, Leave())
         return lambda: leaver.gone
 
     def epochs(self):
+        """The epochs that live stores know."""
         return {state.tables.epoch for _, state in self.node_states()}
 
     def card_state(self, teller, name):
@@ -115,6 +138,7 @@
         return self.state(teller).tables.daemons[self.identity(name)]["state"]
 
     def votes(self, name):
+        """Whether this store votes, as it knows itself."""
         return self.state(name).voter
 
     def settled(self, name):
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -7,8 +7,6 @@
 import unittest
 from unittest.mock import patch
 
-from scripted_core import ScriptedCore
-
 from willowpost.common.plan import Plan
 from willowpost.consensus.replica import barrier
 from willowpost.consensus.replica.barrier import (
@@ -18,6 +16,7 @@
     quorum_index,
 )
 from willowpost.consensus.replica.missed_change import MissedChange
+from willowpost.sim.scripted_core import ScriptedCore
 from willowpost.sim.world import seconds
 from willowpost.store.leaver import StoreLeaver
 
