--- a/src/willowpost/consensus/replica/barrier.py
+++ b/src/willowpost/consensus/replica/barrier.py
@@ -12,7 +12,10 @@
 counted for a disk that came back empty.
 """
 
+from __future__ import annotations
+
 from collections.abc import Iterable, Mapping
+from typing import TYPE_CHECKING
 
 from willowpost.common.events import Tick
 from willowpost.common.plan import Plan
@@ -20,6 +23,9 @@
 from willowpost.state.tables import Tables
 from willowpost.wire.messages import SyncedIndex
 
+if TYPE_CHECKING:  # the replica state itself asks whether the barrier is passed
+    from willowpost.consensus.replica.replica_state import ReplicaState
+
 
 def quorum_index(
     identities: Iterable[str],
@@ -42,7 +48,7 @@
     return [member["identity"] for member in tables.former["core"]] if tables.former else []
 
 
-def holds_both_quorums(node_state) -> bool:
+def holds_both_quorums(node_state: ReplicaState) -> bool:
     """Whether n - f of the former and n - f of the new voters hold the change on disk."""
     return all(
         quorum_index(identities, node_state.synced_indexes, node_state.thresholds)
@@ -51,7 +57,7 @@
     )
 
 
-def is_beyond(node_state) -> bool:
+def is_beyond(node_state: ReplicaState) -> bool:
     """Whether a voter of the epoch in force has said that it holds the epoch's first slot."""
     begins = first_slot(node_state.tables)
     return any(
@@ -59,7 +65,7 @@
     )
 
 
-def is_passed(node_state) -> bool:
+def is_passed(node_state: ReplicaState) -> bool:
     """Whether the barrier of the epoch in force is known to be passed.
 
     It is, as well, when the log or another voter is beyond it: a ballot state for the first slot
@@ -86,7 +92,7 @@
     Catchup.
     """
 
-    def __init__(self, node_state):
+    def __init__(self, node_state: ReplicaState):
         self.node_state = node_state
         self.sent_at = 0
 
--- a/src/willowpost/store/leaver.py
+++ b/src/willowpost/store/leaver.py
@@ -14,8 +14,12 @@
 from willowpost.common.events import Asked, Tick
 from willowpost.common.plan import Plan
 from willowpost.consensus.replica.barrier import former_identities
+from willowpost.consensus.replica.replica_state import ReplicaState
+from willowpost.node.command_client import CommandClient
+from willowpost.node.joiner import Joiner
 from willowpost.node.leaver import Leave
 from willowpost.state.apply.core import is_settled, successor_of
+from willowpost.store.repair import Repair
 
 
 class LeaveStage(Enum):
@@ -48,7 +52,14 @@
 class StoreLeaver:
     """Invariant: the stage only moves along NEXT, and is GONE when the span that counts is over."""
 
-    def __init__(self, node_state, command_client, joiner, repair, incarnation: int):
+    def __init__(
+        self,
+        node_state: ReplicaState,
+        command_client: CommandClient,
+        joiner: Joiner,
+        repair: Repair,
+        incarnation: int,
+    ):
         self.spans = LeaveSpans()
         self.node_state = node_state
         self.command_client = command_client
--- a/src/willowpost/store/node.py
+++ b/src/willowpost/store/node.py
@@ -1,5 +1,6 @@
 """One store: its controllers round one shared state."""
 
+from willowpost.common.controller import Controller
 from willowpost.common.plan import Plan
 from willowpost.consensus.replica.acceptance import Acceptance
 from willowpost.consensus.replica.barrier import FormerVoter
@@ -21,7 +22,7 @@
 
 
 class StoreNode:
-    """Invariant: whatever happens goes through step(); nothing else touches the board."""
+    """Invariant: whatever happens goes through step(); nothing else touches the replica state."""
 
     def __init__(
         self,
@@ -46,7 +47,7 @@
         repair = Repair(self.node_state, self.command_client, incarnation, rights.max_voters)
         joiner = Joiner(self.card, self._tables, self.command_client)
         self.leaver = StoreLeaver(self.node_state, self.command_client, joiner, repair, incarnation)
-        self.controllers = [
+        self.controllers: list[Controller] = [
             Bootstrap(self.node_state, tuple(seeds), size, rights),
             Catchup(self.node_state),
             MissedChange(self.node_state),
