Duties of a restarted or thawed owner: tests of quota shares and admission tokens under read, fence and wait

With the lease taken out the owner grants by old tables (test_without_the_lease_it_would_grant_by_old_tables).

--- /dev/null
+++ b/tests/test_duties.py
@@ -0,0 +1,90 @@
+"""A restarted or thawed owner acts only under a fresh read, its fence, and after a wait."""
+
+import unittest
+from types import SimpleNamespace
+from unittest.mock import patch
+
+from willowpost.common.clock import MILLI, SECOND
+from willowpost.common.events import Received, Tick
+from willowpost.node.node_state import LEASE, Card, NodeState
+from willowpost.proxy.admission.admission_tokens import AdmissionTokenOwner
+from willowpost.proxy.admission.quota_shares import FENCE_WAIT, QuotaShareOwner
+from willowpost.proxy.proxy_state import ProxyState
+from willowpost.proxy.routing.snapshot import ServiceCard
+from willowpost.state.tables import Tables
+from willowpost.wire.messages import AdmissionTokenAsk, AdmissionTokenTell, QuotaShareAsk
+
+FENCE = 3
+CLIENT = SimpleNamespace()  # a command client that nobody may need here
+
+
+def owner(rate=1000.0):
+    """A life that the log named owner of the service's quota before it was restarted."""
+    card = Card("p/proxy", "proxy", "edge", "p", "z", "p:1", "", 7)
+    tables = Tables(
+        slot=9,
+        epoch=1,
+        daemons={"p/proxy": {"id": "p/proxy", "kind": "proxy", "state": "up", "incarnation": 7}},
+        fences={"quota_share/g": {"owner": "p/proxy", "fence": FENCE}},
+    )
+    node_state = ProxyState(card, tables)
+    service = ServiceCard(rate, 10, ("p/proxy",), {"p/proxy": 1.0}, ())
+    node_state.snapshot = SimpleNamespace(services={"g": service}, origins={})
+    return node_state, QuotaShareOwner(node_state, CLIENT)
+
+
+class QuotaShares(unittest.TestCase):
+    def granted(self, held, now, fence=FENCE):
+        return held.step(Received("q:1", QuotaShareAsk(1, "g", fence, 9000)), now).sends
+
+    def restarted(self):
+        node_state, held = owner()
+        held.step(Tick(), SECOND)  # it sees by old tables that the duty is its own
+        return node_state, held
+
+    def test_without_a_read_of_this_life_it_grants_nothing(self):
+        _, held = self.restarted()
+        for now in (SECOND, SECOND + FENCE_WAIT, 60 * SECOND):
+            self.assertEqual([], self.granted(held, now))
+
+    def test_fresh_it_waits_for_what_its_former_life_granted(self):
+        node_state, held = self.restarted()
+        node_state.whole_as_of(SECOND + FENCE_WAIT)
+        self.assertEqual([], self.granted(held, SECOND + FENCE_WAIT - MILLI))
+        self.assertEqual(1, len(self.granted(held, SECOND + FENCE_WAIT)))
+
+    def test_under_another_fence_or_after_a_freeze_it_grants_nothing(self):
+        node_state, held = self.restarted()
+        node_state.whole_as_of(10 * SECOND)
+        self.assertEqual([], self.granted(held, 10 * SECOND, FENCE - 1))
+        self.assertEqual(1, len(self.granted(held, 10 * SECOND + LEASE)))
+        self.assertEqual([], self.granted(held, 10 * SECOND + LEASE + 1))
+
+    def test_without_the_lease_it_would_grant_by_old_tables(self):
+        _, held = self.restarted()
+        with patch.object(NodeState, "ruling", lambda self, now: True):
+            self.assertEqual(1, len(self.granted(held, 60 * SECOND)))
+
+
+class AdmissionTokens(unittest.TestCase):
+    def given(self, tokens, now, fence=FENCE):
+        ask = AdmissionTokenAsk(1, "g", fence, "")
+        ((_, answer),) = tokens.step(Received("q:1", ask), now).sends
+        self.assertIsInstance(answer, AdmissionTokenTell)
+        return answer.given
+
+    def test_tokens_come_under_the_same_guards(self):
+        node_state, held = owner(rate=0.5)
+        held.step(Tick(), SECOND)
+        tokens = AdmissionTokenOwner(node_state, held)
+        self.assertFalse(self.given(tokens, 60 * SECOND), "no read of this life")
+        node_state.whole_as_of(60 * SECOND)
+        self.assertFalse(self.given(tokens, 60 * SECOND, FENCE - 1), "another fence")
+        self.assertTrue(self.given(tokens, 60 * SECOND))
+        self.assertFalse(self.given(tokens, 64 * SECOND), "the lease has run out")
+        node_state.whole_as_of(64 * SECOND)
+        self.assertTrue(self.given(tokens, 64 * SECOND))
+
+
+if __name__ == "__main__":
+    unittest.main()
