--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -6,13 +6,15 @@
 
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Received, Tick
+from willowpost.node.follower import Follower
 from willowpost.node.node_state import LEASE, Card, NodeState
 from willowpost.proxy.admission.admission_tokens import AdmissionTokenOwner
 from willowpost.proxy.admission.quota_shares import FENCE_WAIT, QuotaShareOwner
 from willowpost.proxy.proxy_state import ProxyState
 from willowpost.proxy.routing.snapshot import ServiceCard
+from willowpost.state.apply.operators import own
 from willowpost.state.tables import Tables
-from willowpost.wire.messages import AdmissionTokenAsk, AdmissionTokenTell, QuotaShareAsk
+from willowpost.wire.messages import AdmissionTokenAsk, AdmissionTokenTell, Poll, QuotaShareAsk
 
 FENCE = 3
 CLIENT = SimpleNamespace()  # a command client that nobody may need here
@@ -86,5 +88,26 @@
         self.assertTrue(self.given(tokens, 64 * SECOND))
 
 
+class OtherDuties(unittest.TestCase):
+    def test_a_source_of_updates_is_not_fresh_before_a_read_of_its_own(self):
+        """Restarted with old tables, it tells them, but lends nobody a lease."""
+        card = Card("p/proxy", "proxy", "edge", "p", "z", "p:1", "", 7)
+        node_state = NodeState(card, Tables(slot=9, epoch=1))
+        source = Follower(node_state, [])
+        told = []
+        for now in (SECOND, 2 * SECOND):
+            ((_, update),) = source.step(Received("q:1", Poll(1, 9)), now).sends
+            told.append((update.fresh, update.age))
+            node_state.whole_as_of(SECOND)
+        self.assertEqual([(False, 0), (True, SECOND)], told)
+
+    def test_a_claim_under_a_fence_that_moved_on_is_refused(self):
+        tables = Tables(slot=9, epoch=1, fences={"k": {"owner": "a", "fence": FENCE}})
+        after, answer = own(tables, {"op": "own", "key": "k", "owner": "b", "fence": FENCE - 1})
+        self.assertEqual((tables, False), (after, answer["ok"]))
+        after, answer = own(tables, {"op": "own", "key": "k", "owner": "b", "fence": FENCE})
+        self.assertEqual(("b", FENCE + 1), (after.fences["k"]["owner"], answer["fence"]))
+
+
 if __name__ == "__main__":
     unittest.main()
