Records on disk: kinds as an enum, one constructor each; no record is spelled out elsewhere

The dicts stay between state and disk (typed records are left to do); no behaviour changed. test_toolbox, test_catchup.Bounded, test_bootstrap, test_former_life, test_history_size pass.

--- a/src/willowpost/consensus/replica/bootstrap.py
+++ b/src/willowpost/consensus/replica/bootstrap.py
@@ -6,6 +6,7 @@
 from willowpost.common.clock import SECOND
 from willowpost.common.events import Changed, Received, Tick
 from willowpost.common.plan import Plan
+from willowpost.consensus.replica.records import bootstrap_promise_record, found_record
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.wire.messages import Ask, Hello, Member, members_of
 
@@ -171,7 +172,7 @@
             for member in core
         )
         if core and all(promised):
-            plan.records.append({"k": "found", "core": core})
+            plan.records.append(found_record(core))
             node_state.found({"core": core})
             plan.note("bootstrap", "fleet founded", voters=[member["name"] for member in core])
 
@@ -192,4 +193,4 @@
             return
         cards = sorted(json.dumps(asdict(claim), sort_keys=True) for claim in chosen)
         node_state.bootstrap_promise = tuple(cards)
-        plan.records.append({"k": "bootstrap_promise", "members": cards})
+        plan.records.append(bootstrap_promise_record(cards))
--- a/src/willowpost/consensus/replica/replica_state.py
+++ b/src/willowpost/consensus/replica/replica_state.py
@@ -8,11 +8,15 @@
 from willowpost.consensus.queue import PendingQueue
 from willowpost.consensus.replica.barrier import former_identities, is_passed, quorum_index
 from willowpost.consensus.replica.records import (
+    RecordKind,
     ballot_state_record,
+    bootstrap_promise_record,
     command_from,
     decision_from,
     decision_record,
     identity_record,
+    kept_record,
+    snapshot_record,
 )
 from willowpost.consensus.thresholds import Thresholds
 from willowpost.state.apply import Apply, decided
@@ -157,33 +161,26 @@
 
     def segment(self) -> list[dict]:
         """The records of a new disk segment: everything this store must still know."""
-        snapshot = [
-            {
-                "k": "snapshot",
-                "text": self.tables.text(),
-                "log_floor": self.log_floor,
-                "passed": self.passed,
-            }
-        ]
-        kept = [{**decision_record(self.log[slot]), "k": "kept"} for slot in sorted(self.log)]
-        bootstrap_promise = (
-            [{"k": "bootstrap_promise", "members": list(self.bootstrap_promise)}]
-            if self.bootstrap_promise
-            else []
-        )
-        ballot_state = [ballot_state_record(self.own, True)] if self.own else []
-        return [identity_record(self.me), *bootstrap_promise, *snapshot, *kept, *ballot_state]
+        records = [identity_record(self.me)]
+        if self.bootstrap_promise:
+            records.append(bootstrap_promise_record(self.bootstrap_promise))
+        records.append(snapshot_record(self.tables.text(), self.log_floor, self.passed))
+        records += [kept_record(self.log[slot]) for slot in sorted(self.log)]
+        if self.own:
+            records.append(ballot_state_record(self.own, True))
+        return records
 
     def restore(self, records: list[dict], now: int) -> None:
+        """Takes in what the disk holds, oldest first; `now` in us."""
         readers = {
-            "identity": lambda held: None,
-            "bootstrap_promise": self._bootstrap_promise,
-            "found": self.found,
-            "snapshot": self._snapshot,
-            "kept": self._kept,
-            "decision": self._decision,
-            "ballot_state": self._ballot_state,
-            "passed": self._passed,
+            RecordKind.IDENTITY: lambda held: None,
+            RecordKind.BOOTSTRAP_PROMISE: self._bootstrap_promise,
+            RecordKind.FOUND: self.found,
+            RecordKind.SNAPSHOT: self._snapshot,
+            RecordKind.KEPT: self._kept,
+            RecordKind.DECISION: self._decision,
+            RecordKind.BALLOT_STATE: self._ballot_state,
+            RecordKind.PASSED: self._passed,
         }
         for record in records:
             readers[record["k"]](record)
--- a/src/willowpost/consensus/replica/voting.py
+++ b/src/willowpost/consensus/replica/voting.py
@@ -5,7 +5,7 @@
 from willowpost.common.events import Received, Tick
 from willowpost.common.plan import Plan
 from willowpost.consensus.replica.barrier import first_slot, is_passed
-from willowpost.consensus.replica.records import ballot_state_record
+from willowpost.consensus.replica.records import ballot_state_record, passed_record
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.consensus.weakmvc import Verdict, WeakMvc, agreed_proposal
 from willowpost.wire.messages import Ask, BallotState, Decision, Forward, Submit, Tell
@@ -145,7 +145,7 @@
         begins = bool(tables.former) and tables.slot == first_slot(tables)
         if begins and node_state.passed < tables.epoch:
             node_state.passed = tables.epoch
-            plan.records.append({"k": "passed", "epoch": tables.epoch})
+            plan.records.append(passed_record(tables.epoch))
         return True
 
     def _stand(self, ballot_state, now, plan, first):
--- a/src/willowpost/sim/rules.py
+++ b/src/willowpost/sim/rules.py
@@ -3,6 +3,7 @@
 import json
 import re
 
+from willowpost.consensus.replica.records import RecordKind
 from willowpost.wire.messages import Accepted, BallotState, Submit
 
 
@@ -45,7 +46,7 @@
             self.held.get(seat.address, 0), disk_slot([*(plan.rotate or ()), *plan.records])
         )
         for record in plan.records:
-            if record["k"] == "decision":
+            if record["k"] == RecordKind.DECISION:
                 self._agree(world, seat, record["slot"], record["key"])
         for _, message in plan.sends:
             if isinstance(message, BallotState):
@@ -147,8 +148,8 @@
 def disk_slot(records) -> int:
     slot = 0
     for record in records:
-        if record["k"] == "decision":
+        if record["k"] == RecordKind.DECISION:
             slot = record["slot"] + 1
-        elif record["k"] == "snapshot":
+        elif record["k"] == RecordKind.SNAPSHOT:
             slot = json.loads(record["text"])["slot"]
     return slot
--- a/src/willowpost/toolbox/folder.py
+++ b/src/willowpost/toolbox/folder.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from willowpost.common.formats import UnknownFormat
-from willowpost.consensus.replica.records import command_from, decision_from
+from willowpost.consensus.replica.records import RecordKind, command_from, decision_from
 from willowpost.shell.disk import ASIDE, segments_in
 from willowpost.shell.segment_format import DiskDamaged, parse
 from willowpost.state.apply import Apply
@@ -57,23 +57,23 @@
 
     def _walk(self, name, records, facts):
         findings, slot, ballot_state, bootstrapped = [], None, None, False
-        if not records or records[0]["k"] != "identity":
+        if not records or records[0]["k"] != RecordKind.IDENTITY:
             findings.append(Finding(f"{name} record 0", "not an identity"))
         for number, record in enumerate(records):
             place = f"{name} record {number}"
             match record["k"]:
-                case "found":
+                case RecordKind.FOUND:
                     slot, bootstrapped = 0, True
-                case "snapshot":
+                case RecordKind.SNAPSHOT:
                     slot, bootstrapped = json.loads(record["text"])["slot"], True
-                case "decision" if record["slot"] != slot:
+                case RecordKind.DECISION if record["slot"] != slot:
                     findings.append(
                         Finding(place, f"decides slot {record['slot']} where {slot} is due")
                     )
                     slot = record["slot"] + 1
-                case "decision":
+                case RecordKind.DECISION:
                     slot += 1
-                case "ballot_state":
+                case RecordKind.BALLOT_STATE:
                     now = (record["epoch"], record["slot"])
                     if (
                         ballot_state
@@ -105,13 +105,13 @@
         for record in records:
             if slot is not None and tables.epoch and tables.slot >= slot:
                 break
-            if record["k"] == "found":
+            if record["k"] == RecordKind.FOUND:
                 tables = Tables(epoch=1, core=tuple(record["core"]))
-            elif record["k"] == "snapshot":
+            elif record["k"] == RecordKind.SNAPSHOT:
                 tables = tables_from(record["text"])
-            elif record["k"] == "ballot_state":
+            elif record["k"] == RecordKind.BALLOT_STATE:
                 proposed = command_from(record["command"]) or proposed
-            elif record["k"] == "decision":
+            elif record["k"] == RecordKind.DECISION:
                 tables = Apply().step(tables, decision_from(record, proposed))
         if slot is not None and tables.slot != slot:
             raise ValueError(
