--- a/src/willowpost/shell/disk.py
+++ b/src/willowpost/shell/disk.py
@@ -7,7 +7,7 @@
 import os
 import shutil
 
-from willowpost.shell.segment_format import batch_of, parse, segment_of
+from willowpost.shell.segment_format import batch_of, parse, segment_lines
 
 PREFIX = "segment-"
 SUFFIX = ".wp"
@@ -83,26 +83,28 @@
     def rotate(self, records: list[dict]) -> None:
         """Replaces all that is there by a new segment of these records; OSError if it could not."""
         older = [self._name(self.number)] if self.file is not None else []
-        data = segment_of(records)
-        file = self._written(self._name(self.number + 1), data)
+        file, end = self._written(self._name(self.number + 1), records)
         if self.file is not None:
             os.close(self.file)
-        self.file, self.end, self.number = file, len(data), self.number + 1
+        self.file, self.end, self.number = file, end, self.number + 1
         self._drop(older)
 
-    def _written(self, name, data) -> int:
-        """The open file of a new segment that is on disk under its name."""
+    def _written(self, name, records) -> tuple[int, int]:
+        """The open file of a new segment that is on disk under its name, and its length."""
         path = os.path.join(self.folder, name)
         file = os.open(path + ASIDE, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o644)
+        end = 0
         try:
-            _write(file, data)
+            for line in segment_lines(records):
+                _write(file, line)
+                end += len(line)
             os.fsync(file)
             os.rename(path + ASIDE, path)
             _sync_folder(self.folder)
         except OSError:
             os.close(file)
             raise
-        return file
+        return file, end
 
     def set_aside(self, moment: int) -> str:
         """Moves a damaged folder out of the way and gives its new path; only the latest is kept."""
--- a/src/willowpost/shell/segment_format.py
+++ b/src/willowpost/shell/segment_format.py
@@ -6,6 +6,7 @@
 
 import json
 import zlib
+from collections.abc import Iterator
 
 from willowpost.common.formats import UnknownFormat
 
@@ -30,9 +31,19 @@
     return _line(records)
 
 
+def segment_lines(records: list[dict]) -> Iterator[bytes]:
+    """A whole segment, made line by line: a snapshot of many MB is not held several times over.
+
+    Each record has a line of its own, so that damage is told with its place.
+    """
+    yield header()
+    for record in records:
+        yield batch_of([record])
+
+
 def segment_of(records: list[dict]) -> bytes:
-    """A whole segment with each record on a line of its own, so that damage is told with its place."""
-    return header() + b"".join(batch_of([record]) for record in records)
+    """The bytes of a whole segment."""
+    return b"".join(segment_lines(records))
 
 
 def parse(data: bytes) -> tuple[list[dict], int]:
