--- a/src/willowpost/consensus/replica/catchup.py
+++ b/src/willowpost/consensus/replica/catchup.py
@@ -94,7 +94,7 @@
 
     def _take_piece(self, source, piece, now, plan):
         node_state, received = self.node_state, self.node_state.incoming_snapshot.received
-        if node_state.bootstrapped and piece.slot <= node_state.tables.slot:
+        if not self._newer(piece.slot):
             return
         text = node_state.incoming_snapshot.take(piece, now)
         if text is not None:
@@ -109,15 +109,16 @@
         except UnknownFormat as problem:
             plan.note("catchup", "snapshot of an unknown format refused", problem=str(problem))
             return
-        if not self._newer(tables):
+        if not self._newer(tables.slot):
             return
         node_state.log, node_state.log_floor = {}, tables.slot
         node_state.take(tables)
         node_state.begin_segment(plan)
         plan.note("catchup", "snapshot taken", slot=tables.slot)
 
-    def _newer(self, tables) -> bool:
-        return tables.slot > self.node_state.tables.slot or not self.node_state.bootstrapped
+    def _newer(self, slot: int) -> bool:
+        """Whether a snapshot of this slot brings us forward."""
+        return slot > self.node_state.tables.slot or not self.node_state.bootstrapped
 
     def _go_on(self, source, now, plan):
         """An answer brought us further: ask the same source for more, if there is more."""
--- a/src/willowpost/node/follower.py
+++ b/src/willowpost/node/follower.py
@@ -158,9 +158,7 @@
         """Whether it brought a transfer further, or the tables."""
         node_state, text = self.node_state, state_update.snapshot
         piece = state_update.piece
-        if piece is not None and (
-            piece.slot > node_state.tables.slot or not node_state.tables.epoch
-        ):
+        if piece is not None and self._newer(piece.slot):
             text = node_state.incoming_snapshot.take(piece, now)
         if not text:
             incoming = node_state.incoming_snapshot
@@ -170,7 +168,7 @@
         except UnknownFormat as problem:
             plan.note("follower", "snapshot of an unknown format refused", problem=str(problem))
             return False
-        if not self._newer(tables):
+        if not self._newer(tables.slot):
             return False
         node_state.tables, node_state.tail = tables, ()
         return True
@@ -187,8 +185,9 @@
             node_state.tables = tables
             node_state.tail = trailing(tail, TAIL_KEPT, TAIL_BYTES_KEPT)
 
-    def _newer(self, tables):
-        return tables.slot > self.node_state.tables.slot or not self.node_state.tables.epoch
+    def _newer(self, slot: int) -> bool:
+        """Whether a snapshot of this slot brings us forward."""
+        return slot > self.node_state.tables.slot or not self.node_state.tables.epoch
 
     def _tell(self, source, poll, now, plan):
         node_state = self.node_state
