Histories of configuration orders as a property test; a past number keeps its content too

Change: tests/test_order_histories.py draws 120 histories of 40 steps (Hypothesis, derandomized) through three registries that lag behind one log, with the registry's real calls and the log's real judgement; only the way between them is a stand-in. A number below the held one, under which another content is known to have been in force, is refused like the held one: acknowledged, both senders would have heard yes under one number.

--- a/src/willowpost/state/apply/configurations.py
+++ b/src/willowpost/state/apply/configurations.py
@@ -27,14 +27,14 @@
 
 
 def _numbered(tables: Tables, proposal: ConfigurationProposal, version: int) -> Outcome:
-    """A number below the held one is acknowledged and changes nothing.
+    """A number that is not above the held one is acknowledged and changes nothing.
 
-    So is the held one with the held content; with another content it is refused.
+    It is refused if another content is known to be, or to have been, in force under it.
     """
     held = tables.configuration["version"]
     if version > held or tables.configuration["tree"] is None:
         return _accepted(tables, proposal, version)
-    if version == held and proposal.content != held_content(tables):
+    if content_under(tables, version) not in (None, proposal.content):
         return _refused(tables, ChangeRefusal.OTHER_CONTENT)
     return tables, {"ok": True, "version": held, "changed": False}
 
@@ -82,13 +82,15 @@
     return tables, {"ok": False, "why": refusal.value, "version": held, "changed": False}
 
 
-def held_content(tables: Tables) -> str:
-    """Digest of the configuration in force.
+def content_under(tables: Tables, version: int) -> str | None:
+    """Digest of the configuration that holds or held under a version; None if it is not known.
 
-    One that an earlier build accepted is not among the changes: its digest is worked out.
+    One in force that an earlier build accepted is not among the changes: its digest is worked out.
     """
+    change = tables.changes.by_version(version)
+    if change is not None:
+        return change.content
     held = tables.configuration
-    newest = tables.changes.newest()
-    if newest is not None and newest.version == held["version"]:
-        return newest.content
+    if version != held["version"]:
+        return None
     return content_digest(held["tree"], held.get("source"))
--- a/src/willowpost/state/configuration_changes.py
+++ b/src/willowpost/state/configuration_changes.py
@@ -21,7 +21,7 @@
     """Why the log does not accept a change; the value is what its answer says."""
 
     STALE = "stale"
-    OTHER_CONTENT = "another configuration holds under this number"
+    OTHER_CONTENT = "the number belongs to another configuration"
     KEY_REUSED = "the idempotency key belongs to another change"
     NO_CONFIGURATION = "no configuration"
     NO_VERSION_LEFT = "no version number is left"
@@ -118,6 +118,10 @@
             return None
         return self._newest(lambda change: change.key == key)
 
+    def by_version(self, version: int) -> AcceptedChange | None:
+        """The change that made this version."""
+        return self._newest(lambda change: change.version == version)
+
     def repeated(self, proposal: ConfigurationProposal) -> AcceptedChange | None:
         """The change that says the same and was made on the same version."""
         return self._newest(
--- /dev/null
+++ b/tests/test_order_histories.py
@@ -0,0 +1,213 @@
+"""Histories of configuration orders, drawn by Hypothesis, judged against what was confirmed.
+
+Operators send through registries that lag behind the log; answers are lost, orders arrive late,
+are sent again elsewhere, and registries and tables are restored from snapshots.
+"""
+
+import json
+import unittest
+from dataclasses import dataclass
+from types import SimpleNamespace
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from test_numbered import Log
+
+from willowpost.configuration.checker import ConfigurationChecker
+from willowpost.registry.calls.configurations import ConfigurationCalls
+from willowpost.registry.calls.control_api import ControlApi, unknown
+from willowpost.shell.web import Call
+from willowpost.state.tables import tables_from
+
+REGISTRIES = st.integers(0, 2)
+TRIES = st.integers(1, 3)
+KEYS = st.sampled_from([None, None, None, "a", "b", "c", "d"])
+FATES = st.sampled_from(["answered", "answered", "answered", "lost", "late"])
+PATCHES = [
+    [{"op": "replace", "path": "/settings/tries", "value": 2}],
+    [{"op": "add", "path": "/services/late", "value": {}}],
+    [{"op": "remove", "path": "/services/late"}],
+]
+
+
+class LaggingRegistry(ControlApi):
+    """A registry whose tables are those of an earlier slot until it reads."""
+
+    def __init__(self, log):
+        self.log, self.tables, self.fate, self.late = log, log.tables, "answered", []
+        self.handlers = {
+            (method, path): handler
+            for method, path, _, handler in ConfigurationCalls(self).routes()
+        }
+
+    @property
+    def node_state(self):
+        return SimpleNamespace(tables=self.tables)
+
+    def read(self):
+        self.tables = self.log.tables
+        return True
+
+    def accepted(self, op, answered, refused, **how):
+        if self.fate == "late":
+            self.late.append(op)
+            return unknown()
+        answer, slot = self.log.put(**op), self.log.tables.slot - 1
+        if self.fate == "lost":
+            return unknown()
+        return answered(answer, slot) if answer["ok"] else refused(answer)
+
+
+@dataclass(frozen=True)
+class Order:
+    """One call of an operator, to be sent again as it is."""
+
+    method: str
+    path: str
+    value: object
+    headers: tuple = ()
+
+    def names_itself(self):
+        """Whether a repeat can be told from a second order that says the same."""
+        return bool(self.headers) or self.path.endswith("s")
+
+
+def tree(tries):
+    return {"services": {}, "settings": {"tries": tries}, "branches": {}}
+
+
+class Histories(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.log = Log()
+        self.registries = [LaggingRegistry(self.log) for _ in range(3)]
+        self.contents = {}  # version -> what was in force under it
+        self.acknowledged = []  # [order, version of its first answer]
+        self.version = 0
+
+    def send(self, order, registry, fate="answered"):
+        registry = self.registries[registry]
+        registry.fate = fate
+        call = Call(
+            order.method, order.path, "", dict(order.headers), json.dumps(order.value).encode()
+        )
+        answer = registry.handlers[order.method, order.path](call)
+        if answer.code == 200:
+            self.confirmed(order, answer.value)
+        return answer
+
+    def confirmed(self, order, told):
+        """One number, one content: what the sender may now believe is what stands there."""
+        held = self.log.tables.configuration
+        self.contents.setdefault(held["version"], (held["tree"], held.get("source")))
+        tree_held, source = self.contents[told["version"]]
+        if order.method == "PUT":
+            assert (tree_held, source) == (self.checked(order.value), None)
+        if order.path.endswith("s") and told["version"] == order.value["version"]:
+            wanted = self.checked(order.value["configuration"]), order.value.get("source")
+            assert (tree_held, source) == wanted
+        self.acknowledged.append((order, told["version"]))
+
+    def checked(self, value):
+        return ConfigurationChecker().check_value(value).unwrap()
+
+    def headers(self, match, key):
+        held = self.log.tables.configuration["version"]
+        named = {"if-match": None if match is None else f'"{max(0, held - match)}"'}
+        named["idempotency-key"] = key
+        return tuple((name, value) for name, value in named.items() if value is not None)
+
+    @rule(at=REGISTRIES, tries=TRIES, match=st.sampled_from([None, 0, 0, 1]), key=KEYS, fate=FATES)
+    def put(self, at, tries, match, key, fate):
+        headers = self.headers(match, key)
+        answer = self.send(Order("PUT", "/v1/configuration", tree(tries), headers), at, fate)
+        assert answer.code in (200, 412, 422, 504)
+
+    @rule(at=REGISTRIES, tries=TRIES, step=st.integers(-2, 3), source=KEYS, fate=FATES)
+    def number(self, at, tries, step, source, fate):
+        version = max(0, self.log.tables.configuration["version"] + step)
+        value = {"version": version, "configuration": tree(tries)}
+        value |= {"source": source} if source else {}
+        answer = self.send(Order("POST", "/v1/configurations", value), at, fate)
+        assert answer.code in ((200, 409, 504) if step <= 0 else (200, 504))
+
+    @rule(
+        at=REGISTRIES,
+        patch=st.sampled_from(PATCHES),
+        match=st.sampled_from([None, 0, 1]),
+        key=KEYS,
+        fate=FATES,
+    )
+    def patch(self, at, patch, match, key, fate):
+        headers = self.headers(match, key)
+        answer = self.send(Order("PATCH", "/v1/configuration", patch, headers), at, fate)
+        assert answer.code in (200, 409, 412, 422, 504)
+
+    @rule(at=REGISTRIES, wrong=st.sampled_from([{}, {"services": {}, "x": 1}, [], None]))
+    def invalid(self, at, wrong):
+        assert self.send(Order("PUT", "/v1/configuration", wrong), at).code == 422
+        value = {"version": self.version + 1, "configuration": wrong}
+        assert self.send(Order("POST", "/v1/configurations", value), at).code == 422
+
+    @rule(at=REGISTRIES, which=st.integers(0, 40))
+    def repeat(self, at, which):
+        """Whatever came meanwhile, an order that names itself is acknowledged as before."""
+        if which < len(self.acknowledged):
+            order, version = self.acknowledged[-1 - which]
+            if order.names_itself() and order.path != "/v1/configurations":
+                again = self.send(order, at)
+                assert (again.code, again.value["version"]) == (200, version), (order, again)
+
+    @rule(at=REGISTRIES)
+    def repeat_the_newest(self, at):
+        """With no change since, no acknowledged order is refused, whether it names itself or not."""
+        if self.acknowledged and self.acknowledged[-1][1] == self.version:
+            order, version = self.acknowledged[-1]
+            again = self.send(order, at)
+            assert again.code == 200, (order, again)
+            assert again.value["version"] == version or not order.names_itself()
+
+    @rule(at=REGISTRIES)
+    def arrive_late(self, at):
+        for op in self.registries[at].late[:1]:
+            self.log.put(**op)
+            self.registries[at].late.remove(op)
+
+    @rule(at=REGISTRIES)
+    def restore(self, at):
+        self.log.tables = tables_from(self.log.tables.text())
+        self.registries[at].tables = tables_from(self.registries[at].tables.text())
+
+    @rule(at=REGISTRIES)
+    def read(self, at):
+        told = self.registries[at].handlers["GET", "/v1/configuration"](
+            Call("GET", "/v1/configuration", "", {})
+        )
+        if told.value["version"] in self.contents:
+            expected = self.contents[told.value["version"]]
+            assert (told.value["configuration"], told.value.get("source")) == expected
+
+    @invariant()
+    def one_content_under_one_version_that_only_goes_up(self):
+        held = self.log.tables.configuration
+        assert held["version"] >= self.version
+        self.version = held["version"]
+        if held["tree"] is not None:
+            content = held["tree"], held.get("source")
+            assert self.contents.setdefault(self.version, content) == content
+            assert ConfigurationChecker().check_value(held["tree"]).is_ok()
+
+
+class OrderHistories(Histories.TestCase):
+    settings = settings(
+        derandomize=True,
+        database=None,
+        deadline=None,
+        max_examples=120,
+        stateful_step_count=40,
+    )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -136,9 +136,12 @@
         self.assertEqual((409, 50), number(2, first=1))
         self.assertEqual((409, 50), number(1, source="other document"))
         self.assertEqual((200, 50), number(2, version=48))
+        self.assertEqual((200, 51), number(2, version=51))
+        self.assertEqual((200, 51), number(1))
+        self.assertEqual((409, 51), number(3))
         self.restart("s0", "s1", "s2", "s3", "s4")
-        self.assertEqual((200, 50), number(1))
-        self.assertEqual((409, 50), number(2, first=1))
+        self.assertEqual((200, 51), number(1))
+        self.assertEqual((409, 51), number(2, first=1))
         body = {"version": 50, "configuration": self.tried(2)}
         answer = self.call("POST", "/v1/configurations", body)
         self.assertEqual("version", answer.value["findings"][0]["place"])
@@ -171,7 +174,8 @@
         gone = [{"op": "remove", "path": "/services/late"}]
         asked = {"value": gone, "Idempotency_Key": "gone"}
         self.assertEqual((200, 4), self.answered("PATCH", patch))
-        self.assertEqual((200, 5), self.answered("PATCH", **asked))
+        for first in (0, 1):
+            self.assertEqual((200, 5), self.answered("PATCH", **asked, first=first))
         self.assertEqual((200, 6), self.answered("PATCH", patch))
         self.assertEqual((200, 5), self.answered("PATCH", **asked, first=1))
 
