Platform: a version past the product's bound is refused clearly; two operators under one number

Cause: a `version` above 2^63-1 was translated, did not fit the product's call (422) and was answered 503 again and again, with an error in the log, so that its sender never had a clear answer. What two operators hear who send two configurations under one number was not tested on the platform's calls.

TwoOperators plays one number through two registries: the same bytes are acknowledged each time, other bytes get 409, a lower number is acknowledged and changes nothing, and what is read is what was confirmed. The translator's tests now also check that the version fits the product's call (10^17 among the odd ones became 2^63-1, the bound itself). The history test also holds that a number acknowledged later keeps the content that it once had in force.

--- a/tests/test_order_histories.py
+++ b/tests/test_order_histories.py
@@ -104,9 +104,9 @@
         tree_held, source = self.contents[told["version"]]
         if order.method == "PUT":
             assert (tree_held, source) == (self.checked(order.value), None)
-        if order.path.endswith("s") and told["version"] == order.value["version"]:
+        if order.path.endswith("s") and order.value["version"] in self.contents:
             wanted = self.checked(order.value["configuration"]), order.value.get("source")
-            assert (tree_held, source) == wanted
+            assert self.contents[order.value["version"]] == wanted
         self.acknowledged.append((order, told["version"]))
 
     def checked(self, value):
--- a/tests/test_platform_config.py
+++ b/tests/test_platform_config.py
@@ -11,6 +11,7 @@
 
 sys.path.append(str(Path(__file__).resolve().parents[1] / "platform"))
 
+import test_registry
 from adapter.configuration import ConfigurationTranslator
 from adapter.control import ControlWords
 from adapter.names import escaped, unescaped
@@ -20,7 +21,9 @@
 
 from willowpost.configuration.checker import ConfigurationChecker
 from willowpost.configuration.routes import routes_of
+from willowpost.registry.calls.configurations import NumberedCall
 from willowpost.shell.web import Answer, Call
+from willowpost.state.configuration_changes import VERSION_MOST
 
 SETTINGS = """
 node_name: "edge-north-1"
@@ -245,6 +248,7 @@
         held = translated(value).unwrap()
         checked = ConfigurationChecker().check_value(held["configuration"])
         self.assertTrue(checked.is_ok(), checked)
+        NumberedCall.model_validate(held)
         return held, {route.name.rpartition("/")[2]: route for route in routes_of(checked.unwrap())}
 
     def test_an_ordinary_one(self):
@@ -326,6 +330,9 @@
             found = translated(value)
             self.assertTrue(found.is_err(), place)
             self.assertEqual(place, found.unwrap_err()[0]["place"])
+        for version in (None, "7", 7.0, True, VERSION_MOST + 1):
+            found = translated({**configuration(), "version": version})
+            self.assertEqual("version", found.unwrap_err()[0]["place"], version)
         for timeout in ("0s", 0, "0.0ms", "soon", "-5ms", [], True):
             self.assertTrue(translated(configuration({"timeout": timeout})).is_err(), timeout)
         for kind in (None, 7, [], {}):
@@ -408,7 +415,7 @@
             {"limits": {"header_timeout": "0ms"}},
             {"version": 0},
             {"version": -4},
-            {"version": 10**17},
+            {"version": VERSION_MOST},
             {"extra": []},
         ):
             self.configuration({**configuration(), **more})
@@ -670,5 +677,32 @@
         )
 
 
+class TwoOperators(test_registry.World):
+    """Two operators, two registries, one number: what each hears on the platform."""
+
+    def replaced(self, first, version, **route):
+        words = ControlWords(self.fronts[first].routes(), ConfigurationTranslator(), None)
+        value = configuration(route, version=version)
+        call = Call("POST", "/v1/rpc", "", {}, json.dumps(value).encode())
+        return words.replace(call, "").code
+
+    def read(self):
+        words = ControlWords(self.fronts[1].routes(), ConfigurationTranslator(), None)
+        return words.read(Call("POST", "/v1/rpc", "", {}), "").value
+
+    def test_one_number_is_confirmed_for_one_content_and_its_repeat_is_never_refused(self):
+        for _ in range(2):
+            self.assertEqual([200, 200], [self.replaced(first, 50) for first in (0, 1)])
+            self.assertEqual(409, self.replaced(1, 50, timeout="700ms"))
+            self.assertEqual(configuration(version=50), self.read())
+        self.assertEqual(200, self.replaced(1, 48, timeout="700ms"))
+        self.assertEqual(200, self.replaced(0, 51, timeout="700ms"))
+        self.assertEqual(
+            [200, 200, 409],
+            [self.replaced(0, 50), self.replaced(1, 48), self.replaced(1, 50, timeout="600ms")],
+        )
+        self.assertEqual(configuration({"timeout": "700ms"}, version=51), self.read())
+
+
 if __name__ == "__main__":
     unittest.main()
