Histories and repeats meet the fence of unconditional PUTs; patch calls keep one deadline

What is left: a patch's quorum read ends by the deadline fixed when the call came (its span was counted anew); a case in test_repeats that a late order undoes nothing newer and yet is known if it was taken; the histories fence as the calls do.

--- a/src/willowpost/registry/calls/configurations.py
+++ b/src/willowpost/registry/calls/configurations.py
@@ -164,7 +164,7 @@
         that requires no version, by its effect.
         """
         deadline = self.control_api.deadline(call)
-        read = self._patch_call(call)
+        read = self._patch_call(call, deadline)
         if read.is_err():
             return read.unwrap_err()
         patch, required = read.unwrap()
@@ -195,7 +195,7 @@
         )
 
     def _plan_patch(self, call: Call) -> Answer:
-        read = self._patch_call(call)
+        read = self._patch_call(call, self.control_api.deadline(call))
         if read.is_err():
             return read.unwrap_err()
         patch, required = read.unwrap()
@@ -207,7 +207,7 @@
         applied = patch.applied(held["tree"], self.checker)
         return unfit(applied.unwrap_err()) if applied.is_err() else self._planned(applied.unwrap())
 
-    def _patch_call(self, call: Call) -> Result[tuple[Patch, Preconditions], Answer]:
+    def _patch_call(self, call: Call, deadline: int) -> Result[tuple[Patch, Preconditions], Answer]:
         """The patch and its conditions, once the tables held here are known to be whole."""
         required = Preconditions.read(call.headers)
         if required.is_err():
@@ -215,7 +215,7 @@
         patch = Patch.read(call.body)
         if patch.is_err():
             return Err(unfit(patch.unwrap_err()))
-        if not self.control_api.read():
+        if not self.control_api.read(deadline):
             return Err(unread())
         return Ok((patch.unwrap(), required.unwrap()))
 
--- a/tests/test_order_histories.py
+++ b/tests/test_order_histories.py
@@ -18,6 +18,7 @@
 from willowpost.registry.calls.configurations import ConfigurationCalls
 from willowpost.registry.calls.control_api import ControlApi, unknown
 from willowpost.shell.web import Call
+from willowpost.state.kinds import SUPERSEDED
 from willowpost.state.tables import tables_from
 
 REGISTRIES = st.integers(0, 2)
@@ -45,15 +46,23 @@
     def node_state(self):
         return SimpleNamespace(tables=self.tables)
 
-    def read(self):
+    def deadline(self, call=None):
+        return 0
+
+    def read(self, deadline=None):
         self.tables = self.log.tables
         return True
 
-    def accepted(self, op, answered, refused, **how):
-        if self.fate == "late":
-            self.late.append(op)
-            return unknown()
-        answer, slot = self.log.put(**op), self.log.tables.slot - 1
+    def accepted(self, op, answered, deadline=None, refused=None, fence=None, **how):
+        while True:
+            fields = fence(self.tables) if fence else {}
+            if self.fate == "late":
+                self.late.append({**op, **fields})
+                return unknown()
+            answer, slot = self.log.put(**op, **fields), self.log.tables.slot - 1
+            if answer.get("why") != SUPERSEDED:
+                break
+            self.read()
         if self.fate == "lost":
             return unknown()
         return answered(answer, slot) if answer["ok"] else refused(answer)
@@ -170,9 +179,14 @@
 
     @rule(at=REGISTRIES)
     def arrive_late(self, at):
+        """Behind a cut an order waits; it undoes nothing that was accepted meanwhile."""
         for op in self.registries[at].late[:1]:
-            self.log.put(**op)
+            newest = self.log.tables.changes.newest()
+            answer = self.log.put(**op)
             self.registries[at].late.remove(op)
+            late = "if_match" not in op and newest and newest.version > op.get("as_of_version", 0)
+            if late and "version" not in op:
+                assert not answer.get("changed"), (op, answer)
 
     @rule(at=REGISTRIES)
     def restore(self, at):
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -11,6 +11,7 @@
 
 from willowpost.sim.world import seconds
 from willowpost.state.configuration_changes import CHANGES_KEPT, VERSION_MOST
+from willowpost.state.kinds import SUPERSEDED
 from willowpost.state.tables import Tables, tables_from
 
 PATH = "/v1/configuration"
@@ -53,6 +54,14 @@
         self.assertFalse(self.put(1, if_match=1)["ok"])
         self.assertTrue(self.put(2, if_match=2)["ok"])
 
+    def test_what_was_left_behind_a_cut_undoes_nothing_newer_but_is_known_if_it_was_taken(self):
+        self.put(1)
+        self.put(2, as_of_version=1, key="k")
+        late = self.put(3, as_of_version=1)
+        self.assertEqual((False, SUPERSEDED), (late["ok"], late["why"]))
+        self.assertEqual(2, self.put(2, as_of_version=1, key="k")["version"])
+        self.assertEqual(3, self.put(3, as_of_version=2)["version"])
+
     def test_an_idempotency_key_names_one_change(self):
         first = self.put(1, key="k")
         self.put(2)
