Answers to configuration calls in a module of their own

Moved, no change of behaviour: the tests of the calls pass as before (test_repeats, test_numbered, test_registry, test_read_back.Invalid, test_platform_config, test_order_histories, test_cutoff.LateOrders).

--- a/src/willowpost/registry/calls/configurations.py
+++ b/src/willowpost/registry/calls/configurations.py
@@ -8,6 +8,13 @@
 
 from willowpost.configuration.checker import BYTES_MOST, ConfigurationChecker
 from willowpost.registry.calls.body import Strict, unfit
+from willowpost.registry.calls.configuration_answers import (
+    accepted_change,
+    moved_on_answer,
+    not_accepted,
+    nothing_to_patch,
+    version_tag,
+)
 from willowpost.registry.calls.control_api import ControlApi, unread
 from willowpost.registry.calls.patches import Patch
 from willowpost.registry.calls.preconditions import Preconditions
@@ -15,7 +22,6 @@
 from willowpost.shell.web import Answer, Call
 from willowpost.state.configuration_changes import (
     VERSION_MOST,
-    ChangeRefusal,
     ConfigurationProposal,
     content_digest,
 )
@@ -24,10 +30,6 @@
 
 PATCH_MOST = 64 * 1024
 NUMBERED_MOST = 16 * 1024 * 1024  # a configuration and the document it was made from
-REFUSALS = {
-    ChangeRefusal.OTHER_CONTENT.value: (409, "version"),
-    ChangeRefusal.KEY_REUSED.value: (422, "Idempotency-Key"),
-}
 
 
 class NumberedCall(Strict):
@@ -66,7 +68,9 @@
         held = self.node_state.tables.configuration
         source = {"source": held["source"]} if held.get("source") is not None else {}
         return Answer(
-            200, {"version": held["version"], "configuration": held["tree"], **source}, _tag(held)
+            200,
+            {"version": held["version"], "configuration": held["tree"], **source},
+            version_tag(held),
         )
 
     def _put(self, call: Call) -> Answer:
@@ -96,9 +100,9 @@
         """
         return self.control_api.accepted(
             proposal.as_op(),
-            _changed,
+            accepted_change,
             deadline,
-            refused=_not_accepted,
+            refused=not_accepted,
             fence=_as_of_version if proposal.version is None else None,
         )
 
@@ -177,10 +181,10 @@
         if moved_on or tables.changes.by_key(required.key) is not None:
             return self._propose(proposal, deadline)  # the log knows whether it is a repeat
         if held["tree"] is None:
-            return _nothing_to_patch()
+            return nothing_to_patch()
         applied = patch.applied(held["tree"], self.checker)
         if required == Preconditions() and _stands(tables, patch, applied):
-            return _changed({"version": held["version"], "changed": False}, tables.slot - 1)
+            return accepted_change({"version": held["version"], "changed": False}, tables.slot - 1)
         if applied.is_err():
             return unfit(applied.unwrap_err())
         tree = applied.unwrap()
@@ -201,9 +205,9 @@
         patch, required = read.unwrap()
         held = self.node_state.tables.configuration
         if required.version not in (None, held["version"]):
-            return _moved_on(held)
+            return moved_on_answer(held)
         if held["tree"] is None:
-            return _nothing_to_patch()
+            return nothing_to_patch()
         applied = patch.applied(held["tree"], self.checker)
         return unfit(applied.unwrap_err()) if applied.is_err() else self._planned(applied.unwrap())
 
@@ -233,37 +237,3 @@
         newest = tables.changes.newest()
         return newest is not None and newest.patch == patch.digest
     return applied.unwrap() == tables.configuration["tree"]
-
-
-def _changed(answer: dict, slot: int) -> Answer:
-    told = {name: answer[name] for name in ("version", "changed", "held") if name in answer}
-    return Answer(200, {**told, "slot": slot}, _tag(answer))
-
-
-def _not_accepted(answer: dict) -> Answer:
-    """The answer to a proposal that the log refused."""
-    why = answer["why"]
-    if why == ChangeRefusal.STALE.value:
-        return _moved_on(answer)
-    code, place = REFUSALS.get(why, (409, "configuration"))
-    finding = {"place": place, "finding": why}
-    return Answer(code, {"findings": [finding], "version": answer["version"]})
-
-
-def _nothing_to_patch() -> Answer:
-    finding = {"place": "configuration", "finding": "there is no configuration to patch yet"}
-    return Answer(409, {"findings": [finding]})
-
-
-def _tag(held):
-    return (("ETag", f'"{held["version"]}"'),)
-
-
-def _moved_on(held) -> Answer:
-    return Answer(
-        412,
-        {
-            "findings": [{"place": "If-Match", "finding": f"the version is {held['version']}"}],
-            "version": held["version"],
-        },
-    )
