--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -11,6 +11,7 @@
 
 from willowpost.sim.world import seconds
 from willowpost.state.configuration_changes import CHANGES_KEPT, VERSION_MOST
+from willowpost.state.kinds import SUPERSEDED
 from willowpost.state.tables import Tables, tables_from
 
 PATH = "/v1/configuration"
@@ -53,6 +54,14 @@
         self.assertFalse(self.put(1, if_match=1)["ok"])
         self.assertTrue(self.put(2, if_match=2)["ok"])
 
+    def test_what_was_left_behind_a_cut_undoes_nothing_newer_but_is_known_if_it_was_taken(self):
+        self.put(1)
+        self.put(2, as_of_version=1, key="k")
+        late = self.put(3, as_of_version=1)
+        self.assertEqual((False, SUPERSEDED), (late["ok"], late["why"]))
+        self.assertEqual(2, self.put(2, as_of_version=1, key="k")["version"])
+        self.assertEqual(3, self.put(3, as_of_version=2)["version"])
+
     def test_an_idempotency_key_names_one_change(self):
         first = self.put(1, key="k")
         self.put(2)
@@ -136,9 +145,12 @@
         self.assertEqual((409, 50), number(2, first=1))
         self.assertEqual((409, 50), number(1, source="other document"))
         self.assertEqual((200, 50), number(2, version=48))
+        self.assertEqual((200, 51), number(2, version=51))
+        self.assertEqual((200, 51), number(1))
+        self.assertEqual((409, 51), number(3))
         self.restart("s0", "s1", "s2", "s3", "s4")
-        self.assertEqual((200, 50), number(1))
-        self.assertEqual((409, 50), number(2, first=1))
+        self.assertEqual((200, 51), number(1))
+        self.assertEqual((409, 51), number(2, first=1))
         body = {"version": 50, "configuration": self.tried(2)}
         answer = self.call("POST", "/v1/configurations", body)
         self.assertEqual("version", answer.value["findings"][0]["place"])
@@ -171,7 +183,8 @@
         gone = [{"op": "remove", "path": "/services/late"}]
         asked = {"value": gone, "Idempotency_Key": "gone"}
         self.assertEqual((200, 4), self.answered("PATCH", patch))
-        self.assertEqual((200, 5), self.answered("PATCH", **asked))
+        for first in (0, 1):
+            self.assertEqual((200, 5), self.answered("PATCH", **asked, first=first))
         self.assertEqual((200, 6), self.answered("PATCH", patch))
         self.assertEqual((200, 5), self.answered("PATCH", **asked, first=1))
 
