Probes are one GET without repeats: the package's HTTP client sent it up to three times

Cause: geventhttpclient's HTTPClient repeats a GET whose connection closes without an answer (attempts = pool size + 1): one probe was three requests on three connections. Ruled out: concurrency and pool settings of the package (at least two attempts remain). Change: shell/probe.py sends one GET over the parser that requests already use; the registry no longer imports the package itself (9 MB when it first probed).

--- a/src/willowpost/registry/daemon.py
+++ b/src/willowpost/registry/daemon.py
@@ -6,11 +6,12 @@
 from willowpost.node.node_state import Card
 from willowpost.registry.front import Front
 from willowpost.registry.node import RegistryNode
-from willowpost.shell.mesh import split
+from willowpost.shell.probe import probe_status
 from willowpost.shell.runner import Runner
 from willowpost.shell.web import CountingHandler, Router, WebServer
 
 PROBE_SECONDS = 1.0
+UNSOUND_FROM = 500  # statuses from which an origin counts as not there
 
 
 class Prober:
@@ -23,18 +24,8 @@
         gevent.spawn(self._probe, origin, address, path)
 
     def _probe(self, origin, address, path):
-        from geventhttpclient import HTTPClient  # 9 MB, and many a registry never asks
-
-        host, port = split(address)
-        client = HTTPClient(
-            host, port, connection_timeout=PROBE_SECONDS, network_timeout=PROBE_SECONDS
-        )
-        try:
-            sound = client.get(path or "/").status_code < 500
-        except Exception:  # whatever the library raises: it did not answer
-            sound = False
-        finally:
-            client.close()
+        status = probe_status(address, path or "/", PROBE_SECONDS)
+        sound = status is not None and status < UNSOUND_FROM
         self.runner.inbox.put(("probed", origin, sound))
 
 
