--- a/src/willowpost/proxy/cache/ranges.py
+++ b/src/willowpost/proxy/cache/ranges.py
@@ -2,7 +2,7 @@
 
 import re
 
-from willowpost.proxy.origin.exchange import WholeAnswer
+from willowpost.proxy.origin.answer import WholeAnswer
 
 ONE = re.compile(r"\s*bytes\s*=\s*(\d+)-(\d*)\s*")
 
@@ -17,7 +17,13 @@
 
 
 class PartMaker:
-    """Invariant: the part carries all that the whole answer said of itself, its seal included."""
+    """Invariants: the part carries all that the whole answer said of itself, its seal included.
+
+    A 416 is our own word, which the origin has not given: it carries no `seal` (a header's name).
+    """
+
+    def __init__(self, seal: str = ""):
+        self.seal = seal
 
     def make(self, whole: WholeAnswer, wanted: tuple[int, int | None]) -> WholeAnswer:
         size, (first, last) = len(whole.body), wanted
@@ -27,7 +33,8 @@
             if name not in ("content-length", "content-range")
         ]
         if first >= size:
-            return WholeAnswer(416, [*headers, ("content-range", f"bytes */{size}")], b"")
+            unsealed = [pair for pair in headers if pair[0] != self.seal]
+            return WholeAnswer(416, [*unsealed, ("content-range", f"bytes */{size}")], b"")
         end = size - 1 if last is None else min(last, size - 1)
         return WholeAnswer(
             206,
--- a/src/willowpost/proxy/cache/storing.py
+++ b/src/willowpost/proxy/cache/storing.py
@@ -37,7 +37,8 @@
 class StoringRules:
     """Invariant: whatever is personal, or may be, is never stored: private, no-store, Set-Cookie.
 
-    Vary: *, and answers to Authorization unless the origin says they are public.
+    Vary: *, and answers to Authorization or Cookie unless the origin says they are public (or names
+    the cookie in Vary).
     """
 
     def judge(
@@ -55,20 +56,19 @@
             or "*" in answer.get("vary", "")
         ):
             return None
+        names = {name.strip().lower() for name in answer.get("vary", "").split(",")}
+        vary = tuple(sorted(names - {""}))
         public = bool({"public", "s-maxage", "must-revalidate"} & said.keys())
         if "authorization" in request and not public:
             return None
+        if "cookie" in request and not ({"public", "s-maxage"} & said.keys() or "cookie" in vary):
+            return None
         if "range" in request or "content-range" in answer:
             return None
         lifetime = self._lifetime(said, answer, keep_seconds, status)
         checkable = "etag" in answer or "last-modified" in answer
         if lifetime <= 0 and not checkable:
             return None
-        vary = tuple(
-            sorted(
-                {name.strip().lower() for name in answer.get("vary", "").split(",") if name.strip()}
-            )
-        )
         return Storing(lifetime, vary, public)
 
     def _lifetime(self, said, answer, keep_seconds, status):
--- a/src/willowpost/proxy/front.py
+++ b/src/willowpost/proxy/front.py
@@ -161,6 +161,8 @@
             (name, value)
             for name, value in answer.headers
             if name not in ("content-length", "age", self.words.request)
+            # a seal is of the status that the origin gave
+            and (name != self.words.seal or status == answer.status)
         ]
         if request.name is not None:
             headers.append((self.words.request, request.name))
--- a/src/willowpost/proxy/origin/exchange.py
+++ b/src/willowpost/proxy/origin/exchange.py
@@ -1,16 +1,23 @@
 """One request to one address over HTTP/1.1: connect, send, read.
 
-And check that the answer is whole.
+And check that the answer is whole. What is said of each case stands in
+docs/design/control/exchange.md.
 """
 
-import base64
 import time
-from dataclasses import dataclass, field
 from enum import Enum
 
 from gevent import socket
 
+from willowpost.proxy.origin.answer import Echo, WholeAnswer
+from willowpost.proxy.origin.content_digest import Digester, digests_of
 from willowpost.proxy.origin.failure import ExchangeFailure
+from willowpost.proxy.origin.framing import (
+    BODYLESS_STATUSES,
+    content_length,
+    head_end,
+    request_head,
+)
 from willowpost.proxy.origin.instance_check import BYTES_MOST, InstanceCheck
 from willowpost.proxy.origin.reading import AnswerParser
 from willowpost.shell.mesh import split
@@ -18,10 +25,13 @@
 
 CONNECT_SECONDS = 1.0
 BLOCK = 64 * 1024
+HEADS_MOST = 256 * 1024  # bytes of heads, the interim ones counted, until the final one is whole
 FOREIGN_MOST = 2  # answers to others that are passed over before our own
 
 
 class Phase(Enum):
+    """How far an exchange has come."""
+
     CONNECT = "connect"
     INSTANCE_CHECK = "instance_check"
     SEND = "send"
@@ -29,78 +39,6 @@
     DONE = "done"
 
 
-@dataclass(slots=True)
-class WholeAnswer:
-    """Invariant: `body` is the whole body as the origin framed it, unless `rest` goes on with it."""
-
-    status: int
-    headers: list = field(default_factory=list)
-    body: bytes = b""
-    rest: object = None  # an iterator over what follows, for oversized answers
-
-    def header(self, name: str) -> str | None:
-        return next((value for held, value in self.headers if held == name), None)
-
-    def lowered(self) -> dict[str, str]:
-        """Repeated headers joined, as a list header may be."""
-        joined = {}
-        for name, value in self.headers:
-            joined[name] = f"{joined[name]}, {value}" if name in joined else value
-        return joined
-
-
-def head_of(method: str, target: str, headers: list, body: bytes) -> bytes:
-    lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {value}" for name, value in headers)]
-    if body or method in ("POST", "PUT", "PATCH"):
-        lines.append(f"content-length: {len(body)}")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
-
-
-def digests_of(headers: dict) -> list[tuple[str, str]]:
-    """(algorithm, base64) that the origin says of its content: RFC 9530 and the older Digest."""
-    found = []
-    for name in ("content-digest", "digest"):
-        for part in headers.get(name, "").split(","):
-            kind, _, value = part.strip().partition("=")
-            if kind.lower() in ("sha-256", "sha-512"):
-                found.append((kind.lower(), value.strip().strip(":")))
-    return found
-
-
-def _running(kind):
-    import hashlib  # it loads OpenSSL (4 MB), and few origins name digests
-
-    return hashlib.new(kind.replace("-", ""))
-
-
-class Digester:
-    def __init__(self, said):
-        self.said = [(_running(kind), value) for kind, value in said]
-
-    def eat(self, data: bytes) -> None:
-        for running, _ in self.said:
-            running.update(data)
-
-    def right(self) -> bool:
-        return all(
-            base64.b64encode(running.digest()).decode() == value for running, value in self.said
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class Echo:
-    """Invariant.
-
-    An answer whose `header` names another id than `name` answers somebody else's request.
-    """
-
-    header: str
-    name: str
-
-    def foreign(self, headers) -> bool:
-        return any(held == self.header and value != self.name for held, value in headers)
-
-
 class Exchange:
     """Invariant: run() gives a whole, checked answer to this very request.
 
@@ -113,10 +51,13 @@
         self.phase = Phase.CONNECT if connection is None else Phase.SEND
         self.reusable = False
         self.reused = connection is not None
+        # something came or went on the connection that leaves open what comes next on it
+        self.spoilt = False
         # what the answer said of how long an idle connection is kept
         self.keep: str | None = None
 
     def connect(self, seconds: float = CONNECT_SECONDS) -> None:
+        """Opens a connection of its own; an ExchangeFailure says that nothing was sent."""
         try:
             self.connection = socket.create_connection(
                 split(self.address), timeout=min(seconds, CONNECT_SECONDS)
@@ -134,7 +75,7 @@
     def instance_check(self, instance_check: InstanceCheck, seconds: float) -> None:
         """Invariant: nothing of the request has left, whatever comes of it."""
         self.phase = Phase.INSTANCE_CHECK
-        asked = head_of(
+        asked = request_head(
             "GET", instance_check.path, [("host", self.address), ("via", "1.1 willowpost")], b""
         )
         answer = self._asked("GET", asked, seconds, BYTES_MOST, False, None)
@@ -153,17 +94,28 @@
         whole_max: int,
         echo: Echo | None = None,
     ) -> WholeAnswer:
-        return self._asked(
-            method, head_of(method, target, headers, body) + body, seconds, whole_max, True, echo
-        )
+        """Sends the request once and waits at most `seconds` for its answer.
+
+        Bodies over `whole_max` bytes come as the answer's `rest`.
+
+        Raises:
+            ExchangeFailure: there is no whole answer to this request.
+        """
+        asked = request_head(method, target, headers, body) + body
+        return self._asked(method, asked, seconds, whole_max, True, echo)
+
+    def close(self) -> None:
+        """Ends the connection."""
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
 
     def _asked(self, method, asked, seconds, whole_max, sent, echo):
         self.until = time.monotonic() + seconds
         try:
-            self.connection.settimeout(seconds)
-            self.connection.sendall(asked)
+            broken = self._send(asked, seconds)
             self.phase = Phase.READ if sent else self.phase
-            return self._read(method, whole_max, echo)
+            return self._answer(method, whole_max, echo, broken)
         except (OSError, HTTPParseError, ValueError) as problem:
             died = self.reused and isinstance(problem, ConnectionError)
             late = isinstance(problem, TimeoutError)
@@ -174,10 +126,23 @@
                 silent=late,
             )
 
-    def close(self) -> None:
-        if self.connection is not None:
-            self.connection.close()
-            self.connection = None
+    def _send(self, asked, seconds) -> OSError | None:
+        """What broke the sending off, if the origin may have answered before it did."""
+        self.connection.settimeout(seconds)
+        try:
+            self.connection.sendall(asked)
+        except ConnectionError as problem:
+            self.spoilt = True
+            return problem
+        return None
+
+    def _answer(self, method, whole_max, echo, broken):
+        try:
+            return self._read(method, whole_max, echo)
+        except (OSError, HTTPParseError, ValueError):
+            if broken is None:
+                raise
+        raise broken
 
     def _recv(self) -> bytes:
         left = self.until - time.monotonic()
@@ -192,10 +157,19 @@
             parser = AnswerParser(method)
             answer, length, raw = self._head(parser, behind)
             if echo is None or not echo.foreign(answer.headers):
+                self._check_echo(answer, echo)
                 return self._body(parser, answer, length, whole_max)
             behind = self._pass_over(parser, length, raw)
         raise ValueError("answers to other requests")
 
+    def _check_echo(self, answer, echo):
+        """An answer without any id can be ours only if nothing else was asked on the connection."""
+        if echo is None or echo.confirmed(answer.headers):
+            return
+        if self.reused or self.spoilt:
+            raise ValueError("an answer that does not say to which request")
+        self.spoilt = True
+
     def _head(self, parser, behind):
         raw = b""
         while not parser.headed:
@@ -204,30 +178,25 @@
             if not data and not parser.begun:
                 raise ConnectionResetError("connection closed")
             parser.eat(data)
-            if not data and not parser.headed:
-                raise ValueError("the answer ended short")
+            if not parser.headed and (not data or len(raw) > HEADS_MOST):
+                raise ValueError("the answer ended short" if not data else "heads over the limit")
         answer = WholeAnswer(parser.status, parser.headers)
         said = answer.lowered()
-        parser.bodyless = parser.bodyless or parser.status in (204, 304)
+        parser.bodyless = parser.bodyless or parser.status in BODYLESS_STATUSES
         parser.said = said
-        length = said.get("content-length")
-        chunked = "chunked" in said.get("transfer-encoding", "").lower()
-        if length is not None and (chunked or not length.isdigit()):
-            raise ValueError("an answer framed in two routes")
         parser.digester = Digester([] if parser.bodyless else digests_of(said))
-        if not parser.bodyless and length is None and not chunked and not parser.digester.said:
-            raise ValueError("an answer whose end cannot be told")
+        length = content_length(said, parser.bodyless, bool(parser.digester.said))
         return answer, length, raw
 
     def _pass_over(self, parser, length, raw) -> bytes:
         """A foreign answer: ours may follow it, but only where this one's end can be told.
 
-        Returns what came behind it.
+        Returns what came behind it. Nothing more is asked on this connection.
         """
         if length is None or parser.bodyless:
             raise ValueError("an answer to another request")
         self.spoilt = True
-        end = raw.index(b"\r\n\r\n") + 4 + int(length)
+        end = head_end(raw, parser.interim) + length
         while len(raw) < end:
             data = self._recv()
             if not data:
@@ -235,10 +204,8 @@
             raw += data
         return raw[end:]
 
-    spoilt = False  # a foreign answer came: nothing more is asked on this connection
-
     def _body(self, parser, answer, length, whole_max):
-        if not parser.bodyless and length is not None and int(length) > whole_max:
+        if not parser.bodyless and length is not None and length > whole_max:
             answer.rest = self._stream(parser, length)
             return answer
         while not parser.complete:
@@ -249,21 +216,18 @@
             if parser.size > whole_max:
                 answer.rest = self._stream(parser, length)
                 return answer
-        answer.body = (
-            b""
-            if parser.bodyless
-            else parser.blocks[0]
-            if len(parser.blocks) == 1
-            else b"".join(parser.blocks)
-        )
+        answer.body = self._joined(parser)
         parser.digester.eat(answer.body)
         self._check(parser, length, len(answer.body))
         return answer
 
+    def _joined(self, parser):
+        if parser.bodyless:
+            return b""
+        return parser.blocks[0] if len(parser.blocks) == 1 else b"".join(parser.blocks)
+
     def _check(self, parser, length, size):
-        if not parser.complete or (
-            not parser.bodyless and length is not None and size != int(length)
-        ):
+        if not parser.complete or (not parser.bodyless and length is not None and size != length):
             raise ValueError("the answer ended short")
         if not parser.digester.right():
             raise ValueError("the answer is not what its digest says")
--- a/src/willowpost/proxy/origin/reading.py
+++ b/src/willowpost/proxy/origin/reading.py
@@ -17,6 +17,7 @@
         self.blocks: list[bytes] = []
         self.size = 0
         self.status = 0
+        self.interim = 0  # heads of interim answers that came before the final one
         self.begun = self.headed = self.complete = self.more = self.broken = False
         self.name, self.value = None, None
 
@@ -56,7 +57,10 @@
         self.status = self.get_code()
         self.headed = self.status >= 200
         if not self.headed:
+            if self.status < 100:
+                raise HTTPParseError("no status of an answer")
             self.headers = []
+            self.interim += 1
         return self.bodyless
 
     def _on_body(self, data):
--- a/src/willowpost/proxy/routing/carrier.py
+++ b/src/willowpost/proxy/routing/carrier.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from willowpost.proxy.cache.ranges import PartMaker
-from willowpost.proxy.origin.exchange import WholeAnswer
+from willowpost.proxy.origin.answer import WholeAnswer
 from willowpost.proxy.routing.outcome import Outcome
 from willowpost.proxy.routing.reads import Reads
 from willowpost.proxy.routing.request import CachePlan, FetchPlan, RejectPlan, Request, WritePlan
@@ -17,7 +17,7 @@
     def __init__(self, node_state, cache, clock, tries: Tries, stats):
         self.node_state, self.clock, self.stats = node_state, clock, stats
         self.tries = tries
-        self.parts = PartMaker()
+        self.parts = PartMaker(tries.words.seal)
         reads, writes = Reads(cache, clock, tries, stats), Writes(clock, tries)
         self.kinds = {
             RejectPlan: self._reject,
--- a/src/willowpost/proxy/routing/outcome.py
+++ b/src/willowpost/proxy/routing/outcome.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from willowpost.proxy.origin.exchange import WholeAnswer
+from willowpost.proxy.origin.answer import WholeAnswer
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/willowpost/proxy/routing/reads.py
+++ b/src/willowpost/proxy/routing/reads.py
@@ -3,17 +3,41 @@
 And kept when the answer may be.
 """
 
+from dataclasses import dataclass
+
+from willowpost.common.clock import SECOND
 from willowpost.proxy.cache.store import Entry
 from willowpost.proxy.cache.storing import StoringRules, first_age, whole
-from willowpost.proxy.origin.exchange import WholeAnswer
+from willowpost.proxy.origin.answer import WholeAnswer
 from willowpost.proxy.origin.failure import ExchangeFailure, Why
-from willowpost.proxy.routing.headers import end_to_end
+from willowpost.proxy.routing.headers import CONDITIONS, end_to_end
 from willowpost.proxy.routing.outcome import Outcome
 from willowpost.proxy.routing.tries import SOON, Rejected, Trace, Tries
 
 RETRIED = (502, 503, 504)
 FAILED = range(500, 600)
 SHIELD_PART = 0.6
+NOT_RUN_CODE = 503
+
+
+@dataclass(frozen=True, slots=True)
+class Landed:
+    """What a fetch that others may have joined came to.
+
+    `entry`: the answer, if it may be shared. `reject`: the final refusal. With neither, whoever
+    joined fetches for itself.
+    """
+
+    entry: Entry | None = None
+    reject: Rejected | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Flight:
+    """A fetch under way that equal reads may join; `waiter` gives a Landed to all of them."""
+
+    waiter: object
+    slot: int
 
 
 class Reads:
@@ -22,7 +46,7 @@
     def __init__(self, cache, clock, tries: Tries, stats):
         self.cache, self.clock, self.tries, self.stats = cache, clock, tries, stats
         self.rules = StoringRules()
-        self.flights: dict[tuple, tuple] = {}
+        self.flights: dict[tuple, Flight] = {}  # (method, host, target) -> fetch under way
 
     def carry(self, request, plan, body: bytes = b"") -> Outcome:
         if not plan.cacheable or "authorization" in request.headers or "cookie" in request.headers:
@@ -30,18 +54,18 @@
         key = (request.method, request.host, request.target)
         flight = self.flights.get(key)
         if flight is not None and self._may_join(flight, request, plan):
-            return self._join(flight, request, plan)
+            return self._join(flight, request, plan, body)
         waiter = self.tries.io.waiter()
-        self.flights[key] = flight = (waiter, plan.slot, request.headers)
+        self.flights[key] = flight = Flight(waiter, plan.slot)
         try:
             outcome, entry = self._fetch_alone(request, plan, body)
-            waiter.set(("done", entry))
+            waiter.set(Landed(entry=entry))
             return outcome
         except Rejected as reject:
-            waiter.set(("reject", reject))
+            waiter.set(Landed(reject=reject))
             raise
         except BaseException:
-            waiter.set(("alone", None))
+            waiter.set(Landed())
             raise
         finally:
             if self.flights.get(key) is flight:
@@ -49,19 +73,24 @@
 
     def _may_join(self, flight, request, plan):
         """Not one begun before a purge that hits it, nor one asked for under other conditions."""
-        return not self.cache.purged_since(flight[1], request.host, request.target) and (
+        return not self.cache.purged_since(flight.slot, request.host, request.target) and (
             plan.whole or "range" not in request.headers
         )
 
-    def _join(self, flight, request, plan):
+    def _join(self, flight, request, plan, body):
+        """Waits for another's fetch, but no longer than this caller would wait."""
         self.stats["collapsed"] += 1
-        kind, held = flight[0].get()
-        if kind == "reject":
-            raise Rejected(held.code, held.reason, held.after, held.outcome)
+        now = self.clock.now()
+        deadline = request.deadline(plan.route, now)
+        landed = flight.waiter.wait(max(0, deadline - now) / SECOND)
+        if landed is None:
+            raise Rejected(504, "no whole answer: deadline of a joined fetch", 1, "not-run")
+        if landed.reject is not None:
+            return self._joined_reject(landed.reject, deadline, request, plan, body)
+        held = landed.entry
         # the flight may have come by a shield that had not heard of a purge that we know
         if (
-            kind == "done"
-            and held is not None
+            held is not None
             and not self.cache.purged_since(held.slot, request.host, request.target, held.tags)
             and all(request.headers.get(name, "") == value for name, value in held.variant)
         ):
@@ -73,6 +102,12 @@
             )
         return self._fetch_alone(request, plan, b"")[0]
 
+    def _joined_reject(self, reject, deadline, request, plan, body):
+        """A promise holds for all; a failure may be due to the other caller's deadline or tries."""
+        if reject.code == NOT_RUN_CODE or self.clock.now() >= deadline:
+            raise Rejected(reject.code, reject.reason, reject.after, reject.outcome)
+        return self.carry(request, plan, body)
+
     def _fetch_alone(self, request, plan, body):
         begun = self.clock.now()
         deadline = request.deadline(plan.route, begun)
@@ -110,6 +145,9 @@
                 if last is None and last_answer is None:
                     raise
                 break  # no further try can be made: what the last one came to is the answer
+            if answer.status == 304 and not self._confirms(answer, request, plan):
+                last, ran = ExchangeFailure("a 304 that was not asked for", sent=True), True
+                continue
             if answer.status in retried and answer.rest is None:
                 last_answer, ran = answer, True
                 continue
@@ -127,6 +165,15 @@
             "not-run" if request.safe else "unknown",
         )
 
+    def _confirms(self, answer, request, plan):
+        """Whether a 304 answers a condition that was sent: ours about a copy, or the caller's."""
+        if plan.entry is None:
+            return not plan.whole and any(name in request.headers for name in CONDITIONS)
+        held, said = dict(plan.entry.headers), answer.header("etag")
+        if "etag" not in held:
+            return "last-modified" in held
+        return said is None or said.removeprefix("W/") == held["etag"].removeprefix("W/")
+
     def _settle(self, request, plan, answer, begun):
         now = self.clock.now()
         # a whole object that was asked for in place of a part of it is kept as if nobody had named
--- a/src/willowpost/proxy/routing/tries.py
+++ b/src/willowpost/proxy/routing/tries.py
@@ -8,7 +8,7 @@
 from willowpost.common.clock import SECOND
 from willowpost.proxy.admission.verdict import Let
 from willowpost.proxy.origin import instance_check as instance_checks
-from willowpost.proxy.origin.exchange import Echo, WholeAnswer
+from willowpost.proxy.origin.answer import Echo, WholeAnswer
 from willowpost.proxy.origin.failure import ExchangeFailure, Why
 from willowpost.proxy.origin.pick import HEAVY
 from willowpost.proxy.routing.headers import toward
@@ -80,6 +80,7 @@
         headers = toward(
             request, address, self.node_state.card.id, plan.slot, plan.entry, trace.pressed
         )
+        headers = self._with_id(request, headers)
         try:
             answer = self._exchange(
                 f"shield {name} {address}",
@@ -151,6 +152,13 @@
         finally:
             self.origins.ended(chosen_origin.name, ticket)
 
+    def _with_id(self, request, headers):
+        """A shield echoes the caller's id, as origins do: an answer to another request shows."""
+        if request.name is None:
+            return headers
+        word = self.words.request
+        return [*(pair for pair in headers if pair[0] != word), (word, request.name)]
+
     def _weigh(self, route, answer):
         if len(self.sizes) > ROUTES_WEIGHED:
             self.sizes.clear()
--- a/src/willowpost/proxy/routing/writes.py
+++ b/src/willowpost/proxy/routing/writes.py
@@ -3,7 +3,7 @@
 And none once an origin may have run it.
 """
 
-from willowpost.proxy.origin.exchange import WholeAnswer
+from willowpost.proxy.origin.answer import WholeAnswer
 from willowpost.proxy.origin.failure import ExchangeFailure, Why
 from willowpost.proxy.routing.headers import end_to_end
 from willowpost.proxy.routing.outcome import Outcome
