Mesh frames over a peer's restart, half frames, acceptances of a former incarnation: tests

No fault was found here: frames come whole, in order and at most once (those the restart takes are lost and said again by their senders); a half frame holds up no other connection; a command's key names its incarnation.

--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -4,8 +4,9 @@
 from itertools import pairwise
 
 from willowpost.common.clock import MILLI, SECOND
-from willowpost.common.events import Received, Tick
+from willowpost.common.events import Asked, Received, Tick
 from willowpost.common.nonce import NonceSequence
+from willowpost.node.command_client import CommandClient
 from willowpost.node.follower import Follower
 from willowpost.node.node_state import Card, NodeState
 from willowpost.node.quorum_read import QuorumRead
@@ -18,6 +19,7 @@
 from willowpost.store.node import StoreNode
 from willowpost.wire.codec import Codec
 from willowpost.wire.messages import (
+    Accepted,
     AdmissionTokenAsk,
     AdmissionTokenTell,
     Member,
@@ -29,6 +31,7 @@
     ReadAsk,
     ReadTell,
     StateUpdate,
+    Submit,
 )
 
 VOTERS = tuple(Member(name, name, name, f"{name}:1") for name in ("A", "B", "C"))
@@ -171,6 +174,23 @@
         self.assertEqual(2 * SECOND, watch.heard["o@3"])
 
 
+class Commands(unittest.TestCase):
+    def submitted(self, incarnation):
+        client = CommandClient("p/proxy", incarnation, lambda: ["A:1"], lambda: incarnation)
+        plan = client.step(Asked("token", ({"op": "x"},)), 0)
+        plan.join(client.step(Tick(), SECOND))
+        return client, asked(plan.sends, Submit).command
+
+    def test_the_acceptance_of_a_former_incarnations_command_settles_nothing(self):
+        _, old = self.submitted(FIRST)
+        client, command = self.submitted(SECOND_INCARNATION)
+        self.assertEqual(old.counter, command.counter)
+        accepted = Accepted(old.key, 5, '[{"ok": true}]')
+        self.assertEqual([], client.step(Received("A:1", accepted), SECOND).replies)
+        accepted = Accepted(command.key, 6, '[{"ok": true}]')
+        self.assertEqual(1, len(client.step(Received("A:1", accepted), SECOND).replies))
+
+
 class Nonces(unittest.TestCase):
     def test_each_incarnation_daemon_and_purpose_counts_from_its_own_start(self):
         firsts = {
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -28,6 +28,18 @@
     return held
 
 
+class NotedQueue(Queue):
+    """Notes the slot of each message that comes in, in the order of all that share `slots`."""
+
+    def __init__(self, slots):
+        super().__init__()
+        self.slots = slots
+
+    def put(self, item, block=True, timeout=None):
+        self.slots.append(item.message.slot)
+        return super().put(item, block, timeout)
+
+
 class Wires(unittest.TestCase):
     def setUp(self):
         self.here, self.there = mesh(), mesh()
@@ -164,6 +176,42 @@
             [held.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) for held in made],
         )
 
+    def test_over_a_restart_of_the_peer_frames_come_whole_in_order_and_at_most_once(self):
+        """A frame that the restart took is lost; none comes twice, or in part, or before another."""
+        slots = []
+        self.here.stop()
+        before, after = (Mesh(self.here.address, NotedQueue(slots)) for _ in range(2))
+        before.start()
+        for slot in range(20):
+            self.there.send(before.address, SyncedIndex("s", slot))
+        with gevent.Timeout(5):
+            while not slots:
+                gevent.sleep(0.001)
+        before.server.stop()
+        for slot in range(20, 40):
+            self.there.send(before.address, SyncedIndex("s", slot))
+        after.start()
+        self.addCleanup(after.stop)
+        slot = 40
+        with gevent.Timeout(5):
+            while not after.inbox.qsize():
+                self.there.send(after.address, SyncedIndex("s", slot))
+                slot += 1
+                gevent.sleep(0.005)
+        self.assertEqual(sorted(set(slots)), slots)
+
+    def drained(self, held):
+        return [held.inbox.get_nowait() for _ in range(held.inbox.qsize())]
+
+    def test_half_a_frame_holds_up_no_other_connection_and_never_comes_in(self):
+        frame = Codec().encode("x", SyncedIndex("s", 7))
+        whole = HEAD.pack(len(frame), zlib.crc32(frame)) + frame
+        with self.raw() as stuck:
+            stuck.sendall(whole[:-1])
+            self.assertTrue(self.came(8))
+        self.assertTrue(self.came(9))
+        self.assertEqual([], self.drained(self.here))
+
     def test_an_address_that_is_none_harms_nobody(self):
         for address in ("127.0.0.1:99999", "nowhere:1"):
             self.there.send(address, SyncedIndex("s", 1))
