--- a/src/willowpost/proxy/origin/exchange.py
+++ b/src/willowpost/proxy/origin/exchange.py
@@ -105,7 +105,8 @@
         return self._asked(method, asked, seconds, whole_max, True, echo)
 
     def close(self) -> None:
-        """Ends the connection."""
+        """Ends the connection; it is not used again."""
+        self.reusable = False
         if self.connection is not None:
             self.connection.close()
             self.connection = None
--- a/src/willowpost/proxy/routing/tries.py
+++ b/src/willowpost/proxy/routing/tries.py
@@ -24,7 +24,8 @@
 }
 SMOOTH = 0.1
 ROUTES_WEIGHED = 4096
-NOT_RUN = (408, 421, 429, 503)
+MISDIRECTED = 421
+NOT_RUN = (408, MISDIRECTED, 429, 503)
 
 
 class Rejected(Exception):
@@ -170,7 +171,7 @@
 
     def _checked(self, answer, service):
         """Invariant: what passes was the origin's own answer to a request that it may have run."""
-        if answer.status == 421:
+        if answer.status == MISDIRECTED:
             raise ExchangeFailure(
                 "another life answers here", sent=True, ran=False, why=Why.INCARNATION
             )
@@ -181,9 +182,18 @@
                 ran=False,
                 why=Why.SERVICE if answer.status == 429 else Why.BUSY,
             )
-        if service.sealed and 200 <= answer.status < 300 and answer.header(self.words.seal) is None:
+        if self._unsealed(answer, service):
             raise ExchangeFailure("a success without a seal", sent=True)
 
+    def _unsealed(self, answer, service):
+        return (
+            service.sealed and 200 <= answer.status < 300 and answer.header(self.words.seal) is None
+        )
+
+    def _of_another(self, answer, service):
+        """Nothing more is asked where another incarnation, or no origin at all, answers."""
+        return answer.status == MISDIRECTED or self._unsealed(answer, service)
+
     def _pick(self, plan, trace):
         now = self.clock.now()
         route, service = (
@@ -304,6 +314,8 @@
                 plan.route.whole_max,
                 echo,
             )
+            if service is not None and self._of_another(answer, service):
+                exchange.close()
             return answer
         finally:
             self.io.finish(owner, exchange, reuse, answer)
--- a/src/willowpost/sim/fleet/fault_injector.py
+++ b/src/willowpost/sim/fleet/fault_injector.py
@@ -95,6 +95,9 @@
         self.incarnation = answer.incarnation
         return WholeAnswer(answer.status, list(answer.headers), answer.body)
 
+    def close(self):
+        """Virtual connections are counted by the fault injector alone."""
+
 
 class SimFaultInjector:
     """Invariant: a task of a life that has ended is never woken."""
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -158,6 +158,19 @@
                 self.assertEqual(b"ok", proxy.ask("GET", "/again/2", wp_request="n2")[1])
                 self.assertEqual([1, 2], self.origins[0].connections)
 
+    def test_where_another_incarnation_or_no_origin_answers_nothing_more_is_asked(self):
+        for strange in (
+            answer(b"", "421 Misdirected", wp_request="n1"),
+            answer(b"no seal", wp_request="n1"),
+            answer(b"big" * 30_000, wp_request="n1"),
+        ):
+            with self.subTest(strange=strange[:60]):
+                proxy = self.served((strange, sealed(name="n2")))
+                self.assertIn(proxy.ask("GET", "/again/1", wp_request="n1")[0], (502, 503))
+                self.assertEqual({}, proxy.pool.idle)
+                self.assertEqual(200, proxy.ask("GET", "/again/2", wp_request="n2")[0])
+                self.assertEqual([1, 2], self.origins[0].connections)
+
     def test_an_answer_without_an_id_is_ours_only_on_a_connection_of_its_own(self):
         proxy = self.served((sealed(), answer(b"whose", wp_seal="s"), sealed(name="n2")))
         proxy.ask("GET", "/again/1", wp_request="n1")
