--- a/src/willowpost/proxy/front.py
+++ b/src/willowpost/proxy/front.py
@@ -8,7 +8,8 @@
 from itertools import chain
 
 from willowpost.proxy.cache.storing import seconds_of
-from willowpost.proxy.handler import Asked, Reply
+from willowpost.proxy.caller.reply import Reply
+from willowpost.proxy.caller.request import CallerRequest
 from willowpost.proxy.routing.carrier import Carrier
 from willowpost.proxy.routing.planner import RequestPlanner
 from willowpost.proxy.routing.request import ONCE, RejectPlan, Request, kind_of
@@ -71,11 +72,11 @@
         self.stats["cut"] += 1
         self.logs.say("front", "answer cut off", level="warning", problem=repr(problem))
 
-    def repeatable(self, asked: Asked) -> bool:
+    def repeatable(self, asked: CallerRequest) -> bool:
         route = self._route(asked)
         return route is None or kind_of(route, asked_as(asked)) != ONCE
 
-    def body_most(self, asked: Asked) -> int:
+    def body_most(self, asked: CallerRequest) -> int:
         route = self._route(asked)
         most = self.limits().get("body_bytes")
         return (
@@ -92,7 +93,7 @@
     def malformed(self, code: int, reason: str) -> Reply:
         return self._reject(Rejected(code, reason, 0), False)
 
-    def respond(self, asked: Asked, body: bytes, received: int) -> Reply:
+    def respond(self, asked: CallerRequest, body: bytes, received: int) -> Reply:
         if self.reserved and asked.target.partition("?")[0] in (HEALTH, STATS):
             return self.own(asked.target.partition("?")[0])
         write = asked.method not in ("GET", "HEAD")
@@ -246,9 +247,9 @@
         )
 
 
-def host_of(asked: Asked) -> str:
+def host_of(asked: CallerRequest) -> str:
     return asked.headers.get("host", "").partition(":")[0].lower()
 
 
-def asked_as(asked: Asked) -> Request:
+def asked_as(asked: CallerRequest) -> Request:
     return Request(asked.method, "", "", asked.headers)
