--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -16,7 +16,7 @@
 from served import ScriptedOrigin, answer
 from test_kinds import Scripted, sealed
 
-from willowpost.proxy.origin.exchange import Exchange
+from willowpost.proxy.origin.answer_reader import AnswerReader
 from willowpost.shell.probe import probe_status
 
 SOURCES = Path(__file__).parent.parent / "src" / "willowpost"
@@ -183,7 +183,7 @@
     def test_without_the_check_of_the_id_the_answer_of_another_passes(self):
         proxy = self.served((sealed(), answer(b"whose", wp_seal="s")))
         proxy.ask("GET", "/again/1", wp_request="n1")
-        with mock.patch.object(Exchange, "_check_echo", lambda *args: None):
+        with mock.patch.object(AnswerReader, "_check_echo", lambda *args: None):
             self.assertEqual(b"whose", proxy.ask("GET", "/again/2", wp_request="n2")[1])
 
 
--- a/tests/test_exchange_fuzz.py
+++ b/tests/test_exchange_fuzz.py
@@ -15,7 +15,8 @@
 from test_kinds import Scripted, sealed
 
 from willowpost.proxy.origin.answer import Echo
-from willowpost.proxy.origin.exchange import FOREIGN_MOST, Exchange
+from willowpost.proxy.origin.answer_reader import FOREIGN_MOST
+from willowpost.proxy.origin.exchange import Exchange
 from willowpost.proxy.origin.failure import ExchangeFailure
 
 ID = "mine"
