--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -28,16 +28,16 @@
     return held
 
 
-class NotedQueue(Queue):
+class NotedQueue(SizedQueue):
     """Notes the slot of each message that comes in, in the order of all that share `slots`."""
 
     def __init__(self, slots):
-        super().__init__()
+        super().__init__(INBOX_MESSAGES_MOST, INBOX_BYTES_MOST)
         self.slots = slots
 
-    def put(self, item, block=True, timeout=None):
+    def offer(self, item, size):
         self.slots.append(item.message.slot)
-        return super().put(item, block, timeout)
+        return super().offer(item, size)
 
 
 class Wires(unittest.TestCase):
