Connections to origins and probes ask no resolver, and none of their addresses breaks a request

Change: shell/connecting.py connects as the mesh does; what is no address is a failure with nothing sent. Ruled out: a resolver of gevent's own (a library of its own, for nothing).

--- a/src/willowpost/proxy/origin/exchange.py
+++ b/src/willowpost/proxy/origin/exchange.py
@@ -7,14 +7,12 @@
 import time
 from enum import Enum
 
-from gevent import socket
-
 from willowpost.proxy.origin.answer import Echo, WholeAnswer
 from willowpost.proxy.origin.answer_reader import AnswerReader
 from willowpost.proxy.origin.failure import ExchangeFailure
 from willowpost.proxy.origin.framing import request_head
 from willowpost.proxy.origin.instance_check import BYTES_MOST, InstanceCheck
-from willowpost.shell.mesh import split
+from willowpost.shell.connecting import connected
 from willowpost.shell.parsing import HTTPParseError
 
 CONNECT_SECONDS = 1.0
@@ -51,11 +49,8 @@
     def connect(self, seconds: float = CONNECT_SECONDS) -> None:
         """Opens a connection of its own; an ExchangeFailure says that nothing was sent."""
         try:
-            self.connection = socket.create_connection(
-                split(self.address), timeout=min(seconds, CONNECT_SECONDS)
-            )
-            self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except OSError as problem:
+            self.connection = connected(self.address, min(seconds, CONNECT_SECONDS))
+        except (OSError, ValueError, OverflowError) as problem:
             raise ExchangeFailure(
                 f"connect: {problem}",
                 sent=False,
--- a/src/willowpost/shell/probe.py
+++ b/src/willowpost/shell/probe.py
@@ -6,9 +6,7 @@
 
 import time
 
-from gevent import socket
-
-from willowpost.shell.mesh import split
+from willowpost.shell.connecting import connected
 from willowpost.shell.parsing import HTTPParseError, HTTPResponseParser
 
 BLOCK = 4096
@@ -52,7 +50,7 @@
     """The status of GET `path` at `address` (host:port), or None without one in `seconds`."""
     until = time.monotonic() + seconds
     try:
-        connection = socket.create_connection(split(address), timeout=seconds)
+        connection = connected(address, seconds)
     except (OSError, ValueError, OverflowError):
         return None
     try:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -17,6 +17,8 @@
 from test_kinds import Scripted, sealed
 
 from willowpost.proxy.origin.answer_reader import AnswerReader
+from willowpost.proxy.origin.exchange import Exchange
+from willowpost.proxy.origin.failure import ExchangeFailure
 from willowpost.shell.probe import probe_status
 
 SOURCES = Path(__file__).parent.parent / "src" / "willowpost"
@@ -266,6 +268,36 @@
         self.assertEqual([b"en", b"de", b"en", b"fr"], found)
 
 
+class NoResolver:
+    """Stands where a resolver would be asked, in a thread."""
+
+    def getaddrinfo(self, *args):
+        raise AssertionError("a resolver was asked")
+
+    def close(self):
+        """As a resolver has it."""
+
+
+class Connecting(Scripted):
+    def test_connections_to_origins_and_probes_ask_no_resolver(self):
+        hub = gevent.get_hub()
+        hub.resolver = NoResolver()
+        self.addCleanup(delattr, hub, "resolver")
+        origin = ScriptedOrigin(sealed())
+        exchange = Exchange(origin.address)
+        exchange.connect(1.0)
+        self.addCleanup(exchange.close)
+        found = exchange.run("GET", "/a", [("wp-request", "n1")], b"", 1.0, 1000)
+        self.assertEqual((200, b"ok"), (found.status, found.body))
+        self.assertEqual(200, probe_status(origin.address, "/health", 1.0))
+
+    def test_an_address_that_is_none_has_sent_nothing(self):
+        for address in ("127.0.0.1:99999", "127.0.0.1:x", "127.0.0.1:1"):
+            with self.subTest(address=address), self.assertRaises(ExchangeFailure) as raised:
+                Exchange(address).connect(0.5)
+            self.assertFalse(raised.exception.sent)
+
+
 class Library(unittest.TestCase):
     """Of the HTTP client package, the daemons use the parser alone: its client repeats."""
 
