What an answer to a read becomes has a module of its own; a 304 brings its tags

Cause of the one change in behaviour: a copy confirmed by a 304 kept the tags of its first answer, so a purge by a tag that the 304 named did not hit it.

--- a/src/willowpost/proxy/cache/store.py
+++ b/src/willowpost/proxy/cache/store.py
@@ -113,9 +113,12 @@
         return True
 
     def refresh(
-        self, entry: Entry, headers: tuple, born_at: int, lifetime: int, slot: int
+        self, entry: Entry, headers: tuple, born_at: int, lifetime: int, slot: int, tags: tuple
     ) -> Entry:
-        renewed = replace(entry, headers=headers, born_at=born_at, lifetime=lifetime, slot=slot)
+        """The entry as an origin has confirmed it, with the tags that it names now."""
+        renewed = replace(
+            entry, headers=headers, born_at=born_at, lifetime=lifetime, slot=slot, tags=tags
+        )
         self.keep(renewed)
         return renewed
 
--- a/src/willowpost/proxy/routing/reads.py
+++ b/src/willowpost/proxy/routing/reads.py
@@ -7,11 +7,10 @@
 
 from willowpost.common.clock import SECOND
 from willowpost.proxy.cache.store import Entry
-from willowpost.proxy.cache.storing import StoringRules, first_age, whole
 from willowpost.proxy.origin.answer import WholeAnswer
 from willowpost.proxy.origin.failure import ExchangeFailure, Why
-from willowpost.proxy.routing.headers import CONDITIONS, end_to_end
 from willowpost.proxy.routing.outcome import Outcome
+from willowpost.proxy.routing.settling import Settling, unasked
 from willowpost.proxy.routing.tries import SOON, Rejected, Trace, Tries
 
 RETRIED = (502, 503, 504)
@@ -45,7 +44,7 @@
 
     def __init__(self, cache, clock, tries: Tries, stats):
         self.cache, self.clock, self.tries, self.stats = cache, clock, tries, stats
-        self.rules = StoringRules()
+        self.settling = Settling(cache, clock, tries)
         self.flights: dict[tuple, Flight] = {}  # (method, host, target) -> fetch under way
 
     def carry(self, request, plan, body: bytes = b"") -> Outcome:
@@ -145,15 +144,15 @@
                 if last is None and last_answer is None:
                     raise
                 break  # no further try can be made: what the last one came to is the answer
-            if answer.status == 304 and not self._confirms(answer, request, plan):
+            if unasked(answer, request, plan):
                 last, ran = ExchangeFailure("a 304 that was not asked for", sent=True), True
                 continue
             if answer.status in retried and answer.rest is None:
                 last_answer, ran = answer, True
                 continue
-            return self._settle(request, plan, answer, begun)
+            return self.settling.settle(request, plan, answer, begun)
         if last_answer is not None:
-            return self._settle(request, plan, last_answer, begun)
+            return self.settling.settle(request, plan, last_answer, begun)
         if last is not None and not ran and plan.route.kind is not None:
             raise Rejected(503, f"no origin took it: {last.what}", SOON, "not-run")
         raise Rejected(
@@ -164,97 +163,3 @@
             1,
             "not-run" if request.safe else "unknown",
         )
-
-    def _confirms(self, answer, request, plan):
-        """Whether a 304 answers a condition that was sent: ours about a copy, or the caller's."""
-        if plan.entry is None:
-            return not plan.whole and any(name in request.headers for name in CONDITIONS)
-        held, said = dict(plan.entry.headers), answer.header("etag")
-        if "etag" not in held:
-            return "last-modified" in held
-        return said is None or said.removeprefix("W/") == held["etag"].removeprefix("W/")
-
-    def _settle(self, request, plan, answer, begun):
-        now = self.clock.now()
-        # a whole object that was asked for in place of a part of it is kept as if nobody had named
-        # a part
-        asked = (
-            {name: value for name, value in request.headers.items() if name != "range"}
-            if plan.whole
-            else request.headers
-        )
-        slot = min(
-            plan.slot, whole(answer.header("wp-slot")) if answer.header("wp-slot") else plan.slot
-        )
-        words = self.tries.words
-        headers = tuple(
-            pair
-            for pair in end_to_end(answer.headers, words.names())
-            if pair[0] not in ("age", words.request, words.load)
-        )
-        if answer.status == 304 and plan.entry is not None:
-            said = {**dict(plan.entry.headers), **dict(headers)}
-            storing = self.rules.judge(asked, plan.entry.status, said, plan.route.keep_seconds)
-            if storing is None:
-                self.cache.drop(plan.entry)
-                return Outcome(
-                    WholeAnswer(plan.entry.status, list(plan.entry.headers), plan.entry.body),
-                    "miss",
-                ), None
-            # the seal is of the whole answer that is kept, not of this word about it
-            state_update = tuple(pair for pair in headers if pair[0] != words.seal)
-            kept = (
-                tuple(pair for pair in plan.entry.headers if pair[0] not in dict(state_update))
-                + state_update
-            )
-            entry = self.cache.refresh(
-                plan.entry,
-                kept,
-                now - first_age(answer.lowered(), now - begun),
-                storing.lifetime,
-                slot,
-            )
-            return Outcome(
-                WholeAnswer(entry.status, list(entry.headers), entry.body),
-                "miss",
-                entry.age(now),
-                slot,
-            ), entry
-        storing = (
-            self.rules.judge(asked, answer.status, answer.lowered(), plan.route.keep_seconds)
-            if plan.cacheable
-            and request.method == "GET"
-            and answer.rest is None
-            and plan.route.keeps_in(self.tries.regions.get(self.tries.node_state.card.zone))
-            else None
-        )
-        age = first_age(answer.lowered(), now - begun)
-        length = (
-            [("content-length", answer.header("content-length"))]
-            if answer.header("content-length")
-            else []
-        )
-        passed = WholeAnswer(answer.status, [*headers, *length], answer.body, answer.rest)
-        if storing is None:
-            return Outcome(
-                passed,
-                "miss" if plan.cacheable else "pass",
-                age if answer.header("age") else None,
-                slot,
-            ), None
-        variant = tuple((name, request.headers.get(name, "")) for name in storing.vary)
-        entry = Entry(
-            request.host,
-            request.target,
-            variant,
-            answer.status,
-            headers,
-            answer.body,
-            now - age,
-            storing.lifetime,
-            slot,
-            storing.public,
-            tuple((answer.header(words.tags) or "").split()),
-        )
-        self.cache.keep(entry)
-        return Outcome(passed, "miss", age, slot), entry if storing.lifetime > age else None
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -151,6 +151,19 @@
         code, _, headers = proxy.ask("GET", "/kept/1", wp_request="n1")
         self.assertEqual((502, None), (code, headers.get("etag")))
 
+    def test_a_304_brings_the_tags_that_a_purge_then_hits(self):
+        same = b'HTTP/1.1 304 Not Modified\r\nWp-Request: n1\r\nETag: "1"\r\nWp-Tags: b\r\n\r\n'
+        proxy = self.served(
+            (sealed(b"one", etag='"1"', cache_control="max-age=1", wp_tags="a"), same)
+        )
+        proxy.ask("GET", "/kept/1", wp_request="n1")
+        proxy.clock.time += 2_000_000
+        proxy.node_state.fresh_as_of = proxy.clock.time
+        self.assertEqual(b"one", proxy.ask("GET", "/kept/1", wp_request="n1")[1])
+        (entry,) = proxy.cache.held[("h.example", "/kept/1")]
+        self.assertEqual(("b",), entry.tags)
+        self.assertEqual({"b"}, set(proxy.cache.tagged))
+
     def test_bodies_where_none_may_be_end_the_connection(self):
         for method, status in (("HEAD", "200 OK"), ("GET", "204 No Content")):
             with self.subTest(method=method, status=status):
