--- a/src/willowpost/proxy/routing/tries.py
+++ b/src/willowpost/proxy/routing/tries.py
@@ -8,7 +8,7 @@
 from willowpost.common.clock import SECOND
 from willowpost.proxy.admission.verdict import Let
 from willowpost.proxy.origin import instance_check as instance_checks
-from willowpost.proxy.origin.exchange import Echo, WholeAnswer
+from willowpost.proxy.origin.answer import Echo, WholeAnswer
 from willowpost.proxy.origin.failure import ExchangeFailure, Why
 from willowpost.proxy.origin.pick import HEAVY
 from willowpost.proxy.routing.headers import toward
@@ -24,7 +24,8 @@
 }
 SMOOTH = 0.1
 ROUTES_WEIGHED = 4096
-NOT_RUN = (408, 421, 429, 503)
+MISDIRECTED = 421
+NOT_RUN = (408, MISDIRECTED, 429, 503)
 
 
 class Rejected(Exception):
@@ -80,6 +81,7 @@
         headers = toward(
             request, address, self.node_state.card.id, plan.slot, plan.entry, trace.pressed
         )
+        headers = self._with_id(request, headers)
         try:
             answer = self._exchange(
                 f"shield {name} {address}",
@@ -151,6 +153,13 @@
         finally:
             self.origins.ended(chosen_origin.name, ticket)
 
+    def _with_id(self, request, headers):
+        """A shield echoes the caller's id, as origins do: an answer to another request shows."""
+        if request.name is None:
+            return headers
+        word = self.words.request
+        return [*(pair for pair in headers if pair[0] != word), (word, request.name)]
+
     def _weigh(self, route, answer):
         if len(self.sizes) > ROUTES_WEIGHED:
             self.sizes.clear()
@@ -162,7 +171,7 @@
 
     def _checked(self, answer, service):
         """Invariant: what passes was the origin's own answer to a request that it may have run."""
-        if answer.status == 421:
+        if answer.status == MISDIRECTED:
             raise ExchangeFailure(
                 "another life answers here", sent=True, ran=False, why=Why.INCARNATION
             )
@@ -173,9 +182,18 @@
                 ran=False,
                 why=Why.SERVICE if answer.status == 429 else Why.BUSY,
             )
-        if service.sealed and 200 <= answer.status < 300 and answer.header(self.words.seal) is None:
+        if self._unsealed(answer, service):
             raise ExchangeFailure("a success without a seal", sent=True)
 
+    def _unsealed(self, answer, service):
+        return (
+            service.sealed and 200 <= answer.status < 300 and answer.header(self.words.seal) is None
+        )
+
+    def _of_another(self, answer, service):
+        """Nothing more is asked where another incarnation, or no origin at all, answers."""
+        return answer.status == MISDIRECTED or self._unsealed(answer, service)
+
     def _pick(self, plan, trace):
         now = self.clock.now()
         route, service = (
@@ -296,6 +314,8 @@
                 plan.route.whole_max,
                 echo,
             )
+            if service is not None and self._of_another(answer, service):
+                exchange.close()
             return answer
         finally:
             self.io.finish(owner, exchange, reuse, answer)
