--- a/src/willowpost/model/logical_time.py
+++ b/src/willowpost/model/logical_time.py
@@ -8,10 +8,10 @@
 
 from willowpost.common.clock import SECOND
 
-# Whole microseconds, as the controllers count; far above every slot, counter and span.
-NOW = 1 << 52
-# Longer than each timer of the controllers that the model drives.
+# Longer than each timer of the controllers that the model drives, and a multiple of each.
 TICK_SPAN = 60 * SECOND
+# Whole microseconds, as the controllers count; far above every slot, counter and span.
+NOW = 100_000_000 * TICK_SPAN
 BEFORE = NOW - TICK_SPAN
 # A timer that is never due: longer than the whole of the model's time.
 NEVER = 1 << 60
--- a/src/willowpost/model/process_image.py
+++ b/src/willowpost/model/process_image.py
@@ -6,14 +6,15 @@
 """
 
 from collections.abc import Callable, Hashable
-from dataclasses import fields, is_dataclass
+from dataclasses import fields
 from enum import Enum
+from functools import cache
 from types import BuiltinFunctionType, FunctionType, MethodType
 from typing import Any
 
 from willowpost.model.logical_time import is_time
 
-_SCALARS = (str, bytes, float, bool, type(None))
+_SCALARS = frozenset((str, bytes, float, bool, type(None)))
 _CODE = (type, FunctionType, BuiltinFunctionType)
 
 
@@ -31,50 +32,53 @@
     return _copy(value, number, {})
 
 
-def fingerprint(value: Any) -> Hashable:
-    """A hashable value that is equal for two objects exactly if their contents are.
-
-    Raises:
-        ValueError: a moment stands inside a frozen object, where a tick could not age it.
-    """
-    return _freeze(value, {}, False)
-
-
-def _is_shared(value: Any) -> bool:
-    kind = type(value)
-    if isinstance(value, (*_SCALARS, *_CODE, Enum)):
-        return True
+@cache
+def _is_frozen(kind: type) -> bool:
     parameters = getattr(kind, "__dataclass_params__", None)
     return parameters is not None and bool(parameters.frozen)
 
 
-def _field_names(value: Any) -> list[str]:
-    names = list(getattr(value, "__dict__", ()))
-    for kind in type(value).__mro__:
-        slots = kind.__dict__.get("__slots__", ())
+@cache
+def _is_plain(kind: type) -> bool:
+    return kind in _SCALARS or issubclass(kind, (*_CODE, Enum))
+
+
+@cache
+def _slots(kind: type) -> tuple[str, ...]:
+    names: list[str] = []
+    for base in kind.__mro__:
+        slots = base.__dict__.get("__slots__", ())
         names += [slots] if isinstance(slots, str) else list(slots)
-    return [name for name in names if name not in ("__dict__", "__weakref__")]
+    return tuple(name for name in names if name not in ("__dict__", "__weakref__"))
+
+
+def _held(value: Any) -> dict[str, Any]:
+    """The fields of an object, whether they stand in slots or in its dictionary."""
+    kind: Any = type(value)
+    slots = {name: getattr(value, name) for name in _slots(kind) if hasattr(value, name)}
+    return {**slots, **getattr(value, "__dict__", {})}
 
 
 def _copy(value: Any, number: Callable[[int], int], copies: dict[int, Any]) -> Any:
-    kind = type(value)
+    kind: Any = type(value)
     if kind is int:
         return number(value)
-    if _is_shared(value):
+    if _is_plain(kind) or _is_frozen(kind):
         return value
     if id(value) in copies:
         return copies[id(value)]
     if kind is tuple:
-        return tuple(_copy(item, number, copies) for item in value)
+        return tuple([_copy(item, number, copies) for item in value])
     if kind is MethodType:
         return MethodType(value.__func__, _copy(value.__self__, number, copies))
     if kind is dict:
         held = copies[id(value)] = {}
-        held.update({key: _copy(item, number, copies) for key, item in value.items()})
+        for key, item in value.items():
+            held[key] = _copy(item, number, copies)
         return held
     if kind is list:
         items = copies[id(value)] = []
-        items.extend(_copy(item, number, copies) for item in value)
+        items.extend([_copy(item, number, copies) for item in value])
         return items
     if isinstance(value, (set, frozenset)):
         return kind(value)
@@ -83,37 +87,62 @@
 
 def _copy_object(value: Any, number: Callable[[int], int], copies: dict[int, Any]) -> Any:
     made = copies[id(value)] = object.__new__(type(value))
-    for name in _field_names(value):
-        if hasattr(value, name):
-            object.__setattr__(made, name, _copy(getattr(value, name), number, copies))
+    for name, item in _held(value).items():
+        object.__setattr__(made, name, _copy(item, number, copies))
     return made
 
 
-def _freeze(value: Any, seen: dict[int, int], frozen: bool) -> Hashable:
-    kind = type(value)
-    if kind is int:
-        if frozen and is_time(value):
-            raise ValueError(f"the moment {value} stands inside a frozen object")
-        return value  # type: ignore[no-any-return]
-    if isinstance(value, (*_SCALARS, *_CODE, Enum)):
-        return value
-    if kind is tuple or kind is list:
-        return (kind.__name__, *(_freeze(item, seen, frozen) for item in value))
-    if isinstance(value, (set, frozenset)):
-        return ("set", *sorted(value, key=repr))
-    if kind is dict:
-        items = [(key, _freeze(item, seen, frozen)) for key, item in value.items()]
-        return ("dict", *sorted(items, key=lambda item: repr(item[0])))
-    if kind is MethodType:
-        return ("method", value.__func__, _freeze(value.__self__, seen, frozen))
-    if _is_shared(value) and is_dataclass(value):
-        return (kind, *(_freeze(getattr(value, held.name), seen, True) for held in fields(value)))
-    return _freeze_object(value, seen)
-
-
-def _freeze_object(value: Any, seen: dict[int, int]) -> Hashable:
-    if id(value) in seen:
-        return ("again", seen[id(value)])
-    seen[id(value)] = len(seen)
-    names = sorted(name for name in _field_names(value) if hasattr(value, name))
-    return (type(value), *((name, _freeze(getattr(value, name), seen, False)) for name in names))
+class Fingerprints:
+    """Makes hashable values that are equal for two objects exactly if their contents are.
+
+    Invariant: a frozen object is looked through once; it is kept, so that its id stays its own.
+    """
+
+    def __init__(self) -> None:
+        self._frozen: dict[int, tuple[Any, Hashable]] = {}
+
+    def of(self, value: Any) -> Hashable:
+        """The fingerprint of an object with all that it refers to.
+
+        Raises:
+            ValueError: a moment stands inside a frozen object, where a tick could not age it.
+        """
+        return self._key(value, {})
+
+    def _key(self, value: Any, seen: dict[int, int]) -> Hashable:
+        kind: Any = type(value)
+        if kind is int or _is_plain(kind):
+            return value  # type: ignore[no-any-return]
+        if kind is tuple or kind is list:
+            return (kind, *[self._key(item, seen) for item in value])
+        if kind is dict:
+            return (kind, *self._items(value, seen))
+        if _is_frozen(kind):
+            return self._frozen_key(value)
+        if isinstance(value, (set, frozenset)):
+            return ("set", *sorted(value, key=repr))
+        if kind is MethodType:
+            return (kind, value.__func__, self._key(value.__self__, seen))
+        return self._object_key(value, seen)
+
+    def _items(self, held: dict[Any, Any], seen: dict[int, int]) -> list[tuple[Any, Hashable]]:
+        """A dictionary's entries; their order, which the controllers do not rely on, is dropped."""
+        return sorted(
+            [(key, self._key(item, seen)) for key, item in held.items()],
+            key=lambda entry: repr(entry[0]),
+        )
+
+    def _frozen_key(self, value: Any) -> Hashable:
+        known = self._frozen.get(id(value))
+        if known is None:
+            items = [self._key(getattr(value, held.name), {}) for held in fields(value)]
+            if any(type(item) is int and is_time(item) for item in items):
+                raise ValueError(f"a moment stands inside the frozen {value!r}")
+            known = self._frozen[id(value)] = (value, (type(value), *items))
+        return known[1]
+
+    def _object_key(self, value: Any, seen: dict[int, int]) -> Hashable:
+        if id(value) in seen:
+            return ("again", seen[id(value)])
+        seen[id(value)] = len(seen)
+        return (type(value), *self._items(_held(value), seen))
--- a/src/willowpost/model/protections.py
+++ b/src/willowpost/model/protections.py
@@ -11,7 +11,6 @@
 from willowpost.consensus.thresholds import Thresholds
 from willowpost.model.system import Switches
 from willowpost.node.quorum_read import QuorumRead
-from willowpost.store.repair import Repair
 
 _ALL_SLOTS = 10**9
 
@@ -93,25 +92,25 @@
             "one-command",
             replacements=(Replacement(ReplicaState, "safe", lambda self: _ALL_SLOTS),),
         ),
+        Protection(
+            "ballot-state-kept",
+            "restarted",
+            replacements=(Replacement(ReplicaState, "_ballot_state", lambda self, held: None),),
+        ),
         Protection(
             "epoch-barrier",
             "unheard",
             replacements=(Replacement(Voting, "_opened", lambda self, plan: True),),
         ),
         Protection("new-identity", "wiped", Switches(reuse_identity=True)),
-        Protection(
-            "learner-caught-up",
-            "learner-behind",
-            replacements=(Replacement(Repair, "_whole", lambda self, now: True),),
-        ),
         Protection(
             "store-read-in-one-epoch",
-            "store-read-over-epochs",
+            "store-read-over-change",
             replacements=(_whatever_the_epoch(Reads),),
         ),
         Protection(
             "reader-read-in-one-epoch",
-            "unheard",
+            "read-over-change",
             replacements=(_whatever_the_epoch(QuorumRead),),
         ),
     )
--- a/src/willowpost/model/scope.py
+++ b/src/willowpost/model/scope.py
@@ -20,6 +20,7 @@
     duplicates: int = 0
     losses: int = 0  # explicit ones; a message never delivered is lost in any case
     cuts: int = 0
+    heals: int = 0
     short_ticks: int = 0
 
 
@@ -40,6 +41,22 @@
     role: Role = Role.VOTER
 
 
+@dataclass(frozen=True, slots=True)
+class Passes:
+    """A step of an opening: the newest message of this kind in flight on this link arrives."""
+
+    source: str
+    target: str
+    kind: str  # the name of the message's class
+
+
+@dataclass(frozen=True, slots=True)
+class Ticks:
+    """A step of an opening: all timers of this process are due; not counted among its ticks."""
+
+    process: str
+
+
 def _no_ticks() -> dict[str, int]:
     return {}
 
@@ -53,6 +70,9 @@
     decided and synced before the model begins. `ticks` says how many timed ticks each process may
     have; a process that is not named has none.
 
+    `opening` leads from there to the state in which the model begins, and `cuts` are the links on
+    which nothing passes from then on.
+
     With `messages_stay` a message that was sent can arrive at any later moment, any number of
     times, or never: delivering it leaves it in flight. That covers every delay, order, loss and
     duplicate, and states differ no more by what is left of the network. Without it, a delivery
@@ -69,6 +89,8 @@
     budget: Budget = Budget()
     pace: Pace = Pace(read=READS_OFF, synced_index=NEVER, rotate=NEVER)
     max_voters: int = 0
+    opening: tuple[Passes | Ticks, ...] = ()
+    cuts: frozenset[tuple[str, str]] = frozenset()
     may_crash: tuple[str, ...] = ()  # empty: every store may
     may_lose_disk: tuple[str, ...] = ()  # empty: every store may
     messages_stay: bool = True
--- a/src/willowpost/model/scopes.py
+++ b/src/willowpost/model/scopes.py
@@ -1,11 +1,11 @@
 """The scopes that ship with willowpost, by name."""
 
-from dataclasses import asdict
+from dataclasses import asdict, replace
 
 from willowpost.consensus.replica.replica_state import Pace
 from willowpost.model.logical_time import NEVER
 from willowpost.model.processes import incarnation_of, member_of
-from willowpost.model.scope import READS_OFF, Budget, Machine, Role, Scope
+from willowpost.model.scope import READS_OFF, Budget, Machine, Passes, Role, Scope, Ticks
 
 THREE = (Machine("s0", "a"), Machine("s1", "b"), Machine("s2", "c"))
 FIVE = (*THREE, Machine("s3", "a"), Machine("s4", "b"))
@@ -64,6 +64,13 @@
 
 ONE_COMMAND = Scope("one-command", THREE, (EMPTY_A_ZONE,), budget=Budget(torn=1))
 TWO_COMMANDS = Scope("two-commands", THREE, (EMPTY_A_ZONE, EMPTY_B_ZONE), budget=Budget(torn=1))
+RESTARTED = Scope(
+    "restarted",
+    THREE,
+    (EMPTY_A_ZONE, EMPTY_B_ZONE),
+    budget=Budget(crashes=1),
+    may_crash=("s0",),
+)
 RACE = Scope(
     "race",
     THREE,
@@ -73,7 +80,7 @@
     "wiped",
     THREE,
     (EMPTY_A_ZONE,),
-    ticks={"s0": 1, "s1": 1, "s2": 2},
+    ticks={"s2": 2},
     budget=Budget(wipes=1),
     may_lose_disk=("s2",),
 )
@@ -103,37 +110,81 @@
     log_prefix=_HELD_LOST,
     budget=Budget(removals=1),
 )
+# The replacement is decided by s1 alone, with the votes of s0; s3 heard of it from s1.
+_DECIDED_BY_ONE = (
+    Passes("client0", "s0", "Submit"),
+    Passes("s0", "s1", "BallotState"),
+    Passes("s1", "s0", "BallotState"),
+    Passes("s0", "s1", "BallotState"),
+    Passes("s1", "s3", "SyncedIndex"),
+    Ticks("s3"),
+    Ticks("s3"),
+    Passes("s3", "s1", "Ask"),
+    Passes("s1", "s3", "Tell"),
+)
+# Then s0 decides it too, and s1 and s3 accept the other command in the new epoch.
+_ACCEPTED_BEHIND_IT = (
+    *_DECIDED_BY_ONE,
+    Passes("s1", "s0", "BallotState"),
+    Passes("s0", "s1", "SyncedIndex"),
+    Passes("s0", "s3", "SyncedIndex"),
+    Passes("client1", "s1", "Submit"),
+    Passes("s1", "s3", "BallotState"),
+    Passes("s3", "s1", "BallotState"),
+    Passes("s1", "s3", "BallotState"),
+    Passes("s3", "s1", "BallotState"),
+    Passes("s3", "s1", "SyncedIndex"),
+)
+
+
+def _cut(one: tuple[str, ...], other: tuple[str, ...]) -> frozenset[tuple[str, str]]:
+    return frozenset(
+        pair for a in one for b in other for pair in ((a, b), (b, a)) if pair[0] != pair[1]
+    )
+
+
 UNHEARD = Scope(
     "unheard",
     WITH_LEARNER,
     (_replacement(WITH_LEARNER[2], WITH_LEARNER[3]), EMPTY_A_ZONE),
+    first_store=(0, 1),
     log_prefix=_HELD_LOST,
     reader=True,
-    ticks={"reader": 1, "s3": 1},
+    ticks={"reader": 1},
+    opening=_DECIDED_BY_ONE,
+    cuts=_cut(("s0",), ("s2",)) | _cut(("s0", "s2", "reader"), ("s1", "s3")),
 )
-# The learner's own repair asks for the seat of s2, which is held lost.
-LEARNER_BEHIND = Scope(
-    "learner-behind",
-    (*THREE, Machine("s3", "c", Role.LEARNER)),
-    (EMPTY_A_ZONE,),
-    log_prefix=_HELD_LOST,
-    ticks={"s3": 2},
-    budget=Budget(removals=1, short_ticks=1),
+READ_OVER_CHANGE = replace(
+    UNHEARD,
+    name="read-over-change",
+    opening=_ACCEPTED_BEHIND_IT,
+    cuts=_cut(("s0", "s2", "reader"), ("s1", "s3")),
+)
+STORE_READ_OVER_CHANGE = replace(
+    READ_OVER_CHANGE,
+    name="store-read-over-change",
+    reader=False,
+    ticks={"s2": 2},
     pace=READING,
 )
-STORE_READ_OVER_EPOCHS = Scope(
-    "store-read-over-epochs",
-    WITH_LEARNER,
-    (_replacement(WITH_LEARNER[2], WITH_LEARNER[3]), EMPTY_A_ZONE),
-    log_prefix=_HELD_LOST,
-    ticks={"s2": 1, "s3": 1},
+# s2 asked how far the others are, and s0 has answered; the answer may reach a later life of s2.
+FORMER_LIFE = Scope(
+    "former-life",
+    THREE,
+    (EMPTY_A_ZONE,),
+    ticks={"s2": 1},
+    budget=Budget(crashes=1),
     pace=READING,
+    opening=(Ticks("s2"), Passes("s2", "s0", "ReadAsk")),
+    cuts=_cut(("s1", "client0"), ("s2",)) | frozenset({("s2", "s0")}),
+    may_crash=("s2",),
 )
 SCOPES = {
     scope.name: scope
     for scope in (
         ONE_COMMAND,
         TWO_COMMANDS,
+        RESTARTED,
         RACE,
         WIPED,
         READS,
@@ -141,7 +192,8 @@
         REPLACED,
         REPLACED_LATE,
         UNHEARD,
-        LEARNER_BEHIND,
-        STORE_READ_OVER_EPOCHS,
+        READ_OVER_CHANGE,
+        STORE_READ_OVER_CHANGE,
+        FORMER_LIFE,
     )
 }
--- a/src/willowpost/model/system.py
+++ b/src/willowpost/model/system.py
@@ -41,7 +41,7 @@
 )
 from willowpost.model.logical_time import NOW, aged
 from willowpost.model.numbering import Numbering
-from willowpost.model.process_image import copy_of, fingerprint
+from willowpost.model.process_image import Fingerprints, copy_of
 from willowpost.model.processes import (
     READER,
     Record,
@@ -54,7 +54,7 @@
     identity_of,
     voters_of,
 )
-from willowpost.model.scope import READS_OFF, Scope
+from willowpost.model.scope import READS_OFF, Passes, Scope, Ticks
 from willowpost.model.system_state import DOWN, GONE, SystemState
 from willowpost.wire.messages import StateUpdate
 
@@ -122,6 +122,8 @@
         self.messages: Numbering[Message] = Numbering()
         self.disks: Numbering[tuple[str, ...]] = Numbering()
         self.histories: Numbering[History] = Numbering()
+        self._fingerprints = Fingerprints()
+        self._initial: SystemState | None = None
         self._facts: dict[int, DiskFacts] = {}
         self._recordings: dict[tuple[int, str, int], int] = {}
         self._in_network: dict[tuple[str, str, str], int] = {}
@@ -133,7 +135,32 @@
     # ---- the first state
 
     def initial(self) -> SystemState:
-        """The state that the scope describes, with every command asked for and submitted."""
+        """The state that the scope describes, after its opening.
+
+        Raises:
+            NotPossible: a step of the opening cannot happen.
+            Violation: an invariant does not hold on the way.
+        """
+        if self._initial is None:
+            state = self._before_opening()
+            for step in self.scope.opening:
+                state = self._opened(state, step)
+            self._initial = state._replace(cuts=self.scope.cuts)
+        return self._initial
+
+    def _opened(self, state: SystemState, step: Passes | Ticks) -> SystemState:
+        if isinstance(step, Ticks):
+            number = self.index[step.process]
+            more = state._replace(ticks=_set(state.ticks, number, state.ticks[number] + 1))
+            return self.successor(more, Tick(step.process))
+        for number in sorted(state.network, reverse=True):
+            source, target, body = self.messages[number]
+            if (source, target, type(body).__name__) == (step.source, step.target, step.kind):
+                return self.successor(state, Deliver(source, target, self.message_text(number)))
+        raise NotPossible(f"no message for {step}")
+
+    def _before_opening(self) -> SystemState:
+        """The first state, with every command asked for and submitted."""
         disks = [self._first_disk(number) for number in range(len(self.stores))]
         images = [self._start(number, disk, 1) for number, disk in enumerate(disks)]
         messages: set[int] = set()
@@ -178,7 +205,7 @@
     # ---- numbering of parts
 
     def _number_image(self, process: Any) -> int:
-        return self.images.number(fingerprint(process), process)
+        return self.images.number(self._fingerprints.of(process), process)
 
     def _number_disk(self, lines: tuple[str, ...]) -> int:
         return self.disks.number(lines, lines)
@@ -297,7 +324,7 @@
                 for target in self.stores:
                     if source != target and (source, target) not in state.cuts:
                         yield Cut(source, target)
-        if state.cuts:
+        if state.cuts and state.budget.heals:
             yield Heal()
 
     # ---- what an action leads to
@@ -347,7 +374,9 @@
                 budget = state.budget._replace(cuts=state.budget.cuts - 1)
                 return state._replace(cuts=state.cuts | {(source, target)}, budget=budget)
             case Heal():
-                return state._replace(cuts=frozenset())
+                self._spend(state.budget.heals)
+                budget = state.budget._replace(heals=state.budget.heals - 1)
+                return state._replace(cuts=frozenset(), budget=budget)
 
     def _spend(self, left: int) -> None:
         if not left:
