Model: tests of each scope and of each protection switched off; the race begins behind its first half

Cause: moments were told from other integers by a wide range, into which one question's number in eleven would fall since these are 56 bits wide (common/nonce.py); such a number was aged as a time. Change: only BEFORE to NOW are moments, a range of 60 s. Each protection has a test that asks for its rule and the length of a shortest trace, each scope one that expands all states up to a depth.

--- a/src/willowpost/model/logical_time.py
+++ b/src/willowpost/model/logical_time.py
@@ -10,19 +10,18 @@
 
 # Longer than each timer of the controllers that the model drives, and a multiple of each.
 TICK_SPAN = 60 * SECOND
-# Whole microseconds, as the controllers count; far above every slot, counter and span.
+# Whole microseconds, as the controllers count. What lies between `BEFORE` and it is a moment: far
+# above every slot, counter and span, and too narrow a range to hold a question's number by chance.
 NOW = 100_000_000 * TICK_SPAN
 BEFORE = NOW - TICK_SPAN
 # A timer that is never due: longer than the whole of the model's time.
 NEVER = 1 << 60
-_FIRST_TIME = 1 << 51
-_LAST_TIME = 1 << 53
 WALL_CLOCK = 1
 
 
 def is_time(number: int) -> bool:
     """Whether an integer found in a controller is a moment rather than a slot or counter."""
-    return _FIRST_TIME < number < _LAST_TIME
+    return BEFORE <= number <= NOW
 
 
 def aged(number: int) -> int:
--- a/src/willowpost/model/protections.py
+++ b/src/willowpost/model/protections.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from willowpost.common.nonce import NonceSequence
 from willowpost.consensus.replica.reads import Reads
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.consensus.replica.voting import Voting
@@ -82,6 +83,10 @@
     return Replacement(owner, "_settle", settle)
 
 
+def _numbers_from_zero(self: Any, daemon: str, incarnation: int, purpose: str) -> None:
+    self.start = self.last = 0
+
+
 PROTECTIONS = {
     protection.name: protection
     for protection in (
@@ -103,6 +108,11 @@
             replacements=(Replacement(Voting, "_opened", lambda self, plan: True),),
         ),
         Protection("new-identity", "wiped", Switches(reuse_identity=True)),
+        Protection(
+            "read-numbers-of-one-life",
+            "former-life",
+            replacements=(Replacement(NonceSequence, "__init__", _numbers_from_zero),),
+        ),
         Protection(
             "store-read-in-one-epoch",
             "store-read-over-change",
--- a/src/willowpost/model/scopes.py
+++ b/src/willowpost/model/scopes.py
@@ -71,10 +71,19 @@
     budget=Budget(crashes=1),
     may_crash=("s0",),
 )
+# One content is accepted under the number; the other is on its way.
 RACE = Scope(
     "race",
     THREE,
     (_configuration(2, "one.example"), _configuration(2, "two.example")),
+    opening=(
+        Passes("client0", "s0", "Submit"),
+        Passes("s0", "s1", "BallotState"),
+        Passes("s1", "s0", "BallotState"),
+        Passes("s0", "s1", "BallotState"),
+        Passes("s1", "s0", "BallotState"),
+        Passes("s1", "s0", "SyncedIndex"),
+    ),
 )
 WIPED = Scope(
     "wiped",
--- /dev/null
+++ b/tests/test_model.py
@@ -0,0 +1,216 @@
+"""The model checker: small scopes hold, and each protection switched off breaks its rule."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from willowpost.model.actions import Crash, Deliver, Restart, from_json, to_json
+from willowpost.model.history import History
+from willowpost.model.invariants import (
+    AGREEMENT,
+    BALLOT_UNSAID,
+    DURABILITY,
+    ONE_CONTENT,
+    STALE_READ,
+    WENT_BACK,
+    Violation,
+    record_configuration,
+    record_decisions,
+)
+from willowpost.model.logical_time import BEFORE, NOW, aged
+from willowpost.model.process_image import Fingerprints, copy_of
+from willowpost.model.protections import PROTECTIONS
+from willowpost.model.replay import as_test, load, readable, replay, save, shortened
+from willowpost.model.scopes import SCOPES
+from willowpost.model.search import BreadthFirstSearch, Limits
+from willowpost.model.system import System
+from willowpost.model.walks import RandomWalks
+from willowpost.state.tables import Tables
+
+# protection: (the rule that breaks without it, the length of a shortest trace)
+BROKEN_WITHOUT = {
+    "quorum": (DURABILITY, 1),
+    "sync-before-send": (WENT_BACK, 5),
+    "synced-before-accepted": (DURABILITY, 4),
+    "ballot-state-kept": (BALLOT_UNSAID, 5),
+    "epoch-barrier": (STALE_READ, 11),
+    "new-identity": (DURABILITY, 7),
+    "read-numbers-of-one-life": (STALE_READ, 10),
+    "store-read-in-one-epoch": (STALE_READ, 5),
+    "reader-read-in-one-epoch": (STALE_READ, 7),
+}
+# scope: how many actions deep every state of it is looked at here; None: to its end
+DEPTHS = {
+    "one-command": 5,
+    "two-commands": 4,
+    "restarted": 5,
+    "wiped": 5,
+    "reads": 5,
+    "reader": 5,
+    "replaced": 5,
+    "replaced-late": 5,
+    "race": 4,
+    "former-life": 10,
+    "unheard": None,
+    "read-over-change": 4,
+    "store-read-over-change": 4,
+}
+
+
+def search(scope, depth=None, switches=None):
+    return BreadthFirstSearch(System(SCOPES[scope], switches), Limits(depth=depth)).run()
+
+
+def broken_without(name):
+    protection = PROTECTIONS[name]
+    with protection.switched_off() as switches:
+        return search(protection.scope, switches=switches).counterexample
+
+
+class Protections(unittest.TestCase):
+    def test_each_has_its_counterexample(self):
+        self.assertEqual(set(PROTECTIONS), set(BROKEN_WITHOUT))
+
+    def test_a_switched_off_protection_is_back_afterwards(self):
+        for protection in PROTECTIONS.values():
+            before = [getattr(each.owner, each.method) for each in protection.replacements]
+            with protection.switched_off():
+                pass
+            after = [getattr(each.owner, each.method) for each in protection.replacements]
+            self.assertEqual(before, after)
+
+
+def _protection_test(name, rule, length):
+    def test(self):
+        found = broken_without(name)
+        self.assertIsNotNone(found)
+        self.assertEqual((rule, length), (found.rule, len(found.actions)))
+
+    return test
+
+
+for _name, (_rule, _length) in BROKEN_WITHOUT.items():
+    setattr(
+        Protections,
+        f"test_without_{_name.replace('-', '_')}",
+        _protection_test(_name, _rule, _length),
+    )
+
+
+class Scopes(unittest.TestCase):
+    def test_each_is_searched(self):
+        self.assertEqual(set(SCOPES), set(DEPTHS))
+
+    def test_the_same_states_every_time(self):
+        first, second = search("unheard"), search("unheard")
+        self.assertTrue(first.complete)
+        self.assertEqual(
+            (first.progress.states, first.progress.transitions),
+            (second.progress.states, second.progress.transitions),
+        )
+
+
+def _scope_test(name, depth):
+    def test(self):
+        result = search(name, depth)
+        found = result.counterexample
+        self.assertIsNone(found, found and readable(found))
+        self.assertEqual(depth is None, result.complete)
+
+    return test
+
+
+for _name, _depth in DEPTHS.items():
+    setattr(Scopes, f"test_{_name.replace('-', '_')}", _scope_test(_name, _depth))
+
+
+class Traces(unittest.TestCase):
+    def setUp(self):
+        protection = PROTECTIONS["ballot-state-kept"]
+        self.scope = protection.scope
+        switches = self.enterContext(protection.switched_off())
+        self.system = System(SCOPES[self.scope], switches)
+        self.found = BreadthFirstSearch(self.system).run().counterexample
+
+    def test_saved_loaded_and_replayed(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "trace.json"
+            save(path, self.scope, self.found)
+            scope, actions = load(path)
+        self.assertEqual((self.scope, self.found.actions), (scope, actions))
+        self.assertEqual(self.found, replay(self.system, actions))
+
+    def test_what_is_no_trace_is_said_to_be_none(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "trace.json"
+            for text in ("{}", "[]", "no json", '{"scope": "x", "actions": [{"do": "Fly"}]}'):
+                path.write_text(text)
+                with self.assertRaises(ValueError):
+                    load(path)
+
+    def test_the_printed_test_fails_while_the_rule_is_broken(self):
+        held = {"__name__": "printed"}
+        exec(as_test(self.scope, self.found), held)
+        result = unittest.TestResult()
+        held["Trace"]("test_the_trace_breaks_no_rule").run(result)
+        self.assertEqual(1, len(result.failures))
+
+    def test_shortened_leaves_out_what_is_not_needed(self):
+        state, needless = self.system.initial(), []
+        for action in self.system.actions(state):
+            if isinstance(action, Deliver):
+                needless.append(action)
+                break
+        longer = replay(self.system, (*needless, Crash("s0"), Restart("s0"), *self.found.actions))
+        if longer is not None and longer.rule == self.found.rule:
+            self.assertLessEqual(
+                len(shortened(self.system, longer).actions), len(self.found.actions)
+            )
+
+    def test_actions_as_json(self):
+        for action in self.found.actions:
+            self.assertEqual(action, from_json(to_json(action)))
+
+    def test_walks_with_one_seed_are_the_same(self):
+        first, second = (
+            RandomWalks(System(SCOPES[self.scope]), 20, 5).run(3).progress.steps for _ in range(2)
+        )
+        self.assertEqual(first, second)
+
+
+class Invariants(unittest.TestCase):
+    def test_two_decisions_of_one_slot_break_agreement(self):
+        history = record_decisions(History(), [{"k": "decision", "slot": 0, "key": "a"}], "s0")
+        with self.assertRaisesRegex(Violation, AGREEMENT):
+            record_decisions(history, [{"k": "decision", "slot": 0, "key": ""}], "s1")
+
+    def test_two_contents_of_one_version_are_told(self):
+        one = Tables(configuration={"version": 2, "tree": {"host": "a"}})
+        two = Tables(configuration={"version": 2, "tree": {"host": "b"}})
+        history = record_configuration(History(), one, "s0")
+        self.assertEqual(history, record_configuration(history, one, "s1"))
+        with self.assertRaisesRegex(Violation, ONE_CONTENT):
+            record_configuration(history, two, "s1")
+
+
+class Images(unittest.TestCase):
+    def test_a_copy_shares_nothing_that_changes(self):
+        system = System(SCOPES["one-command"])
+        store = system.images[system.initial().processes[0]]
+        copied = copy_of(store)
+        self.assertEqual(Fingerprints().of(store), Fingerprints().of(copied))
+        self.assertIs(copied.node_state, copied.controllers[0].node_state)
+        copied.node_state.synced_indexes["s9"] = 7
+        self.assertNotIn("s9", store.node_state.synced_indexes)
+        self.assertNotEqual(Fingerprints().of(store), Fingerprints().of(copied))
+
+    def test_a_timed_tick_ages_moments_and_nothing_else(self):
+        held = {"asked_at": NOW, "slot": 7, "key": "a", "spans": [NOW, 40]}
+        self.assertEqual(
+            {"asked_at": BEFORE, "slot": 7, "key": "a", "spans": [BEFORE, 40]},
+            copy_of(held, aged),
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
