--- a/src/willowpost/model/scopes.py
+++ b/src/willowpost/model/scopes.py
@@ -112,12 +112,27 @@
     log_prefix=_HELD_LOST,
     budget=Budget(removals=1),
 )
+# s0 and s2 accepted a command that s1 has not heard of, and s2 decided its own replacement.
 REPLACED_LATE = Scope(
     "replaced-late",
     WITH_LEARNER,
     (EMPTY_A_ZONE, _replacement(WITH_LEARNER[2], WITH_LEARNER[3])),
+    first_store=(0, 0),
     log_prefix=_HELD_LOST,
+    ticks={"s3": 1},
     budget=Budget(removals=1),
+    opening=(
+        Passes("client0", "s0", "Submit"),
+        Passes("s0", "s2", "BallotState"),
+        Passes("s2", "s0", "BallotState"),
+        Passes("s0", "s2", "BallotState"),
+        Passes("s2", "s0", "BallotState"),
+        Passes("s2", "s0", "SyncedIndex"),
+        Passes("client1", "s0", "Submit"),
+        Passes("s0", "s2", "BallotState"),
+        Passes("s2", "s0", "BallotState"),
+        Passes("s0", "s2", "BallotState"),
+    ),
 )
 # The replacement is decided by s1 alone, with the votes of s0; s3 heard of it from s1.
 _DECIDED_BY_ONE = (
