Model: both halves of the barrier and the kept ballot state, switched off one by one

A forgotten ballot state is switched off in restore() now, since decisions are written without a body that the ballot state holds. tests/test_model.py passes.

--- a/src/willowpost/model/protections.py
+++ b/src/willowpost/model/protections.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
+from types import ModuleType
 from typing import Any
 
 from willowpost.common.nonce import NonceSequence
+from willowpost.consensus.replica import barrier
 from willowpost.consensus.replica.reads import Reads
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.consensus.replica.voting import Voting
@@ -38,9 +40,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Replacement:
-    """A method of a controller and what stands in its place."""
+    """A method of a controller, or a function of its module, and what stands in its place."""
 
-    owner: type
+    owner: type | ModuleType
     method: str
     function: Callable[..., Any]
 
@@ -87,6 +89,31 @@
     self.start = self.last = 0
 
 
+def _holds_former_quorum(node_state: Any) -> bool:
+    former = barrier.former_identities(node_state.tables)
+    index = barrier.quorum_index(former, node_state.synced_indexes, node_state.thresholds)
+    return index >= barrier.first_slot(node_state.tables)
+
+
+def _holds_new_quorum(node_state: Any) -> bool:
+    index = barrier.quorum_index(
+        node_state.members, node_state.synced_indexes, node_state.thresholds
+    )
+    return index >= barrier.first_slot(node_state.tables)
+
+
+def _forgetting_the_ballot_state() -> Replacement:
+    original: Callable[..., None] = ReplicaState.restore
+
+    def restore(self: Any, *arguments: Any) -> None:
+        original(self, *arguments)
+        if self.own is not None:
+            self.queue.drop(self.own.proposal)
+            self.own, self.heard = None, {}
+
+    return Replacement(ReplicaState, "restore", restore)
+
+
 PROTECTIONS = {
     protection.name: protection
     for protection in (
@@ -100,13 +127,23 @@
         Protection(
             "ballot-state-kept",
             "restarted",
-            replacements=(Replacement(ReplicaState, "_ballot_state", lambda self, held: None),),
+            replacements=(_forgetting_the_ballot_state(),),
         ),
         Protection(
             "epoch-barrier",
             "unheard",
             replacements=(Replacement(Voting, "_opened", lambda self, plan: True),),
         ),
+        Protection(
+            "barrier-over-new-voters",
+            "replaced-late",
+            replacements=(Replacement(barrier, "holds_both_quorums", _holds_former_quorum),),
+        ),
+        Protection(
+            "barrier-over-former-voters",
+            "unheard",
+            replacements=(Replacement(barrier, "holds_both_quorums", _holds_new_quorum),),
+        ),
         Protection("new-identity", "wiped", Switches(reuse_identity=True)),
         Protection(
             "read-numbers-of-one-life",
