--- a/src/willowpost/model/scopes.py
+++ b/src/willowpost/model/scopes.py
@@ -55,6 +55,15 @@
     }
 
 
+def _offer(learner: Machine) -> dict[str, object]:
+    return {
+        "op": "add_voters",
+        "learner": member_of(learner).identity,
+        "incarnation": incarnation_of(1),
+        "most": 5,
+    }
+
+
 # s2 is held lost, and is not: it runs on, and votes until it is replaced.
 _HELD_LOST = (
     *(_joined(machine) for machine in WITH_LEARNER),
@@ -203,6 +212,43 @@
     cuts=_cut(("s1", "client0"), ("s2",)) | frozenset({("s2", "s0")}),
     may_crash=("s2",),
 )
+FAULTS = Budget(crashes=2, torn=2, wipes=1, duplicates=3, losses=5, cuts=3, heals=2, short_ticks=3)
+EACH_TICKS = {name: 3 for name in ("s0", "s1", "s2", "s3", "s4", "client0", "client1", "reader")}
+# For walks: too many states to search.
+FIVE_VOTERS = Scope(
+    "five-voters",
+    FIVE,
+    (EMPTY_A_ZONE, EMPTY_B_ZONE),
+    reader=True,
+    ticks=EACH_TICKS,
+    budget=FAULTS._replace(wipes=2),
+    pace=READING,
+)
+THREE_VOTERS = replace(FIVE_VOTERS, name="three-voters", machines=THREE, budget=FAULTS)
+_TWO_LEARNERS = (Machine("s3", "a", Role.LEARNER), Machine("s4", "b", Role.LEARNER))
+GROWTH = Scope(
+    "growth",
+    (*THREE, *_TWO_LEARNERS),
+    (EMPTY_A_ZONE, _offer(_TWO_LEARNERS[0]), _offer(_TWO_LEARNERS[1])),
+    first_store=(0, 0, 1),
+    log_prefix=tuple(_joined(machine) for machine in (*THREE, *_TWO_LEARNERS)),
+    reader=True,
+    ticks=EACH_TICKS,
+    budget=FAULTS,
+    pace=READING,
+    max_voters=5,
+)
+REPLACEMENT = Scope(
+    "replacement",
+    WITH_LEARNER,
+    (EMPTY_A_ZONE, _replacement(WITH_LEARNER[2], WITH_LEARNER[3]), EMPTY_B_ZONE),
+    first_store=(0, 1, 1),
+    log_prefix=_HELD_LOST,
+    reader=True,
+    ticks=EACH_TICKS,
+    budget=FAULTS._replace(removals=1),
+    pace=READING,
+)
 SCOPES = {
     scope.name: scope
     for scope in (
@@ -219,5 +265,9 @@
         READ_OVER_CHANGE,
         STORE_READ_OVER_CHANGE,
         FORMER_LIFE,
+        THREE_VOTERS,
+        FIVE_VOTERS,
+        GROWTH,
+        REPLACEMENT,
     )
 }
--- a/src/willowpost/model/system.py
+++ b/src/willowpost/model/system.py
@@ -58,6 +58,7 @@
 from willowpost.model.system_state import DOWN, GONE, SystemState
 from willowpost.wire.messages import StateUpdate
 
+_FEW_CRASH_POINTS = range(3)
 TIMED_TICK = -1  # in place of a message's number
 SHORT_TICK = -2
 Message = tuple[str, str, Any]  # source, target, body
@@ -243,15 +244,21 @@
 
     # ---- which actions are possible
 
-    def actions(self, state: SystemState) -> Iterator[Action]:
-        """Everything that may happen next, within the scope's budget."""
+    def actions(self, state: SystemState, exact: bool = True) -> Iterator[Action]:
+        """Everything that may happen next, within the scope's budget.
+
+        Args:
+            state: The state to go on from.
+            exact: Crashes during a write are offered for each count of records that the step writes,
+                which takes the step; else for a few counts, also where the step writes less.
+        """
         for number in state.network:
-            yield from self._on_message(state, number)
+            yield from self._on_message(state, number, exact)
         for name in self.names:
             yield from self._on_process(state, name)
         yield from self._on_links(state)
 
-    def _on_message(self, state: SystemState, number: int) -> Iterator[Action]:
+    def _on_message(self, state: SystemState, number: int, exact: bool) -> Iterator[Action]:
         source, target, _ = self.messages[number]
         text = self.message_text(number)
         process = state.processes[self.index[target]]
@@ -263,12 +270,16 @@
         if state.budget.duplicates:
             yield Deliver(source, target, text, keep=True)
         if target in self.stores and state.budget.torn and self._may_crash(target):
-            outcome = self._outcome(process, number)
-            if isinstance(outcome, Outcome) and outcome.writes:
-                for written in range(outcome.writes + 1):
-                    yield CrashOnDelivery(source, target, text, written)
-                if self.switches.send_before_sync and outcome.messages:
-                    yield CrashAfterSending(source, target, text)
+            for written in self._crash_points(process, number) if exact else _FEW_CRASH_POINTS:
+                yield CrashOnDelivery(source, target, text, written)
+            if self.switches.send_before_sync:
+                yield CrashAfterSending(source, target, text)
+
+    def _crash_points(self, process: int, number: int) -> range:
+        """After how many of its writes this step may end; none if it writes nothing."""
+        outcome = self._outcome(process, number)
+        writes = outcome.writes if isinstance(outcome, Outcome) else 0
+        return range(writes + 1) if writes else range(0)
 
     def _may_crash(self, name: str) -> bool:
         return name in (self.scope.may_crash or self.stores)
--- a/src/willowpost/model/walks.py
+++ b/src/willowpost/model/walks.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from willowpost.model.actions import Action, Deliver
+from willowpost.model.actions import Action, CrashOnDelivery, Deliver
 from willowpost.model.invariants import Violation
 from willowpost.model.replay import shortened
 from willowpost.model.search import PROGRESS_EVERY_SECONDS, Counterexample
@@ -13,6 +13,8 @@
 
 # A walk delivers so much more often than it breaks something, so that commands get through.
 _DELIVERY_WEIGHT = 12
+# There are several such crashes for each message in flight.
+_CRASH_WEIGHT = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +74,7 @@
         state = self.system.initial()
         taken: list[Action] = []
         for _ in range(self.depth):
-            actions = list(self.system.actions(state))
+            actions = list(self.system.actions(state, exact=False))
             if not actions:
                 return None
             action = self._chosen(chance, actions)
@@ -85,8 +87,13 @@
         return None
 
     def _chosen(self, chance: random.Random, actions: list[Action]) -> Action:
-        weights = [
-            _DELIVERY_WEIGHT if isinstance(action, Deliver) and not action.keep else 1
-            for action in actions
-        ]
-        return chance.choices(actions, weights)[0]
+        return chance.choices(actions, [_weight(action) for action in actions])[0]
+
+
+def _weight(action: Action) -> float:
+    match action:
+        case Deliver(keep=False):
+            return _DELIVERY_WEIGHT
+        case CrashOnDelivery():
+            return _CRASH_WEIGHT
+    return 1
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -2,6 +2,7 @@
 
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 
 from willowpost.model.actions import Crash, Deliver, Restart, from_json, to_json
@@ -42,6 +43,7 @@
     "reader-read-in-one-epoch": (STALE_READ, 7),
 }
 # scope: how many actions deep every state of it is looked at here; None: to its end
+WALKED = {"three-voters", "five-voters", "growth", "replacement"}
 DEPTHS = {
     "one-command": 5,
     "two-commands": 4,
@@ -101,7 +103,7 @@
 
 class Scopes(unittest.TestCase):
     def test_each_is_searched(self):
-        self.assertEqual(set(SCOPES), set(DEPTHS))
+        self.assertEqual(set(SCOPES), set(DEPTHS) | WALKED)
 
     def test_the_same_states_every_time(self):
         first, second = search("unheard"), search("unheard")
@@ -126,6 +128,15 @@
     setattr(Scopes, f"test_{_name.replace('-', '_')}", _scope_test(_name, _depth))
 
 
+class Walks(unittest.TestCase):
+    def test_no_walk_breaks_a_rule(self):
+        for name in sorted(WALKED):
+            with self.subTest(scope=name):
+                scope = replace(SCOPES[name], messages_stay=False)
+                found = RandomWalks(System(scope), 60, 1).run(20).counterexample
+                self.assertIsNone(found, found and readable(found))
+
+
 class Traces(unittest.TestCase):
     def setUp(self):
         protection = PROTECTIONS["ballot-state-kept"]
