--- a/src/willowpost/model/protections.py
+++ b/src/willowpost/model/protections.py
@@ -38,6 +38,16 @@
         return 1
 
 
+@dataclass(frozen=True, slots=True)
+class OneVoteDecides(Thresholds):
+    """One vote for a value decides, in place of f + 1."""
+
+    @property
+    def decides(self) -> int:
+        """One."""
+        return 1
+
+
 @dataclass(frozen=True, slots=True)
 class Replacement:
     """A method of a controller, or a function of its module, and what stands in its place."""
@@ -118,6 +128,7 @@
     protection.name: protection
     for protection in (
         Protection("quorum", "two-commands", Switches(thresholds=EachAlone)),
+        Protection("votes-to-decide", "split-proposals", Switches(thresholds=OneVoteDecides)),
         Protection("sync-before-send", "one-command", Switches(send_before_sync=True)),
         Protection(
             "synced-before-accepted",
--- a/src/willowpost/model/scopes.py
+++ b/src/willowpost/model/scopes.py
@@ -80,6 +80,19 @@
     budget=Budget(crashes=1),
     may_crash=("s0",),
 )
+# s0 and s1 propose one command, s2 the other, and s2 has heard of both.
+SPLIT_PROPOSALS = Scope(
+    "split-proposals",
+    THREE,
+    (EMPTY_A_ZONE, EMPTY_B_ZONE),
+    first_store=(0, 2),
+    opening=(
+        Passes("client0", "s0", "Submit"),
+        Passes("client1", "s2", "Submit"),
+        Passes("s0", "s1", "BallotState"),
+        Passes("s0", "s2", "BallotState"),
+    ),
+)
 # One content is accepted under the number; the other is on its way.
 RACE = Scope(
     "race",
@@ -255,6 +268,7 @@
         ONE_COMMAND,
         TWO_COMMANDS,
         RESTARTED,
+        SPLIT_PROPOSALS,
         RACE,
         WIPED,
         READS,
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -31,6 +31,7 @@
 # protection: (the rule that breaks without it, the length of a shortest trace)
 BROKEN_WITHOUT = {
     "quorum": (DURABILITY, 1),
+    "votes-to-decide": (AGREEMENT, 5),
     "sync-before-send": (WENT_BACK, 5),
     "synced-before-accepted": (DURABILITY, 4),
     "ballot-state-kept": (BALLOT_UNSAID, 5),
@@ -48,6 +49,7 @@
     "one-command": 5,
     "two-commands": 4,
     "restarted": 5,
+    "split-proposals": 4,
     "wiped": 5,
     "reads": 5,
     "reader": 5,
