--- a/src/willowpost/drill/model.py
+++ b/src/willowpost/drill/model.py
@@ -6,11 +6,12 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
+from willowpost.model.parts import Switches
 from willowpost.model.protections import PROTECTIONS
 from willowpost.model.replay import as_test, load, readable, replay, save
 from willowpost.model.scopes import SCOPES
 from willowpost.model.search import BreadthFirstSearch, Counterexample, Limits, Progress
-from willowpost.model.system import Switches, System
+from willowpost.model.system import System
 from willowpost.model.walks import RandomWalks, WalkProgress
 
 HOLDS, BROKEN, UNKNOWN = 0, 1, 2  # exit codes
--- /dev/null
+++ b/src/willowpost/model/enabled.py
@@ -0,0 +1,127 @@
+"""Which actions are possible in a state."""
+
+from collections.abc import Iterator
+
+from willowpost.consensus.thresholds import Thresholds
+from willowpost.model.actions import (
+    Action,
+    Crash,
+    CrashAfterSending,
+    CrashOnDelivery,
+    Cut,
+    Deliver,
+    Heal,
+    Lose,
+    Remove,
+    Restart,
+    Tick,
+    Wipe,
+)
+from willowpost.model.invariants import cores_in_force, lost_voters
+from willowpost.model.parts import Parts
+from willowpost.model.steps import SHORT_TICK, Outcome, ProcessSteps
+from willowpost.model.system_state import DOWN, GONE, SystemState
+
+_FEW_CRASH_POINTS = range(3)
+
+
+class EnabledActions:
+    """Invariant: offers an action only if the scope's budget has one of its kind left."""
+
+    def __init__(self, parts: Parts, steps: ProcessSteps) -> None:
+        self.parts = parts
+        self.steps = steps
+
+    def actions(self, state: SystemState, exact: bool = True) -> Iterator[Action]:
+        """Everything that may happen next, within the scope's budget.
+
+        Args:
+            state: The state to go on from.
+            exact: Crashes during a write are offered for each count of records that the step writes,
+                which takes the step; else for a few counts, also where the step writes less.
+        """
+        for number in state.network:
+            yield from self._on_message(state, number, exact)
+        for name in self.parts.names:
+            yield from self._on_process(state, name)
+        yield from self._on_links(state)
+
+    def _on_message(self, state: SystemState, number: int, exact: bool) -> Iterator[Action]:
+        source, target, _ = self.parts.messages[number]
+        text = self.parts.message_text(number)
+        process = state.processes[self.parts.index[target]]
+        if state.budget.losses:
+            yield Lose(source, target, text)
+        if process < 0 or (source, target) in state.cuts:
+            return
+        yield Deliver(source, target, text)
+        if state.budget.duplicates:
+            yield Deliver(source, target, text, keep=True)
+        if target in self.parts.stores and state.budget.torn and self._may_crash(target):
+            for written in self._crash_points(process, number) if exact else _FEW_CRASH_POINTS:
+                yield CrashOnDelivery(source, target, text, written)
+            if self.parts.switches.send_before_sync:
+                yield CrashAfterSending(source, target, text)
+
+    def _crash_points(self, process: int, number: int) -> range:
+        """After how many of its writes this step may end; none if it writes nothing."""
+        outcome = self.steps.outcome(process, number)
+        writes = outcome.writes if isinstance(outcome, Outcome) else 0
+        return range(writes + 1) if writes else range(0)
+
+    def _may_crash(self, name: str) -> bool:
+        return name in (self.parts.scope.may_crash or self.parts.stores)
+
+    def _may_lose_disk(self, name: str) -> bool:
+        return name in (self.parts.scope.may_lose_disk or self.parts.stores)
+
+    def _on_process(self, state: SystemState, name: str) -> Iterator[Action]:
+        number = self.parts.index[name]
+        process = state.processes[number]
+        if process >= 0 and state.ticks[number]:
+            yield Tick(name)
+        if name not in self.parts.stores:
+            return
+        if process >= 0 and state.budget.short_ticks and self._acts_on_short_tick(process):
+            yield Tick(name, timed=False)
+        if process >= 0 and state.budget.crashes and self._may_crash(name):
+            yield Crash(name)
+        if process == DOWN:
+            yield Restart(name)
+        if process == GONE or not self._may_lose_disk(name):
+            return
+        if state.budget.wipes and self.bears_loss(state, number):
+            yield Wipe(name)
+        if state.budget.removals and self.is_replaced(state, number):
+            yield Remove(name)
+
+    def _acts_on_short_tick(self, process: int) -> bool:
+        outcome = self.steps.outcome(process, SHORT_TICK)
+        return not isinstance(outcome, Outcome) or bool(
+            outcome.image != process or outcome.messages or outcome.writes
+        )
+
+    def bears_loss(self, state: SystemState, number: int) -> bool:
+        """Whether this disk may be lost within f of the voters in force."""
+        identity = self.parts.facts(state.disks[number]).identity
+        left = [facts for facts in self.parts.disk_facts(state) if facts.identity != identity]
+        return all(
+            lost_voters(core, left) <= Thresholds(len(core)).f
+            for core in cores_in_force(self.parts.disk_facts(state))
+        )
+
+    def is_replaced(self, state: SystemState, number: int) -> bool:
+        """Whether the store was a voter and is none by the latest change."""
+        facts = self.parts.disk_facts(state)
+        identity = self.parts.facts(state.disks[number]).identity
+        newest = cores_in_force(facts)[0]
+        return identity not in newest and any(identity in held.former for held in facts)
+
+    def _on_links(self, state: SystemState) -> Iterator[Action]:
+        if state.budget.cuts:
+            for source in self.parts.names:
+                for target in self.parts.stores:
+                    if source != target and (source, target) not in state.cuts:
+                        yield Cut(source, target)
+        if state.cuts and state.budget.heals:
+            yield Heal()
--- /dev/null
+++ b/src/willowpost/model/parts.py
@@ -0,0 +1,100 @@
+"""The parts that states are made of: processes, disks, messages and histories, by number."""
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from willowpost.common.plan import Plan
+from willowpost.consensus.thresholds import Thresholds
+from willowpost.model.disk_facts import DiskFacts, read_disk
+from willowpost.model.history import History
+from willowpost.model.invariants import FAILED, Violation
+from willowpost.model.numbering import Numbering
+from willowpost.model.process_image import Fingerprints
+from willowpost.model.processes import READER, Record
+from willowpost.model.scope import Scope
+from willowpost.model.system_state import GONE, SystemState
+
+Message = tuple[str, str, Any]  # source, target, body
+
+
+@dataclass(frozen=True, slots=True)
+class Switches:
+    """Protections outside the controllers that can be switched off, to see that each is needed."""
+
+    thresholds: type[Thresholds] = Thresholds
+    send_before_sync: bool = False
+    reuse_identity: bool = False
+
+
+def text_of(record: Record) -> str:
+    """A record as the one JSON text that stands for it in a disk."""
+    return json.dumps(record, sort_keys=True, separators=(",", ":"))
+
+
+class Parts:
+    """Invariant: equal parts have one number, and a number's part never changes."""
+
+    def __init__(self, scope: Scope, switches: Switches) -> None:
+        self.scope = scope
+        self.switches = switches
+        self.stores = tuple(machine.name for machine in scope.machines)
+        self.clients = tuple(f"client{number}" for number in range(len(scope.commands)))
+        self.names = self.stores + self.clients + ((READER,) if scope.reader else ())
+        self.index = {name: number for number, name in enumerate(self.names)}
+        self.operations = {
+            f"{name}/1/1": operation
+            for name, operation in zip(self.clients, scope.commands, strict=True)
+        }
+        self.images: Numbering[Any] = Numbering()
+        self.messages: Numbering[Message] = Numbering()
+        self.disks: Numbering[tuple[str, ...]] = Numbering()
+        self.histories: Numbering[History] = Numbering()
+        self._fingerprints = Fingerprints()
+        self._facts: dict[int, DiskFacts] = {}
+        self._numbers: dict[tuple[str, str, str], int] = {}
+        self._texts: dict[int, str] = {}
+
+    def number_image(self, process: Any) -> int:
+        """The number of a process, by all that it holds."""
+        return self.images.number(self._fingerprints.of(process), process)
+
+    def number_disk(self, lines: tuple[str, ...]) -> int:
+        """The number of a disk with these records."""
+        return self.disks.number(lines, lines)
+
+    def number_sends(self, source: str, plan: Plan) -> list[int]:
+        """The numbers of the messages that a plan sends to processes of the model."""
+        numbers = [
+            self.messages.number((source, target, message), (source, target, message))
+            for target, message in plan.sends
+            if target in self.index
+        ]
+        for number in numbers:
+            self.message_text(number)
+        return numbers
+
+    def facts(self, disk: int) -> DiskFacts:
+        """What the disk of this number holds."""
+        if disk not in self._facts:
+            try:
+                self._facts[disk] = read_disk(self.disks[disk])
+            except Exception as problem:  # whatever it is, a store could not start from this disk
+                raise Violation(FAILED, f"a disk cannot be read: {problem!r}") from problem
+        return self._facts[disk]
+
+    def disk_facts(self, state: SystemState) -> list[DiskFacts]:
+        """What each disk that still exists holds."""
+        return [self.facts(disk) for disk in state.disks if disk != GONE]
+
+    def message_text(self, number: int) -> str:
+        """The message's body as it stands in actions."""
+        if number not in self._texts:
+            source, target, body = self.messages[number]
+            text = self._texts[number] = repr(body)
+            self._numbers[source, target, text] = number
+        return self._texts[number]
+
+    def message_number(self, source: str, target: str, text: str) -> int | None:
+        """The number of the message with this text, if it was ever sent."""
+        return self._numbers.get((source, target, text))
--- a/src/willowpost/model/protections.py
+++ b/src/willowpost/model/protections.py
@@ -12,7 +12,7 @@
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.consensus.replica.voting import Voting
 from willowpost.consensus.thresholds import Thresholds
-from willowpost.model.system import Switches
+from willowpost.model.parts import Switches
 from willowpost.node.quorum_read import QuorumRead
 
 _ALL_SLOTS = 10**9
--- /dev/null
+++ b/src/willowpost/model/steps.py
@@ -0,0 +1,127 @@
+"""Single steps of single processes, each taken once and kept."""
+
+import json
+from dataclasses import dataclass, replace
+from typing import Any
+
+from willowpost.common.events import Received
+from willowpost.common.events import Tick as TickEvent
+from willowpost.model.invariants import FAILED, Violation, check_progress
+from willowpost.model.logical_time import NOW, aged
+from willowpost.model.parts import Parts, text_of
+from willowpost.model.process_image import copy_of
+from willowpost.model.processes import READER, build_store
+from willowpost.wire.messages import StateUpdate
+
+TIMED_TICK = -1  # in place of a message's number
+SHORT_TICK = -2
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What one step of one process did: its next image, and what it wants done."""
+
+    image: int
+    records: tuple[str, ...]  # JSON texts
+    rotate: tuple[str, ...] | None
+    messages: tuple[int, ...]
+    completed_read: bool
+
+    @property
+    def changes_nothing(self) -> bool:
+        """Whether nothing is to be written or sent."""
+        return not (self.messages or self.records) and self.rotate is None
+
+    @property
+    def writes(self) -> int:
+        """How many records the step writes; a new segment counts as one."""
+        return len(self.records) + (self.rotate is not None)
+
+
+class ProcessSteps:
+    """Invariant: what a step does depends on the process and the event alone."""
+
+    def __init__(self, parts: Parts) -> None:
+        self.parts = parts
+        self._outcomes: dict[tuple[int, int], Outcome | Violation] = {}
+        self.taken = 0  # those looked up again do not count
+
+    def need(self, process: int, event: int) -> Outcome:
+        """The same as `outcome`.
+
+        Raises:
+            Violation: the step breaks a rule.
+        """
+        outcome = self.outcome(process, event)
+        if isinstance(outcome, Violation):
+            raise outcome
+        return outcome
+
+    def outcome(self, process: int, event: int) -> Outcome | Violation:
+        """What the step of this process does; `event` is a message's number or a kind of tick."""
+        key = (process, event)
+        known = self._outcomes.get(key)
+        if known is None:
+            known = self._outcomes[key] = self._step(process, event)
+        return known
+
+    def _step(self, process: int, number: int) -> Outcome | Violation:
+        self.taken += 1
+        timed = number == TIMED_TICK
+        before = self.parts.images[process]
+        after = copy_of(before, aged) if timed else copy_of(before)
+        name = _name_of(after)
+        try:
+            plan = after.step(self._event(name, number), NOW)
+        except Exception as problem:  # whatever it is, the daemon would end by it
+            return Violation(FAILED, f"{name}: {problem!r}")
+        completed = False
+        if hasattr(after, "node_state"):
+            completed = after.node_state.fresh_as_of == NOW and (
+                timed or before.node_state.fresh_as_of != NOW
+            )
+            try:
+                check_progress(before.node_state, after.node_state, name)
+            except Violation as violation:
+                return violation
+        return Outcome(
+            image=self.parts.number_image(after),
+            records=tuple(map(text_of, plan.records)),
+            rotate=None if plan.rotate is None else tuple(map(text_of, plan.rotate)),
+            messages=tuple(dict.fromkeys(self.parts.number_sends(name, plan))),
+            completed_read=completed,
+        )
+
+    def _event(self, name: str, number: int) -> Received | TickEvent:
+        if number < 0:
+            return TickEvent()
+        source, _, message = self.parts.messages[number]
+        return Received(source, _without_freshness(message) if name == READER else message)
+
+    def start(self, number: int, disk: int, life: int) -> int:
+        """The number of a store's process that starts from this disk.
+
+        Raises:
+            Violation: it cannot start.
+        """
+        records = [json.loads(line) for line in self.parts.disks[disk]]
+        machine = self.parts.scope.machines[number]
+        try:
+            store = build_store(
+                self.parts.scope, machine, records, life, self.parts.switches.thresholds
+            )
+        except Exception as problem:  # whatever it is, the daemon would not start
+            raise Violation(FAILED, f"{machine.name} cannot start: {problem!r}") from problem
+        return self.parts.number_image(store)
+
+
+def _name_of(process: Any) -> str:
+    card = getattr(process, "card", None) or getattr(
+        getattr(process, "node_state", None), "card", None
+    )
+    return str(card.name if card is not None else process.daemon)
+
+
+def _without_freshness(message: Any) -> Any:
+    """A store's own age is not taken over: only quorum reads make the reader fresh."""
+    return replace(message, fresh=False) if isinstance(message, StateUpdate) else message
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -211,7 +211,7 @@
 class Images(unittest.TestCase):
     def test_a_copy_shares_nothing_that_changes(self):
         system = System(SCOPES["one-command"])
-        store = system.images[system.initial().processes[0]]
+        store = system.parts.images[system.initial().processes[0]]
         copied = copy_of(store)
         self.assertEqual(Fingerprints().of(store), Fingerprints().of(copied))
         self.assertIs(copied.node_state, copied.controllers[0].node_state)
