--- a/src/willowpost/model/replay.py
+++ b/src/willowpost/model/replay.py
@@ -23,7 +23,8 @@
 )
 from willowpost.model.invariants import Violation
 from willowpost.model.search import Counterexample
-from willowpost.model.system import NotPossible, System
+from willowpost.model.state_changes import NotPossible
+from willowpost.model.system import System
 
 _TEXT_MOST = 150
 
--- a/src/willowpost/model/scopes.py
+++ b/src/willowpost/model/scopes.py
@@ -1,74 +1,32 @@
 """The scopes that ship with willowpost, by name."""
 
-from dataclasses import asdict, replace
+from dataclasses import replace
 
 from willowpost.consensus.replica.replica_state import Pace
 from willowpost.model.logical_time import NEVER
-from willowpost.model.processes import incarnation_of, member_of
+from willowpost.model.operations import (
+    EMPTY_A_ZONE,
+    EMPTY_B_ZONE,
+    configuration,
+    joined,
+    offer,
+    replacement,
+    suspected,
+)
 from willowpost.model.scope import READS_OFF, Budget, Machine, Passes, Role, Scope, Ticks
 
 THREE = (Machine("s0", "a"), Machine("s1", "b"), Machine("s2", "c"))
 FIVE = (*THREE, Machine("s3", "a"), Machine("s4", "b"))
 WITH_LEARNER = (*THREE, Machine("s3", "c", Role.LEARNER))
-EMPTY_A_ZONE: dict[str, object] = {"op": "zone", "zone": "a", "empty": True}
-EMPTY_B_ZONE: dict[str, object] = {"op": "zone", "zone": "b", "empty": True}
 QUIET = Pace(read=READS_OFF, synced_index=NEVER, rotate=NEVER)
 READING = Pace(synced_index=NEVER, rotate=NEVER)
 
 
-def _configuration(number: int, host: str) -> dict[str, object]:
-    return {"op": "configuration", "version": number, "tree": {"host": host}}
-
-
-def _card(machine: Machine, state: str) -> dict[str, object]:
-    identity = member_of(machine).identity
-    return {
-        "id": identity,
-        "kind": "store",
-        "name": machine.name,
-        "zone": machine.zone,
-        "address": machine.name,
-        "incarnation": incarnation_of(1),
-        "state": state,
-    }
-
-
-def _joined(machine: Machine) -> dict[str, object]:
-    return {"op": "join", "daemon": _card(machine, "up")}
-
-
-def _suspected(target: Machine, watcher: Machine) -> dict[str, object]:
-    return {
-        "op": "suspicion",
-        "target": member_of(target).identity,
-        "incarnation": incarnation_of(1),
-        "watcher": member_of(watcher).identity,
-        "suspected": True,
-    }
-
-
-def _replacement(old: Machine, new: Machine) -> dict[str, object]:
-    return {
-        "op": "replace_voter",
-        "old": member_of(old).identity,
-        "new": asdict(member_of(new)),
-    }
-
-
-def _offer(learner: Machine) -> dict[str, object]:
-    return {
-        "op": "add_voters",
-        "learner": member_of(learner).identity,
-        "incarnation": incarnation_of(1),
-        "most": 5,
-    }
-
-
 # s2 is held lost, and is not: it runs on, and votes until it is replaced.
 _HELD_LOST = (
-    *(_joined(machine) for machine in WITH_LEARNER),
-    _suspected(WITH_LEARNER[2], WITH_LEARNER[0]),
-    _suspected(WITH_LEARNER[2], WITH_LEARNER[1]),
+    *(joined(machine) for machine in WITH_LEARNER),
+    suspected(WITH_LEARNER[2], WITH_LEARNER[0]),
+    suspected(WITH_LEARNER[2], WITH_LEARNER[1]),
 )
 
 ONE_COMMAND = Scope("one-command", THREE, (EMPTY_A_ZONE,), budget=Budget(torn=1))
@@ -97,7 +55,7 @@
 RACE = Scope(
     "race",
     THREE,
-    (_configuration(2, "one.example"), _configuration(2, "two.example")),
+    (configuration(2, "one.example"), configuration(2, "two.example")),
     opening=(
         Passes("client0", "s0", "Submit"),
         Passes("s0", "s1", "BallotState"),
@@ -130,7 +88,7 @@
 REPLACED = Scope(
     "replaced",
     WITH_LEARNER,
-    (_replacement(WITH_LEARNER[2], WITH_LEARNER[3]),),
+    (replacement(WITH_LEARNER[2], WITH_LEARNER[3]),),
     log_prefix=_HELD_LOST,
     budget=Budget(removals=1),
 )
@@ -138,7 +96,7 @@
 REPLACED_LATE = Scope(
     "replaced-late",
     WITH_LEARNER,
-    (EMPTY_A_ZONE, _replacement(WITH_LEARNER[2], WITH_LEARNER[3])),
+    (EMPTY_A_ZONE, replacement(WITH_LEARNER[2], WITH_LEARNER[3])),
     first_store=(0, 0),
     log_prefix=_HELD_LOST,
     ticks={"s3": 1},
@@ -192,7 +150,7 @@
 UNHEARD = Scope(
     "unheard",
     WITH_LEARNER,
-    (_replacement(WITH_LEARNER[2], WITH_LEARNER[3]), EMPTY_A_ZONE),
+    (replacement(WITH_LEARNER[2], WITH_LEARNER[3]), EMPTY_A_ZONE),
     first_store=(0, 1),
     log_prefix=_HELD_LOST,
     reader=True,
@@ -242,9 +200,9 @@
 GROWTH = Scope(
     "growth",
     (*THREE, *_TWO_LEARNERS),
-    (EMPTY_A_ZONE, _offer(_TWO_LEARNERS[0]), _offer(_TWO_LEARNERS[1])),
+    (EMPTY_A_ZONE, offer(_TWO_LEARNERS[0]), offer(_TWO_LEARNERS[1])),
     first_store=(0, 0, 1),
-    log_prefix=tuple(_joined(machine) for machine in (*THREE, *_TWO_LEARNERS)),
+    log_prefix=tuple(joined(machine) for machine in (*THREE, *_TWO_LEARNERS)),
     reader=True,
     ticks=EACH_TICKS,
     budget=FAULTS,
@@ -254,7 +212,7 @@
 REPLACEMENT = Scope(
     "replacement",
     WITH_LEARNER,
-    (EMPTY_A_ZONE, _replacement(WITH_LEARNER[2], WITH_LEARNER[3]), EMPTY_B_ZONE),
+    (EMPTY_A_ZONE, replacement(WITH_LEARNER[2], WITH_LEARNER[3]), EMPTY_B_ZONE),
     first_store=(0, 1, 1),
     log_prefix=_HELD_LOST,
     reader=True,
--- a/src/willowpost/model/system.py
+++ b/src/willowpost/model/system.py
@@ -1,6 +1,5 @@
 """The modelled system: what an action leads to, and whether a rule breaks on the way."""
 
-import json
 from collections.abc import Iterator
 from dataclasses import replace
 
@@ -21,26 +20,26 @@
 )
 from willowpost.model.beginning import first_state
 from willowpost.model.enabled import EnabledActions
-from willowpost.model.history import History
 from willowpost.model.invariants import (
     check_durability,
     check_read,
     check_restart,
-    record_configuration,
-    record_decisions,
-    record_message,
 )
 from willowpost.model.parts import Parts, Switches, text_of
 from willowpost.model.processes import READER, empty_disk, identity_of
+from willowpost.model.promises import Promises
 from willowpost.model.scope import READS_OFF, Passes, Scope, Ticks
+from willowpost.model.state_changes import (
+    NotPossible,
+    spent,
+    with_item,
+    with_messages,
+    without_message,
+)
 from willowpost.model.steps import SHORT_TICK, TIMED_TICK, Outcome, ProcessSteps
 from willowpost.model.system_state import DOWN, GONE, SystemState
 
 
-class NotPossible(Exception):
-    """The action cannot happen in this state."""
-
-
 class System:
     """Invariant: states are values; nothing that `successor` does changes an earlier state."""
 
@@ -48,8 +47,8 @@
         self.parts = Parts(scope, switches or Switches())
         self.steps = ProcessSteps(self.parts)
         self.enabled = EnabledActions(self.parts, self.steps)
+        self.promises = Promises(self.parts)
         self._initial: SystemState | None = None
-        self._recordings: dict[tuple[int, str, int], int] = {}
         self._durable: set[tuple[tuple[int, ...], int]] = set()
 
     def actions(self, state: SystemState, exact: bool = True) -> Iterator[Action]:
@@ -73,7 +72,7 @@
     def _opened(self, state: SystemState, step: Passes | Ticks) -> SystemState:
         if isinstance(step, Ticks):
             number = self.parts.index[step.process]
-            more = state._replace(ticks=_set(state.ticks, number, state.ticks[number] + 1))
+            more = state._replace(ticks=with_item(state.ticks, number, state.ticks[number] + 1))
             return self.successor(more, Tick(step.process))
         for number in sorted(state.network, reverse=True):
             source, target, body = self.parts.messages[number]
@@ -102,21 +101,18 @@
             case Deliver():
                 return self._deliver(state, action)
             case Lose():
-                self._spend(state.budget.losses)
                 number = self._in_flight(state, action)
-                budget = state.budget._replace(losses=state.budget.losses - 1)
-                return state._replace(network=_without(state.network, number), budget=budget)
+                return spent(state, "losses")._replace(
+                    network=without_message(state.network, number)
+                )
             case CrashOnDelivery() | CrashAfterSending():
                 return self._crash_on_delivery(state, action)
             case Tick(name, timed):
                 return self._tick(state, name, timed)
             case Crash(name):
-                self._spend(state.budget.crashes)
                 self._running(state, name)
-                budget = state.budget._replace(crashes=state.budget.crashes - 1)
-                return state._replace(
-                    processes=_set(state.processes, self.parts.index[name], DOWN), budget=budget
-                )
+                down = with_item(state.processes, self.parts.index[name], DOWN)
+                return spent(state, "crashes")._replace(processes=down)
             case Restart(name):
                 return self._restart(state, name)
             case Wipe(name):
@@ -124,17 +120,9 @@
             case Remove(name):
                 return self._remove(state, name)
             case Cut(source, target):
-                self._spend(state.budget.cuts)
-                budget = state.budget._replace(cuts=state.budget.cuts - 1)
-                return state._replace(cuts=state.cuts | {(source, target)}, budget=budget)
+                return spent(state, "cuts")._replace(cuts=state.cuts | {(source, target)})
             case Heal():
-                self._spend(state.budget.heals)
-                budget = state.budget._replace(heals=state.budget.heals - 1)
-                return state._replace(cuts=frozenset(), budget=budget)
-
-    def _spend(self, left: int) -> None:
-        if not left:
-            raise NotPossible("the scope's budget for this is spent")
+                return spent(state, "heals")._replace(cuts=frozenset())
 
     def _running(self, state: SystemState, name: str) -> int:
         process = state.processes[self.parts.index[name]]
@@ -149,7 +137,7 @@
         return number
 
     def _after_delivery(self, network: tuple[int, ...], number: int) -> tuple[int, ...]:
-        return network if self.parts.scope.messages_stay else _without(network, number)
+        return network if self.parts.scope.messages_stay else without_message(network, number)
 
     def _deliver(self, state: SystemState, action: Deliver) -> SystemState:
         number = self._in_flight(state, action)
@@ -157,9 +145,7 @@
         if (action.source, action.target) in state.cuts:
             raise NotPossible("the link is cut")
         if action.keep:
-            self._spend(state.budget.duplicates)
-            budget = state.budget._replace(duplicates=state.budget.duplicates - 1)
-            state = state._replace(budget=budget)
+            state = spent(state, "duplicates")
         else:
             state = state._replace(network=self._after_delivery(state.network, number))
         return self._carried_out(state, action.target, self.steps.need(process, number))
@@ -167,17 +153,16 @@
     def _tick(self, state: SystemState, name: str, timed: bool) -> SystemState:
         process, number = self._running(state, name), self.parts.index[name]
         if timed:
-            self._spend(state.ticks[number])
+            if not state.ticks[number]:
+                raise NotPossible(f"{name} has no timed tick left")
             history = state.history
             if self._reads(name):
                 begun = self.parts.histories[history].with_read_begun(name)
                 history = self.parts.histories.number(begun, begun)
-            ticks = _set(state.ticks, number, state.ticks[number] - 1)
+            ticks = with_item(state.ticks, number, state.ticks[number] - 1)
             state = state._replace(ticks=ticks, history=history)
         else:
-            self._spend(state.budget.short_ticks)
-            budget = state.budget._replace(short_ticks=state.budget.short_ticks - 1)
-            state = state._replace(budget=budget)
+            state = spent(state, "short_ticks")
         return self._carried_out(
             state, name, self.steps.need(process, TIMED_TICK if timed else SHORT_TICK)
         )
@@ -191,43 +176,20 @@
         number = self.parts.index[name]
         if outcome.changes_nothing and outcome.image == state.processes[number]:
             return state
-        history = self._recorded(state.history, name, outcome)
+        history = self.promises.after_step(state.history, name, outcome)
         if outcome.completed_read:
             slot = self.parts.images[outcome.image].node_state.tables.slot
             check_read(slot, self.parts.histories[state.history], name)
         disks = state.disks
         if outcome.writes:
-            disks = _set(disks, number, self._written(disks[number], outcome, outcome.writes))
+            disks = with_item(disks, number, self._written(disks[number], outcome, outcome.writes))
         return state._replace(
-            processes=_set(state.processes, number, outcome.image),
+            processes=with_item(state.processes, number, outcome.image),
             disks=disks,
-            network=_with(state.network, outcome.messages),
+            network=with_messages(state.network, outcome.messages),
             history=history,
         )
 
-    def _recorded(self, history: int, name: str, outcome: Outcome) -> int:
-        """The history once this outcome's records are written and its messages have left."""
-        key = (history, name, id(outcome))  # outcomes are kept, so their ids are not used again
-        if key not in self._recordings:
-            after = self._history_after(self.parts.histories[history], name, outcome)
-            self._recordings[key] = self.parts.histories.number(after, after)
-        return self._recordings[key]
-
-    def _history_after(self, history: History, name: str, outcome: Outcome) -> History:
-        if name in self.parts.clients:
-            return history
-        records = [json.loads(line) for line in outcome.records]
-        history = record_decisions(history, records, name)
-        history = record_configuration(
-            history, self.parts.images[outcome.image].node_state.tables, name
-        )
-        if name in self.parts.stores:
-            for message in outcome.messages:
-                history = record_message(
-                    history, self.parts.messages[message][2], name, self.parts.operations
-                )
-        return history
-
     def _written(self, disk: int, outcome: Outcome, count: int) -> int:
         """The disk once the first `count` writes of the step are on it."""
         lines = self.parts.disks[disk]
@@ -240,7 +202,6 @@
     def _crash_on_delivery(
         self, state: SystemState, action: CrashOnDelivery | CrashAfterSending
     ) -> SystemState:
-        self._spend(state.budget.torn)
         number = self._in_flight(state, action)
         process, target = self._running(state, action.target), self.parts.index[action.target]
         outcome = self.steps.need(process, number)
@@ -249,17 +210,16 @@
         if isinstance(action, CrashOnDelivery):
             written = min(action.written, outcome.writes)
         else:
-            network = _with(network, outcome.messages)
+            network = with_messages(network, outcome.messages)
             sent = replace(outcome, records=(), rotate=None)
-            after = self._history_after(self.parts.histories[history], action.target, sent)
+            after = self.promises.after_saying(self.parts.histories[history], action.target, sent)
             history = self.parts.histories.number(after, after)
         disk = self._written(state.disks[target], outcome, written)
-        return state._replace(
-            processes=_set(state.processes, target, DOWN),
-            disks=_set(state.disks, target, disk),
+        return spent(state, "torn")._replace(
+            processes=with_item(state.processes, target, DOWN),
+            disks=with_item(state.disks, target, disk),
             network=network,
             history=history,
-            budget=state.budget._replace(torn=state.budget.torn - 1),
         )
 
     def _restart(self, state: SystemState, name: str) -> SystemState:
@@ -269,12 +229,11 @@
         disk, life = state.disks[number], state.lives[number] + 1
         check_restart(self.parts.facts(disk), self.parts.histories[state.history], name)
         return state._replace(
-            processes=_set(state.processes, number, self.steps.start(number, disk, life)),
-            lives=_set(state.lives, number, life),
+            processes=with_item(state.processes, number, self.steps.start(number, disk, life)),
+            lives=with_item(state.lives, number, life),
         )
 
     def _wipe(self, state: SystemState, name: str) -> SystemState:
-        self._spend(state.budget.wipes)
         number = self.parts.index[name]
         if state.processes[number] == GONE or not self.enabled.bears_loss(state, number):
             raise NotPossible(f"the loss of {name} is beyond f")
@@ -284,33 +243,18 @@
             records = [{**records[0], "identity": identity_of(name, 0)}]
         disk = self.parts.number_disk(tuple(map(text_of, records)))
         life = state.lives[number] + 1
-        return state._replace(
-            processes=_set(state.processes, number, self.steps.start(number, disk, life)),
-            disks=_set(state.disks, number, disk),
-            lives=_set(state.lives, number, life),
-            disks_lost=_set(state.disks_lost, number, lost),
-            budget=state.budget._replace(wipes=state.budget.wipes - 1),
+        return spent(state, "wipes")._replace(
+            processes=with_item(state.processes, number, self.steps.start(number, disk, life)),
+            disks=with_item(state.disks, number, disk),
+            lives=with_item(state.lives, number, life),
+            disks_lost=with_item(state.disks_lost, number, lost),
         )
 
     def _remove(self, state: SystemState, name: str) -> SystemState:
-        self._spend(state.budget.removals)
         number = self.parts.index[name]
         if state.processes[number] == GONE or not self.enabled.is_replaced(state, number):
             raise NotPossible(f"{name} was not replaced")
-        return state._replace(
-            processes=_set(state.processes, number, GONE),
-            disks=_set(state.disks, number, GONE),
-            budget=state.budget._replace(removals=state.budget.removals - 1),
+        return spent(state, "removals")._replace(
+            processes=with_item(state.processes, number, GONE),
+            disks=with_item(state.disks, number, GONE),
         )
-
-
-def _set(held: tuple[int, ...], index: int, value: int) -> tuple[int, ...]:
-    return (*held[:index], value, *held[index + 1 :])
-
-
-def _with(network: tuple[int, ...], messages: tuple[int, ...]) -> tuple[int, ...]:
-    return tuple(sorted({*network, *messages})) if messages else network
-
-
-def _without(network: tuple[int, ...], number: int) -> tuple[int, ...]:
-    return tuple(held for held in network if held != number)
