--- a/src/willowpost/model/parts.py
+++ b/src/willowpost/model/parts.py
@@ -12,7 +12,7 @@
 from willowpost.model.numbering import Numbering
 from willowpost.model.process_image import Fingerprints
 from willowpost.model.processes import READER, Record
-from willowpost.model.scope import Scope
+from willowpost.model.scope import READS_OFF, Scope
 from willowpost.model.system_state import GONE, SystemState
 
 Message = tuple[str, str, Any]  # source, target, body
@@ -98,3 +98,8 @@
     def message_number(self, source: str, target: str, text: str) -> int | None:
         """The number of the message with this text, if it was ever sent."""
         return self._numbers.get((source, target, text))
+
+    def reads(self, name: str) -> bool:
+        """Whether the process begins a quorum read when its timers are due."""
+        reading_stores = self.scope.pace.read != READS_OFF
+        return name == READER or (name in self.stores and reading_stores)
--- a/src/willowpost/model/steps.py
+++ b/src/willowpost/model/steps.py
@@ -37,6 +37,12 @@
         """How many records the step writes; a new segment counts as one."""
         return len(self.records) + (self.rotate is not None)
 
+    def on_disk(self, lines: tuple[str, ...], count: int) -> tuple[str, ...]:
+        """The records of a disk once the first `count` writes of the step are on it."""
+        if self.rotate is None:
+            return lines + self.records[:count]
+        return self.rotate + self.records[: count - 1] if count else lines
+
 
 class ProcessSteps:
     """Invariant: what a step does depends on the process and the event alone."""
--- a/src/willowpost/model/system.py
+++ b/src/willowpost/model/system.py
@@ -26,9 +26,9 @@
     check_restart,
 )
 from willowpost.model.parts import Parts, Switches, text_of
-from willowpost.model.processes import READER, empty_disk, identity_of
+from willowpost.model.processes import empty_disk, identity_of
 from willowpost.model.promises import Promises
-from willowpost.model.scope import READS_OFF, Passes, Scope, Ticks
+from willowpost.model.scope import Passes, Scope, Ticks
 from willowpost.model.state_changes import (
     NotPossible,
     spent,
@@ -156,7 +156,7 @@
             if not state.ticks[number]:
                 raise NotPossible(f"{name} has no timed tick left")
             history = state.history
-            if self._reads(name):
+            if self.parts.reads(name):
                 begun = self.parts.histories[history].with_read_begun(name)
                 history = self.parts.histories.number(begun, begun)
             ticks = with_item(state.ticks, number, state.ticks[number] - 1)
@@ -167,11 +167,6 @@
             state, name, self.steps.need(process, TIMED_TICK if timed else SHORT_TICK)
         )
 
-    def _reads(self, name: str) -> bool:
-        return name == READER or (
-            name in self.parts.stores and self.parts.scope.pace.read != READS_OFF
-        )
-
     def _carried_out(self, state: SystemState, name: str, outcome: Outcome) -> SystemState:
         number = self.parts.index[name]
         if outcome.changes_nothing and outcome.image == state.processes[number]:
@@ -191,13 +186,7 @@
         )
 
     def _written(self, disk: int, outcome: Outcome, count: int) -> int:
-        """The disk once the first `count` writes of the step are on it."""
-        lines = self.parts.disks[disk]
-        if outcome.rotate is not None:
-            if not count:
-                return disk
-            lines, count = outcome.rotate, count - 1
-        return self.parts.number_disk(lines + outcome.records[:count])
+        return self.parts.number_disk(outcome.on_disk(self.parts.disks[disk], count))
 
     def _crash_on_delivery(
         self, state: SystemState, action: CrashOnDelivery | CrashAfterSending
