--- a/src/willowpost/model/protections.py
+++ b/src/willowpost/model/protections.py
@@ -3,15 +3,17 @@
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
+from types import ModuleType
 from typing import Any
 
+from willowpost.common.nonce import NonceSequence
+from willowpost.consensus.replica import barrier
 from willowpost.consensus.replica.reads import Reads
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.consensus.replica.voting import Voting
 from willowpost.consensus.thresholds import Thresholds
-from willowpost.model.system import Switches
+from willowpost.model.parts import Switches
 from willowpost.node.quorum_read import QuorumRead
-from willowpost.store.repair import Repair
 
 _ALL_SLOTS = 10**9
 
@@ -36,11 +38,21 @@
         return 1
 
 
+@dataclass(frozen=True, slots=True)
+class OneVoteDecides(Thresholds):
+    """One vote for a value decides, in place of f + 1."""
+
+    @property
+    def decides(self) -> int:
+        """One."""
+        return 1
+
+
 @dataclass(frozen=True, slots=True)
 class Replacement:
-    """A method of a controller and what stands in its place."""
+    """A method of a controller, or a function of its module, and what stands in its place."""
 
-    owner: type
+    owner: type | ModuleType
     method: str
     function: Callable[..., Any]
 
@@ -83,35 +95,80 @@
     return Replacement(owner, "_settle", settle)
 
 
+def _numbers_from_zero(self: Any, daemon: str, incarnation: int, purpose: str) -> None:
+    self.start = self.last = 0
+
+
+def _holds_former_quorum(node_state: Any) -> bool:
+    former = barrier.former_identities(node_state.tables)
+    index = barrier.quorum_index(former, node_state.synced_indexes, node_state.thresholds)
+    return index >= barrier.first_slot(node_state.tables)
+
+
+def _holds_new_quorum(node_state: Any) -> bool:
+    index = barrier.quorum_index(
+        node_state.members, node_state.synced_indexes, node_state.thresholds
+    )
+    return index >= barrier.first_slot(node_state.tables)
+
+
+def _forgetting_the_ballot_state() -> Replacement:
+    original: Callable[..., None] = ReplicaState.restore
+
+    def restore(self: Any, *arguments: Any) -> None:
+        original(self, *arguments)
+        if self.own is not None:
+            self.queue.drop(self.own.proposal)
+            self.own, self.heard = None, {}
+
+    return Replacement(ReplicaState, "restore", restore)
+
+
 PROTECTIONS = {
     protection.name: protection
     for protection in (
         Protection("quorum", "two-commands", Switches(thresholds=EachAlone)),
+        Protection("votes-to-decide", "split-proposals", Switches(thresholds=OneVoteDecides)),
         Protection("sync-before-send", "one-command", Switches(send_before_sync=True)),
         Protection(
             "synced-before-accepted",
             "one-command",
             replacements=(Replacement(ReplicaState, "safe", lambda self: _ALL_SLOTS),),
         ),
+        Protection(
+            "ballot-state-kept",
+            "restarted",
+            replacements=(_forgetting_the_ballot_state(),),
+        ),
         Protection(
             "epoch-barrier",
             "unheard",
             replacements=(Replacement(Voting, "_opened", lambda self, plan: True),),
         ),
+        Protection(
+            "barrier-over-new-voters",
+            "replaced-late",
+            replacements=(Replacement(barrier, "holds_both_quorums", _holds_former_quorum),),
+        ),
+        Protection(
+            "barrier-over-former-voters",
+            "unheard",
+            replacements=(Replacement(barrier, "holds_both_quorums", _holds_new_quorum),),
+        ),
         Protection("new-identity", "wiped", Switches(reuse_identity=True)),
         Protection(
-            "learner-caught-up",
-            "learner-behind",
-            replacements=(Replacement(Repair, "_whole", lambda self, now: True),),
+            "read-numbers-of-one-life",
+            "former-life",
+            replacements=(Replacement(NonceSequence, "__init__", _numbers_from_zero),),
         ),
         Protection(
             "store-read-in-one-epoch",
-            "store-read-over-epochs",
+            "store-read-over-change",
             replacements=(_whatever_the_epoch(Reads),),
         ),
         Protection(
             "reader-read-in-one-epoch",
-            "unheard",
+            "read-over-change",
             replacements=(_whatever_the_epoch(QuorumRead),),
         ),
     )
--- a/src/willowpost/model/scopes.py
+++ b/src/willowpost/model/scopes.py
@@ -1,79 +1,75 @@
 """The scopes that ship with willowpost, by name."""
 
-from dataclasses import asdict
+from dataclasses import replace
 
 from willowpost.consensus.replica.replica_state import Pace
 from willowpost.model.logical_time import NEVER
-from willowpost.model.processes import incarnation_of, member_of
-from willowpost.model.scope import READS_OFF, Budget, Machine, Role, Scope
+from willowpost.model.operations import (
+    EMPTY_A_ZONE,
+    EMPTY_B_ZONE,
+    configuration,
+    joined,
+    offer,
+    replacement,
+    suspected,
+)
+from willowpost.model.scope import READS_OFF, Budget, Machine, Passes, Role, Scope, Ticks
 
 THREE = (Machine("s0", "a"), Machine("s1", "b"), Machine("s2", "c"))
 FIVE = (*THREE, Machine("s3", "a"), Machine("s4", "b"))
 WITH_LEARNER = (*THREE, Machine("s3", "c", Role.LEARNER))
-EMPTY_A_ZONE: dict[str, object] = {"op": "zone", "zone": "a", "empty": True}
-EMPTY_B_ZONE: dict[str, object] = {"op": "zone", "zone": "b", "empty": True}
 QUIET = Pace(read=READS_OFF, synced_index=NEVER, rotate=NEVER)
 READING = Pace(synced_index=NEVER, rotate=NEVER)
 
 
-def _configuration(number: int, host: str) -> dict[str, object]:
-    return {"op": "configuration", "version": number, "tree": {"host": host}}
-
-
-def _card(machine: Machine, state: str) -> dict[str, object]:
-    identity = member_of(machine).identity
-    return {
-        "id": identity,
-        "kind": "store",
-        "name": machine.name,
-        "zone": machine.zone,
-        "address": machine.name,
-        "incarnation": incarnation_of(1),
-        "state": state,
-    }
-
-
-def _joined(machine: Machine) -> dict[str, object]:
-    return {"op": "join", "daemon": _card(machine, "up")}
-
-
-def _suspected(target: Machine, watcher: Machine) -> dict[str, object]:
-    return {
-        "op": "suspicion",
-        "target": member_of(target).identity,
-        "incarnation": incarnation_of(1),
-        "watcher": member_of(watcher).identity,
-        "suspected": True,
-    }
-
-
-def _replacement(old: Machine, new: Machine) -> dict[str, object]:
-    return {
-        "op": "replace_voter",
-        "old": member_of(old).identity,
-        "new": asdict(member_of(new)),
-    }
-
-
 # s2 is held lost, and is not: it runs on, and votes until it is replaced.
 _HELD_LOST = (
-    *(_joined(machine) for machine in WITH_LEARNER),
-    _suspected(WITH_LEARNER[2], WITH_LEARNER[0]),
-    _suspected(WITH_LEARNER[2], WITH_LEARNER[1]),
+    *(joined(machine) for machine in WITH_LEARNER),
+    suspected(WITH_LEARNER[2], WITH_LEARNER[0]),
+    suspected(WITH_LEARNER[2], WITH_LEARNER[1]),
 )
 
 ONE_COMMAND = Scope("one-command", THREE, (EMPTY_A_ZONE,), budget=Budget(torn=1))
 TWO_COMMANDS = Scope("two-commands", THREE, (EMPTY_A_ZONE, EMPTY_B_ZONE), budget=Budget(torn=1))
+RESTARTED = Scope(
+    "restarted",
+    THREE,
+    (EMPTY_A_ZONE, EMPTY_B_ZONE),
+    budget=Budget(crashes=1),
+    may_crash=("s0",),
+)
+# s0 and s1 propose one command, s2 the other, and s2 has heard of both.
+SPLIT_PROPOSALS = Scope(
+    "split-proposals",
+    THREE,
+    (EMPTY_A_ZONE, EMPTY_B_ZONE),
+    first_store=(0, 2),
+    opening=(
+        Passes("client0", "s0", "Submit"),
+        Passes("client1", "s2", "Submit"),
+        Passes("s0", "s1", "BallotState"),
+        Passes("s0", "s2", "BallotState"),
+    ),
+)
+# One content is accepted under the number; the other is on its way.
 RACE = Scope(
     "race",
     THREE,
-    (_configuration(2, "one.example"), _configuration(2, "two.example")),
+    (configuration(2, "one.example"), configuration(2, "two.example")),
+    opening=(
+        Passes("client0", "s0", "Submit"),
+        Passes("s0", "s1", "BallotState"),
+        Passes("s1", "s0", "BallotState"),
+        Passes("s0", "s1", "BallotState"),
+        Passes("s1", "s0", "BallotState"),
+        Passes("s1", "s0", "SyncedIndex"),
+    ),
 )
 WIPED = Scope(
     "wiped",
     THREE,
     (EMPTY_A_ZONE,),
-    ticks={"s0": 1, "s1": 1, "s2": 2},
+    ticks={"s2": 2},
     budget=Budget(wipes=1),
     may_lose_disk=("s2",),
 )
@@ -92,41 +88,136 @@
 REPLACED = Scope(
     "replaced",
     WITH_LEARNER,
-    (_replacement(WITH_LEARNER[2], WITH_LEARNER[3]),),
+    (replacement(WITH_LEARNER[2], WITH_LEARNER[3]),),
     log_prefix=_HELD_LOST,
     budget=Budget(removals=1),
 )
+# s0 and s2 accepted a command that s1 has not heard of, and s2 decided its own replacement.
 REPLACED_LATE = Scope(
     "replaced-late",
     WITH_LEARNER,
-    (EMPTY_A_ZONE, _replacement(WITH_LEARNER[2], WITH_LEARNER[3])),
+    (EMPTY_A_ZONE, replacement(WITH_LEARNER[2], WITH_LEARNER[3])),
+    first_store=(0, 0),
     log_prefix=_HELD_LOST,
+    ticks={"s3": 1},
     budget=Budget(removals=1),
+    opening=(
+        Passes("client0", "s0", "Submit"),
+        Passes("s0", "s2", "BallotState"),
+        Passes("s2", "s0", "BallotState"),
+        Passes("s0", "s2", "BallotState"),
+        Passes("s2", "s0", "BallotState"),
+        Passes("s2", "s0", "SyncedIndex"),
+        Passes("client1", "s0", "Submit"),
+        Passes("s0", "s2", "BallotState"),
+        Passes("s2", "s0", "BallotState"),
+        Passes("s0", "s2", "BallotState"),
+    ),
+)
+# The replacement is decided by s1 alone, with the votes of s0; s3 heard of it from s1.
+_DECIDED_BY_ONE = (
+    Passes("client0", "s0", "Submit"),
+    Passes("s0", "s1", "BallotState"),
+    Passes("s1", "s0", "BallotState"),
+    Passes("s0", "s1", "BallotState"),
+    Passes("s1", "s3", "SyncedIndex"),
+    Ticks("s3"),
+    Ticks("s3"),
+    Passes("s3", "s1", "Ask"),
+    Passes("s1", "s3", "Tell"),
 )
+# Then s0 decides it too, and s1 and s3 accept the other command in the new epoch.
+_ACCEPTED_BEHIND_IT = (
+    *_DECIDED_BY_ONE,
+    Passes("s1", "s0", "BallotState"),
+    Passes("s0", "s1", "SyncedIndex"),
+    Passes("s0", "s3", "SyncedIndex"),
+    Passes("client1", "s1", "Submit"),
+    Passes("s1", "s3", "BallotState"),
+    Passes("s3", "s1", "BallotState"),
+    Passes("s1", "s3", "BallotState"),
+    Passes("s3", "s1", "BallotState"),
+    Passes("s3", "s1", "SyncedIndex"),
+)
+
+
+def _cut(one: tuple[str, ...], other: tuple[str, ...]) -> frozenset[tuple[str, str]]:
+    return frozenset(
+        pair for a in one for b in other for pair in ((a, b), (b, a)) if pair[0] != pair[1]
+    )
+
+
 UNHEARD = Scope(
     "unheard",
     WITH_LEARNER,
-    (_replacement(WITH_LEARNER[2], WITH_LEARNER[3]), EMPTY_A_ZONE),
+    (replacement(WITH_LEARNER[2], WITH_LEARNER[3]), EMPTY_A_ZONE),
+    first_store=(0, 1),
     log_prefix=_HELD_LOST,
     reader=True,
-    ticks={"reader": 1, "s3": 1},
+    ticks={"reader": 1},
+    opening=_DECIDED_BY_ONE,
+    cuts=_cut(("s0",), ("s2",)) | _cut(("s0", "s2", "reader"), ("s1", "s3")),
+)
+READ_OVER_CHANGE = replace(
+    UNHEARD,
+    name="read-over-change",
+    opening=_ACCEPTED_BEHIND_IT,
+    cuts=_cut(("s0", "s2", "reader"), ("s1", "s3")),
 )
-# The learner's own repair asks for the seat of s2, which is held lost.
-LEARNER_BEHIND = Scope(
-    "learner-behind",
-    (*THREE, Machine("s3", "c", Role.LEARNER)),
+STORE_READ_OVER_CHANGE = replace(
+    READ_OVER_CHANGE,
+    name="store-read-over-change",
+    reader=False,
+    ticks={"s2": 2},
+    pace=READING,
+)
+# s2 asked how far the others are, and s0 has answered; the answer may reach a later life of s2.
+FORMER_LIFE = Scope(
+    "former-life",
+    THREE,
     (EMPTY_A_ZONE,),
-    log_prefix=_HELD_LOST,
-    ticks={"s3": 2},
-    budget=Budget(removals=1, short_ticks=1),
+    ticks={"s2": 1},
+    budget=Budget(crashes=1),
+    pace=READING,
+    opening=(Ticks("s2"), Passes("s2", "s0", "ReadAsk")),
+    cuts=_cut(("s1", "client0"), ("s2",)) | frozenset({("s2", "s0")}),
+    may_crash=("s2",),
+)
+FAULTS = Budget(crashes=2, torn=2, wipes=1, duplicates=3, losses=5, cuts=3, heals=2, short_ticks=3)
+EACH_TICKS = {name: 3 for name in ("s0", "s1", "s2", "s3", "s4", "client0", "client1", "reader")}
+# For walks: too many states to search.
+FIVE_VOTERS = Scope(
+    "five-voters",
+    FIVE,
+    (EMPTY_A_ZONE, EMPTY_B_ZONE),
+    reader=True,
+    ticks=EACH_TICKS,
+    budget=FAULTS._replace(wipes=2),
     pace=READING,
 )
-STORE_READ_OVER_EPOCHS = Scope(
-    "store-read-over-epochs",
+THREE_VOTERS = replace(FIVE_VOTERS, name="three-voters", machines=THREE, budget=FAULTS)
+_TWO_LEARNERS = (Machine("s3", "a", Role.LEARNER), Machine("s4", "b", Role.LEARNER))
+GROWTH = Scope(
+    "growth",
+    (*THREE, *_TWO_LEARNERS),
+    (EMPTY_A_ZONE, offer(_TWO_LEARNERS[0]), offer(_TWO_LEARNERS[1])),
+    first_store=(0, 0, 1),
+    log_prefix=tuple(joined(machine) for machine in (*THREE, *_TWO_LEARNERS)),
+    reader=True,
+    ticks=EACH_TICKS,
+    budget=FAULTS,
+    pace=READING,
+    max_voters=5,
+)
+REPLACEMENT = Scope(
+    "replacement",
     WITH_LEARNER,
-    (_replacement(WITH_LEARNER[2], WITH_LEARNER[3]), EMPTY_A_ZONE),
+    (EMPTY_A_ZONE, replacement(WITH_LEARNER[2], WITH_LEARNER[3]), EMPTY_B_ZONE),
+    first_store=(0, 1, 1),
     log_prefix=_HELD_LOST,
-    ticks={"s2": 1, "s3": 1},
+    reader=True,
+    ticks=EACH_TICKS,
+    budget=FAULTS._replace(removals=1),
     pace=READING,
 )
 SCOPES = {
@@ -134,6 +225,8 @@
     for scope in (
         ONE_COMMAND,
         TWO_COMMANDS,
+        RESTARTED,
+        SPLIT_PROPOSALS,
         RACE,
         WIPED,
         READS,
@@ -141,7 +234,12 @@
         REPLACED,
         REPLACED_LATE,
         UNHEARD,
-        LEARNER_BEHIND,
-        STORE_READ_OVER_EPOCHS,
+        READ_OVER_CHANGE,
+        STORE_READ_OVER_CHANGE,
+        FORMER_LIFE,
+        THREE_VOTERS,
+        FIVE_VOTERS,
+        GROWTH,
+        REPLACEMENT,
     )
 }
