The fleet's schedules know every kind of fault; operators and readers are recorded and judged

Every schedule now records its operators' calls and quorum reads all the time, and ends with the linearizability check.

Split by subject: operators, readers, callers, and one module for each group of faults.

--- a/src/willowpost/drill/tools.py
+++ b/src/willowpost/drill/tools.py
@@ -132,6 +132,7 @@
             flag=False,
             default="invitations",
         ),
+        option("every", None, "Every kind of fault that the schedules know (fleet, bounded)."),
         option("trace", None, "Print what was done in each run."),
         option(
             "go-on",
@@ -164,7 +165,9 @@
             ran += 1
             fault_schedule = {
                 "core": lambda: CoreFaultSchedule(seed),
-                "fleet": lambda: FleetFaultSchedule(seed, wide=self.option("wide"), **far),
+                "fleet": lambda: FleetFaultSchedule(
+                    seed, wide=self.option("wide"), every=self.option("every"), **far
+                ),
                 "bounded": lambda: BoundedFaultSchedule(seed, self.option("deployment")),
             }[self.argument("what")]()
             rule = self._run(fault_schedule, seed)
--- a/src/willowpost/sim/fleet/fault_injector.py
+++ b/src/willowpost/sim/fleet/fault_injector.py
@@ -6,7 +6,7 @@
 from willowpost.proxy.admission.admission_tokens import AdmissionTokenWanted
 from willowpost.proxy.origin.exchange import WholeAnswer
 from willowpost.proxy.origin.failure import ExchangeFailure
-from willowpost.sim.fleet.messages import HEALTH, SimRequest
+from willowpost.sim.fleet.messages import HEALTH, SimAnswer, SimRequest
 
 CONNECT = 1 * SECOND
 
@@ -94,6 +94,7 @@
         self.world, self.seat = world, seat
         self.incarnation = seat.incarnation
         self.waiting: dict[int, greenlet] = {}
+        self.asked: dict[int, int | None] = {}  # number -> the incarnation that was asked
         self.pool: dict[str, int] = {}
         self.sends: list = []
 
@@ -124,6 +125,7 @@
     def call(self, address, message, span):
         task = getcurrent()
         self.waiting[message.number] = task
+        self.asked[message.number] = message.incarnation
         self.sends.append((address, message))
         self.world.at(span, self._late, message.number, task)
         return self.pause()
@@ -131,10 +133,19 @@
     def _late(self, number, task):
         if self.waiting.get(number) is task:
             del self.waiting[number]
+            self.asked.pop(number, None)
             self.wake(task, None)
 
+    def reset(self):
+        """All connections are reset: what waits for an answer will not get one."""
+        self.pool.clear()
+        for number in [number for number in self.waiting if isinstance(number, int)]:
+            closed = SimAnswer(number, 0, whole=False, incarnation=self.asked[number] or 0)
+            self.world.at(0, self.answered, closed)
+
     def answered(self, answer):
         task = self.waiting.pop(answer.number, None)
+        self.asked.pop(answer.number, None)
         if task is not None:
             self.wake(task, answer)
 
--- a/src/willowpost/sim/fleet/outside.py
+++ b/src/willowpost/sim/fleet/outside.py
@@ -8,6 +8,7 @@
 from willowpost.proxy.origin.instance_check import TOKEN_HEADER
 from willowpost.sim.fleet.messages import HEALTH, SimAnswer, SimBeat, SimRequest
 
+REJECTED = 500  # statuses from here on say that the request was not served
 LATE = {"slow": 4 * SECOND, "tired": 400 * MILLI, "brisk": 20 * MILLI}
 
 
@@ -15,7 +16,7 @@
     """An origin.
 
     Modes: sound, lost (runs, answer lost), short, slow (later than any deadline), tired (late, but
-    whole), brisk (takes 20 ms).
+    whole), brisk (takes 20 ms), twice (sends each answer again).
     """
 
     def __init__(self, world, seat, service, zone, rate, registries):
@@ -125,6 +126,8 @@
         answer = SimAnswer(
             asked.number, 200, said, body, self.mode != "short", self.seat.incarnation
         )
+        if self.mode == "twice":
+            plan.send(source, answer)
         if self.mode in LATE:
             self.load += 1
             self.world.at(LATE[self.mode], self._late, source, answer, self.seat.incarnation)
@@ -146,5 +149,8 @@
     def step(self, event, now):
         match event:
             case Received(source, SimAnswer() as answer):
+                asked = self.world.traffic.asked.get(answer.number)
                 self.world.traffic.at_caller(source, answer)
+                if asked is not None and answer.status >= REJECTED:
+                    self.world.rejected(asked)
         return Plan()
--- a/src/willowpost/sim/fleet/world.py
+++ b/src/willowpost/sim/fleet/world.py
@@ -6,20 +6,22 @@
 import copy
 
 from willowpost.common.clock import MILLI, SECOND
-from willowpost.configuration.checker import ConfigurationChecker
+from willowpost.history.recorder import HistoryRecorder
 from willowpost.node.leaver import Leave, Stage
 from willowpost.node.node_state import Card
-from willowpost.proxy.routing.request import Request
 from willowpost.sim.core import CoreWorld
-from willowpost.sim.fleet.messages import SimAnswer, SimCall, SimRequest
+from willowpost.sim.fleet.callers import CallerActions
+from willowpost.sim.fleet.messages import SimAnswer, SimRequest
 from willowpost.sim.fleet.nodes import SimProxy, SimRegistry
+from willowpost.sim.fleet.operators import OperatorActions, Operators
 from willowpost.sim.fleet.outside import SimCaller, SimOrigin
+from willowpost.sim.fleet.readers import Readers
 from willowpost.sim.fleet.rules import TrafficRules
 from willowpost.sim.fleet.shape import SMALL
 from willowpost.sim.world import Weather, seconds
 
 
-class FleetWorld(CoreWorld):
+class FleetWorld(OperatorActions, CallerActions, CoreWorld):
     """Invariant: operators' answers, callers' answers and origins' logs all go through `traffic`.
 
     Which checks them.
@@ -28,6 +30,11 @@
     def __init__(self, seed, weather=None, rate=None, regions=None, shape=SMALL, **core):
         super().__init__(seed, weather or Weather(), zones=shape.cores, regions=regions, **core)
         self.shape = shape
+        self.history = HistoryRecorder(lambda: self.time)
+        self.operators = Operators(self, seed)
+        self.readers = Readers(self, seed)
+        self.impatience = 0  # further requests that a rejected caller sends at once
+        self.repeats_left = 0  # how many of them in all
         self.number = 0
         self.calling = False
         self.polite: dict = {}
@@ -38,6 +45,7 @@
             shape.ramp,
             0.25,
         )
+        self.usual_rate = self.rate
         self.rates = {
             name: float(service["rate"])
             for name, service in shape.configuration["services"].items()
@@ -175,6 +183,7 @@
         """Found the fleet, accept the configuration, let origins warm, let callers in."""
         if not self.until(self.bootstrapped, seconds(10)):
             raise AssertionError("not founded")
+        self.readers.start()
         self.put_configuration(0)
         self.until(lambda: self.version, seconds(5))
         self.run(seconds(7))
@@ -182,125 +191,30 @@
         self.at(0, self._call)
         self.run(seconds(2))
 
-    def operate(self, registry, op, then):
-        token = self.ask(f"r{registry}", op)
-        self.at(10 * MILLI, self._look, token, then, self.time)
-
-    def _look(self, token, then, since):
-        if token in self.replies:
-            result = self.replies[token]
-            answers = result["answers"]
-            if answers is not None and answers[0]["ok"]:
-                then(answers[0])
-        elif self.time - since < 8 * SECOND:
-            self.at(10 * MILLI, self._look, token, then, since)
-
-    def put_configuration(self, registry):
-        tree = ConfigurationChecker().check_value(self.configuration).unwrap()
-
-        def accepted(answer):
-            self.version = max(self.version, answer["version"])
-            self.traffic.accepted_configuration(answer["version"])
-
-        self.operate(registry, {"op": "configuration", "tree": tree, "if_match": None}, accepted)
-
-    def purge(self, registry, kind="prefix", path="/"):
-        """The content changes, then its old self is purged."""
-        old = self.traffic.replace()
-        self.operate(
-            registry,
-            {"op": "purge", "kind": kind, "host": "*", "path": path},
-            lambda answer: self.traffic.purges.append((self.time, old)),
-        )
-
-    def drain_origin(self, registry, address):
-        tables = self.seats[f"r{registry}"].node
-        if tables is None:
-            return
-        name = next(
-            (
-                name
-                for name, card in tables.registry.tables.origins.items()
-                if card["address"] == address
-            ),
-            None,
-        )
-        seat = self.seats[address]
-        if name is not None and seat.node is not None:
-            seat.node.silent = True
-            incarnation = seat.incarnation
-            self.operate(
-                registry,
-                {"op": "turn", "origin": name, "state": "draining"},
-                lambda answer: self.traffic.leaving.update({address: (self.time, incarnation)}),
-            )
-
-    def empty_zone(self, registry, zone, empty):
-        def done(answer):
-            if empty:
-                self.traffic.emptied[zone] = self.time
-            else:
-                self.traffic.emptied.pop(zone, None)
-
-        if not empty:
-            self.traffic.emptied.pop(zone, None)
-        self.operate(registry, {"op": "zone", "zone": zone, "empty": empty}, done)
-
     def restart(self, address):
         """A planned restart by the platform: asked to leave, waited for, started again."""
         leaver = getattr(getattr(self.seats[address].node, "node", None), "leaver", None)
         if leaver is None:  # a store may stop at any moment
             self.crash(address)
-            self.at(SECOND, self.start, address)
+            self.at(SECOND, self.bring_back, address)
             return
         self.give(address, Leave())
-        self.at(20 * MILLI, self._left, address, leaver)
+        self.at(20 * MILLI, self._left, address, leaver, self.seats[address].incarnation)
 
-    def _left(self, address, leaver):
+    def _left(self, address, leaver, incarnation):
+        if self.seats[address].incarnation != incarnation:
+            return  # it was killed meanwhile
         if leaver.stage is Stage.GONE:
             self.crash(address)
-            self.at(SECOND, self.start, address)
+            self.at(SECOND, self.bring_back, address)
         else:
-            self.at(20 * MILLI, self._left, address, leaver)
-
-    def sound_edges(self):
-        """As the platform's balancer sees them: by their own word, if they answer."""
-        return [
-            edge
-            for edge in self.edges
-            if (seat := self.seats[edge]).node is not None
-            and seat.frozen_until <= self.time
-            and ("caller", edge) not in self.cuts
-            and self._sound(seat)
-        ]
+            self.at(20 * MILLI, self._left, address, leaver, incarnation)
 
-    def _sound(self, seat):
-        node_state, now = seat.node.proxy, self.now(seat)
-        return (
-            node_state.leased(now)
-            and node_state.warmed_up(now)
-            and not node_state.draining
-            and node_state.emptied_at is None
-        )
-
-    def _call(self):
-        if not self.calling:
-            return
-        edges = self.sound_edges()
-        if edges:
-            self._one(self.chance.choice(edges))
-        self.at(int(self.chance.expovariate(self.rate) * SECOND), self._call)
-
-    def _one(self, edge):
-        self.number += 1
-        kind = self.chance.choices(self.shape.kinds, self.shares)[0]
-        write = f"w{self.number}" if kind.write else ""
-        user = f"u{self.chance.randrange(5)}" if kind.personal else ""
-        path = f"{kind.path}/{self.number if write else self.chance.randrange(kind.items)}"
-        headers = {"x-ask": str(self.number), **({"authorization": user} if user else {})}
-        request = Request("POST" if write else "GET", self.shape.host, path, headers)
-        self.traffic.asks(self.number, edge, "", path, user, write)
-        self._post(self.seats["caller"], edge, SimCall(self.number, request, write))
+    def bring_back(self, address):
+        """Start a machine's process, unless it runs or is gone for good."""
+        seat = self.seats[address]
+        if seat.node is None and not seat.retired:
+            self.start(address)
 
     def node_states(self):
         return [
@@ -318,7 +232,11 @@
         """Faults are closed: within 15 s every proxy delivers again, and what was accepted stands."""
         self.heal()
         self.weather.drop = 0.0
+        self.operators.lost_part = 0.0
+        self.impatience = 0
+        self.rate = min(self.rate, self.usual_rate)
         for address, seat in list(self.seats.items()):
+            seat.disk.mend()
             seat.crash_on_write, seat.frozen_until = 0.0, min(seat.frozen_until, self.time)
             if seat.node is None and not seat.retired:
                 self.start(address)
@@ -347,3 +265,4 @@
         self.traffic.say(
             min(versions) >= self.version, f"read back {versions}, accepted {self.version}"
         )
+        self.readers.judge()
