--- a/src/willowpost/sim/fleet/fault_schedule.py
+++ b/src/willowpost/sim/fleet/fault_schedule.py
@@ -151,6 +151,7 @@
             for _ in range(world.chance.randrange(1, 12)):
                 world.run(100 * MILLI)
         self.trace.append((world.time, "settle"))
+        self.closed = True
         world.settle()
         return self
 
--- a/src/willowpost/sim/fleet/faults/base.py
+++ b/src/willowpost/sim/fleet/faults/base.py
@@ -6,6 +6,16 @@
 class FaultSteps:
     """Steps over `self.world`, a FleetWorld. Each draws what it hits from the world's chance."""
 
+    closed = False  # whether the schedule's faults are over
+
+    def _later(self, delay: int, fault, *args) -> None:
+        """A fault that comes later, in µs, unless the schedule's faults are over by then."""
+        self.world.at(delay, self._unless_closed, fault, args)
+
+    def _unless_closed(self, fault, args):
+        if not self.closed:
+            fault(*args)
+
     def _one(self, names):
         return self.world.chance.choice(list(names))
 
--- a/src/willowpost/sim/fleet/faults/disks.py
+++ b/src/willowpost/sim/fleet/faults/disks.py
@@ -29,7 +29,7 @@
         """A store's disk takes no more bytes; the store is killed while it waits with a write."""
         name = self._one(self.world.stores())
         self.world.seats[name].disk.stalled_until = self.world.time + self._span(1, 4)
-        self.world.at(self._span(0.2, 1), self._kill, [name])
+        self._later(self._span(0.2, 1), self._kill, [name])
         self.world.at(self._span(1, 3), self.world.bring_back, name)
 
     def folder_entries_lost(self):
--- a/src/willowpost/sim/fleet/faults/machines.py
+++ b/src/willowpost/sim/fleet/faults/machines.py
@@ -111,14 +111,14 @@
         first, *rest = names
         if self.world.seats[first].node is not None:
             self._restart_when_busy(first, self.world.time + SECOND // 2)
-        self.world.at(6 * SECOND, self._restart_next, rest)
+        self._later(6 * SECOND, self._restart_next, rest)
 
     def _restart_when_busy(self, name, latest):
         node = self.world.seats[name].node
         if node is None:
             return
         if self.world.time < latest and not getattr(node, "in_flight", 1):
-            self.world.at(MILLI, self._restart_when_busy, name, latest)
+            self._later(MILLI, self._restart_when_busy, name, latest)
             return
         self.world.restart(name)
 
@@ -127,7 +127,7 @@
         registry = self._registry()
         self.configuration()
         self.world.put_configuration(registry)
-        self.world.at(
+        self._later(
             self.world.chance.randrange(5 * MILLI, 400 * MILLI),
             self._lose_power,
             self._core_machine(registry),
--- a/src/willowpost/sim/fleet/faults/network.py
+++ b/src/willowpost/sim/fleet/faults/network.py
@@ -80,7 +80,7 @@
         for name in alone:
             self.world.at(self._span(0.1, 0.5), self.world.bring_back, name)
         others = [name for name in self._core() if name not in alone]
-        self.world.at(self._span(1, 2), self._restart_all, others)
+        self._later(self._span(1, 2), self._restart_all, others)
 
     def _restart_all(self, names):
         for name in self._up(names):
--- a/src/willowpost/sim/fleet/faults/origins.py
+++ b/src/willowpost/sim/fleet/faults/origins.py
@@ -42,7 +42,7 @@
         """An origin is gone two seconds after the notice; another one comes four seconds later."""
         name = self._one(self.world.origins)
         self.world.drain_origin(self._registry(), name)
-        self.world.at(2 * SECOND, self._kill, [name])
+        self._later(2 * SECOND, self._kill, [name])
         self.world.at(6 * SECOND, self.world.bring_back, name)
 
     def zone_of_origins_cold(self):
@@ -70,7 +70,7 @@
         """An origin drains, ends, and comes back as a new incarnation."""
         name = self._one(self.world.origins)
         self.world.drain_origin(self._registry(), name)
-        self.world.at(4 * SECOND, self._kill, [name])
+        self._later(4 * SECOND, self._kill, [name])
         self.world.at(self._span(4.1, 5), self.world.bring_back, name)
 
     def answers_twice(self):
