Drills record their operators' calls and judge them; two contents under one number in the simulator

Digests are made at the end: the callers run in the same process. Checker: a repeat of a conditional put is known by its condition and content, as in the log; before, the same content under another condition was taken for a repeat.

--- a/src/willowpost/drill/fleet.py
+++ b/src/willowpost/drill/fleet.py
@@ -12,6 +12,8 @@
 
 import gevent
 
+from willowpost.common.clock import Clock
+from willowpost.drill.control_history import ControlHistory
 from willowpost.drill.deployment import Deployment
 from willowpost.stand_ins.callers import ask
 
@@ -21,6 +23,7 @@
 
     def __init__(self, deployment: Deployment):
         self.deployment = deployment
+        self.history = ControlHistory(Clock())
         self.running: dict[str, subprocess.Popen] = {}
         self.processes = {process.key: process for process in deployment.processes()}
         self.control = f"127.{deployment.subnet}.200.1:{deployment.port + 91}"
@@ -147,7 +150,11 @@
         """A call by an operator, who turns to the next registry when one is not there."""
         registries = self.registries()
         for number in range(len(registries)):
-            held = ask(registries[(first + number) % len(registries)], method, path, value, headers)
+            address = registries[(first + number) % len(registries)]
+            call = self.history.sent(address, method, path, value, headers)
+            held = ask(address, method, path, value, headers)
+            if call is not None:
+                self.history.answered(call, held)
             if held is not None:
                 return held
         return None
--- a/src/willowpost/drill/main.py
+++ b/src/willowpost/drill/main.py
@@ -54,6 +54,7 @@
     option("rate", "r", "Requests a second; the deployment's peak if not given.", flag=False),
     option("seed", None, "Seed of the callers.", flag=False, default="1"),
     option("port", None, "First of a hundred ports.", flag=False),
+    option("history", None, "Write the operators' calls there (`check history`).", flag=False),
     option("keep", "k", "Keep the folder with logs and data; its path is printed."),
 ]
 
@@ -93,6 +94,8 @@
             return 1 if findings.broken else 0
         finally:
             fleet.stop_all()
+            if self.option("history"):
+                fleet.history.write(self.option("history"))
             if self.option("keep"):
                 self.line(f"folder: {folder}")
             else:
--- a/src/willowpost/drill/script.py
+++ b/src/willowpost/drill/script.py
@@ -83,6 +83,7 @@
         self._judge_traffic()
         self._judge_read_back()
         self._judge_extra_tries()
+        self.fleet.history.judge(self.findings)
         return self.findings
 
     def _judge_traffic(self):
--- a/src/willowpost/history/registers.py
+++ b/src/willowpost/history/registers.py
@@ -29,17 +29,25 @@
         version: Its number; 0 before the first one.
         content: Its digest; None before the first one.
         accepted: Every (version, content) that was ever in force: a repeat may be acknowledged again.
+        conditions: Every (condition, content) of a conditional put that took effect.
     """
 
     version: int = NOTHING_HELD
     content: str | None = None
     accepted: frozenset = field(default_factory=frozenset)
+    conditions: frozenset = field(default_factory=frozenset)
 
-    def holding(self, version: int, content: str | None) -> "ConfigurationState":
+    def holding(
+        self, version: int, content: str | None, condition: int | None = None
+    ) -> "ConfigurationState":
         """The state after a configuration took effect."""
         if content == UNOBSERVED:
-            return ConfigurationState(version, content, self.accepted)
-        return ConfigurationState(version, content, self.accepted | {(version, content)})
+            return replace(self, version=version, content=content)
+        conditions = self.conditions
+        if condition is not None:
+            conditions = conditions | {(condition, content)}
+        accepted = self.accepted | {(version, content)}
+        return ConfigurationState(version, content, accepted, conditions)
 
 
 class ConfigurationRegister:
@@ -48,8 +56,8 @@
     - Replace: the highest number holds; a lower one is acknowledged and changes nothing. A number
       that is held is acknowledged again with the same content; with another content it may be
       refused, or answered with word that it changed nothing, but not plainly confirmed.
-    - Put: the next version; with a version, only in place of that version. A put that was accepted
-      is acknowledged again with its version, and not refused.
+    - Put: the next version; with a version, only in place of that version. A conditional put that
+      took effect is acknowledged again with its version, and not refused.
     - A refused call changes nothing. Refusal of a numbered replace above the held number, and of a
       put whose condition holds, has no explanation.
     """
@@ -113,8 +121,13 @@
             for call in before
             if call.outcome is Outcome.OK and call.answer.version is not None
         )
+        conditions = frozenset(
+            (call.request.version, call.request.content)
+            for call in before
+            if call.outcome is Outcome.OK and call.request.operation is Operation.PUT
+        )
         return [
-            ConfigurationState(version, content, accepted)
+            ConfigurationState(version, content, accepted, conditions)
             for version in sorted(versions)
             for content in sorted(contents, key=str)
         ]
@@ -129,7 +142,7 @@
             return request.version <= state.version and not same
         if request.version is None:
             return True  # whoever takes an unconditional put may find it overtaken
-        repeat = (request.version + 1, request.content) in state.accepted
+        repeat = (request.version, request.content) in state.conditions
         return request.version != state.version and not repeat
 
     def _replace(self, state, request: Request, answer: Answer):
@@ -151,7 +164,7 @@
     def _put(self, state, request: Request, answer: Answer):
         found = []
         if request.version in (None, state.version):
-            after = state.holding(state.version + 1, request.content)
+            after = state.holding(state.version + 1, request.content, request.version)
             if self._names(answer, after.version):
                 found.append(after)
         known = (answer.version, request.content) in state.accepted
--- a/src/willowpost/sim/fleet/fault_schedule.py
+++ b/src/willowpost/sim/fleet/fault_schedule.py
@@ -86,6 +86,7 @@
     "numbered",
     "late_number",
     "numbered_repeat",
+    "numbered_race",
     "change_on_return",
     "lost_acknowledgements",
     "orders_in_exchanged_order",
--- a/src/willowpost/sim/fleet/faults/operators.py
+++ b/src/willowpost/sim/fleet/faults/operators.py
@@ -91,6 +91,13 @@
         for registry in range(5):
             self.world.put_configuration(registry, version=number)
 
+    def numbered_race(self):
+        """Two operators send two configurations under one number at once; one may hold."""
+        number = self.world.version + 1
+        for registry in self.world.chance.sample(range(5), 2):
+            self._change()
+            self.world.put_configuration(registry, version=number)
+
     def change_on_return(self):
         """A change is sent to a machine as it comes back, and again and again until it answers."""
         number = self.world.chance.randrange(5)
--- a/src/willowpost/sim/fleet/operators.py
+++ b/src/willowpost/sim/fleet/operators.py
@@ -1,11 +1,10 @@
 """The operators of a simulated fleet: their orders, what they hear, and what they do then."""
 
-import json
 import random
 
 from willowpost.common.clock import MILLI, SECOND
-from willowpost.common.digest import blake2b
 from willowpost.configuration.checker import ConfigurationChecker
+from willowpost.history.content import content_of
 from willowpost.history.records import (
     CONFIGURATION_KEY,
     PURGE_KEY,
@@ -15,19 +14,13 @@
     Outcome,
     Request,
 )
+from willowpost.state.kinds import SUPERSEDED
 
 LOOK_EVERY = 10 * MILLI  # at whether an answer has come
 GIVEN_UP_AFTER = 8 * SECOND
 RESEND_AFTER = 200 * MILLI  # of an order whose acknowledgement was lost
 
 
-def content_of(tree) -> str | None:
-    """A digest of a configuration's tree; None if there is none."""
-    if tree is None:
-        return None
-    return blake2b(json.dumps(tree, sort_keys=True).encode(), digest_size=8).hexdigest()
-
-
 def request_of(op: dict) -> Request | None:
     """What an operation of the log is to a history; None if it concerns no operator's register."""
     match op["op"]:
@@ -82,7 +75,7 @@
 
     def _send(self, registry, op, accepted, request, place):
         call = self.world.history.invoke(f"operator at r{registry}", request) if request else None
-        token = self.world.ask(f"r{registry}", op)
+        token = self.world.ask(f"r{registry}", self._fenced(registry, op))
         self.world.at(
             LOOK_EVERY,
             self._look,
@@ -119,10 +112,19 @@
         answers = world.replies[token]["answers"]
         if call is not None:
             world.history.answered(call, answer_of(answers))
-        if answers is not None and answers[0]["ok"]:
+        if answers is not None and answers[0].get("why") == SUPERSEDED:
+            self._again(registry, op, accepted, request, place)
+        elif answers is not None and answers[0]["ok"]:
             self.last_acknowledged_by = registry
             accepted(answers[0])
 
+    def _fenced(self, registry, op):
+        """As a registry proposes an evacuation: it undoes nothing newer than its tables."""
+        node = self.world.seats[f"r{registry}"].node
+        if op["op"] != "zone" or node is None:
+            return op
+        return {**op, "as_of": node.registry.tables.slot}
+
     def _again(self, registry, op, accepted, request, place):
         concerned, order = place
         if self._newest[concerned] == order or op["op"] == "purge":
--- a/src/willowpost/sim/fleet/readers.py
+++ b/src/willowpost/sim/fleet/readers.py
@@ -4,6 +4,7 @@
 
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.history.checker import HistoryChecker
+from willowpost.history.content import content_of
 from willowpost.history.records import (
     CONFIGURATION_KEY,
     ZONE_PREFIX,
@@ -13,7 +14,6 @@
     Request,
 )
 from willowpost.history.search import Finding
-from willowpost.sim.fleet.operators import content_of
 
 READ_EVERY = 400 * MILLI
 LOOK_EVERY = 20 * MILLI
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -5,11 +5,17 @@
 import unittest
 from dataclasses import replace
 from pathlib import Path
+from unittest.mock import patch
 
 from cleo.application import Application
 from cleo.testers.command_tester import CommandTester
 
+from willowpost.common.clock import Clock
+from willowpost.configuration.checker import ConfigurationChecker
+from willowpost.drill.control_history import ControlHistory
+from willowpost.drill.fleet import Fleet
 from willowpost.drill.history_command import CheckHistoryCommand
+from willowpost.drill.rules import Findings
 from willowpost.history.checker import HistoryChecker, register_of
 from willowpost.history.codec import HistoryFormatError, read_history, write_history
 from willowpost.history.records import (
@@ -281,5 +287,56 @@
                 self.assertEqual(2, self.checked()[0])
 
 
+class Drills(unittest.TestCase):
+    """What a drill's operator asks and hears, with registries that are stood in for."""
+
+    def setUp(self):
+        self.history = ControlHistory(Clock())
+        self.fleet = Fleet.__new__(Fleet)
+        self.fleet.history = self.history
+        self.fleet.registries = lambda: ["one", "two"]
+        self.tree = {
+            "services": {"s": {"rate": 5}},
+            "settings": {"service": "s", "deadline_ms": 1000},
+        }
+
+    def call(self, answers, *said, **more):
+        with patch("willowpost.drill.fleet.ask", side_effect=answers):
+            self.fleet.call(*said, **more)
+
+    def put(self, *answers, match=None):
+        headers = {"If-Match": f'"{match}"'} if match is not None else None
+        self.call(answers, "PUT", "/v1/configuration", self.tree, headers)
+
+    def read(self, version, tree):
+        held = {"version": version, "configuration": tree}
+        self.call([(200, {}, held)], "GET", "/v1/configuration")
+
+    def kept(self):
+        findings = Findings()
+        self.history.judge(findings)
+        return not findings.broken
+
+    def test_orders_and_reads_are_recorded_and_explained(self):
+        held = ConfigurationChecker().check_value(self.tree).unwrap()
+        self.put(None, (200, {}, {"version": 1}))
+        self.put((412, {}, {"version": 1}), match=0)
+        self.put((422, {}, {"findings": []}))
+        self.read(1, held)
+        self.call([(200, {}, {})], "POST", "/v1/zones/b/empty")
+        self.call([(504, {}, {})], "POST", "/v1/zones/b/restore")
+        outcomes = [call.outcome for call in self.history.calls()]
+        unknown = Outcome.UNKNOWN
+        self.assertEqual([unknown, OK, REFUSED, OK, OK, unknown], outcomes)
+        self.assertEqual("zone/b", self.history.calls()[-1].request.key)
+
+    def test_a_read_of_something_else_is_caught(self):
+        self.put((200, {}, {"version": 1}))
+        self.read(1, ConfigurationChecker().check_value(self.tree).unwrap())
+        self.assertTrue(self.kept())
+        self.read(1, {"other": True})
+        self.assertFalse(self.kept())
+
+
 if __name__ == "__main__":
     unittest.main()
