--- /dev/null
+++ b/src/willowpost/sim/fleet/settling.py
@@ -0,0 +1,93 @@
+"""Planned restarts, and the end of a run: faults are closed, and all must be whole again."""
+
+from willowpost.common.clock import MILLI, SECOND
+from willowpost.node.leaver import Leave, Stage
+from willowpost.sim.world import seconds
+
+AGAIN_SECONDS = 2.0  # until the operator asks once more for what may have been lost
+SERVICE_SECONDS = 3  # in which a second's requests must be served in the end
+LOOK_EVERY = 20 * MILLI  # at whether a process has left
+
+
+class Settling:
+    """How processes are brought back, and what must hold once no fault is left; part of the world."""
+
+    def restart(self, address):
+        """A planned restart by the platform: asked to leave, waited for, started again."""
+        leaver = getattr(getattr(self.seats[address].node, "node", None), "leaver", None)
+        if leaver is None:  # a store may stop at any moment
+            self.crash(address)
+            self.at(SECOND, self.bring_back, address)
+            return
+        self.give(address, Leave())
+        self.at(LOOK_EVERY, self._left, address, leaver, self.seats[address].incarnation)
+
+    def _left(self, address, leaver, incarnation):
+        if self.seats[address].incarnation != incarnation:
+            return  # it was killed meanwhile
+        if leaver.stage is Stage.GONE:
+            self.crash(address)
+            self.at(SECOND, self.bring_back, address)
+        else:
+            self.at(LOOK_EVERY, self._left, address, leaver, incarnation)
+
+    def bring_back(self, address):
+        """Start a machine's process, unless it runs or is gone for good."""
+        seat = self.seats[address]
+        if seat.node is None and not seat.retired:
+            self.start(address)
+
+    def settle(self, span=15.0):
+        """Close every fault, and judge what must hold then.
+
+        Within `span` seconds every proxy serves again, and what was accepted stands.
+        """
+        self._close_faults()
+        closed = self.time
+        self._finish_evacuations()
+        self.run(seconds(AGAIN_SECONDS))
+        self._finish_evacuations()
+        if not self.until(self._whole, seconds(span - AGAIN_SECONDS)):
+            self.traffic.say(False, f"service not back {span} s after the fault closed")
+        self.traffic._margin("back after the fault closed, ms", (self.time - closed) // 1000)
+        self.run(seconds(5))
+        self._judge_service()
+        self.rules.finish(self, self.node_states())
+        self._judge_read_back()
+        self.readers.judge()
+
+    def _close_faults(self):
+        self.heal()
+        self.weather.drop = 0.0
+        self.operators.lost_part = 0.0
+        self.impatience = 0
+        self.rate = min(self.rate, self.usual_rate)
+        for address, seat in list(self.seats.items()):
+            seat.disk.mend()
+            seat.crash_on_write, seat.frozen_until = 0.0, min(seat.frozen_until, self.time)
+            self.bring_back(address)
+
+    def _finish_evacuations(self):
+        """An operator whose earlier answer was lost asks again."""
+        for zone in self.shape.zones:
+            self.empty_zone(0, zone, False)
+
+    def _whole(self):
+        up = all(seat.node is not None for seat in self.seats.values() if not seat.retired)
+        return up and len(self.sound_edges()) == len(self.edges)
+
+    def _judge_service(self):
+        since = self.time - seconds(SERVICE_SECONDS)
+        served = sum(moment > since for moment, _ in self.traffic.served)
+        self.traffic.say(
+            served > self.rate, f"only {served} served in the last {SERVICE_SECONDS} s"
+        )
+
+    def _judge_read_back(self):
+        versions = {
+            self.seats[name].node.registry.tables.configuration["version"]
+            for name in self.registries
+        }
+        self.traffic.say(
+            min(versions) >= self.version, f"read back {versions}, accepted {self.version}"
+        )
--- a/src/willowpost/sim/fleet/world.py
+++ b/src/willowpost/sim/fleet/world.py
@@ -1,30 +1,35 @@
-"""A whole fleet in the simulator: the core, registries, edges, shields, origins, callers.
-
-Operators.
-"""
+"""A whole fleet in the simulator: core, registries, edges, shields, origins, callers, operators."""
 
 import copy
 
-from willowpost.common.clock import MILLI, SECOND
 from willowpost.history.recorder import HistoryRecorder
-from willowpost.node.leaver import Leave, Stage
-from willowpost.node.node_state import Card
 from willowpost.sim.core import CoreWorld
 from willowpost.sim.fleet.callers import CallerActions
 from willowpost.sim.fleet.messages import SimAnswer, SimRequest
-from willowpost.sim.fleet.nodes import SimProxy, SimRegistry
 from willowpost.sim.fleet.operators import OperatorActions, Operators
-from willowpost.sim.fleet.outside import SimCaller, SimOrigin
+from willowpost.sim.fleet.outside import SimCaller
 from willowpost.sim.fleet.readers import Readers
 from willowpost.sim.fleet.rules import TrafficRules
+from willowpost.sim.fleet.seats import SeatBuilders
+from willowpost.sim.fleet.settling import Settling
 from willowpost.sim.fleet.shape import SMALL
 from willowpost.sim.world import Weather, seconds
 
 
-class FleetWorld(OperatorActions, CallerActions, CoreWorld):
-    """Invariant: operators' answers, callers' answers and origins' logs all go through `traffic`.
+class FleetWorld(SeatBuilders, Settling, OperatorActions, CallerActions, CoreWorld):
+    """One fleet on one virtual clock.
+
+    Invariant: operators' answers, callers' answers and origins' logs all go through `traffic`, which
+    checks them.
 
-    Which checks them.
+    Attributes:
+        traffic: The rules of requests and orders.
+        history: All calls of operators and readers.
+        shape: What stands where, and what callers ask.
+        rate: Requests a second now; `usual_rate` without a burst.
+        polite: Address of an origin that was given away -> whether it waits until it is in force.
+        seed_names: What starting processes are told of others; empty: the first three stores.
+        version: The newest configuration that an operator knows to be accepted.
     """
 
     def __init__(self, seed, weather=None, rate=None, regions=None, shape=SMALL, **core):
@@ -112,58 +117,6 @@
     def service_of(self, path):
         return self.services["/" + path.split("/")[1]]
 
-    def _add(self, address, zone, build):
-        self.add(address, build, self.regions.get(zone, "one"))
-        return address
-
-    def _registry(self, number, zone):
-        address = f"r{number}"
-        return self._add(
-            address,
-            zone,
-            lambda records, now, wall, incarnation: SimRegistry(
-                self,
-                self.seats[address],
-                Card(
-                    f"{address}/registry",
-                    "registry",
-                    "core",
-                    f"s{number}",
-                    zone,
-                    address,
-                    address,
-                    incarnation,
-                ),
-                self.seeds(address),
-                wall,
-            ),
-        )
-
-    def _proxy(self, address, role, zone):
-        return self._add(
-            address,
-            zone,
-            lambda records, now, wall, incarnation: SimProxy(
-                self,
-                self.seats[address],
-                Card(
-                    f"{address}/proxy", "proxy", role, address, zone, address, address, incarnation
-                ),
-                self.seeds(address),
-                wall,
-            ),
-        )
-
-    def _origin(self, address, service, zone, rate):
-        self.homes = {**getattr(self, "homes", {}), address: service}
-        return self._add(
-            address,
-            zone,
-            lambda records, now, wall, incarnation: SimOrigin(
-                self, self.seats[address], self.homes[address], zone, rate, self.registries
-            ),
-        )
-
     def zone_seats(self, zone):
         """Every machine of a zone: stores with their registries, proxies and origins."""
         stores = [name for name in self.names if self.zones[name] == zone]
@@ -191,31 +144,6 @@
         self.at(0, self._call)
         self.run(seconds(2))
 
-    def restart(self, address):
-        """A planned restart by the platform: asked to leave, waited for, started again."""
-        leaver = getattr(getattr(self.seats[address].node, "node", None), "leaver", None)
-        if leaver is None:  # a store may stop at any moment
-            self.crash(address)
-            self.at(SECOND, self.bring_back, address)
-            return
-        self.give(address, Leave())
-        self.at(20 * MILLI, self._left, address, leaver, self.seats[address].incarnation)
-
-    def _left(self, address, leaver, incarnation):
-        if self.seats[address].incarnation != incarnation:
-            return  # it was killed meanwhile
-        if leaver.stage is Stage.GONE:
-            self.crash(address)
-            self.at(SECOND, self.bring_back, address)
-        else:
-            self.at(20 * MILLI, self._left, address, leaver, incarnation)
-
-    def bring_back(self, address):
-        """Start a machine's process, unless it runs or is gone for good."""
-        seat = self.seats[address]
-        if seat.node is None and not seat.retired:
-            self.start(address)
-
     def node_states(self):
         return [
             (seat, seat.node.node_state)
@@ -227,42 +155,3 @@
         return [
             name for name, seat in self.seats.items() if name.startswith("s") and not seat.retired
         ]
-
-    def settle(self, span=15.0):
-        """Faults are closed: within 15 s every proxy delivers again, and what was accepted stands."""
-        self.heal()
-        self.weather.drop = 0.0
-        self.operators.lost_part = 0.0
-        self.impatience = 0
-        self.rate = min(self.rate, self.usual_rate)
-        for address, seat in list(self.seats.items()):
-            seat.disk.mend()
-            seat.crash_on_write, seat.frozen_until = 0.0, min(seat.frozen_until, self.time)
-            if seat.node is None and not seat.retired:
-                self.start(address)
-        closed = self.time
-        for zone in self.shape.zones:  # an operator whose earlier answer was lost asks again
-            self.empty_zone(0, zone, False)
-
-        def whole():
-            return len(self.sound_edges()) == len(self.edges)
-
-        self.run(seconds(2))
-        for zone in self.shape.zones:
-            self.empty_zone(0, zone, False)
-        if not self.until(whole, seconds(span - 2)):
-            self.traffic.say(False, f"service not back {span} s after the fault closed")
-        self.traffic._margin("back after the fault closed, ms", (self.time - closed) // 1000)
-        self.run(seconds(5))
-        served = [edge for moment, edge in self.traffic.served if moment > self.time - seconds(3)]
-        self.traffic.say(len(served) > self.rate, f"only {len(served)} served in the last 3 s")
-        self.rules.finish(self, self.node_states())
-        versions = {
-            seat.node.registry.tables.configuration["version"]
-            for name, seat in self.seats.items()
-            if name in self.registries
-        }
-        self.traffic.say(
-            min(versions) >= self.version, f"read back {versions}, accepted {self.version}"
-        )
-        self.readers.judge()
