--- a/src/willowpost/sim/fleet/faults/machines.py
+++ b/src/willowpost/sim/fleet/faults/machines.py
@@ -3,6 +3,7 @@
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.sim.fleet.faults.base import FaultSteps
 
+SLOW_STEP = 3 * MILLI
 NEWCOMERS = 2  # core machines that are replaced in one run, at most
 
 
@@ -97,6 +98,20 @@
         for name in self._core_machine(self.world.operators.last_acknowledged_by):
             self.world.freeze(name, span)
 
+    def machine_slow(self):
+        """A machine runs slowly: each step of its processes takes some milliseconds."""
+        names = self._machine() if self._core_is_hit() else [self._one(self.world.edges)]
+        for name in names:
+            seat = self.world.seats[name]
+            seat.step_span = SLOW_STEP
+            self.world.at(self._span(1, 5), self._quick, seat)
+
+    def _quick(self, seat):
+        seat.step_span = 0
+
+    def _core_is_hit(self):
+        return self.world.chance.random() < 0.5
+
     def rolling_restart(self):
         """Proxies and registries are stopped as planned, one after the other, and start again.
 
--- a/src/willowpost/sim/fleet/faults/origins.py
+++ b/src/willowpost/sim/fleet/faults/origins.py
@@ -3,6 +3,8 @@
 from willowpost.common.clock import SECOND
 from willowpost.sim.fleet.faults.base import FaultSteps
 
+NEW_ORIGINS = 2  # in one run, at most
+
 
 class OriginFaults(FaultSteps):
     """Origins end, drain, answer badly, and their addresses are given away."""
@@ -73,6 +75,14 @@
         self._later(4 * SECOND, self._kill, [name])
         self.world.at(self._span(4.1, 5), self.world.bring_back, name)
 
+    def scale_out(self):
+        """A service gets one more origin, cold, in any zone."""
+        added = len(self.world.origins) - sum(map(len, self.world.shape.origins.values()))
+        if added < NEW_ORIGINS:
+            service = self._one(sorted(self.world.shape.origins))
+            zone, rate = self._one(self.world.shape.origins[service])
+            self.world.add_origin(f"{service}{len(self.world.origins)}", service, zone, rate)
+
     def answers_twice(self):
         """An origin sends a second copy of each answer."""
         seat = self.world.seats[self._one(self.world.origins)]
--- a/src/willowpost/sim/fleet/seats.py
+++ b/src/willowpost/sim/fleet/seats.py
@@ -59,3 +59,7 @@
                 self, self.seats[address], self.homes[address], zone, rate, self.registries
             ),
         )
+
+    def add_origin(self, address, service, zone, rate):
+        """One more origin starts while the fleet runs."""
+        self.origins.append(self._origin(address, service, zone, rate))
--- a/src/willowpost/sim/fleet/settling.py
+++ b/src/willowpost/sim/fleet/settling.py
@@ -64,6 +64,7 @@
         self.rate = min(self.rate, self.usual_rate)
         for address, seat in list(self.seats.items()):
             seat.disk.mend()
+            seat.step_span = 0
             seat.crash_on_write, seat.frozen_until = 0.0, min(seat.frozen_until, self.time)
             self.bring_back(address)
 
--- a/src/willowpost/sim/seat.py
+++ b/src/willowpost/sim/seat.py
@@ -37,8 +37,10 @@
     retired: bool = False  # the machine is gone for good
     pending_write: object = None  # the plan whose records a slow or stalled disk is writing
     written_at: int = 0  # when that write ends
+    step_span: int = 0  # how long a step takes on a machine that runs slowly, in µs
+    busy_until: int = 0  # when such a step ends
 
     def held_until(self, time: int) -> int:
-        """When the node takes its next step: now, or after a freeze or a slow write."""
+        """When the node takes its next step: now, or after a freeze, a slow step or write."""
         written = max(self.written_at, time) + 1 if self.pending_write is not None else 0
-        return max(self.frozen_until, written, time)
+        return max(self.frozen_until, self.busy_until, written, time)
--- a/src/willowpost/sim/world.py
+++ b/src/willowpost/sim/world.py
@@ -129,6 +129,7 @@
             )
             return
         plan = seat.node.step(event, self.now(seat))
+        seat.busy_until = self.time + seat.step_span if seat.step_span else 0
         self._carry(seat, event, plan)
 
     def _late(self, address, incarnation, event):
