--- a/src/willowpost/sim/fleet/settling.py
+++ b/src/willowpost/sim/fleet/settling.py
@@ -1,7 +1,7 @@
 """Planned restarts, and the end of a run: faults are closed, and all must be whole again."""
 
 from willowpost.common.clock import MILLI, SECOND
-from willowpost.node.leaver import Leave, Stage
+from willowpost.node.leaver import Leave
 from willowpost.sim.world import seconds
 
 AGAIN_SECONDS = 2.0  # until the operator asks once more for what may have been lost
@@ -14,8 +14,9 @@
 
     def restart(self, address):
         """A planned restart by the platform: asked to leave, waited for, started again."""
-        leaver = getattr(getattr(self.seats[address].node, "node", None), "leaver", None)
-        if leaver is None:  # a store may stop at any moment
+        node = self.seats[address].node
+        leaver = getattr(getattr(node, "node", node), "leaver", None)
+        if leaver is None:  # it is down
             self.crash(address)
             self.at(SECOND, self.bring_back, address)
             return
@@ -25,7 +26,7 @@
     def _left(self, address, leaver, incarnation):
         if self.seats[address].incarnation != incarnation:
             return  # it was killed meanwhile
-        if leaver.stage is Stage.GONE:
+        if leaver.gone:
             self.crash(address)
             self.at(SECOND, self.bring_back, address)
         else:
