--- a/src/willowpost/sim/fleet/faults/disks.py
+++ b/src/willowpost/sim/fleet/faults/disks.py
@@ -9,6 +9,7 @@
     """Torn, slow, stalled and full disks, and folder entries that were not synced."""
 
     def tear(self):
+        """A store dies in some of its writes from now on."""
         self.world.seats[self._one(self.world.stores())].crash_on_write = 0.02
 
     def disk_slow(self):
--- a/src/willowpost/sim/fleet/faults/machines.py
+++ b/src/willowpost/sim/fleet/faults/machines.py
@@ -11,27 +11,34 @@
     """Whole machines, or single processes of them."""
 
     def kill_store(self):
+        """A store dies."""
         self._kill([self._one(self.world.stores())])
 
     def kill_registry(self):
+        """A registry dies."""
         self._kill([self._one(self.world.registries)])
 
     def kill_proxy(self):
+        """An edge dies."""
         self._kill([self._one(self.world.edges)])
 
     def kill_shield(self):
+        """A shield dies."""
         self._kill([self._one(self.world.shields)])
 
     def kill_edges(self):
+        """All edges die."""
         self._kill(self.world.edges)
 
     def kill_stores(self):
+        """All stores die at once and start again."""
         up = self._up(self.world.stores())
         self._kill(up)
         for name in up:
             self.world.start(name)
 
     def dark_zone(self):
+        """A zone loses power: nothing refuses connections for its machines."""
         names = self._up(self.world.zone_seats(self._one("abcd")))
         self._kill(names)
         for name in names:
@@ -78,6 +85,7 @@
             world.add_store(name, name, zone)
 
     def freeze(self):
+        """A core machine, an edge or a shield stands still."""
         names = (
             self._machine()
             if self.world.chance.random() < 0.4
@@ -88,6 +96,7 @@
             self.world.freeze(name, span)
 
     def jump(self):
+        """The wall clock of a machine jumps."""
         self.world.seats[self._one(self.world.seats)].wall_skew = self.world.chance.randrange(
             -(10**10), 10**10
         )
--- a/src/willowpost/sim/fleet/faults/network.py
+++ b/src/willowpost/sim/fleet/faults/network.py
@@ -8,16 +8,19 @@
     """A new cut takes the place of the last one."""
 
     def cut_zone(self):
+        """A zone is cut off from all others."""
         inside = set(self.world.zone_seats(self._one("abcd")))
         self.world.heal()
         self.world.cut(sorted(inside), sorted(set(self.world.seats) - inside))
 
     def split_core(self):
+        """Two stores are cut off from all others."""
         side = set(self.world.chance.sample(self.world.stores(), 2))
         self.world.heal()
         self.world.cut(sorted(side), sorted(set(self.world.seats) - side))
 
     def isolate(self):
+        """A core machine or an edge is cut off."""
         alone = (
             set(self._machine())
             if self.world.chance.random() < 0.5
@@ -43,6 +46,7 @@
         }
 
     def lossy(self):
+        """Every link loses some messages."""
         self.world.weather.drop = 0.08
 
     def core_one_way(self):
--- a/src/willowpost/sim/fleet/faults/operators.py
+++ b/src/willowpost/sim/fleet/faults/operators.py
@@ -17,12 +17,14 @@
     """Orders that race, repeat, overtake each other, or are not acknowledged."""
 
     def configuration(self):
+        """A changed configuration."""
         self.world.configuration["settings"]["deadline_ms"] = 1500 + self.world.chance.randrange(
             1000
         )
         self.world.put_configuration(self._registry())
 
     def race(self):
+        """Three changes at once, at three registries."""
         for registry in range(3):
             self.world.configuration["settings"]["deadline_ms"] = (
                 1500 + self.world.chance.randrange(1000)
@@ -30,23 +32,29 @@
             self.world.put_configuration(registry)
 
     def purge(self):
+        """A purge."""
         self.world.purge(self._registry())
 
     def purges(self):
+        """Twenty purges at once."""
         for _ in range(20):
             self.world.purge(self._registry())
 
     def replace(self):
+        """The content changes without notice."""
         self.world.traffic.replace()
 
     def empty(self):
+        """A zone's evacuation begins."""
         self.world.empty_zone(self._registry(), self._one("abcd"), True)
 
     def restore(self):
+        """All evacuations are finished."""
         for zone in list(self.world.traffic.emptied):
             self.world.empty_zone(self._registry(), zone, False)
 
     def fault_schedule_of_purges(self):
+        """Sixty purges of single items."""
         for number in range(60):
             self.world.operate(
                 number % 5,
--- a/src/willowpost/sim/fleet/faults/origins.py
+++ b/src/willowpost/sim/fleet/faults/origins.py
@@ -10,19 +10,23 @@
     """Origins end, drain, answer badly, and their addresses are given away."""
 
     def origin_down(self):
+        """An origin dies."""
         self._kill([self._one(self.world.origins)])
 
     def origin_mode(self):
+        """An origin loses, breaks off or delays its answers, or is sound again."""
         seat = self.world.seats[self._one(self.world.origins)]
         if seat.node is not None:
             seat.node.mode = self.world.chance.choice(["lost", "short", "slow", "sound"])
 
     def origin_back(self):
+        """All origins that are down start."""
         for name in self.world.origins:
             if self.world.seats[name].node is None:
                 self.world.start(name)
 
     def drain(self):
+        """An origin says that it leaves."""
         self.world.drain_origin(self._registry(), self._one(self.world.origins))
 
     def move_address(self):
@@ -37,6 +41,7 @@
         self.world.start(name)
 
     def service_down(self):
+        """All origins of a service die."""
         service = self._one(["art", "apps"])
         self._kill([name for name in self.world.origins if self.world.homes[name] == service])
 
--- a/src/willowpost/sim/fleet/rules.py
+++ b/src/willowpost/sim/fleet/rules.py
@@ -50,28 +50,45 @@
     # what origins see
 
     def at_origin(self, origin, source, asked, path):
-        now, address = self.world.time, origin.seat.address
-        wanted = self.world.service_of(path)
+        """Judge a request as it reaches an origin."""
+        now = self.world.time
         self.world.arrivals[origin.service].append(now)
         self._extra_tries(dict(asked.headers)["x-ask"], now)
+        wanted = self.world.service_of(path)
         if wanted != origin.service:
-            # The new service took its caller before we could know of it. See promises.md: it should
-            # listen only when told.
-            learned = self.moved.get((address, origin.service))
-            self.say(
-                not self.world.polite.get(address)
-                and not origin.token
-                and (learned is None or now <= learned + GRACE + ROUTE),
-                f"{path} of service {wanted} reached {address} of service {origin.service}",
-            )
-            self._margin("address moved rudely, ms", now - learned if learned else 0)
-            if asked.body:
-                self.runs[asked.body] += 1
+            self._judge_stray(origin, asked, path, wanted, now)
             return
+        self._judge_write(asked)
+        self._judge_leaving(origin, now)
+        self._judge_evacuated(origin, now)
+        self._judge_service_rate(origin, now)
+        self._judge_origin_rate(origin, now)
+
+    def _judge_stray(self, origin, asked, path, wanted, now):
+        """The new service took its caller before we could know of it.
+
+        See promises.md: it should listen only when told.
+        """
+        address = origin.seat.address
+        learned = self.moved.get((address, origin.service))
+        self.say(
+            not self.world.polite.get(address)
+            and not origin.token
+            and (learned is None or now <= learned + GRACE + ROUTE),
+            f"{path} of service {wanted} reached {address} of service {origin.service}",
+        )
+        self._margin("address moved rudely, ms", now - learned if learned else 0)
+        if asked.body:
+            self.runs[asked.body] += 1
+
+    def _judge_write(self, asked):
         if asked.body:
             self.runs[asked.body] += 1
             self.say(self.runs[asked.body] == 1, f"write {asked.body} ran twice")
             self.say(asked.body not in self.not_run, f"write {asked.body} ran after not-run")
+
+    def _judge_leaving(self, origin, now):
+        address = origin.seat.address
         left = self.leaving.get(address)
         if left is not None and left[1] == origin.seat.incarnation:
             self._margin("leaving origin, ms", now - left[0])
@@ -79,12 +96,16 @@
                 now <= left[0] + GRACE + ROUTE,
                 f"{address} got a request {(now - left[0]) / SECOND:.2f} s after it left",
             )
+
+    def _judge_evacuated(self, origin, now):
         emptied = self.emptied.get(origin.zone)
         if emptied is not None:
             self.say(
                 now <= emptied + ZONE_GRACE + ROUTE,
                 f"emptied zone {origin.zone} got a request after 5 s",
             )
+
+    def _judge_service_rate(self, origin, now):
         pressed = self.pressed.setdefault(origin.service, deque())
         self._window(pressed, now, 5 * SECOND)
         rate = self.world.rates[origin.service]
@@ -93,6 +114,9 @@
             len(pressed) <= 1.1 * rate * 5 + 1,
             f"service {origin.service} got {len(pressed)} in 5 s at rate {rate}",
         )
+
+    def _judge_origin_rate(self, origin, now):
+        address = origin.seat.address
         own = self.per_origin.setdefault((address, origin.seat.incarnation), deque())
         self._window(own, now, SECOND)
         part = min(1.0, (now - origin.born_at) / SECOND / self.world.ramp)
