One number, one content is judged strictly; bounded kinds each tested; protections off are caught

An acknowledgement of another content under the held number was allowed if it said that it changed nothing; its sender hears yes all the same, so it has no explanation now. With the log's protection switched off two contents under one number, and a conditional change that overwrites another, are caught by the history.

--- a/src/willowpost/history/registers.py
+++ b/src/willowpost/history/registers.py
@@ -54,8 +54,7 @@
     """The control register: numbered replace, conditional and unconditional put, read.
 
     - Replace: the highest number holds; a lower one is acknowledged and changes nothing. A number
-      that is held is acknowledged again with the same content; with another content it may be
-      refused, or answered with word that it changed nothing, but not plainly confirmed.
+      that is held is acknowledged again with the same content, and with no other.
     - Put: the next version; with a version, only in place of that version. A conditional put that
       took effect is acknowledged again with its version, and not refused.
     - A refused call changes nothing. Refusal of a numbered replace above the held number, and of a
@@ -152,8 +151,7 @@
             return (after,) if self._names(answer, after.version) else ()
         if answer.outcome is Outcome.UNKNOWN:
             return ()
-        other = request.version == state.version and request.content != state.content
-        if other and answer.changed is not False:
+        if request.version == state.version and request.content != state.content:
             return ()
         repeat = (request.version, request.content) in state.accepted
         held = answer.version in (None, state.version) or (
--- a/tests/test_fault_kinds.py
+++ b/tests/test_fault_kinds.py
@@ -2,14 +2,17 @@
 
 import random
 import unittest
+from unittest.mock import patch
 
 from willowpost.common.events import Received, Tick
 from willowpost.common.plan import Plan
 from willowpost.sim.disk import SimDisk
+from willowpost.sim.fleet.bounded_faults import BoundedFaultSchedule
 from willowpost.sim.fleet.fault_schedule import FURTHER_KINDS, FleetFaultSchedule
 from willowpost.sim.fleet.world import FleetWorld
 from willowpost.sim.rules import Broken
 from willowpost.sim.world import World, seconds
+from willowpost.state.apply.configurations import _accepted
 
 
 class Alone(unittest.TestCase):
@@ -30,6 +33,44 @@
     add(number)
 
 
+class AtThePeak(unittest.TestCase):
+    """What a shipped deployment must bear, at a part of its peak so that each stays short."""
+
+    def holds(self, kind):
+        found = BoundedFaultSchedule(5, "invitations", (kind,), 1, part=0.1, every=True).run()
+        self.assertLessEqual(found.faults[0].refused, found.faults[0].handful)
+
+    def test_the_last_acknowledger_frozen(self):
+        self.holds("core_machine_frozen")
+
+    def test_a_core_machine_that_is_not_heard(self):
+        self.holds("core_machine_one_way")
+
+    def test_power_lost_after_a_change(self):
+        self.holds("core_machine_loses_power_after_change")
+
+    def test_a_slow_disk(self):
+        self.holds("disk_slow")
+
+    def test_a_stalled_disk(self):
+        self.holds("disk_stalled")
+
+    def test_other_seeds_read_again(self):
+        self.holds("settings_reloaded")
+
+    def test_an_origin_gone_soon_after_its_notice(self):
+        self.holds("spot_removal")
+
+    def test_an_address_in_another_service(self):
+        self.holds("address_reused")
+
+    def test_acknowledgements_lost(self):
+        self.holds("acknowledgements_lost")
+
+    def test_two_operators_at_once(self):
+        self.holds("orders_race")
+
+
 class Histories(unittest.TestCase):
     def test_a_registry_that_reads_its_tables_without_a_quorum_is_caught(self):
         """A registry is cut off; its readers are answered from what it holds."""
@@ -65,6 +106,26 @@
         with self.assertRaisesRegex(Broken, "history of zone has no explanation"):
             world.readers.judge()
 
+    def test_two_contents_confirmed_under_one_number_are_caught(self):
+        def confirmed(tables, refusal):
+            return tables, {"ok": True, "version": tables.configuration["version"]}
+
+        with (
+            patch("willowpost.state.apply.configurations._refused", confirmed),
+            self.assertRaisesRegex(Broken, "history of configuration has no explanation"),
+        ):
+            FleetFaultSchedule(1, only=("numbered_race",), rounds=4, every=True).run()
+
+    def test_a_conditional_change_that_overwrites_another_is_caught(self):
+        def always(tables, proposal):
+            return _accepted(tables, proposal, tables.configuration["version"] + 1)
+
+        with (
+            patch("willowpost.state.apply.configurations._with_the_next_version", always),
+            self.assertRaisesRegex(Broken, "history of configuration has no explanation"),
+        ):
+            FleetFaultSchedule(1, only=("conditional_race",), rounds=4, every=True).run()
+
     def test_a_lost_acknowledgement_is_sent_again_to_another_registry(self):
         world = FleetWorld(4)
         world.open()
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -213,6 +213,17 @@
 
         self.caught(inject, CONFIGURATION_KEY)
 
+    def test_another_content_under_the_held_number_said_to_change_nothing(self):
+        def inject(maker):
+            number = maker.version + 10
+            for content, changed in (("one", True), ("two", False)):
+                request = Request(Operation.REPLACE, CONFIGURATION_KEY, number, content)
+                answer = Answer(OK, number, changed=changed)
+                maker.certain(lambda request=request, answer=answer: maker.call(request, answer))
+            maker.hold(number, "one")
+
+        self.caught(inject, CONFIGURATION_KEY)
+
     def test_confirmed_and_lost(self):
         def inject(maker):
             before = maker.version, maker.content
