--- a/src/willowpost/sim/fleet/operators.py
+++ b/src/willowpost/sim/fleet/operators.py
@@ -1,6 +1,7 @@
 """The operators of a simulated fleet: their orders, what they hear, and what they do then."""
 
 import random
+from dataclasses import dataclass
 
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.configuration.checker import ConfigurationChecker
@@ -47,6 +48,40 @@
     return Answer(outcome, held.get("version"), changed=held.get("changed"))
 
 
+@dataclass(frozen=True, slots=True)
+class _Order:
+    """What an operator wants, whoever it is sent to.
+
+    Attributes:
+        op: The operation of the log.
+        accepted: Called with the log's answer if it is accepted and the operator hears of it.
+        concerned: What it is about; a newer order about the same makes it pointless.
+        number: Counts the orders about `concerned`.
+    """
+
+    op: dict
+    accepted: object
+    concerned: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Sending:
+    """One sending of an order.
+
+    Attributes:
+        call: Its number in the history; None if the order concerns no register.
+        token: Under which the registry's command client answers.
+        sent_at: In µs of the world's time.
+    """
+
+    order: _Order
+    registry: int
+    call: int | None
+    token: int
+    sent_at: int
+
+
 class Operators:
     """Sends orders to registries, and tells the rules what was accepted.
 
@@ -64,59 +99,49 @@
         self.chance = random.Random(f"operators {seed}")
         self.lost_part = 0.0
         self.last_acknowledged_by = 0
-        self._newest: dict[str, int] = {}  # what an order concerns -> the newest order of it
+        self._newest: dict[str, int] = {}  # what an order concerns -> the newest order's number
 
     def order(self, registry: int, op: dict, accepted) -> None:
         """Send an operation; `accepted` is called with the log's answer if that is heard."""
-        request = request_of(op)
         concerned = f"{op['op']}/{op.get('zone', '')}"
-        self._newest[concerned] = order = self._newest.get(concerned, 0) + 1
-        self._send(registry, op, accepted, request, (concerned, order))
-
-    def _send(self, registry, op, accepted, request, place):
-        call = self.world.history.invoke(f"operator at r{registry}", request) if request else None
-        token = self.world.ask(f"r{registry}", self._fenced(registry, op))
-        self.world.at(
-            LOOK_EVERY,
-            self._look,
-            token,
-            call,
-            registry,
-            op,
-            accepted,
-            request,
-            place,
-            self.world.time,
-        )
+        number = self._newest.get(concerned, 0) + 1
+        self._newest[concerned] = number
+        self._send(_Order(op, accepted, concerned, number), registry)
 
-    def _look(self, token, call, registry, op, accepted, request, place, since):
+    def _send(self, order: _Order, registry: int):
         world = self.world
-        if token not in world.replies:
-            if world.time - since < GIVEN_UP_AFTER:
-                world.at(
-                    LOOK_EVERY,
-                    self._look,
-                    token,
-                    call,
-                    registry,
-                    op,
-                    accepted,
-                    request,
-                    place,
-                    since,
-                )
-            return
+        request = request_of(order.op)
+        call = world.history.invoke(f"operator at r{registry}", request) if request else None
+        token = world.ask(f"r{registry}", self._fenced(registry, order.op))
+        world.at(LOOK_EVERY, self._look, _Sending(order, registry, call, token, world.time))
+
+    def _look(self, sending: _Sending):
+        world = self.world
+        if sending.token in world.replies:
+            self._hear(sending, world.replies[sending.token]["answers"])
+        elif world.time - sending.sent_at < GIVEN_UP_AFTER:
+            world.at(LOOK_EVERY, self._look, sending)
+
+    def _hear(self, sending: _Sending, answers):
         if self.lost_part and self.chance.random() < self.lost_part:
-            world.at(RESEND_AFTER, self._again, registry, op, accepted, request, place)
+            self.world.at(RESEND_AFTER, self._again, sending)
             return
-        answers = world.replies[token]["answers"]
-        if call is not None:
-            world.history.answered(call, answer_of(answers))
-        if answers is not None and answers[0].get("why") == SUPERSEDED:
-            self._again(registry, op, accepted, request, place)
-        elif answers is not None and answers[0]["ok"]:
-            self.last_acknowledged_by = registry
-            accepted(answers[0])
+        if sending.call is not None:
+            self.world.history.answered(sending.call, answer_of(answers))
+        if answers is None:
+            return
+        if answers[0]["ok"]:
+            self.last_acknowledged_by = sending.registry
+            sending.order.accepted(answers[0])
+        elif answers[0].get("why") == SUPERSEDED:
+            self._again(sending)
+
+    def _again(self, sending: _Sending):
+        order = sending.order
+        if self._newest[order.concerned] == order.number or order.op["op"] == "purge":
+            others = len(self.world.registries) - 1
+            step = 1 + self.chance.randrange(others)
+            self._send(order, (sending.registry + step) % len(self.world.registries))
 
     def _fenced(self, registry, op):
         """As a registry proposes an evacuation: it undoes nothing newer than its tables."""
@@ -125,12 +150,6 @@
             return op
         return {**op, "as_of": node.registry.tables.slot}
 
-    def _again(self, registry, op, accepted, request, place):
-        concerned, order = place
-        if self._newest[concerned] == order or op["op"] == "purge":
-            other = (registry + 1 + self.chance.randrange(4)) % len(self.world.registries)
-            self._send(other, op, accepted, request, place)
-
 
 class OperatorActions:
     """The orders that schedules and tests give, as a part of the world."""
