--- a/src/willowpost/drill/tools.py
+++ b/src/willowpost/drill/tools.py
@@ -137,6 +137,7 @@
             flag=False,
             default="invitations",
         ),
+        option("every", None, "Every kind of fault that the schedules know (fleet, bounded)."),
         option("trace", None, "Print what was done in each run."),
         option(
             "go-on",
@@ -170,8 +171,14 @@
             fault_schedule = {
                 "core": lambda: CoreFaultSchedule(seed),
                 "replacements": lambda: ReplacementFaultSchedule(seed, voters=5 if seed % 2 else 3),
-                "fleet": lambda: FleetFaultSchedule(seed, wide=self.option("wide"), **far),
-                "bounded": lambda: BoundedFaultSchedule(seed, self.option("deployment")),
+                "fleet": lambda: FleetFaultSchedule(
+                    seed, wide=self.option("wide"), every=self.option("every"), **far
+                ),
+                "bounded": lambda: BoundedFaultSchedule(
+                    seed,
+                    self.option("deployment"),
+                    **({"every": True} if self.option("every") else {}),
+                ),
             }[self.argument("what")]()
             rule = self._run(fault_schedule, seed)
             for name, value in getattr(
--- a/src/willowpost/sim/fleet/bounded_faults.py
+++ b/src/willowpost/sim/fleet/bounded_faults.py
@@ -1,12 +1,13 @@
-"""The calm fault schedule: a deployment in its rush, hit only by what it must bear.
+"""The bounded fault schedule: a deployment at its peak, hit only by what it must bear.
 
-One thing at a time; and refusals are counted.
+One fault at a time; and refusals are counted.
 """
 
 from dataclasses import dataclass
 from itertools import permutations
 
 from willowpost.common.clock import MILLI
+from willowpost.sim.fleet.faults.bounded import BoundedFaultKinds
 from willowpost.sim.fleet.shape import shipped
 from willowpost.sim.fleet.world import FleetWorld
 from willowpost.sim.world import Weather, seconds
@@ -33,14 +34,20 @@
         return max(FEWEST, self.asked // ONE_IN)
 
 
-class BoundedFaultSchedule:
+class BoundedFaultSchedule(BoundedFaultKinds):
     """Invariant: run() raises Broken when a rule breaks or a fault costs more than a handful.
 
     Or drops what it may not.
     """
 
     def __init__(
-        self, seed: int, deployment: str, only=None, rounds: int = ROUNDS, part: float = 1.0
+        self,
+        seed: int,
+        deployment: str,
+        only=None,
+        rounds: int = ROUNDS,
+        part: float = 1.0,
+        every: bool = False,
     ):
         self.shape, regions, between = shipped(deployment)
         far = {
@@ -69,6 +76,23 @@
             self.home_dies,
             self.release,
         )
+        # seeds were recorded without these
+        kinds += (
+            (
+                self.core_machine_frozen,
+                self.core_machine_one_way,
+                self.core_machine_loses_power_after_change,
+                self.disk_slow,
+                self.disk_stalled,
+                self.settings_reloaded,
+                self.spot_removal,
+                self.address_reused,
+                self.acknowledgements_lost,
+                self.orders_race,
+            )
+            if every
+            else ()
+        )
         self.kinds = [kind for kind in kinds if only is None or kind.__name__ in only]
         self.rounds = rounds
         self.faults: list[Fault] = []
@@ -116,97 +140,3 @@
         for name, seat in list(world.seats.items()):
             if seat.node is None and not seat.retired:
                 world.start(name)
-
-    def _die(self, names, dark=False):
-        for name in names:
-            self.world.crash(name)
-            self.world.seats[name].dark = dark
-        return True
-
-    def _machine(self):
-        number = self.world.chance.randrange(5)
-        return [
-            name for name in (f"s{number}", f"r{number}", f"h{number}") if name in self.world.seats
-        ]
-
-    def _zone(self):
-        return self.world.chance.choice(self.shape.zones)
-
-    def _cut(self, names):
-        self.world.cut(names, [name for name in self.world.seats if name not in names])
-        return True
-
-    # what the fleet must bear
-
-    def core_machine_dies(self):
-        return self._die(self._machine())
-
-    def core_machine_dark(self):
-        return self._die(self._machine(), dark=True)
-
-    def core_machine_cut(self):
-        return self._cut(self._machine())
-
-    def zone_dies(self):
-        return self._die(self.world.zone_seats(self._zone()))
-
-    def zone_dark(self):
-        return self._die(self.world.zone_seats(self._zone()), dark=True)
-
-    def zone_cut(self):
-        return self._cut(self.world.zone_seats(self._zone()))
-
-    def daemon_dies(self):
-        return self._die(
-            [
-                self.world.chance.choice(
-                    self.world.names + self.world.registries + self.world.edges + self.world.shields
-                )
-            ]
-        )
-
-    def disk_lost(self):
-        name = self.world.chance.choice(self.world.names)
-        self.world.crash(name, lose_disk=True)
-        self.world.start(name)
-        return False
-
-    def zone_emptied(self):
-        zone = self._zone()
-        self.world.empty_zone(0, zone, True)
-        self.world.run(seconds(8))
-        self.world.empty_zone(1, zone, False)
-        return False
-
-    def restart_in_turn(self):
-        """A machine's daemons, one by one, as the platform would."""
-        for name in (*self._machine(), self.world.chance.choice(self.world.edges)):
-            self.world.restart(name)
-            self.world.run(seconds(8))
-        return False
-
-    def owner_dies(self):
-        tables = self.world.seats["r0"].node.registry.tables
-        return self._die(
-            [
-                self.world.chance.choice(
-                    sorted({card["owner"] for card in tables.fences.values()})
-                ).split("/")[0]
-            ]
-        )
-
-    def home_dies(self):
-        """The proxy that the others of its zone get their state updates from."""
-        edge = self.world.seats[self.world.chance.choice(self.world.edges)]
-        source = edge.node.node.controllers[0].sources()[0]
-        return self._die([source])
-
-    def release(self):
-        """An application is replaced: says that it leaves, finishes, comes back cold."""
-        name = self.world.chance.choice(self.world.origins)
-        self.world.drain_origin(0, name)
-        self.world.run(seconds(3))
-        self.world.crash(name)
-        self.world.run(100 * MILLI)
-        self.world.start(name)
-        return False
