--- a/src/willowpost/registry/calls/body.py
+++ b/src/willowpost/registry/calls/body.py
@@ -1,11 +1,15 @@
 """Bodies of calls: read whole and checked, or refused with every finding at once."""
 
+from typing import TypeVar
+
 from pydantic import BaseModel, ConfigDict, ValidationError
 from result import Err, Ok, Result
 
 from willowpost.shell.settings import findings_of
 from willowpost.shell.web import Answer
 
+Body = TypeVar("Body", bound=BaseModel)
+
 
 class Strict(BaseModel):
     """A body in which every field that is not known is a finding."""
@@ -13,7 +17,7 @@
     model_config = ConfigDict(extra="forbid")
 
 
-def parsed(kind, body: bytes) -> Result[BaseModel, Answer]:
+def parsed(kind: type[Body], body: bytes) -> Result[Body, Answer]:
     """The body as a `kind`, or the 422 that names all its findings."""
     try:
         return Ok(kind.model_validate_json(body))
--- a/src/willowpost/registry/origins.py
+++ b/src/willowpost/registry/origins.py
@@ -3,7 +3,8 @@
 from willowpost.state.tables import Tables
 
 
-def origin_at(tables: Tables, address: str, service: str | None) -> str | None:
+def origin_at(tables: Tables, address: str | None, service: str | None) -> str | None:
+    """The name of the origin at an address, of that service if one is named."""
     return next(
         (
             name
@@ -15,9 +16,10 @@
 
 
 def same_incarnation(tables: Tables, address: str, service: str, token: str | None) -> str | None:
-    """Invariant: who names another token than the registered one, or none where one is registered.
+    """The name of the origin, if it is the same incarnation of its process.
 
-    Is another life and must register anew.
+    Who names another token than the registered one, or none where one is registered, is another
+    incarnation and must register anew.
     """
     name = origin_at(tables, address, service)
     return name if name is not None and tables.origins[name].get("token") == token else None
