--- a/src/willowpost/common/events.py
+++ b/src/willowpost/common/events.py
@@ -6,12 +6,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Received:
+    """A message from another process, by the address that it gives as its own."""
+
     source: str
     message: Any
 
 
 @dataclass(frozen=True, slots=True)
 class Tick:
+    """Some time has passed; comes about every 20 ms."""
+
     pass
 
 
@@ -25,7 +29,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Asked:
-    """Someone in this process wants `ops` in the log and waits under `token` (None: nobody waits).
+    """Someone in this process wants `ops` in the log.
+
+    They wait under `token` (None: nobody waits).
 
     `lifetime`: µs after which they are not submitted again; None: as long as somebody waits, or, if
     nobody does, until the log has answered.
--- a/src/willowpost/common/plan.py
+++ b/src/willowpost/common/plan.py
@@ -17,12 +17,15 @@
     notes: list = field(default_factory=list)  # (part, sentence, fields)
 
     def send(self, address: str, message) -> None:
+        """Add a message to be sent to `address`."""
         self.sends.append((address, message))
 
     def note(self, part: str, sentence: str, **more) -> None:
+        """Add a sentence to be logged."""
         self.notes.append((part, sentence, more))
 
     def join(self, other: "Plan") -> "Plan":
+        """Add what another controller wants done in the same step; this plan."""
         if other.rotate is not None:
             # a new segment holds all that was to be written before it
             self.rotate, self.records = other.rotate, []
--- a/src/willowpost/configuration/checker.py
+++ b/src/willowpost/configuration/checker.py
@@ -25,9 +25,8 @@
     held = dict(pairs)
     if len(held) < len(pairs):
         counts = Counter(name for name, _ in pairs)
-        raise ValueError(
-            f"names said twice: {', '.join(sorted(name for name, count in counts.items() if count > 1))}"
-        )
+        twice = sorted(name for name, count in counts.items() if count > 1)
+        raise ValueError(f"names said twice: {', '.join(twice)}")
     return held
 
 
@@ -50,10 +49,12 @@
             return Err([{"place": "/", "finding": f"not JSON: {problem}"}])
 
     def check(self, body: bytes) -> Result[dict, list[dict]]:
+        """The configuration as plain data with all defaults, or every finding with its place."""
         with uncollected():
             return self.read(body).and_then(self.check_value)
 
     def check_value(self, held) -> Result[dict, list[dict]]:
+        """As check(), for a value that is already parsed."""
         with uncollected():
             return self._judge(held)
 
@@ -91,7 +92,7 @@
                 yield {"place": place, "finding": f"deeper than {DEPTH_MOST} branches"}
             yield from self._targets(f"{place}/", branch.get("settings") or {}, tree["services"])
             if path is not None and settings.get("service") is None and not branch.get("branches"):
-                yield {"place": place, "finding": "a way without a service"}
+                yield {"place": place, "finding": "a route without a service"}
             if path is None and not branch.get("branches"):
                 yield {"place": place, "finding": "a leaf without a path"}
             if path is not None and settings.get("service"):
--- a/src/willowpost/configuration/model.py
+++ b/src/willowpost/configuration/model.py
@@ -68,6 +68,8 @@
 
 @strict
 class Branch(TypedDict, total=False):
+    """A part of the tree: its settings hold for all beneath it."""
+
     host: Host | None
     path: Path | None
     settings: RouteSettings
@@ -112,6 +114,8 @@
 
 @strict
 class Sections(TypedDict, total=False):
+    """The tree's top, as far as it stands without services."""
+
     settings: RouteSettings
     branches: Annotated[dict[Name, Branch], Field(max_length=BRANCHES_MOST)]
     limits: Limits
@@ -119,6 +123,8 @@
 
 @strict
 class Configuration(Sections):
+    """A whole configuration as the checker takes it."""
+
     services: Annotated[dict[Name, Service], Field(max_length=SERVICES_MOST)]
 
 
--- a/src/willowpost/configuration/routes.py
+++ b/src/willowpost/configuration/routes.py
@@ -93,6 +93,7 @@
 
 
 def routes_of(tree: dict) -> tuple[Route, ...]:
+    """Every route of a checked configuration, with the settings that it inherits."""
     with uncollected():
         return tuple(
             Route(place.replace("branches/", ""), host, path, **settings)
@@ -102,7 +103,7 @@
 
 
 def trunk_of(path: str) -> str:
-    """What a way is kept under.
+    """What a route is kept under.
 
     "/a" takes whole segments: /a, /a/ and /a/b. "/a/" takes what begins with just that: /a/ and
     /a/b. "/" takes everything.
@@ -111,7 +112,7 @@
 
 
 class RouteTable:
-    """Invariant: find() gives the way with the longest path that takes this one.
+    """Invariant: find() gives the route with the longest path that takes this one.
 
     And of two with the same path the one with the exact host before "*"; immutable once made.
     """
@@ -121,7 +122,8 @@
         self.longest = max((len(route.path) for route in self.by_place.values()), default=0)
 
     def find(self, host: str, path: str) -> Route | None:
-        # one more than any way has: a segment cut short is none
+        """The route of the longest path that begins `path`, or None."""
+        # one more than any route has: a segment cut short is none
         trunk = path[: self.longest + 1]
         while True:
             route = self.by_place.get((host, trunk)) or self.by_place.get(("*", trunk))
--- a/src/willowpost/drill/capacity/filled.py
+++ b/src/willowpost/drill/capacity/filled.py
@@ -15,12 +15,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Cards:
+    """The daemons of a fleet by kind."""
+
     stores: tuple[Card, ...]
     registries: tuple[Card, ...]
     proxies: tuple[Card, ...]
 
     @property
     def all(self) -> tuple[Card, ...]:
+        """Of every kind, stores first."""
         return self.stores + self.registries + self.proxies
 
 
@@ -78,6 +81,7 @@
 
 
 def purge_of(number: int) -> dict:
+    """One purge operation of a single path, another one for each number."""
     return {
         "op": "purge",
         "kind": "item",
@@ -98,6 +102,7 @@
     """
 
     def make(self, size: Size, purges: int = PURGES_KEPT) -> Tables:
+        """Tables of a fleet of this size with so many purges kept."""
         cards, slot = cards_of(size), max(purges, PURGES_KEPT) + 100
         daemons = {card.id: {**asdict(card), "state": "up", "since": 1} for card in cards.all}
         core = tuple(
@@ -170,6 +175,7 @@
     """Who watches whom, worked out once for all daemons of a process: each would find the same."""
 
     def make(self, tables: Tables) -> dict[str, tuple[str, ...]]:
+        """Names of the daemons that each daemon watches."""
         watched: dict[str, list] = {name: [] for name in tables.daemons}
         for target in tables.daemons:
             for watcher in watchers_of(target, tables.daemons):
--- a/src/willowpost/drill/capacity/fit.py
+++ b/src/willowpost/drill/capacity/fit.py
@@ -19,11 +19,13 @@
     residual: float
 
     def at(self, n: float) -> float:
+        """The value that the fit gives for n."""
         return sum(
             slope * TERMS[term](n) for term, slope in zip(self.terms, self.slopes, strict=False)
         )
 
     def text(self) -> str:
+        """The terms with their slopes."""
         return " + ".join(
             f"{slope:.3g}" if term == "1" else f"{slope:.3g} {term}"
             for term, slope in zip(self.terms, self.slopes, strict=False)
@@ -65,6 +67,7 @@
         return bent if bent.residual < straight.residual and bent.slopes[-1] > 0 else straight
 
     def fit_law(self, points, terms) -> Fit:
+        """The fit of one law to points (n, value); ValueError for too few different sizes."""
         weighed = [
             ([TERMS[term](n) / value for term in terms], 1.0) for n, value in points if value
         ]
--- a/src/willowpost/drill/capacity/lightweight.py
+++ b/src/willowpost/drill/capacity/lightweight.py
@@ -133,6 +133,7 @@
         self.at(int(SECOND / self.size.purges), self._purge)
 
     def give(self, address, event):
+        """Step a daemon with an event, and count its time."""
         seat = self.seats[address]
         plan, nanos = self.meter.timed(seat.node.step, event, self.now(seat))
         self.meter.spent[address].stepped(nanos)
@@ -158,6 +159,7 @@
                 self.post(address, frame)
 
     def post(self, address, frame) -> None:
+        """Deliver an encoded message to a stepped daemon after the network's delay."""
         self.at(
             self.weather.least + self.chance.randrange(self.weather.spread + 1),
             self._arrive,
--- a/src/willowpost/drill/capacity/meter.py
+++ b/src/willowpost/drill/capacity/meter.py
@@ -23,6 +23,7 @@
         }
 
     def look(self) -> None:
+        """Do the work once and note how long it took."""
         self.took.append(self._once())
 
     def micros(self) -> float:
@@ -30,6 +31,7 @@
         return sum(self.took) / max(1, len(self.took)) / 1000
 
     def clear(self) -> None:
+        """Forget what was noted."""
         self.took = []
 
     def _once(self):
@@ -51,6 +53,8 @@
 
 @dataclass(slots=True)
 class Spent:
+    """What one daemon spent since the counts were cleared; times in ns, sizes in bytes."""
+
     steps: int = 0
     nanos: int = 0  # steps, encoding and decoding
     longest: int = 0  # of one step
@@ -61,15 +65,18 @@
     kinds: Counter = field(default_factory=Counter)  # bytes by kind of message, both routes
 
     def stepped(self, nanos: int) -> None:
+        """Count one step."""
         self.steps += 1
         self.nanos += nanos
         self.longest = max(self.longest, nanos)
 
     def told(self, kind: str, size: int) -> None:
+        """Count one message sent."""
         self.sent, self.messages_out = self.sent + size, self.messages_out + 1
         self.kinds[f"out {kind}"] += size
 
     def heard(self, kind: str, size: int) -> None:
+        """Count one message received."""
         self.received, self.messages_in = self.received + size, self.messages_in + 1
         self.kinds[f"in {kind}"] += size
 
@@ -105,15 +112,18 @@
         self.spent = {address: Spent() for address in roles}
 
     def timed(self, call, *args):
+        """What a call gives, and how long it took in ns of this thread."""
         begun = thread_time_ns()
         value = call(*args)
         return value, thread_time_ns() - begun
 
     def clear(self) -> None:
+        """Set all counts to zero."""
         YARDSTICK.clear()
         self.spent = {address: Spent() for address in self.roles}
 
     def figures(self, span: float) -> dict[str, Figures]:
+        """Spending by role, a second of the `span` seconds that were counted."""
         return {
             role: self._of(
                 [self.spent[address] for address, held in self.roles.items() if held == role], span
--- a/src/willowpost/drill/capacity/report.py
+++ b/src/willowpost/drill/capacity/report.py
@@ -9,7 +9,7 @@
 from willowpost.consensus.replica.replica_state import Pace
 from willowpost.drill.capacity.fit import Fitter
 from willowpost.drill.capacity.lightweight import LightweightFleet
-from willowpost.drill.capacity.size import DESIGN, LADDER, Budget, Size
+from willowpost.drill.capacity.size import BUDGET, DESIGN, LADDER, Budget, Size
 from willowpost.drill.capacity.steps import StepCosts
 from willowpost.drill.capacity.units import UnitCosts, resident
 from willowpost.drill.capacity.wire import WireCost
@@ -41,6 +41,7 @@
 
 
 def shown(value: float) -> str:
+    """A figure with at most three digits, or whole from 100 on."""
     return f"{value:,.0f}" if abs(value) >= 100 else f"{value:.3g}"
 
 
@@ -56,7 +57,7 @@
     """
 
     def __init__(
-        self, line, seed: int = 1, budget: Budget = Budget(), warm: float = 3.5, span: float = 3.0
+        self, line, seed: int = 1, budget: Budget = BUDGET, warm: float = 3.5, span: float = 3.0
     ):
         self.line, self.seed, self.budget, self.warm, self.span = line, seed, budget, warm, span
         self.fitter = Fitter()
@@ -65,6 +66,7 @@
         self.yard = 0.0
 
     def run(self, parts, ladder=LADDER) -> None:
+        """Run the parts in their order and print what each measures."""
         acts = {
             "ladder": lambda: self.ladder(ladder),
             "design": self.design,
@@ -78,8 +80,10 @@
             acts[part]()
 
     def ladder(self, sizes) -> dict:
+        """Measure fleets of rising sizes and fit each role's figures; the figures by size."""
         self.line(
-            "Rising sizes: each role's daemon, a second of virtual time; yard: what the yardstick took, in µs; fits are brought to its least\n"
+            "Rising sizes: each role's daemon, a second of virtual time; "
+            "yard: what the yardstick took, in µs; fits are brought to its least\n"
         )
         self.line("daemons | origins | purges/s | role | " + " | ".join(NAMES) + " | most bytes")
         found = {size: self._measured(size) for size in sizes}
@@ -97,15 +101,18 @@
             for name in FITTED
         }
         self.line(
-            f"\nrole | figure | least squares over n = daemons | widest miss | at n = {DESIGN.daemons}"
+            "\nrole | figure | least squares over n = daemons | widest miss | "
+            f"at n = {DESIGN.daemons}"
         )
         for (role, name), fit in self.fits.items():
             self.line(
-                f"{role} | {name} | {fit.text()} | {fit.residual:.1%} | {shown(fit.at(DESIGN.daemons))}"
+                f"{role} | {name} | {fit.text()} | {fit.residual:.1%} | "
+                f"{shown(fit.at(DESIGN.daemons))}"
             )
         return found
 
     def design(self) -> None:
+        """Measure the size to design for, beside what the ladder foretells and the budget."""
         self.line(f"\nThe size to design for, run: {DESIGN}")
         self.line("daemons | origins | purges/s | role | " + " | ".join(NAMES) + " | most bytes")
         figures = self._measured(DESIGN)
@@ -118,12 +125,14 @@
             ):
                 fit = self.fits.get((role, name))
                 value = brought(held, name, self.yard or held.yard)
+                foretold = shown(fit.at(DESIGN.daemons)) if fit else "not run"
                 self.line(
-                    f"{role} | {name} | {shown(value)} | {shown(fit.at(DESIGN.daemons)) if fit else 'not run'} | {shown(most)}: "
+                    f"{role} | {name} | {shown(value)} | {foretold} | {shown(most)}: "
                     f"{value / most:.1f} times"
                 )
 
     def sweeps(self) -> None:
+        """Vary one driver at a time round BASE, and fit each role's figures."""
         self.line(f"\nOne thing at a time, round {BASE}")
         self.line("role | figure | by | measured | least squares | widest miss")
         for driver, sizes in SWEEPS.items():
@@ -139,17 +148,20 @@
                         if role in figures
                     ]
                     fit = self.fitter.fit(points)
+                    measured = ", ".join(f"{count:g}: {shown(value)}" for count, value in points)
                     self.line(
-                        f"{role} | {name} | {driver} | {', '.join(f'{count:g}: {shown(value)}' for count, value in points)} | "
+                        f"{role} | {name} | {driver} | {measured} | "
                         f"{fit.text()} | {fit.residual:.1%}"
                     )
 
     def units(self) -> None:
+        """Measure single pieces of work as one thing grows, and foretell the last point."""
         self.line(
             "\nSingle pieces of work; the last point is left out of the fit and foretold by it"
         )
         self.line(
-            "work | by | measured | least squares of all but the last | widest miss | foretold | measured there"
+            "work | by | measured | least squares of all but the last | widest miss | foretold | "
+            "measured there"
         )
         costs = UnitCosts()
         for unit in [
@@ -162,23 +174,28 @@
             last, value = unit.points[-1]
             points = ", ".join(f"{count}: {shown(cost)}" for count, cost in unit.points[:-1])
             self.line(
-                f"{unit.name}, {unit.measure} | {unit.driver} | {points} | {fit.text()} | {fit.residual:.1%} | {shown(fit.at(last))} | {shown(value)} at {last}"
+                f"{unit.name}, {unit.measure} | {unit.driver} | {points} | {fit.text()} | "
+                f"{fit.residual:.1%} | {shown(fit.at(last))} | {shown(value)} at {last}"
             )
 
     def steps(self) -> None:
+        """Measure the cheapest events of each role."""
         self.line("\nThe least events: role | event | µs")
         for role, event, micros in StepCosts().run(self.seed):
             self.line(f"{role} | {event} | {micros:.1f}")
 
     def wire(self) -> None:
+        """Measure one message between two processes over loopback."""
         runs = ", ".join(f"{WireCost().run():.0f}" for _ in range(3))
         self.line(
             f"\nOne message over loopback, both ends, without its encoding, three runs: {runs} µs"
         )
 
     def log(self) -> None:
+        """Measure the log with each voter in a region of its own."""
         self.line(
-            "\nThe log with each voter in a region of its own, commands asked of five machines, 10 s of virtual time"
+            "\nThe log with each voter in a region of its own, commands asked of five machines, "
+            "10 s of virtual time"
         )
         self.line(
             "ms between regions | commands/s | asked, about | accepted | slots | accepted p50 ms"
@@ -190,7 +207,8 @@
                     list("abcde"), regions, between * MILLI, MILLI, Pace(), rate, self.seed
                 ).run(10.0)
                 self.line(
-                    f"{between} | {rate:g} | {rate * 10:g} | {found.commands} | {found.slots} | {found.accept_p_50:.0f}"
+                    f"{between} | {rate:g} | {rate * 10:g} | {found.commands} | {found.slots} | "
+                    f"{found.accept_p_50:.0f}"
                 )
 
     def _least(self, found):
@@ -207,6 +225,7 @@
                 + f" | {most}"
             )
         self.line(
-            f"  tables as text {shown(len(fleet.tables.text()))} bytes; this process holds {resident() / 1e6:.0f} MB"
+            f"  tables as text {shown(len(fleet.tables.text()))} bytes; "
+            f"this process holds {resident() / 1e6:.0f} MB"
         )
         return figures
--- a/src/willowpost/drill/capacity/simulated_peers.py
+++ b/src/willowpost/drill/capacity/simulated_peers.py
@@ -30,6 +30,7 @@
         self._begin()
 
     def hear(self, address, source, message):
+        """Take a message sent to a simulated peer, and answer it if its controller would."""
         match message:
             case StateUpdate(_, slot):
                 self.slots[address] = max(self.slots[address], slot)
@@ -39,7 +40,7 @@
                 self._say(address, source, QuotaShareTell(nonce, service, fence, 1000))
 
     def _homes(self):
-        """Zone -> its first home, by the followers' own order"""
+        """Zone -> its first home, by the followers' own order."""
         world = self.world
         self.homes = {
             zone: homes_of(zone, world.cards)[0]
--- a/src/willowpost/drill/capacity/size.py
+++ b/src/willowpost/drill/capacity/size.py
@@ -20,10 +20,12 @@
 
     @property
     def proxies(self) -> int:
+        """How many of the daemons are proxies."""
         return self.daemons - self.voters - self.registries
 
     @property
     def services(self) -> int:
+        """How many services the origins make."""
         return -(-self.origins // self.per_service)
 
 
@@ -36,6 +38,7 @@
     bytes: float = 26_000.0  # a second
 
 
+BUDGET = Budget()
 LADDER = (
     Size(50, 10, 100, 10.0, 4, registries=5),
     Size(150, 20, 500, 20.0, 4, registries=5),
--- a/src/willowpost/drill/capacity/steps.py
+++ b/src/willowpost/drill/capacity/steps.py
@@ -19,8 +19,10 @@
 
 
 class StepCosts:
+    """Measures ticks, pings and their encoding."""
+
     def run(self, seed: int = 1) -> list[tuple[str, str, float]]:
-        """(role, event, µs)"""
+        """Rows of (role, event, µs)."""
         fleet = LightweightFleet(SMALL, seed)
         fleet.run(seconds(3.5))
         rows = []
--- a/src/willowpost/drill/capacity/units.py
+++ b/src/willowpost/drill/capacity/units.py
@@ -27,6 +27,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Unit:
+    """Costs of one piece of work at several values of what drives it."""
+
     name: str
     driver: str
     measure: str  # ms or bytes
@@ -45,6 +47,7 @@
 
 
 def resident() -> int:
+    """Resident memory of this process in bytes."""
     return int(Path("/proc/self/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
 
@@ -72,6 +75,7 @@
 
 
 def slot_of(tables, *ops) -> Decision:
+    """A decision that carries these operations in the next slot of the tables."""
     command = Command("core-0/registry", 10**15 + 1, 1, 1, json.dumps(ops))
     return Decision(tables.slot, command.key, command)
 
@@ -80,6 +84,7 @@
     """Invariant: measures nothing but calls that the daemons themselves make."""
 
     def by_daemons(self, counts) -> list[Unit]:
+        """Work that grows with the number of daemons."""
         tables = {
             count: FilledTables().make(
                 Size(
@@ -117,6 +122,7 @@
         ]
 
     def by_routes(self, counts) -> list[Unit]:
+        """Work that grows with the number of routes."""
         configurations = {count: configuration_of(Size(150, 310, count)) for count in counts}
         trees = {
             count: ConfigurationChecker().check_value(configuration).unwrap()
@@ -182,6 +188,7 @@
         ]
 
     def by_purges(self, counts) -> list[Unit]:
+        """Work that grows with the number of purges kept."""
         caches = {
             count: self._cache(FilledTables().make(Size(150, 40, 100), count), 1)
             for count in counts
--- a/src/willowpost/drill/capacity/wire.py
+++ b/src/willowpost/drill/capacity/wire.py
@@ -25,13 +25,17 @@
         self.frame = Codec().encode("127.0.0.1:7003", self.message)
 
     def encode(self, source, message):
+        """The one frame, whatever the message."""
         return self.frame
 
     def decode(self, frame):
+        """The one message, whatever the frame."""
         return "127.0.0.1:7003", self.message
 
 
 class WireCost:
+    """Measures one message between two ends of a connection in this process."""
+
     def run(self) -> float:
         """µs of one message, both ends together, without encoding and decoding."""
         port, inbox = free_port(), Queue()
--- a/src/willowpost/drill/deployment.py
+++ b/src/willowpost/drill/deployment.py
@@ -9,6 +9,7 @@
 
 
 def known() -> list[str]:
+    """Names of the deployments that ship with willowpost."""
     return sorted(
         held.name[:-5]
         for held in files("willowpost.deployments").iterdir()
@@ -18,6 +19,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Process:
+    """One process of a deployment: its program, place and settings."""
+
     program: str
     key: str  # machine/program
     machine: str
@@ -49,12 +52,16 @@
         self.origins = [
             {
                 **origin,
-                "address": f"127.{subnet}.{100 + self.zones.index(origin['zone'])}.{number + 1}:{port + 90}",
+                "address": self._origin_address(origin["zone"], number),
             }
             for number, origin in enumerate(held["origins"])
         ]
 
+    def _origin_address(self, zone, number):
+        return f"127.{self.subnet}.{100 + self.zones.index(zone)}.{number + 1}:{self.port + 90}"
+
     def cores(self):
+        """Machines with a store and a registry."""
         return [machine for machine in self.machines if machine["kind"] != "edge"]
 
     def replace(self, lost: str) -> str:
@@ -71,21 +78,27 @@
         return name
 
     def store(self, machine):
+        """Where peers reach the machine's store."""
         return f"{self.addresses[machine['name']]}:{self.port}"
 
     def registry(self, machine):
+        """Where peers reach the machine's registry."""
         return f"{self.addresses[machine['name']]}:{self.port + 1}"
 
     def registry_http(self, machine):
+        """Where operators and origins reach the machine's registry."""
         return f"{self.addresses[machine['name']]}:{self.port + 2}"
 
     def proxy(self, machine):
+        """Where peers reach the machine's proxy."""
         return f"{self.addresses[machine['name']]}:{self.port + 3}"
 
     def proxy_http(self, machine):
+        """Where callers reach the machine's proxy."""
         return f"{self.addresses[machine['name']]}:{self.port + 4}"
 
     def processes(self) -> list[Process]:
+        """All processes, those of the core first."""
         cores = [(machine, kind) for machine in self.cores() for kind in ("wpstore", "wpregistry")]
         proxies = [
             (machine, "wpproxy")
@@ -95,6 +108,7 @@
         return [self.process(machine, program) for machine, program in cores + proxies]
 
     def process(self, machine: dict, program: str) -> Process:
+        """One process of a machine, with its settings."""
         addresses = {
             "wpstore": (self.store, None),
             "wpregistry": (self.registry, self.registry_http),
--- a/src/willowpost/drill/fleet.py
+++ b/src/willowpost/drill/fleet.py
@@ -9,12 +9,16 @@
 import subprocess
 import sys
 import time
+from pathlib import Path
 
 import gevent
 
 from willowpost.drill.deployment import Deployment
 from willowpost.stand_ins.callers import ask
 
+MODULES = {"wpstore": "store", "wpregistry": "registry", "wpproxy": "proxy"}
+ORIGINS = "origins"  # the key of the process of all stand-in origins
+
 
 class Fleet:
     """Invariant: ends only processes it started, by their ID, and leaves none behind."""
@@ -26,23 +30,22 @@
         self.control = f"127.{deployment.subnet}.200.1:{deployment.port + 91}"
 
     def start(self, key: str) -> None:
+        """Start a process by its key, machine/program."""
         process = self.processes[key]
         path = self._write(process)
-        log = open(self.deployment.folder / process.machine / f"{process.program}.log", "ab")
-        module = {"wpstore": "store", "wpregistry": "registry", "wpproxy": "proxy"}[process.program]
-        self.running[key] = subprocess.Popen(
-            [
-                sys.executable,
-                "-c",
-                f"from willowpost.{module}.main import main; main()",
-                "--settings",
-                path,
-            ],
-            stdout=log,
-            stderr=log,
-            stdin=subprocess.DEVNULL,
+        module = MODULES[process.program]
+        self._spawn(
+            key,
+            ["-c", f"from willowpost.{module}.main import main; main()", "--settings", path],
+            self.deployment.folder / process.machine / f"{process.program}.log",
         )
-        log.close()
+
+    def _spawn(self, key: str, arguments: list[str], log_path: Path) -> None:
+        """Start the interpreter with these arguments; what it says is added to the log."""
+        with open(log_path, "ab") as log:
+            self.running[key] = subprocess.Popen(
+                [sys.executable, *arguments], stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
 
     def _write(self, process) -> str:
         folder = self.deployment.folder / process.machine
@@ -57,6 +60,7 @@
         self.running[key].send_signal(signal.SIGHUP)
 
     def said(self, key: str, words: str) -> bool:
+        """Whether a process's log has these words."""
         process = self.processes[key]
         return (
             words
@@ -64,10 +68,12 @@
         )
 
     def start_all(self) -> None:
+        """Start every process."""
         for key in self.processes:
             self.start(key)
 
     def start_origins(self, beat_seconds: float = 1.0) -> None:
+        """Start the stand-in origins, in one process."""
         registries = self.registries()
         cards = [
             {
@@ -80,34 +86,37 @@
         ]
         path = self.deployment.folder / "origins.json"
         path.write_text(json.dumps({"control": self.control, "origins": cards}, indent=1))
-        log = open(self.deployment.folder / "origins.log", "ab")
-        self.running["origins"] = subprocess.Popen(
-            [sys.executable, "-m", "willowpost.stand_ins.main", str(path)],
-            stdout=log,
-            stderr=log,
-            stdin=subprocess.DEVNULL,
+        self._spawn(
+            ORIGINS,
+            ["-m", "willowpost.stand_ins.main", str(path)],
+            self.deployment.folder / "origins.log",
         )
-        log.close()
 
     def steer(self, do: str, address: str | None = None, **more):
+        """Tell the stand-in origins what to do; their answer."""
         return ask(
             self.control, "POST", "/steer", {"do": do, "address": address, **more}, seconds=10
         )
 
     def ledger(self) -> dict:
+        """What all stand-in origins saw."""
         return ask(self.control, "GET", "/ledger", seconds=10)[2]
 
     def kill(self, key: str) -> None:
+        """Kill a process with SIGKILL and wait for its end."""
         self.running[key].send_signal(signal.SIGKILL)
         self.running.pop(key).wait()
 
     def freeze(self, key: str) -> None:
+        """Stop a process with SIGSTOP."""
         self.running[key].send_signal(signal.SIGSTOP)
 
     def thaw(self, key: str) -> None:
+        """Let a stopped process go on."""
         self.running[key].send_signal(signal.SIGCONT)
 
     def stop(self, key: str, seconds: float = 45) -> int | None:
+        """End a process with SIGTERM; its exit code, or None if it did not end in time."""
         running = self.running.pop(key)
         running.send_signal(signal.SIGTERM)
         return self._wait(running, seconds)
@@ -119,6 +128,7 @@
         return running.poll()
 
     def stop_all(self) -> None:
+        """Kill everything that still runs."""
         for running in self.running.values():
             running.send_signal(signal.SIGCONT)
             running.send_signal(signal.SIGKILL)
@@ -127,9 +137,11 @@
         self.running.clear()
 
     def registries(self) -> list[str]:
+        """Where operators and origins reach the registries."""
         return [self.deployment.registry_http(machine) for machine in self.deployment.cores()]
 
     def proxies(self) -> dict[str, str]:
+        """Where callers reach each proxy, by its key."""
         return {
             f"{machine['name']}/wpproxy": self.deployment.proxy_http(machine)
             for machine in self.deployment.machines
@@ -137,6 +149,7 @@
         }
 
     def edges(self) -> list[str]:
+        """Where callers reach the edges."""
         return [
             self.deployment.proxy_http(machine)
             for machine in self.deployment.machines
@@ -153,6 +166,7 @@
         return None
 
     def stats(self) -> dict[str, dict]:
+        """The stats page of each running proxy that answers, by its key."""
         tasks = {
             key: gevent.spawn(ask, address, "GET", "/.wp/stats", None, None, 2)
             for key, address in self.proxies().items()
@@ -174,6 +188,7 @@
         return None
 
     def ready(self, seconds: float = 40) -> float | None:
+        """Seconds until all daemons are up and all proxies are sound, or None."""
         want = len(self.processes)
 
         def joined():
--- a/src/willowpost/drill/main.py
+++ b/src/willowpost/drill/main.py
@@ -5,6 +5,7 @@
 import sys
 import tempfile
 from pathlib import Path
+from typing import ClassVar
 
 from cleo.application import Application
 from cleo.commands.command import Command
@@ -62,6 +63,7 @@
     """Invariant: whatever happens, every process the drill started is ended."""
 
     def deployment_known(self) -> bool:
+        """Whether the deployment asked for exists; says so if not."""
         if self.argument("deployment") in known():
             return True
         print(
@@ -71,6 +73,7 @@
         return False
 
     def drill(self, kind, run, hold=False) -> int:
+        """Run a drill and print its figures and findings; 1 if a rule is broken."""
         folder = Path(tempfile.mkdtemp(prefix="wpdrill-"))
         fleet = Fleet(
             Deployment(self.argument("deployment"), folder, int(self.option("port") or free_port()))
@@ -115,12 +118,14 @@
 
 
 class FleetCommand(DrillCommand):
+    """Runs the fleet drill's steps, or holds a fleet."""
+
     name = "fleet"
     description = (
         "Starts a deployment on loopback, sends its peak mix, breaks it, and judges each rule."
     )
-    arguments = ARGUMENTS
-    options = [
+    arguments: ClassVar[list] = ARGUMENTS
+    options: ClassVar[list] = [
         *OPTIONS,
         option("steps", "s", f"Steps with commas, of: {','.join(STEPS)}.", flag=False),
         option(
@@ -138,6 +143,7 @@
   <info>wpdrill fleet invitations --hold</info>"""
 
     def handle(self) -> int:
+        """Check the arguments and run; the exit code."""
         if not self.deployment_known():
             return 2
         steps = (self.option("steps") or ",".join(STEPS)).split(",")
@@ -156,10 +162,15 @@
 
 
 class ZoneCommand(DrillCommand):
+    """Runs the zone drill."""
+
     name = "zone"
-    description = "Takes each zone out of a running fleet under load, by emptying and by killing, and judges the promises."
-    arguments = ARGUMENTS
-    options = [
+    description = (
+        "Takes each zone out of a running fleet under load, by emptying and by killing, "
+        "and judges the promises."
+    )
+    arguments: ClassVar[list] = ARGUMENTS
+    options: ClassVar[list] = [
         *OPTIONS,
         option("zones", "z", "Zones with commas; all if not given.", flag=False),
         option(
@@ -170,9 +181,13 @@
             default="emptying,killing",
         ),
     ]
-    help = "It restores each zone, and reports the time to repair. Exits with 1 when a promise is broken."
+    help = (
+        "It restores each zone, and reports the time to repair. "
+        "Exits with 1 when a promise is broken."
+    )
 
     def handle(self) -> int:
+        """Check the arguments and run; the exit code."""
         routes = self.option("by").split(",")
         if not self.deployment_known() or not set(routes) <= {"emptying", "killing"}:
             return 2
@@ -186,6 +201,7 @@
 
 
 def main() -> None:
+    """Run the command line."""
     application = Application("wpdrill", "0.1.0")
     for command in (
         FleetCommand(),
--- a/src/willowpost/drill/rules.py
+++ b/src/willowpost/drill/rules.py
@@ -12,6 +12,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
+    """One rule: what was seen, and whether it was kept."""
+
     rule: str
     seen: str
     kept: bool
@@ -24,13 +26,16 @@
     rows: list = field(default_factory=list)
 
     def add(self, rule: str, seen: str, kept: bool) -> None:
+        """Add a row."""
         self.rows.append(Row(rule, seen, bool(kept)))
 
     @property
     def broken(self) -> list[Row]:
+        """The rows of rules that were broken."""
         return [row for row in self.rows if not row.kept]
 
     def text(self) -> str:
+        """The table, a row a line."""
         width = max(len(row.rule) for row in self.rows)
         return "\n".join(
             f"{'kept  ' if row.kept else 'BROKEN'}  {row.rule:<{width}}  {row.seen}"
@@ -50,6 +55,7 @@
         self.excused = excused
 
     def judge(self, findings: Findings, since: int) -> None:
+        """Add a row for each rule; refusals count from `since` (µs) on."""
         tally, runs = self.tally, self.ledger["writes"]
         twice = [name for name, count in runs.items() if count > 1]
         findings.add(
@@ -74,7 +80,7 @@
         )
         strays = self._strays()
         findings.add(
-            "only origins of the way's service",
+            "only origins of the route's service",
             f"{sum(map(len, self.ledger['services'].values()))} pairs, strays {strays[:2]}",
             not strays,
         )
@@ -88,7 +94,8 @@
         dropped = [held for held in tally.dropped if not self._excused(held)]
         findings.add(
             "no request dropped",
-            f"{len(dropped)} dropped, {len(tally.dropped) - len(dropped)} at killed edges {dropped[:1] or ''}",
+            f"{len(dropped)} dropped, {len(tally.dropped) - len(dropped)} at killed edges "
+            f"{dropped[:1] or ''}",
             not dropped,
         )
         for name, service in self.services.items():
--- a/src/willowpost/drill/tools.py
+++ b/src/willowpost/drill/tools.py
@@ -4,6 +4,7 @@
 import traceback
 from collections import Counter
 from importlib.resources import files
+from typing import ClassVar
 
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
@@ -16,14 +17,21 @@
 from willowpost.sim.pace import PaceMeasure
 from willowpost.toolbox.folder import FolderChecker, LogReplay
 
+SWEPT = ("core", "fleet", "bounded")
+
 
 class CheckCommand(Command):
+    """Checks a store's folder."""
+
     name = "check"
     description = "Reads a store's folder and says what is wrong, with the place."
-    arguments = [argument("folder", "The folder store/ under a wpstore's data folder.")]
+    arguments: ClassVar[list] = [
+        argument("folder", "The folder store/ under a wpstore's data folder.")
+    ]
     help = "Exits with 1 when there is a finding. Writes nothing; the store may be running."
 
     def handle(self) -> int:
+        """Print findings and facts; 1 if there is a finding."""
         findings, facts = FolderChecker().check(self.argument("folder"))
         for finding in findings:
             self.line(json.dumps({"place": finding.place, "finding": finding.finding}))
@@ -32,12 +40,19 @@
 
 
 class ReplayCommand(Command):
+    """Replays a store's log."""
+
     name = "replay"
     description = "Replays a store's recorded log to a slot and prints the tables."
-    arguments = [argument("folder", "The folder store/ under a wpstore's data folder.")]
-    options = [option("slot", None, "The slot to stop before; the end if not given.", flag=False)]
+    arguments: ClassVar[list] = [
+        argument("folder", "The folder store/ under a wpstore's data folder.")
+    ]
+    options: ClassVar[list] = [
+        option("slot", None, "The slot to stop before; the end if not given.", flag=False)
+    ]
 
     def handle(self) -> int:
+        """Print the tables; 2 if the folder does not hold the slot."""
         try:
             tables = LogReplay().run(
                 self.argument("folder"), int(self.option("slot")) if self.option("slot") else None
@@ -50,16 +65,18 @@
 
 
 class PaceCommand(Command):
+    """Measures the core's pace in the simulator."""
+
     name = "pace"
     description = (
         "Measures in the simulator how the core decides: fast path, forfeits, time to acceptance."
     )
-    arguments = [
+    arguments: ClassVar[list] = [
         argument(
             "deployment", "Whose zones, regions and pace.", optional=True, default="invitations"
         )
     ]
-    options = [
+    options: ClassVar[list] = [
         option(
             "freeze",
             None,
@@ -78,13 +95,15 @@
     ]
 
     def handle(self) -> int:
+        """Print a row for each freeze time, jitter and rate."""
         held = json.loads(
             (files("willowpost.deployments") / f"{self.argument('deployment')}.json").read_text()
         )
         zones = [machine["zone"] for machine in held["machines"] if machine["kind"] != "edge"]
         own = held["pace"]
         self.line(
-            "freeze ms | jitter ms | asked /s | commands | slots | NULL | fast path | accepted p50 ms | p99 ms"
+            "freeze ms | jitter ms | asked /s | commands | slots | NULL | fast path | "
+            "accepted p50 ms | p99 ms"
         )
         for freeze in (self.option("freeze") or str(own.get("freeze", 0))).split(","):
             for jitter in self.option("jitter").split(","):
@@ -102,28 +121,35 @@
                         int(self.option("seed")),
                     ).run()
                     self.line(
-                        f"{freeze} | {jitter} | {rate} | {found.commands} | {found.slots} | {found.null_part:.1%} | "
-                        f"{found.fast_part:.1%} | {found.accept_p_50:.1f} | {found.accept_p_99:.1f}"
+                        f"{freeze} | {jitter} | {rate} | {found.commands} | {found.slots} | "
+                        f"{found.null_part:.1%} | {found.fast_part:.1%} | "
+                        f"{found.accept_p_50:.1f} | {found.accept_p_99:.1f}"
                     )
         return 0
 
 
 class SweepCommand(Command):
+    """Runs seeded fault schedules."""
+
     name = "sweep"
-    description = "Runs seeded fault schedules in the simulator, and stops at the first that breaks a rule unless told to go on."
-    arguments = [
+    description = (
+        "Runs seeded fault schedules in the simulator, "
+        "and stops at the first that breaks a rule unless told to go on."
+    )
+    arguments: ClassVar[list] = [
         argument(
             "what",
-            "core (stores only), fleet (everything), or bounded (a deployment at its peak, hit by what it must bear).",
+            "core (stores only), fleet (everything), or bounded "
+            "(a deployment at its peak, hit by what it must bear).",
         )
     ]
-    options = [
+    options: ClassVar[list] = [
         option("first", None, "First seed.", flag=False, default="0"),
         option("count", "c", "How many seeds.", flag=False, default="50"),
         option(
             "wide",
             "w",
-            "Also one-way cuts, pair cuts, lossy links, purge fault schedules, swapped seeds (fleet).",
+            "Also one-way cuts, pair cuts, lossy links, streams of purges, swapped seeds (fleet).",
         ),
         option(
             "deployment",
@@ -146,8 +172,9 @@
 It exits with 1 when a seed broke a rule."""
 
     def handle(self) -> int:
-        if self.argument("what") not in ("core", "fleet", "bounded"):
-            self.line_error(json.dumps({"place": "what", "finding": "core, fleet or bounded"}))
+        """Run the seeds; 1 if one broke a rule."""
+        if self.argument("what") not in SWEPT:
+            self.line_error(json.dumps({"place": "what", "finding": f"one of {', '.join(SWEPT)}"}))
             return 2
         held = json.loads(
             (files("willowpost.deployments") / f"{self.option('deployment')}.json").read_text()
--- a/src/willowpost/proxy/admission/admission_tokens.py
+++ b/src/willowpost/proxy/admission/admission_tokens.py
@@ -39,6 +39,7 @@
         self.open: dict[int, tuple] = {}  # nonce -> (ticket, asked at)
 
     def step(self, event, now: int) -> Plan:
+        """Ask for wanted tokens, and answer those that wait."""
         plan = Plan()
         match event:
             case AdmissionTokenWanted() as wanted:
@@ -77,6 +78,7 @@
         self.buckets: dict[tuple, Bucket] = {}
 
     def step(self, event, now: int) -> Plan:
+        """Give tokens to those who ask."""
         plan = Plan()
         match event:
             case Received(source, AdmissionTokenAsk(nonce, service, fence, origin)):
--- a/src/willowpost/proxy/admission/buckets.py
+++ b/src/willowpost/proxy/admission/buckets.py
@@ -24,6 +24,7 @@
     filled_at: int | None = None
 
     def take(self, rate: float, burst: float, now: int) -> bool:
+        """Take one token, if there is one; `rate` in tokens a second, `now` in µs."""
         if self.filled_at is not None:
             self.tokens += rate * (now - self.filled_at) / SECOND
         self.tokens, self.filled_at = min(self.tokens, burst), now
@@ -34,6 +35,7 @@
 
 
 def let(taken: bool) -> Let:
+    """The verdict on a request that took a token or got none."""
     return Let.IN if taken else Let.OUT
 
 
@@ -49,6 +51,7 @@
 
 
 def senders_of(capacity: float) -> int:
+    """How many proxies may send to a cold origin that bears `capacity` requests a second."""
     return max(1, int(capacity / RATE_PER_SENDER))
 
 
@@ -109,6 +112,7 @@
         self.windows: dict[str, Window] = {}
 
     def let_in(self, name: str, now: int) -> Let:
+        """Whether one more request may go to a service now (µs)."""
         node_state = self.node_state
         service = node_state.snapshot.services.get(name)
         node_state.demand[name] = node_state.demand.get(name, 0) + 1
@@ -153,6 +157,7 @@
         self.suspects: dict[str, int] = {}
 
     def suspect(self, origin: str, now: int) -> None:
+        """Hold an origin for cold: its process was seen to end."""
         self.suspects = {
             name: since
             for name, since in self.suspects.items()
@@ -175,6 +180,7 @@
         )
 
     def let_in(self, origin, service, now: int) -> Let:
+        """Whether one more request may go to this origin now (µs)."""
         suspected = self.suspects.get(origin.name)
         if (
             suspected is not None
--- a/src/willowpost/proxy/admission/budget.py
+++ b/src/willowpost/proxy/admission/budget.py
@@ -36,16 +36,19 @@
         self.extras: dict[str, deque] = {}
 
     def first(self, now: int, service: str = "") -> None:
+        """Count a first try."""
         self.firsts.setdefault(service, deque()).append(now)
         self._forget(now, service)
 
     def let_in(self, now: int, service: str = "") -> bool:
+        """Count an extra try, if there is one left."""
         if not self.left(now, service):
             return False
         self.extras.setdefault(service, deque()).append(now)
         return True
 
     def left(self, now: int, service: str = "") -> bool:
+        """Whether an extra try is left now (µs)."""
         self._forget(now, service)
         slack = (
             self.settings.slack / max(1, self.proxies())
--- a/src/willowpost/proxy/admission/quota_shares.py
+++ b/src/willowpost/proxy/admission/quota_shares.py
@@ -34,6 +34,7 @@
 
 
 def base_quota_of(node_state: ProxyState, service, now: int) -> float:
+    """Requests a second that this proxy may send without a grant."""
     if in_whole_tokens(service) or not node_state.warmed_up(now):
         return 0.0
     return BASE_QUOTA_PART * service.rate * service.parts.get(node_state.card.id, 0.0)
@@ -54,6 +55,7 @@
         self.smooth: dict[str, float] = {}
 
     def step(self, event, now: int) -> Plan:
+        """Ask the owners for grants by demand, and take those that come."""
         plan = Plan()
         match event:
             case Received(_, QuotaShareTell(nonce, service, fence, rate)) if nonce in self.asked:
@@ -108,6 +110,7 @@
         self.looked_at = 0
 
     def step(self, event, now: int) -> Plan:
+        """Claim services without an owner, and grant to those who ask."""
         plan = Plan()
         match event:
             case Received(source, QuotaShareAsk() as ask):
--- a/src/willowpost/proxy/admission/verdict.py
+++ b/src/willowpost/proxy/admission/verdict.py
@@ -4,6 +4,8 @@
 
 
 class Let(Enum):
+    """Whether a try may be sent."""
+
     IN = "in"
     OUT = "out"
     ASK = "ask"  # whole tokens are the owner's alone: ask it for one
--- a/src/willowpost/shell/logs.py
+++ b/src/willowpost/shell/logs.py
@@ -22,7 +22,9 @@
         self.logger.addHandler(handler)
 
     def heed(self, level: str) -> None:
+        """Log from this level on."""
         self.logger.setLevel(getattr(logging, level))
 
     def say(self, part: str, sentence: str, level: str = "info", **more) -> None:
+        """Log a sentence of a part, with fields."""
         getattr(self.logger, level)(f"{part}: {sentence}", extra=more)
--- a/src/willowpost/shell/place.py
+++ b/src/willowpost/shell/place.py
@@ -38,8 +38,9 @@
     extra_part: float = 0.2
     extra_slack: float = 60  # and these
     extra_window_ms: int = 10_000  # in any such span
-    pace: Pace = Pace()
+    pace: Pace = field(default_factory=Pace)
     level: str = "INFO"
 
     def spans(self) -> Spans:
+        """Spans of a planned end in µs."""
         return Spans(self.drain_ms * MILLI, self.finish_ms * MILLI, self.leave_ms * MILLI)
--- a/src/willowpost/shell/program.py
+++ b/src/willowpost/shell/program.py
@@ -2,6 +2,7 @@
 
 import json
 import sys
+from typing import ClassVar
 
 from cleo.application import Application
 from cleo.commands.command import Command
@@ -14,10 +15,13 @@
 
 
 class DaemonCommand(Command):
-    """Invariant: bad settings end with exit code 2 and all findings, before any socket is opened."""
+    """A daemon's command.
+
+    Invariant: bad settings end with exit code 2 and all findings, before any socket is opened.
+    """
 
     needs: tuple[str, ...] = ()
-    options = [
+    options: ClassVar[list] = [
         option("settings", "p", "JSON or YAML file with this process's settings.", flag=False),
         option("name", None, "Name of the machine.", flag=False),
         option("zone", None, "Zone the machine stands in.", flag=False),
@@ -32,6 +36,7 @@
     ]
 
     def handle(self) -> int:
+        """Check the settings and serve; 2 for wrong settings."""
         flags = {
             name: self.option(name)
             for name in ("name", "zone", "address", "http", "role", "data", "voters", "level")
@@ -56,10 +61,12 @@
         return 0
 
     def build(self, place, logs):
+        """The daemon of this command, for checked settings."""
         raise NotImplementedError
 
 
 def run(command: Command) -> None:
+    """Run one command as the program's only one, and exit."""
     application = Application(command.name, "0.1.0")
     application.add(command)
     application._default_command = command.name
--- a/src/willowpost/shell/runner.py
+++ b/src/willowpost/shell/runner.py
@@ -39,6 +39,7 @@
         self.waiters: dict[int, AsyncResult] = {}
 
     def start(self, node) -> None:
+        """Step `node` from now on."""
         self.node = node
         self.mesh.start()
         self.task = gevent.spawn(self._run)
--- a/src/willowpost/shell/settings.py
+++ b/src/willowpost/shell/settings.py
@@ -32,6 +32,7 @@
     rotate: int = Field(2048, ge=16)
 
     def micros(self) -> Pace:
+        """The pace in µs, as the core takes it."""
         return Pace(
             **{
                 name: value * (1 if name in ("keep", "rotate") else MILLI)
@@ -85,11 +86,13 @@
         return value
 
     def place(self) -> Place:
+        """The settings as plain data."""
         held = {name: getattr(self, name) for name in type(self).model_fields}
         return Place(**{**held, "seeds": tuple(self.seeds), "pace": self.pace.micros()})
 
 
 def findings_of(error: ValidationError) -> list[dict]:
+    """What a model found wrong, each with its place."""
     return [
         {"place": "/".join(map(str, finding["loc"])) or "/", "finding": finding["msg"]}
         for finding in error.errors()
@@ -114,6 +117,7 @@
     def read(
         self, path: str | None, flags: dict, needs: tuple[str, ...] = ()
     ) -> Result[DaemonSettings, list[dict]]:
+        """Settings from the file, flags on top; `needs` names fields that may not be missing."""
         held = {}
         if path is not None:
             try:
--- a/src/willowpost/shell/web.py
+++ b/src/willowpost/shell/web.py
@@ -36,11 +36,14 @@
 
 
 def status_line(code: int) -> str:
+    """Code and reason phrase of a status line."""
     return f"{code} {REASONS.get(code, 'Status')}"
 
 
 @dataclass(frozen=True, slots=True)
 class Answer:
+    """An answer with a JSON value, or without a body."""
+
     code: int
     value: object = None
     headers: tuple = ()
@@ -48,6 +51,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Call:
+    """A call as it came: headers in lower case, `params` for each "*" of its path."""
+
     method: str
     path: str
     query: str
@@ -62,6 +67,8 @@
 
 
 class BodyTooLarge(Exception):
+    """A body is over what its call takes."""
+
     pass
 
 
@@ -99,6 +106,7 @@
         self.logs = logs
 
     def __call__(self, environ, start_response):
+        """Answer one call (WSGI)."""
         try:
             answer = self._answer(environ)
         except BodyTooLarge:
@@ -168,12 +176,15 @@
         super().__init__(sock, address, server, rfile)
 
     def get_environ(self):
+        """The handler's environment, with the connection itself."""
         return {**super().get_environ(), "wp.socket": self.socket}
 
     def log_request(self):
+        """Log no request: logs are made where something is decided."""
         pass
 
     def log_error(self, msg, *args):
+        """Log no error: the router says what broke down."""
         pass
 
 
@@ -181,6 +192,7 @@
     """Invariant: counts as under way until its last byte is out."""
 
     def handle_one_response(self):
+        """Answer one call, counted as under way."""
         self.server.application.in_flight += 1
         try:
             return super().handle_one_response()
@@ -189,6 +201,8 @@
 
 
 class WebServer:
+    """Serves an application at an address, with at most `most` connections."""
+
     def __init__(self, address: str, application, handler=QuietHandler, most: int = 4096):
         self.server = WSGIServer(
             split(address),
@@ -200,7 +214,9 @@
         )
 
     def start(self) -> None:
+        """Begin to listen."""
         self.server.start()
 
     def stop(self, seconds: float = 5) -> None:
+        """Close the socket, and give calls under way so many seconds."""
         self.server.stop(timeout=seconds)
--- a/src/willowpost/stand_ins/callers.py
+++ b/src/willowpost/stand_ins/callers.py
@@ -53,12 +53,14 @@
         self.weights = [kind["share"] for kind in mix]
 
     def start(self) -> None:
+        """Begin to look at the edges and to send requests."""
         self.running = True
         for edge in self.edges:
             gevent.spawn(self._look, edge)
         gevent.spawn(self._drive)
 
     def stop(self) -> None:
+        """Send no more, and wait for answers up to ten seconds."""
         self.running = False
         self.pool.join(timeout=10)
 
--- a/src/willowpost/stand_ins/main.py
+++ b/src/willowpost/stand_ins/main.py
@@ -2,6 +2,7 @@
 
 import json
 import sys
+from pathlib import Path
 
 import gevent
 
@@ -24,6 +25,7 @@
         }
 
     def steer(self, call):
+        """Do what the drill asks of the stand-ins."""
         asked = json.loads(call.body)
         origin = self.origins.get(asked.get("address"))
         match asked["do"]:
@@ -45,6 +47,7 @@
         return Answer(200, {})
 
     def ledger_page(self, call):
+        """What all stand-in origins saw, as JSON."""
         return Answer(
             200,
             {
@@ -59,7 +62,8 @@
 
 
 def main() -> None:
-    settings = json.load(open(sys.argv[1], encoding="utf-8"))
+    """Run the stand-in origins of the file named on the command line."""
+    settings = json.loads(Path(sys.argv[1]).read_text(encoding="utf-8"))
     standins = Standins(settings["origins"])
     logs = Logs("stand_ins", "origins")
     WebServer(
--- a/src/willowpost/stand_ins/origin.py
+++ b/src/willowpost/stand_ins/origin.py
@@ -101,6 +101,7 @@
         self.server = None
 
     def say(self, call: str, **more) -> dict | None:
+        """Tell one registry after the other until one takes it; its answer, or None."""
         value = {"service": self.service, "address": self.address, **more}
         for number in range(len(self.registries)):
             host, port = split(self.registries[number])
--- a/src/willowpost/toolbox/folder.py
+++ b/src/willowpost/toolbox/folder.py
@@ -3,6 +3,7 @@
 import json
 import os
 from dataclasses import dataclass
+from pathlib import Path
 
 from willowpost.consensus.replica.records import decision_from
 from willowpost.shell.disk import PREFIX, DiskDamaged, parse
@@ -12,6 +13,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Finding:
+    """Something wrong in a folder, with its place."""
+
     place: str
     finding: str
 
@@ -23,6 +26,7 @@
     """
 
     def check(self, folder: str) -> tuple[list[Finding], dict]:
+        """All findings, and what is known of the folder."""
         findings, facts = [], {}
         if not os.path.isdir(folder):
             return [Finding(folder, "no such folder")], facts
@@ -40,7 +44,7 @@
                 Finding(folder, "no segment: a store would start empty, under a new identity"),
             ], facts
         path = os.path.join(folder, names[-1])
-        data = open(path, "rb").read()
+        data = Path(path).read_bytes()
         try:
             records, sound = parse(data)
         except DiskDamaged as damage:
@@ -99,10 +103,11 @@
     """Invariant: run() gives the tables as they were when `slot` was the next slot to decide."""
 
     def run(self, folder: str, slot: int | None = None) -> Tables:
+        """The tables before `slot`, or at the end; ValueError for a slot that is not held."""
         names = sorted(
             name for name in os.listdir(folder) if name.startswith(PREFIX) and name.endswith(".wp")
         )
-        records, _ = parse(open(os.path.join(folder, names[-1]), "rb").read())
+        records, _ = parse(Path(folder, names[-1]).read_bytes())
         tables = Tables()
         for record in records:
             if slot is not None and tables.epoch and tables.slot >= slot:
--- a/src/willowpost/toolbox/planner.py
+++ b/src/willowpost/toolbox/planner.py
@@ -22,6 +22,7 @@
     """Invariant: the plan is worked out from the tables and the checked tree alone."""
 
     def plan(self, tables: Tables, tree: dict) -> dict:
+        """Routes and services that would be added, removed and changed, with warnings."""
         held, wanted = tables.configuration["tree"], tree
         before, after = _routes(held), _routes(wanted)
         services_before, services_after = (
@@ -56,7 +57,7 @@
                 f"service {name} has no origin in force" for name in sorted(reached - in_force)
             ]
             + [
-                f"origins of service {name} would have no way"
+                f"origins of service {name} would have no route"
                 for name in sorted(in_force - reached)
             ],
         }
@@ -66,6 +67,7 @@
     """Invariant: what is left is worked out by the very code that makes a proxy's snapshot."""
 
     def plan(self, tables: Tables, zone: str) -> dict:
+        """What would be left of each service, with warnings."""
         emptied, _ = empty_zone(tables, {"zone": zone, "empty": True})
         before, after = SnapshotMaker().make(tables), SnapshotMaker().make(emptied)
         allowed = {
@@ -101,7 +103,8 @@
                 if held["origins"][0] and not held["origins"][1]
             ]
             + [
-                f"service {name}: what is left bears {held['rate'][1]:.0f} of an allowance of {held['allowance']:.0f}"
+                f"service {name}: what is left bears {held['rate'][1]:.0f} "
+                f"of an allowance of {held['allowance']:.0f}"
                 for name, held in services.items()
                 if held["allowance"] is not None and 0 < held["rate"][1] < held["allowance"]
             ]
--- a/tests/stand_ins_platform.py
+++ b/tests/stand_ins_platform.py
@@ -93,7 +93,8 @@
 
     @property
     def instance(self):
-        return f"i-{self.service}-{self.address.rsplit('.', 1)[1].replace(':', '-')}-{self.incarnation}"
+        place = self.address.rsplit(".", 1)[1].replace(":", "-")
+        return f"i-{self.service}-{place}-{self.incarnation}"
 
     def start(self):
         self.incarnation, self.sequence, self.state = self.incarnation + 1, 0, "ready"
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -354,7 +354,7 @@
             plan["routes"]["changed"]["top"],
         )
         self.assertEqual(
-            ["service idle has no origin in force", "origins of service g would have no way"],
+            ["service idle has no origin in force", "origins of service g would have no route"],
             plan["warnings"],
         )
         plan = ZonePlanner().plan(tables, "a")
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -102,6 +102,21 @@
     "willowpost.store.daemon",
 }
 
+CODE_LINES = 627  # what the folder may hold, docstrings and blank lines aside
+
+
+def code_lines(text):
+    """Lines that are neither blank nor a docstring's."""
+    documented = (ast.Module, ast.ClassDef, ast.FunctionDef)
+    held = [
+        node.body[0]
+        for node in ast.walk(ast.parse(text))
+        if isinstance(node, documented) and ast.get_docstring(node) is not None
+    ]
+    said = {line for first in held for line in range(first.lineno, first.end_lineno + 1)}
+    lines = enumerate(text.splitlines(), 1)
+    return sum(1 for number, line in lines if line.strip() and number not in said)
+
 
 def found_in(text):
     return sorted({found[0].lower() for found in NAME.finditer(text)})
@@ -212,7 +227,7 @@
     def test_it_stays_small_and_shadows_nothing(self):
         paths = [Path(path) for path in modules()]
         self.assertFalse((ROOT / "platform" / "__init__.py").exists())
-        self.assertLess(sum(len((ROOT / path).read_text().splitlines()) for path in paths), 800)
+        self.assertLess(sum(code_lines((ROOT / path).read_text()) for path in paths), CODE_LINES)
         import sys
 
         standard = {path.stem for path in paths if len(path.parts) == 2} & set(
