--- a/src/willowpost/common/events.py
+++ b/src/willowpost/common/events.py
@@ -38,7 +38,7 @@
     """
 
     token: Any
-    ops: tuple
+    ops: tuple[dict[str, Any], ...]
     lifetime: int | None = None
 
 
--- a/src/willowpost/common/plan.py
+++ b/src/willowpost/common/plan.py
@@ -1,26 +1,28 @@
 """What a step wants done, as data. The shell carries it out in this order."""
 
 from dataclasses import dataclass, field
+from typing import Any
 
 
 @dataclass(slots=True)
 class Plan:
     """Invariant: all `records` are on disk and synced before any of `sends` or `replies` leaves.
 
-    `turn` holds the records of a new disk segment that replaces all before it.
+    `rotate` holds the records of a new disk segment that replaces all before it.
     """
 
-    records: list = field(default_factory=list)
-    rotate: list | None = None
-    sends: list = field(default_factory=list)  # (address, message)
-    replies: list = field(default_factory=list)  # (token, result)
-    notes: list = field(default_factory=list)  # (part, sentence, fields)
+    records: list[dict[str, Any]] = field(default_factory=list)
+    rotate: list[dict[str, Any]] | None = None
+    sends: list[tuple[str, object]] = field(default_factory=list)  # (address, message)
+    replies: list[tuple[object, Any]] = field(default_factory=list)  # (token, result)
+    # (part, sentence, fields)
+    notes: list[tuple[str, str, dict[str, Any]]] = field(default_factory=list)
 
-    def send(self, address: str, message) -> None:
+    def send(self, address: str, message: object) -> None:
         """Add a message to be sent to `address`."""
         self.sends.append((address, message))
 
-    def note(self, part: str, sentence: str, **more) -> None:
+    def note(self, part: str, sentence: str, **more: Any) -> None:
         """Add a sentence to be logged."""
         self.notes.append((part, sentence, more))
 
--- a/src/willowpost/common/uncollected.py
+++ b/src/willowpost/common/uncollected.py
@@ -4,11 +4,12 @@
 """
 
 import gc
+from collections.abc import Iterator
 from contextlib import contextmanager
 
 
 @contextmanager
-def uncollected():
+def uncollected() -> Iterator[None]:
     """Invariants: nothing in it waits, so no other task sees the collector off.
 
     Afterwards it is as it was before.
--- a/src/willowpost/drill/hold.py
+++ b/src/willowpost/drill/hold.py
@@ -2,6 +2,7 @@
 
 import signal
 import sys
+from collections.abc import Callable
 
 import gevent
 from gevent.event import Event
@@ -17,7 +18,7 @@
     Invariant: an input that is closed, or at its end, ends nothing: then only a signal does.
     """
 
-    def __init__(self, say):
+    def __init__(self, say: Callable[[str], None]):
         self.say = say
         self.ended = Event()
         for number in ENDING_SIGNALS:
@@ -29,7 +30,7 @@
         while not self.ended.wait(LOOK_SECONDS):
             pass
 
-    def _read(self):
+    def _read(self) -> None:
         if gevent.get_hub().threadpool.apply(_line):
             self.ended.set()
         else:
--- a/src/willowpost/proxy/admission/admission_tokens.py
+++ b/src/willowpost/proxy/admission/admission_tokens.py
@@ -12,6 +12,7 @@
 from willowpost.proxy.admission.buckets import Bucket, ramped, ramps_in_tokens
 from willowpost.proxy.admission.quota_shares import QuotaShareOwner, in_whole_tokens
 from willowpost.proxy.proxy_state import ProxyState
+from willowpost.proxy.routing.snapshot import ServiceCard
 from willowpost.wire.messages import AdmissionTokenAsk, AdmissionTokenTell
 
 ANSWER_WITHIN = 300 * MILLI
@@ -36,9 +37,9 @@
         self.node_state = node_state
         card = node_state.card
         self.nonces = NonceSequence(card.id, card.incarnation, "admission_token")
-        self.open: dict[int, tuple] = {}  # nonce -> (ticket, asked at)
+        self.open: dict[int, tuple[object, int]] = {}  # nonce -> (ticket, asked at)
 
-    def step(self, event, now: int) -> Plan:
+    def step(self, event: object, now: int) -> Plan:
         """Ask for wanted tokens, and answer those that wait."""
         plan = Plan()
         match event:
@@ -53,10 +54,10 @@
                     plan.replies.append((self.open.pop(nonce)[0], False))
         return plan
 
-    def _ask(self, wanted, now, plan):
+    def _ask(self, wanted: AdmissionTokenWanted, now: int, plan: Plan) -> None:
         held = self.node_state.tables.fences.get(f"quota_share/{wanted.service}")
         owner = self.node_state.tables.daemons.get(held["owner"]) if held else None
-        if owner is None:
+        if held is None or owner is None:
             plan.replies.append((wanted.ticket, False))
             return
         nonce = self.nonces.next()
@@ -75,9 +76,9 @@
 
     def __init__(self, node_state: ProxyState, owner: QuotaShareOwner):
         self.node_state, self.owner = node_state, owner
-        self.buckets: dict[tuple, Bucket] = {}
+        self.buckets: dict[tuple[str, int, str], Bucket] = {}
 
-    def step(self, event, now: int) -> Plan:
+    def step(self, event: object, now: int) -> Plan:
         """Give tokens to those who ask."""
         plan = Plan()
         match event:
@@ -91,7 +92,7 @@
                 )
         return plan
 
-    def _take(self, name, fence, origin, since, now):
+    def _take(self, name: str, fence: int, origin: str, since: int, now: int) -> bool:
         rate = self._rate(self.node_state.snapshot.services[name], origin, now)
         self.buckets = {
             key: held for key, held in self.buckets.items() if key[1] == fence or key[0] != name
@@ -101,7 +102,7 @@
             (name, fence, origin), Bucket(0.0, filled_from)
         ).take(rate, 1.0, now)
 
-    def _rate(self, service, origin, now):
+    def _rate(self, service: ServiceCard, origin: str, now: int) -> float:
         if not origin:
             return service.rate if in_whole_tokens(service) else 0.0
         card = next(
--- a/src/willowpost/proxy/admission/buckets.py
+++ b/src/willowpost/proxy/admission/buckets.py
@@ -9,6 +9,7 @@
 from willowpost.proxy.admission.quota_shares import WINDOW, base_quota_of, in_whole_tokens
 from willowpost.proxy.admission.verdict import Let
 from willowpost.proxy.proxy_state import ProxyState
+from willowpost.proxy.routing.snapshot import OriginCard, ServiceCard
 
 RATE_PER_SENDER = 4.0
 BRIEF = 1.25  # where the rate is what the origins bear
@@ -39,7 +40,7 @@
     return Let.IN if taken else Let.OUT
 
 
-def ramped(origin, service, span: int) -> float:
+def ramped(origin: OriginCard, service: ServiceCard, span: int) -> float:
     """What a cold origin bears a second, `span` after it was let in.
 
     One that says itself how long it is cold does not climb.
@@ -55,7 +56,7 @@
     return max(1, int(capacity / RATE_PER_SENDER))
 
 
-def ramps_in_tokens(origin, service) -> bool:
+def ramps_in_tokens(origin: OriginCard, service: ServiceCard) -> bool:
     """A cold origin that at first bears too little for every sender to have a token of its own."""
     return origin.cold and senders_of(origin.cold_rate) < len(service.senders)
 
@@ -70,7 +71,8 @@
     """
 
     def __init__(self, since: int, rate: float):
-        self.spans: deque = deque([(since, since, rate)])  # (from, to, rate), oldest first
+        # (from, to, rate), oldest first
+        self.spans: deque[tuple[int, int, float]] = deque([(since, since, rate)])
         self.used: deque[int] = deque()
 
     def take(self, rate: float, now: int, brief: bool = False) -> bool:
@@ -100,7 +102,7 @@
         self.used.append(now)
         return True
 
-    def _lately(self, now):
+    def _lately(self, now: int) -> int:
         return sum(1 for _ in takewhile(lambda at: at > now - SECOND, reversed(self.used)))
 
 
@@ -130,15 +132,15 @@
         if rate <= 0:
             return Let.OUT
         if name not in self.windows:
-            # our base has gone unused since all who share the service made room for it
-            self.windows[name] = Window(
-                max(now - int(WINDOW * SECOND), min(now, node_state.warmed_up_since()))
-                if base_quota
-                else now,
-                base_quota,
-            )
+            self.windows[name] = Window(self._unused_since(now) if base_quota else now, base_quota)
         return let(self.windows[name].take(rate, now, service.borne))
 
+    def _unused_since(self, now: int) -> int:
+        """Since when our base has gone unused: all who share the service made room for it then."""
+        warmed_up = self.node_state.warmed_up_since()
+        since = now if warmed_up is None else min(now, warmed_up)
+        return max(now - int(WINDOW * SECOND), since)
+
 
 class Ramp:
     """Invariant.
@@ -152,7 +154,7 @@
     def __init__(self, node_state: ProxyState):
         self.node_state = node_state
         self.buckets: dict[str, Bucket] = {}
-        self.ranks: dict[tuple, int] = {}
+        self.ranks: dict[tuple[str, tuple[str, ...]], int] = {}
         # origins whose process we saw end; cold to us whatever the log says
         self.suspects: dict[str, int] = {}
 
@@ -165,21 +167,22 @@
         }
         self.suspects[origin] = now
 
-    def cold(self, origin, service, now: int) -> bool:
+    def cold(self, origin: OriginCard, service: ServiceCard, now: int) -> bool:
         """By the log, by its own last word, or by what we saw of it since."""
         suspected = self.suspects.get(origin.name)
         if not service.told:
             return origin.cold or suspected is not None
         at, until = self.node_state.cold.get(origin.name, (0, 0))
         if suspected is not None and at > suspected:
-            suspected = self.suspects.pop(origin.name) and None
-        return (
+            del self.suspects[origin.name]
+            suspected = None
+        return bool(
             suspected is not None
             or until > now
             or (origin.cold and not at > self.node_state.cold_since.get(origin.name, now))
         )
 
-    def let_in(self, origin, service, now: int) -> Let:
+    def let_in(self, origin: OriginCard, service: ServiceCard, now: int) -> Let:
         """Whether one more request may go to this origin now (µs)."""
         suspected = self.suspects.get(origin.name)
         if (
@@ -202,7 +205,7 @@
         rate = capacity / min(few, max(1, len(service.senders)))
         return let(self.buckets.setdefault(origin.name, Bucket()).take(rate, 1.0, now))
 
-    def _rank(self, origin, senders):
+    def _rank(self, origin: str, senders: tuple[str, ...]) -> int:
         key = (origin, senders)
         if key not in self.ranks:
             if len(self.ranks) > 1000:
--- a/src/willowpost/proxy/admission/budget.py
+++ b/src/willowpost/proxy/admission/budget.py
@@ -4,6 +4,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from willowpost.common.clock import SECOND
@@ -18,6 +19,9 @@
     window: int = 10 * SECOND
 
 
+DEFAULTS = BudgetSettings()
+
+
 class RetryBudget:
     """Invariant.
 
@@ -28,12 +32,12 @@
     one of the same request as extra, also when the one before went by another hop.
     """
 
-    def __init__(self, proxies, since: int, settings: BudgetSettings = BudgetSettings()):
+    def __init__(self, proxies: Callable[[], int], since: int, settings: BudgetSettings = DEFAULTS):
         self.since = since
         self.proxies = proxies  # () -> how many proxies share the slack
         self.settings = settings
-        self.firsts: dict[str, deque] = {}
-        self.extras: dict[str, deque] = {}
+        self.firsts: dict[str, deque[int]] = {}
+        self.extras: dict[str, deque[int]] = {}
 
     def first(self, now: int, service: str = "") -> None:
         """Count a first try."""
@@ -60,7 +64,7 @@
             <= self.settings.part * len(self.firsts.get(service, ())) + slack
         )
 
-    def _forget(self, now, service):
+    def _forget(self, now: int, service: str) -> None:
         for held in (self.firsts.get(service), self.extras.get(service)):
             while held and held[0] <= now - self.settings.window:
                 held.popleft()
--- a/src/willowpost/proxy/admission/quota_shares.py
+++ b/src/willowpost/proxy/admission/quota_shares.py
@@ -11,8 +11,10 @@
 from willowpost.common.nonce import NonceSequence
 from willowpost.common.plan import Plan
 from willowpost.common.rendezvous import Rendezvous
+from willowpost.node.command_client import CommandClient
 from willowpost.node.node_state import LEASE
 from willowpost.proxy.proxy_state import Grant, ProxyState
+from willowpost.proxy.routing.snapshot import ServiceCard
 from willowpost.wire.messages import QuotaShareAsk, QuotaShareTell
 
 GRANT_SPAN = 1 * SECOND
@@ -25,7 +27,7 @@
 WHOLE_BELOW = 0.75
 
 
-def in_whole_tokens(service) -> bool:
+def in_whole_tokens(service: ServiceCard) -> bool:
     """So small that a part for every sender would be too little to use.
 
     Its owner hands out single tokens.
@@ -33,11 +35,12 @@
     return OVER * service.rate - len(service.senders) / WINDOW < WHOLE_BELOW * OVER * service.rate
 
 
-def base_quota_of(node_state: ProxyState, service, now: int) -> float:
+def base_quota_of(node_state: ProxyState, service: ServiceCard, now: int) -> float:
     """Requests a second that this proxy may send without a grant."""
     if in_whole_tokens(service) or not node_state.warmed_up(now):
         return 0.0
-    return BASE_QUOTA_PART * service.rate * service.parts.get(node_state.card.id, 0.0)
+    part: float = service.parts.get(node_state.card.id, 0.0)
+    return BASE_QUOTA_PART * service.rate * part
 
 
 class QuotaShareTaker:
@@ -50,11 +53,11 @@
         self.node_state = node_state
         card = node_state.card
         self.nonces = NonceSequence(card.id, card.incarnation, "quota_share")
-        self.asked: dict[int, tuple] = {}
+        self.asked: dict[int, tuple[str, int]] = {}  # nonce -> (service, asked at)
         self.looked_at = 0
         self.smooth: dict[str, float] = {}
 
-    def step(self, event, now: int) -> Plan:
+    def step(self, event: object, now: int) -> Plan:
         """Ask the owners for grants by demand, and take those that come."""
         plan = Plan()
         match event:
@@ -71,7 +74,7 @@
                 self._ask(now, plan)
         return plan
 
-    def _ask(self, now, plan):
+    def _ask(self, now: int, plan: Plan) -> None:
         node_state, span = self.node_state, max(now - self.looked_at, LOOK_EVERY) / SECOND
         self.looked_at = now
         self.asked = {
@@ -84,7 +87,7 @@
             self.smooth[name] = 0.6 * self.smooth.get(name, 0.0) + 0.4 * demand.get(name, 0) / span
             held = node_state.tables.fences.get(f"quota_share/{name}")
             owner = node_state.tables.daemons.get(held["owner"]) if held else None
-            if owner is not None:
+            if held is not None and owner is not None:
                 nonce = self.nonces.next()
                 self.asked[nonce] = (name, now)
                 plan.send(
@@ -100,16 +103,18 @@
     the old one's lease and its last grants.
     """
 
-    def __init__(self, node_state: ProxyState, command_client):
+    def __init__(self, node_state: ProxyState, command_client: CommandClient):
         self.node_state = node_state
         self.command_client = command_client
         self.since: dict[str, tuple[int, int]] = {}  # key -> (fence, when first seen as ours)
-        self.granted: dict[str, dict] = {}  # service -> {asker: (rate, until)}
-        self.wanted: dict[str, dict] = {}  # service -> {asker: (demand, at)}
+        # service -> {asker: (rate, until)}
+        self.granted: dict[str, dict[str, tuple[float, int]]] = {}
+        # service -> {asker: (demand, at)}
+        self.wanted: dict[str, dict[str, tuple[float, int]]] = {}
         self.claimed_at: dict[str, int] = {}
         self.looked_at = 0
 
-    def step(self, event, now: int) -> Plan:
+    def step(self, event: object, now: int) -> Plan:
         """Claim services without an owner, and grant to those who ask."""
         plan = Plan()
         match event:
@@ -120,7 +125,7 @@
                 self._claim(now, plan)
         return plan
 
-    def _claim(self, now, plan):
+    def _claim(self, now: int, plan: Plan) -> None:
         node_state = self.node_state
         live = node_state.live("proxy")
         ops = []
@@ -167,7 +172,7 @@
         ruling = since if own == 1 and key in self.claimed_at else since + FENCE_WAIT
         return ruling if now >= ruling else None
 
-    def _grant(self, source, ask, now, plan):
+    def _grant(self, source: str, ask: QuotaShareAsk, now: int, plan: Plan) -> None:
         fence = ask.fence
         if self.rules_since(ask.service, fence, now) is None:
             return
--- a/src/willowpost/shell/logs.py
+++ b/src/willowpost/shell/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+from typing import Any, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -9,7 +10,7 @@
 class Logs:
     """Invariant: every line is one JSON object with time, program, name and message."""
 
-    def __init__(self, program: str, name: str, level: str = "INFO", stream=None):
+    def __init__(self, program: str, name: str, level: str = "INFO", stream: TextIO | None = None):
         self.logger = logging.Logger(program, getattr(logging, level))
         handler = logging.StreamHandler(stream or sys.stderr)
         handler.setFormatter(
@@ -25,6 +26,6 @@
         """Log from this level on."""
         self.logger.setLevel(getattr(logging, level))
 
-    def say(self, part: str, sentence: str, level: str = "info", **more) -> None:
+    def say(self, part: str, sentence: str, level: str = "info", **more: Any) -> None:
         """Log a sentence of a part, with fields."""
         getattr(self.logger, level)(f"{part}: {sentence}", extra=more)
--- a/src/willowpost/shell/place.py
+++ b/src/willowpost/shell/place.py
@@ -27,7 +27,7 @@
     max_voters: int = 0  # what the core may grow to; 0: it does not grow
     may_bootstrap: bool = True  # False: an empty store only learns
     bootstrap_from_seeds: bool = False  # only a store that is itself a seed founds
-    regions: dict = field(default_factory=dict)  # zone -> region
+    regions: dict[str, str] = field(default_factory=dict)  # zone -> region
     # a proxy serves on this long after its last state updates
     serve_on_ms: int = 1500
     drain_ms: int = 3000  # a leaver goes on serving all
--- a/src/willowpost/shell/reload.py
+++ b/src/willowpost/shell/reload.py
@@ -3,8 +3,11 @@
 Take over what can change while running, name what cannot.
 """
 
+from typing import Any
+
 from result import Err, Ok, Result
 
+from willowpost.shell.logs import Logs
 from willowpost.shell.settings import DaemonSettings, SettingsReader
 
 LIVE = ("seeds", "level", "pace")
@@ -17,11 +20,16 @@
     """
 
     def __init__(
-        self, path: str | None, flags: dict, needs: tuple[str, ...], held: DaemonSettings, logs
+        self,
+        path: str | None,
+        flags: dict[str, Any],
+        needs: tuple[str, ...],
+        held: DaemonSettings,
+        logs: Logs,
     ):
         self.path, self.flags, self.needs, self.held, self.logs = path, flags, needs, held, logs
 
-    def step(self) -> Result[DaemonSettings, list[dict]]:
+    def step(self) -> Result[DaemonSettings, list[dict[str, str]]]:
         """The settings to go on with."""
         read = SettingsReader().read(self.path, self.flags, self.needs)
         if read.is_err():
--- a/src/willowpost/shell/serving.py
+++ b/src/willowpost/shell/serving.py
@@ -1,15 +1,33 @@
 """Runs a daemon until the machine wants it to end; the signals are the same for every entry."""
 
 import signal
+from collections.abc import Callable
+from typing import Protocol
 
 import gevent
 from gevent.event import Event
 
 from willowpost.common.events import Changed
+from willowpost.shell.logs import Logs
 from willowpost.shell.place import Place
+from willowpost.shell.runner import Runner
 
+Reload = Callable[[], Place | None]
 
-def serve(daemon, logs, reload=lambda: None) -> None:
+
+class Daemon(Protocol):
+    """What can be started and stopped, and steps its node by a runner."""
+
+    runner: Runner
+
+    def start(self) -> None:
+        """Take up the work; returns at once."""
+
+    def stop(self) -> None:
+        """End as planned; returns when all is finished."""
+
+
+def serve(daemon: Daemon, logs: Logs, reload: Reload = lambda: None) -> None:
     """reload() gives the Place to go on with, or None when the old one stays.
 
     Returns when the daemon has ended as planned.
@@ -25,7 +43,7 @@
     logs.say("program", "stopped")
 
 
-def _heed(place: Place | None, daemon, logs) -> None:
+def _heed(place: Place | None, daemon: Daemon, logs: Logs) -> None:
     if place is not None:
         logs.heed(place.level)
         daemon.runner.inbox.put(Changed(tuple(place.seeds), place.pace))
--- a/src/willowpost/toolbox/folder.py
+++ b/src/willowpost/toolbox/folder.py
@@ -4,6 +4,7 @@
 import os
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 from willowpost.consensus.replica.records import decision_from
 from willowpost.shell.disk import PREFIX, DiskDamaged, parse
@@ -25,9 +26,10 @@
     No finding means a store would start from it.
     """
 
-    def check(self, folder: str) -> tuple[list[Finding], dict]:
+    def check(self, folder: str) -> tuple[list[Finding], dict[str, Any]]:
         """All findings, and what is known of the folder."""
-        findings, facts = [], {}
+        findings: list[Finding] = []
+        facts: dict[str, Any] = {}
         if not os.path.isdir(folder):
             return [Finding(folder, "no such folder")], facts
         names = sorted(
@@ -59,8 +61,13 @@
         findings += self._walk(names[-1], records, facts)
         return findings, {**facts, "segment": names[-1], "records": len(records)}
 
-    def _walk(self, name, records, facts):
-        findings, slot, ballot_state, bootstrapped = [], None, None, False
+    def _walk(
+        self, name: str, records: list[dict[str, Any]], facts: dict[str, Any]
+    ) -> list[Finding]:
+        findings: list[Finding] = []
+        slot: int | None = None
+        ballot_state: tuple[Any, ...] | None = None
+        bootstrapped = False
         if not records or records[0]["k"] != "identity":
             findings.append(Finding(f"{name} record 0", "not an identity"))
         for number, record in enumerate(records):
@@ -76,7 +83,7 @@
                     )
                     slot = record["slot"] + 1
                 case "decision":
-                    slot += 1
+                    slot = record["slot"] + 1
                 case "ballot_state":
                     now = (record["epoch"], record["slot"])
                     if (
--- a/src/willowpost/toolbox/planner.py
+++ b/src/willowpost/toolbox/planner.py
@@ -1,19 +1,20 @@
 """What a configuration or an emptied zone would change, told before it is sent. Changes nothing."""
 
 from dataclasses import asdict
+from typing import Any
 
-from willowpost.configuration.routes import routes_of
+from willowpost.configuration.routes import Route, routes_of
 from willowpost.proxy.routing.snapshot import SnapshotMaker
 from willowpost.state.apply.operators import zone as empty_zone
 from willowpost.state.tables import Tables
 
 
-def _routes(tree):
+def _routes(tree: dict[str, Any] | None) -> dict[str, Route]:
     return {route.name: route for route in routes_of(tree)} if tree else {}
 
 
-def _changed(before, after):
-    """What differs of a way; an absent kind and an empty split are told as null and []."""
+def _changed(before: Route, after: Route) -> dict[str, list[Any]]:
+    """What differs of a route; an absent kind and an empty split are told as null and []."""
     held, wanted = asdict(before), asdict(after)
     return {prop: [held[prop], wanted[prop]] for prop in wanted if held[prop] != wanted[prop]}
 
@@ -21,7 +22,7 @@
 class ConfigurationPlanner:
     """Invariant: the plan is worked out from the tables and the checked tree alone."""
 
-    def plan(self, tables: Tables, tree: dict) -> dict:
+    def plan(self, tables: Tables, tree: dict[str, Any]) -> dict[str, Any]:
         """Routes and services that would be added, removed and changed, with warnings."""
         held, wanted = tables.configuration["tree"], tree
         before, after = _routes(held), _routes(wanted)
@@ -66,7 +67,7 @@
 class ZonePlanner:
     """Invariant: what is left is worked out by the very code that makes a proxy's snapshot."""
 
-    def plan(self, tables: Tables, zone: str) -> dict:
+    def plan(self, tables: Tables, zone: str) -> dict[str, Any]:
         """What would be left of each service, with warnings."""
         emptied, _ = empty_zone(tables, {"zone": zone, "empty": True})
         before, after = SnapshotMaker().make(tables), SnapshotMaker().make(emptied)
@@ -75,7 +76,7 @@
             for name, service in (tables.configuration["tree"] or {}).get("services", {}).items()
             if service.get("rate") is not None
         }
-        services = {
+        services: dict[str, dict[str, Any]] = {
             name: {
                 "origins": [len(card.origins), len(after.services[name].origins)],
                 "rate": [
