--- a/tests/test_operator_days.py
+++ b/tests/test_operator_days.py
@@ -99,7 +99,6 @@
 
     def beat(self, number, token, **more):
         """The answer's code; it comes within the origin's patience and fits what it reads."""
-        begun = self.world.time
         value = {
             "service": "art",
             "address": "127.0.0.1:99",
@@ -110,7 +109,14 @@
             "cold_ms": 0,
             **more,
         }
-        answer = self.call("POST", "/v1/origins/beat", value)
+        return self.timely("/v1/origins/beat", value)
+
+    def leave(self, token):
+        return self.timely("/v1/origins/leave", {"token": token})
+
+    def timely(self, path, value):
+        begun = self.world.time
+        answer = self.call("POST", path, value)
         self.assertLess(self.world.time - begun, seconds(HEARTBEAT_SECONDS))
         self.assertLessEqual(len(json.dumps(answer.value)), HEARTBEAT_BYTES)
         return answer.code
@@ -124,6 +130,7 @@
         self.assertEqual(200, self.beat(3, longest))
         self.assertEqual(504, self.beat(4, longest, state="draining"))
         self.assertEqual(504, self.beat(1, "another", address="127.0.0.1:98"))
+        self.assertIn(self.leave(longest), (503, 504))
         self.assertEqual(422, self.beat(1, "t" * 257))
 
     def test_an_origin_that_serves_on_for_long_after_its_drain_stays_draining(self):
