--- a/src/willowpost/configuration/checker.py
+++ b/src/willowpost/configuration/checker.py
@@ -5,6 +5,8 @@
 
 import json
 from collections import Counter
+from collections.abc import Iterator, Mapping
+from typing import Any, NoReturn
 
 from pydantic import ValidationError
 from result import Err, Ok, Result
@@ -15,9 +17,10 @@
 from willowpost.shell.settings import findings_of
 
 BYTES_MOST = 4 * 1024 * 1024
+Findings = list[dict[str, str]]  # each with its place
 
 
-def once(pairs):
+def once(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     """For JSON objects: a name that is said twice is refused.
 
     Since readers differ in which one they take.
@@ -30,14 +33,14 @@
     return held
 
 
-def _said(held):
+def _said(held: Mapping[str, Any]) -> dict[str, Any]:
     return {name: value for name, value in held.items() if value is not None}
 
 
 class ConfigurationChecker:
     """Invariant: only what comes back as Ok may be proposed to the log."""
 
-    def read(self, body: bytes) -> Result[object, list[dict]]:
+    def read(self, body: bytes) -> Result[object, Findings]:
         """The JSON alone: no name twice in an object, no NaN."""
         try:
             return Ok(
@@ -48,17 +51,17 @@
         except (ValueError, RecursionError) as problem:
             return Err([{"place": "/", "finding": f"not JSON: {problem}"}])
 
-    def check(self, body: bytes) -> Result[dict, list[dict]]:
+    def check(self, body: bytes) -> Result[dict[str, Any], Findings]:
         """The configuration as plain data with all defaults, or every finding with its place."""
         with uncollected():
             return self.read(body).and_then(self.check_value)
 
-    def check_value(self, held) -> Result[dict, list[dict]]:
+    def check_value(self, held: object) -> Result[dict[str, Any], Findings]:
         """As check(), for a value that is already parsed."""
         with uncollected():
             return self._judge(held)
 
-    def _judge(self, held):
+    def _judge(self, held: object) -> Result[dict[str, Any], Findings]:
         try:
             configuration = CONFIGURATION.validate_python(held)
         except ValidationError as error:
@@ -78,14 +81,14 @@
         findings = list(self._whole(tree))
         return Err(findings) if findings else Ok(tree)
 
-    def _refuse(self, name):
+    def _refuse(self, name: str) -> NoReturn:
         raise ValueError(f"{name} is no JSON number")
 
-    def _whole(self, tree):
+    def _whole(self, tree: dict[str, Any]) -> Iterator[dict[str, str]]:
         branches = list(walk(tree))
         if len(branches) > ROUTES_MOST:
             yield {"place": "branches", "finding": f"more than {ROUTES_MOST} branches"}
-        places = {}
+        places: dict[tuple[str, str], str] = {}
         yield from self._targets("", tree["settings"], tree["services"])
         for place, depth, host, path, settings, branch in branches:
             if depth > DEPTH_MOST:
@@ -101,7 +104,9 @@
                 if first != place and own_place:
                     yield {"place": place, "finding": f"the same host and path as {first}"}
 
-    def _targets(self, place, settings, services):
+    def _targets(
+        self, place: str, settings: dict[str, Any], services: dict[str, Any]
+    ) -> Iterator[dict[str, str]]:
         """Where these settings themselves send requests.
 
         Each finding stands where the service is said.
--- a/src/willowpost/configuration/model.py
+++ b/src/willowpost/configuration/model.py
@@ -53,7 +53,7 @@
     tries: Annotated[int, Field(ge=1, le=100)] | None
 
 
-def _target(settings):
+def _target(settings: "Settings") -> "Settings":
     split = settings.get("split")
     if split is not None:
         if settings.get("service") is not None:
--- a/src/willowpost/configuration/routes.py
+++ b/src/willowpost/configuration/routes.py
@@ -1,7 +1,8 @@
 """The routes a configuration amounts to, and which of them a request takes."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from typing import Any
 
 from willowpost.common.uncollected import uncollected
 
@@ -47,9 +48,11 @@
 
 
 LISTS = frozenset({"methods", "zones", "homes"})
+# place, depth, host, path, settings, branch
+WalkedBranch = tuple[str, int, str, str | None, dict[str, Any], dict[str, Any]]
 
 
-def inherited(above: dict, settings: dict) -> dict:
+def inherited(above: dict[str, Any], settings: dict[str, Any]) -> dict[str, Any]:
     """Invariant: a service said below a split takes its place, and the other way round."""
     said = {name: value for name, value in settings.items() if value is not None}
     for name in LISTS & said.keys():
@@ -62,13 +65,20 @@
     return {**above, **said} if said else above
 
 
-def walk(tree: dict) -> Iterator[tuple[str, int, str, str | None, dict, dict]]:
+def walk(tree: dict[str, Any]) -> Iterator[WalkedBranch]:
     """(place, depth, host, path, settings, branch) of every branch of a checked tree: plain data.
 
     Since thousands of models would hold a proxy's loop for as long as a lease lasts.
     """
 
-    def down(branches, place, depth, host, path, settings):
+    def down(
+        branches: dict[str, Any],
+        place: str,
+        depth: int,
+        host: str,
+        path: str | None,
+        settings: dict[str, Any],
+    ) -> Iterator[WalkedBranch]:
         for name, branch in branches.items():
             own, below = branch.get("settings"), branch.get("branches")
             here = (
@@ -92,7 +102,7 @@
     )
 
 
-def routes_of(tree: dict) -> tuple[Route, ...]:
+def routes_of(tree: dict[str, Any]) -> tuple[Route, ...]:
     """Every route of a checked configuration, with the settings that it inherits."""
     with uncollected():
         return tuple(
@@ -117,7 +127,7 @@
     And of two with the same path the one with the exact host before "*"; immutable once made.
     """
 
-    def __init__(self, routes):
+    def __init__(self, routes: Iterable[Route]):
         self.by_place = {(route.host, trunk_of(route.path)): route for route in routes}
         self.longest = max((len(route.path) for route in self.by_place.values()), default=0)
 
--- a/src/willowpost/drill/capacity/filled.py
+++ b/src/willowpost/drill/capacity/filled.py
@@ -54,7 +54,7 @@
 def configuration_of(size: Size) -> dict:
     """One branch a service, its routes beneath.
 
-    Nothing goes through shields: every proxy may press every service.
+    Nothing goes through shields: every proxy may send to every service.
     """
     each = max(1, size.routes // size.services - 1)
     return {
@@ -132,8 +132,8 @@
             }
             for number in range(purges)
         ]
-        # what the log has of each daemon's former life: under its own, commands so far counted
-        # would be barred
+        # what the log has of each daemon's former incarnation: under its own, commands counted so
+        # far would be barred
         answers = {
             str(number): [number, [{"ok": True, "slot": number}]]
             for number in range(1, ANSWERS_KEPT + 1)
--- a/src/willowpost/drill/capacity/simulated_peers.py
+++ b/src/willowpost/drill/capacity/simulated_peers.py
@@ -11,11 +11,11 @@
 from willowpost.proxy.admission.quota_shares import LOOK_EVERY
 from willowpost.wire.messages import Ping, Poll, Pong, QuotaShareAsk, QuotaShareTell, StateUpdate
 
-ANSWERED = (StateUpdate, Ping, QuotaShareAsk)  # what a ghost hears; all else it lets pass
+ANSWERED = (StateUpdate, Ping, QuotaShareAsk)  # what a simulated peer answers; all else it ignores
 
 
 class SimulatedPeers:
-    """Invariant: a ghost's polls, pings, asks and beats come as often as the controllers'.
+    """Invariant: a simulated peer's polls, pings, asks and beats come as often as the controllers'.
 
     Each at its own phase. That they do is checked by running the same size whole:
     tests/test_capacity.py.
--- a/src/willowpost/drill/rules.py
+++ b/src/willowpost/drill/rules.py
@@ -1,6 +1,7 @@
 """The brief's rules as a table: what was seen, kept or broken."""
 
 from dataclasses import dataclass, field
+from typing import Any
 
 from willowpost.stand_ins.callers import Tally
 
@@ -23,7 +24,7 @@
 class Findings:
     """Invariant: a row once broken stays broken."""
 
-    rows: list = field(default_factory=list)
+    rows: list[Row] = field(default_factory=list)
 
     def add(self, rule: str, seen: str, kept: bool) -> None:
         """Add a row."""
@@ -49,7 +50,14 @@
     Never from what the daemons say of themselves.
     """
 
-    def __init__(self, tally: Tally, ledger: dict, services: dict, origins: list, excused: list):
+    def __init__(
+        self,
+        tally: Tally,
+        ledger: dict[str, Any],
+        services: dict[str, Any],
+        origins: list[dict[str, Any]],
+        excused: list[tuple[Any, ...]],
+    ):
         self.tally, self.ledger, self.services, self.origins = tally, ledger, services, origins
         # (edge or None, from, to): an edge was killed or frozen then
         self.excused = excused
@@ -106,7 +114,7 @@
                 most <= service["rate"] * 5 * RATE_OVER,
             )
 
-    def _strays(self):
+    def _strays(self) -> list[tuple[str, str]]:
         by_path = {kind: service for kind, service in self.ledger.get("paths", {}).items()}
         return [
             (address, part)
@@ -117,14 +125,14 @@
             != next(origin["service"] for origin in self.origins if origin["address"] == address)
         ]
 
-    def _excused(self, dropped):
+    def _excused(self, dropped: tuple[int, str, str]) -> bool:
         began, edge, _ = dropped
         return any(
             (held is None or held == edge) and start <= began <= end
             for held, start, end in self.excused
         )
 
-    def _most(self, service, span):
+    def _most(self, service: str, span: int) -> int:
         members = {origin["address"] for origin in self.origins if origin["service"] == service}
         seconds: dict[int, int] = {}
         for address in members & self.ledger["seen"].keys():
--- a/src/willowpost/proxy/admission/buckets.py
+++ b/src/willowpost/proxy/admission/buckets.py
@@ -146,7 +146,7 @@
     """Invariant.
 
     All proxies together send a cold origin no more than its ramped rate and one token each of the
-    few that may press it; those few are capacity / 4, so a second holds at most 1.25 of the
+    few that may send to it; those few are capacity / 4, so a second holds at most 1.25 of the
     capacity. One too slow at first for every sender to have a token gets its requests by whole
     tokens all through its ramp.
     """
--- a/src/willowpost/proxy/admission/budget.py
+++ b/src/willowpost/proxy/admission/budget.py
@@ -26,7 +26,7 @@
     """Invariant.
 
     Within any window the extra tries let in are <= part * first tries + slack / proxies; a proxy
-    has its part of the slack only once its former life's window is over.
+    has its part of the slack only once its former incarnation's window is over.
 
     A try is charged by the proxy that sends it to an origin: a first one as demand, every further
     one of the same request as extra, also when the one before went by another hop.
--- a/src/willowpost/proxy/admission/quota_shares.py
+++ b/src/willowpost/proxy/admission/quota_shares.py
@@ -44,7 +44,7 @@
 
 
 class QuotaShareTaker:
-    """Invariant: a grant's life counts from when it was asked for.
+    """Invariant: a grant's lifetime counts from when it was asked for.
 
     So it ends here before it ends at the owner.
     """
@@ -167,8 +167,8 @@
             or not node_state.ruling(now)
         ):
             return None
-        # The very first owner has nobody's grants to wait out; a restarted one has its former
-        # life's.
+        # The very first owner has nobody's grants to wait out; a restarted one has those of its
+        # former incarnation.
         ruling = since if own == 1 and key in self.claimed_at else since + FENCE_WAIT
         return ruling if now >= ruling else None
 
