--- a/tests/test_threads.py
+++ b/tests/test_threads.py
@@ -7,14 +7,14 @@
 SETUP = """
 import os
 import gevent
-from gevent.queue import Queue
 from willowpost.shell.mesh import Mesh
+from willowpost.shell.sized_queue import inbox as make_inbox
 from willowpost.wire.messages import Beat
 
 def threads():
     return len(os.listdir("/proc/self/task"))
 
-inbox = Queue()
+inbox = make_inbox()
 first, second = Mesh("127.0.0.1:0", inbox), Mesh("127.0.0.1:0", inbox)
 for mesh in (first, second):
     mesh.start()
