--- a/src/willowpost/configuration/routes.py
+++ b/src/willowpost/configuration/routes.py
@@ -1,7 +1,8 @@
 """The routes a configuration amounts to, and which of them a request takes."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from typing import Any
 
 from willowpost.common.uncollected import uncollected
 
@@ -47,9 +48,11 @@
 
 
 LISTS = frozenset({"methods", "zones", "homes"})
+# place, depth, host, path, settings, branch
+WalkedBranch = tuple[str, int, str, str | None, dict[str, Any], dict[str, Any]]
 
 
-def inherited(above: dict, settings: dict) -> dict:
+def inherited(above: dict[str, Any], settings: dict[str, Any]) -> dict[str, Any]:
     """Invariant: a service said below a split takes its place, and the other way round."""
     said = {name: value for name, value in settings.items() if value is not None}
     for name in LISTS & said.keys():
@@ -62,13 +65,20 @@
     return {**above, **said} if said else above
 
 
-def walk(tree: dict) -> Iterator[tuple[str, int, str, str | None, dict, dict]]:
+def walk(tree: dict[str, Any]) -> Iterator[WalkedBranch]:
     """(place, depth, host, path, settings, branch) of every branch of a checked tree: plain data.
 
     Since thousands of models would hold a proxy's loop for as long as a lease lasts.
     """
 
-    def down(branches, place, depth, host, path, settings):
+    def down(
+        branches: dict[str, Any],
+        place: str,
+        depth: int,
+        host: str,
+        path: str | None,
+        settings: dict[str, Any],
+    ) -> Iterator[WalkedBranch]:
         for name, branch in branches.items():
             own, below = branch.get("settings"), branch.get("branches")
             here = (
@@ -92,7 +102,8 @@
     )
 
 
-def routes_of(tree: dict) -> tuple[Route, ...]:
+def routes_of(tree: dict[str, Any]) -> tuple[Route, ...]:
+    """Every route of a checked configuration, with the settings that it inherits."""
     with uncollected():
         return tuple(
             Route(place.replace("branches/", ""), host, path, **settings)
@@ -102,7 +113,7 @@
 
 
 def trunk_of(path: str) -> str:
-    """What a way is kept under.
+    """What a route is kept under.
 
     "/a" takes whole segments: /a, /a/ and /a/b. "/a/" takes what begins with just that: /a/ and
     /a/b. "/" takes everything.
@@ -111,17 +122,18 @@
 
 
 class RouteTable:
-    """Invariant: find() gives the way with the longest path that takes this one.
+    """Invariant: find() gives the route with the longest path that takes this one.
 
     And of two with the same path the one with the exact host before "*"; immutable once made.
     """
 
-    def __init__(self, routes):
+    def __init__(self, routes: Iterable[Route]):
         self.by_place = {(route.host, trunk_of(route.path)): route for route in routes}
         self.longest = max((len(route.path) for route in self.by_place.values()), default=0)
 
     def find(self, host: str, path: str) -> Route | None:
-        # one more than any way has: a segment cut short is none
+        """The route of the longest path that begins `path`, or None."""
+        # one more than any route has: a segment cut short is none
         trunk = path[: self.longest + 1]
         while True:
             route = self.by_place.get((host, trunk)) or self.by_place.get(("*", trunk))
--- a/src/willowpost/drill/capacity/filled.py
+++ b/src/willowpost/drill/capacity/filled.py
@@ -15,12 +15,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Cards:
+    """The daemons of a fleet by kind."""
+
     stores: tuple[Card, ...]
     registries: tuple[Card, ...]
     proxies: tuple[Card, ...]
 
     @property
     def all(self) -> tuple[Card, ...]:
+        """Of every kind, stores first."""
         return self.stores + self.registries + self.proxies
 
 
@@ -51,7 +54,7 @@
 def configuration_of(size: Size) -> dict:
     """One branch a service, its routes beneath.
 
-    Nothing goes through shields: every proxy may press every service.
+    Nothing goes through shields: every proxy may send to every service.
     """
     each = max(1, size.routes // size.services - 1)
     return {
@@ -78,6 +81,7 @@
 
 
 def purge_of(number: int) -> dict:
+    """One purge operation of a single path, another one for each number."""
     return {
         "op": "purge",
         "kind": "item",
@@ -98,6 +102,7 @@
     """
 
     def make(self, size: Size, purges: int = PURGES_KEPT) -> Tables:
+        """Tables of a fleet of this size with so many purges kept."""
         cards, slot = cards_of(size), max(purges, PURGES_KEPT) + 100
         daemons = {card.id: {**asdict(card), "state": "up", "since": 1} for card in cards.all}
         core = tuple(
@@ -127,8 +132,8 @@
             }
             for number in range(purges)
         ]
-        # what the log has of each daemon's former life: under its own, commands so far counted
-        # would be barred
+        # what the log has of each daemon's former incarnation: under its own, commands counted so
+        # far would be barred
         answers = {
             str(number): [number, [{"ok": True, "slot": number}]]
             for number in range(1, ANSWERS_KEPT + 1)
@@ -170,6 +175,7 @@
     """Who watches whom, worked out once for all daemons of a process: each would find the same."""
 
     def make(self, tables: Tables) -> dict[str, tuple[str, ...]]:
+        """Names of the daemons that each daemon watches."""
         watched: dict[str, list] = {name: [] for name in tables.daemons}
         for target in tables.daemons:
             for watcher in watchers_of(target, tables.daemons):
--- a/src/willowpost/drill/rules.py
+++ b/src/willowpost/drill/rules.py
@@ -1,6 +1,7 @@
 """The brief's rules as a table: what was seen, kept or broken."""
 
 from dataclasses import dataclass, field
+from typing import Any
 
 from willowpost.stand_ins.callers import Tally
 
@@ -12,6 +13,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
+    """One rule: what was seen, and whether it was kept."""
+
     rule: str
     seen: str
     kept: bool
@@ -21,16 +24,19 @@
 class Findings:
     """Invariant: a row once broken stays broken."""
 
-    rows: list = field(default_factory=list)
+    rows: list[Row] = field(default_factory=list)
 
     def add(self, rule: str, seen: str, kept: bool) -> None:
+        """Add a row."""
         self.rows.append(Row(rule, seen, bool(kept)))
 
     @property
     def broken(self) -> list[Row]:
+        """The rows of rules that were broken."""
         return [row for row in self.rows if not row.kept]
 
     def text(self) -> str:
+        """The table, a row a line."""
         width = max(len(row.rule) for row in self.rows)
         return "\n".join(
             f"{'kept  ' if row.kept else 'BROKEN'}  {row.rule:<{width}}  {row.seen}"
@@ -44,12 +50,20 @@
     Never from what the daemons say of themselves.
     """
 
-    def __init__(self, tally: Tally, ledger: dict, services: dict, origins: list, excused: list):
+    def __init__(
+        self,
+        tally: Tally,
+        ledger: dict[str, Any],
+        services: dict[str, Any],
+        origins: list[dict[str, Any]],
+        excused: list[tuple[Any, ...]],
+    ):
         self.tally, self.ledger, self.services, self.origins = tally, ledger, services, origins
         # (edge or None, from, to): an edge was killed or frozen then
         self.excused = excused
 
     def judge(self, findings: Findings, since: int) -> None:
+        """Add a row for each rule; refusals count from `since` (µs) on."""
         tally, runs = self.tally, self.ledger["writes"]
         twice = [name for name, count in runs.items() if count > 1]
         findings.add(
@@ -74,7 +88,7 @@
         )
         strays = self._strays()
         findings.add(
-            "only origins of the way's service",
+            "only origins of the route's service",
             f"{sum(map(len, self.ledger['services'].values()))} pairs, strays {strays[:2]}",
             not strays,
         )
@@ -88,7 +102,8 @@
         dropped = [held for held in tally.dropped if not self._excused(held)]
         findings.add(
             "no request dropped",
-            f"{len(dropped)} dropped, {len(tally.dropped) - len(dropped)} at killed edges {dropped[:1] or ''}",
+            f"{len(dropped)} dropped, {len(tally.dropped) - len(dropped)} at killed edges "
+            f"{dropped[:1] or ''}",
             not dropped,
         )
         for name, service in self.services.items():
@@ -99,7 +114,7 @@
                 most <= service["rate"] * 5 * RATE_OVER,
             )
 
-    def _strays(self):
+    def _strays(self) -> list[tuple[str, str]]:
         by_path = {kind: service for kind, service in self.ledger.get("paths", {}).items()}
         return [
             (address, part)
@@ -110,14 +125,14 @@
             != next(origin["service"] for origin in self.origins if origin["address"] == address)
         ]
 
-    def _excused(self, dropped):
+    def _excused(self, dropped: tuple[int, str, str]) -> bool:
         began, edge, _ = dropped
         return any(
             (held is None or held == edge) and start <= began <= end
             for held, start, end in self.excused
         )
 
-    def _most(self, service, span):
+    def _most(self, service: str, span: int) -> int:
         members = {origin["address"] for origin in self.origins if origin["service"] == service}
         seconds: dict[int, int] = {}
         for address in members & self.ledger["seen"].keys():
--- a/src/willowpost/proxy/admission/buckets.py
+++ b/src/willowpost/proxy/admission/buckets.py
@@ -9,6 +9,7 @@
 from willowpost.proxy.admission.quota_shares import WINDOW, base_quota_of, in_whole_tokens
 from willowpost.proxy.admission.verdict import Let
 from willowpost.proxy.proxy_state import ProxyState
+from willowpost.proxy.routing.snapshot import OriginCard, ServiceCard
 
 RATE_PER_SENDER = 4.0
 BRIEF = 1.25  # where the rate is what the origins bear
@@ -24,6 +25,7 @@
     filled_at: int | None = None
 
     def take(self, rate: float, burst: float, now: int) -> bool:
+        """Take one token, if there is one; `rate` in tokens a second, `now` in µs."""
         if self.filled_at is not None:
             self.tokens += rate * (now - self.filled_at) / SECOND
         self.tokens, self.filled_at = min(self.tokens, burst), now
@@ -34,10 +36,11 @@
 
 
 def let(taken: bool) -> Let:
+    """The verdict on a request that took a token or got none."""
     return Let.IN if taken else Let.OUT
 
 
-def ramped(origin, service, span: int) -> float:
+def ramped(origin: OriginCard, service: ServiceCard, span: int) -> float:
     """What a cold origin bears a second, `span` after it was let in.
 
     One that says itself how long it is cold does not climb.
@@ -49,10 +52,11 @@
 
 
 def senders_of(capacity: float) -> int:
+    """How many proxies may send to a cold origin that bears `capacity` requests a second."""
     return max(1, int(capacity / RATE_PER_SENDER))
 
 
-def ramps_in_tokens(origin, service) -> bool:
+def ramps_in_tokens(origin: OriginCard, service: ServiceCard) -> bool:
     """A cold origin that at first bears too little for every sender to have a token of its own."""
     return origin.cold and senders_of(origin.cold_rate) < len(service.senders)
 
@@ -67,7 +71,8 @@
     """
 
     def __init__(self, since: int, rate: float):
-        self.spans: deque = deque([(since, since, rate)])  # (from, to, rate), oldest first
+        # (from, to, rate), oldest first
+        self.spans: deque[tuple[int, int, float]] = deque([(since, since, rate)])
         self.used: deque[int] = deque()
 
     def take(self, rate: float, now: int, brief: bool = False) -> bool:
@@ -97,7 +102,7 @@
         self.used.append(now)
         return True
 
-    def _lately(self, now):
+    def _lately(self, now: int) -> int:
         return sum(1 for _ in takewhile(lambda at: at > now - SECOND, reversed(self.used)))
 
 
@@ -109,6 +114,7 @@
         self.windows: dict[str, Window] = {}
 
     def let_in(self, name: str, now: int) -> Let:
+        """Whether one more request may go to a service now (µs)."""
         node_state = self.node_state
         service = node_state.snapshot.services.get(name)
         node_state.demand[name] = node_state.demand.get(name, 0) + 1
@@ -126,21 +132,21 @@
         if rate <= 0:
             return Let.OUT
         if name not in self.windows:
-            # our base has gone unused since all who share the service made room for it
-            self.windows[name] = Window(
-                max(now - int(WINDOW * SECOND), min(now, node_state.warmed_up_since()))
-                if base_quota
-                else now,
-                base_quota,
-            )
+            self.windows[name] = Window(self._unused_since(now) if base_quota else now, base_quota)
         return let(self.windows[name].take(rate, now, service.borne))
 
+    def _unused_since(self, now: int) -> int:
+        """Since when our base has gone unused: all who share the service made room for it then."""
+        warmed_up = self.node_state.warmed_up_since()
+        since = now if warmed_up is None else min(now, warmed_up)
+        return max(now - int(WINDOW * SECOND), since)
+
 
 class Ramp:
     """Invariant.
 
     All proxies together send a cold origin no more than its ramped rate and one token each of the
-    few that may press it; those few are capacity / 4, so a second holds at most 1.25 of the
+    few that may send to it; those few are capacity / 4, so a second holds at most 1.25 of the
     capacity. One too slow at first for every sender to have a token gets its requests by whole
     tokens all through its ramp.
     """
@@ -148,11 +154,12 @@
     def __init__(self, node_state: ProxyState):
         self.node_state = node_state
         self.buckets: dict[str, Bucket] = {}
-        self.ranks: dict[tuple, int] = {}
+        self.ranks: dict[tuple[str, tuple[str, ...]], int] = {}
         # origins whose process we saw end; cold to us whatever the log says
         self.suspects: dict[str, int] = {}
 
     def suspect(self, origin: str, now: int) -> None:
+        """Hold an origin for cold: its process was seen to end."""
         self.suspects = {
             name: since
             for name, since in self.suspects.items()
@@ -160,21 +167,23 @@
         }
         self.suspects[origin] = now
 
-    def cold(self, origin, service, now: int) -> bool:
+    def cold(self, origin: OriginCard, service: ServiceCard, now: int) -> bool:
         """By the log, by its own last word, or by what we saw of it since."""
         suspected = self.suspects.get(origin.name)
         if not service.told:
             return origin.cold or suspected is not None
         at, until = self.node_state.cold.get(origin.name, (0, 0))
         if suspected is not None and at > suspected:
-            suspected = self.suspects.pop(origin.name) and None
-        return (
+            del self.suspects[origin.name]
+            suspected = None
+        return bool(
             suspected is not None
             or until > now
             or (origin.cold and not at > self.node_state.cold_since.get(origin.name, now))
         )
 
-    def let_in(self, origin, service, now: int) -> Let:
+    def let_in(self, origin: OriginCard, service: ServiceCard, now: int) -> Let:
+        """Whether one more request may go to this origin now (µs)."""
         suspected = self.suspects.get(origin.name)
         if (
             suspected is not None
@@ -196,7 +205,7 @@
         rate = capacity / min(few, max(1, len(service.senders)))
         return let(self.buckets.setdefault(origin.name, Bucket()).take(rate, 1.0, now))
 
-    def _rank(self, origin, senders):
+    def _rank(self, origin: str, senders: tuple[str, ...]) -> int:
         key = (origin, senders)
         if key not in self.ranks:
             if len(self.ranks) > 1000:
--- a/src/willowpost/proxy/admission/budget.py
+++ b/src/willowpost/proxy/admission/budget.py
@@ -4,6 +4,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from willowpost.common.clock import SECOND
@@ -18,34 +19,40 @@
     window: int = 10 * SECOND
 
 
+DEFAULTS = BudgetSettings()
+
+
 class RetryBudget:
     """Invariant.
 
     Within any window the extra tries let in are <= part * first tries + slack / proxies; a proxy
-    has its part of the slack only once its former life's window is over.
+    has its part of the slack only once its former incarnation's window is over.
 
     A try is charged by the proxy that sends it to an origin: a first one as demand, every further
     one of the same request as extra, also when the one before went by another hop.
     """
 
-    def __init__(self, proxies, since: int, settings: BudgetSettings = BudgetSettings()):
+    def __init__(self, proxies: Callable[[], int], since: int, settings: BudgetSettings = DEFAULTS):
         self.since = since
         self.proxies = proxies  # () -> how many proxies share the slack
         self.settings = settings
-        self.firsts: dict[str, deque] = {}
-        self.extras: dict[str, deque] = {}
+        self.firsts: dict[str, deque[int]] = {}
+        self.extras: dict[str, deque[int]] = {}
 
     def first(self, now: int, service: str = "") -> None:
+        """Count a first try."""
         self.firsts.setdefault(service, deque()).append(now)
         self._forget(now, service)
 
     def let_in(self, now: int, service: str = "") -> bool:
+        """Count an extra try, if there is one left."""
         if not self.left(now, service):
             return False
         self.extras.setdefault(service, deque()).append(now)
         return True
 
     def left(self, now: int, service: str = "") -> bool:
+        """Whether an extra try is left now (µs)."""
         self._forget(now, service)
         slack = (
             self.settings.slack / max(1, self.proxies())
@@ -57,7 +64,7 @@
             <= self.settings.part * len(self.firsts.get(service, ())) + slack
         )
 
-    def _forget(self, now, service):
+    def _forget(self, now: int, service: str) -> None:
         for held in (self.firsts.get(service), self.extras.get(service)):
             while held and held[0] <= now - self.settings.window:
                 held.popleft()
--- a/src/willowpost/shell/place.py
+++ b/src/willowpost/shell/place.py
@@ -28,7 +28,7 @@
     max_voters: int = 0  # what the core may grow to; 0: it does not grow
     may_bootstrap: bool = True  # False: an empty store only learns
     bootstrap_from_seeds: bool = False  # only a store that is itself a seed founds
-    regions: dict = field(default_factory=dict)  # zone -> region
+    regions: dict[str, str] = field(default_factory=dict)  # zone -> region
     # a proxy serves on this long after its last state updates
     serve_on_ms: int = 1500
     drain_ms: int = 3000  # a leaver goes on serving all
@@ -39,10 +39,11 @@
     extra_part: float = 0.2
     extra_slack: float = 60  # and these
     extra_window_ms: int = 10_000  # in any such span
-    pace: Pace = Pace()
+    pace: Pace = field(default_factory=Pace)
     level: str = "INFO"
 
     def spans(self) -> Spans:
+        """Spans of a planned end in µs."""
         return Spans(self.drain_ms * MILLI, self.finish_ms * MILLI, self.leave_ms * MILLI)
 
     def store_spans(self) -> LeaveSpans:
--- a/src/willowpost/toolbox/folder.py
+++ b/src/willowpost/toolbox/folder.py
@@ -3,6 +3,8 @@
 import json
 import os
 from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
 
 from willowpost.common.formats import UnknownFormat
 from willowpost.consensus.replica.records import RecordKind, command_from, decision_from
@@ -14,6 +16,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Finding:
+    """Something wrong in a folder, with its place."""
+
     place: str
     finding: str
 
@@ -24,8 +28,10 @@
     No finding means a store would start from it.
     """
 
-    def check(self, folder: str) -> tuple[list[Finding], dict]:
-        findings, facts = [], {}
+    def check(self, folder: str) -> tuple[list[Finding], dict[str, Any]]:
+        """All findings, and what is known of the folder."""
+        findings: list[Finding] = []
+        facts: dict[str, Any] = {}
         if not os.path.isdir(folder):
             return [Finding(folder, "no such folder")], facts
         names = segments_in(folder)
@@ -40,7 +46,7 @@
                 Finding(folder, "no segment: a store would start empty, under a new identity"),
             ], facts
         path = os.path.join(folder, names[-1])
-        data = open(path, "rb").read()
+        data = Path(path).read_bytes()
         try:
             records, sound = parse(data)
         except (DiskDamaged, UnknownFormat) as damage:
@@ -55,8 +61,13 @@
         findings += self._walk(names[-1], records, facts)
         return findings, {**facts, "segment": names[-1], "records": len(records)}
 
-    def _walk(self, name, records, facts):
-        findings, slot, ballot_state, bootstrapped = [], None, None, False
+    def _walk(
+        self, name: str, records: list[dict[str, Any]], facts: dict[str, Any]
+    ) -> list[Finding]:
+        findings: list[Finding] = []
+        slot: int | None = None
+        ballot_state: tuple[Any, ...] | None = None
+        bootstrapped = False
         if not records or records[0]["k"] != RecordKind.IDENTITY:
             findings.append(Finding(f"{name} record 0", "not an identity"))
         for number, record in enumerate(records):
@@ -72,7 +83,7 @@
                     )
                     slot = record["slot"] + 1
                 case RecordKind.DECISION:
-                    slot += 1
+                    slot = record["slot"] + 1
                 case RecordKind.BALLOT_STATE:
                     now = (record["epoch"], record["slot"])
                     if (
@@ -99,8 +110,9 @@
     """Invariant: run() gives the tables as they were when `slot` was the next slot to decide."""
 
     def run(self, folder: str, slot: int | None = None) -> Tables:
+        """The tables before `slot`, or at the end; ValueError for a slot that is not held."""
         names = segments_in(folder)
-        records, _ = parse(open(os.path.join(folder, names[-1]), "rb").read())
+        records, _ = parse(Path(folder, names[-1]).read_bytes())
         tables, proposed = Tables(), None
         for record in records:
             if slot is not None and tables.epoch and tables.slot >= slot:
--- a/src/willowpost/toolbox/planner.py
+++ b/src/willowpost/toolbox/planner.py
@@ -1,19 +1,20 @@
 """What a configuration or an emptied zone would change, told before it is sent. Changes nothing."""
 
 from dataclasses import asdict
+from typing import Any
 
-from willowpost.configuration.routes import routes_of
+from willowpost.configuration.routes import Route, routes_of
 from willowpost.proxy.routing.snapshot import SnapshotMaker
 from willowpost.state.apply.operators import zone as empty_zone
 from willowpost.state.tables import Tables
 
 
-def _routes(tree):
+def _routes(tree: dict[str, Any] | None) -> dict[str, Route]:
     return {route.name: route for route in routes_of(tree)} if tree else {}
 
 
-def _changed(before, after):
-    """What differs of a way; an absent kind and an empty split are told as null and []."""
+def _changed(before: Route, after: Route) -> dict[str, list[Any]]:
+    """What differs of a route; an absent kind and an empty split are told as null and []."""
     held, wanted = asdict(before), asdict(after)
     return {prop: [held[prop], wanted[prop]] for prop in wanted if held[prop] != wanted[prop]}
 
@@ -21,7 +22,8 @@
 class ConfigurationPlanner:
     """Invariant: the plan is worked out from the tables and the checked tree alone."""
 
-    def plan(self, tables: Tables, tree: dict) -> dict:
+    def plan(self, tables: Tables, tree: dict[str, Any]) -> dict[str, Any]:
+        """Routes and services that would be added, removed and changed, with warnings."""
         held, wanted = tables.configuration["tree"], tree
         before, after = _routes(held), _routes(wanted)
         services_before, services_after = (
@@ -56,7 +58,7 @@
                 f"service {name} has no origin in force" for name in sorted(reached - in_force)
             ]
             + [
-                f"origins of service {name} would have no way"
+                f"origins of service {name} would have no route"
                 for name in sorted(in_force - reached)
             ],
         }
@@ -65,7 +67,8 @@
 class ZonePlanner:
     """Invariant: what is left is worked out by the very code that makes a proxy's snapshot."""
 
-    def plan(self, tables: Tables, zone: str) -> dict:
+    def plan(self, tables: Tables, zone: str) -> dict[str, Any]:
+        """What would be left of each service, with warnings."""
         emptied, _ = empty_zone(tables, {"zone": zone, "empty": True})
         before, after = SnapshotMaker().make(tables), SnapshotMaker().make(emptied)
         allowed = {
@@ -73,7 +76,7 @@
             for name, service in (tables.configuration["tree"] or {}).get("services", {}).items()
             if service.get("rate") is not None
         }
-        services = {
+        services: dict[str, dict[str, Any]] = {
             name: {
                 "origins": [len(card.origins), len(after.services[name].origins)],
                 "rate": [
@@ -101,7 +104,8 @@
                 if held["origins"][0] and not held["origins"][1]
             ]
             + [
-                f"service {name}: what is left bears {held['rate'][1]:.0f} of an allowance of {held['allowance']:.0f}"
+                f"service {name}: what is left bears {held['rate'][1]:.0f} "
+                f"of an allowance of {held['allowance']:.0f}"
                 for name, held in services.items()
                 if held["allowance"] is not None and 0 < held["rate"][1] < held["allowance"]
             ]
