--- a/src/willowpost/common/controller.py
+++ b/src/willowpost/common/controller.py
@@ -1,4 +1,4 @@
-"""What a node is made of: controllers that take events one by one and say what is to be done."""
+"""The interface of a node's parts: each takes events one by one and returns what to do."""
 
 from typing import Any, Protocol
 
@@ -6,8 +6,12 @@
 
 
 class Controller(Protocol):
-    """Invariant: step() does no input or output of its own."""
+    """A part of a node; step() does no input or output of its own."""
 
     def step(self, event: Any, now: int) -> Plan:
-        """Takes one event at `now` (µs, own clock); what is to be written, sent and answered."""
+        """Handle one event at time `now` (µs, own clock).
+
+        Returns:
+            What is to be written, sent and answered.
+        """
         ...
--- a/src/willowpost/common/events.py
+++ b/src/willowpost/common/events.py
@@ -1,4 +1,4 @@
-"""What can happen to a node."""
+"""The events that a node handles."""
 
 from dataclasses import dataclass
 from typing import Any
@@ -6,7 +6,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Received:
-    """A message from another process, by the address that it gives as its own."""
+    """A message from another process; `source` is the address it names as its own."""
 
     source: str
     message: Any
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Changed:
-    """The process's settings changed while it runs."""
+    """The process's settings changed while it runs: its seeds and, for a store, its pace."""
 
     seeds: tuple[str, ...]
     pace: Any = None
@@ -29,12 +29,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Asked:
-    """Someone in this process wants `ops` in the log.
+    """A caller in this process wants operations in the log.
 
-    They wait under `token` (None: nobody waits).
-
-    `lifetime`: µs after which they are not submitted again; None: as long as somebody waits, or, if
-    nobody does, until the log has answered.
+    Attributes:
+        token: under which the caller waits for the outcome; None: nobody waits.
+        ops: the operations, in the order in which they are to be applied.
+        lifetime: µs after which they are not submitted again. None: they are submitted while the
+            caller waits or, if nobody waits, until the log has answered.
     """
 
     token: Any
@@ -44,6 +45,6 @@
 
 @dataclass(frozen=True, slots=True)
 class Withdrawn:
-    """Whoever waited under `token` has given up: what it asked for is not submitted again."""
+    """The caller that waited under `token` gave up; its operations are not submitted again."""
 
     token: Any
--- a/src/willowpost/common/formats.py
+++ b/src/willowpost/common/formats.py
@@ -1,8 +1,8 @@
-"""Format numbers of what is kept on disk or sent as text."""
+"""Version checks for what is kept on disk or sent as text."""
 
 
 class UnknownFormat(Exception):
-    """Written by a build whose format this build does not know; reading on would be a guess."""
+    """Data was written in a format that this build does not read."""
 
     def __init__(self, what: str, found: object, known: int):
         super().__init__(f"{what} has format {found!r}; this build reads {known}")
--- a/src/willowpost/common/lean.py
+++ b/src/willowpost/common/lean.py
@@ -1,4 +1,4 @@
-"""What a library would load but does not need is kept out while the library is imported."""
+"""Keeps optional dependencies of a library from being loaded while the library is imported."""
 
 import sys
 from collections.abc import Iterator
@@ -8,9 +8,9 @@
 
 @contextmanager
 def without(*names: str) -> Iterator[None]:
-    """Invariant: what is loaded already stays.
+    """Make importing `names` raise ImportError within the block.
 
-    And afterwards everybody may import the names as ever.
+    Modules that are loaded already stay; afterwards the names can be imported as before.
     """
     barred = [name for name in names if name not in sys.modules]
     for name in barred:
@@ -24,9 +24,9 @@
 
 @contextmanager
 def unfound(*names: str) -> Iterator[None]:
-    """For a library that looks whether another one is installed before it imports it.
+    """Hide `names` from the import system's path search within the block.
 
-    Invariant: afterwards all is found as ever.
+    For a library that checks whether another one is installed before importing it.
     """
     held = PathFinder.__dict__["find_spec"]
     find = PathFinder.find_spec
--- a/src/willowpost/common/nonce.py
+++ b/src/willowpost/common/nonce.py
@@ -1,4 +1,4 @@
-"""Numbers for questions between daemons, which no earlier incarnation of the asker has used."""
+"""Nonces for requests between daemons; no earlier incarnation of the sender has used them."""
 
 from willowpost.common.digest import blake2b
 
@@ -6,15 +6,15 @@
 
 
 class NonceSequence:
-    """Rising numbers from a start of their own for each incarnation and purpose.
+    """Rising numbers whose start differs for each incarnation and purpose.
 
-    An answer may outlast its question: in the queue of a frozen peer, or in one that waits for the
-    asker's address to come up again. Were the numbers of each incarnation to begin at 0, such an
-    answer would be taken for the answer to a question of the next incarnation.
+    A late answer may sit in the queue of a frozen peer, or in one that waits for the asker's
+    address to come up again. If each incarnation counted from 0, it could be taken for the answer
+    to a request of the next incarnation.
 
-    Invariant: two incarnations, daemons or purposes share a number with a chance of about
-    2**-30 even after 2**25 questions each. The start depends on nothing but its arguments, so a
-    simulated day stays reproducible.
+    Two incarnations, daemons or purposes share a number with a probability of about 2**-30 even
+    after 2**25 requests each. The start depends only on the arguments, so simulations stay
+    reproducible.
     """
 
     __slots__ = ("last", "start")
@@ -25,10 +25,10 @@
         self.last = self.start
 
     def next(self) -> int:
-        """The next number."""
+        """Return the next number."""
         self.last += 1
         return self.last
 
     def issued(self, nonce: int) -> bool:
-        """Whether `nonce` is one that next() has given."""
+        """Whether next() has returned `nonce`."""
         return self.start < nonce <= self.last
--- a/src/willowpost/common/plan.py
+++ b/src/willowpost/common/plan.py
@@ -1,4 +1,4 @@
-"""What a step wants done, as data. The shell carries it out in this order."""
+"""The output of a step, as data. The shell carries it out in the order of the fields."""
 
 from dataclasses import dataclass, field
 from typing import Any
@@ -6,9 +6,16 @@
 
 @dataclass(slots=True)
 class Plan:
-    """Invariant: all `records` are on disk and synced before any of `sends` or `replies` leaves.
+    """What is to be written, sent, answered and logged.
 
-    `rotate` holds the records of a new disk segment that replaces all before it.
+    All `records` are synced to disk before any of `sends` or `replies` leaves.
+
+    Attributes:
+        records: to be appended to the disk segment.
+        rotate: the records of a new disk segment that replaces all before it; None: none.
+        sends: (address, message).
+        replies: (token, result) for callers in this process.
+        notes: (part, sentence, fields) to be logged.
     """
 
     records: list[dict[str, Any]] = field(default_factory=list)
@@ -27,7 +34,7 @@
         self.notes.append((part, sentence, more))
 
     def join(self, other: "Plan") -> "Plan":
-        """Add what another controller wants done in the same step; this plan."""
+        """Add another controller's plan for the same step; returns this plan."""
         if other.rotate is not None:
             # a new segment holds all that was to be written before it
             self.rotate, self.records = other.rotate, []
--- a/src/willowpost/common/rendezvous.py
+++ b/src/willowpost/common/rendezvous.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing: who of the live does what, by key, with no talk."""
+"""Rendezvous hashing: assigns duties to live daemons by key, without messages."""
 
 from collections.abc import Iterable
 
@@ -6,13 +6,13 @@
 
 
 def weight(key: str, name: str) -> bytes:
-    """How high a name ranks under a key: 8 bytes that compare."""
+    """Return the rank of a name under a key: 8 bytes to compare; the greatest ranks first."""
     return blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
 
 
 class Rendezvous:
-    """Invariant: the rank of two names under a key does not depend on which others are there."""
+    """Rendezvous hashing; the order of two names under a key depends on no other name."""
 
     def rank(self, key: str, names: Iterable[str]) -> tuple[str, ...]:
-        """The names under a key, first the one whose duty it is."""
+        """Return the names in the order of their rank under a key, the highest first."""
         return tuple(sorted(names, key=lambda name: weight(key, name), reverse=True))
--- a/src/willowpost/common/uncollected.py
+++ b/src/willowpost/common/uncollected.py
@@ -1,6 +1,6 @@
-"""Work that makes many objects at once and keeps them all.
+"""Pauses the garbage collector for work that creates many objects at once and keeps them all.
 
-Looking for garbage among them is nearly half of its time.
+Searching them for garbage would take nearly half of its time.
 """
 
 import gc
@@ -10,9 +10,9 @@
 
 @contextmanager
 def uncollected() -> Iterator[None]:
-    """Invariants: nothing in it waits, so no other task sees the collector off.
+    """Switch the collector off within the block, and back to its former state afterwards.
 
-    Afterwards it is as it was before.
+    The block must not wait, so that no other task runs without the collector.
     """
     running = gc.isenabled()
     gc.disable()
--- a/src/willowpost/consensus/log_size.py
+++ b/src/willowpost/consensus/log_size.py
@@ -13,7 +13,7 @@
 
 
 def leading(decisions: Iterable[Decision], most_bytes: int) -> tuple[Decision, ...]:
-    """The first decisions that fit into `most_bytes`, and one in any case."""
+    """Return the longest prefix that fits into `most_bytes`, but at least one decision."""
     held: list[Decision] = []
     total = 0
     for decision in decisions:
@@ -25,7 +25,7 @@
 
 
 def trailing(decisions: tuple[Decision, ...], most: int, most_bytes: int) -> tuple[Decision, ...]:
-    """The last decisions, at most `most` of them, that fit into `most_bytes`."""
+    """Return the longest suffix of at most `most` decisions that fits into `most_bytes`."""
     total = 0
     for count, decision in enumerate(reversed(decisions)):
         total += size_of(decision)
--- a/src/willowpost/consensus/replica/acceptance.py
+++ b/src/willowpost/consensus/replica/acceptance.py
@@ -1,4 +1,4 @@
-"""Answers those who submitted: accepted means decided, and synced on n - f replicas."""
+"""Answers submitters: accepted means decided, and synced to disk on n - f voters."""
 
 import json
 from dataclasses import dataclass
@@ -36,9 +36,10 @@
 
 
 class Acceptance:
-    """Invariant: Accepted leaves only when n - f voters hold every slot up to the command's on disk.
+    """Sends `Accepted` once n - f voters hold every slot up to the command's on disk.
 
-    See ReplicaState.safe.
+    See `ReplicaState.safe`. At most WAITING_MOST submissions wait at once; further ones get no
+    answer.
     """
 
     def __init__(self, node_state: ReplicaState):
@@ -46,7 +47,7 @@
         self.waiting: dict[str, Waiting] = {}  # by the command's key
 
     def step(self, event, now: int) -> Plan:
-        """Takes note of a Submit; answers all whose slots are safe by now."""
+        """Record a `Submit`, then answer every command whose slot is safe."""
         plan = Plan()
         match event:
             case Received(source, Submit(command)) if len(self.waiting) < WAITING_MOST:
@@ -65,7 +66,7 @@
             plan.send(waiting.source, Accepted(key, outcome.slot, json.dumps(outcome.answers)))
 
     def _outcome(self, command) -> Outcome | None:
-        """None while the command is not decided."""
+        """Return what the log says of the command; None while it is not decided."""
         node_state = self.node_state
         if not node_state.is_decided(command):
             return None
--- a/src/willowpost/consensus/replica/barrier.py
+++ b/src/willowpost/consensus/replica/barrier.py
@@ -85,11 +85,11 @@
 
 
 class FormerVoter:
-    """A voter that was put out goes on saying what it holds until the new epoch has begun.
+    """Lets a replaced voter report its synced index until the new epoch has begun.
 
-    The new voters may need it for the quorum of the former ones, and its first word may be lost:
-    so it stops only when it hears that a voter is beyond the first slot. Voters say the same in
-    Catchup.
+    The new voters may need it for the quorum of the former ones, and a single report may be lost.
+    It stops when it hears that a voter is beyond the first slot. Voters report the same in
+    `Catchup`.
     """
 
     def __init__(self, node_state: ReplicaState):
@@ -97,7 +97,7 @@
         self.sent_at = 0
 
     def step(self, event, now: int) -> Plan:
-        """On a tick: the own synced index to all voters, if they may still wait for it."""
+        """On a tick: send the own synced index to all voters if they may still need it."""
         plan, node_state = Plan(), self.node_state
         due = now - self.sent_at >= node_state.pace.synced_index
         if isinstance(event, Tick) and due and self._may_be_needed():
--- a/src/willowpost/consensus/replica/bootstrap.py
+++ b/src/willowpost/consensus/replica/bootstrap.py
@@ -1,4 +1,4 @@
-"""An empty fleet founds itself once; an empty store in a founded fleet becomes a learner."""
+"""Bootstraps an empty fleet once; an empty store in a bootstrapped fleet becomes a learner."""
 
 import json
 from dataclasses import asdict, dataclass
@@ -10,19 +10,19 @@
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.wire.messages import Ask, Hello, Member, members_of
 
-# a founded store that no read has answered for so long asks its seeds who votes now
+# µs; a bootstrapped store without a successful quorum read for so long asks its seeds who votes
 WITHOUT_SOURCE_AFTER = 3 * SECOND
 
 
 @dataclass(frozen=True, slots=True)
 class Rights:
-    """What a store may do about the core it belongs to.
+    """What a store may do to the set of voters.
 
     Attributes:
-        may_bootstrap: False: an empty store only learns.
-        bootstrap_from_seeds: only the first seeds by address, as many as found, are bootstrap
-            members.
-        max_voters: what the core may grow to; 0: it does not grow.
+        may_bootstrap: whether an empty store may become a bootstrap member; if not, it only learns.
+        bootstrap_from_seeds: whether only the first seeds by address, as many as the fleet has
+            bootstrap members, may be bootstrap members.
+        max_voters: how many voters the core may grow to; 0: it does not grow.
     """
 
     may_bootstrap: bool = True
@@ -31,11 +31,11 @@
 
 
 class Bootstrap:
-    """Founds the fleet, once, and leads a store that nobody answers back to it.
+    """Bootstraps the fleet once, and reconnects a store that no voter answers.
 
-    Invariant: a store promises itself to one founding set in its life, on disk before it says so;
-    the fleet is founded only when every member of that set has promised itself to it. Who may not
-    found tells no claim, so it is in no set.
+    A store makes one bootstrap promise, for one set of members, and syncs it to disk before sending
+    it. The fleet is bootstrapped only when every member of the set has promised the same set. A
+    store that may not bootstrap sends no claim, so it is in no set.
     """
 
     def __init__(
@@ -54,7 +54,12 @@
         self.round = 0
 
     def step(self, event, now: int) -> Plan:
-        """Greets seeds and all it has heard of until the fleet is founded, or found again."""
+        """Handle one event.
+
+        Until the fleet is bootstrapped, a `Hello` goes to the seeds and to all addresses heard of,
+        every `pace.hello`. Afterwards one goes to the seeds whenever no quorum read has succeeded
+        for WITHOUT_SOURCE_AFTER.
+        """
         plan = Plan()
         match event:
             case Changed(seeds=seeds, pace=pace):
@@ -82,13 +87,17 @@
         return plan
 
     def _may_bootstrap(self) -> bool:
-        """A bootstrap promise stands, whatever the rights have become since."""
+        """Whether this store may bootstrap; a promise once made stays valid."""
         return (self.rights.may_bootstrap and self._seat_of(self.node_state.me.address)) or bool(
             self.node_state.bootstrap_promise
         )
 
     def _seat_of(self, address) -> bool:
-        """With more seeds than bootstrap members, two sets of seeds could else found a fleet each."""
+        """Whether the store at `address` may be a bootstrap member.
+
+        With more seeds than bootstrap members, two sets of seeds could otherwise bootstrap a fleet
+        each.
+        """
         return (
             not self.rights.bootstrap_from_seeds or address in sorted(set(self.seeds))[: self.size]
         )
@@ -153,7 +162,7 @@
         return fresh is None or now - fresh > WITHOUT_SOURCE_AFTER
 
     def _claim(self, member):
-        """First-hand word replaces what was heard of the same address before."""
+        """Add a first-hand claim, in place of an earlier one for the same address."""
         self.claims = {
             identity: claim
             for identity, claim in self.claims.items()
@@ -177,7 +186,7 @@
             plan.note("bootstrap", "fleet founded", voters=[member["name"] for member in core])
 
     def _may_promise(self) -> bool:
-        """Enough empty stores have said so themselves, and none that knows of a founded fleet."""
+        """Whether this store may bootstrap, enough stores have claimed, and no fleet runs yet."""
         return (
             not self.bootstrapped_addresses
             and self._may_bootstrap()
@@ -185,7 +194,7 @@
         )
 
     def _promise(self, plan):
-        """Whole cards, so that equal promises found equal tables."""
+        """Promise a set of whole cards, so that equal promises give equal tables."""
         node_state = self.node_state
         ranked = sorted(self.claims.values(), key=lambda claim: (claim.name, claim.identity))
         chosen = ranked[: self.size]
--- a/src/willowpost/consensus/replica/catchup.py
+++ b/src/willowpost/consensus/replica/catchup.py
@@ -1,8 +1,9 @@
-"""Replicas and learners that are behind: what was decided without them.
+"""Brings replicas and learners that are behind up to date.
 
-A replica that is behind pulls. It has one question open at a time, goes on at once when an answer
-brought it further, and turns to another source when none came. A source answers with decisions, as
-many as fit into one frame, or with a piece of a snapshot when it has let go of what is asked for.
+A replica that is behind pulls. It has one request open at a time, asks again at once when an answer
+brought it further, and turns to another source when none came. A source answers with as many
+decisions as fit into one frame, or with a piece of a snapshot if it has compacted the slots that
+are asked for.
 """
 
 from willowpost.common.events import Received, Tick
@@ -19,9 +20,10 @@
 
 
 class Catchup:
-    """Invariant: a decision or snapshot is taken only from slot tables.slot on.
+    """Requests and serves decisions and snapshots.
 
-    Nothing decided is ever undone.
+    A decision is applied only if its slot is `tables.slot`; a snapshot only if it is newer than the
+    tables, or there are none yet. Nothing that was decided is ever undone.
     """
 
     def __init__(self, node_state: ReplicaState):
@@ -31,6 +33,12 @@
         self.synced_index_sent_at = 0
 
     def step(self, event, now: int) -> Plan:
+        """Handle one event.
+
+        Answers an `Ask`, and a resent ballot state of a slot that is decided here; applies a
+        `Tell`; records a `SyncedIndex`. On a tick it reports the own synced index and asks for what
+        is missing.
+        """
         plan = Plan()
         match event:
             case Received(source, BallotState(again=True, slot=slot)) if (
@@ -117,11 +125,11 @@
         plan.note("catchup", "snapshot taken", slot=tables.slot)
 
     def _newer(self, slot: int) -> bool:
-        """Whether a snapshot of this slot brings us forward."""
+        """Whether a snapshot of this slot is newer than the tables held here."""
         return slot > self.node_state.tables.slot or not self.node_state.bootstrapped
 
     def _go_on(self, source, now, plan):
-        """An answer brought us further: ask the same source for more, if there is more."""
+        """After an answer that brought progress: ask the same source for more, if any."""
         if self._furthest() > self.node_state.tables.slot:
             self._ask(source, now, plan)
         else:
@@ -169,7 +177,7 @@
         plan.sends += [(address, message) for address in node_state.others()]
 
     def _sources(self) -> list[str]:
-        """Addresses of the voters that are furthest."""
+        """Addresses of the other voters with the highest synced indexes, best first."""
         node_state = self.node_state
         ranked = sorted(
             node_state.members.items(),
--- a/src/willowpost/consensus/replica/compaction.py
+++ b/src/willowpost/consensus/replica/compaction.py
@@ -1,4 +1,4 @@
-"""Lets go of decisions that n - f replicas hold, and writes a snapshot in their place."""
+"""Compacts the log: drops decisions that n - f voters hold and writes a snapshot instead."""
 
 from willowpost.common.events import Tick
 from willowpost.common.plan import Plan
@@ -7,17 +7,19 @@
 
 
 class Compaction:
-    """Invariants: no decision is dropped before n - f members hold it synced.
+    """Begins a new disk segment when the current one has grown enough.
 
-    Between two segments at most pace.rotate decisions or pace.rotate_bytes bytes are appended (and
-    what one slot brings); a segment keeps at most pace.keep decisions and pace.keep_bytes bytes of
-    those that may be dropped.
+    No decision is dropped before n - f voters hold it synced. Between two segments at most
+    `pace.rotate` decisions or `pace.rotate_bytes` bytes are appended (plus what one slot adds). A
+    segment keeps at most `pace.keep` decisions and `pace.keep_bytes` bytes of those that may be
+    dropped.
     """
 
     def __init__(self, node_state: ReplicaState):
         self.node_state = node_state
 
     def step(self, event, now: int) -> Plan:
+        """On a tick: if a new segment is due, drop old decisions and begin it."""
         plan, node_state = Plan(), self.node_state
         if not isinstance(event, Tick) or not node_state.bootstrapped or not self._due():
             return plan
@@ -39,7 +41,7 @@
         )
 
     def _floor(self) -> int:
-        """The first slot whose decision is kept."""
+        """Return the first slot whose decision is kept."""
         node_state = self.node_state
         decisions = tuple(node_state.log[slot] for slot in sorted(node_state.log))
         kept = trailing(decisions, node_state.pace.keep, node_state.pace.keep_bytes)
--- a/src/willowpost/consensus/replica/missed_change.py
+++ b/src/willowpost/consensus/replica/missed_change.py
@@ -1,4 +1,4 @@
-"""A store that missed a change of the voters hears of it from a voter that it does not know."""
+"""Lets a store that missed a change of the voters learn of it from a voter unknown to it."""
 
 from willowpost.common.events import Received
 from willowpost.common.plan import Plan
@@ -9,8 +9,9 @@
 class MissedChange:
     """Asks an unknown voter that is ahead for the decisions in between, once per `pace.ask`.
 
-    Without it a voter whose former peers are all gone would never learn who votes now, though the
-    newcomer goes on telling it how far it is. What a Tell brings is decided, whoever sends it.
+    Without it, a voter whose former peers are all gone would never learn who votes now, although
+    the new voters keep sending it their synced index. What a `Tell` brings was decided, so it is
+    taken from any sender.
     """
 
     def __init__(self, node_state: ReplicaState):
@@ -18,7 +19,7 @@
         self.asked_at = 0
 
     def step(self, event, now: int) -> Plan:
-        """On a ballot state or a synced index of a later slot by an identity that is no member."""
+        """On a ballot state or synced index of a later slot from a non-member: ask it."""
         plan = Plan()
         match event:
             case Received(source, BallotState(identity=identity, slot=slot)) | Received(
--- a/src/willowpost/consensus/replica/reads.py
+++ b/src/willowpost/consensus/replica/reads.py
@@ -1,4 +1,4 @@
-"""Quorum reads: how old is what this store knows? And state updates for those who follow the log."""
+"""Quorum reads, which tell how fresh this store's tables are, and state updates for followers."""
 
 from willowpost.common.events import Received, Tick
 from willowpost.common.nonce import NonceSequence
@@ -12,10 +12,11 @@
 
 
 class Reads:
-    """Invariant: fresh_as_of is a moment before which everything accepted is applied here.
+    """Runs quorum reads and answers reads and polls.
 
-    A read counts only if the epoch did not change while it ran, and only answers to it: an answer to
-    an earlier incarnation's read may name a slot from before an order that was accepted meanwhile.
+    Everything accepted before `fresh_as_of` is applied here. A read counts only if the epoch did
+    not change while it ran, and only with answers to that very read: an answer to an earlier
+    incarnation's read may name a slot from before an order that was accepted meanwhile.
     """
 
     def __init__(self, node_state: ReplicaState, incarnation: int = 0):
@@ -28,6 +29,11 @@
         self.open = False
 
     def step(self, event, now: int) -> Plan:
+        """Handle one event; a read that has its quorum advances `fresh_as_of`.
+
+        A voter answers `ReadAsk`; a bootstrapped store answers `Poll`; a tick begins a read each
+        `pace.read`.
+        """
         plan = Plan()
         match event:
             case Received(source, ReadAsk(nonce)) if self.node_state.voter:
--- a/src/willowpost/consensus/replica/records.py
+++ b/src/willowpost/consensus/replica/records.py
@@ -1,4 +1,4 @@
-"""The one codec of what a store writes to its disk: JSON objects, `k` names the kind of each."""
+"""The codec of what a store writes to its disk: JSON objects whose `k` names their kind."""
 
 from dataclasses import asdict
 from enum import StrEnum
@@ -7,7 +7,7 @@
 
 
 class RecordKind(StrEnum):
-    """What a record on the disk is; the value is what stands there."""
+    """The kind of a record on disk; the value is what is written."""
 
     IDENTITY = "identity"  # the first one of each segment
     BOOTSTRAP_PROMISE = "bootstrap_promise"
@@ -20,12 +20,16 @@
 
 
 def command_from(held: dict | None) -> Command | None:
-    """The command of a record, if it has one."""
+    """Return the command of a record, or None if it has none."""
     return None if held is None else Command(**held)
 
 
 def ballot_state_record(ballot_state: BallotState, whole: bool) -> dict:
-    """The command's body is written with the first ballot state of a slot and in each new segment."""
+    """Return the record of a ballot state.
+
+    `whole` includes the command's body: with the first ballot state of a slot and in each new
+    segment.
+    """
     return {
         "k": RecordKind.BALLOT_STATE,
         "epoch": ballot_state.epoch,
@@ -39,7 +43,11 @@
 
 
 def decision_record(decision: Decision, whole: bool = True) -> dict:
-    """Not `whole`: the command is in the segment already, with the own ballot state of the slot."""
+    """Return the record of a decision.
+
+    Without `whole` the command is left out: the own ballot state of the slot already holds it in
+    this segment.
+    """
     return {
         "k": RecordKind.DECISION,
         "slot": decision.slot,
@@ -49,12 +57,20 @@
 
 
 def kept_record(decision: Decision) -> dict:
-    """A decision that the snapshot holds, kept whole for laggards."""
+    """Return the record of a decision below the snapshot's slot, kept for laggards."""
     return {**decision_record(decision), "k": RecordKind.KEPT}
 
 
 def decision_from(held: dict, proposed: Command | None = None) -> Decision:
-    """`proposed`: the command of the ballot state before it, for a decision written without its own."""
+    """Read a decision from its record.
+
+    Args:
+        held: the record.
+        proposed: the command of the ballot state before it, used if the record has no command.
+
+    Raises:
+        ValueError: the decided command is neither in the record nor the proposed one.
+    """
     command = command_from(held["command"])
     if command is None and proposed is not None and proposed.key == held["key"]:
         command = proposed
@@ -64,25 +80,31 @@
 
 
 def identity_record(me: Member) -> dict:
-    """Who this store is; made once, for an empty folder."""
+    """Return the record of this store's identity; made once, for an empty folder."""
     return {"k": RecordKind.IDENTITY, **asdict(me)}
 
 
 def bootstrap_promise_record(cards: tuple[str, ...]) -> dict:
-    """The one founding set that this store has promised for."""
+    """Return the record of the one bootstrap promise: the members' cards as JSON."""
     return {"k": RecordKind.BOOTSTRAP_PROMISE, "members": list(cards)}
 
 
 def found_record(core: list[dict]) -> dict:
-    """The fleet is founded with these voters."""
+    """Return the record of the first epoch with its voters."""
     return {"k": RecordKind.FOUND, "core": core}
 
 
 def snapshot_record(text: str, log_floor: int, passed: int) -> dict:
-    """The tables, the first slot whose decision is kept, and the last epoch whose barrier passed."""
+    """Return the record of a snapshot.
+
+    Args:
+        text: the tables' text.
+        log_floor: the first slot whose decision is kept.
+        passed: the last epoch whose barrier was passed.
+    """
     return {"k": RecordKind.SNAPSHOT, "text": text, "log_floor": log_floor, "passed": passed}
 
 
 def passed_record(epoch: int) -> dict:
-    """The barrier of this epoch was passed."""
+    """Return the record that this epoch's barrier was passed."""
     return {"k": RecordKind.PASSED, "epoch": epoch}
--- a/src/willowpost/consensus/replica/replica_state.py
+++ b/src/willowpost/consensus/replica/replica_state.py
@@ -1,4 +1,4 @@
-"""The shared state of one store: its controllers read and write it, nobody else does."""
+"""The state of one store, shared by its controllers; only they change it."""
 
 from dataclasses import dataclass, field, replace
 
@@ -27,7 +27,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Pace:
-    """All in µs. Defaults are ours; a deployment's settings may change them."""
+    """Intervals in µs, and limits of the log in decisions and bytes; settings may change them.
+
+    Attributes:
+        resend: after which the current ballot state is sent again.
+        freeze: how long a command waits for proposals of others before it is proposed.
+        synced_index: between two reports of the own synced index.
+        ask: between two requests for missing decisions.
+        read: between two quorum reads.
+        hello: between two greetings while the fleet is not bootstrapped.
+        keep: decisions kept for laggards beyond what must be kept.
+        keep_bytes: at most so many bytes of them.
+        rotate: decisions between two snapshots.
+        rotate_bytes: bytes appended between two snapshots.
+    """
 
     resend: int = 60 * MILLI
     freeze: int = 0
@@ -43,12 +56,15 @@
 
 @dataclass(slots=True)
 class ReplicaState:
-    """Invariants:
+    """The state of one store.
+
+    Invariants:
 
-    - `own` is on disk, synced, before any of it is sent; it only grows while its slot is open.
-    - `log` holds every decision from `log_floor` to tables.slot - 1.
-    - `marks[i]` is a slot below which member i has said it holds all decisions synced.
-    - `heard` holds only ballot states of members of the epoch in force, for slot tables.slot.
+    - `own` is synced to disk before any of it is sent; it only grows while its slot is open.
+    - `log` holds every decision from `log_floor` to `tables.slot - 1`.
+    - `synced_indexes[i]` is a slot below which member i has reported all decisions synced.
+    - `heard` holds only ballot states of members of the epoch in force, for slot `tables.slot`.
+    - `early` holds ballot states of later slots, by slot and then identity.
     """
 
     me: Member
@@ -77,29 +93,35 @@
 
     @property
     def bootstrapped(self) -> bool:
+        """Whether this store holds the tables of a bootstrapped fleet."""
         return self.tables.epoch > 0
 
     @property
     def voter(self) -> bool:
+        """Whether this store votes in the epoch in force."""
         return self.me.identity in self.members
 
     @property
     def limits(self) -> Thresholds:
+        """The thresholds of the epoch in force."""
         return self.thresholds(len(self.tables.core))
 
     def others(self) -> list[str]:
+        """Addresses of the voters of the epoch in force, without this store."""
         return [
             address for identity, address in self.members.items() if identity != self.me.identity
         ]
 
     def hear_synced_index(self, identity: str, slot: int) -> None:
+        """Record that a member holds every slot below `slot`; it never goes back."""
         self.synced_indexes[identity] = max(self.synced_indexes.get(identity, 0), slot)
 
     def safe(self) -> int:
-        """Below this slot all is synced on n - f voters, and stays so if those put out are lost.
+        """Return the slot below which everything is synced on n - f voters.
 
-        Until the barrier of the epoch in force is passed: on n - f of the former voters as well,
-        whom a reader that has not heard of the change asks.
+        It stays so if the replaced voters are lost. Until the barrier of the epoch in force is
+        passed, n - f of the former voters must hold it as well: a reader that has not heard of the
+        change asks those.
         """
         index = quorum_index(self.members, self.synced_indexes, self.thresholds)
         if is_passed(self):
@@ -108,10 +130,11 @@
         return min(index, quorum_index(former, self.synced_indexes, self.thresholds))
 
     def is_decided(self, command: Command) -> bool:
+        """Whether the command is in the log, or barred from it for ever."""
         return decided(self.tables, command)
 
     def take(self, tables: Tables) -> None:
-        """Replacement the tables in; what depends on the epoch and the slot follows."""
+        """Replace the tables, and reset what depends on their epoch and slot."""
         self.tables = tables
         self.members = {member["identity"]: member["address"] for member in tables.core}
         self.own, self.heard = None, {}
@@ -125,6 +148,10 @@
         self.synced_indexes[self.me.identity] = tables.slot
 
     def commit(self, decision: Decision, plan: Plan) -> None:
+        """Apply a decision of slot `tables.slot`, write it to disk and report the new synced index.
+
+        The command's body is left out of the record if the own ballot state has written it already.
+        """
         proposed = self.own is not None and self.own.command is not None
         written = proposed and self.own.command.key == decision.key
         plan.records.append(decision_record(decision, whole=not written))
@@ -134,6 +161,11 @@
         ]
 
     def replay(self, decision: Decision) -> None:
+        """Apply a decision of slot `tables.slot` to the log and the tables, without any output.
+
+        Raises:
+            ValueError: the decision is of another slot.
+        """
         self.log[decision.slot] = decision
         if decision.key:
             self.queue.drop(decision.key)
@@ -143,13 +175,13 @@
         self.take(Apply().step(self.tables, decision))
 
     def begin_segment(self, plan: Plan) -> None:
-        """Replaces what is on disk by a new segment; what the plan would have appended is in it."""
+        """Plan a new disk segment; it replaces the records that the plan would append."""
         self.rotated_at, self.appended_bytes = self.tables.slot, 0
         plan.rotate = self.segment()
         plan.records.clear()
 
     def forget_strangers(self) -> None:
-        """Synced indexes count only of voters, and of those before the last change of voters."""
+        """Drop synced indexes of all but the voters and the voters before them."""
         known = {
             *self.members,
             *(member["identity"] for member in self.tables.former.get("core", ())),
@@ -160,7 +192,7 @@
         self.synced_indexes[self.me.identity] = self.tables.slot
 
     def segment(self) -> list[dict]:
-        """The records of a new disk segment: everything this store must still know."""
+        """Return the records of a new disk segment: everything this store must keep."""
         records = [identity_record(self.me)]
         if self.bootstrap_promise:
             records.append(bootstrap_promise_record(self.bootstrap_promise))
@@ -171,7 +203,12 @@
         return records
 
     def restore(self, records: list[dict], now: int) -> None:
-        """Takes in what the disk holds, oldest first; `now` in us."""
+        """Rebuild the state from the records on disk.
+
+        Args:
+            records: oldest first, each as `records.py` makes it.
+            now: µs, own clock.
+        """
         readers = {
             RecordKind.IDENTITY: lambda held: None,
             RecordKind.BOOTSTRAP_PROMISE: self._bootstrap_promise,
@@ -193,6 +230,7 @@
         self.bootstrap_promise = tuple(held["members"])
 
     def found(self, held):
+        """Enter epoch 1 with the voters in `held["core"]`, each a Member as a mapping."""
         self.take(replace(Tables(), epoch=1, core=tuple(held["core"])))
 
     def _snapshot(self, held):
--- a/src/willowpost/consensus/replica/voting.py
+++ b/src/willowpost/consensus/replica/voting.py
@@ -1,4 +1,4 @@
-"""Algorithm 1: one slot after the other, each by Weak-MVC, with nobody in the lead."""
+"""Algorithm 1: decides one slot after the other by Weak-MVC, without a leader."""
 
 from dataclasses import replace
 
@@ -14,7 +14,10 @@
 
 
 class Voting:
-    """Invariant: a ballot state leaves only in a plan that first writes it (or in a later one)."""
+    """Proposes commands and votes.
+
+    A ballot state is sent only in the plan that first writes it to disk, or in a later one.
+    """
 
     def __init__(self, node_state: ReplicaState):
         self.node_state = node_state
@@ -23,7 +26,7 @@
         self.asked_at = 0
 
     def step(self, event, now: int) -> Plan:
-        """Takes commands and ballot states in, then goes as far as what was heard allows."""
+        """Take in commands and ballot states, then go as far as the received ones allow."""
         plan = Plan()
         match event:
             case Received(_, BallotState() as ballot_state):
@@ -118,7 +121,7 @@
         return True
 
     def _fetch(self, strangers, now, plan):
-        """Somebody proposes a command whose body has not come: so that it can be proposed here too."""
+        """Ask for the body of a command that others propose, so it can be proposed here too."""
         key = next(
             (ballot_state.proposal for ballot_state in strangers if ballot_state.proposal), ""
         )
@@ -126,7 +129,7 @@
             self._ask_for_body(key, now, plan)
 
     def _ask_for_body(self, key, now, plan):
-        """Asks all other voters for a command's body, at most twice per `pace.resend`."""
+        """Ask all other voters for a command's body, at most twice per `pace.resend`."""
         if now - self.asked_at < self.node_state.pace.resend // 2:
             return
         self.asked_at = now
@@ -134,7 +137,7 @@
         plan.sends += [(address, question) for address in self.node_state.others()]
 
     def _opened(self, plan) -> bool:
-        """Whether the slot may be voted on: the barrier of its epoch is passed, and on disk as such.
+        """Whether the slot may be voted on: its epoch's barrier is passed, and recorded on disk.
 
         See `consensus/replica/barrier.py`.
         """
@@ -156,9 +159,9 @@
         self._say(ballot_state if first else replace(ballot_state, command=None), now, plan)
 
     def _say(self, ballot_state, now, plan):
-        """Sends the ballot state to all others, in place of an earlier one of this plan and slot.
+        """Send the ballot state to all others, in place of an earlier one of this plan and slot.
 
-        The earlier one may carry the command's body, which then goes with this one.
+        The earlier one may carry the command's body, which is then sent with this one.
         """
         self.sent_at = now
         earlier = [
@@ -176,7 +179,7 @@
         plan.sends += [(address, newest) for address in self.node_state.others()]
 
     def _decide(self, verdict: Verdict, own: BallotState, now, plan) -> bool:
-        """Writes the slot's decision down; False while the command's key or body is not known."""
+        """Commit the slot's decision; False while the command's key or body is unknown."""
         node_state = self.node_state
         key = self._decided_key(verdict, own)
         if key is None:
@@ -191,7 +194,7 @@
         return True
 
     def _decided_key(self, verdict: Verdict, own: BallotState) -> str | None:
-        """The command that a 1 stands for, "" for a 0; None while the proposal is not known."""
+        """Return the decided key: "" for a 0, None while the proposal is unknown."""
         node_state = self.node_state
         if not verdict.value:
             return ""
--- a/src/willowpost/consensus/thresholds.py
+++ b/src/willowpost/consensus/thresholds.py
@@ -1,28 +1,33 @@
-"""How many are enough. n comes from the epoch in force; f is what n bears."""
+"""The quorum sizes of Rabia.
+
+n is the number of voters of the epoch in force; f is how many of them may fail.
+"""
 
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
 class Thresholds:
-    """Invariant: n >= 2f + 1, so any two sets of n - f share a replica."""
+    """Quorum sizes for n voters; n >= 2f + 1, so any two sets of n - f share a voter."""
 
     n: int
 
     @property
     def f(self) -> int:
+        """How many voters may fail without stopping the log."""
         return (self.n - 1) // 2
 
     @property
     def heard(self) -> int:
-        """How many must have spoken before a step is taken (paper: n - f)."""
+        """How many voters must have been heard before a step is taken (paper: n - f)."""
         return self.n - self.f
 
     @property
     def majority(self) -> int:
+        """How many equal proposals or states make a majority: more than half of n."""
         return self.n // 2 + 1
 
     @property
     def decides(self) -> int:
-        """Equal votes that decide a slot (paper: f + 1)."""
+        """How many equal votes decide a slot (paper: f + 1)."""
         return self.f + 1
--- a/src/willowpost/consensus/weakmvc.py
+++ b/src/willowpost/consensus/weakmvc.py
@@ -1,4 +1,4 @@
-"""Algorithm 2 (Weak-MVC) as a pure step over the ballot states heard in one slot."""
+"""Algorithm 2 (Weak-MVC) as a pure function of the ballot states received in one slot."""
 
 from collections import Counter
 from dataclasses import dataclass, replace
@@ -11,17 +11,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
-    """Invariant: value is ZERO or ONE, and equal at every replica that reaches one in this slot."""
+    """The outcome of Weak-MVC in one slot.
+
+    Attributes:
+        value: ZERO or ONE; equal at every replica that reaches a verdict in this slot.
+        phase: the phase, from 1 on, in which this replica reached it.
+    """
 
     value: BallotValue
     phase: int
 
 
 class WeakMvc:
-    """Invariants: step() takes one transition of kinds.NEXT or none.
+    """Computes a replica's next ballot state in one slot.
 
-    It never unsays a state or vote; a ballot state with a 1 in it names the proposal that the 1
-    stands for.
+    Each step takes one transition of `kinds.NEXT` or none. States and votes are only appended,
+    never changed. A ballot state that contains a 1 also names, in `agreed`, the proposal the 1
+    refers to.
     """
 
     def __init__(self, coin: Coin = Coin()):
@@ -35,6 +41,17 @@
     def step(
         self, own: BallotState, heard: dict[str, BallotState], limits: Thresholds
     ) -> BallotState | Verdict | None:
+        """Take one transition if enough has been received.
+
+        Args:
+            own: this replica's ballot state in the open slot.
+            heard: the newest ballot state received per identity, the own one included.
+            limits: the thresholds of the epoch in force.
+
+        Returns:
+            The extended ballot state, the verdict if the slot is decided, or None if too few ballot
+            states have arrived.
+        """
         if not own.agreed:
             own = replace(own, agreed=agreed_proposal(heard, limits) or "")
         return self.moves[stage_of(own.states, own.votes)](own, tuple(heard.values()), limits)
@@ -70,9 +87,8 @@
         known = next((value for value in (0, 1) if votes[value]), None)
         if known is not None and votes[known] >= limits.decides:
             return Verdict(BallotValue(known), phase)
-        # Nobody in this phase voted for a value. The coin's 1 is taken only by who can say what it
-        # stands for;
-        # when any vote of 1 was cast, every replica has heard of it by now (see
+        # Without any vote for a value the coin decides. Its 1 is taken only by a replica that knows
+        # the proposal it refers to; if any vote of 1 was cast, every replica knows it by now (see
         # docs/design/rabia.md).
         state = (
             known
@@ -83,7 +99,11 @@
 
 
 def agreed_proposal(heard: dict[str, BallotState], limits: Thresholds) -> str | None:
-    """Algorithm 3: the proposal that a majority named, as counted here or as any replica has said."""
+    """Return the proposal of a majority (Algorithm 3), or None if none is known.
+
+    It is known if any replica has named it in `agreed`, or if a majority of proposals is equal
+    here.
+    """
     counts = Counter(
         ballot_state.proposal for ballot_state in heard.values() if ballot_state.proposal
     )
