--- a/src/willowpost/state/apply/__init__.py
+++ b/src/willowpost/state/apply/__init__.py
@@ -1,4 +1,4 @@
-"""Applies one decision of the log to the tables; pure, and equal at every daemon."""
+"""Applies one decision of the log to the tables; pure, with equal results at every daemon."""
 
 import json
 from dataclasses import replace
@@ -30,12 +30,14 @@
 
 
 class Apply:
-    """Invariant: step(tables, decision) has slot == decision.slot + 1.
-
-    And a repeated command changes nothing else.
-    """
+    """Applies decisions; a command that was applied before changes nothing but the slot."""
 
     def step(self, tables: Tables, decision: Decision) -> Tables:
+        """Return the tables after one decision; their slot is `decision.slot + 1`.
+
+        Raises:
+            ValueError: the decision is not of slot `tables.slot`.
+        """
         if decision.slot != tables.slot:
             raise ValueError(f"slot {decision.slot} applied at {tables.slot}")
         command = decision.command
@@ -50,9 +52,10 @@
         return replace(remembered(tables, command, answers), slot=tables.slot + 1)
 
     def _change(self, tables, op, part):
-        """A malformed op changes nothing, equally at every daemon.
+        """Apply one operation; returns the tables and the answer.
 
-        Else one in the log would end each process that comes to it, for ever.
+        A malformed operation changes nothing, equally at every daemon. If it raised, every process
+        that reaches it in the log would end, for ever.
         """
         try:
             change = OPS.get(op.get("op"))
--- a/src/willowpost/state/apply/configurations.py
+++ b/src/willowpost/state/apply/configurations.py
@@ -1,4 +1,4 @@
-"""Applies changes of the configuration: versions only go up, and a repeat is known."""
+"""Applies changes of the configuration: versions only go up, and repeats are recognised."""
 
 from dataclasses import replace
 
@@ -15,10 +15,17 @@
 
 
 def configuration(tables: Tables, op: dict) -> Outcome:
-    """Judges one proposed configuration.
+    """Apply one proposed configuration.
 
-    Invariants: the version only goes up, and one number stands for one content. A numbered one
-    holds if its number is the highest; without a number, the next one is taken.
+    The version only goes up, and one version names one content. A proposal with a number takes
+    effect if its number is above the version in force; one without a number takes the next version.
+
+    Args:
+        tables: the tables before the operation.
+        op: a proposal as `ConfigurationProposal.as_op` makes it.
+
+    Returns:
+        The tables and the answer; a refusal's `why` is a `ChangeRefusal`.
     """
     proposal = ConfigurationProposal.from_op(op)
     if proposal.version is None:
@@ -27,9 +34,10 @@
 
 
 def _numbered(tables: Tables, proposal: ConfigurationProposal, version: int) -> Outcome:
-    """A number that is not above the held one is acknowledged and changes nothing.
+    """Apply a numbered proposal.
 
-    It is refused if another content is known to be, or to have been, in force under it.
+    A number that is not above the version in force is acknowledged and changes nothing. It is
+    refused if another content is known to be, or to have been, in force under that number.
     """
     held = tables.configuration["version"]
     if version > held or tables.configuration["tree"] is None:
@@ -40,7 +48,10 @@
 
 
 def _with_the_next_version(tables: Tables, proposal: ConfigurationProposal) -> Outcome:
-    """A change that was accepted before is acknowledged with the version that it made."""
+    """Apply a proposal without a number.
+
+    A change that was accepted before is acknowledged with the version that it made.
+    """
     held = tables.configuration["version"]
     under_key = tables.changes.by_key(proposal.key)
     if under_key is not None:
@@ -83,9 +94,10 @@
 
 
 def content_under(tables: Tables, version: int) -> str | None:
-    """Digest of the configuration that holds or held under a version; None if it is not known.
+    """Return the digest of the configuration of a version; None if it is not known.
 
-    One in force that an earlier build accepted is not among the changes: its digest is worked out.
+    A configuration that an earlier build accepted is not among the changes; if it is in force, its
+    digest is computed.
     """
     change = tables.changes.by_version(version)
     if change is not None:
--- a/src/willowpost/state/apply/core.py
+++ b/src/willowpost/state/apply/core.py
@@ -1,4 +1,4 @@
-"""Who votes: the founding epoch and the two commands that change it."""
+"""The voters: the operations that change them, and the checks that these must pass."""
 
 from collections import Counter
 from dataclasses import replace
@@ -12,14 +12,17 @@
 
 
 def replace_voter(tables: Tables, op: dict):
-    """A member that is lost or leaves goes out, a learner comes in, from the next slot on.
+    """Replace a voter that is lost or leaves by a learner, from the next slot on.
 
-    Invariant: n never changes, and one slot changes the voters once. The learner is up by the log,
-    so that a command that comes late puts nobody in who is gone meanwhile.
+    n never changes, and one slot changes the voters at most once. The learner must be up by the
+    log, so that a late command never makes a voter of a store that is gone meanwhile.
 
     Args:
-        tables: the tables before the op.
-        op: `old`, the identity that goes out; `new`, the learner's Member as a mapping.
+        tables: the tables before the operation.
+        op: `old`, the identity of the voter; `new`, the learner's Member as a mapping.
+
+    Returns:
+        The tables and the answer: the new `epoch`, or `why` it was refused.
     """
     old, new = op["old"], op["new"]
     refusal = replacement_refused(tables, old, new)
@@ -42,7 +45,7 @@
 
 
 def replacement_refused(tables: Tables, old: str, new: dict) -> str | None:
-    """Why the log would not replace the voter `old` by the learner `new`; None if it would."""
+    """Return why the log would refuse to replace voter `old` by learner `new`, or None."""
     members = {member["identity"]: member for member in tables.core}
     if old not in members or new["identity"] in members:
         return "not a replacement of a member for a learner"
@@ -59,9 +62,10 @@
 
 
 def seat_for(tables: Tables, learner: dict) -> dict | None:
-    """The voter whom the log would let this learner (a Member as a mapping) replace, if any.
+    """Return the voter that the log would let this learner replace, or None.
 
-    The former identity of its own machine comes first, then lost voters, then those that leave.
+    The learner is a Member as a mapping. The former identity of its own machine comes first, then
+    lost voters, then those that leave.
     """
 
     def order(member):
@@ -78,7 +82,7 @@
 
 
 def successor_of(tables: Tables, identity: str) -> str | None:
-    """A learner that the log would let in for this voter once it says that it leaves, if any."""
+    """Return a learner that could replace this voter once it leaves, or None."""
     card = tables.daemons.get(identity)
     if card is None:
         return None
@@ -96,14 +100,14 @@
 
 
 def changed_in_this_slot(tables: Tables) -> bool:
-    """Whether an earlier op of the command that is being applied has changed the voters."""
+    """Whether an earlier operation of the command being applied changed the voters."""
     return bool(tables.former) and tables.former["slot"] == tables.slot
 
 
 def epoch_opened(tables: Tables, op: dict):
-    """A new voter makes the first slot of its epoch be decided: the log's word that it is open.
+    """Answer the operation by which a voter has the first slot of its epoch decided.
 
-    Changes nothing: the slot itself says it (`is_settled`).
+    It changes nothing: that the slot is decided is enough (`is_settled`).
     """
     return tables, {"ok": op["epoch"] <= tables.epoch}
 
@@ -118,12 +122,17 @@
 
 
 def add_voters(tables: Tables, op: dict):
-    """A learner that holds what the voters hold says that it may be one; when a second fits.
+    """Record a learner's offer to vote; if a second learner's offer fits, add both to the voters.
+
+    They vote from the next slot on. n goes from odd to odd, to at most `most`, and only while every
+    voter and both learners are up.
 
-    Both enter, from the next slot on.
+    Args:
+        tables: the tables before the operation.
+        op: `learner`, its identity; `incarnation`, its incarnation; `most`, the greatest n.
 
-    Invariant: n goes from odd to odd, at most to `most`, and only while no member is missing or
-    lost and both newcomers are up.
+    Returns:
+        The tables and the answer: the new `epoch`, or `why` the voters did not change.
     """
     learner = op["learner"]
     card = tables.daemons.get(learner)
@@ -153,10 +162,7 @@
 
 
 def with_voters_added(tables: Tables, learner: str) -> tuple | None:
-    """The core with this learner and a second one in it, if that may be now.
-
-    A function of the tables alone.
-    """
+    """Return the core with this learner and a second one added; None if not possible now."""
     missing = [
         member
         for member in tables.core
@@ -173,15 +179,15 @@
 
 
 def borne(n: int) -> int:
-    """f: how many of n voters may be lost."""
+    """Return f: how many of n voters may fail."""
     return (n - 1) // 2
 
 
 def spread(before: tuple, core: tuple) -> bool:
-    """Whether no zone holds more voters than may be lost, or than the fullest zone held before.
+    """Whether no zone holds more voters than may fail, or than the fullest zone held before.
 
-    With few zones the bootstrap members leave no better choice, and a seat that stays lost is worse
-    than one in the other zone.
+    With few zones the bootstrap members leave no better choice, and a voter that stays lost is
+    worse than a replacement in another zone.
     """
     allowed = max(borne(len(core)), _fullest_zone(before))
     return _fullest_zone(core) <= allowed
@@ -192,13 +198,15 @@
 
 
 def voters(tables: Tables) -> set[str]:
+    """Return the identities of the voters."""
     return {member["identity"] for member in tables.core}
 
 
 def _asks(tables, learner) -> bool:
-    """It said so in this life, was not held lost since.
+    """Whether this learner's offer to vote counts.
 
-    And the core may still grow by two in its eyes.
+    It must be up, not have been lost since the offer, and the core may grow by two within its
+    limit.
     """
     card = tables.daemons.get(learner, {})
     asked = card.get("voter_offer")
@@ -215,9 +223,10 @@
 
 
 def _apart(core) -> bool:
-    """One voter a machine: a wiped machine's new identity takes its own seat back.
+    """Whether all voters differ in machine and address.
 
-    It does not grow the core.
+    The new identity of a machine whose disk was wiped replaces its former one; it does not grow the
+    core.
     """
     return (
         len({member["name"] for member in core})
@@ -231,10 +240,10 @@
 
 
 def _is_former_self(tables: Tables, member: dict, learner: dict) -> bool:
-    """The learner runs where the member ran, which therefore is gone with its disk.
+    """Whether the learner runs where the member ran, whose disk is therefore lost.
 
-    Two machines of one name at two addresses are two: the one that is up stays, else each would
-    take the seat back from the other.
+    Two machines with one name and two addresses are two: the one that is up stays a voter, or each
+    would keep replacing the other.
     """
     if member["address"] == learner["address"]:
         return True
--- a/src/willowpost/state/apply/duplicates.py
+++ b/src/willowpost/state/apply/duplicates.py
@@ -1,7 +1,8 @@
-"""The bounded dictionary of commands: which have run, with what answers, and which never will.
+"""The bounded record of commands: which have run, with what answers, and which never will.
 
-For each daemon the log holds its newest incarnation, a floor, and the last answers. Daemons that are
-gone for long are forgotten as a whole; `seen_floor` then bars what they may still have under way.
+For each daemon the log keeps its newest incarnation, a floor of its counters, and the last answers.
+Daemons that are long absent are forgotten as a whole; `seen_floor` then bars commands of theirs
+that may still arrive.
 """
 
 from dataclasses import replace
@@ -14,7 +15,7 @@
 
 
 def decided(tables: Tables, command: Command) -> bool:
-    """Whether this command is in the log, or barred from it for ever."""
+    """Whether the command is in the log, or barred from it for ever."""
     held = tables.seen.get(command.daemon)
     if held is None:
         return command.incarnation <= tables.seen_floor
@@ -26,7 +27,7 @@
 
 
 def answer_of(tables: Tables, command: Command) -> tuple[int, list] | None:
-    """(slot, answers) of a command that ran, while they are kept."""
+    """Return (slot, answers) of a command that ran; None if they are not kept."""
     held = tables.seen.get(command.daemon)
     if held is None or held["incarnation"] != command.incarnation:
         return None
@@ -35,7 +36,7 @@
 
 
 def remembered(tables: Tables, command: Command, answers: list) -> Tables:
-    """The tables once this command has run in slot tables.slot."""
+    """Return the tables with the answers of a command that ran in slot `tables.slot`."""
     card = _with_answers(tables.seen.get(command.daemon), command, tables.slot, answers)
     return _bounded(replace(tables, seen={**tables.seen, command.daemon: card}))
 
@@ -52,11 +53,11 @@
 
 
 def _bounded(tables: Tables) -> Tables:
-    """Forgets the daemon whose last command is oldest once more than ABSENT_KEPT are absent.
+    """Forget the absent daemon whose last command is oldest, if more than ABSENT_KEPT are absent.
 
-    A command of it that still wanders about must never run again: from now on nobody who is unknown
-    runs a command under an incarnation as old as that. Incarnations are wall times of starts, so a
-    newcomer is above it, or learns the floor from its first answer and goes above it.
+    A command of it that still arrives must never run again: from now on no unknown daemon runs a
+    command of an incarnation as old as that. Incarnations are wall times of starts, so a new daemon
+    is above it, or learns the floor from its first answer and continues above it.
     """
     if len(tables.seen) <= ABSENT_KEPT:
         return tables
--- a/src/willowpost/state/apply/membership.py
+++ b/src/willowpost/state/apply/membership.py
@@ -1,4 +1,4 @@
-"""Daemons join, leave, and are suspected by those who watch them."""
+"""Operations on daemons: they join, drain and leave, and are suspected by their watchers."""
 
 from dataclasses import replace
 
@@ -9,6 +9,18 @@
 
 
 def join(tables: Tables, op: dict):
+    """Add a daemon, or a new incarnation of it, as up.
+
+    It replaces another daemon at its address and repairs the failure verdicts on its machine and
+    kind. For an incarnation that is known already, see `_found_again`.
+
+    Args:
+        tables: the tables before the operation.
+        op: `daemon`, a `node_state.Card` as a mapping.
+
+    Returns:
+        The tables and the answer.
+    """
     card = {**op["daemon"], "state": DaemonState.UP.value, "since": tables.slot}
     others = {
         name: other
@@ -28,9 +40,9 @@
 
 
 def _found_again(tables: Tables, card: dict) -> Tables:
-    """Who is held lost, but is suspected by nobody any more, need only say that it is there.
+    """Return the tables with a lost daemon up again, if nobody suspects it any more.
 
-    Its doubters may have ended.
+    The daemons that suspected it may have ended, so its own word is enough then.
     """
     if card["state"] != DaemonState.LOST.value or card["id"] in tables.suspicions:
         return tables
@@ -42,6 +54,13 @@
 
 
 def leave(tables: Tables, op: dict):
+    """Remove the daemon `id`, if its incarnation is `incarnation`, and its suspicions.
+
+    Suspicions of it go as well as those it reported.
+
+    Returns:
+        The tables and the answer, which is always positive.
+    """
     rest = {
         name: card
         for name, card in tables.daemons.items()
@@ -52,6 +71,11 @@
 
 
 def drain(tables: Tables, op: dict):
+    """Mark the daemon `id` as draining, if its incarnation is `incarnation`.
+
+    Returns:
+        The tables and the answer; refused for an unknown daemon or another incarnation.
+    """
     card = tables.daemons.get(op["id"])
     if card is None or card["incarnation"] != op["incarnation"]:
         return tables, {"ok": False, "why": "unknown daemon"}
@@ -61,11 +85,18 @@
 
 
 def suspicion(tables: Tables, op: dict):
-    """A watcher suspects a daemon, or hears it again.
+    """Record that a watcher suspects a daemon, or no longer does.
+
+    A daemon turns lost when two others (or all others, if fewer) suspect this incarnation, and up
+    again when none does. A lost watcher's new suspicions are refused: behind a network partition it
+    misses everybody on the other side, and its reports may arrive long afterwards.
+
+    Args:
+        tables: the tables before the operation.
+        op: `target` and its `incarnation`, `watcher`, and whether it is `suspected`.
 
-    Invariants: a daemon is lost only while at least two others (or all others) suspect this
-    incarnation of it. A watcher that is held lost itself suspects nobody: behind a cut it misses
-    everybody on the other side, and may say so long afterwards.
+    Returns:
+        The tables and the answer with the target's `state`.
     """
     target, watcher = op["target"], op["watcher"]
     card = tables.daemons.get(target)
@@ -127,7 +158,7 @@
 
 
 def forget(suspicions: dict, gone) -> dict:
-    """What the gone suspected, and what was suspected of them, is void."""
+    """Return the suspicions without those by or of the daemons in `gone`."""
     kept = {
         target: {name: True for name in held if name not in gone}
         for target, held in suspicions.items()
--- a/src/willowpost/state/apply/operators.py
+++ b/src/willowpost/state/apply/operators.py
@@ -1,4 +1,4 @@
-"""What operators ask besides configurations: purges, zones; and the fences of duties."""
+"""Operations that operators ask for besides configurations: purges and zones; and fences."""
 
 from dataclasses import replace
 
@@ -8,6 +8,17 @@
 
 
 def purge(tables: Tables, op: dict):
+    """Record a purge of cached items.
+
+    At most PURGES_KEPT are kept; `purge_floor` is then the first slot from which all are known.
+
+    Args:
+        tables: the tables before the operation.
+        op: `host`, `kind` (item, prefix, all or tag) and `path`, which holds the tag for kind tag.
+
+    Returns:
+        The tables and the answer with the `slot` of the purge.
+    """
     entry = {
         "slot": tables.slot,
         "host": op.get("host", ""),
@@ -23,14 +34,21 @@
 
 
 def zone(tables: Tables, op: dict):
-    """`what` is emptied: all (daemons reject there too), or the origins alone.
+    """Empty a zone, or restore it.
+
+    `what` is emptied: "all" (daemons there reject too) or only the "origins". Once restored,
+    origins of services with a `cold_rate` count as cold from this slot on, since their state is
+    unknown.
 
-    Given back, origins that a cold rate protects count as cold from this slot on: nobody knows what
-    they became meanwhile.
+    An operation with `as_of`, the slot that its registry knew, changes nothing if the zone changed
+    in that slot or later: an order delayed by a network partition does not undo a newer one.
 
-    Invariant: what a registry proposes that knew the tables only up to slot `as_of` changes nothing
-    if the zone changed in a later one. So an order that was left in a queue behind a cut takes no
-    effect after a newer one.
+    Args:
+        tables: the tables before the operation.
+        op: `zone`, its name; `empty`, whether to empty it; optionally `what` and `as_of`.
+
+    Returns:
+        The tables and the answer.
     """
     before = tables.zones.get(op["zone"], {})
     what = op.get("what", "all") if op["empty"] else before.get("what", "all")
@@ -57,7 +75,14 @@
 
 
 def own(tables: Tables, op: dict):
-    """Invariant: a key's fence only grows, and one fence has one owner."""
+    """Make `owner` the owner of `key`, if `fence` is the key's current fence.
+
+    The fence then grows by 1. A key's fence only grows, and one fence has one owner. A key without
+    an owner has fence 0.
+
+    Returns:
+        The tables and the answer with the new `fence`.
+    """
     held = tables.fences.get(op["key"], {"owner": "", "fence": 0})
     if held["fence"] != op["fence"]:
         return tables, {"ok": False, "why": "fence moved on"}
--- a/src/willowpost/state/apply/origins.py
+++ b/src/willowpost/state/apply/origins.py
@@ -1,4 +1,4 @@
-"""Origins register, enter, warm, drain and go; a life that is over does not come back."""
+"""Operations on origins: register, change state, end; an ended incarnation does not return."""
 
 from dataclasses import replace
 
@@ -9,14 +9,21 @@
 
 
 def register(tables: Tables, op: dict):
-    """`cold` says whether it is cold, and that its beats will go on saying so (`told`).
+    """Register an incarnation of an origin.
 
-    Then nobody guesses.
+    An address that last served another service waits until the log lets it enter, unless the
+    service is `named` (its origins check the incarnation named on a request). An incarnation with a
+    token registers once, however often it asks. A registration with `as_of` (the slot that its
+    registry knew) changes nothing if the address was registered in that slot or later.
 
-    Invariants: an address that last served another service waits until the log says it may enter,
-    unless the service's origins honour the name of a life; a life registers once, whoever asks and
-    how often; a registration from before a later one at the same address (`as_of`: the slot its
-    taker stood at) changes nothing.
+    Args:
+        tables: the tables before the operation.
+        op: `address`, `service`, `zone`, `rate` and `cold_rate` (requests per second); optionally
+            `token`, `slots`, `number`, `state`, `as_of`, `part` (its index in the command) and
+            `cold`, whether it is cold; if given, its heartbeats will go on saying so (`told`).
+
+    Returns:
+        The tables and the answer with the `origin`'s name and `state`.
     """
     address, service, token = op["address"], op["service"], op.get("token")
     if token in tables.ended:
@@ -58,11 +65,20 @@
 
 
 def turn(tables: Tables, op: dict):
-    """Of `origin`, or of the life `token`.
+    """Change the state of the origin `origin`, or of the incarnation with `token`.
+
+    A change from a heartbeat (`number`) changes nothing after one of a later heartbeat. A change
+    with `as_of` (the slot that its registry knew) is refused if the log turned the origin cold in
+    that slot or later. One that names its registry (`by`) counts only if that is up.
+
+    Args:
+        tables: the tables before the operation.
+        op: `state`, an `OriginState` value; `origin` or `token`; optionally `number`, `as_of`,
+            `by`, `told` and `silent`: for GONE, the origin fell silent and its incarnation may
+            return.
 
-    Invariants: a turn that a beat brought (`number`) gives way to one of a later beat; and a beat
-    says that it is warm only of the time after the log turned it cold (`as_of`: the slot its taker
-    stood at). Silence counts only on the word of a registry (`by`) that is not lost itself.
+    Returns:
+        The tables and the answer with the origin's `state`.
     """
     if op.get("by") is not None and not _up(tables, op["by"]):
         return tables, {"ok": False, "why": "its registry is lost"}
@@ -105,9 +121,12 @@
 
 
 def end(tables: Tables, op: dict):
-    """The life `token` is over, whether or not it ever registered.
+    """End the incarnation with `token`, whether or not it ever registered.
 
-    A late beat of it changes nothing.
+    Its late heartbeats change nothing.
+
+    Returns:
+        The tables and the answer with the `origin`'s name, None if it was not registered.
     """
     name = named(tables, op["token"])
     rest = replace(
@@ -121,11 +140,12 @@
 
 
 def turned_cold(card: dict, slot: int) -> dict:
+    """Return an origin's card as cold since `slot`."""
     return {**card, "state": OriginState.COLD.value, "cold_at": slot}
 
 
 def named(tables: Tables, token: str | None) -> str | None:
-    """The origin that is this life."""
+    """Return the name of the origin with this token, or None."""
     return (
         next((name for name, card in tables.origins.items() if card.get("token") == token), None)
         if token
@@ -138,7 +158,7 @@
 
 
 def _again(tables, name, op):
-    """The same life once more: only its leaving is state updates."""
+    """Handle a repeated registration: only a change to draining takes effect."""
     card = tables.origins[name]
     if (
         op.get("state") == OriginState.DRAINING.value
@@ -162,7 +182,10 @@
 
 
 def _bound(tables, address, service):
-    """By slot, not by the order in the table: that is another one after a snapshot."""
+    """Return `Tables.bound` with this address; beyond BOUND_KEPT without the oldest one.
+
+    The oldest by slot, not by the order in the table, which differs after a snapshot.
+    """
     bound = {**tables.bound, address: {"service": service, "slot": tables.slot}}
     if len(bound) > BOUND_KEPT:
         bound.pop(min(bound, key=lambda held: (bound[held].get("slot", 0), held)))
--- a/src/willowpost/state/configuration_changes.py
+++ b/src/willowpost/state/configuration_changes.py
@@ -1,7 +1,7 @@
 """Changes of the configuration: as proposed to the log, and as the tables remember them.
 
-The tables remember the last accepted changes, so that an order that is sent again after its answer
-was lost is known and acknowledged again.
+The tables remember the last accepted changes, so that a repeated order whose first answer was lost
+is recognised and acknowledged again.
 """
 
 import json
@@ -37,11 +37,11 @@
         tree: The checked configuration; left out where the log cannot need it.
         source: The document that the operator made the tree from.
         version: The operator's own number; None if the next one is to be taken.
-        if_match: The version that must hold; None if any may.
-        patch: Digest of the JSON Patch that the tree was worked out with.
+        if_match: The version that must be in force; None if any may be.
+        patch: Digest of the JSON Patch that the tree was made with.
         key: Digest of the sender's idempotency key.
         as_of_version: The version that the proposing registry knew. A change without a number and
-            without `if_match` is superseded if another holds by now.
+            without `if_match` is superseded if another version is in force by then.
     """
 
     content: str | None = None
@@ -54,14 +54,14 @@
     as_of_version: int | None = None
 
     def as_op(self) -> dict[str, Any]:
-        """The op that carries the proposal in a command of the log."""
+        """Return the operation that carries the proposal in a command."""
         fields = {name: getattr(self, name) for name in self.__slots__}
         said = {name: value for name, value in fields.items() if value is not None}
         return {"op": "configuration", **said}
 
     @classmethod
     def from_op(cls, op: dict[str, Any]) -> "ConfigurationProposal":
-        """Reads an op; one of an earlier build names no digest, so it is worked out here."""
+        """Read an operation; if it has a tree but no digest, compute the digest."""
         said = {name: op.get(name) for name in cls.__slots__}
         if said["content"] is None and said["tree"] is not None:
             said["content"] = content_digest(said["tree"], said["source"])
@@ -87,18 +87,18 @@
     key: str | None = None
 
     def is_of(self, proposal: ConfigurationProposal) -> bool:
-        """Whether the proposal says what this change said."""
+        """Whether the proposal asks for the same as this change did."""
         if self.patch is not None or proposal.patch is not None:
             return self.patch == proposal.patch
         return self.content == proposal.content
 
     def as_row(self) -> list:
-        """The change in the text of the tables."""
+        """Return the change as the tables' text holds it."""
         return [getattr(self, name) for name in self.__slots__]
 
     @classmethod
     def from_row(cls, row: list) -> "AcceptedChange":
-        """Reads what `as_row` gave."""
+        """Read what `as_row` returned."""
         return cls(*row)
 
 
@@ -109,48 +109,48 @@
     changes: tuple[AcceptedChange, ...] = ()
 
     def with_change(self, change: AcceptedChange) -> "ChangeLog":
-        """The log with one more change at its end."""
+        """Return the log with one more change at its end."""
         return ChangeLog((*self.changes, change)[-CHANGES_KEPT:])
 
     def by_key(self, key: str | None) -> AcceptedChange | None:
-        """The change that came under this idempotency key."""
+        """Return the change with this digest of an idempotency key; None if there is none."""
         if key is None:
             return None
         return self._newest(lambda change: change.key == key)
 
     def by_version(self, version: int) -> AcceptedChange | None:
-        """The change that made this version."""
+        """Return the change that made this version; None if it is not remembered."""
         return self._newest(lambda change: change.version == version)
 
     def repeated(self, proposal: ConfigurationProposal) -> AcceptedChange | None:
-        """The change that says the same and was made on the same version."""
+        """Return the change that asked for the same, based on the same version, or None."""
         return self._newest(
             lambda change: change.based_on == proposal.if_match and change.is_of(proposal)
         )
 
     def newest(self) -> AcceptedChange | None:
-        """The change that made the version in force, if it is remembered."""
+        """Return the change that made the version in force, if it is remembered."""
         return self.changes[-1] if self.changes else None
 
     def _newest(self, fits) -> AcceptedChange | None:
         return next((change for change in reversed(self.changes) if fits(change)), None)
 
     def as_rows(self) -> list[list]:
-        """The changes in the text of the tables."""
+        """Return the changes as the tables' text holds them."""
         return [change.as_row() for change in self.changes]
 
     @classmethod
     def from_rows(cls, rows: list[list]) -> "ChangeLog":
-        """Reads what `as_rows` gave."""
+        """Read what `as_rows` returned."""
         return cls(tuple(AcceptedChange.from_row(row) for row in rows))
 
 
 def digest_of(value: object) -> str:
-    """Digest of a JSON value, whatever the order of its names."""
+    """Return the digest of a JSON value; the order of object keys does not matter."""
     text = json.dumps(value, sort_keys=True, separators=(",", ":"))
     return blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
 
 
 def content_digest(tree: dict, source: str | None) -> str:
-    """Digest of a checked configuration and the document it was made from."""
+    """Return the digest of a checked configuration and the document it was made from."""
     return digest_of([tree, source])
--- a/src/willowpost/state/kinds.py
+++ b/src/willowpost/state/kinds.py
@@ -1,4 +1,4 @@
-"""The states of daemons and origins in the log, and what may follow what."""
+"""The states of daemons and origins in the log, and the transitions between them."""
 
 from enum import Enum
 
@@ -7,12 +7,16 @@
 
 
 class DaemonState(str, Enum):
+    """The state of a daemon in `Tables.daemons`; LOST is the failure verdict of its watchers."""
+
     UP = "up"
     DRAINING = "draining"
     LOST = "lost"
 
 
 class OriginState(str, Enum):
+    """The state of an origin in `Tables.origins`; the transitions are in `NEXT_ORIGIN`."""
+
     WAITING = "waiting"  # its address served another service; not in force yet
     COLD = "cold"  # in force; its allowance ramps, or its beats say how long
     WARM = "warm"
--- a/src/willowpost/state/snapshot_transfer.py
+++ b/src/willowpost/state/snapshot_transfer.py
@@ -1,7 +1,7 @@
-"""Snapshots of the tables on their way: made once, sent in pieces, put together again.
+"""Transfers snapshots of the tables in pieces.
 
-Equal tables have equal texts at every daemon, so a transfer of slot S that one source began another
-one that holds S may finish.
+Equal tables have equal texts at every daemon, so a transfer of slot S that one source began can be
+finished by another one that holds a snapshot of S.
 """
 
 from willowpost.common.clock import MILLI, SECOND
@@ -17,9 +17,10 @@
 
 
 class SnapshotSource:
-    """Invariant: a text is made at most once for each slot, and not while one in use still serves.
+    """Holds the text of one snapshot and serves its pieces.
 
-    All texts are ASCII, so offsets count characters and bytes alike.
+    A text is made at most once for each slot, and not while the held one is still of use. All texts
+    are ASCII, so offsets count characters and bytes alike.
     """
 
     def __init__(self):
@@ -30,14 +31,15 @@
     def piece(
         self, tables: Tables, asker_slot: int, floor: int, request: SnapshotRequest | None, now: int
     ) -> SnapshotPiece:
-        """The piece that the request names, or the first piece of a snapshot that is of use.
+        """Return the piece that the request names, or the first piece of a snapshot that is of use.
 
         Args:
-            tables: what is held here now.
-            asker_slot: what the asker holds; -1 if it has no tables at all.
-            floor: the first slot whose decision is held here; an older snapshot leads nowhere.
-            request: where the asker's transfer stands, if one is under way.
-            now: us, own clock.
+            tables: the tables held here now.
+            asker_slot: the slot the asker has reached; -1 if it has no tables at all.
+            floor: the first slot whose decision is held here; those that follow an older snapshot
+                are not.
+            request: the asker's position in its transfer, if one is under way.
+            now: µs, own clock.
         """
         self.release(now)
         self.requested_at = now
@@ -49,34 +51,44 @@
         return SnapshotPiece(self.slot, offset, len(self.text), text)
 
     def release(self, now: int) -> None:
-        """Lets the text go when nobody has asked for a piece of it for a while."""
+        """Drop the text if nobody has asked for a piece for HELD_AFTER_REQUEST."""
         if self.text and now - self.requested_at > HELD_AFTER_REQUEST:
             self.slot, self.text = -1, ""
 
 
 class SnapshotReceiver:
-    """Invariant: holds the first `received` characters of the one text of `slot`.
+    """Collects the pieces of one snapshot.
 
-    Another snapshot takes its place only if nothing has come for ABANDONED_AFTER.
+    It holds the first `received` characters of the text of `slot`. Another snapshot takes its place
+    only if no piece has come for ABANDONED_AFTER.
     """
 
     def __init__(self):
         self.clear()
 
     def clear(self) -> None:
+        """Forget the transfer under way."""
         self.slot, self.total, self.received, self.progress_at = -1, 0, 0, 0
         self.pieces: list[str] = []
 
     def request(self) -> SnapshotRequest | None:
-        """Where the transfer stands; None if none is under way."""
+        """Return the position of the transfer; None if none is under way."""
         return SnapshotRequest(self.slot, self.received) if self.pieces else None
 
     def progressing(self, now: int) -> bool:
-        """Whether a transfer is under way whose source has not fallen silent."""
+        """Whether a piece of a transfer under way came within STALLED_AFTER."""
         return bool(self.pieces) and now - self.progress_at < STALLED_AFTER
 
     def take(self, piece: SnapshotPiece, now: int) -> str | None:
-        """Adds a piece; the whole text once it is complete, else None."""
+        """Add a piece, if it is the next one.
+
+        Args:
+            piece: of the transfer under way, or the first of another snapshot.
+            now: µs, own clock.
+
+        Returns:
+            The whole text once it is complete, else None.
+        """
         other = (piece.slot, piece.total) != (self.slot, self.total)
         abandoned = not self.pieces or now - self.progress_at >= ABANDONED_AFTER
         if other and (piece.offset or not abandoned):
--- a/src/willowpost/state/tables.py
+++ b/src/willowpost/state/tables.py
@@ -1,4 +1,4 @@
-"""The fleet's shared tables: what the decided log amounts to. Immutable, swapped whole."""
+"""The state that results from the decided log; immutable, replaced as a whole."""
 
 import json
 from dataclasses import dataclass, field, fields
@@ -18,22 +18,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Tables:
-    """Invariants:
+    """The replicated state.
 
-    - `slot` is the next slot to apply: the tables are what slots 0..slot-1 amount to, and nothing
-      else.
+    Invariants:
+
+    - `slot` is the next slot to apply: the tables result from slots 0 to slot - 1 and nothing else.
     - `core` names the voters of slot `slot`, `epoch` counts its changes.
     - `former` holds the voters before the last change and the slot that changed them.
-    - `configuration` holds `source`, the operator's own document, if it was given one.
-    - `changes` holds the last accepted changes of the configuration; the newest made the held one.
-    - an address is bound to at most one origin, and so is a token; `bound` remembers the service an
-      address last served.
-    - `ended` holds the tokens of the last lives that are over, oldest first; none of them is among
-      `origins`, or will be again.
-    - `purges` holds every purge of a slot >= purge_floor, oldest first.
-    - `seen` holds for each daemon its newest incarnation; a counter <= floor has been applied or
+    - `configuration` holds `source`, the operator's own document, if one was given.
+    - `changes` holds the last accepted changes of the configuration; the newest made the one in
+      force.
+    - an address is bound to at most one origin, and so is a token; `bound` keeps the service that
+      an address last served.
+    - `ended` holds the tokens of the last ended incarnations of origins, oldest first; none of them
+      is among `origins`, or will be again.
+    - `purges` holds every purge of a slot >= `purge_floor`, oldest first.
+    - `seen` holds for each daemon its newest incarnation; a counter <= `floor` has been applied or
       never will be.
-    - a daemon not in `seen` runs no command of an incarnation <= seen_floor.
+    - a daemon not in `seen` runs no command of an incarnation <= `seen_floor`.
     """
 
     slot: int = 0
@@ -56,20 +58,28 @@
     changes: ChangeLog = ChangeLog()
 
     def incarnation(self, daemon: str) -> tuple[str, int]:
+        """Return (daemon, its incarnation).
+
+        Raises:
+            KeyError: the daemon is not in the tables.
+        """
         return daemon, self.daemons[daemon]["incarnation"]
 
     def text(self) -> str:
-        """Equal tables have equal texts, at every daemon; ASCII only."""
+        """Return the snapshot: ASCII JSON; equal tables have equal texts at every daemon."""
         held = {name.name: getattr(self, name.name) for name in fields(self)}
         held |= {"format": SNAPSHOT_FORMAT, "changes": self.changes.as_rows()}
         return json.dumps(held, sort_keys=True, separators=(",", ":"))
 
     def digest(self) -> str:
+        """Return the digest of the text: 16 hexadecimal digits."""
         return blake2b(self.text().encode(), digest_size=8).hexdigest()
 
 
 def tables_from(text: str) -> Tables:
-    """A text of an earlier build lacks the newer fields: they have their defaults.
+    """Read the tables from a snapshot's text.
+
+    A text of an earlier build may lack newer fields: they get their defaults.
 
     Raises:
         UnknownFormat: the text was made by a build that writes another format.
--- a/src/willowpost/store/daemon.py
+++ b/src/willowpost/store/daemon.py
@@ -1,4 +1,4 @@
-"""wpstore: one replica of the fleet's log."""
+"""wpstore: the process that holds one replica of the log."""
 
 import os
 
@@ -17,10 +17,7 @@
 
 
 class StoreDaemon:
-    """Invariant: an identity is made once, for an empty folder.
-
-    And is on disk before it is told to anybody.
-    """
+    """A store with its disk; the identity is made once, and synced before it is sent."""
 
     def __init__(self, place, logs):
         self.place = place
@@ -29,6 +26,13 @@
         self.node: StoreNode | None = None
 
     def start(self) -> None:
+        """Restore the state from disk, or make an identity for an empty folder; run the node.
+
+        A damaged folder is set aside; the store then starts as an empty one.
+
+        Raises:
+            UnknownFormat: the newest segment was written in another format.
+        """
         place, disk, clock = self.place, Disk(os.path.join(self.place.data, "store")), Clock()
         try:
             records = disk.load()
@@ -79,10 +83,10 @@
         self.runner.start(node)
 
     def stop(self) -> None:
-        """Hands the seat over, or settles (`store/leaver.py`); then ends.
+        """Hand the voter's place over or settle (`store/leaver.py`), then end.
 
-        A store that is stopped at any other moment loses nothing either: all it has said is on its
-        disk. A disk that hangs doesn't hold the end up: the spans are kept by this task's clock.
+        A store that is stopped at any other moment loses nothing either: all it has sent is on its
+        disk. A disk that hangs does not delay the end: this task's own clock keeps the time limits.
         """
         if self.node is None:
             return
--- a/src/willowpost/store/leaver.py
+++ b/src/willowpost/store/leaver.py
@@ -1,10 +1,11 @@
-"""A store's planned end: its seat is handed over, or what it holds is known to be held by others.
-
-The platform says only that the process is to end. If a learner is there that may take the seat,
-the machine is likely to be taken away, disk and all: the store says that it leaves, the learner
-replaces it by agreement, and the store goes on serving as a voter, then as a source, until the new
-epoch has begun, so that n - f of the new voters hold everything. If there is none, it is a restart: the seat stays, and the store
-ends as soon as n - f other voters hold what it holds, or after a short span.
+"""A store's planned end: hand over the voter's place, or make sure that others hold its data.
+
+The platform says only that the process is to end. If a learner may take the voter's place, the
+machine is likely to be removed together with its disk: the store reports that it leaves, the
+learner replaces it by a decision of the log, and the store goes on serving as a voter, then as a
+source, until the new epoch has begun, so that n - f of the new voters hold everything. Without such
+a learner it is a restart: the store stays a voter and ends as soon as n - f other voters hold what
+it holds, or after a short span.
 """
 
 from dataclasses import dataclass
@@ -23,7 +24,7 @@
 
 
 class LeaveStage(Enum):
-    """What a store that is to end waits for."""
+    """The stages of a store's end; the transitions are in `NEXT`."""
 
     SERVING = "serving"
     HANDING_OVER = "handing over"  # until a learner has its seat
@@ -43,14 +44,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaveSpans:
-    """How long a store's end may take, in µs."""
+    """Time limits of a store's end, in µs."""
 
     handover: int = HANDOVER_SPAN  # with a learner there: from the signal to the end
     settle: int = SETTLE_SPAN  # without one
 
 
 class StoreLeaver:
-    """Invariant: the stage only moves along NEXT, and is GONE when the span that counts is over."""
+    """Ends a store; the stage is GONE at the latest when the span that applies is over."""
 
     def __init__(
         self,
@@ -75,7 +76,7 @@
         return self.stage is LeaveStage.GONE
 
     def step(self, event, now: int) -> Plan:
-        """Leave begins the end; each tick looks whether it may go on."""
+        """Begin on `Leave`; on each tick, move on if the next stage is due."""
         plan = Plan()
         if isinstance(event, Leave) and self.stage is LeaveStage.SERVING:
             self._begin(now, plan)
@@ -110,10 +111,10 @@
         return successor_of(node_state.tables, node_state.me.identity) if node_state.voter else None
 
     def _settled(self) -> bool:
-        """Whether all that this store holds and was counted for is held without it.
+        """Whether all data that this store counted for in a quorum is safe without it.
 
-        As a voter: n - f others hold every slot that it holds. As one that was replaced: the log
-        went on behind the barrier of the change. A learner was never counted.
+        A voter: n - f others hold every slot that it holds. A replaced voter: the log has gone on
+        behind the barrier of the change. A learner never counted.
         """
         node_state, me = self.node_state, self.node_state.me.identity
         if not node_state.voter:
--- a/src/willowpost/store/main.py
+++ b/src/willowpost/store/main.py
@@ -5,20 +5,25 @@
 
 
 class StoreCommand(DaemonCommand):
+    """Runs one store."""
+
     name = "wpstore"
     description = "Keeps one replica of the fleet's decided log on this machine's disk."
     help = """A core machine runs one <info>wpstore</info> and one <info>wpregistry</info>.
 
   <info>wpstore --settings core-1.json</info>
-  <info>wpstore --name core-1 --zone a --address 127.0.0.1:7001 --seeds 127.0.0.1:7002,127.0.0.1:7003 --data ./core-1</info>
+  <info>wpstore --name core-1 --zone a --address 127.0.0.1:7001 \
+--seeds 127.0.0.1:7002,127.0.0.1:7003 --data ./core-1</info>
 
 Five empty stores that find each other through their seeds found the fleet. A store
 whose folder was lost comes back under a new identity, learns, and takes the seat."""
     needs = ("data",)
 
     def build(self, place, logs):
+        """Make the daemon of checked settings (a `Place`)."""
         return StoreDaemon(place, logs)
 
 
 def main() -> None:
+    """Run the command line."""
     run(StoreCommand())
--- a/src/willowpost/store/node.py
+++ b/src/willowpost/store/node.py
@@ -1,4 +1,4 @@
-"""One store: its controllers round one shared state."""
+"""One store: its controllers and the state that they share."""
 
 from willowpost.common.controller import Controller
 from willowpost.common.plan import Plan
@@ -22,7 +22,7 @@
 
 
 class StoreNode:
-    """Invariant: whatever happens goes through step(); nothing else touches the replica state."""
+    """A store without input or output; its state changes only in step()."""
 
     def __init__(
         self,
@@ -64,6 +64,7 @@
         ]
 
     def step(self, event, now: int) -> Plan:
+        """Pass one event at `now` (µs, own clock) to every controller; returns their joint plan."""
         plan = Plan()
         for controller in self.controllers:
             plan.join(controller.step(event, now))
--- a/src/willowpost/store/repair.py
+++ b/src/willowpost/store/repair.py
@@ -1,7 +1,6 @@
-"""A learner's way into the core: into the seat of a voter that is lost or leaves, or as one of two
-that the core grows by.
+"""How a learner becomes a voter: by a request that the log decides.
 
-It asks; the log decides.
+It replaces a voter that is lost or leaves, or is one of two learners that the core grows by.
 """
 
 from dataclasses import asdict
@@ -20,10 +19,10 @@
 
 
 class Repair:
-    """Invariant: asks only while it holds what the voters hold.
+    """Asks for a voter's place, but only while it holds what the voters hold.
 
-    By a read of its own that n - f of them answered. Voters have the first slot of a new epoch
-    decided, so that the log shows the change to be finished.
+    That is known by a quorum read of its own. A voter has the first slot of a new epoch decided, so
+    that the log shows the change of voters to be finished.
     """
 
     def __init__(
@@ -40,7 +39,7 @@
         self.leaving = False  # set by who ends this process: it asks for nothing any more
 
     def step(self, event, now: int) -> Plan:
-        """On a tick, at most once a second: the op that is due, if one is."""
+        """On a tick: send the operation that is due, if any; a request at most once a second."""
         if not isinstance(event, Tick) or not self.node_state.bootstrapped:
             return Plan()
         if self.node_state.voter:
@@ -55,16 +54,17 @@
         return plan.join(self._offer(now)) if self._may_add_voters() else plan
 
     def _note_readiness(self, plan) -> None:
-        """Once in a life: from now on a voter's seat may be handed over to this store."""
+        """Log once per incarnation that this store could replace a voter."""
         tables = self.node_state.tables
         if not self.noted and self.node_state.me.identity in tables.daemons:
             self.noted = True
             plan.note("repair", "a learner that holds what the voters hold", slot=tables.slot)
 
     def _open_epoch(self, now) -> Plan:
-        """Has a slot decided behind the last change of the voters, until the log has gone on.
+        """Have a slot decided after the last change of the voters, until the log has gone on.
 
-        A newcomer asks as soon as it votes; the others a second later, if it is lost meanwhile.
+        A new voter asks as soon as it votes; the others a second later, in case it is lost
+        meanwhile.
         """
         tables = self.node_state.tables
         if is_settled(tables):
@@ -109,13 +109,14 @@
         return fresh_as_of is not None and now - fresh_as_of <= WHOLE_WITHIN
 
     def _lost(self):
-        """The voter to replace: its own machine's former identity, else one lost, else one leaving."""
+        """The voter to replace: the one formerly on this machine, a lost or a leaving one."""
         return seat_for(self.node_state.tables, asdict(self.node_state.me))
 
     def _may_add_voters(self):
-        """Once in a life, and again when the log would now say yes.
+        """Whether to offer this store as one more voter.
 
-        Not each second for a second learner that never comes.
+        Once per incarnation, and again when the log would accept the offer now or has dropped it;
+        not each second while there is no second learner.
         """
         tables, me = self.node_state.tables, self.node_state.me.identity
         card = tables.daemons.get(me)
--- a/src/willowpost/wire/codec.py
+++ b/src/willowpost/wire/codec.py
@@ -1,12 +1,11 @@
-"""Plain messages to flatbuffers and back, by the fields both sides name alike."""
+"""Converts messages to flatbuffers and back; both sides use the same field names."""
 
 from dataclasses import MISSING, fields
 
 from willowpost.common.lean import unfound
 from willowpost.wire.messages import BODIES, NESTED
 
-# where it is installed, the numbers of a message would be its own kind of numbers, and it costs 20
-# MB
+# Where numpy is installed, flatbuffers would return its number types, and loading it takes 20 MB.
 with unfound("numpy"):
     import flatbuffers
 
@@ -48,9 +47,18 @@
 
 
 class Codec:
-    """Invariant: decode(encode(source, message)) == (source, message)."""
+    """Encodes messages; decode(encode(source, message)) returns (source, message)."""
 
     def encode(self, source: str, message) -> bytes:
+        """Return the frame of a message.
+
+        Args:
+            source: the address that the sender names as its own.
+            message: one of `messages.BODIES`.
+
+        Raises:
+            KeyError: the message is of another type.
+        """
         envelope = generated.EnvelopeT(
             source=source, bodyType=NUMBERS[type(message)], body=_pack(message)
         )
@@ -59,5 +67,9 @@
         return bytes(builder.Output())
 
     def decode(self, frame: bytes):
+        """Return (source, message) of a frame.
+
+        Fields that the frame lacks have their defaults.
+        """
         envelope = generated.EnvelopeT.InitFromPackedBuf(bytearray(frame))
         return envelope.source.decode(), _open(envelope.body)
--- a/src/willowpost/wire/messages.py
+++ b/src/willowpost/wire/messages.py
@@ -1,13 +1,21 @@
-"""The messages of wire.fbs as plain immutable values; the logic knows only these."""
+"""The messages of wire.fbs as immutable values; the logic uses only these.
+
+Times are whole microseconds. A request and its answer carry the same `nonce`.
+"""
 
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
 class Command:
-    """Invariant: `key` names one body for ever.
-
-    `stamp` orders queues and never runs backward at its daemon.
+    """A batch of operations to be decided by the log.
+
+    Attributes:
+        daemon: the daemon that stamped it.
+        incarnation: of that daemon; with `counter` it makes the key, which names one body for ever.
+        counter: rises with each command of the incarnation.
+        stamp: µs; orders the queues and never goes back at its daemon.
+        body: JSON: a list of operations.
     """
 
     daemon: str = ""
@@ -18,16 +26,28 @@
 
     @property
     def key(self) -> str:
+        """The command's unique name: daemon/incarnation/counter."""
         return f"{self.daemon}/{self.incarnation}/{self.counter}"
 
 
 @dataclass(frozen=True, slots=True)
 class BallotState:
-    """One replica's standing in one slot.
-
-    Invariant: for one identity, epoch and slot, any two ballot states ever sent agree on the
-    proposal, and one's states and votes are a prefix of the other's. A state or vote of 1 comes
-    only with `agreed`, the one proposal that a majority named.
+    """What one replica has proposed and voted in one slot, cumulative.
+
+    For one identity, epoch and slot, any two ballot states ever sent have the same proposal, and
+    the states and votes of one are a prefix of the other's.
+
+    Attributes:
+        identity: of the replica.
+        epoch: in which it votes.
+        slot: on which it votes.
+        proposal: key of the proposed command; empty for none.
+        command: the proposed command; left out of later ballot states of the slot.
+        states: one per phase, 0 or 1.
+        votes: one per phase, 0, 1 or 2 (unsure).
+        again: whether it is a resend; who has decided the slot then answers with decisions.
+        agreed: the proposal that a majority made, once known; always there with a state or vote of
+            1.
     """
 
     identity: str = ""
@@ -43,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Decision:
-    """Invariant: one slot has one decision in the whole fleet; key "" is NULL."""
+    """The decision of a slot, one in the whole fleet; an empty key is NULL, without a command."""
 
     slot: int = 0
     key: str = ""
@@ -52,6 +72,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
+    """A store.
+
+    Attributes:
+        identity: made once for an empty folder, lost with the disk.
+        name: of its machine.
+        zone: where the machine is.
+        address: IP:port where other processes reach it.
+    """
+
     identity: str = ""
     name: str = ""
     zone: str = ""
@@ -59,7 +88,7 @@
 
 
 def members_of(core) -> tuple[Member, ...]:
-    """The voters of the tables, as they are told to others."""
+    """Return the voters of `Tables.core` as messages carry them."""
     return tuple(
         Member(member["identity"], member["name"], member["zone"], member["address"])
         for member in core
@@ -68,6 +97,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Hello:
+    """Greets a process and says what the sender knows of the voters.
+
+    Attributes:
+        identity: of the sending store; empty from an empty store that may not bootstrap, and from
+            other daemons.
+        name: of its machine.
+        zone: of its machine.
+        address: IP:port where other processes reach it.
+        bootstrapped: whether the sender knows a bootstrapped fleet.
+        answer: whether this answers a Hello; if not, the receiver sends one back.
+        known: the voters or, before the bootstrap, the stores that the sender has heard of.
+        promise: the cards (JSON) of the sender's bootstrap promise; empty: none.
+    """
+
     identity: str = ""
     name: str = ""
     zone: str = ""
@@ -80,12 +123,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Forward:
+    """A submitted command, passed on by a store to the other voters."""
+
     command: Command = Command()
 
 
 @dataclass(frozen=True, slots=True)
 class SyncedIndex:
-    """The sender holds every decision below `slot` on its disk, synced."""
+    """Reports that the sender holds every decision below `slot` synced on its disk."""
 
     identity: str = ""
     slot: int = 0
@@ -101,7 +146,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotPiece:
-    """A part, from `offset` on, of the text of `total` characters that is the snapshot of `slot`."""
+    """A part of the text of the snapshot of `slot`.
+
+    Attributes:
+        slot: the snapshot's slot.
+        offset: the index of the part's first character.
+        total: length of the whole text in characters.
+        text: the part.
+    """
 
     slot: int = 0
     offset: int = 0
@@ -111,10 +163,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Ask:
-    """What was decided from `slot` on, or the body of the command `key`.
+    """Asks a store for decisions, a snapshot or the body of a command.
 
-    `blank`: the asker has no tables at all, not even the founding ones. `snapshot`: the transfer
-    that is under way at the asker.
+    Attributes:
+        slot: the first slot whose decision is missing.
+        key: of the command whose body is wanted; empty: none.
+        blank: whether the asker has no tables at all, not even those of the bootstrap.
+        snapshot: the transfer under way at the asker; None: none.
     """
 
     slot: int = 0
@@ -125,7 +180,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Tell:
-    """Decisions, a whole snapshot, a piece of a larger one, or the body of a command."""
+    """Answers an `Ask`: decisions, a whole snapshot, a piece of one, or the body of a command.
+
+    `slot` is the slot after the last decision told, or the sender's own slot with a piece, or the
+    slot asked about with a command.
+    """
 
     slot: int = 0
     decisions: tuple[Decision, ...] = ()
@@ -136,11 +195,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Submit:
+    """A command that a daemon wants decided; a store answers with `Accepted`."""
+
     command: Command = Command()
 
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
+    """The command is decided and synced on n - f voters.
+
+    Attributes:
+        key: of the command.
+        slot: that decided it, or the store's newest one if that is not known.
+        answers: JSON: a list with one answer per operation; null if they are not kept any more; or
+            an object with `barred` or `forgotten`, see `acceptance.Outcome`.
+    """
+
     key: str = ""
     slot: int = 0
     answers: str = "[]"
@@ -148,11 +218,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadAsk:
+    """Asks a voter for its slot, in a quorum read."""
+
     nonce: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class ReadTell:
+    """A voter's answer to `ReadAsk`: its identity and the next slot it will apply."""
+
     nonce: int = 0
     identity: str = ""
     slot: int = 0
@@ -160,7 +234,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Poll:
-    """As Ask, by one who follows the log and has no vote."""
+    """Asks for state updates; sent by a daemon that follows the log without a vote.
+
+    Attributes:
+        nonce: repeated in the `StateUpdate`.
+        slot: the first slot whose decision is missing.
+        blank: whether the follower has no tables at all.
+        snapshot: the transfer under way at the follower; None: none.
+    """
 
     nonce: int = 0
     slot: int = 0
@@ -170,7 +251,17 @@
 
 @dataclass(frozen=True, slots=True)
 class StateUpdate:
-    """`age` is how long ago, in µs, the teller's snapshot was known to be whole; only if `fresh`."""
+    """Answers a `Poll` with decisions or a piece of a snapshot.
+
+    Attributes:
+        nonce: of the poll.
+        slot: the slot that a follower must have reached for `fresh` to hold for it.
+        age: µs since the moment as of which the sender's tables were known to be complete.
+        fresh: whether `age` is known and holds for the follower once it has reached `slot`.
+        decisions: from the polled slot on.
+        snapshot: the whole text of a snapshot; empty: none.
+        piece: a piece of a snapshot; None: none.
+    """
 
     nonce: int = 0
     slot: int = 0
@@ -183,18 +274,31 @@
 
 @dataclass(frozen=True, slots=True)
 class Ping:
+    """A failure detector's probe; `identity` is the sender's id@incarnation."""
+
     nonce: int = 0
     identity: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class Pong:
+    """The answer to `Ping`; `identity` is the answering daemon's id@incarnation."""
+
     nonce: int = 0
     identity: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class QuotaShareAsk:
+    """Asks the owner of a service's quota for a share.
+
+    Attributes:
+        nonce: repeated in the answer.
+        service: whose quota it is.
+        fence: of the owner, as the asker's tables have it.
+        demand: in thousandths of a request per second.
+    """
+
     nonce: int = 0
     service: str = ""
     fence: int = 0
@@ -203,7 +307,7 @@
 
 @dataclass(frozen=True, slots=True)
 class QuotaShareTell:
-    """`rate` is in thousandths of a request per second."""
+    """Grants a quota share; `rate` is in thousandths of a request per second."""
 
     nonce: int = 0
     service: str = ""
@@ -213,10 +317,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Beat:
-    """`cold`: µs for which the origin is still cold.
-
-    0 if it is warm or does not say (the log's card knows which: `told`). `number` rises with each
-    beat of one life; 0 if it has none.
+    """An origin's heartbeat, passed on by a registry.
+
+    Attributes:
+        origin: its name in the tables.
+        load: requests that it works on and keeps waiting.
+        cold: µs for which it is still cold; 0 if it is warm or does not say; `told` on its card in
+            the tables tells these apart.
+        slots: how many requests it works on at once; 0: not said.
+        number: rises with each beat of one incarnation; 0 if it has none.
     """
 
     origin: str = ""
@@ -228,7 +337,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionTokenAsk:
-    """Asks the service's owner for one whole token, of the service or of its cold `origin`."""
+    """Asks a service's owner for one admission token.
+
+    Attributes:
+        nonce: repeated in the answer.
+        service: whose token is wanted.
+        fence: of the owner, as the asker's tables have it.
+        origin: the cold origin whose token is wanted; empty: the service's own.
+    """
 
     nonce: int = 0
     service: str = ""
@@ -238,6 +354,8 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionTokenTell:
+    """The owner's answer: whether the token is given."""
+
     nonce: int = 0
     given: bool = False
 
