--- a/src/willowpost/consensus/replica/bootstrap.py
+++ b/src/willowpost/consensus/replica/bootstrap.py
@@ -141,7 +141,7 @@
         if not hello.answer:
             plan.send(source, self._hello(True))
         if hello.bootstrapped and node_state.bootstrapped:
-            # those we know are gone, or we would not have asked: what the teller knows of is newer
+            # The voters known here are gone, or it would not have asked; the sender's are newer.
             strangers = {member.address for member in hello.known} - {
                 node_state.me.address,
                 *node_state.members.values(),
--- a/src/willowpost/consensus/replica/reads.py
+++ b/src/willowpost/consensus/replica/reads.py
@@ -88,7 +88,7 @@
         decisions = (node_state.log[slot] for slot in range(poll.slot, most))
         told = leading(decisions, DECISIONS_BYTES_MOST)
         last = poll.slot + len(told)
-        # short of the head, the teller's freshness does not hold for the listener yet
+        # Below the newest slot, this store's freshness does not hold for the follower yet.
         whole = fresh and last >= node_state.tables.slot
         plan.send(source, StateUpdate(poll.nonce, last, age, whole, told))
 
@@ -101,5 +101,5 @@
             poll.snapshot,
             now,
         )
-        # the listener is fresh only once it holds all that is here, not just the snapshot's slot
+        # The follower is fresh only once it holds all that is here, not just the snapshot's slot.
         plan.send(source, StateUpdate(poll.nonce, node_state.tables.slot, age, fresh, piece=piece))
--- a/src/willowpost/node/command_client.py
+++ b/src/willowpost/node/command_client.py
@@ -1,4 +1,4 @@
-"""Brings this daemon's operations into the log: batches, stamps, submits, retries, answers."""
+"""Submits this daemon's operations to the log: batches, stamps, submits, retries, answers."""
 
 import json
 from dataclasses import dataclass, field
@@ -35,15 +35,20 @@
         return self.token is None and self.expires_at is None
 
     def needed(self, now: int) -> bool:
+        """Whether the operations have not expired at `now` (µs, own clock)."""
         return self.expires_at is None or now < self.expires_at
 
 
 @dataclass(slots=True)
 class PendingCommand:
-    """A stamped command without an answer yet, and when it was last submitted, and to whom.
+    """A stamped command without an answer yet.
 
-    `requests` are those that the command was made of; the tokens of those that withdrew are in
-    `withdrawn`.
+    Attributes:
+        command: what is submitted.
+        requests: those that the command was made of.
+        sent_at: when it was last submitted; µs, own clock.
+        sent_to: address of the store it was last submitted to; empty: none was known.
+        withdrawn: tokens of the requests whose callers have withdrawn.
     """
 
     command: Command
@@ -53,7 +58,7 @@
     withdrawn: set = field(default_factory=set)
 
     def waiting(self) -> list:
-        """The tokens of the callers that still wait."""
+        """Return the tokens of the callers that still wait."""
         return [
             request.token
             for request in self.requests
@@ -61,6 +66,7 @@
         ]
 
     def needed(self, now: int) -> bool:
+        """Whether a request of it is neither withdrawn nor expired at `now`."""
         return any(
             request.token not in self.withdrawn and request.needed(now) for request in self.requests
         )
@@ -69,10 +75,10 @@
 class CommandClient:
     """Submits commands to the stores until they are answered or nobody needs them any more.
 
-    Invariants: a command is submitted again under the same key. A stamp is greater than every
-    stamp given before it here. No command is submitted again once every caller that waited for it
-    has withdrawn, or its operations have expired; operations that nobody waits for and that do not
-    expire never share a command with others, so that they don't keep those alive.
+    A command is submitted again under the same key. A stamp is greater than every stamp given
+    before it here. No command is submitted again once every caller that waited for it has
+    withdrawn, or its operations have expired. Operations that nobody waits for and that do not
+    expire never share a command with others, so that they do not keep those alive.
     """
 
     def __init__(self, daemon: str, incarnation: int, cores, wall):
@@ -88,6 +94,16 @@
         self.unanswered_at: dict[str, int] = {}  # address of a store -> when it was given up
 
     def step(self, event, now: int) -> Plan:
+        """Handle one event.
+
+        `Asked` adds operations to the batch, `Withdrawn` ends a caller's wait, `Accepted` answers
+        the callers of a command, and a tick resubmits what has waited for RETRY_AFTER. A batch is
+        submitted when it holds BATCH_MOST operations or is BATCH_WAIT old.
+
+        Returns:
+            The submissions; replies are `{"slot", "answers"}`, with None for answers that are not
+            known.
+        """
         plan = Plan()
         match event:
             case Asked() as asked:
@@ -105,7 +121,7 @@
         return plan
 
     def waiting(self) -> int:
-        """How many callers in this process wait for an outcome."""
+        """Return how many callers in this process wait for an outcome."""
         gathered = sum(request.token is not None for request in self.gathered)
         return gathered + sum(len(entry.waiting()) for entry in self.pending.values())
 
@@ -168,7 +184,7 @@
             self.incarnation = max(self.incarnation, answers["forgotten"]) + 1
             answers = None
         elif isinstance(answers, dict):
-            # A former life of this daemon had a later incarnation (its clock ran ahead): the
+            # An earlier run of this daemon had a later incarnation (its clock ran ahead): the
             # command was barred, so it never ran and may be stamped anew.
             self.incarnation = max(self.incarnation, answers["barred"]) + 1
             renewed = self._open(entry.command.body, entry.requests, now, plan)
--- a/src/willowpost/node/follower.py
+++ b/src/willowpost/node/follower.py
@@ -1,6 +1,6 @@
-"""Follows the log by polling one source, and answers those who poll this daemon.
+"""Follows the log by polling one source, and answers daemons that poll this one.
 
-Sources are the first proxies of the zone (by rendezvous), then the stores.
+Sources are the first proxies of the zone in rendezvous order, then the stores.
 """
 
 from willowpost.common.clock import MILLI, SECOND
@@ -27,10 +27,11 @@
 
 
 class Follower:
-    """Invariants: fresh_as_of counts from when the poll was *sent*.
+    """Keeps the tables up to date.
 
-    So a slow answer or a freeze only makes us older; whoever is asked, also after the seeds were
-    asked anew, the tables only go on.
+    `fresh_as_of` counts from when a poll was sent, so a slow answer or a freeze only makes the
+    tables count as older. The tables never go back, whichever source is asked, also after the seeds
+    were asked again.
     """
 
     def __init__(self, node_state: NodeState, seeds, tree: bool = True):
@@ -49,6 +50,11 @@
         self.hello_at = -HELLO_EVERY
 
     def step(self, event, now: int) -> Plan:
+        """Handle one event.
+
+        Takes state updates, answers polls and greetings, and on a tick polls the source each
+        POLL_EVERY. Without tables or fresh updates it greets the seeds to learn of the stores.
+        """
         plan = Plan()
         match event:
             case Received(source, StateUpdate() as state_update):
@@ -77,6 +83,7 @@
         return plan
 
     def sources(self) -> list[str]:
+        """Return the addresses of all possible sources, the preferred one first."""
         node_state = self.node_state
         cores = node_state.cores()
         if not self.tree:
@@ -114,7 +121,7 @@
         return age is None or age > WITHOUT_SOURCE_AFTER
 
     def poll(self, address, now, plan):
-        """Asks one source for what is new; not while another is sending us a snapshot."""
+        """Poll one address, unless a snapshot transfer is making progress."""
         if not self.node_state.incoming_snapshot.progressing(now):
             self._poll_now(address, now, plan)
 
@@ -129,7 +136,7 @@
         )
 
     def _judge(self, now):
-        """Leave a source that is silent or old; try the home again after a while."""
+        """Leave a source that is silent or old; return to the first one after RETRY_HOME."""
         age = self.node_state.age(now)
         bad = now - self.heard_at > SILENT_AFTER or (age is not None and age > TOO_OLD)
         if bad and now - self.source_changed_at > SILENT_AFTER:
@@ -155,7 +162,7 @@
             self.polled_at = now - POLL_EVERY  # more is waiting there
 
     def _take_snapshot(self, state_update, now, plan) -> bool:
-        """Whether it brought a transfer further, or the tables."""
+        """Take a snapshot or a piece; whether the tables or a transfer made progress."""
         node_state, text = self.node_state, state_update.snapshot
         piece = state_update.piece
         if piece is not None and self._newer(piece.slot):
@@ -186,7 +193,7 @@
             node_state.tail = trailing(tail, TAIL_KEPT, TAIL_BYTES_KEPT)
 
     def _newer(self, slot: int) -> bool:
-        """Whether a snapshot of this slot brings us forward."""
+        """Whether a snapshot of this slot is newer than the tables held here."""
         return slot > self.node_state.tables.slot or not self.node_state.tables.epoch
 
     def _tell(self, source, poll, now, plan):
--- a/src/willowpost/node/joiner.py
+++ b/src/willowpost/node/joiner.py
@@ -1,4 +1,4 @@
-"""Keeps the own card in the log, and takes it out at the end."""
+"""Keeps this daemon's card in the log's table of daemons."""
 
 from dataclasses import asdict
 
@@ -10,9 +10,9 @@
 
 
 class Joiner:
-    """Invariant: a life joins under one incarnation; the log, not the daemon.
+    """Joins the log, under one incarnation for the process's whole run.
 
-    Says whether it is lost.
+    Whether the daemon is lost is decided by the log alone. Nothing is sent once `leaving` is set.
     """
 
     def __init__(self, card, tables, command_client):
@@ -23,6 +23,11 @@
         self.leaving = False
 
     def step(self, event, now: int) -> Plan:
+        """On a tick, at most once per JOIN_EVERY: join if the tables lack this incarnation.
+
+        The fleet must be bootstrapped. It joins again if they hold it as lost though nobody
+        suspects it any more.
+        """
         if not isinstance(event, Tick) or self.leaving or now - self.asked_at < JOIN_EVERY:
             return Plan()
         tables = self.tables()
--- a/src/willowpost/node/leaver.py
+++ b/src/willowpost/node/leaver.py
@@ -1,4 +1,4 @@
-"""A planned end: let the others hear of it, finish what is under way, leave the log, go."""
+"""The planned end of a proxy or registry: drain, finish what is under way, leave the log."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -9,6 +9,8 @@
 
 
 class Stage(Enum):
+    """The stages of a planned end; the transitions are in `NEXT`."""
+
     SERVING = "serving"
     DRAINING = "draining"  # still serves all, but says that it goes
     FINISHING = "finishing"  # takes nothing new
@@ -33,7 +35,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Spans:
-    """All in µs."""
+    """Time limits of a planned end, in µs.
+
+    Attributes:
+        drain: how long everything is still served while the daemon is marked as draining.
+        finish: how long requests under way may take after that.
+        leave: how long to wait until the log no longer holds the daemon.
+    """
 
     drain: int
     finish: int
@@ -41,14 +49,15 @@
 
 
 class Leave:
-    """The platform wants this process to end."""
+    """An event: the platform wants this process to end."""
 
 
 class Leaver:
-    """Invariants: the stage only moves along NEXT.
+    """Moves a daemon through the stages of its end.
 
-    Nothing new is refused before spans.drain is over, and nothing under way is given up before
-    spans.finish is, which counts from then; the whole takes no longer than the three together.
+    Nothing new is refused before `spans.drain` is over. Nothing under way is given up before
+    `spans.finish`, which counts from then, is over. The whole takes no longer than the three spans
+    together.
     """
 
     def __init__(self, node_state, command_client, joiner, spans: Spans | None = None):
@@ -71,7 +80,7 @@
         return self.stage is Stage.GONE
 
     def step(self, event, now: int) -> Plan:
-        """Leave begins the end; each tick looks whether the next stage is due."""
+        """Begin on `Leave`; on each tick, move on if the next stage is due."""
         plan = Plan()
         if isinstance(event, Leave) and self.stage is Stage.SERVING:
             self.node_state.draining = True
--- a/src/willowpost/node/node_state.py
+++ b/src/willowpost/node/node_state.py
@@ -1,4 +1,4 @@
-"""What every follower of the log keeps on its shared state."""
+"""The state that the controllers of a follower of the log share."""
 
 from dataclasses import dataclass, field
 
@@ -7,11 +7,11 @@
 from willowpost.state.snapshot_transfer import SnapshotReceiver, SnapshotSource
 from willowpost.state.tables import Tables
 
-# how long an owner may believe in its duty without state updates, and a proxy serves on unless its
-# settings say longer
+# How long an owner may rely on its duty without state updates, and a proxy serves on unless its
+# settings say longer.
 LEASE = 1_500 * MILLI
-# Without a quorum-confirmed update for so long, calls are refused at once. In normal running the age
-# is 150 to 400 ms, and up to 800 ms when the source has just died.
+# Without a quorum-confirmed update for so long, calls are refused at once. In normal operation the
+# age is 150 to 400 ms, and up to 800 ms when the source has just died.
 OUT_OF_TOUCH_AFTER = 1_200 * MILLI
 TAIL_KEPT = 512
 TAIL_BYTES_KEPT = 2 * 1024 * 1024
@@ -19,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Card:
-    """A daemon's own place. Invariant: id and incarnation together name one life of one process."""
+    """A daemon's description; `id` and `incarnation` together name one run of one process."""
 
     id: str
     kind: str  # store | registry | proxy
@@ -32,15 +32,18 @@
 
     @property
     def incarnation_id(self) -> str:
+        """The name of this run of the process: id@incarnation."""
         return f"{self.id}@{self.incarnation}"
 
 
 @dataclass(slots=True)
 class NodeState:
-    """Invariants:
+    """The shared state of one follower. Times are µs of the own clock.
 
-    - `tables` never goes back a slot in one life.
-    - everything accepted before `fresh_as_of` (own clock) is in `tables`.
+    Invariants:
+
+    - `tables` never goes back a slot while the process runs.
+    - everything accepted before `fresh_as_of` is in `tables`.
     - `tail` holds the decisions tables.slot - len(tail) .. tables.slot - 1, at most TAIL_KEPT of
       them and TAIL_BYTES_KEPT bytes.
     """
@@ -56,33 +59,39 @@
     outgoing_snapshot: SnapshotSource = field(default_factory=SnapshotSource)
 
     def age(self, now: int) -> int | None:
+        """Return the µs since `fresh_as_of`; None before the first fresh state update."""
         return None if self.fresh_as_of is None else now - self.fresh_as_of
 
     def whole_as_of(self, moment: int) -> None:
+        """Record that everything accepted before `moment` (µs, own clock) is in `tables`."""
         self.fresh_as_of = moment if self.fresh_as_of is None else max(self.fresh_as_of, moment)
 
     def leased(self, now: int) -> bool:
-        """Whether requests may be delivered. Not whether a duty may be done: see ruling()."""
+        """Whether requests may be served: for `serve_on`, by default LEASE, after `fresh_as_of`.
+
+        For duties that the log assigns, see ruling().
+        """
         return self.fresh_as_of is not None and now - self.fresh_as_of <= (
             LEASE if self.serve_on is None else self.serve_on
         )
 
     def ruling(self, now: int) -> bool:
-        """Whether a duty that the log names us for is still surely ours.
+        """Whether a duty that the log assigns to this daemon is certainly still its own.
 
-        Who takes it over waits this long, however long we serve on.
+        A successor waits for LEASE, whatever `serve_on` of this daemon is.
         """
         return self.fresh_as_of is not None and now - self.fresh_as_of <= LEASE
 
     def in_touch(self, now: int) -> bool:
-        """Whether a majority of the voters was heard of lately. False in a process just started."""
+        """Whether a quorum confirmed the tables within OUT_OF_TOUCH_AFTER; False at the start."""
         age = self.age(now)
         return age is not None and age <= OUT_OF_TOUCH_AFTER
 
     def cores(self) -> list[str]:
-        """Addresses of stores, those of the own machine and zone first.
+        """Return the addresses of stores.
 
-        Then those that only seeds named.
+        First those of the own machine, then of the own zone, then the other voters, then those that
+        only seeds named.
         """
         ordered = sorted(
             self.tables.core,
@@ -96,6 +105,7 @@
         return known + [address for address in self.seed_cores if address not in known]
 
     def live(self, kind: str) -> dict[str, dict]:
+        """Return the cards of all daemons of a kind whose state is "up", by id."""
         return {
             name: card
             for name, card in self.tables.daemons.items()
--- a/src/willowpost/node/quorum_read.py
+++ b/src/willowpost/node/quorum_read.py
@@ -1,4 +1,4 @@
-"""Quorum reads by a follower: the last source of freshness, used when no other keeps it fresh."""
+"""Quorum reads by a follower: used when no source keeps its tables fresh."""
 
 from willowpost.common.clock import MILLI
 from willowpost.common.events import Received, Tick
@@ -15,10 +15,10 @@
 class QuorumRead:
     """Asks all voters which slot they have reached.
 
-    Invariant: `fresh_as_of` becomes the moment of asking only if n - f voters of the tables held
-    here, asked under one epoch, all named a slot that is held here. What was accepted before is on
-    n - f disks of the voters then, or behind a replacement that the barrier of a new epoch put on
-    n - f disks of the former ones: one of those asked would have named it (rabia.md, exception 1).
+    `fresh_as_of` becomes the time of asking only if n - f voters of the tables held here, asked
+    under one epoch, all named a slot that is held here. What was accepted before is on n - f disks
+    of the voters then, or behind a replacement that the barrier of a new epoch put on n - f disks
+    of the former ones, so one of the voters asked would have named it (rabia.md, exception 1).
     """
 
     def __init__(self, node_state: NodeState, follower: Follower):
@@ -31,6 +31,11 @@
         self.told: dict[str, int] = {}
 
     def step(self, event, now: int) -> Plan:
+        """Handle one event.
+
+        On a tick, at most each ASK_EVERY, begin a read if the tables are older than TOO_OLD. A
+        voter that names a later slot is polled.
+        """
         plan = Plan()
         match event:
             case Received(source, ReadTell(nonce, identity, slot)) if (
--- a/src/willowpost/node/watch.py
+++ b/src/willowpost/node/watch.py
@@ -1,6 +1,6 @@
-"""Who watches whom: rendezvous gives each daemon a few watchers in different zones.
+"""Failure detection: each daemon is pinged by a few watchers in different zones.
 
-The log decides who is lost.
+Rendezvous hashing assigns the watchers; the log decides who is lost.
 """
 
 from willowpost.common.clock import MILLI, SECOND
@@ -20,9 +20,10 @@
 
 
 def watchers_of(target: str, daemons: dict) -> tuple[str, ...]:
-    """Invariant: at most one watcher of each zone while there are zones enough.
+    """Return the ids of the watchers of a daemon, at most WATCHERS.
 
-    So a dark zone leaves two.
+    Each zone has at most one of them while there are enough zones, so that losing a zone leaves
+    two.
     """
     others = [name for name, card in daemons.items() if name != target and card["state"] != "lost"]
     ranked = Rendezvous().rank(f"watch/{target}", others)
@@ -34,14 +35,17 @@
 
 
 class Watch:
-    """Invariant: after an own freeze nobody is suspected before they had a new chance to answer."""
+    """Pings the daemons assigned to this one and reports suspicions to the log.
+
+    After a freeze of its own it suspects nobody before they had a new chance to answer.
+    """
 
     def __init__(self, card, tables, command_client):
         self.card = card
         self.tables = tables  # () -> Tables
         self.command_client = command_client
         self.nonces = NonceSequence(card.id, card.incarnation, "ping")
-        self.heard: dict[str, int] = {}  # life -> last answer
+        self.heard: dict[str, int] = {}  # id@incarnation -> last answer
         self.reported: dict[str, int] = {}
         self.pinged_at = 0
         self.ticked_at = None
@@ -49,6 +53,7 @@
         self.seen_daemons = None
 
     def step(self, event, now: int) -> Plan:
+        """Answer a `Ping`, record a `Pong`; on a tick, ping each PING_EVERY and report changes."""
         plan = Plan()
         match event:
             case Received(source, Ping(nonce, _)):
--- a/src/willowpost/registry/beats.py
+++ b/src/willowpost/registry/beats.py
@@ -1,4 +1,4 @@
-"""Origins' heartbeats: passed on at once, and missed by the registry whose duty that is.
+"""Origins' heartbeats: passed on at once, and missing ones noticed by the registry in charge.
 
 All state here is soft: it is rebuilt from the heartbeats that come.
 """
@@ -23,9 +23,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Heard:
-    """A heartbeat that an origin brought to this very registry.
+    """A heartbeat that an origin sent to this very registry.
 
-    `told`: whether it says if the origin is cold.
+    Attributes:
+        beat: the heartbeat.
+        told: whether it says if the origin is cold.
     """
 
     beat: Beat
@@ -33,13 +35,15 @@
 
 
 class Beats:
-    """Invariants: only the origin's owner among the live registries proposes for it.
+    """Passes heartbeats on and proposes changes of the origins' states to the log.
 
-    But what a beat says of being cold is proposed by whoever took the beat. Silence counts from the
-    later of the last beat, our own start, the moment the duty came to us, and the last moment at
-    which we were out of touch with the core or not among its live registries: beats may have gone
-    elsewhere until then, and nobody passed them on to us. A beat with a number
-    not above the last one that any registry told us of changes nothing.
+    Only the origin's owner among the live registries proposes for it, except that what a heartbeat
+    says of being cold is proposed by the registry that received it. A heartbeat with a number not
+    above the last one known changes nothing.
+
+    Silence counts from the latest of: the last heartbeat, the first check of the origin here, and
+    the last moment at which this registry was out of touch with the core or not among its live
+    registries. Until then heartbeats may have gone to others that did not pass them on here.
     """
 
     def __init__(self, node_state, command_client, probe):
@@ -58,6 +62,12 @@
         self.unaware_at = 0
 
     def step(self, event, now: int) -> Plan:
+        """Handle one event.
+
+        `Beat` comes from another registry, `Heard` or `("beat", origin, load)` from an origin,
+        `("probed", origin, sound)` from a probe. On a tick, at most each LOOK_EVERY, the origins
+        that this registry owns are checked.
+        """
         plan = Plan()
         match event:
             case Received(_, Beat() as beat) if not self._late(beat):
@@ -94,7 +104,7 @@
             self._propose(beat.origin, wanted, now, plan, told=True, **self._fences(beat))
 
     def _others(self):
-        """Addresses of those who need every heartbeat: the other live registries, the proxies."""
+        """Addresses that need every heartbeat: the other live registries, and the proxies."""
         return [
             card["address"]
             for kind in ("registry", "proxy")
@@ -103,9 +113,9 @@
         ]
 
     def _fences(self, beat):
-        """By which the log turns away what an older heartbeat says.
+        """Return the fields by which the log refuses what an older heartbeat says.
 
-        The slot says which restoring of its zone we knew of when the origin called itself warm.
+        For a warm origin the slot tells which restoring of its zone this registry knew of.
         """
         number = {"number": beat.number} if beat.number else {}
         return number if beat.cold else {**number, "as_of": self.node_state.tables.slot}
@@ -123,7 +133,7 @@
                 self._care(origin, card, since, services.get(card["service"], {}), now, plan)
 
     def _forget(self, origins):
-        """Drop what is kept of origins that the tables no longer hold."""
+        """Drop the state of origins that the tables no longer hold."""
         for kept in (
             self.heard,
             self.seen,
@@ -136,7 +146,7 @@
                 del kept[origin]
 
     def _state_since(self, origin, state, now):
-        """When the origin was first seen here in its present state; µs."""
+        """Return when the origin was first seen here in its present state (µs)."""
         known, since = self.seen.get(origin, (None, now))
         if known == state:
             return since
@@ -147,7 +157,7 @@
         return Rendezvous().rank(f"origin/{origin}", live)[0] == self.node_state.card.id
 
     def _informed(self, live, now):
-        """Whether the others pass on to us what they hear, as far as we know."""
+        """Whether the other registries pass heartbeats on to this one, as far as it knows."""
         return self.node_state.in_touch(now) and self.node_state.card.id in live
 
     def _care(self, origin, card, since, service, now, plan):
--- a/src/willowpost/registry/calls/body.py
+++ b/src/willowpost/registry/calls/body.py
@@ -1,4 +1,4 @@
-"""Bodies of calls: read whole and checked, or refused with every finding at once."""
+"""Bodies of calls: parsed and checked, or refused with all findings at once."""
 
 from typing import TypeVar
 
@@ -12,13 +12,13 @@
 
 
 class Strict(BaseModel):
-    """A body in which every field that is not known is a finding."""
+    """A body in which every unknown field is a finding."""
 
     model_config = ConfigDict(extra="forbid")
 
 
 def parsed(kind: type[Body], body: bytes) -> Result[Body, Answer]:
-    """The body as a `kind`, or the 422 that names all its findings."""
+    """Return the body as a `kind`, or the answer (422) that names all its findings."""
     try:
         return Ok(kind.model_validate_json(body))
     except ValidationError as error:
@@ -26,5 +26,5 @@
 
 
 def unfit(findings: list[dict]) -> Answer:
-    """The answer to a body that can be read but is not valid."""
+    """Return the answer (422) to a body that can be parsed but is not valid."""
     return Answer(422, {"findings": findings})
--- a/src/willowpost/registry/calls/configuration_answers.py
+++ b/src/willowpost/registry/calls/configuration_answers.py
@@ -10,13 +10,13 @@
 
 
 def accepted_change(answer: dict, slot: int) -> Answer:
-    """The answer to a proposal that the log accepted, now or before."""
+    """Return the answer to a proposal that the log accepted, now or before."""
     told = {name: answer[name] for name in ("version", "changed", "held") if name in answer}
     return Answer(200, {**told, "slot": slot}, version_tag(answer))
 
 
 def not_accepted(answer: dict) -> Answer:
-    """The answer to a proposal that the log refused."""
+    """Return the answer to a proposal that the log refused."""
     why = answer["why"]
     if why == ChangeRefusal.STALE.value:
         return moved_on_answer(answer)
@@ -26,18 +26,18 @@
 
 
 def nothing_to_patch() -> Answer:
-    """The answer to a patch before the first configuration."""
+    """Return the answer to a patch before the first configuration."""
     finding = {"place": "configuration", "finding": "there is no configuration to patch yet"}
     return Answer(409, {"findings": [finding]})
 
 
 def version_tag(held: dict) -> tuple[tuple[str, str], ...]:
-    """The header that names a version."""
+    """Return the header that names a version."""
     return (("ETag", f'"{held["version"]}"'),)
 
 
 def moved_on_answer(held: dict) -> Answer:
-    """The answer to a call whose `If-Match` names another version."""
+    """Return the answer to a call whose `If-Match` names another version."""
     return Answer(
         412,
         {
--- a/src/willowpost/registry/calls/configurations.py
+++ b/src/willowpost/registry/calls/configurations.py
@@ -1,4 +1,4 @@
-"""Operators' configurations: read, put, numbered, patched, and what a change would mean."""
+"""Calls for configurations: read, replace, number, patch, and plan a change."""
 
 from dataclasses import replace
 from typing import Annotated
@@ -33,9 +33,9 @@
 
 
 class NumberedCall(Strict):
-    """Invariant: `configuration` is judged by the checker alone.
+    """The body of a call that numbers a configuration.
 
-    As the body of every other call that carries one.
+    `configuration` is checked by the `ConfigurationChecker` alone, as in all other calls.
     """
 
     version: Annotated[int, Field(strict=True, ge=0, le=VERSION_MOST)]
@@ -44,11 +44,18 @@
 
 
 class ConfigurationCalls:
+    """The calls for configurations.
+
+    A change is answered as a success only if the log has accepted it, now or in an earlier call, or
+    if it is in force already.
+    """
+
     def __init__(self, control_api: ControlApi):
         self.control_api = control_api
         self.checker = ConfigurationChecker()
 
     def routes(self):
+        """Return the routes: (method, path, most bytes of a body, handler)."""
         return (
             ("GET", "/v1/configuration", 0, self._held),
             ("PUT", "/v1/configuration", BYTES_MOST, self._put),
@@ -60,6 +67,7 @@
 
     @property
     def node_state(self):
+        """The node's shared state."""
         return self.control_api.node_state
 
     def _held(self, call: Call) -> Answer:
@@ -93,10 +101,10 @@
         )
 
     def _propose(self, proposal: ConfigurationProposal, deadline: int) -> Answer:
-        """Has the log judge the proposal; a repeat is acknowledged as the first was.
+        """Have the log decide on the proposal; a repeat is acknowledged as the first was.
 
-        One that replaces whatever holds is fenced, so that left behind a cut it replaces nothing
-        newer.
+        One that replaces whatever is in force is fenced, so that one delayed by a network partition
+        replaces nothing newer.
         """
         return self.control_api.accepted(
             proposal.as_op(),
@@ -107,10 +115,10 @@
         )
 
     def _number(self, call: Call) -> Answer:
-        """The operator numbers it: the highest number holds.
+        """Propose a configuration that the operator numbered; the highest number is in force.
 
-        And one that is not above that is acknowledged all the same, unless it is the held number
-        with other content.
+        A number that is not above it is acknowledged as well, unless it is known to name other
+        content.
         """
         deadline = self.control_api.deadline(call)
         read = self._numbered(call.body)
@@ -162,10 +170,10 @@
         )
 
     def _patch(self, call: Call) -> Answer:
-        """Proposes the patched tree only against the version it was worked out from.
+        """Propose the patched tree, only against the version it was made from.
 
-        A patch that was accepted before is known by its digest and its `If-Match`, or its key; one
-        that requires no version, by its effect.
+        A patch that was accepted before is recognised by its digest and its `If-Match`, or by its
+        key; one that requires no version, by its effect.
         """
         deadline = self.control_api.deadline(call)
         read = self._patch_call(call, deadline)
@@ -212,7 +220,7 @@
         return unfit(applied.unwrap_err()) if applied.is_err() else self._planned(applied.unwrap())
 
     def _patch_call(self, call: Call, deadline: int) -> Result[tuple[Patch, Preconditions], Answer]:
-        """The patch and its conditions, once the tables held here are known to be whole."""
+        """Return the patch and its conditions, after a successful quorum read."""
         required = Preconditions.read(call.headers)
         if required.is_err():
             return required
@@ -229,9 +237,9 @@
 
 
 def _stands(tables: Tables, patch: Patch, applied: Result[dict, list[dict]]) -> bool:
-    """Whether the effect of a patch stands already.
+    """Whether the effect of a patch is in force already.
 
-    It changes nothing, or it made the version in force and does not fit a second time.
+    It changes nothing, or it made the version in force and does not apply a second time.
     """
     if applied.is_err():
         newest = tables.changes.newest()
--- a/src/willowpost/registry/calls/control_api.py
+++ b/src/willowpost/registry/calls/control_api.py
@@ -1,4 +1,4 @@
-"""What every control call needs of the log: an operation accepted, and a quorum read.
+"""What every call of the control API needs: operations accepted by the log, and quorum reads.
 
 A caller waits about a second, longer for large bodies, then goes on to another registry. So each
 call has a deadline, and a registry that is out of touch with the core refuses at once.
@@ -36,15 +36,16 @@
 
     @property
     def superseded(self) -> bool:
+        """Whether the log refused an operation since what it was based on has changed."""
         return any(answer.get("why") == SUPERSEDED for answer in self.answers)
 
 
 class ControlApi:
-    """Invariants: a success is answered only for what n - f stores hold synced.
+    """Submits operations and reads for the calls; times are µs of the own clock.
 
-    Nothing is read from before the call. An outcome that is not known by the deadline is called
-    unknown, and the operation is not submitted again; what is refused with 503 has not been
-    submitted, or was turned away by the log.
+    A success is answered only for what n - f stores hold synced. Nothing is read from before the
+    call. An outcome that is not known by the deadline is answered as unknown, and the operation is
+    not submitted again. What is refused with 503 was not submitted, or was refused by the log.
     """
 
     def __init__(self, runner):
@@ -52,17 +53,19 @@
 
     @property
     def node_state(self):
+        """The node's shared state."""
         return self.runner.node.node_state
 
     def now(self) -> int:
-        """µs of the own clock."""
+        """Return the own clock's time in µs."""
         return self.runner.clock.now()
 
     def in_touch(self) -> bool:
+        """Whether a quorum confirmed the tables lately (`NodeState.in_touch`)."""
         return self.node_state.in_touch(self.now())
 
     def deadline(self, call: Call | None = None) -> int:
-        """When the answer to a call that has just come must leave; µs of the own clock."""
+        """Return when a call that has just come must be answered; µs, own clock."""
         large = 0 if call is None else max(0, len(call.body) - SMALL_BODY)
         return self.now() + min(CALL_SPAN + large * SPAN_FOR_EACH_BYTE, CALL_SPAN_MOST)
 
@@ -80,13 +83,13 @@
         Args:
             op: the operation.
             answered: makes the answer, of the log's own answer and the slot.
-            deadline: as deadline() says; by default, that of a small call that has just come.
-            follow: whether to answer only when the tables held here have come as far, so that the
-                caller may go on here at once.
-            refused: makes the answer to what the log turned away; by default a conflict.
-            fence: makes the fields, of the tables held here, by which the log turns the operation
-                away if what it replaces has changed since (`SUPERSEDED`). As long as the caller
-                waits, it is then submitted again on top of the newer tables.
+            deadline: as deadline() returns it; by default, that of a small call that has just come.
+            follow: whether to wait, at most until the deadline, for the tables held here to reach
+                the slot, so that the caller may continue here at once.
+            refused: makes the answer to what the log refused; by default a conflict.
+            fence: makes the fields, of the tables held here, by which the log refuses the operation
+                if what it replaces has changed since (`SUPERSEDED`). As long as the caller waits,
+                it is then submitted again on top of the newer tables.
         """
         deadline = self.deadline() if deadline is None else deadline
         deadline = max(deadline, self.now() + ACCEPT_SPAN_LEAST)
@@ -112,7 +115,13 @@
         answered: Callable[[int], Answer],
         deadline: int | None = None,
     ) -> Answer:
-        """Have several batches accepted, in any order; `answered` gets the last of their slots."""
+        """Have several batches accepted, in any order, and make one answer.
+
+        Args:
+            batches: lists of operations; each list is submitted in one piece.
+            answered: makes the answer, of the last of the slots.
+            deadline: as deadline() returns it; by default, that of a small call that has just come.
+        """
         deadline = self.deadline() if deadline is None else deadline
         if not self._reconnected():
             return out_of_touch()
@@ -123,10 +132,11 @@
         return answered(max(outcome.slot for outcome in outcomes))
 
     def read(self, deadline: int | None = None) -> bool:
-        """A quorum read: wait until what is held here is known to be whole as of now.
+        """Run a quorum read: wait until the tables held here are known to be complete as of now.
 
-        False if that is not known by the deadline, or cannot be since this registry is out of
-        touch.
+        Returns:
+            False if that is not known by the deadline, or cannot be, since this registry is out of
+            touch.
         """
         asked = self.now()
         deadline = self.deadline() if deadline is None else deadline
@@ -165,26 +175,27 @@
 
 
 def as_of_slot(tables: Tables) -> dict:
-    """The fence of operations on what the tables keep with the slot of its last change."""
+    """Return the fence of operations on what the tables keep with the slot of its last change."""
     return {"as_of": tables.slot}
 
 
 def unknown() -> Answer:
-    """It may have been accepted, or may be yet, if nothing newer has been accepted before."""
+    """Return the answer (504) if it is not known in time whether the log accepts the operation."""
     return reject(504, "not known in time whether it was accepted", outcome="unknown")
 
 
 def out_of_touch() -> Answer:
-    """It was not submitted: another registry may be in touch."""
+    """Return the answer (503) if nothing was submitted; another registry may be in touch."""
     return reject(503, "out of touch with the core", outcome="not-run")
 
 
 def superseded() -> Answer:
-    """The log turned it away, for what it was based on had changed; and so it will ever."""
+    """Return the answer (503) if the log refused the operation; it never takes effect."""
     return reject(503, "superseded while it was under way", outcome="not-run")
 
 
 def unread() -> Answer:
+    """Return the answer (503) if a quorum read did not succeed in time."""
     return reject(503, "no quorum read in time", outcome="not-run")
 
 
--- a/src/willowpost/registry/calls/orders.py
+++ b/src/willowpost/registry/calls/orders.py
@@ -1,4 +1,4 @@
-"""Operators' orders other than configurations: purges, and zones emptied or given back."""
+"""Operators' calls besides configurations: purges, and zones emptied or restored."""
 
 from typing import Annotated, Literal
 
@@ -16,10 +16,22 @@
 
 
 class ZoneCall(Strict):
+    """The body of a call that empties a zone: all of it, or only its origins."""
+
     what: Literal["all", "origins"] = "all"
 
 
 class PurgeItem(Strict):
+    """What to purge from the caches.
+
+    Attributes:
+        kind: item: one path; prefix: all paths that begin with it; all: the whole host; tag: all
+            items with a tag.
+        host: "*" for every host.
+        path: of an item or prefix, else None.
+        tag: of a tag, else None.
+    """
+
     kind: Literal["item", "prefix", "all", "tag"] = "item"
     host: Host = "*"
     path: Annotated[str, Field(pattern=r"^/", max_length=4096)] | None = None
@@ -35,16 +47,19 @@
 
 
 class PurgeCall(Strict):
+    """The body of a purge: 1 to PURGES_MOST items."""
+
     items: list[PurgeItem] = Field(min_length=1, max_length=PURGES_MOST)
 
 
 class OrderCalls:
-    """Invariant: a success is answered only for what the log accepted in this very call."""
+    """Purges and zones; a success is answered only for what the log accepted in this call."""
 
     def __init__(self, control_api: ControlApi):
         self.control_api = control_api
 
     def routes(self):
+        """Return the routes: (method, path, most bytes of a body, handler)."""
         return (
             ("GET", "/v1/zones/*/plan", 0, self._plan),
             ("POST", "/v1/purges", 1024 * 1024, self._purge),
@@ -59,7 +74,7 @@
         return Answer(200, {"plan": plan})
 
     def _purge(self, call: Call) -> Answer:
-        """A purge that takes effect late drops kept answers once more, and nothing else."""
+        """Purge items; one that takes effect late drops cached answers once more, nothing else."""
         deadline = self.control_api.deadline(call)
         read = parsed(PurgeCall, call.body)
         if read.is_err():
@@ -72,7 +87,7 @@
         )
 
     def _zone(self, call: Call, empty: bool) -> Answer:
-        """Empty a zone or give it back; fenced, so that a late order undoes no newer one."""
+        """Empty or restore a zone; fenced, so that a late order undoes no newer one."""
         deadline = self.control_api.deadline(call)
         read = parsed(ZoneCall, call.body.strip() or b"{}")
         if read.is_err():
--- a/src/willowpost/registry/calls/origins.py
+++ b/src/willowpost/registry/calls/origins.py
@@ -26,9 +26,22 @@
 
 
 class OriginCall(Strict):
-    """A registration or heartbeat.
-
-    These are most of all calls: pydantic reads one in a third of the time that plain code takes for
+    """The body of a registration or heartbeat.
+
+    Attributes:
+        service: that the origin serves.
+        address: IP:port where it serves.
+        zone: where it is.
+        rate: requests per second that it can take; None: not said.
+        cold_rate: requests per second while it is cold; None: a tenth of the rate.
+        load: requests that it works on and keeps waiting.
+        token: names the incarnation of its process; None: it has no name.
+        number: rises with each heartbeat of an incarnation; 0: none.
+        state: "ready": it takes new requests; "draining": it takes none.
+        cold_ms: for how many milliseconds it is still cold; None: not said.
+        slots: how many requests it works on at once; None: not said.
+
+    Most calls are of this kind: pydantic reads one in a third of the time that plain code takes for
     the same findings.
     """
 
@@ -46,7 +59,7 @@
 
 
 class LeaveCall(Strict):
-    """Who drains or leaves, by its address (and service) or by its token."""
+    """The body of a drain or leave: the origin's address (and service), or its token."""
 
     address: Address | None = None
     service: Name | None = None
@@ -60,16 +73,18 @@
 
 
 class OriginCalls:
-    """Invariants: a heartbeat of a known life is answered without the log, in touch or not.
+    """The calls of origins.
 
-    One that says that the life is about to end is acknowledged only once the log has accepted that.
-    Whatever is said twice of a life is answered as if it were said once.
+    A heartbeat of a known incarnation is answered without the log. One that says that the
+    incarnation drains is acknowledged only once the log has accepted that. Repeated calls about an
+    incarnation count, and are answered, as one.
     """
 
     def __init__(self, control_api: ControlApi):
         self.control_api = control_api
 
     def routes(self):
+        """Return the routes: (method, path, most bytes of a body, handler)."""
         return (
             ("POST", "/v1/origins", SMALL, self._register),
             ("POST", "/v1/origins/beat", SMALL, self._beat),
@@ -79,6 +94,7 @@
 
     @property
     def tables(self):
+        """The tables held here."""
         return self.control_api.node_state.tables
 
     def _register(self, call: Call) -> Answer:
@@ -111,11 +127,11 @@
         )
 
     def _beat(self, call: Call) -> Answer:
-        """A heartbeat.
+        """Take a heartbeat.
 
-        That of a known life is recorded and passed on in any case, but acknowledged only while this
-        registry is in touch: else those who judge silence may not hear of it, and the origin is to
-        go to another registry.
+        That of a known incarnation is recorded and passed on in any case, but acknowledged only
+        while this registry is in touch: otherwise the registries that judge silence may not hear of
+        it, and the origin should go to another registry.
         """
         deadline = self.control_api.deadline(call)
         read = parsed(OriginCall, call.body)
@@ -130,7 +146,7 @@
             return self._heard(name, state, origin)
         if name is not None and origin.token is None:
             return self._turned({"op": "turn", "origin": name, "state": DRAINING}, deadline)
-        # A life enters the log once, whoever brings it: nothing need be read first, nor followed.
+        # An incarnation is registered once, whoever submits it: no read before, no wait after.
         return self._entered(
             origin,
             200 if origin.token else 201,
@@ -158,7 +174,10 @@
         return name
 
     def _turn(self, call: Call, state: str) -> Answer:
-        """Draining or leaving. A life that drains or is over stays so: late, it undoes nothing."""
+        """Drain or end an origin.
+
+        An incarnation that drains or has ended stays so, so a late call undoes nothing.
+        """
         deadline = self.control_api.deadline(call)
         read = parsed(LeaveCall, call.body)
         if read.is_err():
@@ -196,10 +215,10 @@
 
 
 def _rate(origin: OriginCall) -> float:
-    """Requests a second that it bears, as far as it says so.
+    """Return the requests per second that the origin can take.
 
-    Who says how many requests it works on at once has said what it bears: only the service's own
-    rate limits it then.
+    It is RATE by default; an origin that names its `slots` but no rate is limited only by its
+    service's own rate.
     """
     if origin.rate is not None:
         return origin.rate
--- a/src/willowpost/registry/calls/pages.py
+++ b/src/willowpost/registry/calls/pages.py
@@ -1,4 +1,4 @@
-"""Pages for people and for those who watch: status and health."""
+"""Calls for people and monitoring: status and health."""
 
 from willowpost.registry.calls.control_api import ControlApi
 from willowpost.registry.status import StatusPage
@@ -6,9 +6,9 @@
 
 
 class PageCalls:
-    """Answered from what is held here, at once, whether or not that is fresh.
+    """Calls that are answered at once from the tables held here, fresh or not.
 
-    The status says how old it is.
+    The status names their age.
     """
 
     def __init__(self, control_api: ControlApi):
@@ -16,6 +16,7 @@
         self.page = StatusPage()
 
     def routes(self):
+        """Return the routes: (method, path, most bytes of a body, handler)."""
         return ("GET", "/v1/status", 0, self._status), ("GET", "/v1/health", 0, self._health)
 
     def _status(self, call: Call) -> Answer:
--- a/src/willowpost/registry/calls/patches.py
+++ b/src/willowpost/registry/calls/patches.py
@@ -14,7 +14,7 @@
     """A JSON Patch as it was sent.
 
     Attributes:
-        changes: The document; whether it is a patch at all shows when it is applied.
+        changes: The document; whether it is a valid patch shows when it is applied.
         digest: Names it among the accepted changes.
     """
 
@@ -23,7 +23,7 @@
 
     @classmethod
     def read(cls, body: bytes) -> Result["Patch", list[dict]]:
-        """Reads the body of a call, or says what is wrong with it."""
+        """Read the body of a call; an error is a list of findings."""
         try:
             changes = json.loads(body)
             return Ok(cls(changes, digest_of(changes)))
@@ -31,7 +31,7 @@
             return Err([{"place": "patch", "finding": str(problem)}])
 
     def applied(self, tree: dict, checker: ConfigurationChecker) -> Result[dict, list[dict]]:
-        """The checked configuration that the patch makes of `tree`, or the findings."""
+        """Return the checked configuration that the patch makes of `tree`, or the findings."""
         import jsonpatch  # few registries are ever asked for a patch
         import jsonpointer
 
--- a/src/willowpost/registry/calls/preconditions.py
+++ b/src/willowpost/registry/calls/preconditions.py
@@ -1,4 +1,4 @@
-"""Headers that say under which condition a change is to be made, and which change it is."""
+"""Headers that state the condition for a change, and identify a repeated one."""
 
 import re
 from dataclasses import dataclass
@@ -20,7 +20,7 @@
     """What a call requires.
 
     Attributes:
-        version: The version of `If-Match`; None if there is none, or any may hold.
+        version: The version of `If-Match`; None if there is none, or any may be in force.
         key: Digest of `Idempotency-Key`; None if there is none.
     """
 
@@ -29,7 +29,7 @@
 
     @classmethod
     def read(cls, headers: dict[str, str]) -> Result[Self, Answer]:
-        """Reads the headers, whose names are in lower case; an error is the answer to give."""
+        """Read the headers (names in lower case); an error is the answer to the call."""
         match = headers.get("if-match", ANY).strip()
         tag = VERSION_TAG.fullmatch(match)
         if match != ANY and (tag is None or int(tag[2]) > VERSION_MOST):
--- a/src/willowpost/registry/daemon.py
+++ b/src/willowpost/registry/daemon.py
@@ -1,4 +1,4 @@
-"""wpregistry: takes the outside calls of origins and operators."""
+"""wpregistry: the process that serves the control API to origins and operators."""
 
 import gevent
 
@@ -15,12 +15,22 @@
 
 
 class Prober:
-    """Asks a silent origin whether it is there; the outcome goes to the node as an event."""
+    """Runs health checks of silent origins; the outcome goes to the node as an event."""
 
     def __init__(self, runner):
         self.runner = runner
 
     def probe(self, origin: str, address: str, path: str | None) -> None:
+        """Check an origin in the background.
+
+        The event is ("probed", origin, sound): sound means a status below UNSOUND_FROM in
+        PROBE_SECONDS.
+
+        Args:
+            origin: its name in the tables.
+            address: IP:port.
+            path: of the health check; None: "/".
+        """
         gevent.spawn(self._probe, origin, address, path)
 
     def _probe(self, origin, address, path):
@@ -30,9 +40,12 @@
 
 
 class RegistryDaemon:
-    """`routes` makes the outside calls of the front.
+    """A registry with its server.
 
-    Another entry may put calls of its own before the front's.
+    Args:
+        place: the checked settings (a `Place`).
+        logs: where the process logs.
+        routes: makes the routes of a `Front`; another entry point may put its own before them.
     """
 
     def __init__(self, place, logs, routes=Front.routes):
@@ -57,8 +70,10 @@
         self.web = WebServer(place.http, router, CountingHandler)
 
     def start(self) -> None:
+        """Run the node, then the HTTP server."""
         self.runner.start(self.node)
         self.web.start()
 
     def stop(self) -> None:
+        """End as planned (`node/leaver.py`); returns when the process may end."""
         self.runner.leave(self.web.server.close)
--- a/src/willowpost/registry/front.py
+++ b/src/willowpost/registry/front.py
@@ -1,4 +1,4 @@
-"""The outside calls: origins and operators."""
+"""The control API as a whole, for origins and operators."""
 
 from willowpost.registry.calls.configurations import ConfigurationCalls
 from willowpost.registry.calls.control_api import ControlApi
@@ -8,10 +8,7 @@
 
 
 class Front:
-    """Invariant: the calls of each duty stand in a class of their own.
-
-    And all of them ask the log through one desk.
-    """
+    """Joins the groups of calls; each is a class, and all share one `ControlApi`."""
 
     def __init__(self, runner, logs):
         self.runner = runner
@@ -25,4 +22,5 @@
         )
 
     def routes(self):
+        """Return all routes: (method, path, most bytes of a body, handler)."""
         return tuple(route for calls in self.calls for route in calls.routes())
--- a/src/willowpost/registry/main.py
+++ b/src/willowpost/registry/main.py
@@ -5,18 +5,26 @@
 
 
 class RegistryCommand(DaemonCommand):
+    """Runs one registry."""
+
     name = "wpregistry"
-    description = "Takes the outside calls: origins register and beat, operators change configurations, purge, empty zones."
+    description = (
+        "Takes the outside calls: origins register and beat, "
+        "operators change configurations, purge, empty zones."
+    )
     help = """A core machine runs one <info>wpstore</info> and one <info>wpregistry</info>.
 
   <info>wpregistry --settings core-1-registry.json</info>
-  <info>wpregistry --name core-1 --zone a --address 127.0.0.1:7101 --http 127.0.0.1:8101 --seeds 127.0.0.1:7001,127.0.0.1:7002</info>
+  <info>wpregistry --name core-1 --zone a --address 127.0.0.1:7101 \
+--http 127.0.0.1:8101 --seeds 127.0.0.1:7001,127.0.0.1:7002</info>
   <info>curl http://127.0.0.1:8101/v1/status</info>"""
     needs = ("http",)
 
     def build(self, place, logs):
+        """Make the daemon of checked settings (a `Place`)."""
         return RegistryDaemon(place, logs)
 
 
 def main() -> None:
+    """Run the command line."""
     run(RegistryCommand())
--- a/src/willowpost/registry/node.py
+++ b/src/willowpost/registry/node.py
@@ -1,4 +1,4 @@
-"""One registry: a follower of the log that takes the outside calls."""
+"""One registry: a follower of the log that serves the control API."""
 
 from willowpost.common.plan import Plan
 from willowpost.node.command_client import CommandClient
@@ -12,7 +12,7 @@
 
 
 class RegistryNode:
-    """Invariant: whatever happens goes through step()."""
+    """A registry without input or output; its state changes only in step()."""
 
     def __init__(self, card: Card, seeds, wall, probe):
         self.node_state = NodeState(card)
@@ -35,6 +35,7 @@
         ]
 
     def step(self, event, now: int) -> Plan:
+        """Pass one event at `now` (µs, own clock) to every controller; returns their joint plan."""
         plan = Plan()
         for controller in self.controllers:
             plan.join(controller.step(event, now))
--- a/src/willowpost/registry/origins.py
+++ b/src/willowpost/registry/origins.py
@@ -1,10 +1,10 @@
-"""Which registration a call of an origin speaks of."""
+"""Finds the registration that a call of an origin refers to."""
 
 from willowpost.state.tables import Tables
 
 
 def origin_at(tables: Tables, address: str | None, service: str | None) -> str | None:
-    """The name of the origin at an address, of that service if one is named."""
+    """Return the name of the origin at an address (of `service`, if given), or None."""
     return next(
         (
             name
@@ -16,10 +16,10 @@
 
 
 def same_incarnation(tables: Tables, address: str, service: str, token: str | None) -> str | None:
-    """The name of the origin, if it is the same incarnation of its process.
+    """Return the name of the origin if it is the same incarnation of its process, else None.
 
-    Who names another token than the registered one, or none where one is registered, is another
-    incarnation and must register anew.
+    A call with another token than the registered one, or without one where one is registered, comes
+    from another incarnation, which must register anew.
     """
     name = origin_at(tables, address, service)
     return name if name is not None and tables.origins[name].get("token") == token else None
--- a/src/willowpost/registry/removal.py
+++ b/src/willowpost/registry/removal.py
@@ -1,4 +1,4 @@
-"""Whether the next machine of the core may be taken away, for the status page and who automates."""
+"""Whether a machine of the core may be removed, for the status page and for automation."""
 
 from dataclasses import asdict, dataclass
 
@@ -9,24 +9,25 @@
 
 @dataclass(frozen=True, slots=True)
 class RemovalVerdict:
-    """Safe only without any reason against it."""
+    """Whether a removal is safe, and the reasons against it; safe only without any."""
 
     safe: bool
     reasons: tuple[str, ...] = ()
 
     def as_json(self) -> dict:
-        """As it stands on the status page."""
+        """Return the verdict as the status page shows it."""
         return asdict(self)
 
 
 def safe_to_remove(tables: Tables, fresh: bool) -> RemovalVerdict:
-    """Whether one more voter may go for good: all that was accepted is then still on n - f others.
+    """Return whether any one voter may be removed for good.
+
+    It may if everything accepted is then still on n - f other voters. The tables do not show a
+    voter that is up but behind; the leaving store itself waits for those.
 
     Args:
-        tables: what the log amounts to, as far as this daemon knows.
+        tables: as this daemon holds them.
         fresh: whether everything accepted up to a lease ago is in these tables.
-
-    The tables don't show a voter that is up but behind; the leaving store itself waits for those.
     """
     reasons = tuple(_reasons(tables, fresh))
     return RemovalVerdict(not reasons, reasons)
--- a/src/willowpost/registry/status.py
+++ b/src/willowpost/registry/status.py
@@ -1,4 +1,4 @@
-"""The status page: what the fleet is, and every loss, for people who look once a day."""
+"""The status page: the state of the fleet with every failure verdict, for operators."""
 
 from collections import Counter
 
@@ -7,15 +7,22 @@
 
 
 class StatusPage:
-    """Invariant: a loss stays on the page after its repair, with the slot that repaired it.
+    """Makes the status page.
 
-    A configuration is counted once, not at each look.
+    A failure verdict stays on the page after its repair, with the slot that repaired it. The routes
+    of a configuration are counted once, not at each call.
     """
 
     def __init__(self):
         self.counted = (None, {})
 
     def make(self, node, now: int) -> dict:
+        """Return the page as a JSON object.
+
+        Args:
+            node: the registry's node.
+            now: µs, own clock.
+        """
         node_state = node.node_state
         tables = node_state.tables
         age = node_state.age(now)
@@ -58,10 +65,7 @@
         }
 
     def _routes(self, configuration):
-        """How many routes there are, of which kinds.
-
-        And how many split their requests between services.
-        """
+        """Return how many routes there are, of which kinds, and how many split requests."""
         if self.counted[0] is not configuration:
             routes = routes_of(configuration["tree"]) if configuration["tree"] else ()
             self.counted = (
--- a/src/willowpost/state/snapshot_transfer.py
+++ b/src/willowpost/state/snapshot_transfer.py
@@ -9,7 +9,7 @@
 from willowpost.wire.messages import SnapshotPiece, SnapshotRequest
 
 PIECE_BYTES = 256 * 1024
-HELD_AFTER_REQUEST = 3 * SECOND  # a text that nobody asked for so long is let go
+HELD_AFTER_REQUEST = 3 * SECOND  # a text without a request for so long is dropped
 STALLED_AFTER = 500 * MILLI  # without a piece for so long, another source is asked
 # and after so long its snapshot of another slot is begun; between the two, a link with a round trip
 # above STALLED_AFTER still ends a transfer
--- a/src/willowpost/store/leaver.py
+++ b/src/willowpost/store/leaver.py
@@ -27,7 +27,7 @@
     """The stages of a store's end; the transitions are in `NEXT`."""
 
     SERVING = "serving"
-    HANDING_OVER = "handing over"  # until a learner has its seat
+    HANDING_OVER = "handing over"  # until a learner has replaced it as a voter
     SETTLING = "settling"  # until n - f others hold what it holds
     GONE = "gone"
 
--- a/src/willowpost/store/repair.py
+++ b/src/willowpost/store/repair.py
@@ -13,8 +13,8 @@
 
 ASK_EVERY = 1 * SECOND
 WHOLE_WITHIN = 500 * MILLI
-# a request for a seat that was not decided by then is not submitted again: it is asked for anew
-# while it is still wanted
+# A request that was not decided by then is not submitted again; a new one is made while it is
+# still wanted.
 ASKED_FOR = 2 * SECOND
 
 
