common, consensus, node, registry, wire: comments in standard terms

One comment in registry/beats.py was wrong: a probe's outcome comes back as a "probed" event. No tests were run.

--- a/src/willowpost/common/clock.py
+++ b/src/willowpost/common/clock.py
@@ -1,4 +1,4 @@
-"""Times are whole microseconds. `now` counts freezes and suspends; `wall` may jump."""
+"""The clocks of a machine; times are whole microseconds."""
 
 import time
 
@@ -7,12 +7,12 @@
 
 
 class Clock:
-    """Invariant: now() never runs backward and goes on while the process is frozen."""
+    """A monotonic clock, which includes suspends, and the wall clock."""
 
     def now(self) -> int:
-        """Microseconds since the machine started, suspends included."""
+        """Return the µs since the machine started; never goes back, and includes suspends."""
         return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000
 
     def wall(self) -> int:
-        """Microseconds since 1970; may jump."""
+        """Return the µs since 1970 (UTC); may jump."""
         return time.time_ns() // 1_000
--- a/src/willowpost/consensus/replica/barrier.py
+++ b/src/willowpost/consensus/replica/barrier.py
@@ -6,7 +6,7 @@
 - n - f of the voters before the change hold every slot up to s on disk, so that a quorum read
   under the former epoch meets one that names the change, and
 - n - f of the voters after the change hold every slot up to s on disk, so that the members that
-  the change put out, and any f of the new ones, may be lost at once.
+  the change removed, and any f of the new ones, may be lost at once.
 
 Both count synced indexes by identity; an identity is lost with its disk, so no index is ever
 counted for a disk that came back empty.
--- a/src/willowpost/consensus/replica/reads.py
+++ b/src/willowpost/consensus/replica/reads.py
@@ -45,7 +45,7 @@
                 nonce == self.nonce and identity in self.node_state.members
             ):
                 self.told[identity] = slot
-                # also how a voter that was put out while it was cut off learns that it is behind
+                # A voter that was replaced while it was unreachable learns so that it is behind.
                 self.node_state.hear_synced_index(identity, slot)
             case Received(source, Poll() as poll):
                 self._state_update(source, poll, now, plan)
--- a/src/willowpost/node/follower.py
+++ b/src/willowpost/node/follower.py
@@ -20,7 +20,7 @@
 TOO_OLD = 700 * MILLI
 RETRY_HOME = 2 * SECOND
 HELLO_EVERY = 300 * MILLI
-# no state updates for so long: whom we know may all be gone, and the seeds may be others by now
+# without state updates for so long: all known daemons may be gone, the seeds may have changed
 WITHOUT_SOURCE_AFTER = 3 * SECOND
 HOMES_TRIED = 2
 DECISIONS_BYTES_MOST = 512 * 1024  # in one StateUpdate
@@ -65,7 +65,7 @@
                 if not self.node_state.tables.core or self._without_source(now):
                     self.node_state.seed_cores = tuple(member.address for member in hello.known)
             case Received(source, Ping()) if not self.node_state.tables.core:
-                # who watches us knows more than we do, whatever became of the seeds
+                # A watcher of this daemon has tables, even if the seeds are gone.
                 plan.send(source, Hello(answer=False))
             case Received(source, Hello(answer=False)):
                 plan.send(
--- a/src/willowpost/registry/beats.py
+++ b/src/willowpost/registry/beats.py
@@ -49,7 +49,7 @@
     def __init__(self, node_state, command_client, probe):
         self.node_state = node_state
         self.command_client = command_client
-        # (origin, address, path) -> None; its outcome comes back as told()
+        # (origin, address, path) -> None; the outcome comes back as a "probed" event
         self.probe = probe
         self.heard: dict[str, int] = {}
         self.seen: dict[str, tuple] = {}  # origin -> (state, since)
--- a/src/willowpost/wire/messages.py
+++ b/src/willowpost/wire/messages.py
@@ -182,7 +182,7 @@
 class Tell:
     """Answers an `Ask`: decisions, a whole snapshot, a piece of one, or the body of a command.
 
-    `slot` is the slot after the last decision told, or the sender's own slot with a piece, or the
+    `slot` is the slot after the last decision, or the sender's own slot with a piece, or the
     slot asked about with a command.
     """
 
