--- a/src/willowpost/registry/calls/orders.py
+++ b/src/willowpost/registry/calls/orders.py
@@ -16,7 +16,7 @@
 
 
 class ZoneCall(Strict):
-    """The body of a call that empties a zone: all of it, or only its origins."""
+    """The body of a call that empties or restores a zone; `what` counts for emptying only."""
 
     what: Literal["all", "origins"] = "all"
 
@@ -25,10 +25,10 @@
     """What to purge from the caches.
 
     Attributes:
-        kind: item: one path; prefix: all paths that begin with it; all: the whole host; tag: all
-            items with a tag.
-        host: "*" for every host.
-        path: of an item or prefix, else None.
+        kind: item: one path, with all its queries if it names none; prefix: all paths that begin
+            with it; all: the whole host; tag: all items with a tag, of every host.
+        host: "*" for every host; not used for a tag.
+        path: of an item or prefix, with or without a query; else None.
         tag: of a tag, else None.
     """
 
--- a/src/willowpost/state/apply/core.py
+++ b/src/willowpost/state/apply/core.py
@@ -14,6 +14,9 @@
 def replace_voter(tables: Tables, op: dict):
     """Replace a voter that is lost or leaves by a learner, from the next slot on.
 
+    A voter at the learner's own address may be replaced in any state; one on a machine of the same
+    name, unless it is up.
+
     n never changes, and one slot changes the voters at most once. The learner must be up by the
     log, so that a late command never makes a voter of a store that is gone meanwhile.
 
