--- a/src/willowpost/consensus/replica/reads.py
+++ b/src/willowpost/consensus/replica/reads.py
@@ -1,4 +1,4 @@
-"""Quorum reads: how old is what this store knows? And state updates for those who follow the log."""
+"""Quorum reads, which tell how fresh this store's tables are, and state updates for followers."""
 
 from willowpost.common.events import Received, Tick
 from willowpost.common.nonce import NonceSequence
@@ -12,10 +12,11 @@
 
 
 class Reads:
-    """Invariant: fresh_as_of is a moment before which everything accepted is applied here.
+    """Runs quorum reads and answers reads and polls.
 
-    A read counts only if the epoch did not change while it ran, and only answers to it: an answer to
-    an earlier incarnation's read may name a slot from before an order that was accepted meanwhile.
+    Everything accepted before `fresh_as_of` is applied here. A read counts only if the epoch did
+    not change while it ran, and only with answers to that very read: an answer to an earlier
+    incarnation's read may name a slot from before an order that was accepted meanwhile.
     """
 
     def __init__(self, node_state: ReplicaState, incarnation: int = 0):
@@ -28,6 +29,11 @@
         self.open = False
 
     def step(self, event, now: int) -> Plan:
+        """Handle one event; a read that has its quorum advances `fresh_as_of`.
+
+        A voter answers `ReadAsk`; a bootstrapped store answers `Poll`; a tick begins a read each
+        `pace.read`.
+        """
         plan = Plan()
         match event:
             case Received(source, ReadAsk(nonce)) if self.node_state.voter:
@@ -39,7 +45,7 @@
                 nonce == self.nonce and identity in self.node_state.members
             ):
                 self.told[identity] = slot
-                # also how a voter that was put out while it was cut off learns that it is behind
+                # A voter that was replaced while it was unreachable learns so that it is behind.
                 self.node_state.hear_synced_index(identity, slot)
             case Received(source, Poll() as poll):
                 self._state_update(source, poll, now, plan)
@@ -82,7 +88,7 @@
         decisions = (node_state.log[slot] for slot in range(poll.slot, most))
         told = leading(decisions, DECISIONS_BYTES_MOST)
         last = poll.slot + len(told)
-        # short of the head, the teller's freshness does not hold for the listener yet
+        # Below the newest slot, this store's freshness does not hold for the follower yet.
         whole = fresh and last >= node_state.tables.slot
         plan.send(source, StateUpdate(poll.nonce, last, age, whole, told))
 
@@ -95,5 +101,5 @@
             poll.snapshot,
             now,
         )
-        # the listener is fresh only once it holds all that is here, not just the snapshot's slot
+        # The follower is fresh only once it holds all that is here, not just the snapshot's slot.
         plan.send(source, StateUpdate(poll.nonce, node_state.tables.slot, age, fresh, piece=piece))
