--- a/src/willowpost/proxy/cache/ranges.py
+++ b/src/willowpost/proxy/cache/ranges.py
@@ -1,4 +1,4 @@
-"""A part of a kept answer: one range that names its first byte (RFC 9110, 14.2)."""
+"""Serves one byte range of a stored response (RFC 9110, 14.2)."""
 
 import re
 
@@ -8,7 +8,12 @@
 
 
 def one_range(value: str | None) -> tuple[int, int | None] | None:
-    """(first, last or None), or None if it is no such range: then the origin is asked."""
+    """Parses a Range header that names one range with its first byte.
+
+    Returns:
+        (first, last), where last is None for an open range; None for any other header, whose
+        request is then sent to the origin.
+    """
     said = ONE.fullmatch(value or "")
     if said is None:
         return None
@@ -17,15 +22,17 @@
 
 
 class PartMaker:
-    """Invariants: the part carries all that the whole answer said of itself, its seal included.
+    """Makes partial responses from whole ones.
 
-    A 416 is our own word, which the origin has not given: it carries no `seal` (a header's name).
+    A 206 keeps the stored response's headers, its seal included. A 416 is written by this proxy and
+    not by the origin, so the header named `seal` (lower case) is left out of it.
     """
 
     def __init__(self, seal: str = ""):
         self.seal = seal
 
     def make(self, whole: WholeAnswer, wanted: tuple[int, int | None]) -> WholeAnswer:
+        """A 206 with the bytes `wanted` (first, last or None), or a 416 if none of them exist."""
         size, (first, last) = len(whole.body), wanted
         headers = [
             (name, value)
--- a/src/willowpost/proxy/cache/store.py
+++ b/src/willowpost/proxy/cache/store.py
@@ -1,4 +1,4 @@
-"""The cache in memory: entries by key and variant, purges that beat what was begun before them."""
+"""The in-memory cache: entries by key and variant, and purges."""
 
 from collections import OrderedDict
 from dataclasses import dataclass, replace
@@ -12,10 +12,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """Invariant: holds a whole answer.
-
-    `slot` is the least slot known to any daemon on its way when its fetch began, so every purge of
-    that slot or a later one beats it.
+    """A stored response; its body is whole.
+
+    Attributes:
+        variant: (header name, value) pairs of the request that the response varies by.
+        born_at: When the response was generated, by this process's clock, in µs.
+        lifetime: How long it is fresh after `born_at`, in µs.
+        slot: The least log slot known to any daemon that the fetch passed when it began. Every
+            purge in that slot or a later one removes the entry.
+        public: Whether it may answer requests with an Authorization header.
+        tags: The tags that the origin gave it, for purges by tag.
     """
 
     host: str
@@ -32,20 +38,25 @@
 
     @property
     def path(self) -> str:
+        """The target without its query."""
         return self.target.partition("?")[0]
 
     @property
     def size(self) -> int:
+        """Bytes counted against the cache's limit: body, headers and a fixed overhead."""
         return len(self.body) + 512 + sum(len(name) + len(value) for name, value in self.headers)
 
     def age(self, now: int) -> int:
+        """How old the response is, in µs."""
         return max(0, now - self.born_at)
 
     def fresh(self, now: int) -> bool:
+        """Whether it may be served without revalidation."""
         return self.age(now) < self.lifetime
 
 
 def hits(purge: dict, host: str, target: str, tags: tuple = ()) -> bool:
+    """Whether a purge (a row of the tables) removes what is stored for that host and target."""
     if purge["kind"] == "tag":
         return purge["path"] in tags
     if purge["host"] not in ("*", "", host):
@@ -58,9 +69,16 @@
 
 
 class CacheStore:
-    """Invariants: `slot` is the slot up to which purges were carried out.
+    """A cache with least-recently-used eviction.
+
+    No entry is older than a purge that hits it, and the sum of the entries' sizes is at most `most`
+    bytes.
 
-    No entry is older than a purge that hits it; the sum of sizes is at most `most`.
+    Attributes:
+        size: Sum of the entries' sizes, in bytes.
+        slot: The log slot up to which purges were carried out.
+        held: (host, target) to the variants stored, least recently used key first.
+        floor: Purges before this slot are no longer known one by one.
     """
 
     def __init__(self, most: int = BYTES_MOST):
@@ -73,6 +91,13 @@
         self.floor = 0
 
     def find(self, host: str, target: str, request: dict) -> Entry | None:
+        """The stored variant that matches a request, fresh or stale, or None.
+
+        Args:
+            host: Lower case, without port.
+            target: Path and query.
+            request: The request's headers, lower-case names.
+        """
         entries = self.held.get((host, target))
         if entries is None:
             return None
@@ -88,6 +113,12 @@
         )
 
     def keep(self, entry: Entry) -> bool:
+        """Stores an entry in place of the same variant, and evicts others to make room.
+
+        Returns:
+            False, with nothing stored, if a purge has hit it since its fetch began or if it is
+            larger than an eighth of the cache.
+        """
         if (
             self.purged_since(entry.slot, entry.host, entry.target, entry.tags)
             or entry.size > self.most // 8
@@ -115,7 +146,7 @@
     def refresh(
         self, entry: Entry, headers: tuple, born_at: int, lifetime: int, slot: int, tags: tuple
     ) -> Entry:
-        """The entry as an origin has confirmed it, with the tags that it names now."""
+        """Stores the entry as a revalidation confirmed it, with the new tags, and returns it."""
         renewed = replace(
             entry, headers=headers, born_at=born_at, lifetime=lifetime, slot=slot, tags=tags
         )
@@ -123,18 +154,23 @@
         return renewed
 
     def drop(self, entry: Entry) -> None:
+        """Removes all variants of the entry's key."""
         self._drop((entry.host, entry.target))
 
     def purged_since(self, slot: int, host: str, target: str, tags: tuple = ()) -> bool:
+        """Whether a purge in `slot` or later hits this host and target.
+
+        Also true if `slot` is so old that the purges after it are no longer all known.
+        """
         if slot < self.floor:
             return True
         later = takewhile(lambda purge: purge["slot"] >= slot, reversed(self.purges))
         return any(hits(purge, host, target, tags) for purge in later)
 
     def purge(self, tables: Tables) -> None:
-        """Invariant: after it, everything in the tables' purges is carried out.
+        """Carries out all purges in the tables that are new to the cache.
 
-        Missed ones drop all.
+        If some of them are no longer listed, the whole cache is cleared.
         """
         before, self.slot = self.slot, tables.slot
         self.purges, self.floor = tables.purges, tables.purge_floor
--- a/src/willowpost/proxy/cache/storing.py
+++ b/src/willowpost/proxy/cache/storing.py
@@ -11,10 +11,12 @@
 
 
 def directives(value: str) -> dict[str, str]:
+    """Cache-Control directives by lower-case name; the value is empty if there is none."""
     return {name.lower(): quoted or plain for name, quoted, plain in TOKEN.findall(value or "")}
 
 
 def when(value: str) -> int | None:
+    """An HTTP date in µs since the epoch, or None if it is malformed."""
     try:
         return int(parsedate_to_datetime(value).timestamp() * SECOND)
     except (TypeError, ValueError, IndexError, OverflowError):
@@ -22,12 +24,19 @@
 
 
 def whole(value: str | None) -> int | None:
+    """A header's value as a whole number, or None if it is absent or malformed."""
     return int(value) if value is not None and value.strip().isdigit() else None
 
 
 @dataclass(frozen=True, slots=True)
 class Storing:
-    """Invariant: lifetime 0 means it may be kept only to be revalidated."""
+    """How a response may be stored.
+
+    Attributes:
+        lifetime: How long it is fresh, in µs; 0 means that each use needs a revalidation.
+        vary: Lower-case names of the request headers that select the variant, sorted.
+        public: Whether it may answer requests with an Authorization header.
+    """
 
     lifetime: int
     vary: tuple[str, ...]
@@ -35,15 +44,25 @@
 
 
 class StoringRules:
-    """Invariant: whatever is personal, or may be, is never stored: private, no-store, Set-Cookie.
+    """Decides whether a shared cache may store a response.
 
-    Vary: *, and answers to Authorization or Cookie unless the origin says they are public (or names
+    Personal responses are never stored: `private`, `no-store`, `Set-Cookie` and `Vary: *`, and
+    answers to requests with Authorization or Cookie unless the origin calls them public (or names
     the cookie in Vary).
     """
 
     def judge(
         self, request: dict, status: int, answer: dict, keep_seconds: float
     ) -> Storing | None:
+        """How to store the response, or None if it must not be stored.
+
+        Args:
+            request: The request's headers, lower-case names.
+            status: The response's status.
+            answer: The response's headers, lower-case names, repeated ones joined.
+            keep_seconds: The operator's upper limit of the lifetime, and the lifetime of a 200 that
+                names none.
+        """
         asked, said = (
             directives(request.get("cache-control", "")),
             directives(answer.get("cache-control", "")),
@@ -86,9 +105,15 @@
 
 
 def seconds_of(age: int | None) -> str | None:
+    """An age in µs as whole seconds for the Age header; None stays None."""
     return None if age is None else str(age // SECOND)
 
 
 def first_age(answer: dict, took: int) -> int:
-    """How old the answer is on arrival: what the hops before say, and the time the exchange took."""
+    """The response's age on arrival, in µs: its Age header plus the time the exchange took.
+
+    Args:
+        answer: Its headers, lower-case names.
+        took: Duration of the exchange, in µs.
+    """
     return (whole(answer.get("age")) or 0) * SECOND + took
--- a/src/willowpost/proxy/daemon.py
+++ b/src/willowpost/proxy/daemon.py
@@ -1,4 +1,4 @@
-"""wpproxy: takes the callers' requests, as an edge or a shield."""
+"""The proxy process `wpproxy`: serves callers' requests, as an edge or a shield."""
 
 from collections import Counter
 
@@ -27,7 +27,11 @@
 
 
 class HealthPage:
-    """Where balancers ask, if that is apart from the callers' own port: any path."""
+    """A WSGI application for a separate health port: any path gives the health status.
+
+    Args:
+        front: The proxy whose health is told.
+    """
 
     in_flight = 0
 
@@ -35,6 +39,7 @@
         self.front = front
 
     def __call__(self, environ, start_response):
+        """Answers one WSGI request with the health status."""
         reply = self.front.own(HEALTH)
         start_response(
             status_line(reply.code), [*reply.headers, ("content-length", str(len(reply.body)))]
@@ -43,6 +48,14 @@
 
 
 class ProxyDaemon:
+    """Builds a proxy from its settings and runs it: control node, web servers, connections.
+
+    Args:
+        place: The process's settings.
+        logs: Where log lines go.
+        words: Names of the headers shared with callers and origins.
+    """
+
     def __init__(self, place, logs, words: Words = Words()):
         self.logs = logs
         self.runner = Runner(place.address, logs)
@@ -100,13 +113,14 @@
             self.webs.append(WebServer(place.health, HealthPage(self.front)))
 
     def start(self) -> None:
+        """Starts the control node, the web servers and the task that closes idle connections."""
         self.runner.start(self.node)
         for web in self.webs:
             web.start()
         gevent.spawn(self._tidy)
 
     def _tidy(self):
-        """Connections of owners that went out of force are closed at once, also idle ones."""
+        """Closes connections to owners that are no longer in force, and logs rejections."""
         snapshot, looked, told = None, 0, Counter()
         while True:
             looked += 1
@@ -122,7 +136,7 @@
             gevent.sleep(TIDY_SECONDS)
 
     def _tell(self, told):
-        """What was reject since the last word of it, and why."""
+        """Logs the rejections since `told`, by reason, and returns the new counts."""
         now = Counter(
             {name: count for name, count in self.front.stats.items() if name.startswith("why.")}
         )
@@ -135,6 +149,10 @@
         return now
 
     def stop(self) -> None:
+        """Leaves the fleet in a planned way; returns when the process may end.
+
+        The port is closed and connections take no new requests as soon as the leaver says so.
+        """
         self.runner.leave(self._close)
 
     def _close(self):
--- a/src/willowpost/proxy/front.py
+++ b/src/willowpost/proxy/front.py
@@ -1,7 +1,4 @@
-"""The callers' side: a request becomes a plan, the plan is carried out.
-
-And what comes of it becomes a reply.
-"""
+"""The callers' side of a proxy: plans a request, carries out the plan and builds the reply."""
 
 import json
 import re
@@ -25,7 +22,18 @@
 
 
 class Front:
-    """`reserved`: whether health and stats are paths of the callers' own port."""
+    """Answers callers' requests.
+
+    Args:
+        node_state: The proxy's shared state.
+        clock: This process's clock.
+        planner: Chooses what to do with a request.
+        carrier: Carries out the plan.
+        stats: Counters by name.
+        logs: Where log lines go.
+        words: Names of the headers shared with callers and origins.
+        reserved: Whether the health and statistics paths are served on the callers' port.
+    """
 
     def __init__(
         self,
@@ -51,32 +59,39 @@
         self.connections: set = set()
 
     def opened(self, handler) -> None:
+        """Registers a caller's connection."""
         self.connections.add(handler)
 
     def closed(self, handler) -> None:
+        """Forgets a caller's connection."""
         self.connections.discard(handler)
 
     def finish(self) -> None:
-        """Nothing new is taken up on any connection."""
+        """Stops taking new requests on all connections."""
         self.finishing = True
         for handler in tuple(self.connections):
             handler.end()
 
     def leaving(self) -> bool:
+        """Whether this proxy is draining."""
         return self.node_state.draining
 
     def limits(self) -> dict:
+        """The limits of the configuration in force, by name."""
         return self.node_state.snapshot.limits
 
     def broke(self, problem) -> None:
+        """Counts and logs a reply that was cut off after its head had been sent."""
         self.stats["cut"] += 1
         self.logs.say("front", "answer cut off", level="warning", problem=repr(problem))
 
     def repeatable(self, asked: CallerRequest) -> bool:
+        """Whether the request may be sent to an origin more than once."""
         route = self._route(asked)
         return route is None or kind_of(route, asked_as(asked)) != ONCE
 
     def body_most(self, asked: CallerRequest) -> int:
+        """The largest body accepted with this request, in bytes."""
         route = self._route(asked)
         most = self.limits().get("body_bytes")
         return (
@@ -91,9 +106,17 @@
         return self.node_state.snapshot.routes.find(host_of(asked), asked.target.partition("?")[0])
 
     def malformed(self, code: int, reason: str) -> Reply:
+        """The reply to a request that cannot be parsed or is over a limit."""
         return self._reject(Rejected(code, reason, 0), False)
 
     def respond(self, asked: CallerRequest, body: bytes, received: int) -> Reply:
+        """The reply to a request; failures become error replies and are not raised.
+
+        Args:
+            asked: The request's head.
+            body: Its whole body.
+            received: When its head was complete, by this process's clock, in µs.
+        """
         if self.reserved and asked.target.partition("?")[0] in (HEALTH, STATS):
             return self.own(asked.target.partition("?")[0])
         write = asked.method not in ("GET", "HEAD")
@@ -182,9 +205,11 @@
         return Reply(status, headers, body, pieces)
 
     def _begun(self, rest):
-        """The first piece is fetched before the head leaves.
+        """Reads the first piece of a streamed body before the head is sent.
 
-        What breaks down by then still gets an honest status.
+        Raises:
+            Rejected: The body broke off by then; the caller gets a 502 instead of a truncated
+                reply.
         """
         try:
             first = next(rest, b"")
@@ -213,6 +238,11 @@
         return Reply(reject.code, headers, body)
 
     def own(self, path: str) -> Reply:
+        """The reply to the health or the statistics path.
+
+        The health path gives 503 unless the proxy holds a lease, is warmed up, is not draining and
+        its zone is not evacuated.
+        """
         now = self.clock.now()
         sound = (
             self.node_state.leased(now)
@@ -248,8 +278,10 @@
 
 
 def host_of(asked: CallerRequest) -> str:
+    """The request's host in lower case, without the port."""
     return asked.headers.get("host", "").partition(":")[0].lower()
 
 
 def asked_as(asked: CallerRequest) -> Request:
+    """The request with its method and headers only, to find out its kind."""
     return Request(asked.method, "", "", asked.headers)
--- a/src/willowpost/proxy/main.py
+++ b/src/willowpost/proxy/main.py
@@ -5,18 +5,24 @@
 
 
 class ProxyCommand(DaemonCommand):
+    """The command line of the proxy process."""
+
     name = "wpproxy"
     description = "Takes requests: routes, admission, cache, shield, origin."
-    help = """An edge takes the callers' requests; a shield stands between the edges and the origins.
+    help = """An edge takes the callers' requests; a shield stands between the edges and the \
+origins.
 
   <info>wpproxy --settings edge-1.json</info>
-  <info>wpproxy --name edge-1 --zone a --role edge --address 127.0.0.1:7201 --http 127.0.0.1:8080 --seeds 127.0.0.1:7001,127.0.0.1:7002</info>
+  <info>wpproxy --name edge-1 --zone a --role edge --address 127.0.0.1:7201 \
+--http 127.0.0.1:8080 --seeds 127.0.0.1:7001,127.0.0.1:7002</info>
   <info>curl http://127.0.0.1:8080/.wp/health</info>"""
     needs = ("http",)
 
     def build(self, place, logs):
+        """The daemon for these settings."""
         return ProxyDaemon(place, logs)
 
 
 def main() -> None:
+    """Runs the command `wpproxy`."""
     run(ProxyCommand())
--- a/src/willowpost/proxy/node.py
+++ b/src/willowpost/proxy/node.py
@@ -1,6 +1,6 @@
-"""One proxy's control side: a follower, a watcher, a holder of shares.
+"""The control side of one proxy: follows the replicated state and holds quota shares.
 
-Its data side is in way/ and front.
+Requests are handled in routing/ and front.py.
 """
 
 from willowpost.common.plan import Plan
@@ -20,9 +20,15 @@
 
 
 class ProxyNode:
-    """Invariant: whatever happens goes through step(); requests only read the board.
+    """A proxy's control state machine, made of controllers.
 
-    And count on it.
+    State changes only in step(); request tasks read `node_state` and update its counters.
+
+    Args:
+        card: What the proxy registers of itself.
+        seeds: Addresses to start from.
+        wall: Gives the wall clock in µs.
+        cache_bytes: Size limit of the cache.
     """
 
     def __init__(self, card: Card, seeds, wall, cache_bytes: int = BYTES_MOST):
@@ -53,6 +59,7 @@
         ]
 
     def step(self, event, now: int) -> Plan:
+        """Passes an event to each controller in turn and joins their plans; `now` is in µs."""
         plan = Plan()
         for controller in self.controllers:
             plan.join(controller.step(event, now))
--- a/src/willowpost/proxy/proxy_state.py
+++ b/src/willowpost/proxy/proxy_state.py
@@ -13,6 +13,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
+    """A quota share of a service's rate that its owner granted to this proxy.
+
+    Attributes:
+        rate: Requests a second.
+        until: When it expires, by this process's clock, in µs.
+        fence: The fencing number of the owner that granted it.
+    """
+
     rate: float  # requests a second
     until: int  # own clock
     fence: int
@@ -20,10 +28,10 @@
 
 @dataclass(slots=True)
 class ProxyState(NodeState):
-    """Invariants:
+    """The replicated state as this proxy knows it, and what admission control needs.
 
-    - `snapshot` is what `tables` amount to for requests; both are swapped whole, by the same task.
-    - a grant counts only before its `until`, under the fence that the tables name.
+    `snapshot` is derived from `tables`; the same task replaces each of them as a whole. A grant
+    counts only before its `until` and under the fence that the tables name.
     """
 
     snapshot: RoutingSnapshot = field(default_factory=RoutingSnapshot)
@@ -42,16 +50,17 @@
     cold: dict = field(default_factory=dict)
 
     def warmed_up(self, now: int) -> bool:
-        """By now every proxy with a lease counts us when it works out its base share."""
+        """Whether every proxy with a lease by now counts this one in its base quotas."""
         return self.joined_at is not None and now - self.joined_at >= WARMED_UP_AFTER
 
     def warmed_up_since(self) -> int | None:
+        """When this proxy is or was warmed up, in µs; None before it has joined."""
         return None if self.joined_at is None else self.joined_at + WARMED_UP_AFTER
 
     def warmed_up_shields(self, now: int) -> dict[str, str]:
-        """Those that have had the time to get warmed up themselves; all.
+        """Shields up for long enough to be warmed up, by id, with their addresses.
 
-        If there is none (as for one who has just come).
+        All shields if there is none, as for a proxy that has just started.
         """
         warmed_up = {
             name: address
@@ -62,8 +71,9 @@
         return warmed_up or dict(self.snapshot.shields)
 
     def proxies(self) -> int:
-        """All that have joined, also those held lost: they may be on their way back."""
+        """The number of registered proxies, lost ones included, since they may return."""
         return sum(card["kind"] == "proxy" for card in self.tables.daemons.values())
 
     def emptied(self, now: int) -> bool:
+        """Whether this proxy's zone has been evacuated for at least `ZONE_GRACE`."""
         return self.emptied_at is not None and now - self.emptied_at >= ZONE_GRACE
