--- a/src/willowpost/proxy/admission/admission_tokens.py
+++ b/src/willowpost/proxy/admission/admission_tokens.py
@@ -1,6 +1,6 @@
-"""Whole tokens, asked for one by one: how a rate too small to be shared out is kept.
+"""Admission tokens, asked for one by one.
 
-And still used by everybody.
+They keep a rate that is too small to be divided into quota shares and still let every proxy use it.
 """
 
 from dataclasses import dataclass
@@ -28,9 +28,9 @@
 
 
 class AdmissionTokenTaker:
-    """Invariant: every ticket is answered once.
+    """Asks for tokens on behalf of request tasks.
 
-    At the latest when the owner has been silent for ANSWER_WITHIN.
+    Every ticket is answered once, at the latest when the owner has been silent for ANSWER_WITHIN.
     """
 
     def __init__(self, node_state: ProxyState):
@@ -40,7 +40,7 @@
         self.open: dict[int, tuple[object, int]] = {}  # nonce -> (ticket, asked at)
 
     def step(self, event: object, now: int) -> Plan:
-        """Ask for wanted tokens, and answer those that wait."""
+        """Asks for wanted tokens and answers those that wait; `now` is in µs."""
         plan = Plan()
         match event:
             case AdmissionTokenWanted() as wanted:
@@ -69,9 +69,10 @@
 
 
 class AdmissionTokenOwner:
-    """Invariant: only the fenced owner gives, from one bucket a key that holds at most one token.
+    """Gives tokens; only the owner that the fence names does so.
 
-    So any span s holds at most 1 + rate * s of them.
+    Each key has a bucket of at most one token, so a span of s seconds holds at most 1 + rate * s of
+    them.
     """
 
     def __init__(self, node_state: ProxyState, owner: QuotaShareOwner):
@@ -79,7 +80,7 @@
         self.buckets: dict[tuple[str, int, str], Bucket] = {}
 
     def step(self, event: object, now: int) -> Plan:
-        """Give tokens to those who ask."""
+        """Gives tokens to those who ask; `now` is in µs."""
         plan = Plan()
         match event:
             case Received(source, AdmissionTokenAsk(nonce, service, fence, origin)):
--- a/src/willowpost/proxy/admission/buckets.py
+++ b/src/willowpost/proxy/admission/buckets.py
@@ -19,7 +19,7 @@
 
 @dataclass(slots=True)
 class Bucket:
-    """Invariant: over any span s at rate r it gives at most burst + r*s tokens."""
+    """A token bucket: in s seconds at r tokens a second it gives at most burst + r * s of them."""
 
     tokens: float = 0.0
     filled_at: int | None = None
@@ -41,9 +41,9 @@
 
 
 def ramped(origin: OriginCard, service: ServiceCard, span: int) -> float:
-    """What a cold origin bears a second, `span` after it was let in.
+    """What a cold origin bears, in requests a second, `span` µs after it was admitted.
 
-    One that says itself how long it is cold does not climb.
+    The rate of an origin that says itself how long it is cold does not rise meanwhile.
     """
     if service.told:
         return origin.cold_rate
@@ -57,17 +57,21 @@
 
 
 def ramps_in_tokens(origin: OriginCard, service: ServiceCard) -> bool:
-    """A cold origin that at first bears too little for every sender to have a token of its own."""
+    """Whether a cold origin at first bears too little for each sender to have a token."""
     return origin.cold and senders_of(origin.cold_rate) < len(service.senders)
 
 
 class Window:
-    """Invariant.
+    """A sliding window over a rate that changes.
 
-    In any span of WINDOW seconds it gives at most SPENT times what the rates over that very span
-    amount to; what nobody used may be used at once, later in the same window. Between two asks the
-    lesser of their rates counts, so that a share which comes to us brings nothing that another had
-    the time to use.
+    In any WINDOW seconds it gives at most SPENT times what the rates over that span amount to; what
+    was not used may be used later in the same window. Between two calls the lesser of their rates
+    counts, so that a quota share which has just arrived adds nothing that its former holder may
+    have used.
+
+    Args:
+        since: Since when `rate` has been unused, in µs.
+        rate: Requests a second.
     """
 
     def __init__(self, since: int, rate: float):
@@ -76,9 +80,13 @@
         self.used: deque[int] = deque()
 
     def take(self, rate: float, now: int, brief: bool = False) -> bool:
-        """`brief`: what gathered may not be spent at once.
+        """Takes one request's worth, if there is any left.
 
-        But at no more than BRIEF times the rate in any second.
+        Args:
+            rate: Requests a second from now on.
+            now: This process's clock, in µs.
+            brief: Whether unused quota may not be spent in a burst: any second then has at most
+                BRIEF times the rate.
         """
         start, at, before = self.spans[-1]
         if rate >= before:
@@ -107,7 +115,7 @@
 
 
 class Allowance:
-    """Invariant: without a base or a grant nothing is let in."""
+    """Admission by the services' rates; without a base quota or a grant nothing is admitted."""
 
     def __init__(self, node_state: ProxyState):
         self.node_state = node_state
@@ -136,19 +144,19 @@
         return let(self.windows[name].take(rate, now, service.borne))
 
     def _unused_since(self, now: int) -> int:
-        """Since when our base has gone unused: all who share the service made room for it then."""
+        """Since when the base quota has been unused; all other senders left it free by then."""
         warmed_up = self.node_state.warmed_up_since()
         since = now if warmed_up is None else min(now, warmed_up)
         return max(now - int(WINDOW * SECOND), since)
 
 
 class Ramp:
-    """Invariant.
+    """Admission to cold origins.
 
-    All proxies together send a cold origin no more than its ramped rate and one token each of the
-    few that may send to it; those few are capacity / 4, so a second holds at most 1.25 of the
-    capacity. One too slow at first for every sender to have a token gets its requests by whole
-    tokens all through its ramp.
+    All proxies together send a cold origin no more than its ramped rate and one token for each of
+    its few senders: one for each 4 requests a second, at least one. From a capacity of 4 on, a
+    second thus holds at most 1.25 times the capacity. An origin too slow at first for each sender
+    to have a token is sent requests by admission tokens all through its ramp.
     """
 
     def __init__(self, node_state: ProxyState):
@@ -159,7 +167,7 @@
         self.suspects: dict[str, int] = {}
 
     def suspect(self, origin: str, now: int) -> None:
-        """Hold an origin for cold: its process was seen to end."""
+        """Treats an origin as cold because its process was seen to end."""
         self.suspects = {
             name: since
             for name, since in self.suspects.items()
@@ -168,7 +176,7 @@
         self.suspects[origin] = now
 
     def cold(self, origin: OriginCard, service: ServiceCard, now: int) -> bool:
-        """By the log, by its own last word, or by what we saw of it since."""
+        """Whether an origin is cold by the tables, its own last heartbeat or what was seen here."""
         suspected = self.suspects.get(origin.name)
         if not service.told:
             return origin.cold or suspected is not None
--- a/src/willowpost/proxy/admission/budget.py
+++ b/src/willowpost/proxy/admission/budget.py
@@ -1,6 +1,6 @@
-"""Extra tries: at most a fifth of our own demand, and our part of sixty, in any ten seconds.
+"""The budget of extra tries, for each service.
 
-For each service.
+By default, in any ten seconds: a fifth of this proxy's own first tries, and its part of sixty.
 """
 
 from collections import deque
@@ -12,7 +12,13 @@
 
 @dataclass(frozen=True, slots=True)
 class BudgetSettings:
-    """Of all proxies together. `window` in µs."""
+    """The budget of all proxies together.
+
+    Attributes:
+        part: Extra tries for each first try.
+        slack: Extra tries in a window besides, shared by all proxies.
+        window: Length of the window, in µs.
+    """
 
     part: float = 0.2
     slack: float = 60
@@ -23,13 +29,12 @@
 
 
 class RetryBudget:
-    """Invariant.
-
-    Within any window the extra tries let in are <= part * first tries + slack / proxies; a proxy
-    has its part of the slack only once its former incarnation's window is over.
+    """Admits extra tries.
 
-    A try is charged by the proxy that sends it to an origin: a first one as demand, every further
-    one of the same request as extra, also when the one before went by another hop.
+    Within any window they are at most part * first tries + slack / proxies; a proxy has its part of
+    the slack only once the window of its former incarnation is over. A try is charged by the proxy
+    that sends it to an origin: the first one as demand, each further one of the same request as
+    extra, also if the one before went through another proxy.
     """
 
     def __init__(self, proxies: Callable[[], int], since: int, settings: BudgetSettings = DEFAULTS):
--- a/src/willowpost/proxy/admission/quota_shares.py
+++ b/src/willowpost/proxy/admission/quota_shares.py
@@ -1,9 +1,8 @@
-"""Shares of each service's allowance: a part is everybody's base by the log.
+"""Quota shares of each service's rate.
 
-The rest is granted by the service's owner.
-
-The base keeps traffic going while an owner is lost or a fence is being waited out; the owner's part
-follows the demand. See docs/design/allowances.md.
+A part of the rate is every sender's base quota, which follows from the tables. The rest is granted
+by the service's owner according to demand. The base quota keeps traffic going while an owner is
+lost or a fence is being waited out. See docs/design/allowances.md.
 """
 
 from willowpost.common.clock import MILLI, SECOND
@@ -28,9 +27,9 @@
 
 
 def in_whole_tokens(service: ServiceCard) -> bool:
-    """So small that a part for every sender would be too little to use.
+    """Whether the rate is too small for each sender to use a part of it.
 
-    Its owner hands out single tokens.
+    The owner then gives admission tokens one by one.
     """
     return OVER * service.rate - len(service.senders) / WINDOW < WHOLE_BELOW * OVER * service.rate
 
@@ -44,9 +43,10 @@
 
 
 class QuotaShareTaker:
-    """Invariant: a grant's lifetime counts from when it was asked for.
+    """Asks for grants and keeps them.
 
-    So it ends here before it ends at the owner.
+    A grant's lifetime counts from when it was asked for, so it ends here before it ends at the
+    owner.
     """
 
     def __init__(self, node_state: ProxyState):
@@ -58,7 +58,7 @@
         self.smooth: dict[str, float] = {}
 
     def step(self, event: object, now: int) -> Plan:
-        """Ask the owners for grants by demand, and take those that come."""
+        """Asks the owners for grants by demand and takes those that come; `now` is in µs."""
         plan = Plan()
         match event:
             case Received(_, QuotaShareTell(nonce, service, fence, rate)) if nonce in self.asked:
@@ -97,10 +97,11 @@
 
 
 class QuotaShareOwner:
-    """Invariants: only the owner named by the log grants, and only while its lease holds.
+    """Grants quota shares of the services that this proxy owns.
 
-    The sum of grants not yet run out never exceeds the owner's half; a new owner first waits out
-    the old one's lease and its last grants.
+    Only the owner that the tables name grants, and only while its lease holds. The grants that have
+    not expired never add up to more than the owner's part of the rate; a new owner first waits
+    until the former one's lease and grants have expired.
     """
 
     def __init__(self, node_state: ProxyState, command_client: CommandClient):
@@ -115,7 +116,7 @@
         self.looked_at = 0
 
     def step(self, event: object, now: int) -> Plan:
-        """Claim services without an owner, and grant to those who ask."""
+        """Claims services without an owner and grants to those who ask; `now` is in µs."""
         plan = Plan()
         match event:
             case Received(source, QuotaShareAsk() as ask):
@@ -152,9 +153,10 @@
             plan.note("quota_shares", "claims", keys=[op["key"] for op in ops])
 
     def rules_since(self, name: str, fence: int, now: int) -> int | None:
-        """Since when this is the owner by the log, under this fence, with a lease.
+        """Since when this proxy may grant under this fence, in µs, or None if it may not now.
 
-        And nobody's grants left to wait out.
+        It must own the service in the tables, hold a lease, and have waited until no former grant
+        holds.
         """
         node_state, key = self.node_state, f"quota_share/{name}"
         held = node_state.tables.fences.get(key, {"owner": "", "fence": 0})
--- a/src/willowpost/proxy/origin/answer.py
+++ b/src/willowpost/proxy/origin/answer.py
@@ -1,11 +1,18 @@
-"""An answer of an origin, and how to tell whose request it answers."""
+"""An origin's response, and the check that it belongs to our request."""
 
 from dataclasses import dataclass, field
 
 
 @dataclass(slots=True)
 class WholeAnswer:
-    """Invariant: `body` is the whole body as the origin framed it, unless `rest` goes on with it."""
+    """A response.
+
+    Attributes:
+        status: The HTTP status code.
+        headers: (lower-case name, value) pairs in the order received.
+        body: The whole body as the origin framed it, or empty if `rest` is set.
+        rest: An iterator over the body in pieces, for a body over the size limit.
+    """
 
     status: int
     headers: list = field(default_factory=list)
@@ -13,11 +20,11 @@
     rest: object = None  # an iterator over what follows, for oversized answers
 
     def header(self, name: str) -> str | None:
-        """The value of the first header of that (lower case) name."""
+        """The value of the first header with that lower-case name, or None."""
         return next((value for held, value in self.headers if held == name), None)
 
     def lowered(self) -> dict[str, str]:
-        """Repeated headers joined, as a list header may be."""
+        """The headers by name; repeated ones are joined with commas."""
         joined = {}
         for name, value in self.headers:
             joined[name] = f"{joined[name]}, {value}" if name in joined else value
@@ -26,19 +33,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Echo:
-    """The request id that an answer has to bear.
+    """The request id that a response has to bear.
 
-    Invariant: an answer whose `header` names another id than `name` answers somebody else's
-    request.
+    Attributes:
+        header: Name of the header that carries it, lower case.
+        name: The id of our request; a response with another id belongs to another request.
     """
 
     header: str
     name: str
 
     def foreign(self, headers) -> bool:
-        """Whether the answer names another request."""
+        """Whether the response names another request."""
         return any(held == self.header and value != self.name for held, value in headers)
 
     def confirmed(self, headers) -> bool:
-        """Whether the answer names this request."""
+        """Whether the response names this request."""
         return any(held == self.header and value == self.name for held, value in headers)
--- a/src/willowpost/proxy/origin/answer_reader.py
+++ b/src/willowpost/proxy/origin/answer_reader.py
@@ -1,4 +1,4 @@
-"""Reads the answer to one request from a connection, past those to others, and checks it whole."""
+"""Reads and checks the response to one request, skipping responses to other requests."""
 
 from willowpost.proxy.origin.answer import Echo, WholeAnswer
 from willowpost.proxy.origin.content_digest import Digester, digests_of
@@ -10,21 +10,35 @@
 
 
 class AnswerReader:
-    """Invariant: what read() returns is whole and to this very request, or its `rest` breaks off."""
+    """Reads one response from a connection.
+
+    What read() returns is complete and answers this very request; a body streamed as its `rest`
+    ends with an exception if it is not.
+    """
 
     __slots__ = ("exchange", "spoilt")
 
     def __init__(self, exchange):
-        """Reads by the exchange's `receive()`, and tells its `ended()` of a whole answer."""
+        """Prepares to read.
+
+        Args:
+            exchange: Gives the data by `receive()`; its `ended()` is called after a complete
+                response.
+        """
         self.exchange = exchange
         # something went or came on the connection that leaves open what comes next on it
         self.spoilt = exchange.broken is not None
 
     def read(self, method: str, whole_max: int, echo: Echo | None) -> WholeAnswer:
-        """The answer to this request; its body, if over `whole_max` bytes, as its `rest`.
+        """The response to this request; a body over `whole_max` bytes comes as its `rest`.
+
+        Args:
+            method: The request's method.
+            whole_max: The largest body that is read into memory, in bytes.
+            echo: The request id that the response must bear, or None.
 
         Raises:
-            OSError, HTTPParseError, ValueError: there is none.
+            OSError, HTTPParseError, ValueError: There is no valid response.
         """
         behind = b""
         for _ in range(1 + FOREIGN_MOST):
@@ -37,7 +51,13 @@
         raise ValueError("answers to other requests")
 
     def _check_echo(self, answer, echo):
-        """An answer without any id can be ours only if nothing else was asked on the connection."""
+        """Checks a response that names no other request.
+
+        A response without any id can be ours only if nothing else was sent on the connection.
+
+        Raises:
+            ValueError: It cannot be told which request it answers.
+        """
         if echo is None or echo.confirmed(answer.headers):
             return
         if self.exchange.reused or self.spoilt:
@@ -63,9 +83,14 @@
         return answer, length, raw
 
     def _pass_over(self, parser, length, raw) -> bytes:
-        """A foreign answer: ours may follow it, but only where this one's end can be told.
+        """Skips a response to another request and returns the bytes behind it.
+
+        Our response may follow only if the end of this one is known. The connection is not used
+        again.
 
-        Returns what came behind it. Nothing more is asked on this connection.
+        Raises:
+            ValueError: The response's end cannot be told.
+            ConnectionResetError: The connection was closed.
         """
         if length is None or parser.bodyless:
             raise ValueError("an answer to another request")
@@ -109,9 +134,10 @@
         self.exchange.ended(reusable, parser.said.get("keep-alive"))
 
     def _stream(self, parser, length):
-        """Passes on all but the last block as it comes.
+        """Yields the body's blocks as they come, the last one only after the checks.
 
-        The last only when the whole is known to be right.
+        Raises:
+            ValueError: The body ended short or does not match its digest.
         """
         held, size = b"", 0
         try:
--- a/src/willowpost/proxy/origin/exchange.py
+++ b/src/willowpost/proxy/origin/exchange.py
@@ -1,7 +1,6 @@
-"""One request to one address over HTTP/1.1: connect, send, read.
+"""One request to one address over HTTP/1.1: connect, send, read and check the response.
 
-And check that the answer is whole. What is said of each case stands in
-docs/design/control/exchange.md.
+docs/design/control/exchange.md lists the failures and what is reported of each.
 """
 
 import time
@@ -30,9 +29,14 @@
 
 
 class Exchange:
-    """Invariant: run() gives a whole, checked answer to this very request.
+    """One request on one connection.
 
-    Or raises ExchangeFailure saying whether a byte may have left.
+    run() returns a checked response to this very request or raises ExchangeFailure, which says
+    whether a byte may have left.
+
+    Args:
+        address: Where to connect.
+        connection: An open connection to reuse, or None to connect.
     """
 
     def __init__(self, address: str, connection=None):
@@ -47,7 +51,11 @@
         self.keep: str | None = None
 
     def connect(self, seconds: float = CONNECT_SECONDS) -> None:
-        """Opens a connection of its own; an ExchangeFailure says that nothing was sent."""
+        """Opens a new connection within `seconds`.
+
+        Raises:
+            ExchangeFailure: It could not be opened; nothing was sent.
+        """
         try:
             self.connection = connected(self.address, min(seconds, CONNECT_SECONDS))
         except (OSError, ValueError, OverflowError) as problem:
@@ -60,7 +68,11 @@
         self.phase = Phase.SEND
 
     def instance_check(self, instance_check: InstanceCheck, seconds: float) -> None:
-        """Invariant: nothing of the request has left, whatever comes of it."""
+        """Checks which process answers on this connection; no byte of the request is sent.
+
+        Raises:
+            ExchangeFailure: It is not the registered process, it is not sound, or the check failed.
+        """
         self.phase = Phase.INSTANCE_CHECK
         asked = request_head(
             "GET", instance_check.path, [("host", self.address), ("via", "1.1 willowpost")], b""
@@ -115,7 +127,7 @@
             )
 
     def _send(self, asked, seconds):
-        """Where the connection breaks, the origin may have answered before it did."""
+        """Sends the request; a broken connection is noted, since a response may have come first."""
         self.connection.settimeout(seconds)
         try:
             self.connection.sendall(asked)
@@ -132,12 +144,16 @@
         raise self.broken
 
     def ended(self, reusable: bool, keep: str | None) -> None:
-        """The answer is known to be whole; an oversized one closes its connection by itself."""
+        """Notes a complete response: whether the connection can be reused, and its Keep-Alive."""
         self.phase = Phase.DONE
         self.reusable, self.keep = reusable, keep
 
     def receive(self) -> bytes:
-        """The next bytes, b"" at the connection's end; TimeoutError at the deadline."""
+        """The next bytes, empty at the connection's end.
+
+        Raises:
+            TimeoutError: The deadline has passed.
+        """
         left = self.until - time.monotonic()
         if left <= 0:
             raise TimeoutError("deadline")
--- a/src/willowpost/proxy/origin/failure.py
+++ b/src/willowpost/proxy/origin/failure.py
@@ -1,9 +1,11 @@
-"""How a try toward an origin or a shield comes to nothing."""
+"""The failure of one exchange with an origin or a shield."""
 
 from enum import Enum
 
 
 class Why(Enum):
+    """What an exchange failed of; it decides for how long the origin is avoided."""
+
     BROKE = "broke"  # it broke off, was silent, or could not be reached
     INCARNATION = "incarnation"  # another life stands there
     BUSY = "busy"  # it turned the request away
@@ -11,11 +13,15 @@
 
 
 class ExchangeFailure(Exception):
-    """Invariants: `sent` is False only if no byte of the request can have left.
+    """An exchange without a usable response.
 
-    `ran` is False only if the origin has not run the request and never will: nothing left, or it
-    said so; `died` is True only if the process that we knew there is no longer there; `silent`: it
-    said nothing for as long as we would wait.
+    Attributes:
+        what: A description for logs and error replies.
+        sent: False only if no byte of the request can have left.
+        died: True only if the process that was connected to before is no longer there.
+        ran: False only if the origin has not run the request and never will.
+        silent: The other side sent nothing for as long as the proxy would wait.
+        why: The kind of failure.
     """
 
     def __init__(
--- a/src/willowpost/proxy/origin/instance_check.py
+++ b/src/willowpost/proxy/origin/instance_check.py
@@ -1,7 +1,4 @@
-"""The instance check.
-
-Whoever stands behind a fresh connection is asked its name before a request leaves on it.
-"""
+"""The instance check: which process answers on a fresh connection, before a request is sent."""
 
 from dataclasses import dataclass
 
@@ -14,15 +11,21 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceCheck:
-    """Invariant: `token` names one life of one origin, as that life registered it."""
+    """The expected process of an origin.
+
+    Attributes:
+        path: Where to ask.
+        token: Names one incarnation of one origin, as that incarnation registered it.
+    """
 
     path: str
     token: str
 
     def judge(self, answer) -> None:
-        """Invariant: passes only the very life that registered, calling itself sound.
+        """Passes only the very incarnation that registered, if it reports to be sound.
 
-        On a connection that stays open.
+        Raises:
+            ExchangeFailure: Another process answers, or it reports to be unsound.
         """
         if answer.header(TOKEN_HEADER) != self.token:
             raise ExchangeFailure(
--- a/src/willowpost/proxy/origin/io.py
+++ b/src/willowpost/proxy/origin/io.py
@@ -1,4 +1,4 @@
-"""The carrier's hands: connections over sockets, and waiting for another's flight."""
+"""Input and output of request tasks over real sockets: connections, tokens, waiting."""
 
 from gevent.event import AsyncResult
 
@@ -9,7 +9,13 @@
 
 
 class SocketIo:
-    """Invariant: a connection goes back to the pool only after a whole answer that ended cleanly."""
+    """Opens and returns connections; a pooled connection ended its last response cleanly.
+
+    Args:
+        pool: The idle connections.
+        want: Puts an event made from a ticket to the control node and waits so many seconds for its
+            reply; None on timeout.
+    """
 
     waiter = AsyncResult
 
@@ -18,17 +24,30 @@
         self.want = want  # (make event from a ticket, seconds) -> its answer, or None
 
     def token(self, service: str, origin: str) -> bool:
+        """Asks the owner of the service's quota for an admission token; False if none comes."""
         return bool(
             self.want(lambda ticket: AdmissionTokenWanted(ticket, service, origin), TOKEN_SECONDS)
         )
 
     def room(self, owner: str, most: int | None) -> bool:
-        """May a request to this owner have a connection, within `most` open ones?"""
+        """Whether a request to this owner may have a connection, with at most `most` open."""
         return most is None or self.pool.open(owner) < most or bool(self.pool.idle.get(owner))
 
     def open(
         self, owner: str, address: str, reuse: bool, most: int | None = None, seconds: float = 1.0
     ) -> Exchange:
+        """A connection to the owner: an idle one if `reuse` allows, else a new one.
+
+        Args:
+            owner: Whom the connection belongs to in the pool.
+            address: Where to connect.
+            reuse: Whether an idle connection may be taken.
+            most: The most connections open to this owner, or None.
+            seconds: How long connecting may take.
+
+        Raises:
+            ExchangeFailure: No connection could be made; nothing was sent.
+        """
         connection = self.pool.take(owner) if reuse else None
         if connection is None and most is not None and self.pool.open(owner) >= most:
             self.pool.room(owner)
@@ -43,6 +62,10 @@
         return exchange
 
     def finish(self, owner: str, exchange: Exchange, reuse: bool, answer) -> None:
+        """Ends the use of a connection: it goes back to the pool or is closed.
+
+        A connection whose response is still being streamed stays open; the stream closes it.
+        """
         self.pool.ended(owner)
         if answer is None or (answer.rest is None and not (reuse and exchange.reusable)):
             exchange.close()
--- a/src/willowpost/proxy/origin/pick.py
+++ b/src/willowpost/proxy/origin/pick.py
@@ -1,6 +1,6 @@
-"""Draws the origin for a try: the one that will likely answer first, of those in force.
+"""Picks the origin for a try: of those in force the one likely to answer first.
 
-The own zone before others.
+Origins in the proxy's own zone are preferred.
 """
 
 import random
@@ -28,11 +28,17 @@
 
 
 class OriginPicker:
-    """Invariants: draws only origins of the snapshot in hand.
+    """Ranks origins by expected response time, load and distance.
 
-    One that just broke down is picked last, and a cold one after all that are not. What origins
-    report can only make one weigh more, up to BUSIER_MOST, never less than one that reports
-    nothing: who says 'idle' draws no herd, and who lies harms itself at most.
+    An origin that just failed is ranked last, and a cold one after all others that are sound. The
+    load in an origin's heartbeats can only lower its rank, by a factor of at most BUSIER_MOST: an
+    origin that reports too little load gains nothing over one that reports none.
+
+    Args:
+        zone: The proxy's zone.
+        chance: The source of random numbers.
+        reports: Gives origin to (reported load, when in µs).
+        regions: Zone to region.
     """
 
     def __init__(self, zone: str, chance=random, reports=dict, regions=None):
@@ -50,9 +56,14 @@
         self.ticket = 0
 
     def pick(self, origins, zones, tried, now: int, heavy: bool = False) -> list:
-        """Candidates, best first.
-
-        `zones`: whose origins may serve; None: all. `heavy`: large answers are to be expected.
+        """The origins that may be tried, best first.
+
+        Args:
+            origins: The origins in force.
+            zones: Zones whose origins may serve; None for all.
+            tried: Names of origins already tried for this request.
+            now: This process's clock, in µs.
+            heavy: Whether large responses are to be expected.
         """
         allowed = [
             origin
@@ -76,12 +87,14 @@
         )
 
     def began(self, name: str, now: int = 0) -> int:
+        """Counts a request under way to an origin and returns its ticket for ended()."""
         self.load[name] = self.load.get(name, 0) + 1
         self.ticket += 1
         self.waiting.setdefault(name, {})[self.ticket] = now
         return self.ticket
 
     def ended(self, name: str, ticket: int = 0) -> None:
+        """Ends the count of a request, whatever its result."""
         left = self.load.get(name, 1) - 1
         if left:
             self.load[name] = left
@@ -90,7 +103,14 @@
         self.waiting.get(name, {}).pop(ticket, None)
 
     def answered(self, name: str, took: int, said: str | None, now: int) -> None:
-        """An answer came after `took` µs; `said`: running, waiting, slots, joined by commas."""
+        """Records a response.
+
+        Args:
+            name: The origin.
+            took: Duration of the exchange, in µs.
+            said: The origin's load header: running, waiting and slots, joined by commas; or None.
+            now: This process's clock, in µs.
+        """
         held = self.usual.get(name)
         self.usual[name] = took if held is None else held + SMOOTH * (took - held)
         self.answered_at[name] = now
@@ -100,16 +120,18 @@
             self.answers[name] = (running + queued, slots, self.load.get(name, 0), now)
 
     def eject(self, name: str, now: int, span: int = EJECT_SPAN) -> None:
+        """Ranks an origin last for `span` µs from now."""
         self.ejected = {held: until for held, until in self.ejected.items() if until > now}
         self.ejected[name] = now + span
 
     def keep_only(self, names) -> None:
+        """Forgets the measurements of all origins but these."""
         for held in (self.usual, self.answers, self.waiting, self.answered_at):
             for name in [name for name in held if name not in names]:
                 del held[name]
 
     def _silent(self, name, now):
-        """It owes an answer for long, and has answered nothing since that was asked."""
+        """Whether it owes a response for long and has answered nothing sent later."""
         oldest = min(self.waiting.get(name, {}).values(), default=now)
         return (
             now - oldest > max(SILENT_AFTER, SILENT_TIMES * self.usual.get(name, USUAL))
@@ -117,9 +139,9 @@
         )
 
     def _busier(self, origins, now):
-        """How much busier than the middle one each says it is, for what it bears.
+        """How many times busier than the median each origin reports to be, at least 1.
 
-        Stale reports do not count.
+        Load is relative to the origin's rate. Reports older than REPORT_SPAN do not count.
         """
         told = {
             origin.name: (held[0] + FEW) / origin.rate
@@ -138,9 +160,9 @@
         return 1.0 if zone == self.zone else (OTHER_ZONE if same else OTHER_REGION)[heavy]
 
     def _likely(self, name, quickest, now):
-        """What an answer takes, µs.
+        """The expected response time, in µs.
 
-        One that was slow is taken for less so as time goes by without asking it: it may have
+        It returns to the quickest origin's while the origin is not asked, since it may have
         recovered.
         """
         held = self.usual.get(name, quickest)
@@ -149,9 +171,10 @@
         )
 
     def _weight(self, origin, quickest, now, heavy):
-        """One that has not answered yet is taken for as quick as the quickest: else.
+        """The cost of choosing an origin; the least is best.
 
-        Where all are quick, it is never asked.
+        An origin that has not answered yet counts as quick as the quickest, or it would never be
+        tried where all others are quick.
         """
         far = self._far(origin.zone, heavy)
         own = self.load.get(origin.name, 0)
--- a/src/willowpost/proxy/origin/pool.py
+++ b/src/willowpost/proxy/origin/pool.py
@@ -1,7 +1,4 @@
-"""Connections, each belonging to one incarnation of one origin (or one shield): idle ones.
-
-And how many are open.
-"""
+"""Idle connections to origins and shields, and the number of open ones, by owner."""
 
 import re
 from collections import deque
@@ -16,7 +13,7 @@
 
 
 def idle_span(keep: str | None) -> int:
-    """How long an idle connection may be used again, by what its other side says (whole seconds)."""
+    """How long an idle connection may be reused, in µs, by the other side's Keep-Alive header."""
     said = TIMEOUT.search(keep or "")
     return (
         IDLE_SPAN if said is None else min(IDLE_SPAN, max(0, int(said[1]) * SECOND - KEEP_MARGIN))
@@ -24,7 +21,10 @@
 
 
 def quiet(connection) -> bool:
-    """Nothing has come on it, not even its end: what comes unasked belongs to no request."""
+    """Whether nothing has arrived on an idle connection, not even its end.
+
+    Data that arrives unasked belongs to no request, so such a connection is not reused.
+    """
     try:
         connection._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
@@ -35,9 +35,10 @@
 
 
 class ConnectionPool:
-    """Invariants: a connection is only ever used for the owner it was opened for.
+    """A pool that uses a connection only for the owner it was opened for.
 
-    Owners out of force hold none; `open` counts those under way and idle, by owner.
+    An owner is one incarnation of one origin, or one shield. Owners out of force hold no idle
+    connections.
     """
 
     def __init__(self, clock):
@@ -46,12 +47,15 @@
         self.busy: dict[str, int] = {}
 
     def open(self, owner: str) -> int:
+        """The number of connections of this owner, in use and idle."""
         return self.busy.get(owner, 0) + len(self.idle.get(owner, ()))
 
     def began(self, owner: str) -> None:
+        """Counts a connection of this owner as in use."""
         self.busy[owner] = self.busy.get(owner, 0) + 1
 
     def ended(self, owner: str) -> None:
+        """Ends the count of a connection in use."""
         left = self.busy.get(owner, 1) - 1
         if left:
             self.busy[owner] = left
@@ -59,6 +63,7 @@
             self.busy.pop(owner, None)
 
     def take(self, owner: str):
+        """An idle connection that can still be used, the newest first, or None."""
         held = self.idle.get(owner)
         while held:
             connection, until = held.pop()
@@ -68,18 +73,26 @@
         return None
 
     def room(self, owner: str) -> None:
-        """One idle connection less, so that a fresh one stays within the cap."""
+        """Closes the owner's oldest idle connection, to make room for a new one."""
         held = self.idle.get(owner)
         if held:
             held.popleft()[0].close()
 
     def give(self, owner: str, connection, keep: str | None = None) -> None:
+        """Keeps a connection for reuse.
+
+        Args:
+            owner: Whom it belongs to.
+            connection: The connection.
+            keep: The other side's Keep-Alive header, or None.
+        """
         held = self.idle.setdefault(owner, deque())
         held.append((connection, self.clock.now() + idle_span(keep)))
         while len(held) > IDLE_MOST:
             held.popleft()[0].close()
 
     def keep_only(self, owners) -> None:
+        """Closes idle connections that have expired or belong to other owners."""
         now = self.clock.now()
         for owner in list(self.idle):
             held = self.idle[owner]
--- a/src/willowpost/proxy/origin/reading.py
+++ b/src/willowpost/proxy/origin/reading.py
@@ -1,13 +1,17 @@
-"""Reads one answer from a socket, by geventhttpclient's parser, and knows what came after it."""
+"""Parses one response with geventhttpclient's parser and notes bytes that follow it."""
 
 from willowpost.shell.parsing import HTTPParseError, HTTPResponseParser
 
 
 class AnswerParser(HTTPResponseParser):
-    """Invariants.
+    """Parses the first final response; interim ones (1xx) are skipped.
 
-    `headers` and `body` are of the one answer that ends first (interim ones are passed over);
-    `more` says that bytes came behind it, which belong to no request.
+    Attributes:
+        blocks: The body's pieces that were received and not taken yet.
+        size: Bytes of body received so far.
+        headed: Whether the final head is complete.
+        complete: Whether the response is complete.
+        more: Whether bytes came behind the response; they belong to no request.
     """
 
     def __init__(self, method: str):
@@ -22,7 +26,11 @@
         self.name, self.value = None, None
 
     def eat(self, data: bytes) -> None:
-        """Bytes from the socket, b"" at its end; raises HTTPParseError on what is no answer."""
+        """Parses bytes from the socket; empty at its end.
+
+        Raises:
+            HTTPParseError: They are no response.
+        """
         try:
             self.feed(data)
         except HTTPParseError:
--- a/src/willowpost/proxy/origin/reports.py
+++ b/src/willowpost/proxy/origin/reports.py
@@ -1,4 +1,4 @@
-"""What origins say of their load, as their beats bring it by way of the registries. Soft state."""
+"""The load that origins report in their heartbeats. Soft state."""
 
 from willowpost.common.clock import SECOND
 from willowpost.common.events import Received
@@ -12,10 +12,10 @@
 
 
 class Reports:
-    """Invariant: `board.reports` and `board.cold` hold only origins that the tables know.
+    """Keeps `node_state.reports` and `node_state.cold` by the heartbeats of known origins.
 
-    Each with its smoothed load and when it was last told, and with when its last beat came and
-    until when it is cold by that.
+    `reports` has an origin's smoothed load and when it was reported; `cold` has when its last
+    heartbeat came and until when the origin calls itself cold.
     """
 
     def __init__(self, node_state: ProxyState):
@@ -23,6 +23,7 @@
         self.numbers: dict[str, int] = {}
 
     def step(self, event, now: int) -> Plan:
+        """Takes an origin's heartbeat, unless it is older than the last; `now` is in µs."""
         match event:
             case Received(_, Beat() as beat) if (
                 beat.origin in self.node_state.tables.origins
--- a/src/willowpost/proxy/routing/carrier.py
+++ b/src/willowpost/proxy/routing/carrier.py
@@ -12,7 +12,7 @@
 
 
 class Carrier:
-    """Invariant: nothing kept is delivered without a lease that holds at that moment."""
+    """Carries out plans; a stored response is sent only under a lease that holds at that moment."""
 
     def __init__(self, node_state, cache, clock, tries: Tries, stats):
         self.node_state, self.clock, self.stats = node_state, clock, stats
@@ -27,6 +27,16 @@
         }
 
     def carry(self, request: Request, plan, body: bytes = b"") -> Outcome:
+        """The outcome of a plan that the planner made for this request.
+
+        Args:
+            request: The request.
+            plan: A RejectPlan, CachePlan, FetchPlan or WritePlan.
+            body: The request's body.
+
+        Raises:
+            Rejected: The caller gets an error reply.
+        """
         outcome = self.kinds[type(plan)](request, plan, body)
         # the body may have come slowly, a flight may have been long, or we froze: what was kept
         # must still be good
--- a/src/willowpost/proxy/routing/headers.py
+++ b/src/willowpost/proxy/routing/headers.py
@@ -1,4 +1,4 @@
-"""What goes from one side to the other, and what ends at a hop."""
+"""Which headers pass from one side of the proxy to the other, and which end here."""
 
 HOP = {
     "connection",
@@ -18,9 +18,11 @@
 
 
 def end_to_end(headers, kept=frozenset()) -> list[tuple[str, str]]:
-    """Invariant: no header that speaks of one connection.
+    """The headers without those of one connection and without the proxy's own.
 
-    Nor one of our own (but the words in `kept`), passes through.
+    Args:
+        headers: (lower-case name, value) pairs.
+        kept: Names of the proxy's own headers that pass nevertheless.
     """
     pairs = list(headers)
     named = {
@@ -48,7 +50,20 @@
     incarnation: str | None = None,
     whole: bool = False,
 ) -> list[tuple[str, str]]:
-    """`whole`: the whole object is asked for, whatever part of it the caller wants."""
+    """The headers of a request to an origin or a shield.
+
+    Args:
+        request: The caller's request.
+        address: Where it is sent.
+        hop: The sending proxy's id if it is sent to a shield, else None.
+        slot: The log slot that the sending proxy has reached; sent to a shield only.
+        entry: A stored response to be revalidated, or None.
+        extra: Whether an earlier try may have reached an origin; sent to a shield only.
+        words: Header names shared with origins; None leaves these headers out.
+        left: How long the caller still waits, in µs, or None.
+        incarnation: The incarnation that the request is meant for, or None.
+        whole: Whether to ask for the whole object, whatever range the caller wants.
+    """
     drop = {
         "host",
         *(CONDITIONS if entry is not None or whole else ()),
--- a/src/willowpost/proxy/routing/keeper.py
+++ b/src/willowpost/proxy/routing/keeper.py
@@ -1,4 +1,4 @@
-"""Swaps the snapshot when the tables moved, and lets the cache hear of purges first."""
+"""Renews the routing snapshot and what depends on it when the tables have changed."""
 
 from willowpost.common.plan import Plan
 from willowpost.proxy.proxy_state import WARMED_UP_AFTER, ProxyState
@@ -6,7 +6,7 @@
 
 
 class SnapshotKeeper:
-    """Invariant: no request sees a snapshot whose purges the cache has not yet carried out."""
+    """Swaps the snapshot only after the cache has carried out the purges in the same tables."""
 
     def __init__(self, node_state: ProxyState, cache):
         self.node_state = node_state
@@ -14,6 +14,7 @@
         self.maker = SnapshotMaker()
 
     def step(self, event, now: int) -> Plan:
+        """Takes over changed tables after any event; `now` is in µs."""
         node_state, plan = self.node_state, Plan()
         tables = node_state.tables
         if tables.slot == node_state.snapshot.slot:
--- a/src/willowpost/proxy/routing/outcome.py
+++ b/src/willowpost/proxy/routing/outcome.py
@@ -1,4 +1,4 @@
-"""What a carried-out plan comes to."""
+"""The result of carrying out a plan."""
 
 from dataclasses import dataclass
 
@@ -7,7 +7,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """Invariant: `answer` is whole, or streams and aborts if it turns out not to be."""
+    """A response for the caller.
+
+    Attributes:
+        answer: The response; a streamed body breaks off if it turns out to be incomplete.
+        source: hit, miss or pass, for the caller's information.
+        age: The response's age in µs, or None if it is not told.
+        slot: The least log slot known to any daemon that the fetch passed when it began.
+    """
 
     answer: WholeAnswer
     source: str  # hit | miss | pass
--- a/src/willowpost/proxy/routing/planner.py
+++ b/src/willowpost/proxy/routing/planner.py
@@ -1,4 +1,4 @@
-"""Makes the plan of a request: way, lease, cache, and where to fetch. Does nothing itself."""
+"""Plans a request by lease, route and cache; it changes no state."""
 
 from willowpost.common.rendezvous import Rendezvous
 from willowpost.proxy.cache.ranges import one_range
@@ -18,7 +18,14 @@
 
 
 class RequestPlanner:
-    """Invariant: the plan depends on the request, the board and the cache as they are now."""
+    """Plans requests by the node state and the cache as they are now.
+
+    Args:
+        node_state: The proxy's shared state.
+        cache: The stored responses.
+        clock: This process's clock.
+        regions: Zone to region.
+    """
 
     def __init__(self, node_state, cache, clock, regions=None):
         self.node_state = node_state
@@ -28,6 +35,7 @@
         self.services = ServicePicker()
 
     def plan(self, request: Request):
+        """A RejectPlan, WritePlan, CachePlan or FetchPlan for the request."""
         node_state, now = self.node_state, self.clock.now()
         if not node_state.leased(now):
             return RejectPlan(503, "no fresh state updates from the core", 2)
--- a/src/willowpost/proxy/routing/reads.py
+++ b/src/willowpost/proxy/routing/reads.py
@@ -1,7 +1,4 @@
-"""Reads: joined when they are equal, tried elsewhere within the budget.
-
-And kept when the answer may be.
-"""
+"""Repeatable requests: equal ones share a fetch, failed tries are repeated within the budget."""
 
 from dataclasses import dataclass
 
@@ -21,10 +18,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Landed:
-    """What a fetch that others may have joined came to.
+    """The result of a fetch for the requests that joined it; with neither, each fetches for itself.
 
-    `entry`: the answer, if it may be shared. `reject`: the final refusal. With neither, whoever
-    joined fetches for itself.
+    Attributes:
+        entry: The response, if it may be shared.
+        reject: The final refusal.
     """
 
     entry: Entry | None = None
@@ -33,14 +31,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Flight:
-    """A fetch under way that equal reads may join; `waiter` gives a Landed to all of them."""
+    """A fetch under way that equal requests may join.
+
+    Attributes:
+        waiter: Gives a Landed to all who wait.
+        slot: The log slot of the plan that began it.
+    """
 
     waiter: object
     slot: int
 
 
 class Reads:
-    """Invariant: only shareable answers are shared, and none that a known purge beats."""
+    """Fetches for repeatable requests; shares only shareable responses that no known purge hits."""
 
     def __init__(self, cache, clock, tries: Tries, stats):
         self.cache, self.clock, self.tries, self.stats = cache, clock, tries, stats
@@ -48,6 +51,11 @@
         self.flights: dict[tuple, Flight] = {}  # (method, host, target) -> fetch under way
 
     def carry(self, request, plan, body: bytes = b"") -> Outcome:
+        """Fetches a response, by joining an equal fetch under way if that is possible.
+
+        Raises:
+            Rejected: No try gave a response in time, or none could be made.
+        """
         if not plan.cacheable or "authorization" in request.headers or "cookie" in request.headers:
             return self._fetch_alone(request, plan, body)[0]
         key = (request.method, request.host, request.target)
@@ -71,13 +79,17 @@
                 del self.flights[key]
 
     def _may_join(self, flight, request, plan):
-        """Not one begun before a purge that hits it, nor one asked for under other conditions."""
+        """Whether no purge has hit the flight since it began, and the request asks for the same."""
         return not self.cache.purged_since(flight.slot, request.host, request.target) and (
             plan.whole or "range" not in request.headers
         )
 
     def _join(self, flight, request, plan, body):
-        """Waits for another's fetch, but no longer than this caller would wait."""
+        """Waits for another request's fetch, at most until this request's own deadline.
+
+        Raises:
+            Rejected: The deadline passed, or the fetch was refused.
+        """
         self.stats["collapsed"] += 1
         now = self.clock.now()
         deadline = request.deadline(plan.route, now)
@@ -102,7 +114,10 @@
         return self._fetch_alone(request, plan, b"")[0]
 
     def _joined_reject(self, reject, deadline, request, plan, body):
-        """A promise holds for all; a failure may be due to the other caller's deadline or tries."""
+        """Repeats a refusal that holds for all who joined, else fetches anew.
+
+        Another failure may come from the other request's own deadline or tries.
+        """
         if reject.code == NOT_RUN_CODE or self.clock.now() >= deadline:
             raise Rejected(reject.code, reject.reason, reject.after, reject.outcome)
         return self.carry(request, plan, body)
--- a/src/willowpost/proxy/routing/request.py
+++ b/src/willowpost/proxy/routing/request.py
@@ -1,4 +1,4 @@
-"""A request as data, and the plan made for it before anything is done."""
+"""A request as data, and the plans that can be made for it."""
 
 from dataclasses import dataclass
 
@@ -10,9 +10,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """`received` is when its head was whole (own clock, µs).
-
-    `left` how long the caller waited from then on, if it said.
+    """A caller's request.
+
+    Attributes:
+        method: The HTTP method.
+        host: Lower case, without port.
+        target: Path and query.
+        headers: Lower-case name to value.
+        hop: Whether an edge sent it to this shield.
+        extra: Whether an earlier try may have reached an origin through another proxy.
+        name: The caller's id of this try, or None.
+        left: How long the caller waits from `received` on, in µs, or None if it did not say.
+        received: When the head was complete, by this process's clock, in µs.
     """
 
     method: str
@@ -28,21 +37,23 @@
 
     @property
     def path(self) -> str:
+        """The target without its query."""
         return self.target.partition("?")[0]
 
     @property
     def safe(self) -> bool:
+        """Whether the method is GET or HEAD."""
         return self.method in SAFE
 
     def deadline(self, route: Route, now: int) -> int:
-        """The earlier of what the caller and what the operator says."""
+        """The earlier of the caller's and the route's deadline, by this process's clock, in µs."""
         begun = self.received or now
         most = begun + route.deadline_ms * 1000
         return most if self.left is None else min(most, begun + self.left)
 
 
 def kind_of(route: Route, request: Request) -> str:
-    """A way that says no kind goes by the method, as HTTP has it."""
+    """ONCE, REPEATABLE or KEPT; by the method if the route does not say."""
     if route.kind is None:
         return KEPT if request.safe else ONCE
     return REPEATABLE if route.kind == KEPT and not request.safe else route.kind
@@ -50,7 +61,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RejectPlan:
-    """Invariant: nothing of the request has left, so its outcome is not-run."""
+    """Refuse the request; nothing of it was sent.
+
+    Attributes:
+        code: The status.
+        reason: For the caller and the counters.
+        after: Seconds for Retry-After; 0 for none.
+    """
 
     code: int
     reason: str
@@ -59,13 +76,32 @@
 
 @dataclass(frozen=True, slots=True)
 class CachePlan:
+    """Answer from the cache.
+
+    Attributes:
+        entry: The stored response.
+        part: The range that the caller wants of it, (first, last or None), or None for all.
+    """
+
     entry: object
     part: tuple | None = None  # the range that the caller wants of it
 
 
 @dataclass(frozen=True, slots=True)
 class FetchPlan:
-    """Invariant: only of a repeatable request; `entry` is a stale one to be revalidated."""
+    """Fetch a response to a repeatable request.
+
+    Attributes:
+        route: The route it matched.
+        slot: The log slot of the snapshot it was planned by.
+        cacheable: Whether the response may be stored and shared.
+        shields: (name, address) of the shields to try, best first.
+        entry: A stale stored response to be revalidated, or None.
+        tries: How many tries may be made.
+        service: The service to send it to.
+        whole: Whether to ask for the whole object, whatever range the caller wants.
+        part: The range to cut from the whole response, or None.
+    """
 
     route: Route
     slot: int
@@ -81,7 +117,15 @@
 
 @dataclass(frozen=True, slots=True)
 class WritePlan:
-    """For what may run once."""
+    """Send a request that may run only once.
+
+    Attributes:
+        route: The route it matched.
+        slot: The log slot of the snapshot it was planned by.
+        tries: How many tries may be made.
+        entry: Always None; tries read this field of every plan.
+        service: The service to send it to.
+    """
 
     route: Route
     slot: int
--- a/src/willowpost/proxy/routing/settling.py
+++ b/src/willowpost/proxy/routing/settling.py
@@ -1,4 +1,4 @@
-"""What an origin's or a shield's answer to a read becomes: an outcome, and a copy if it may be kept."""
+"""Turns the response to a repeatable request into an outcome, and stores it if the rules allow."""
 
 from willowpost.proxy.cache.store import Entry
 from willowpost.proxy.cache.storing import StoringRules, first_age, whole
@@ -15,7 +15,7 @@
 
 
 def unasked(answer: WholeAnswer, request, plan) -> bool:
-    """Whether this is a 304 that confirms no condition that was sent: our copy's, or the caller's."""
+    """Whether this is a 304 that confirms no condition sent, be it the proxy's or the caller's."""
     if answer.status != NOT_MODIFIED:
         return False
     if plan.entry is None:
@@ -27,16 +27,20 @@
 
 
 class Settling:
-    """Invariant: a copy is kept only of a whole answer that the rules let be shared."""
+    """Turns responses into outcomes; stores complete ones that the rules allow to be shared."""
 
     def __init__(self, cache, clock, tries):
         self.cache, self.clock, self.tries = cache, clock, tries
         self.rules = StoringRules()
 
     def settle(self, request, plan, answer: WholeAnswer, begun: int):
-        """(outcome, entry): the entry is None if the answer may not be shared.
+        """The outcome of a response and its stored entry; None if it may not be shared.
 
-        `begun`: when the fetch began (own clock, µs).
+        Args:
+            request: The request.
+            plan: Its FetchPlan.
+            answer: The response.
+            begun: When the fetch began, by this process's clock, in µs.
         """
         age = first_age(answer.lowered(), self.clock.now() - begun)
         headers = self._headers(answer)
@@ -67,7 +71,7 @@
         return Outcome(passed, "miss", age, slot), entry if storing.lifetime > age else None
 
     def _renewed(self, request, plan, answer, headers, age):
-        """The held copy, confirmed by a 304."""
+        """The outcome of a 304: the stored response with its headers brought up to date."""
         held = plan.entry
         said = {**dict(held.headers), **dict(headers)}
         keep_seconds = plan.route.keep_seconds
@@ -97,7 +101,7 @@
         return tuple(pair for pair in passed if pair[0] not in dropped)
 
     def _asked(self, request, plan):
-        """A whole object asked for in place of a part is kept as if nobody had named a part."""
+        """The request's headers, without Range if the whole object was asked for."""
         if not plan.whole:
             return request.headers
         return {name: value for name, value in request.headers.items() if name != "range"}
@@ -115,7 +119,7 @@
         return self.rules.judge(asked, answer.status, said, plan.route.keep_seconds)
 
     def _slot(self, plan, answer):
-        """The least slot known to any daemon on the way when the fetch began."""
+        """The least log slot known to any daemon that the fetch passed when it began."""
         told = answer.header("wp-slot")
         return min(plan.slot, whole(told)) if told else plan.slot
 
--- a/src/willowpost/proxy/routing/snapshot.py
+++ b/src/willowpost/proxy/routing/snapshot.py
@@ -1,6 +1,6 @@
-"""What the tables mean for requests: routes, services, origins in force, shields.
+"""What the replicated tables mean for requests: routes, services, origins in force, shields.
 
-Immutable, swapped whole.
+A snapshot is immutable and replaced as a whole.
 """
 
 from collections import Counter
@@ -18,7 +18,19 @@
 
 @dataclass(frozen=True, slots=True)
 class OriginCard:
-    """`token`: the life; `slots`: what it works on at once, 0 if it has not said."""
+    """An origin in force.
+
+    Attributes:
+        name: Its id.
+        address: Where it listens.
+        zone: Its zone.
+        rate: Requests a second that it bears.
+        cold_rate: Requests a second that it bears when it has just started.
+        cold: Whether the tables have it as cold.
+        instance_check: How to check its identity on a fresh connection, or None.
+        token: Names its incarnation; None if it gave none.
+        slots: How many requests it works on at once; 0 if it has not said.
+    """
 
     name: str
     address: str
@@ -33,13 +45,21 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceCard:
-    """Invariant.
-
-    `rate` is the lesser of the operator's allowance and what the origins in force bear together.
-
-    `told`: its origins say themselves how long they are cold; `named`: they honour the life a
-    request names; `sealed`: no success without a seal; `connections`: most open ones to one origin,
-    over all proxies.
+    """A service and its origins in force.
+
+    Attributes:
+        rate: Requests a second: the lesser of the operator's limit and what its origins bear
+            together.
+        ramp_seconds: How long a cold origin takes to bear its full rate.
+        senders: Proxies that send to it: shields if it has routes through them, edges if it has
+            others.
+        parts: Sender to its part of the base quota; they add up to 1.
+        origins: The origins in force.
+        told: Whether its origins say themselves how long they are cold.
+        named: Whether its origins check the incarnation that a request names.
+        sealed: Whether a success without a seal counts as a failure.
+        connections: The most connections open to one origin over all proxies, or None.
+        borne: Whether `rate` is what its origins bear; unused quota is then not spent in a burst.
     """
 
     rate: float = 0.0
@@ -61,7 +81,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutingSnapshot:
-    """Invariant: holds only origins in force, of zones that are not emptied."""
+    """The routing data of one log slot; it holds only origins in force in zones not evacuated.
+
+    Attributes:
+        slot: The log slot of the tables.
+        version: The configuration's version.
+        routes: The routes, by host and path.
+        services: Name to ServiceCard.
+        origins: Names of all origins in force.
+        shields: Id to HTTP address.
+        limits: The configuration's limits, by name.
+    """
 
     slot: int = 0
     version: int = 0
@@ -74,24 +104,22 @@
 
 
 def base_quota_parts(senders, zones) -> MappingProxyType:
-    """Each zone's senders have as much together as any other zone's: callers come by zone.
+    """Each sender's part of a service's rate.
 
-    And go to who is left in theirs.
+    Zones have equal parts, since callers come by zone, and a zone's senders share its part equally.
     """
     counts = Counter(zones[name] for name in senders)
     return MappingProxyType({name: 1 / len(counts) / counts[zones[name]] for name in senders})
 
 
 class SnapshotMaker:
-    """Invariant: make() depends on the tables alone.
-
-    The routes are made anew only with a new configuration.
-    """
+    """Makes snapshots from the tables alone; routes are made anew only with a new configuration."""
 
     def __init__(self):
         self.held = (None, RouteTable(()), (), {}, {})
 
     def make(self, tables: Tables) -> RoutingSnapshot:
+        """The snapshot of these tables."""
         if self.held[0] is not tables.configuration:
             tree = tables.configuration["tree"]
             routes = routes_of(tree) if tree else ()
@@ -148,7 +176,7 @@
         )
 
     def _pressed(self, routes):
-        """Services that are asked through shields, and those that edges ask themselves."""
+        """The services reached through shields, and those that edges reach themselves."""
         through = {
             service
             for route in routes
--- a/src/willowpost/proxy/routing/split.py
+++ b/src/willowpost/proxy/routing/split.py
@@ -1,4 +1,4 @@
-"""Which service of a split way a request goes to: by the operator's weights, anew for each request."""
+"""Picks the service of a route split over several ones, by the operator's weights."""
 
 import random
 
@@ -6,12 +6,13 @@
 
 
 class ServicePicker:
-    """Invariant: a service of weight 0 is never picked."""
+    """Picks anew for each request; a service of weight 0 is never picked."""
 
     def __init__(self, chance=random):
         self.chance = chance
 
     def pick(self, route: Route) -> str:
+        """The name of the service for one request on this route."""
         if not route.split:
             return route.service
         services = [service for service, weight in route.split if weight > 0]
--- a/src/willowpost/proxy/routing/tries.py
+++ b/src/willowpost/proxy/routing/tries.py
@@ -1,7 +1,4 @@
-"""One try of a request: toward a shield, or toward an origin that is picked.
-
-Let in and charged for.
-"""
+"""One try of a request: to a shield, or to an origin that is picked, admitted and charged for."""
 
 from dataclasses import dataclass, field
 
@@ -29,7 +26,14 @@
 
 
 class Rejected(Exception):
-    """Given up: the caller gets its final answer at once."""
+    """A request is given up; the caller gets its final reply at once.
+
+    Attributes:
+        code: The status.
+        reason: For the caller and the counters.
+        after: Seconds for Retry-After; 0 for none.
+        outcome: not-run if the request never ran and never will, else unknown.
+    """
 
     def __init__(self, code: int, reason: str, after: float = 1, outcome: str = "not-run"):
         super().__init__(reason)
@@ -38,10 +42,12 @@
 
 @dataclass(slots=True)
 class Trace:
-    """What became of one request so far.
+    """What has been tried for one request.
 
-    Invariant: `pressed` is False only if no byte of it can have reached an origin, here or by way
-    of a hop before or behind us; from then on each try is an extra one.
+    Attributes:
+        pressed: False only if no byte of the request can have reached an origin, from here or
+            through another proxy. Once it is True, each further try counts as an extra one.
+        tried: Names of the origins tried.
     """
 
     pressed: bool = False
@@ -49,10 +55,22 @@
 
 
 class Tries:
-    """Invariants: an answer comes from an origin of the snapshot in force when the request left.
+    """Makes single tries.
 
-    And to this very request; every extra try is charged once, by the proxy that sends it to an
-    origin.
+    A response comes from an origin that was in force when the request was sent. Each extra try is
+    charged once, by the proxy that sends it to an origin.
+
+    Args:
+        node_state: The proxy's shared state.
+        clock: This process's clock.
+        allowance: Admission by the services' rates.
+        ramp: Admission to cold origins.
+        budget: The budget of extra tries.
+        pick: Ranks the origins.
+        io: Opens connections and asks for admission tokens.
+        stats: Counters by name.
+        words: Header names shared with callers and origins.
+        regions: Zone to region.
     """
 
     def __init__(
@@ -78,6 +96,20 @@
     def shield(
         self, request: Request, plan, name: str, address: str, deadline: int, trace: Trace
     ) -> WholeAnswer:
+        """Sends the request to a shield.
+
+        Args:
+            request: The request.
+            plan: Its FetchPlan.
+            name: The shield's id.
+            address: Its HTTP address.
+            deadline: When to give up, by this process's clock, in µs.
+            trace: What has been tried; updated.
+
+        Raises:
+            ExchangeFailure: No valid response came.
+            Rejected: The proxy has no lease any more.
+        """
         headers = toward(
             request, address, self.node_state.card.id, plan.slot, plan.entry, trace.pressed
         )
@@ -104,6 +136,21 @@
     def origin(
         self, request: Request, plan, body: bytes, deadline: int, trace: Trace, whole: bool = False
     ) -> WholeAnswer:
+        """Picks an origin, is admitted to it and sends the request.
+
+        Args:
+            request: The request.
+            plan: Its FetchPlan or WritePlan.
+            body: The request's body.
+            deadline: When to give up, by this process's clock, in µs.
+            trace: What has been tried; updated.
+            whole: Whether to ask for the whole object, whatever range the caller wants.
+
+        Raises:
+            ExchangeFailure: No valid response came, or the origin said that it has not run the
+                request.
+            Rejected: No origin may be tried now, or the proxy has no lease any more.
+        """
         chosen_origin, service = self._pick(plan, trace)
         trace.tried.add(chosen_origin.name)
         begun = self.clock.now()
@@ -154,7 +201,7 @@
             self.origins.ended(chosen_origin.name, ticket)
 
     def _with_id(self, request, headers):
-        """A shield echoes the caller's id, as origins do: an answer to another request shows."""
+        """Adds the caller's id, which a shield echoes as origins do, so that mix-ups show."""
         if request.name is None:
             return headers
         word = self.words.request
@@ -170,7 +217,11 @@
         return deadline - now if request.left is not None else None
 
     def _checked(self, answer, service):
-        """Invariant: what passes was the origin's own answer to a request that it may have run."""
+        """Passes a response of the right origin to a request that it may have run.
+
+        Raises:
+            ExchangeFailure: It comes from another process, is not sealed, or says that nothing ran.
+        """
         if answer.status == MISDIRECTED:
             raise ExchangeFailure(
                 "another life answers here", sent=True, ran=False, why=Why.INCARNATION
@@ -191,7 +242,7 @@
         )
 
     def _of_another(self, answer, service):
-        """Nothing more is asked where another incarnation, or no origin at all, answers."""
+        """Whether another incarnation answered, or something that is no origin at all."""
         return answer.status == MISDIRECTED or self._unsealed(answer, service)
 
     def _pick(self, plan, trace):
@@ -252,7 +303,7 @@
         return route.zones
 
     def _most(self, service):
-        """Our part of the connections that one origin of the service takes from all of us."""
+        """This proxy's part of the connections to one origin of the service; None for no limit."""
         return (
             None
             if service.connections is None
@@ -263,7 +314,11 @@
         return self.io.token(service, origin) if verdict is Let.ASK else verdict is Let.IN
 
     def _press(self, service, trace):
-        """Charged as late as can be: what does not leave costs nothing."""
+        """Charges a try, just before its first byte is sent.
+
+        Raises:
+            Rejected: It is an extra try and the budget has none left.
+        """
         if trace.pressed and not self.budget.let_in(self.clock.now(), service):
             raise Rejected(503, "no extra try left", 2 * SOON)
         self.stats["tries"] += 1
--- a/src/willowpost/proxy/routing/words.py
+++ b/src/willowpost/proxy/routing/words.py
@@ -1,20 +1,21 @@
-"""The header names that a proxy, its callers and its origins agree on.
-
-Whoever starts the daemon may hand in others.
-"""
+"""The names of headers shared by proxies, callers and origins; the platform may set others."""
 
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
 class Words:
-    """Invariant: all lower case.
+    """Header names, all in lower case.
 
-    request     the caller's id of one try; origins echo it left        milliseconds that the caller
-    still waits life        names the life of an origin that a request is meant for; every other
-    answers 421 and does not run it seal        of a sealed service's answers: a success without it
-    is none not_run      the origin says that it has not run the request and never will load
-    running, waiting, slots; joined by commas tags        tags of a stored answer, with spaces
+    Attributes:
+        request: The caller's id of one try; origins echo it.
+        left: Milliseconds that the caller still waits.
+        incarnation: Names the origin's incarnation that a request is meant for; any other answers
+            421 and does not run it.
+        seal: On responses of a sealed service: a success without it is no valid response.
+        not_run: The origin has not run the request and never will.
+        load: The origin's load: running, waiting and slots, joined by commas.
+        tags: Tags of a response for purges by tag, separated by spaces.
     """
 
     request: str = "wp-request"
@@ -26,6 +27,7 @@
     tags: str = "wp-tags"
 
     def names(self) -> frozenset:
+        """All names."""
         return frozenset(
             (
                 self.request,
--- a/src/willowpost/proxy/routing/writes.py
+++ b/src/willowpost/proxy/routing/writes.py
@@ -1,7 +1,4 @@
-"""What may run once: each try to another origin, on a fresh connection.
-
-And none once an origin may have run it.
-"""
+"""Requests that may run only once: each try goes to another origin, on a fresh connection."""
 
 from willowpost.proxy.origin.answer import WholeAnswer
 from willowpost.proxy.origin.failure import ExchangeFailure, Why
@@ -11,15 +8,21 @@
 
 
 class Writes:
-    """Invariant: a write runs at most once; `not-run`, and every status that promises it.
+    """Sends a request until an origin may have run it, and never again after that.
 
-    Is said only if it has not and never will.
+    An outcome of not-run, or a status that means the same, is given only if the request has not run
+    and never will.
     """
 
     def __init__(self, clock, tries: Tries):
         self.clock, self.tries = clock, tries
 
     def carry(self, request, plan, body: bytes) -> Outcome:
+        """The outcome of a request that may run only once.
+
+        Raises:
+            Rejected: With outcome unknown if an origin may have run it, else with not-run.
+        """
         deadline = request.deadline(plan.route, self.clock.now())
         trace, last = Trace(), None
         for attempt in range(plan.tries):
