--- a/src/willowpost/drill/history_size.py
+++ b/src/willowpost/drill/history_size.py
@@ -38,7 +38,7 @@
 
     @property
     def records(self) -> list[dict]:
-        """Read anew: what a restart finds."""
+        """The records that a restart finds, read anew from the folder."""
         self.disk = Disk(self.folder)
         return self.disk.load()
 
@@ -49,6 +49,7 @@
         self.disk.rotate(records)
 
     def write(self, plan, upto: int | None = None) -> None:
+        """Writes a plan's records; `upto` is ignored, since a write here is never cut off."""
         before = self.size() if plan.rotate is not None else 0
         if plan.rotate is not None:
             self.disk.rotate(plan.rotate + plan.records)
@@ -64,7 +65,20 @@
 
 @dataclass(frozen=True, slots=True)
 class HistoryFigures:
-    """Sizes in MB; `restart` in s of this machine's time; catch-up in s of the virtual clock."""
+    """The figures of one run.
+
+    Attributes:
+        changes: Changes of the configuration made.
+        routes: Routes of each configuration.
+        configuration: Size of one configuration, in MB.
+        disk: The most that the folder of one store ever held, in MB.
+        memory: The most that this process, with the simulator and all stores, has held so far, in
+            MB.
+        restart: Time to restart a voter from its disk, in seconds of this machine.
+        catch_up_old_disk: Time to catch up with the old disk, in seconds of the virtual clock.
+        catch_up_empty_disk: The same with an empty disk.
+        catch_up_processor: Processor time of all stores and the simulator meanwhile, in seconds.
+    """
 
     changes: int
     routes: int
@@ -103,7 +117,16 @@
 
 
 class HistoryMeasure:
-    """Invariant: the stores run the code of a fleet; only clock, network and processes are simulated."""
+    """One run of three stores with the code of a fleet.
+
+    Only the clock, the network and the processes are simulated.
+
+    Args:
+        changes: Changes of the configuration to make.
+        routes: Routes of each configuration.
+        folder: Where the stores' disks are.
+        seed: Decides all random choices.
+    """
 
     def __init__(self, changes: int, routes: int, folder: str, seed: int = 1):
         self.changes, self.routes, self.folder = changes, routes, folder
@@ -111,6 +134,11 @@
         self.world.checks.clear()  # the rules read each disk whole at each step
 
     def run(self) -> HistoryFigures:
+        """Makes the changes and measures restart and catch-up.
+
+        Raises:
+            TimeoutError: A step did not end in its span of the virtual clock.
+        """
         world = self.world
         self._add_stores()
         self._until(world.bootstrapped, ACCEPT_SECONDS)
@@ -157,14 +185,14 @@
         self.world.replies.clear()
 
     def _restart_voter(self) -> float:
-        """Seconds of this machine until a voter stands again as it was, from its disk alone."""
+        """Seconds of this machine until a voter has restarted from its own disk."""
         self.world.crash(VOTER)
         begun = time.perf_counter()
         self.world.start(VOTER)
         return time.perf_counter() - begun
 
     def _catch_up(self) -> tuple[float, float]:
-        """Virtual seconds until the one that was away holds all, and processor seconds meanwhile."""
+        """Virtual and processor seconds until the store that was away holds all decisions."""
         world = self.world
         world.start(AWAY)
         begun, processor = world.time, time.process_time()
@@ -180,19 +208,23 @@
 
 
 class HistorySizeCommand(Command):
+    """The command `history-size` of the drill."""
+
     name = "history-size"
     description = "Measures disk, memory, restart and catch-up of a store against its history."
     options = [
         option("changes", "c", "How many changes, with commas.", flag=False, default="100,1000"),
         option("routes", "r", "Routes of the configuration.", flag=False, default="300"),
     ]
-    help = """Runs three stores on a virtual clock with real disks under the folder for temporary files.
+    help = """Runs three stores on a virtual clock with real disks under the folder for \
+temporary files.
 Runs come in the order given, and memory is the most that the process held so far: give rising
 numbers of changes.
 
   <info>wpdrill history-size --changes 100,1000,10000 --routes 300</info>"""
 
     def handle(self) -> int:
+        """Runs the measure for each number of changes and prints a table; always returns 0."""
         self.line(HEADER)
         for changes in (int(number) for number in self.option("changes").split(",")):
             folder = tempfile.mkdtemp(prefix="wpdrill-history-")
--- a/src/willowpost/history/records.py
+++ b/src/willowpost/history/records.py
@@ -56,7 +56,8 @@
         outcome: Whether it took effect.
         version: The version that the answer names, if it names one.
         content: READ: digest of what was read, None if there is none.
-        changed: REPLACE: whether the answer says that it changed something; None if it does not say.
+        changed: REPLACE: whether the answer says that it changed something; None if it says
+            nothing.
         evacuated: EVACUATION_READ: whether the zone is evacuated.
     """
 
--- a/src/willowpost/history/registers.py
+++ b/src/willowpost/history/registers.py
@@ -28,7 +28,7 @@
     Attributes:
         version: Its number; 0 before the first one.
         content: Its digest; None before the first one.
-        accepted: Every (version, content) that was ever in force: a repeat may be acknowledged again.
+        accepted: Every (version, content) ever in force: a repeat may be acknowledged again.
         conditions: Every (condition, content) of a conditional put that took effect.
     """
 
--- a/src/willowpost/model/enabled.py
+++ b/src/willowpost/model/enabled.py
@@ -26,7 +26,7 @@
 
 
 class EnabledActions:
-    """Invariant: offers an action only if the scope's budget has one of its kind left."""
+    """Offers the actions possible in a state, each only while the scope's budget has one left."""
 
     def __init__(self, parts: Parts, steps: ProcessSteps) -> None:
         self.parts = parts
@@ -37,8 +37,9 @@
 
         Args:
             state: The state to go on from.
-            exact: Crashes during a write are offered for each count of records that the step writes,
-                which takes the step; else for a few counts, also where the step writes less.
+            exact: Whether crashes during a write are offered for each count of records that the
+                step writes, which takes the step; else they are offered for a few counts, also
+                where the step writes less.
         """
         for number in state.network:
             yield from self._on_message(state, number, exact)
@@ -64,7 +65,7 @@
                 yield CrashAfterSending(source, target, text)
 
     def _crash_points(self, process: int, number: int) -> range:
-        """After how many of its writes this step may end; none if it writes nothing."""
+        """After how many of its writes this step may end; empty if it writes nothing."""
         outcome = self.steps.outcome(process, number)
         writes = outcome.writes if isinstance(outcome, Outcome) else 0
         return range(writes + 1) if writes else range(0)
@@ -102,7 +103,7 @@
         )
 
     def bears_loss(self, state: SystemState, number: int) -> bool:
-        """Whether this disk may be lost within f of the voters in force."""
+        """Whether this disk may be lost with at most f disks of each core in force lost."""
         identity = self.parts.facts(state.disks[number]).identity
         left = [facts for facts in self.parts.disk_facts(state) if facts.identity != identity]
         return all(
--- a/src/willowpost/model/processes.py
+++ b/src/willowpost/model/processes.py
@@ -41,11 +41,12 @@
     held: tuple[str, ...]
 
     def __call__(self) -> list[str]:
+        """The addresses, nearest first."""
         return list(self.held)
 
 
 class ReaderNode:
-    """A follower that only its own quorum reads keep fresh, as a registry has it."""
+    """A process whose follower is kept fresh by its own quorum reads only, as in a registry."""
 
     def __init__(self, tables: Tables) -> None:
         card = Card(READER, "registry", "core", READER, "z", READER, "", incarnation_of(1))
@@ -54,7 +55,7 @@
         self.quorum_read = QuorumRead(self.node_state, self.follower)
 
     def step(self, event: Any, now: int) -> Plan:
-        """One event through the follower, then through the quorum read."""
+        """Passes one event through the follower, then through the quorum read."""
         plan = Plan()
         if not isinstance(event, Received | TickEvent):
             return plan
@@ -63,7 +64,7 @@
 
 
 def incarnation_of(life: int) -> int:
-    """The incarnation of a machine's first, second, ... process; lives count from 1."""
+    """The incarnation of a machine's first, second, ... process; `life` counts from 1."""
     return life * _INCARNATION_STEP
 
 
@@ -78,12 +79,12 @@
 
 
 def empty_disk(machine: Machine, disks_lost: int) -> list[Record]:
-    """What a store writes to an empty folder before it says anything."""
+    """The records that a store writes to an empty folder before it sends anything."""
     return [{**identity_record(member_of(machine, disks_lost)), "may_bootstrap": False}]
 
 
 def voters_of(scope: Scope) -> list[Machine]:
-    """The machines that founded the core."""
+    """The machines that are the bootstrap members of the core."""
     return [machine for machine in scope.machines if machine.role is Role.VOTER]
 
 
@@ -102,7 +103,7 @@
 
 
 def first_tables(scope: Scope) -> Tables:
-    """The tables that the founding and the scope's prefix amount to."""
+    """The tables that follow from the bootstrap and the scope's log prefix."""
     voter = voters_of(scope)[0]
     state = ReplicaState(member_of(voter))
     state.restore(_founded_disk(scope, voter), NOW)
--- a/src/willowpost/shell/mesh.py
+++ b/src/willowpost/shell/mesh.py
@@ -1,4 +1,4 @@
-"""Framed TCP between the fleet's processes: one connection out per peer, owned by its own task."""
+"""Framed TCP between the processes of a fleet: one outgoing connection and task per peer."""
 
 import struct
 import zlib
@@ -25,16 +25,23 @@
 
 
 def split(address: str) -> tuple[str, int]:
+    """The host and port of an address `host:port`; ValueError if it has no port."""
     host, port = address.rsplit(":", 1)
     return host, int(port)
 
 
 class Mesh:
-    """Invariants: messages to one peer leave in order; one that cannot leave soon is dropped.
+    """Sends and receives messages.
 
-    Never held, neither here nor by the kernel, whose pauses between repeats outlast the cut or the
-    loss of power that began them; and so is dropped what comes while the node's inbox is full before
-    it; only whole frames with their checksum come to the node, junk ends its connection.
+    Messages to one peer leave in order. A message that cannot leave soon is dropped and not kept
+    for later, neither here nor by the kernel, whose retransmission pauses may outlast the partition
+    or power loss that began them. A received message that finds the node's inbox full is dropped as
+    well. Only whole frames with the right checksum reach the node; anything else ends the
+    connection.
+
+    Args:
+        address: This process's `host:port`.
+        inbox: The queue of the node's events.
     """
 
     def __init__(self, address: str, inbox):
@@ -46,12 +53,15 @@
         self.encoded = (None, b"")
 
     def start(self) -> None:
+        """Begins to accept connections."""
         self.server.start()
 
     def stop(self) -> None:
+        """Stops accepting connections and ends the incoming ones."""
         self.server.stop()
 
     def send(self, address: str, message) -> None:
+        """Queues a message to a peer, or drops it if the queue is full; never blocks."""
         if address == self.address:
             self.inbox.put(Received(address, message))
             return
--- a/src/willowpost/shell/patient_disk.py
+++ b/src/willowpost/shell/patient_disk.py
@@ -1,4 +1,4 @@
-"""A disk that waits while there is no room and no free handle."""
+"""A disk that waits while there is no space left or no free file handle."""
 
 import errno
 
@@ -11,19 +11,34 @@
 
 
 class PatientDisk:
-    """Invariants: returns only when it is written and synced.
+    """Writes to a disk and retries while space or file handles are missing.
 
-    Whoever waits here says nothing meanwhile. Waits for room on the disk and for free handles; any
-    other failure is raised, since what a disk does after it is not known.
+    A call returns only when its records are written and synced; its process sends nothing
+    meanwhile. Any other failure is raised, since the state of the disk after it is not known.
+
+    Args:
+        disk: The disk to write to.
+        logs: Where log lines go.
+        wait: Sleeps for so many seconds.
     """
 
     def __init__(self, disk, logs, wait=gevent.sleep):
         self.disk, self.logs, self.wait = disk, logs, wait
 
     def append(self, records: list[dict]) -> None:
+        """Appends records to the newest segment.
+
+        Raises:
+            OSError: A failure that waiting does not mend.
+        """
         self._until_done(self.disk.append, records)
 
     def rotate(self, records: list[dict]) -> None:
+        """Begins a new segment with these records in place of the older ones.
+
+        Raises:
+            OSError: A failure that waiting does not mend.
+        """
         self._until_done(self.disk.rotate, records)
 
     def _until_done(self, write, records):
--- a/src/willowpost/shell/sized_queue.py
+++ b/src/willowpost/shell/sized_queue.py
@@ -7,10 +7,12 @@
 
 
 class SizedQueue:
-    """Invariants: `bytes` is the size of what was offered and waits here.
+    """A queue that drops what finds no room, as a network does; senders repeat it.
 
-    What finds no room is dropped, as on a wire: its sender says it again. An item larger than all
-    of the room is taken when nothing else of a size waits.
+    An item larger than the whole queue is taken when nothing else of a size waits.
+
+    Attributes:
+        bytes: The size of all items offered and not yet taken out.
     """
 
     def __init__(self, items_most: int, bytes_most: int):
@@ -19,11 +21,11 @@
         self.bytes = 0
 
     def put(self, item) -> None:
-        """Takes what this process itself puts in, whatever waits."""
+        """Adds an item of this process itself, whatever the queue holds."""
         self.queue.put((item, 0))
 
     def offer(self, item, size: int) -> bool:
-        """Takes an item of `size` bytes if there is room; False if it was dropped."""
+        """Adds an item of `size` bytes if there is room; returns False if it was dropped."""
         full = self.bytes > 0 and self.bytes + size > self.bytes_most
         if full or self.queue.qsize() >= self.items_most:
             return False
@@ -32,28 +34,38 @@
         return True
 
     def get(self, timeout: float | None = None):
-        """The next item; gevent.queue.Empty after `timeout` seconds without one."""
+        """Removes and returns the next item.
+
+        Raises:
+            gevent.queue.Empty: There was none for `timeout` seconds.
+        """
         item, size = self.queue.get(timeout=timeout)
         self.bytes -= size
         return item
 
     def get_nowait(self):
-        """The next item; gevent.queue.Empty if there is none."""
+        """Removes and returns the next item.
+
+        Raises:
+            gevent.queue.Empty: There is none.
+        """
         item, size = self.queue.get_nowait()
         self.bytes -= size
         return item
 
     def qsize(self) -> int:
+        """The number of items."""
         return self.queue.qsize()
 
     def empty(self) -> bool:
+        """Whether there are no items."""
         return self.queue.empty()
 
 
 def inbox() -> SizedQueue:
-    """For the one task that steps a node.
+    """A queue for the events of a node.
 
-    While a disk stalls it takes nothing out, and peers go on sending ballot states with whole
-    configurations in them.
+    The task that steps the node takes nothing out while its disk stalls, and peers go on sending
+    ballot states that contain whole configurations.
     """
     return SizedQueue(INBOX_MESSAGES_MOST, INBOX_BYTES_MOST)
