sim: docstrings for the simulator in plain terms, long lines broken

Cause: 93 findings (missing docstrings, two without a summary line, long lines), and fragments that began mid-sentence.

--- a/src/willowpost/sim/core.py
+++ b/src/willowpost/sim/core.py
@@ -1,4 +1,4 @@
-"""Simulated cores: five stores, and callers that hand ops to them."""
+"""A simulated core: the stores, and clients that submit operations to them."""
 
 from dataclasses import replace
 
@@ -17,16 +17,38 @@
 
 
 class Caller:
-    """A registry's command client with nothing round it."""
+    """A process with a command client only.
+
+    Args:
+        name: The client's name.
+        cores: Addresses of the stores, in the order they are tried.
+        wall: Gives the wall clock in µs.
+        incarnation: The process's incarnation.
+    """
 
     def __init__(self, name, cores, wall, incarnation):
         self.command_client = CommandClient(name, incarnation, lambda: cores, wall)
 
     def step(self, event, now):
+        """Passes an event to the command client; `now` is in µs."""
         return self.command_client.step(event, now)
 
 
 class CoreWorld(World):
+    """A world of stores, checked by CoreRules.
+
+    Args:
+        seed: Decides all random choices.
+        weather: How the network behaves.
+        unsafe_send: Whether messages leave before their records are written, to prove the checks.
+        pace: Timing of the stores' rounds.
+        thresholds: The type that computes quorum sizes.
+        zones: The zone of each store, by number.
+        regions: Zone to region.
+        members: How many bootstrap members there are; by default all stores.
+        rights: What the stores may do to the core's membership.
+    """
+
     def __init__(
         self,
         seed,
@@ -51,6 +73,14 @@
         self.asked = 0
 
     def add_store(self, address, name, zone, region="one"):
+        """Adds and starts a store.
+
+        Args:
+            address: Its address.
+            name: Its name.
+            zone: Its zone.
+            region: Its region.
+        """
         size = self.members
 
         def build(records, now, wall, incarnation):
@@ -83,9 +113,11 @@
         return self.add(address, build, region)
 
     def seeds_of_stores(self):
+        """The addresses that stores start from."""
         return self.names[:3]
 
     def add_caller(self, address, cores, region="one"):
+        """Adds and starts a client that tries these stores in order."""
         return self.add(
             address,
             lambda records, now, wall, incarnation: Caller(address, cores, wall, incarnation),
@@ -93,11 +125,13 @@
         )
 
     def ask(self, caller, *ops):
+        """Submits operations through a client; returns the token of the reply."""
         self.asked += 1
         self.give(caller, Asked(self.asked, ops))
         return self.asked
 
     def node_states(self):
+        """(seat, node state) of all processes that are up and have a node state."""
         return [
             (seat, seat.node.node_state)
             for seat in self.seats.values()
@@ -105,10 +139,15 @@
         ]
 
     def bootstrapped(self):
+        """Whether all running stores have bootstrapped."""
         return all(node_state.bootstrapped for _, node_state in self.node_states())
 
     def settle(self, span=15.0):
-        """Close every fault and let the core come to rest; its logs must then be one."""
+        """Ends every fault, runs for `span` seconds and checks that nothing accepted was lost.
+
+        Raises:
+            Broken: A rule was broken.
+        """
         self.heal()
         self.weather.drop = 0.0
         for name in [
--- a/src/willowpost/sim/disk.py
+++ b/src/willowpost/sim/disk.py
@@ -15,16 +15,17 @@
 
 @dataclass(slots=True)
 class SimDisk:
-    """Invariant: `records` is what a restart finds; a crash may cut the batch being written.
+    """A folder of segments in memory.
 
-    Never older ones.
+    `records` is what a restart finds. A crash may cut the batch being written short, but never
+    removes older records.
 
     Attributes:
         segments: The folder's segments by number; the newest counts.
-        unsynced_removals: Segments whose removal is not synced: a loss of power may bring them back.
+        unsynced_removals: Segments whose removal is not synced; a power loss may bring them back.
         folder_chance: Decides what becomes of unsynced folder entries; None: all are as last seen.
-        slowness: How many times as long as usual a write takes; 1 is sound.
-        stalled_until: No write ends before this moment of the world's time, in µs.
+        slowness: How many times as long as usual a write takes; 1 is normal.
+        stalled_until: No write ends before this time of the world, in µs.
     """
 
     segments: dict[int, list] = field(default_factory=lambda: {0: []})
@@ -43,7 +44,7 @@
         self.segments = {max(self.segments): records}
 
     def write(self, plan, upto: int | None = None) -> None:
-        """Write a plan's records; `upto` of them if the machine dies meanwhile."""
+        """Writes a plan's records, or only `upto` of them if the machine dies meanwhile."""
         if plan.rotate is not None:
             if upto is not None and not self._renamed():
                 return  # the new segment was not renamed yet: the old one stands
@@ -51,12 +52,12 @@
         self.records.extend(plan.records if upto is None else plan.records[:upto])
 
     def span_of_write(self, time: int) -> int:
-        """How long a write that begins now takes, in µs; 0 on a sound disk."""
+        """How long a write that begins now takes, in µs; 0 on a normal disk."""
         slow = self.slowness * SYNC_SPAN if self.slowness > 1 else 0
         return max(slow, self.stalled_until - time, 0)
 
     def lose_power(self) -> None:
-        """Each folder entry that is not synced is kept or lost by itself."""
+        """Keeps or loses each unsynced folder entry independently."""
         back = {
             number: records
             for number, records in self.unsynced_removals.items()
@@ -66,7 +67,7 @@
         self.segments = {**back, **self.segments}
 
     def mend(self) -> None:
-        """Writes are quick again; one that waits ends when it would have."""
+        """Makes later writes fast again; one under way ends when it would have."""
         self.slowness, self.stalled_until = 1, 0
 
     def _renamed(self) -> bool:
--- a/src/willowpost/sim/fault_schedules.py
+++ b/src/willowpost/sim/fault_schedules.py
@@ -1,7 +1,4 @@
-"""Seeded fault schedules over a simulated core: kills alone and in herds, torn writes, cuts.
-
-Freezes, clock jumps.
-"""
+"""Seeded fault schedules over a simulated core: crashes, torn writes, partitions, clock jumps."""
 
 from willowpost.consensus.replica.bootstrap import Rights
 from willowpost.sim.core import CoreWorld
@@ -11,9 +8,11 @@
 
 
 class CoreFaultSchedule:
-    """Invariant: run() raises Broken at the first step that breaks a rule.
+    """Random faults over a core, one after each operation.
 
-    Else the fleet came to rest whole.
+    Args:
+        seed: Decides all random choices.
+        **world: Further arguments of CoreWorld.
     """
 
     rounds = ROUNDS
@@ -34,6 +33,12 @@
         )
 
     def run(self) -> "CoreFaultSchedule":
+        """Runs all rounds, ends the faults and checks that the core recovers.
+
+        Raises:
+            Broken: At the first step that breaks a rule.
+            AssertionError: The core did not bootstrap.
+        """
         world = self.world
         if not world.until(world.bootstrapped, seconds(10)):
             raise AssertionError("the fleet was not founded")
@@ -51,9 +56,11 @@
         return self
 
     def unanswered(self):
+        """Tokens of the operations that got no reply."""
         return [token for token in self.tokens if token not in self.world.replies]
 
     def digests(self):
+        """The different (slot, digest of the tables) of the running stores."""
         return {
             (node_state.tables.slot, node_state.tables.digest())
             for _, node_state in self.world.node_states()
@@ -99,12 +106,10 @@
 
 
 class SeatFaultSchedule(CoreFaultSchedule):
-    """A core of three bootstrap members, alone or with learners that it grows by.
-
-    Disks are wiped as well, one at a time.
+    """A core of three bootstrap members, alone or with learners that become voters.
 
-    Invariant: a disk is wiped only while every voter's own disk is there and all know of the last
-    replacement, so one loss at a time.
+    Disks are lost as well, one at a time: only while every voter has its own disk and all know of
+    the last replacement.
     """
 
     rounds = 2 * ROUNDS
@@ -124,10 +129,11 @@
         self.faults = (*tuple(self.faults), (0.64, self._wipe))
 
     def voters(self) -> int:
+        """The number of voters in the newest epoch that any store has reached."""
         return len(self.core[1])
 
     def unseated(self) -> list[str]:
-        """Voters whose disk is not there any more: their seats were not taken."""
+        """Names of voters that lost their disk and have not been replaced."""
         return [
             member["name"]
             for member in self.core[1]
@@ -141,9 +147,9 @@
             self.core = (tables.epoch, tables.core)
 
     def _wipe(self):
-        """Right after something was accepted, if anything was.
+        """Loses one voter's disk, right after something was accepted if anything was.
 
-        And another machine loses its power at the same moment.
+        Another voter's process crashes at the same moment.
         """
         world, seats = self.world, [self.world.seats[member["address"]] for member in self.core[1]]
         there = all(
--- a/src/willowpost/sim/fleet/bounded_faults.py
+++ b/src/willowpost/sim/fleet/bounded_faults.py
@@ -1,6 +1,6 @@
-"""The bounded fault schedule: a deployment at its peak, hit only by what it must bear.
+"""The bounded fault schedule: a deployment at its peak load, with one fault at a time.
 
-One fault at a time; and refusals are counted.
+Only faults that the fleet must bear occur, and refused requests are counted.
 """
 
 from dataclasses import dataclass
@@ -18,6 +18,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Fault:
+    """The cost of one fault.
+
+    Attributes:
+        name: The kind of fault.
+        asked: Requests sent from the fault's beginning to the end of its recovery.
+        refused: Those answered with a status of 500 or more.
+        dropped: Those whose connection was refused or broke, unless the kind excuses them.
+    """
+
     name: str
     asked: int
     refused: int
@@ -25,19 +34,24 @@
 
     @property
     def handful(self) -> int:
-        """Ten.
+        """How many refusals are allowed: ten, or one in five hundred of the requests asked.
 
-        Or one in five hundred of the requests asked from the fault until all is whole again. What a
-        loss must cost: each edge has some requests under way toward what is lost, and of those a
-        write may not be tried again; at these peaks that is up to a dozen.
+        Each edge has some requests under way to what is lost, and a write among them may not be
+        tried again. At these loads that is up to a dozen.
         """
         return max(FEWEST, self.asked // ONE_IN)
 
 
 class BoundedFaultSchedule(BoundedFaultKinds):
-    """Invariant: run() raises Broken when a rule breaks or a fault costs more than a handful.
+    """Runs bounded faults over a shipped deployment.
 
-    Or drops what it may not.
+    Args:
+        seed: Decides all random choices.
+        deployment: Name of the deployment.
+        only: Names of the kinds to choose from, or None for all.
+        rounds: How many faults occur.
+        part: Part of the deployment's request rate to send.
+        every: Whether to include the kinds added after the first seeds were recorded.
     """
 
     def __init__(
@@ -99,6 +113,11 @@
         self.trace: list[tuple[int, str]] = []  # (moment, fault), as it began
 
     def run(self) -> "BoundedFaultSchedule":
+        """Runs all rounds and checks that the fleet recovers.
+
+        Raises:
+            Broken: A rule was broken, or a fault cost more than is allowed.
+        """
         world = self.world
         world.open()
         world.run(seconds(10))  # the morning: origins warm, caches fill
@@ -126,7 +145,8 @@
         why = list(traffic.refusals)[refused:][:3]
         traffic.say(
             found.refused <= found.handful,
-            f"{found.name}: {found.refused} refused of {found.asked}, a handful is {found.handful}: {why}",
+            f"{found.name}: {found.refused} refused of {found.asked}, "
+            f"a handful is {found.handful}: {why}",
         )
         traffic.say(
             not found.dropped, f"{found.name}: {found.dropped} dropped: {traffic.dropped[-3:]}"
--- a/src/willowpost/sim/fleet/day.py
+++ b/src/willowpost/sim/fleet/day.py
@@ -1,7 +1,4 @@
-"""A day in little: callers move from zone to zone.
-
-And the shares of the allowances must follow them.
-"""
+"""A shortened day: load moves from zone to zone, and the quota shares must follow it."""
 
 import math
 from dataclasses import dataclass
@@ -13,6 +10,15 @@
 
 @dataclass(frozen=True, slots=True)
 class DayFigures:
+    """The figures of a run.
+
+    Attributes:
+        calls: Requests that were answered or dropped.
+        refused: Requests answered with a status of 500 or more.
+        worst_second: The most of these in one second.
+        busiest_part: The largest part of all requests that one edge got in one second.
+    """
+
     calls: int
     refused: int
     worst_second: int  # refusals in the worst second
@@ -20,9 +26,14 @@
 
 
 class DayWorld(FleetWorld):
-    """Invariant: the sum of calls is steady; only where they come in moves.
+    """A fleet with a steady total load that moves once round all edges in `period` seconds.
 
-    Once round all edges in `period` seconds.
+    Args:
+        seed: Decides all random choices.
+        period: Length of a day, in seconds.
+        rate: Requests a second in all.
+        sharp: How strongly the load concentrates on the edge whose time it is; 0 spreads it evenly.
+        **more: Further arguments of FleetWorld.
     """
 
     def __init__(self, seed: int, period: float, rate: float, sharp: float = 3.0, **more):
@@ -48,6 +59,7 @@
         return math.exp(self.sharp * math.cos(turn))
 
     def day(self, days: float = 1.0) -> DayFigures:
+        """Starts the fleet and runs for so many days."""
         self.open()
         self.run(seconds(3))
         since, calls = self.time, sum(self.traffic.outcomes.values())
--- a/src/willowpost/sim/fleet/fault_injector.py
+++ b/src/willowpost/sim/fleet/fault_injector.py
@@ -1,4 +1,4 @@
-"""A carrier's hands in the simulator: virtual sockets, and tasks that wait on them."""
+"""Input and output of a simulated proxy's request tasks: virtual connections and waiting."""
 
 from greenlet import getcurrent, greenlet
 
@@ -12,20 +12,24 @@
 
 
 class SimClock:
+    """The clock of one simulated process."""
+
     def __init__(self, world, seat):
         self.world, self.seat = world, seat
 
     def now(self):
+        """The process's monotonic time, in µs."""
         return self.world.now(self.seat)
 
 
 class SimWaiter:
-    """As AsyncResult, for the simulator's own tasks."""
+    """A one-time value that simulated tasks wait for, like gevent's AsyncResult."""
 
     def __init__(self, fault_injector):
         self.fault_injector, self.value, self.sleepers = fault_injector, None, []
 
     def set(self, value):
+        """Sets the value and wakes all who wait for it."""
         self.value = (value,)
         sleepers, self.sleepers = self.sleepers, []
         for sleeper in sleepers:
@@ -47,6 +51,15 @@
 
 
 class SimExchange:
+    """A virtual connection, with the interface of origin.exchange.Exchange.
+
+    Args:
+        fault_injector: Sends its messages.
+        owner: Whom the connection belongs to in the pool.
+        address: The other side.
+        incarnation: The other side's incarnation that accepted the connection.
+    """
+
     def __init__(self, fault_injector, owner, address, incarnation):
         self.fault_injector, self.owner, self.address, self.incarnation = (
             fault_injector,
@@ -57,6 +70,11 @@
         self.reused = False
 
     def instance_check(self, instance_check, seconds):
+        """Asks which process answers; waits at most `seconds`.
+
+        Raises:
+            ExchangeFailure: There was no valid answer, or it comes from another process.
+        """
         answer = self.fault_injector.call(
             self.address,
             SimRequest(self.fault_injector.next(), "GET", HEALTH, (), "", self.incarnation),
@@ -70,6 +88,12 @@
         instance_check.judge(WholeAnswer(answer.status, list(answer.headers), answer.body))
 
     def run(self, method, target, headers, body, seconds, whole_max, echo=None):
+        """Sends a request and waits at most `seconds` for the response.
+
+        Raises:
+            ExchangeFailure: No whole response came from the incarnation that the connection belongs
+                to.
+        """
         answer = self.fault_injector.call(
             self.address,
             SimRequest(
@@ -100,7 +124,10 @@
 
 
 class SimFaultInjector:
-    """Invariant: a task of a life that has ended is never woken."""
+    """The simulated counterpart of SocketIo, and the scheduler of request tasks.
+
+    A task of an incarnation that has ended is never woken.
+    """
 
     def __init__(self, world, seat):
         self.world, self.seat = world, seat
@@ -111,16 +138,20 @@
         self.sends: list = []
 
     def waiter(self):
+        """A new value that tasks can wait for."""
         return SimWaiter(self)
 
     def next(self):
+        """A new message number, unique in the world."""
         self.world.number += 1
         return self.world.number
 
     def pause(self):
+        """Suspends the current task; returns the value that it is woken with."""
         return getcurrent().parent.switch()
 
     def wake(self, task, value):
+        """Resumes a task with a value, after a freeze of the process if there is one."""
         if self.seat.incarnation != self.incarnation or task.dead:
             return
         if self.seat.frozen_until > self.world.time:
@@ -130,11 +161,13 @@
         self.flush()
 
     def flush(self):
+        """Sends the messages that tasks have left."""
         if self.sends:
             sends, self.sends = self.sends, []
             self.world.send_all(self.seat, sends)
 
     def call(self, address, message, span):
+        """Sends a message and waits at most `span` µs for its answer; None if there is none."""
         task = getcurrent()
         self.waiting[message.number] = task
         self.asked[message.number] = message.incarnation
@@ -149,22 +182,29 @@
             self.wake(task, None)
 
     def reset(self):
-        """All connections are reset: what waits for an answer will not get one."""
+        """Resets all connections: requests that wait for an answer fail."""
         self.pool.clear()
         for number in [number for number in self.waiting if isinstance(number, int)]:
             closed = SimAnswer(number, 0, whole=False, incarnation=self.asked[number] or 0)
             self.world.at(0, self.answered, closed)
 
     def answered(self, answer):
+        """Wakes the task that waits for this answer, if there is one."""
         task = self.waiting.pop(answer.number, None)
         self.asked.pop(answer.number, None)
         if task is not None:
             self.wake(task, answer)
 
     def room(self, owner, most):
+        """Whether a request may have a connection; there is no limit here."""
         return True
 
     def open(self, owner, address, reuse, most=None, seconds=1.0):
+        """A connection to the owner: an idle one if `reuse` allows, else a new one.
+
+        Raises:
+            ExchangeFailure: No connection could be made; nothing was sent.
+        """
         incarnation = self.pool.get(owner) if reuse else None
         reused = incarnation is not None
         if not reused:
@@ -181,6 +221,7 @@
         return exchange
 
     def token(self, service, origin):
+        """Asks the control node for an admission token; False if it gives none."""
         ticket = ("token", self.next())
         self.waiting[ticket] = getcurrent()
         self.world.at(
@@ -189,11 +230,13 @@
         return bool(self.pause())
 
     def told(self, ticket, given):
+        """Wakes the task that waits for an admission token."""
         task = self.waiting.pop(ticket, None)
         if task is not None:
             self.wake(task, given)
 
     def finish(self, owner, exchange, reuse, answer):
+        """Ends the use of a connection; after an answer it may be reused if `reuse` is set."""
         if answer is not None and reuse:
             self.pool[owner] = exchange.incarnation
         else:
--- a/src/willowpost/sim/fleet/fault_schedule.py
+++ b/src/willowpost/sim/fleet/fault_schedule.py
@@ -1,4 +1,4 @@
-"""Seeded fault schedules over a whole simulated fleet, across the brief's list of what fails."""
+"""Seeded fault schedules over a whole simulated fleet."""
 
 from itertools import permutations
 
@@ -104,18 +104,19 @@
 class FleetFaultSchedule(
     MachineFaults, NetworkFaults, DiskFaults, OriginFaults, OperatorFaults, ClientFaults
 ):
-    """Invariant: run() raises Broken at the first step that breaks a promise.
+    """Random faults of many kinds over a whole fleet.
 
-    `trace` tells what was done until then.
+    `trace` holds (time in µs, kind) of each fault so far.
 
     Args:
-        seed: All that is drawn follows from it.
-        only: Names of kinds to draw from, of those that the other arguments allow.
-        rounds: How many faults are drawn.
+        seed: Decides all random choices.
+        only: Names of the kinds to choose from, of those that the other arguments allow.
+        rounds: How many faults occur.
         wide: Also WIDE_KINDS.
         every: Also WIDE_KINDS and FURTHER_KINDS, and unsynced folder entries vary.
         regions: Zone to region.
-        between: Distance between regions, in ms.
+        between: Extra delay between regions, in ms.
+        **world: Further arguments of FleetWorld.
     """
 
     def __init__(
@@ -145,6 +146,11 @@
         self.kinds = [getattr(self, kind) for kind in kinds if only is None or kind in only]
 
     def run(self) -> "FleetFaultSchedule":
+        """Runs all rounds, ends the faults and checks that the fleet recovers.
+
+        Raises:
+            Broken: At the first step that breaks a rule.
+        """
         world = self.world
         world.open()
         for _ in range(self.rounds):
@@ -159,6 +165,7 @@
         return self
 
     def mend(self):
+        """Ends partitions and disk faults, restarts processes that are down, mends origins."""
         world = self.world
         world.heal()
         world.weather.drop = 0.002
--- a/src/willowpost/sim/fleet/faults/bounded.py
+++ b/src/willowpost/sim/fleet/faults/bounded.py
@@ -1,4 +1,4 @@
-"""What a deployment at its peak must bear: one fault at a time."""
+"""Kinds of faults that a deployment at its peak load must bear, one at a time."""
 
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Changed
@@ -7,10 +7,10 @@
 
 
 class BoundedFaultKinds:
-    """Each kind returns whether requests that are dropped meanwhile are excused.
+    """Each kind causes its fault and returns whether dropped requests are excused.
 
-    They are where the proxies that held them died. `self.world` is a FleetWorld, `self.shape` its
-    shape.
+    They are excused where the proxies that held them died. `self.world` is a FleetWorld and
+    `self.shape` its shape.
     """
 
     def _die(self, names, dark=False):
@@ -37,24 +37,31 @@
     # what the fleet must bear
 
     def core_machine_dies(self):
+        """All processes of a core machine are killed."""
         return self._die(self._machine())
 
     def core_machine_dark(self):
+        """A core machine loses power: connections to it are not refused."""
         return self._die(self._machine(), dark=True)
 
     def core_machine_cut(self):
+        """A core machine is cut off from all others."""
         return self._cut(self._machine())
 
     def zone_dies(self):
+        """All processes of a zone are killed."""
         return self._die(self.world.zone_seats(self._zone()))
 
     def zone_dark(self):
+        """All machines of a zone lose power."""
         return self._die(self.world.zone_seats(self._zone()), dark=True)
 
     def zone_cut(self):
+        """A zone is cut off from all others."""
         return self._cut(self.world.zone_seats(self._zone()))
 
     def daemon_dies(self):
+        """One store, registry, edge or shield is killed."""
         return self._die(
             [
                 self.world.chance.choice(
@@ -64,12 +71,14 @@
         )
 
     def disk_lost(self):
+        """A store loses its disk and restarts at once with an empty one."""
         name = self.world.chance.choice(self.world.names)
         self.world.crash(name, lose_disk=True)
         self.world.start(name)
         return False
 
     def zone_emptied(self):
+        """An operator evacuates a zone and ends the evacuation after 8 s."""
         zone = self._zone()
         self.world.empty_zone(0, zone, True)
         self.world.run(seconds(8))
@@ -77,13 +86,14 @@
         return False
 
     def restart_in_turn(self):
-        """A machine's daemons, one by one, as the platform would."""
+        """The platform restarts a core machine's processes and an edge one by one."""
         for name in (*self._machine(), self.world.chance.choice(self.world.edges)):
             self.world.restart(name)
             self.world.run(seconds(8))
         return False
 
     def owner_dies(self):
+        """A proxy that owns a service's quota is killed."""
         tables = self.world.seats["r0"].node.registry.tables
         return self._die(
             [
@@ -94,13 +104,13 @@
         )
 
     def home_dies(self):
-        """The proxy that the others of its zone get their state updates from."""
+        """The first source of replicated state of an edge is killed."""
         edge = self.world.seats[self.world.chance.choice(self.world.edges)]
         source = edge.node.node.controllers[0].sources()[0]
         return self._die([source])
 
     def release(self):
-        """An application is replaced: says that it leaves, finishes, comes back cold."""
+        """An origin is replaced: it is drained, ends, and starts again cold."""
         name = self.world.chance.choice(self.world.origins)
         self.world.drain_origin(0, name)
         self.world.run(seconds(3))
--- a/src/willowpost/sim/fleet/faults/machines.py
+++ b/src/willowpost/sim/fleet/faults/machines.py
@@ -163,7 +163,10 @@
         self._lose_power(self._core())
 
     def disk_wiped_at_acceptance(self):
-        """One core machine loses its disk right after something was accepted, others their power."""
+        """One core machine loses its disk right after something was accepted.
+
+        In half of the cases others lose their power at the same moment.
+        """
         if not self._disks_whole():
             return
         self._await_acceptance()
--- a/src/willowpost/sim/fleet/faults/network.py
+++ b/src/willowpost/sim/fleet/faults/network.py
@@ -1,11 +1,11 @@
-"""Faults of the network: cuts of all shapes, losses, resets; and seeds that are changed meanwhile."""
+"""Faults of the network: partitions of all shapes, losses, resets; and changes of the seeds."""
 
 from willowpost.common.events import Changed
 from willowpost.sim.fleet.faults.base import FaultSteps
 
 
 class NetworkFaults(FaultSteps):
-    """A new cut takes the place of the last one."""
+    """Network faults; a new partition replaces the last one."""
 
     def cut_zone(self):
         """A zone is cut off from all others."""
--- a/src/willowpost/sim/fleet/messages.py
+++ b/src/willowpost/sim/fleet/messages.py
@@ -1,4 +1,4 @@
-"""What travels in the simulator between proxies, origins and callers in place of HTTP."""
+"""The messages that replace HTTP between simulated proxies, origins and callers."""
 
 from dataclasses import dataclass, field
 
@@ -7,7 +7,17 @@
 
 @dataclass(frozen=True, slots=True)
 class SimRequest:
-    """`life` is the life of the answerer a reused connection belongs to; None for a fresh one."""
+    """A request.
+
+    Attributes:
+        number: Unique in the world.
+        method: The HTTP method, or CONNECT to open a connection.
+        target: Path and query.
+        headers: (name, value) pairs.
+        body: The body.
+        incarnation: The receiver's incarnation that a reused connection belongs to; None for
+            CONNECT.
+    """
 
     number: int
     method: str
@@ -19,6 +29,17 @@
 
 @dataclass(frozen=True, slots=True)
 class SimAnswer:
+    """A response.
+
+    Attributes:
+        number: The request's number.
+        status: The HTTP status; 0 if there is no response but a refused or broken connection.
+        headers: (name, value) pairs.
+        body: The body.
+        whole: False if the connection was refused or the response ended short.
+        incarnation: The sender's incarnation.
+    """
+
     number: int
     status: int
     headers: tuple = ()
@@ -29,6 +50,18 @@
 
 @dataclass(frozen=True, slots=True)
 class SimBeat:
+    """An origin's heartbeat to a registry.
+
+    Attributes:
+        service: The service it belongs to.
+        address: Where it listens.
+        zone: Its zone.
+        rate: Requests a second that it bears.
+        cold_rate: Requests a second that it bears when it has just started.
+        load: Its reported load.
+        token: Names its incarnation, or empty.
+    """
+
     service: str
     address: str
     zone: str
--- a/src/willowpost/sim/fleet/nodes.py
+++ b/src/willowpost/sim/fleet/nodes.py
@@ -1,4 +1,4 @@
-"""The fleet's proxies and registries in the simulator: their own control nodes and carriers."""
+"""The fleet's proxies and registries in the simulator, with their real control nodes."""
 
 from collections import Counter
 
@@ -24,9 +24,9 @@
 
 
 class SimProxy:
-    """Invariant: the snapshot, the cache and the carrier are the daemon's own; only time.
+    """A proxy with the daemon's own control node, cache and carrier.
 
-    Wires and sockets are not.
+    Only time, network and sockets are simulated.
     """
 
     def __init__(self, world, seat, card: Card, seeds, wall):
@@ -52,6 +52,7 @@
         self.node.leaver.in_flight = lambda: self.in_flight
 
     def step(self, event, now):
+        """Takes an event: a request, an answer, or one for the control node; `now` is in µs."""
         if (
             isinstance(event, Received)
             and isinstance(event.message, SimCall | SimRequest)
@@ -97,7 +98,7 @@
         return plan
 
     def _closed(self, message):
-        """The listener is closed: connections that are open go on."""
+        """Whether the listener is closed to this message; open connections go on."""
         return self.node.leaver.stage not in (Stage.SERVING, Stage.DRAINING) and (
             isinstance(message, SimCall) or message.method == "CONNECT"
         )
@@ -142,6 +143,8 @@
 
 
 class SimRegistry:
+    """A registry with the daemon's own control node; its probes of origins are simulated."""
+
     def __init__(self, world, seat, card, seeds, wall):
         self.world, self.seat = world, seat
         self.node = RegistryNode(card, seeds, wall, self._probe)
@@ -159,6 +162,7 @@
         self.world.at(5 * MILLI, self.world.give, self.seat.address, ("probed", origin, there))
 
     def step(self, event, now):
+        """Takes an event; heartbeats become registrations or reports; `now` is in µs."""
         match event:
             case Received(_, SimBeat() as beat):
                 tables = self.registry.tables
--- a/src/willowpost/sim/fleet/outside.py
+++ b/src/willowpost/sim/fleet/outside.py
@@ -1,4 +1,4 @@
-"""Who stands round a simulated fleet: origins and callers."""
+"""What surrounds a simulated fleet: origins and callers."""
 
 import json
 
@@ -13,10 +13,11 @@
 
 
 class SimOrigin:
-    """An origin.
+    """An origin that sends heartbeats and answers requests by its `mode`.
 
-    Modes: sound, lost (runs, answer lost), short, slow (later than any deadline), tired (late, but
-    whole), brisk (takes 20 ms), twice (sends each answer again).
+    Modes: sound; lost (runs the request, the response is lost); short (the response ends short);
+    slow (later than any deadline); tired (late, but whole); brisk (takes 20 ms); twice (sends each
+    response again).
     """
 
     def __init__(self, world, seat, service, zone, rate, registries):
@@ -32,6 +33,7 @@
         self.token, self.born_at = world.token(seat), world.time
 
     def step(self, event, now):
+        """Takes a tick or a request; `now` is in µs."""
         plan = Plan()
         match event:
             case Tick() if now - self.beat_at >= SECOND and not self.silent:
@@ -77,8 +79,9 @@
         return plan
 
     def _listens(self):
-        """A polite origin that was given a used address waits until a registry tells it that it is
-        in force.
+        """Whether it accepts connections.
+
+        A polite origin that was given a used address waits until a registry has it in force.
         """
         self.listening = (
             self.listening
@@ -141,12 +144,13 @@
 
 
 class SimCaller:
-    """Sends requests to edges and hands what comes back to the rules."""
+    """Receives the responses to callers' requests and passes them to the rules."""
 
     def __init__(self, world, seat):
         self.world, self.seat = world, seat
 
     def step(self, event, now):
+        """Takes a response; `now` is in µs."""
         match event:
             case Received(source, SimAnswer() as answer):
                 asked = self.world.traffic.asked.get(answer.number)
--- a/src/willowpost/sim/fleet/rules.py
+++ b/src/willowpost/sim/fleet/rules.py
@@ -1,4 +1,4 @@
-"""The brief's promises, checked as the simulated traffic flows."""
+"""The promises about requests and orders, checked as the simulated traffic flows."""
 
 import json
 from collections import Counter, deque
@@ -12,9 +12,9 @@
 
 
 class TrafficRules:
-    """Invariants checked: see docs/design/promises.md.
+    """Checks the rules of docs/design/promises.md at each step.
 
-    Every one raises Broken at the step that breaks it.
+    Every check raises Broken at the step that breaks its rule.
     """
 
     def __init__(self, world):
@@ -44,13 +44,18 @@
         self.served: list = []
 
     def say(self, kept, what):
+        """Checks one rule.
+
+        Raises:
+            Broken: With the time and the text `what`, if `kept` is false.
+        """
         if not kept:
             raise Broken(f"t={self.world.time}: {what}")
 
     # what origins see
 
     def at_origin(self, origin, source, asked, path):
-        """Judge a request as it reaches an origin."""
+        """Checks a request as it reaches an origin."""
         now = self.world.time
         self.world.arrivals[origin.service].append(now)
         self._extra_tries(dict(asked.headers)["x-ask"], now)
@@ -65,9 +70,10 @@
         self._judge_origin_rate(origin, now)
 
     def _judge_stray(self, origin, asked, path, wanted, now):
-        """The new service took its caller before we could know of it.
+        """Checks a request that reached an origin of another service.
 
-        See promises.md: it should listen only when told.
+        It is allowed for a while if the address was given to the new service before proxies could
+        know.
         """
         address = origin.seat.address
         learned = self.moved.get((address, origin.service))
@@ -132,6 +138,7 @@
             held.popleft()
 
     def learned_move(self, address, service):
+        """Notes that a registry knows which service listens at an address."""
         self.moved = {
             **{key: at for key, at in self.moved.items() if key[0] != address},
             (address, service): self.moved.get((address, service), self.world.time),
@@ -140,10 +147,12 @@
     # what callers see
 
     def asks(self, number, edge, kind, path, user, write):
+        """Notes a request that a caller sends."""
         self.count += 1
         self.asked[number] = (self.world.time, edge, kind, path, user, write)
 
     def at_caller(self, source, answer):
+        """Checks a response as it reaches its caller."""
         asked = self.asked.pop(answer.number, None)
         if asked is None:
             return
@@ -198,10 +207,11 @@
     # what operators were told
 
     def accepted_configuration(self, version):
+        """Notes that an operator was told that a configuration is accepted."""
         self.configurations.append((self.world.time, version))
 
     def replace(self):
-        """The origins' content changes without notice; its old version is told."""
+        """Changes the origins' content without notice and returns its former version."""
         self.replaced[self.version] = self.world.time
         self.version += 1
         return self.version - 1
@@ -209,8 +219,9 @@
     # after each step of a proxy
 
     def _whole(self, world, seat):
-        """What says that it knows all up to a moment must hold every configuration accepted by
-        then: the next read is answered from it.
+        """Checks that what a process calls complete up to a moment is complete.
+
+        It must hold every configuration accepted by then, since the next read is answered from it.
         """
         node_state = next(
             (
@@ -232,11 +243,13 @@
             held = node_state.tables.configuration["version"]
             self.say(
                 held >= version,
-                f"{seat.address} calls itself whole as of t={fresh - seat.clock_base} with configuration {held}, "
+                f"{seat.address} calls itself whole as of t={fresh - seat.clock_base} "
+                f"with configuration {held}, "
                 f"{version} was accepted at t={accepted}",
             )
 
     def __call__(self, world, seat, event, plan):
+        """Checks a process after each of its steps."""
         self._whole(world, seat)
         proxy = getattr(seat.node, "proxy", None)
         if proxy is None:
@@ -247,7 +260,8 @@
                 if world.time > accepted + GRACE:
                     self.say(
                         proxy.snapshot.version >= version,
-                        f"{seat.address} may deliver with configuration {proxy.snapshot.version}, {version} was accepted "
+                        f"{seat.address} may deliver with configuration {proxy.snapshot.version}, "
+                        f"{version} was accepted "
                         f"{(world.time - accepted) / SECOND:.2f} s ago",
                     )
                 elif proxy.snapshot.version < version:
@@ -259,10 +273,7 @@
         self.world.proxy_slots[place] = slot
 
     def _extra_tries(self, ask, now):
-        """Counted where it hurts: whatever comes for the same ask after its first.
-
-        By whichever hops, is extra.
-        """
+        """Counts tries where origins see them: all but the first of each request are extra."""
         extra = ask in self.seen_asks
         self.seen_asks.add(ask)
         self.presses.append((now, extra))
--- a/src/willowpost/sim/fleet/settling.py
+++ b/src/willowpost/sim/fleet/settling.py
@@ -1,4 +1,4 @@
-"""Planned restarts, and the end of a run: faults are closed, and all must be whole again."""
+"""Planned restarts, and the end of a run: faults end, and the fleet must recover."""
 
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.node.leaver import Leave
@@ -10,10 +10,10 @@
 
 
 class Settling:
-    """How processes are brought back, and what must hold once no fault is left; part of the world."""
+    """Restarts processes and checks the recovery after the last fault; part of the world."""
 
     def restart(self, address):
-        """A planned restart by the platform: asked to leave, waited for, started again."""
+        """A planned restart by the platform: the process is asked to leave, then restarted."""
         node = self.seats[address].node
         leaver = getattr(getattr(node, "node", node), "leaver", None)
         if leaver is None:  # it is down
@@ -33,15 +33,19 @@
             self.at(LOOK_EVERY, self._left, address, leaver, incarnation)
 
     def bring_back(self, address):
-        """Start a machine's process, unless it runs or is gone for good."""
+        """Starts a machine's process, unless it runs or is gone for good."""
         seat = self.seats[address]
         if seat.node is None and not seat.retired:
             self.start(address)
 
     def settle(self, span=15.0):
-        """Close every fault, and judge what must hold then.
+        """Ends every fault and checks the recovery.
 
-        Within `span` seconds every proxy serves again, and what was accepted stands.
+        Within `span` seconds every proxy must serve again, and what was accepted must still be
+        there.
+
+        Raises:
+            Broken: A rule was broken.
         """
         self._close_faults()
         closed = self.time
--- a/src/willowpost/sim/fleet/shape.py
+++ b/src/willowpost/sim/fleet/shape.py
@@ -1,7 +1,4 @@
-"""What stands where in a simulated fleet, and what its callers ask: a small one.
-
-Or a deployment as it ships.
-"""
+"""The layout of a simulated fleet and its callers' requests: small, or a shipped deployment."""
 
 import json
 from dataclasses import dataclass
@@ -10,6 +7,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Kind:
+    """A kind of request.
+
+    Attributes:
+        share: Its weight in the mix.
+        path: First part of its path.
+        service: The service that must answer it.
+        items: How many different items are asked for.
+        personal: Whether requests carry Authorization.
+        write: Whether it is a POST.
+    """
+
     share: float
     path: str
     service: str
@@ -20,9 +28,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Shape:
-    """Invariant: `shields` numbers core machines.
+    """The layout of a fleet.
+
+    The path of every kind lies on a route of the configuration to that kind's service.
 
-    Every kind's path lies on a way of the configuration, to its service.
+    Attributes:
+        cores: The zone of each core machine, by number.
+        shields: Numbers of the core machines with a shield.
+        edges: The zone of each edge, by number.
+        origins: Service to ((zone, requests a second), ...).
+        configuration: The configuration's tree.
+        kinds: The mix of requests.
+        host: The host that callers ask.
+        rate: Requests a second.
+        keep: How long responses may be stored, in seconds.
+        ramp: How long a cold origin takes to bear its full rate, in seconds.
     """
 
     cores: tuple[str, ...]  # zones, by number
@@ -38,6 +58,7 @@
 
     @property
     def zones(self) -> list[str]:
+        """All zones, sorted."""
         return sorted({*self.cores, *self.edges})
 
 
@@ -74,7 +95,7 @@
 
 
 def shipped(name: str) -> tuple[Shape, dict, int]:
-    """A deployment at its peak: (shape, regions by zone, ms between regions)."""
+    """A shipped deployment at its peak: (shape, regions by zone, ms between regions)."""
     held = json.loads((files("willowpost.deployments") / f"{name}.json").read_text())
     cores = [machine for machine in held["machines"] if machine["kind"] != "edge"]
     origins: dict = {}
--- a/src/willowpost/sim/fleet/world.py
+++ b/src/willowpost/sim/fleet/world.py
@@ -19,16 +19,16 @@
 class FleetWorld(SeatBuilders, Settling, OperatorActions, CallerActions, CoreWorld):
     """One fleet on one virtual clock.
 
-    Invariant: operators' answers, callers' answers and origins' logs all go through `traffic`, which
+    Operators' replies, callers' responses and origins' requests all go through `traffic`, which
     checks them.
 
     Attributes:
         traffic: The rules of requests and orders.
         history: All calls of operators and readers.
-        shape: What stands where, and what callers ask.
+        shape: The fleet's layout, and what callers ask.
         rate: Requests a second now; `usual_rate` without a burst.
         polite: Address of an origin that was given away -> whether it waits until it is in force.
-        seed_names: What starting processes are told of others; empty: the first three stores.
+        seed_names: The seeds of starting processes; empty: the first three stores.
         version: The newest configuration that an operator knows to be accepted.
     """
 
@@ -83,20 +83,24 @@
         self.version = 0
 
     def seeds_of_stores(self):
+        """The addresses that stores start from."""
         return getattr(self, "seed_names", None) or self.names[:3]
 
     def seeds(self, own):
+        """The addresses that another process starts from, without its own."""
         return [name for name in (self.seed_names or self.names[:3]) if name != own]
 
     def send_all(self, seat, sends):
+        """Sends (address, message) pairs from a process."""
         for address, message in sends:
             self.sent[type(message).__name__] += 1
             self._post(seat, address, message)
 
     def _arrive(self, address, source, message):
-        """A machine whose process is gone refuses at once; one without power, or cut off.
+        """Delivers a message.
 
-        Says nothing.
+        A machine whose process is down refuses requests at once; one without power or cut off does
+        not answer.
         """
         seat = self.seats[address]
         if (
@@ -110,11 +114,13 @@
         super()._arrive(address, source, message)
 
     def token(self, seat):
+        """Names the origin's incarnation for the instance check; empty if it does not opt in."""
         return (
             f"{seat.address}-incarnation-{seat.incarnation}" if self.tokened(seat.address) else ""
         )
 
     def service_of(self, path):
+        """The service that must answer a path."""
         return self.services["/" + path.split("/")[1]]
 
     def zone_seats(self, zone):
@@ -133,7 +139,11 @@
         return stores + registries + proxies + shields + origins
 
     def open(self):
-        """Found the fleet, accept the configuration, let origins warm, let callers in."""
+        """Bootstraps the fleet, accepts the configuration and starts the callers.
+
+        Raises:
+            AssertionError: The core did not bootstrap within 10 s.
+        """
         if not self.until(self.bootstrapped, seconds(10)):
             raise AssertionError("not founded")
         self.readers.start()
@@ -145,6 +155,7 @@
         self.run(seconds(2))
 
     def node_states(self):
+        """(seat, node state) of all stores that are up."""
         return [
             (seat, seat.node.node_state)
             for name, seat in self.seats.items()
@@ -152,6 +163,7 @@
         ]
 
     def stores(self):
+        """Names of all stores that are not gone for good."""
         return [
             name for name, seat in self.seats.items() if name.startswith("s") and not seat.retired
         ]
--- a/src/willowpost/sim/pace.py
+++ b/src/willowpost/sim/pace.py
@@ -1,6 +1,6 @@
-"""How the core decides under a deployment's distances: fast path, forfeits, time to acceptance.
+"""Measures how the core decides at a deployment's distances, on virtual time with a seed.
 
-Virtual time, seeded.
+Figures: the fast path, NULL decisions, and the time to acceptance.
 """
 
 from dataclasses import dataclass
@@ -13,6 +13,17 @@
 
 @dataclass(frozen=True, slots=True)
 class PaceFigures:
+    """The figures of a run.
+
+    Attributes:
+        commands: Commands accepted.
+        slots: Slots decided.
+        null_part: Part of them decided as NULL.
+        fast_part: Of the slots that a voter decided by votes, the part decided in the first phase.
+        accept_p_50: Median time to acceptance, in ms.
+        accept_p_99: 99th percentile of it, in ms.
+    """
+
     commands: int
     slots: int
     null_part: float
@@ -22,9 +33,16 @@
 
 
 class PaceMeasure:
-    """Invariant: fast_part counts the slots that a voter decided by votes in the first phase.
+    """One run of a core with clients in each zone.
 
-    Of all it decided by votes.
+    Args:
+        zones: The zone of each store, by number.
+        regions: Zone to region.
+        between: Extra delay between regions, in µs.
+        jitter: Spread of all delays, in µs.
+        pace: Timing of the stores' rounds.
+        rate: Commands a second.
+        seed: Decides all random choices.
     """
 
     def __init__(
@@ -46,6 +64,7 @@
         self.took: list[int] = []
 
     def run(self, span: float = 30.0) -> PaceFigures:
+        """Sends commands for `span` seconds of virtual time."""
         world = self.world
         world.until(world.bootstrapped, seconds(10))
         for number, zone in enumerate(self.zones):
--- a/src/willowpost/sim/rules.py
+++ b/src/willowpost/sim/rules.py
@@ -1,4 +1,4 @@
-"""What is checked after each step of a simulated run of the core."""
+"""The rules checked after each step of a simulated core."""
 
 import json
 import re
@@ -12,18 +12,16 @@
 
     @property
     def rule(self) -> str:
-        """The text without its moment, names, numbers and examples.
-
-        What breaks of one rule have in common.
-        """
+        """The text without time, names, numbers and examples, equal for all breaks of one rule."""
         said = re.sub(r"[:;,(\[] *[\[({].*", "", re.sub(r"^t=\d+: ", "", str(self)))
         return re.sub(r"[\w./@%-]*\d[\w./@%-]*", "N", said)
 
 
 class CoreRules:
-    """Invariants checked: agreement, weak validity, no ballot state unsaid.
+    """Checks the core after each step.
 
-    Accepted commands on n - f disks and in every later log, and no node going back a slot.
+    Rules: agreement; weak validity (only submitted commands are decided); no ballot state is taken
+    back; an accepted command is on n - f disks and in every later log; no process goes back a slot.
     """
 
     def __init__(self):
@@ -36,6 +34,11 @@
         self.held: dict[str, int] = {}
 
     def __call__(self, world, seat, event, plan):
+        """Checks one step of a process.
+
+        Raises:
+            Broken: A rule was broken.
+        """
         self.submitted |= {
             message.command.key for _, message in plan.sends if isinstance(message, Submit)
         }
@@ -120,9 +123,10 @@
         )
 
     def finish(self, world, node_states):
-        """After the fault is closed and the run went on.
+        """Checks after the last fault that all running stores hold all that was accepted.
 
-        All live stores hold all that was accepted.
+        Raises:
+            Broken: An accepted command is missing.
         """
         for seat, node_state in node_states:
             lost = [
@@ -146,6 +150,7 @@
 
 
 def disk_slot(records) -> int:
+    """The slot after the last one that these records hold."""
     slot = 0
     for record in records:
         if record["k"] == RecordKind.DECISION:
--- a/src/willowpost/sim/world.py
+++ b/src/willowpost/sim/world.py
@@ -1,7 +1,4 @@
-"""A virtual clock, network and disks, seeded.
-
-The nodes in it are the daemons' own state machines.
-"""
+"""A virtual clock, network and disks with a seed; the processes run the daemons' own code."""
 
 import random
 from collections import Counter
@@ -16,7 +13,22 @@
 
 
 class World:
-    """Invariant: the same seed and the same calls give the same run, event for event."""
+    """A simulated world; the same seed and the same calls give the same run, event for event.
+
+    Args:
+        seed: Decides all random choices.
+        weather: How the network behaves.
+        unsafe_send: Whether messages leave before their records are written, to prove the checks.
+
+    Attributes:
+        time: The virtual time, in µs.
+        seats: Address to machine.
+        cuts: (source, target) pairs between which nothing arrives.
+        checks: Called with (world, seat, event, plan) after each step.
+        replies: Token to result.
+        notes: (time, address, *note) of all plans' notes.
+        sent: Number of messages sent, by type.
+    """
 
     TICK = 20 * MILLI
 
@@ -37,11 +49,18 @@
         self.make_disk = lambda address: SimDisk()  # another kind of disk may be set
 
     def let_folders_vary(self, seed: int) -> None:
-        """From now on a loss of power keeps or loses each unsynced folder entry by itself."""
+        """From now on, a power loss keeps or loses each unsynced folder entry by itself."""
         for number, seat in enumerate(self.seats.values()):
             seat.disk.folder_chance = random.Random(seed * 1000 + number)
 
     def add(self, address: str, build, region: str = "one") -> Seat:
+        """Adds a machine and starts its process.
+
+        Args:
+            address: The machine's address.
+            build: Makes the node from (records, now, wall, incarnation).
+            region: The machine's region.
+        """
         seat = self.seats[address] = Seat(
             address,
             region,
@@ -53,6 +72,7 @@
         return seat
 
     def start(self, address: str) -> None:
+        """Starts a machine's process from its disk, unless the machine is gone for good."""
         seat = self.seats[address]
         if seat.retired:
             return
@@ -67,7 +87,12 @@
         self.at(self.chance.randrange(self.TICK), self._tick, address, seat.incarnation)
 
     def crash(self, address: str, lose_disk: bool = False) -> None:
-        """The process is gone at once; a write under way is cut anywhere."""
+        """Ends a process at once; a write under way is cut anywhere.
+
+        Args:
+            address: The machine.
+            lose_disk: Whether its disk is replaced by an empty one.
+        """
         seat = self.seats[address]
         if seat.pending_write is not None:
             plan, seat.pending_write = seat.pending_write, None
@@ -77,32 +102,39 @@
             seat.disk = SimDisk(folder_chance=seat.disk.folder_chance)
 
     def lose_power(self, address: str, lose_disk: bool = False) -> None:
-        """The machine goes dark: its process is gone, unsynced folder entries may be lost."""
+        """Ends a process as crash() does; its unsynced folder entries may be lost."""
         self.crash(address, lose_disk)
         seat = self.seats[address]
         seat.disk.lose_power()
         seat.dark = True
 
     def now(self, seat: Seat) -> int:
+        """A process's monotonic clock, in µs."""
         return seat.clock_base + self.time
 
     def wall(self, seat: Seat) -> int:
+        """A process's wall clock, in µs."""
         return 10**15 + self.time + seat.wall_skew
 
     def at(self, delay: int, call, *args) -> None:
+        """Calls `call(*args)` in `delay` µs."""
         self.order += 1
         heappush(self.heap, (self.time + delay, self.order, call, args))
 
     def cut(self, side_a, side_b) -> None:
+        """Cuts the network between the addresses of two sides, in both directions."""
         self.cuts |= {pair for a in side_a for b in side_b for pair in ((a, b), (b, a))}
 
     def heal(self) -> None:
+        """Ends all cuts."""
         self.cuts.clear()
 
     def freeze(self, address: str, span: int) -> None:
+        """Freezes a process for `span` µs: it takes no step meanwhile."""
         self.seats[address].frozen_until = self.time + span
 
     def run(self, span: int) -> None:
+        """Runs all events of the next `span` µs."""
         end = self.time + span
         while self.heap and self.heap[0][0] <= end:
             self.time, _, call, args = heappop(self.heap)
@@ -110,15 +142,16 @@
         self.time = end
 
     def until(self, condition, span: int) -> bool:
+        """Runs until the condition holds, at most `span` µs; returns whether it holds."""
         end = self.time + span
         while self.time < end and not condition():
             self.run(min(5 * MILLI, end - self.time))
         return condition()
 
     def give(self, address: str, event) -> None:
-        """Hand an event to a node, unless it is down.
+        """Gives an event to a node; it is lost if the process is down.
 
-        One that is frozen, or waits for its disk, gets it afterwards.
+        A node that is frozen or waits for its disk gets it afterwards.
         """
         seat = self.seats[address]
         if seat.node is None:
@@ -156,7 +189,7 @@
         self._carry_out(seat, event, plan)
 
     def _written(self, address, incarnation, event):
-        """A slow or stalled write has ended; a frozen process hears of it when it thaws."""
+        """Ends a slow or stalled write; a frozen process goes on when its freeze ends."""
         seat = self.seats[address]
         if seat.incarnation != incarnation:
             return
@@ -212,4 +245,5 @@
 
 
 def seconds(value: float) -> int:
+    """Seconds as whole µs."""
     return int(value * SECOND)
