proxy, shell, drill, model, history, sim: docstrings that were riddles rewritten plainly

Cause: about 80 docstrings began with "Invariant" or mid-sentence, or used withdrawn words (life, told, hears, hands); some comments did, too.

--- a/src/willowpost/drill/capacity/filled.py
+++ b/src/willowpost/drill/capacity/filled.py
@@ -91,14 +91,14 @@
 
 
 def beat_of(origin: str, second: int) -> Beat:
-    """As origins that tell all they can send them."""
+    """A heartbeat with all fields that an origin can send."""
     return Beat(origin, 3, 0, 8, 10_000 + second)
 
 
 class FilledTables:
-    """Invariant: depends on the size alone.
+    """Makes tables that depend on the size alone.
 
-    All daemons are up, all origins warm, all purge entries taken, all services owned.
+    All daemons are up, all origins warm, all purge entries used and all services owned.
     """
 
     def make(self, size: Size, purges: int = PURGES_KEPT) -> Tables:
--- a/src/willowpost/drill/capacity/fit.py
+++ b/src/willowpost/drill/capacity/fit.py
@@ -1,6 +1,6 @@
-"""Least squares over a few terms, weighed so that each point's relative miss counts alike.
+"""Least squares over a few terms, weighted so that each point's relative error counts alike.
 
-And what it says further out.
+A fit gives values for sizes that were not measured.
 """
 
 from dataclasses import dataclass
@@ -12,7 +12,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Fit:
-    """Invariant: `residual` is the widest relative miss of any point that the fit was made from."""
+    """A fitted law.
+
+    Attributes:
+        terms: The terms of the law, as in TERMS.
+        slopes: The coefficient of each term.
+        residual: The largest relative error of the points that it was made from.
+    """
 
     terms: tuple[str, ...]
     slopes: tuple[float, ...]
@@ -53,10 +59,7 @@
 
 
 class Fitter:
-    """Invariant.
-
-    A law with a square is taken only where the straight one misses a point by more than CLOSE.
-    """
+    """Fits a line; a square term is added only if the line misses a point by more than CLOSE."""
 
     def fit(self, points) -> Fit:
         """points: (n, value), more of them than terms."""
--- a/src/willowpost/drill/capacity/lightweight.py
+++ b/src/willowpost/drill/capacity/lightweight.py
@@ -1,6 +1,6 @@
-"""Lightweight daemons: the daemons' own controllers on virtual time, many in one process.
+"""The daemons' own controllers on virtual time, many in one process.
 
-The rest of a large fleet as simulated peers.
+The rest of a large fleet is replaced by simulated peers.
 """
 
 from willowpost.common.clock import MILLI, SECOND
@@ -32,11 +32,11 @@
 
 
 class LightweightFleet(World):
-    """Invariants: what daemons tell each other goes through the real codec.
+    """A fleet whose messages go through the real codec; a seed decides all of them.
 
-    The same seed gives the same messages. With `whole` every daemon is stepped. Without, all
-    stores, two registries, one zone's homes, a service's owner and two more proxies are; all others
-    are simulated peers that say to these what their controllers would.
+    With `whole` every daemon is stepped. Without it these are: all stores, two registries, the
+    first home proxy of one zone, a service's owner and two more proxies. All others are simulated
+    peers, which send to these what their controllers would.
     """
 
     def __init__(self, size: Size, seed: int = 1, whole: bool = False):
--- a/src/willowpost/drill/capacity/meter.py
+++ b/src/willowpost/drill/capacity/meter.py
@@ -1,4 +1,4 @@
-"""What the daemons of each role spend."""
+"""Measures what the daemons of each role spend."""
 
 from collections import Counter
 from dataclasses import dataclass, field
@@ -6,9 +6,9 @@
 
 
 class Yardstick:
-    """The same small work again and again, among the rest: how quick the processor is just now.
+    """The same small work repeated among the rest, to measure how fast the processor is now.
 
-    Since others use it too.
+    Other processes use the processor too.
     """
 
     def __init__(self):
@@ -27,7 +27,7 @@
         self.took.append(self._once())
 
     def micros(self) -> float:
-        """On average since the last call of clear()."""
+        """The average duration since the last call of clear(), in µs."""
         return sum(self.took) / max(1, len(self.took)) / 1000
 
     def clear(self) -> None:
@@ -35,10 +35,7 @@
         self.took = []
 
     def _once(self):
-        """Of the kind that daemons do: objects made, looked up and let go.
-
-        Over more memory than lies close to the processor.
-        """
+        """Does the work once, in more memory than the caches hold; returns its duration in ns."""
         begun = thread_time_ns()
         cards = {
             name: {**card, "since": number}
@@ -83,10 +80,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Figures:
-    """One daemon's spending a second of virtual time.
-
-    On average over those of its role that were stepped. `yard` is what the yardstick took
-    meanwhile, in µs: processor times of two runs compare as multiples of it.
+    """What one daemon spends in a second of virtual time, averaged over its role.
+
+    Attributes:
+        daemons: How many daemons of the role were stepped.
+        steps: Steps.
+        micros: Processor time of steps, encoding and decoding, in µs.
+        longest_ms: The longest step, in ms.
+        bytes_out: Bytes sent.
+        bytes_in: Bytes received.
+        messages_out: Messages sent.
+        messages_in: Messages received.
+        kinds: Bytes by direction and type of message.
+        yard: What the yardstick took meanwhile, in µs; compare processor times as multiples of it.
     """
 
     daemons: int
@@ -102,17 +108,14 @@
 
 
 class Meter:
-    """Invariant: nothing but a daemon's own work is put to its account.
-
-    Neither simulated peers' nor the harness's.
-    """
+    """Counts the work of daemons alone, not that of simulated peers or of the harness."""
 
     def __init__(self, roles: dict[str, str]):
         self.roles = roles  # address -> role
         self.spent = {address: Spent() for address in roles}
 
     def timed(self, call, *args):
-        """What a call gives, and how long it took in ns of this thread."""
+        """The result of a call, and how long it took in ns of this thread's processor time."""
         begun = thread_time_ns()
         value = call(*args)
         return value, thread_time_ns() - begun
--- a/src/willowpost/drill/capacity/report.py
+++ b/src/willowpost/drill/capacity/report.py
@@ -1,7 +1,4 @@
-"""Runs the measurements at rising sizes, fits their slopes.
-
-And prints what they say of the size to design for.
-"""
+"""Measures at increasing sizes, fits the costs and prints the result for the design size."""
 
 from dataclasses import replace
 
@@ -51,10 +48,7 @@
 
 
 class Report:
-    """Invariant: every figure printed as measured was measured in this run.
-
-    What is worked out says from which fit.
-    """
+    """Prints figures measured in this run, and computed ones with the fit they come from."""
 
     def __init__(
         self, line, seed: int = 1, budget: Budget = BUDGET, warm: float = 3.5, span: float = 3.0
--- a/src/willowpost/drill/capacity/simulated_peers.py
+++ b/src/willowpost/drill/capacity/simulated_peers.py
@@ -1,7 +1,4 @@
-"""The daemons that are not stepped: they say what their controllers would, to those that are.
-
-And nothing else.
-"""
+"""The daemons that are not stepped: they send what their controllers would to those that are."""
 
 from willowpost.common.clock import SECOND
 from willowpost.drill.capacity.filled import beat_of, homes_of
@@ -15,10 +12,10 @@
 
 
 class SimulatedPeers:
-    """Invariant: a simulated peer's polls, pings, asks and beats come as often as the controllers'.
+    """Sends polls, pings, quota requests and heartbeats as often as the controllers do.
 
-    Each at its own phase. That they do is checked by running the same size whole:
-    tests/test_capacity.py.
+    Each peer has its own phase. tests/test_capacity.py compares them with a run of the same size in
+    which every daemon is stepped.
     """
 
     def __init__(self, world, cards):
--- a/src/willowpost/drill/capacity/size.py
+++ b/src/willowpost/drill/capacity/size.py
@@ -5,7 +5,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Size:
-    """Invariant: `daemons` counts stores, registries and proxies together."""
+    """The size of a fleet.
+
+    Attributes:
+        daemons: Stores, registries and proxies together.
+        origins: Origins of all services.
+        routes: Routes of the configuration.
+        purges: Purges a second, over the fleet.
+        zones: Zones.
+        voters: Stores.
+        registries: Registries.
+        per_service: Origins of one service.
+        origin_rate: Requests a second that one origin bears.
+        beat_seconds: Time between two heartbeats of an origin.
+    """
 
     daemons: int = 150
     origins: int = 40
--- a/src/willowpost/drill/capacity/steps.py
+++ b/src/willowpost/drill/capacity/steps.py
@@ -1,7 +1,4 @@
-"""What a daemon pays for the least of its events: a tick with nothing to do, a ping.
-
-And one small message's encoding and decoding.
-"""
+"""The cost of a daemon's smallest events (idle tick, ping) and of coding a small message."""
 
 from willowpost.common.clock import MILLI
 from willowpost.common.events import Received, Tick
--- a/src/willowpost/drill/capacity/units.py
+++ b/src/willowpost/drill/capacity/units.py
@@ -1,7 +1,4 @@
-"""What single pieces of work cost as one thing grows.
-
-Each runs the daemons' own code on filled tables.
-"""
+"""The cost of single calls of the daemons' own code, on filled tables, as one size grows."""
 
 import gc
 import json
@@ -81,7 +78,7 @@
 
 
 class UnitCosts:
-    """Invariant: measures nothing but calls that the daemons themselves make."""
+    """Measures only calls that the daemons themselves make."""
 
     def by_daemons(self, counts) -> list[Unit]:
         """Work that grows with the number of daemons."""
--- a/src/willowpost/drill/capacity/wire.py
+++ b/src/willowpost/drill/capacity/wire.py
@@ -1,6 +1,6 @@
-"""What a message costs beyond its encoding: queues, tasks, system calls.
+"""The cost of a message beyond its coding: queues, tasks, system calls.
 
-At both ends of one connection over loopback.
+It is measured at both ends of one connection over loopback.
 """
 
 from time import process_time_ns
--- a/src/willowpost/drill/configuration_steps.py
+++ b/src/willowpost/drill/configuration_steps.py
@@ -67,10 +67,7 @@
         )
 
     def purge_fault_schedule(self) -> None:
-        """Ten calls of a thousand items each, while the mix runs.
-
-        Then one purge that must still be in time.
-        """
+        """Ten purges of a thousand items each under load, then one that must still be in time."""
         items = [
             [
                 {"kind": "item", "path": f"/cards/{batch * PURGE_ITEMS + number}"}
--- a/src/willowpost/drill/deployment.py
+++ b/src/willowpost/drill/deployment.py
@@ -29,10 +29,7 @@
 
 
 class Deployment:
-    """Invariant: each machine has its own IP number; each process's settings name three seeds.
-
-    Never itself.
-    """
+    """A deployment on loopback addresses; each process's seeds are three stores but not itself."""
 
     def __init__(self, name: str, folder: Path, port: int, subnet: int = 77):
         held = json.loads((files("willowpost.deployments") / f"{name}.json").read_text())
@@ -65,9 +62,10 @@
         return [machine for machine in self.machines if machine["kind"] != "edge"]
 
     def replace(self, lost: str) -> str:
-        """An empty machine stands in for one that is gone for good, under another name and address.
+        """Replaces a machine that is gone for good by an empty one in its zone.
 
-        In its zone.
+        Returns:
+            The new machine's name; it has another address, too.
         """
         number = next(
             number for number, machine in enumerate(self.machines) if machine["name"] == lost
--- a/src/willowpost/drill/fleet.py
+++ b/src/willowpost/drill/fleet.py
@@ -23,7 +23,7 @@
 
 
 class Fleet:
-    """Invariant: ends only processes it started, by their ID, and leaves none behind."""
+    """The processes of a deployment; it ends only those it started, by their ids."""
 
     def __init__(self, deployment: Deployment):
         self.deployment = deployment
--- a/src/willowpost/drill/main.py
+++ b/src/willowpost/drill/main.py
@@ -62,7 +62,7 @@
 
 
 class DrillCommand(Command):
-    """Invariant: whatever happens, every process the drill started is ended."""
+    """A command that runs a drill; every process that the drill started is ended with it."""
 
     def deployment_known(self) -> bool:
         """Whether the deployment asked for exists; says so if not."""
--- a/src/willowpost/drill/model.py
+++ b/src/willowpost/drill/model.py
@@ -18,7 +18,7 @@
 
 
 class ModelCommand(Command):
-    """Invariant: exits with 1 exactly when a rule was broken."""
+    """The command `model`; it exits with 1 exactly when a rule was broken."""
 
     name = "model"
     description = "Checks the stores' own controllers in every order of deliveries and faults."
--- a/src/willowpost/drill/rules.py
+++ b/src/willowpost/drill/rules.py
@@ -1,4 +1,4 @@
-"""The brief's rules as a table: what was seen, kept or broken."""
+"""The rules of a drill as a table: what was seen, and whether each was kept."""
 
 from dataclasses import dataclass, field
 from typing import Any
@@ -22,7 +22,7 @@
 
 @dataclass(slots=True)
 class Findings:
-    """Invariant: a row once broken stays broken."""
+    """The rows of the table; a broken row stays."""
 
     rows: list[Row] = field(default_factory=list)
 
@@ -45,10 +45,7 @@
 
 
 class TrafficRules:
-    """Invariant: judged from what callers and origins saw.
-
-    Never from what the daemons say of themselves.
-    """
+    """Judges by what callers and origins saw, never by what the daemons report of themselves."""
 
     def __init__(
         self,
--- a/src/willowpost/drill/zones.py
+++ b/src/willowpost/drill/zones.py
@@ -1,7 +1,4 @@
-"""The zone drill: each zone of a running fleet under load is taken out, by emptying and by killing.
-
-And put back.
-"""
+"""The zone drill: takes out each zone of a fleet under load, by evacuation and by killing."""
 
 import gevent
 
@@ -15,7 +12,7 @@
 
 
 class ZoneDrill(FleetDrill):
-    """Invariant: refusals are counted while the zone is out, too: losing one zone is no excuse."""
+    """Takes zones out and brings them back; refused requests count all the time."""
 
     def run_zones(self, zones, routes) -> Findings:
         """Take out each zone by each way (methods' names), and judge as the fleet drill does."""
--- a/src/willowpost/model/history.py
+++ b/src/willowpost/model/history.py
@@ -1,4 +1,4 @@
-"""What has been said and promised since the model began, beyond what the processes hold.
+"""What has been sent and promised since the model began, beyond what the processes hold.
 
 The history is part of a state: two states are equal only if the same was promised in both.
 """
@@ -12,7 +12,18 @@
 
 @dataclass(frozen=True, slots=True)
 class History:
-    """Invariant: entries are only added or, for the last of a kind, replaced by a later one."""
+    """What was decided, accepted and sent so far.
+
+    Entries are only added, or replaced by a later one of the same kind.
+
+    Attributes:
+        decided: (slot, key of the command); the key is empty for NULL.
+        accepted: (slot, key) of each command that a client was told is accepted.
+        ballots: The furthest ballot state sent for each (identity, epoch, slot).
+        claimed_slots: (identity, slot below which it claimed to hold all decisions on disk).
+        versions: (configuration version, digest of its content).
+        read_bounds: (process, slot below which all was accepted before its newest read began).
+    """
 
     decided: tuple[tuple[int, str], ...] = ()  # slot, key of the command ("" for NULL)
     accepted: tuple[tuple[int, str], ...] = ()
@@ -55,7 +66,7 @@
         return replace(self, ballots=tuple(sorted(held.items(), key=lambda item: item[0])))
 
     def with_claimed_slot(self, identity: str, slot: int) -> "History":
-        """Some replica said that it holds every slot below this one."""
+        """Some replica claimed to hold every slot below this one."""
         held = dict(self.claimed_slots)
         if held.get(identity, 0) >= slot:
             return self
--- a/src/willowpost/model/invariants.py
+++ b/src/willowpost/model/invariants.py
@@ -136,12 +136,15 @@
 
 
 def check_progress(before: Any, after: Any, process: str) -> None:
-    """No process goes back a slot in one life.
+    """No process goes back a slot within one incarnation.
 
     Args:
         before: The node state before a step.
         after: The same after it.
         process: The process that took the step.
+
+    Raises:
+        Violation: It did.
     """
     if after.tables.slot < before.tables.slot:
         raise Violation(WENT_BACK, f"{process} from {before.tables.slot} to {after.tables.slot}")
--- a/src/willowpost/model/numbering.py
+++ b/src/willowpost/model/numbering.py
@@ -7,7 +7,7 @@
 
 
 class Numbering(Generic[Value]):
-    """Invariant: two values with equal keys have one number, and the first of them is kept."""
+    """Gives values with equal keys one number and keeps the first of these values."""
 
     def __init__(self) -> None:
         self._numbers: dict[Hashable, int] = {}
--- a/src/willowpost/model/parts.py
+++ b/src/willowpost/model/parts.py
@@ -33,7 +33,7 @@
 
 
 class Parts:
-    """Invariant: equal parts have one number, and a number's part never changes."""
+    """The parts of states by number; equal parts have one number, which never changes."""
 
     def __init__(self, scope: Scope, switches: Switches) -> None:
         self.scope = scope
--- a/src/willowpost/model/processes.py
+++ b/src/willowpost/model/processes.py
@@ -64,7 +64,7 @@
 
 
 def incarnation_of(life: int) -> int:
-    """The incarnation of a machine's first, second, ... process; `life` counts from 1."""
+    """The incarnation of a machine's first, second, ... process, counted from 1."""
     return life * _INCARNATION_STEP
 
 
--- a/src/willowpost/model/promises.py
+++ b/src/willowpost/model/promises.py
@@ -1,4 +1,4 @@
-"""Carries the history along the steps of processes."""
+"""Updates the history after the steps of processes."""
 
 import json
 
@@ -9,7 +9,7 @@
 
 
 class Promises:
-    """Invariant: what a step adds to a history is worked out once, and kept."""
+    """Updates histories; the result of each outcome on a history is computed once and kept."""
 
     def __init__(self, parts: Parts) -> None:
         self.parts = parts
@@ -24,10 +24,10 @@
         return self._recordings[key]
 
     def after_saying(self, history: History, name: str, outcome: Outcome) -> History:
-        """The history once this process wrote and sent that, without looking it up.
+        """The history once this process wrote and sent that, computed anew.
 
         Raises:
-            Violation: the process unsays something, or contradicts another.
+            Violation: The process takes back something it sent, or contradicts another.
         """
         if name in self.parts.clients:
             return history
--- a/src/willowpost/model/search.py
+++ b/src/willowpost/model/search.py
@@ -55,7 +55,7 @@
 
 
 class BreadthFirstSearch:
-    """Invariant: a state is expanded once, after all states that fewer actions reach."""
+    """Expands each state once, after all states that fewer actions reach."""
 
     def __init__(
         self,
--- a/src/willowpost/model/steps.py
+++ b/src/willowpost/model/steps.py
@@ -45,7 +45,7 @@
 
 
 class ProcessSteps:
-    """Invariant: what a step does depends on the process and the event alone."""
+    """Takes steps; the outcome depends on the process and the event alone, and is kept."""
 
     def __init__(self, parts: Parts) -> None:
         self.parts = parts
--- a/src/willowpost/model/system.py
+++ b/src/willowpost/model/system.py
@@ -41,7 +41,7 @@
 
 
 class System:
-    """Invariant: states are values; nothing that `successor` does changes an earlier state."""
+    """The modelled system; states are values, and successor() changes no earlier state."""
 
     def __init__(self, scope: Scope, switches: Switches | None = None) -> None:
         self.parts = Parts(scope, switches or Switches())
--- a/src/willowpost/model/system_state.py
+++ b/src/willowpost/model/system_state.py
@@ -1,4 +1,4 @@
-"""One state of the whole modelled system, small and hashable: parts are named by numbers."""
+"""One state of the modelled system, small and hashable: parts are given by their numbers."""
 
 import marshal
 from typing import NamedTuple
@@ -12,10 +12,20 @@
 
 
 class SystemState(NamedTuple):
-    """Invariant: equal states have the same future.
-
-    Processes, disks, messages and the history stand here by the number under which the system keeps
-    them; `network` is sorted and holds each message in flight once.
+    """A state; equal states have the same future.
+
+    Processes, disks, messages and the history are given by their numbers in Parts.
+
+    Attributes:
+        processes: For each process its image, DOWN or GONE.
+        disks: Of the stores, in the order of the scope's machines.
+        network: The messages in flight, sorted, each once.
+        cuts: (source, target) pairs between which nothing arrives.
+        ticks: Timed ticks left for each process.
+        lives: For each store, how many incarnations it has had.
+        disks_lost: For each store, how many disks it has lost.
+        budget: The faults that may still occur.
+        history: What was sent and promised so far.
     """
 
     processes: tuple[int, ...]
@@ -29,7 +39,7 @@
     history: int
 
     def digest(self) -> bytes:
-        """16 bytes that two different states share with a chance of 2^-128 a pair."""
+        """16 bytes; two different states share them with a probability of 2^-128."""
         parts = (
             self.processes,
             self.disks,
--- a/src/willowpost/model/walks.py
+++ b/src/willowpost/model/walks.py
@@ -39,7 +39,10 @@
 
 
 class RandomWalks:
-    """Invariant: the same seed gives the same walks, whatever was walked before."""
+    """Takes random walks.
+
+    The same seed gives the same walks, whatever was walked before.
+    """
 
     def __init__(
         self,
--- a/src/willowpost/proxy/admission/buckets.py
+++ b/src/willowpost/proxy/admission/buckets.py
@@ -163,7 +163,7 @@
         self.node_state = node_state
         self.buckets: dict[str, Bucket] = {}
         self.ranks: dict[tuple[str, tuple[str, ...]], int] = {}
-        # origins whose process we saw end; cold to us whatever the log says
+        # origins whose process was seen to end; treated as cold whatever the log says
         self.suspects: dict[str, int] = {}
 
     def suspect(self, origin: str, now: int) -> None:
--- a/src/willowpost/proxy/handler.py
+++ b/src/willowpost/proxy/handler.py
@@ -1,4 +1,4 @@
-"""One caller's connection: requests are read ahead and answered side by side, in their order."""
+"""One caller's connection: requests are read ahead, handled concurrently and answered in order."""
 
 import contextlib
 from collections import deque
@@ -23,7 +23,7 @@
 
 
 class PendingAnswer:
-    """One request's place in the order of its connection; `reply` is None until it is answered."""
+    """A request's place in its connection's order; `reply` is None until it is answered."""
 
     __slots__ = ("close", "head", "reply")
 
@@ -33,11 +33,10 @@
 
 
 class ProxyHandler(WSGIHandler):
-    """Invariants: answers leave in the order in which their requests came.
+    """Serves one connection; responses leave in the order of their requests.
 
-    A request that may not run twice, or has a body, is taken up only when all before it are
-    answered; once an answer has said that it closes the connection, nothing read behind it is taken
-    up.
+    A request that may not run twice, or has a body, is started only when all before it are
+    answered. Once a response has announced the connection's end, nothing read after it is started.
     """
 
     def __init__(self, sock, address, server, rfile=None):
@@ -65,9 +64,9 @@
             self.socket.close()
 
     def _linger(self):
-        """Bytes that are not read would make the closing a reset.
+        """Reads what still arrives before the socket is closed.
 
-        Which can take our last answer with it.
+        Unread bytes would reset the connection, which may destroy the last response on its way.
         """
         if self.broken:
             return
@@ -84,7 +83,7 @@
         return not self.pending
 
     def end(self) -> None:
-        """Nothing new is taken up; an idle connection is closed at once."""
+        """Starts nothing new; an idle connection is closed at once."""
         self.closing = True
         if self.idle():
             with contextlib.suppress(OSError):
--- a/src/willowpost/proxy/origin/answer_reader.py
+++ b/src/willowpost/proxy/origin/answer_reader.py
@@ -6,7 +6,7 @@
 from willowpost.proxy.origin.reading import AnswerParser
 
 HEADS_MOST = 256 * 1024  # bytes of heads, the interim ones counted, until the final one is whole
-FOREIGN_MOST = 2  # answers to others that are passed over before our own
+FOREIGN_MOST = 2  # responses to other requests that are skipped before the right one
 
 
 class AnswerReader:
--- a/src/willowpost/proxy/proxy_state.py
+++ b/src/willowpost/proxy/proxy_state.py
@@ -7,7 +7,7 @@
 from willowpost.proxy.routing.snapshot import RoutingSnapshot
 
 WARMED_UP_AFTER = 2 * SECOND
-WARMED_UP_SLACK = SECOND // 2  # we may have heard of it before it did
+WARMED_UP_SLACK = SECOND // 2  # this proxy may have seen it join before the shield itself did
 ZONE_GRACE = 4 * SECOND
 
 
@@ -38,13 +38,13 @@
     grants: dict = field(default_factory=dict)
     reports: dict = field(default_factory=dict)  # origin -> (load it reported, when)
     demand: dict = field(default_factory=dict)  # service -> tries since the last look
-    # since when our own card counts in the tables: there, not lost
+    # since when the tables have this proxy as joined and not lost
     joined_at: int | None = None
-    # our former life's card counted when we first saw the tables: nobody took its room
+    # the former incarnation was still joined in the first tables seen: its quota was kept
     held_seat: bool = False
     # (shield, incarnation) -> since when it is seen up
     shield_since: dict = field(default_factory=dict)
-    emptied_at: int | None = None  # when our zone was first seen emptied
+    emptied_at: int | None = None  # when this proxy's zone was first seen evacuated
     cold_since: dict = field(default_factory=dict)  # origin -> when first seen cold here
     # origin -> (when its last beat came, until when it is cold by it)
     cold: dict = field(default_factory=dict)
--- a/src/willowpost/proxy/routing/carrier.py
+++ b/src/willowpost/proxy/routing/carrier.py
@@ -38,8 +38,8 @@
             Rejected: The caller gets an error reply.
         """
         outcome = self.kinds[type(plan)](request, plan, body)
-        # the body may have come slowly, a flight may have been long, or we froze: what was kept
-        # must still be good
+        # the body or a joined fetch may have taken long, or the process was frozen: the lease must
+        # still hold before a stored response is sent
         if outcome.source == "hit" and not self.node_state.leased(self.clock.now()):
             raise Rejected(503, "no fresh state updates from the core", 2)
         part = getattr(plan, "part", None)
--- a/src/willowpost/proxy/routing/reads.py
+++ b/src/willowpost/proxy/routing/reads.py
@@ -99,7 +99,7 @@
         if landed.reject is not None:
             return self._joined_reject(landed.reject, deadline, request, plan, body)
         held = landed.entry
-        # the flight may have come by a shield that had not heard of a purge that we know
+        # the fetch may have passed a shield that did not know of a purge that is known here
         if (
             held is not None
             and not self.cache.purged_since(held.slot, request.host, request.target, held.tags)
--- a/src/willowpost/proxy/routing/tries.py
+++ b/src/willowpost/proxy/routing/tries.py
@@ -12,7 +12,7 @@
 from willowpost.proxy.routing.request import Request
 from willowpost.proxy.routing.words import Words
 
-SOON = 0.1  # seconds until somebody else, or the same origin, may well take it
+SOON = 0.1  # seconds until another origin, or the same one, may take the request
 EJECT_SPANS = {
     Why.BROKE: SECOND,
     Why.INCARNATION: 5 * SECOND,
@@ -91,7 +91,7 @@
         self.origins, self.io, self.stats = pick, io, stats
         self.words = words
         self.regions = regions or {}  # zone -> region
-        self.sizes: dict[str, float] = {}  # way -> smoothed bytes of its answers
+        self.sizes: dict[str, float] = {}  # route -> smoothed bytes of its responses
 
     def shield(
         self, request: Request, plan, name: str, address: str, deadline: int, trace: Trace
@@ -193,8 +193,8 @@
             self.origins.eject(chosen_origin.name, now, EJECT_SPANS[failure.why])
             unreached = failure.silent and not failure.sent
             if unreached or (failure.died and not (service.named and failure.sent)):
-                # what stands there next is cold, and we may know it before the log does; a named
-                # life that ended is told by 421
+                # the next process there is cold, which may be known here before it is in the log;
+                # the end of a named incarnation shows by 421
                 self.ramp.suspect(chosen_origin.name, now)
             raise
         finally:
@@ -351,8 +351,8 @@
                 exchange.instance_check(
                     instance_check, min(instance_checks.SECONDS, self._left(deadline))
                 )
-            # last look before a byte leaves: the lease by a clock that counts freezes, and that it
-            # is still in force
+            # the last check before a byte is sent: the lease, by a clock that counts freezes, and
+            # that the receiver is still in force
             if not self.node_state.leased(self.clock.now()):
                 raise Rejected(503, "no fresh state updates from the core", 2)
             if not in_force():
--- a/src/willowpost/shell/disk.py
+++ b/src/willowpost/shell/disk.py
@@ -1,7 +1,4 @@
-"""The store's one folder: one file per segment, written aside, synced, renamed.
-
-Then appended to and synced.
-"""
+"""A store's data folder: one file per segment, written aside, synced, renamed, then appended to."""
 
 import contextlib
 import os
@@ -23,15 +20,17 @@
 
 
 class Disk:
-    """Invariants: what append() and rotate() were given is synced when they return.
+    """Writes segments; what append() and rotate() were given is synced when they return.
+
+    If they raise, nothing of it is in a segment that load() would read. The newest segment holds
+    all that older ones did. An older segment is removed only once the newer one's folder entry is
+    synced; until then a power loss may remove either entry by itself.
 
-    And if they raise nothing of it is behind `end` or in a segment that load() would take; the
-    newest segment holds all that the older ones did. An older segment is removed only once the
-    folder entry of the newer one is synced: until then each of the two entries may be lost by
-    itself with the power.
+    Syncs block the event loop: the one task that steps the node waits for them in any case, and a
+    thread costs more than it saves (docs/design/rabia.md).
 
-    Syncs are made in the loop: the one task that steps the node waits for them in any case, and a
-    thread costs more than it spares (docs/design/rabia.md).
+    Attributes:
+        end: Length of the synced part of the newest segment, in bytes.
     """
 
     def __init__(self, folder: str):
@@ -45,13 +44,13 @@
         """The records of the newest segment; none if the folder has no segment.
 
         Raises:
-            DiskDamaged: it cannot be trusted; see segment_format.
-            UnknownFormat: it was written by another build.
+            DiskDamaged: The segment cannot be trusted; see segment_format.
+            UnknownFormat: It was written by another build.
         """
         names = segments_in(self.folder)
         if names:
             records = self._open_newest(names[-1])
-        # What is here may have been renamed by a life that was killed before it synced the folder.
+        # A process that was killed may have renamed what is here before it synced the folder.
         _sync_folder(self.folder)
         _sync_folder(os.path.dirname(os.path.abspath(self.folder)))
         self._drop([name for name in os.listdir(self.folder) if name.endswith(ASIDE)])
@@ -70,7 +69,11 @@
         return records
 
     def append(self, records: list[dict]) -> None:
-        """Writes one batch behind what is there and syncs it; OSError if it could not."""
+        """Appends one batch of records to the newest segment and syncs it.
+
+        Raises:
+            OSError: It could not be written.
+        """
         data = batch_of(records)
         try:
             _write(self.file, data)
@@ -81,7 +84,11 @@
         self.end += len(data)
 
     def rotate(self, records: list[dict]) -> None:
-        """Replaces all that is there by a new segment of these records; OSError if it could not."""
+        """Replaces all segments by a new one with these records.
+
+        Raises:
+            OSError: It could not be written.
+        """
         older = [self._name(self.number)] if self.file is not None else []
         file, end = self._written(self._name(self.number + 1), records)
         if self.file is not None:
@@ -107,7 +114,7 @@
         return file, end
 
     def set_aside(self, moment: int) -> str:
-        """Moves a damaged folder out of the way and gives its new path; only the latest is kept."""
+        """Renames a damaged folder and returns its new path; only the latest one is kept."""
         parent, name = os.path.split(os.path.abspath(self.folder))
         for former in os.listdir(parent):
             if former.startswith(name + DAMAGED):
--- a/src/willowpost/shell/logs.py
+++ b/src/willowpost/shell/logs.py
@@ -8,7 +8,7 @@
 
 
 class Logs:
-    """Invariant: every line is one JSON object with time, program, name and message."""
+    """A logger; every line is a JSON object with time, program, name and message."""
 
     def __init__(self, program: str, name: str, level: str = "INFO", stream: TextIO | None = None):
         self.logger = logging.Logger(program, getattr(logging, level))
--- a/src/willowpost/shell/mesh.py
+++ b/src/willowpost/shell/mesh.py
@@ -132,7 +132,7 @@
                     return
                 self.inbox.offer(Received(*self.codec.decode(frame)), size)
         except Exception:  # what reading junk as tables may raise has no end
-            return  # not one of ours, or cut off: its sender will say it again
+            return  # junk, or cut off: its sender will repeat it
         finally:
             stream.close()
             connection.close()
--- a/src/willowpost/shell/place.py
+++ b/src/willowpost/shell/place.py
@@ -1,4 +1,4 @@
-"""What a process needs to know of its place: plain, already checked by whoever made it."""
+"""The settings of one process as plain data, already checked by whoever made them."""
 
 from dataclasses import dataclass, field
 
@@ -10,9 +10,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Place:
-    """Invariant: plain data; checked settings turn into it (shell/settings.py).
+    """The settings of one process.
 
-    And another entry may make one itself.
+    They are made from checked settings (shell/settings.py) or by another entry point. Spans with
+    the suffix _ms are in milliseconds.
     """
 
     name: str
@@ -43,10 +44,13 @@
     level: str = "INFO"
 
     def spans(self) -> Spans:
-        """Spans of a planned end in µs."""
+        """The spans of a planned end, in µs."""
         return Spans(self.drain_ms * MILLI, self.finish_ms * MILLI, self.leave_ms * MILLI)
 
     def store_spans(self) -> LeaveSpans:
-        """A store's hand-over may take the whole planned end; a restart only its last part."""
+        """A store's spans, in µs.
+
+        A hand-over may take the whole planned end, a restart only its last part.
+        """
         whole = self.drain_ms + self.finish_ms + self.leave_ms
         return LeaveSpans(whole * MILLI, self.leave_ms * MILLI)
--- a/src/willowpost/shell/program.py
+++ b/src/willowpost/shell/program.py
@@ -1,4 +1,4 @@
-"""The command line that the daemons share."""
+"""The command line shared by the programs."""
 
 import json
 import sys
@@ -15,9 +15,9 @@
 
 
 class DaemonCommand(Command):
-    """A daemon's command.
+    """The command of one program.
 
-    Invariant: bad settings end with exit code 2 and all findings, before any socket is opened.
+    Wrong settings end it with exit code 2 and all findings, before any socket is opened.
     """
 
     needs: tuple[str, ...] = ()
--- a/src/willowpost/shell/reload.py
+++ b/src/willowpost/shell/reload.py
@@ -1,7 +1,4 @@
-"""The platform says that settings have changed: read them again.
-
-Take over what can change while running, name what cannot.
-"""
+"""Reads a process's settings again while it runs."""
 
 from typing import Any
 
@@ -14,9 +11,12 @@
 
 
 class SettingsReload:
-    """Invariants: settings with any finding change nothing; `held` is what this process runs with.
+    """Applies changed settings that need no restart and logs the others at each reload.
+
+    Settings with any finding change nothing.
 
-    So what needs a restart stays named at each reload until there was one.
+    Attributes:
+        held: The settings that this process runs with.
     """
 
     def __init__(
@@ -30,7 +30,7 @@
         self.path, self.flags, self.needs, self.held, self.logs = path, flags, needs, held, logs
 
     def step(self) -> Result[DaemonSettings, list[dict[str, str]]]:
-        """The settings to go on with."""
+        """Reads the settings; returns those now in use, or the findings."""
         read = SettingsReader().read(self.path, self.flags, self.needs)
         if read.is_err():
             self.logs.say(
--- a/src/willowpost/shell/runner.py
+++ b/src/willowpost/shell/runner.py
@@ -1,7 +1,4 @@
-"""Runs one node: takes events from its inbox, lets it step.
-
-And carries its plans out in their order.
-"""
+"""Runs one node: takes events from its inbox, steps it and carries out its plans in order."""
 
 import os
 
@@ -21,10 +18,15 @@
 
 
 class Runner:
-    """Invariants: one task steps the node; everybody else talks to it by messages in the inbox.
+    """Steps a node in one task; all others reach it by events in its inbox.
+
+    If that task fails (a full disk, a bug), the process ends at once.
 
-    If that task breaks down (a full disk, a bug), the process ends at once: half a daemon is worse
-    than none.
+    Args:
+        address: The process's `host:port` for messages.
+        logs: Where log lines go.
+        disk: Where a plan's records are written; None for a node that writes none.
+        die: Ends the process with an exit code.
     """
 
     def __init__(self, address: str, logs, disk=None, die=os._exit):
@@ -40,7 +42,7 @@
         self.waiters: dict[int, AsyncResult] = {}
 
     def start(self, node) -> None:
-        """Step `node` from now on."""
+        """Starts to step the node and to accept messages."""
         self.node = node
         self.mesh.start()
         self.task = gevent.spawn(self._run)
@@ -51,13 +53,18 @@
         self.die(BROKE_DOWN)
 
     def ask(self, *ops, timeout: float = 2.0):
-        """Bring ops into the log and wait: their outcome, or None if it is not known in time."""
+        """Submits operations to the log; their outcome, or None after `timeout` seconds."""
         return self.want(lambda token: Asked(token, ops), timeout)
 
     def want(self, make, timeout: float):
-        """Give the node an event under a new token, and wait for the reply to it.
+        """Gives the node an event with a new token and waits for the reply.
+
+        Args:
+            make: Makes the event from the token.
+            timeout: Seconds to wait; the node then gets a `Withdrawn` event.
 
-        Once nobody waits any more, the node is told so (`Withdrawn`).
+        Returns:
+            The reply, or None on timeout.
         """
         self.counter += 1
         token, waiter = self.counter, AsyncResult()
@@ -73,9 +80,10 @@
                 self.inbox.put(Withdrawn(token))
 
     def leave(self, close) -> None:
-        """A planned end: close() is called when nothing new is to be taken.
+        """Leaves the fleet in a planned way; returns when the process may end.
 
-        Returns when the node may be let go.
+        Args:
+            close: Called when the process should take nothing new.
         """
         self.inbox.put(Leave())
         for reached, then in ((Stage.FINISHING, close), (Stage.GONE, lambda: None)):
--- a/src/willowpost/shell/segment_format.py
+++ b/src/willowpost/shell/segment_format.py
@@ -32,9 +32,9 @@
 
 
 def segment_lines(records: list[dict]) -> Iterator[bytes]:
-    """A whole segment, made line by line: a snapshot of many MB is not held several times over.
+    """Yields a whole segment line by line, so that a large snapshot is not copied in memory.
 
-    Each record has a line of its own, so that damage is told with its place.
+    Each record has its own line, so that damage can be located.
     """
     yield header()
     for record in records:
--- a/src/willowpost/shell/settings.py
+++ b/src/willowpost/shell/settings.py
@@ -1,6 +1,6 @@
-"""A daemon's own settings: from a file, flags on top.
+"""A process's settings, from a file and command-line flags.
 
-All findings reported together with their place.
+All findings are reported together, each with its place.
 """
 
 import json
@@ -19,7 +19,7 @@
 
 
 class PaceSettings(BaseModel):
-    """How a store paces itself; all in milliseconds but keep and turn, which count decisions."""
+    """A store's timing: milliseconds, but `keep` and `rotate` count decisions."""
 
     model_config = ConfigDict(extra="forbid")
     resend: int = Field(60, ge=5, le=5000)
@@ -32,7 +32,7 @@
     rotate: int = Field(2048, ge=16)
 
     def micros(self) -> Pace:
-        """The pace in µs, as the core takes it."""
+        """The timing in µs, as the replica takes it."""
         return Pace(
             **{
                 name: value * (1 if name in ("keep", "rotate") else MILLI)
@@ -42,7 +42,7 @@
 
 
 class DaemonSettings(BaseModel):
-    """Invariant: what a process needs to know of its place, and no more."""
+    """The settings of one process, as an operator writes them; unknown names are refused."""
 
     model_config = ConfigDict(extra="forbid")
     name: Name
@@ -112,12 +112,18 @@
 
 
 class SettingsReader:
-    """Invariant: either whole checked settings, or every finding at once."""
+    """Reads and checks settings: either all of them, or every finding at once."""
 
     def read(
         self, path: str | None, flags: dict, needs: tuple[str, ...] = ()
     ) -> Result[DaemonSettings, list[dict]]:
-        """Settings from the file, flags on top; `needs` names fields that may not be missing."""
+        """The checked settings, or the findings.
+
+        Args:
+            path: A JSON or YAML file, or None.
+            flags: Command-line flags by field; a value that is not None replaces the file's.
+            needs: Fields that this program requires.
+        """
         held = {}
         if path is not None:
             try:
--- a/src/willowpost/shell/web.py
+++ b/src/willowpost/shell/web.py
@@ -1,4 +1,4 @@
-"""JSON over gevent's WSGI server for operators and origins: routes as data, every answer whole."""
+"""JSON over gevent's WSGI server for operators and origins, with a table of routes."""
 
 import json
 from dataclasses import dataclass, field
@@ -73,7 +73,12 @@
 
 
 def read_body(environ, most: int) -> bytes:
-    """Invariant: never more than `most` bytes are held; a body that ends short raises."""
+    """A request's body, of which at most `most` bytes are held.
+
+    Raises:
+        BodyTooLarge: It is larger.
+        EOFError: It ended short.
+    """
     length = environ.get("CONTENT_LENGTH")
     if length:
         if int(length) > most:
@@ -91,9 +96,13 @@
 
 
 class Router:
-    """Invariant: routes is a table of (method, path parts, body_max, handler).
+    """A WSGI application with a table of routes.
 
-    "*" in a path is a param.
+    Args:
+        routes: (method, path, largest body in bytes, handler) each; "*" in a path matches any part,
+            which becomes a parameter of the call.
+        logs: Where log lines go.
+        closing: Whether connections should be closed after the response.
     """
 
     def __init__(self, routes, logs, closing=lambda: False):
@@ -169,7 +178,7 @@
 
 
 class QuietHandler(WSGIHandler):
-    """Invariant: no answer waits in the kernel for the caller's acknowledgement of its head."""
+    """A handler without Nagle's delay and without request logs."""
 
     def __init__(self, sock, address, server, rfile=None):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -189,7 +198,7 @@
 
 
 class CountingHandler(QuietHandler):
-    """Invariant: counts as under way until its last byte is out."""
+    """A handler that counts a call as in flight until the last byte of its response is sent."""
 
     def handle_one_response(self):
         """Answer one call, counted as under way."""
@@ -218,5 +227,5 @@
         self.server.start()
 
     def stop(self, seconds: float = 5) -> None:
-        """Close the socket, and give calls under way so many seconds."""
+        """Closes the socket and gives calls in flight so many seconds to end."""
         self.server.stop(timeout=seconds)
--- a/src/willowpost/sim/fleet/faults/bounded.py
+++ b/src/willowpost/sim/fleet/faults/bounded.py
@@ -126,7 +126,7 @@
         return False
 
     def core_machine_one_way(self):
-        """A core machine hears the others, and nobody hears it."""
+        """A core machine receives messages from the others, but none of its own arrive."""
         alone = self._machine()
         self.world.cuts |= {
             (name, other) for name in alone for other in self.world.seats if other not in alone
--- a/src/willowpost/sim/fleet/faults/machines.py
+++ b/src/willowpost/sim/fleet/faults/machines.py
@@ -122,9 +122,9 @@
         return self.world.chance.random() < 0.5
 
     def rolling_restart(self):
-        """Proxies and registries are stopped as planned, one after the other, and start again.
+        """Proxies and registries are stopped as planned and restarted, one after the other.
 
-        Each at a moment at which it answers a request, if one comes soon.
+        Each is stopped while it handles a request, if one comes soon.
         """
         names = self._some([*self.world.edges, *self.world.shields, *self.world.registries], 3)
         self._restart_next(names)
--- a/src/willowpost/sim/fleet/faults/network.py
+++ b/src/willowpost/sim/fleet/faults/network.py
@@ -50,7 +50,7 @@
         self.world.weather.drop = 0.08
 
     def core_one_way(self):
-        """A core machine hears the others and is not heard by the core, or the other way round."""
+        """A core machine's messages to the core are lost, or the core's messages to it."""
         alone, core = self._machine(), self._core()
         others = [name for name in core if name not in alone]
         self.world.heal()
--- a/src/willowpost/sim/fleet/operators.py
+++ b/src/willowpost/sim/fleet/operators.py
@@ -83,11 +83,10 @@
 
 
 class Operators:
-    """Sends orders to registries, and tells the rules what was accepted.
+    """Sends orders to registries and tells the rules what was accepted.
 
-    Invariants: every order and its answer is in the world's history; an operator whose
-    acknowledgement was lost sends the same order to another registry, until a newer one concerns
-    the same thing.
+    Every order and its reply is in the world's history. An operator whose acknowledgement was lost
+    sends the same order to another registry, until a newer order concerns the same thing.
 
     Attributes:
         lost_part: The part of the acknowledgements that is lost on the way, in [0, 1].
--- a/src/willowpost/sim/fleet/readers.py
+++ b/src/willowpost/sim/fleet/readers.py
@@ -22,10 +22,10 @@
 
 
 class Readers:
-    """Reads the configuration and the evacuated zones at a registry drawn by lot.
+    """Reads the configuration and the evacuated zones at random registries.
 
-    As the control API does: what a registry holds is an answer only once it knows that it is whole
-    as of the call. Invariant: draws nothing from the world's own chance.
+    As in the control API, a registry's state is an answer only once it is known to be complete as
+    of the call. Random choices here do not change those of the world.
     """
 
     def __init__(self, world, seed: int):
--- a/src/willowpost/sim/replacement_faults.py
+++ b/src/willowpost/sim/replacement_faults.py
@@ -23,12 +23,13 @@
 
 
 class ReplacementFaultSchedule:
-    """Invariant: run() raises Broken at the first step that breaks a rule of the core.
+    """Replaces voters' machines one after the other.
 
-    Each cycle replaces one voter's machine by an empty one at a new address, planned (the new one
-    first, then SIGTERM, and the old one is taken away once it has ended) or not (killed with its
-    disk, then the new one). CATCH_UP later as many voters as may be lost lose their disks at once,
-    and come back empty at their own addresses.
+    Each cycle replaces one voter's machine by an empty one at a new address. A planned replacement
+    starts the new machine first, then sends SIGTERM to the old one, which is removed once it has
+    ended. An unplanned one kills the old process with its disk, then starts the new machine.
+    CATCH_UP later as many voters as may be lost lose their disks at once and come back empty at
+    their own addresses.
     """
 
     def __init__(self, seed: int, voters: int = 3):
--- a/src/willowpost/sim/scripted_core.py
+++ b/src/willowpost/sim/scripted_core.py
@@ -1,4 +1,4 @@
-"""A simulated core whose schedule is written step by step: who hears what, and who is lost when."""
+"""A simulated core with a schedule written step by step: which messages arrive, who fails when."""
 
 from collections.abc import Callable
 
--- a/src/willowpost/sim/seat.py
+++ b/src/willowpost/sim/seat.py
@@ -7,7 +7,15 @@
 
 @dataclass(slots=True)
 class Weather:
-    """How the network behaves: delays in µs, chances in [0, 1)."""
+    """How the network behaves.
+
+    Attributes:
+        least: The smallest delay, in µs.
+        spread: The range of the random delay added to it, in µs.
+        drop: Probability that a message is lost.
+        twice: Probability that a message is sent twice.
+        between: (region, region) to extra delay, in µs.
+    """
 
     least: int = 200
     spread: int = 800
@@ -18,9 +26,9 @@
 
 @dataclass(slots=True)
 class Seat:
-    """One machine's process: its node while it is up, its disk, its own clocks.
+    """One machine's process: its node while it is up, its disk, its clocks.
 
-    Invariant: while `pending_write` is not None its node takes no step.
+    The node takes no step while `pending_write` is not None. All times are in µs.
     """
 
     address: str
@@ -41,6 +49,6 @@
     busy_until: int = 0  # when such a step ends
 
     def held_until(self, time: int) -> int:
-        """When the node takes its next step: now, or after a freeze, a slow step or write."""
+        """When the node may take its next step: `time`, or the end of a freeze, step or write."""
         written = max(self.written_at, time) + 1 if self.pending_write is not None else 0
         return max(self.frozen_until, self.busy_until, written, time)
