--- a/src/willowpost/sim/fleet/faults/network.py
+++ b/src/willowpost/sim/fleet/faults/network.py
@@ -1,11 +1,11 @@
-"""Faults of the network: cuts of all shapes, losses, resets; and seeds that are changed meanwhile."""
+"""Faults of the network: partitions of all shapes, losses, resets; and changes of the seeds."""
 
 from willowpost.common.events import Changed
 from willowpost.sim.fleet.faults.base import FaultSteps
 
 
 class NetworkFaults(FaultSteps):
-    """A new cut takes the place of the last one."""
+    """Network faults; a new partition replaces the last one."""
 
     def cut_zone(self):
         """A zone is cut off from all others."""
@@ -50,7 +50,7 @@
         self.world.weather.drop = 0.08
 
     def core_one_way(self):
-        """A core machine hears the others and is not heard by the core, or the other way round."""
+        """A core machine's messages to the core are lost, or the core's messages to it."""
         alone, core = self._machine(), self._core()
         others = [name for name in core if name not in alone]
         self.world.heal()
