Model: a method and a pace that nothing used are gone

Found on a last reading: Scope.with_budget and QUIET were left from earlier scopes; nothing in src, tests or docs names them.

--- a/src/willowpost/model/scope.py
+++ b/src/willowpost/model/scope.py
@@ -1,6 +1,6 @@
 """How large a model is: its machines, its commands, and how much of each fault may come."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
 
@@ -94,7 +94,3 @@
     may_crash: tuple[str, ...] = ()  # empty: every store may
     may_lose_disk: tuple[str, ...] = ()  # empty: every store may
     messages_stay: bool = True
-
-    def with_budget(self, **changes: int) -> "Scope":
-        """The same scope with other counts of some faults."""
-        return replace(self, budget=self.budget._replace(**changes))
--- a/src/willowpost/model/scopes.py
+++ b/src/willowpost/model/scopes.py
@@ -13,12 +13,11 @@
     replacement,
     suspected,
 )
-from willowpost.model.scope import READS_OFF, Budget, Machine, Passes, Role, Scope, Ticks
+from willowpost.model.scope import Budget, Machine, Passes, Role, Scope, Ticks
 
 THREE = (Machine("s0", "a"), Machine("s1", "b"), Machine("s2", "c"))
 FIVE = (*THREE, Machine("s3", "a"), Machine("s4", "b"))
 WITH_LEARNER = (*THREE, Machine("s3", "c", Role.LEARNER))
-QUIET = Pace(read=READS_OFF, synced_index=NEVER, rotate=NEVER)
 READING = Pace(synced_index=NEVER, rotate=NEVER)
 
 
