--- a/src/willowpost/proxy/admission/buckets.py
+++ b/src/willowpost/proxy/admission/buckets.py
@@ -119,7 +119,8 @@
 
     def __init__(self, node_state: ProxyState):
         self.node_state = node_state
-        self.windows: dict[str, Window] = {}
+        # service -> (since when this proxy is its sender, what it may still use)
+        self.windows: dict[str, tuple[int | None, Window]] = {}
 
     def let_in(self, name: str, now: int) -> Let:
         """Whether one more request may go to a service now (µs)."""
@@ -139,14 +140,23 @@
         rate = base_quota + granted
         if rate <= 0:
             return Let.OUT
-        if name not in self.windows:
-            self.windows[name] = Window(self._unused_since(now) if base_quota else now, base_quota)
-        return let(self.windows[name].take(rate, now, service.borne))
-
-    def _unused_since(self, now: int) -> int:
-        """Since when the base quota has been unused; all other senders left it free by then."""
+        sender_since = node_state.sender_since.get(name)
+        held = self.windows.get(name)
+        if held is None or held[0] != sender_since:
+            since = self._unused_since(sender_since, now) if base_quota else now
+            held = self.windows[name] = (sender_since, Window(since, base_quota))
+        return let(held[1].take(rate, now, service.borne))
+
+    def _unused_since(self, sender_since: int | None, now: int) -> int:
+        """Since when the base quota has been unused; all other senders left it free by then.
+
+        A proxy that becomes a sender, because the shields that were have gone, knows nothing of
+        what they have used: its window begins empty.
+        """
         warmed_up = self.node_state.warmed_up_since()
         since = now if warmed_up is None else min(now, warmed_up)
+        if sender_since is not None:
+            since = max(since, sender_since)
         return max(now - int(WINDOW * SECOND), since)
 
 
--- a/src/willowpost/proxy/cache/storing.py
+++ b/src/willowpost/proxy/cache/storing.py
@@ -109,11 +109,13 @@
     return None if age is None else str(age // SECOND)
 
 
-def first_age(answer: dict, took: int) -> int:
-    """The response's age on arrival, in µs: its Age header plus the time the exchange took.
+def first_age(answer: dict, took: int, hop_age: int | None = None) -> int:
+    """The response's age on arrival, in µs: what it says of it plus the time the exchange took.
 
     Args:
         answer: Its headers, lower-case names.
         took: Duration of the exchange, in µs.
+        hop_age: The age that a shield told, in µs; None to go by the Age header.
     """
-    return (whole(answer.get("age")) or 0) * SECOND + took
+    told = (whole(answer.get("age")) or 0) * SECOND if hop_age is None else hop_age
+    return told + took
--- a/src/willowpost/proxy/front.py
+++ b/src/willowpost/proxy/front.py
@@ -8,6 +8,7 @@
 from willowpost.proxy.caller.reply import Reply
 from willowpost.proxy.caller.request import CallerRequest
 from willowpost.proxy.routing.carrier import Carrier
+from willowpost.proxy.routing.headers import HOP_AGE, HOP_REJECT, HOP_SLOT
 from willowpost.proxy.routing.planner import RequestPlanner
 from willowpost.proxy.routing.request import ONCE, RejectPlan, Request, kind_of
 from willowpost.proxy.routing.tries import Rejected
@@ -193,7 +194,9 @@
         if outcome.age is not None:
             headers.append(("age", seconds_of(outcome.age)))
         if request.hop:
-            headers.append(("wp-slot", str(outcome.slot)))
+            headers.append((HOP_SLOT, str(outcome.slot)))
+            if outcome.age is not None:
+                headers.append((HOP_AGE, str(outcome.age // MILLI)))
         headers.append(("wp-cache", outcome.source))
         length = answer.header("content-length")
         if status not in (204, 304):
@@ -233,6 +236,8 @@
             headers.append(("retry-after", f"{reject.after:g}"))
         if write:
             headers.append(("wp-outcome", reject.outcome))
+        if request is not None and request.hop:
+            headers.append((HOP_REJECT, reject.outcome))
         self.stats[f"reject.{reject.code}"] += 1
         self.stats[f"why.{reject.reason[:40]}"] += 1
         return Reply(reject.code, headers, body)
--- a/src/willowpost/proxy/node.py
+++ b/src/willowpost/proxy/node.py
@@ -29,9 +29,10 @@
         seeds: Addresses to start from.
         wall: Gives the wall clock in µs.
         cache_bytes: Size limit of the cache.
+        regions: Zone to region; empty if regions do not matter.
     """
 
-    def __init__(self, card: Card, seeds, wall, cache_bytes: int = BYTES_MOST):
+    def __init__(self, card: Card, seeds, wall, cache_bytes: int = BYTES_MOST, regions=None):
         self.node_state = ProxyState(card)
         self.cache = CacheStore(cache_bytes)
         self.command_client = CommandClient(card.id, card.incarnation, self.node_state.cores, wall)
@@ -46,7 +47,7 @@
         self.controllers = [
             follower,
             QuorumRead(self.node_state, follower),
-            SnapshotKeeper(self.node_state, self.cache),
+            SnapshotKeeper(self.node_state, self.cache, regions),
             Reports(self.node_state),
             self.command_client,
             Watch(card, tables, self.command_client),
--- a/src/willowpost/proxy/origin/pick.py
+++ b/src/willowpost/proxy/origin/pick.py
@@ -80,7 +80,7 @@
             key=lambda origin: (
                 self.ejected.get(origin.name, 0) > now,
                 origin.cold,
-                self._silent(origin.name, now),
+                self.silent(origin.name, now),
                 self._weight(origin, quickest, now, heavy) * busier.get(origin.name, 1.0),
                 self.chance.random(),
             ),
@@ -130,7 +130,11 @@
             for name in [name for name in held if name not in names]:
                 del held[name]
 
-    def _silent(self, name, now):
+    def avoided(self, name, now):
+        """Whether a shield should be asked last: it failed lately, or is silent."""
+        return self.ejected.get(name, 0) > now or self.silent(name, now)
+
+    def silent(self, name, now):
         """Whether it owes a response for long and has answered nothing sent later."""
         oldest = min(self.waiting.get(name, {}).values(), default=now)
         return (
--- a/src/willowpost/proxy/proxy_state.py
+++ b/src/willowpost/proxy/proxy_state.py
@@ -42,6 +42,8 @@
     joined_at: int | None = None
     # the former incarnation was still joined in the first tables seen: its quota was kept
     held_seat: bool = False
+    # service -> since when this proxy is one of its senders; None: since the service is known here
+    sender_since: dict = field(default_factory=dict)
     # (shield, incarnation) -> since when it is seen up
     shield_since: dict = field(default_factory=dict)
     emptied_at: int | None = None  # when this proxy's zone was first seen evacuated
--- a/src/willowpost/proxy/routing/headers.py
+++ b/src/willowpost/proxy/routing/headers.py
@@ -14,6 +14,10 @@
     "expect",
 }
 OURS = "wp-"
+# between an edge and a shield
+HOP_SLOT = "wp-slot"  # the least log slot known to any daemon that the fetch passed
+HOP_AGE = "wp-age"  # a response's age in ms: Age in whole seconds would lose up to one
+HOP_REJECT = "wp-reject"  # the shield's own refusal, not an origin's answer
 CONDITIONS = ("if-none-match", "if-modified-since")
 
 
@@ -84,7 +88,7 @@
         else []
     )
     hops = (
-        [("wp-hop", hop), ("wp-slot", str(slot)), *([("wp-extra", "1")] if extra else [])]
+        [("wp-hop", hop), (HOP_SLOT, str(slot)), *([("wp-extra", "1")] if extra else [])]
         if hop
         else []
     )
--- a/src/willowpost/proxy/routing/keeper.py
+++ b/src/willowpost/proxy/routing/keeper.py
@@ -8,10 +8,10 @@
 class SnapshotKeeper:
     """Swaps the snapshot only after the cache has carried out the purges in the same tables."""
 
-    def __init__(self, node_state: ProxyState, cache):
+    def __init__(self, node_state: ProxyState, cache, regions=None):
         self.node_state = node_state
         self.cache = cache
-        self.maker = SnapshotMaker()
+        self.maker = SnapshotMaker(regions)
 
     def step(self, event, now: int) -> Plan:
         """Takes over changed tables after any event; `now` is in µs."""
@@ -21,7 +21,9 @@
             return plan
         self.cache.purge(tables)
         before, first = node_state.snapshot.version, not node_state.snapshot.slot
+        former = node_state.snapshot
         node_state.snapshot = self.maker.make(tables)
+        self._note_senders(former, now)
         if node_state.snapshot.version != before:
             plan.note(
                 "configuration", "in force", version=node_state.snapshot.version, slot=tables.slot
@@ -58,3 +60,17 @@
             if origin.cold
         }
         return plan
+
+    def _note_senders(self, former, now):
+        """Notes since when this proxy has been a sender of each service.
+
+        A service that is new here, or whose first snapshot this is, had no other senders whose use
+        of its rate this one would not know.
+        """
+        node_state, own = self.node_state, self.node_state.card.id
+        held = node_state.sender_since
+        node_state.sender_since = {
+            name: held[name] if name in held else now if name in former.services else None
+            for name, service in node_state.snapshot.services.items()
+            if own in service.senders
+        }
--- a/src/willowpost/proxy/routing/planner.py
+++ b/src/willowpost/proxy/routing/planner.py
@@ -1,6 +1,5 @@
 """Plans a request by lease, route and cache; it changes no state."""
 
-from willowpost.common.rendezvous import Rendezvous
 from willowpost.proxy.cache.ranges import one_range
 from willowpost.proxy.routing.request import (
     KEPT,
@@ -12,10 +11,9 @@
     WritePlan,
     kind_of,
 )
+from willowpost.proxy.routing.shields import ShieldChooser, goes_through_shields
 from willowpost.proxy.routing.split import ServicePicker
 
-SHIELDS_TRIED = 3
-
 
 class RequestPlanner:
     """Plans requests by the node state and the cache as they are now.
@@ -33,6 +31,7 @@
         self.cache = cache
         self.clock = clock
         self.services = ServicePicker()
+        self.shields = ShieldChooser(node_state.card.zone, self.regions)
 
     def plan(self, request: Request):
         """A RejectPlan, WritePlan, CachePlan or FetchPlan for the request."""
@@ -72,7 +71,7 @@
             route,
             snapshot.slot,
             cacheable,
-            self._shields(request, route, now),
+            self._shields(request, route, now) if kind == KEPT else (),
             entry,
             route.tries,
             service,
@@ -81,8 +80,11 @@
         )
 
     def _shields(self, request, route, now):
-        if request.hop or not (route.shield and route.cache) or self.node_state.card.role != "edge":
+        if request.hop or self.node_state.card.role != "edge" or not goes_through_shields(route):
             return ()
-        shields = self.node_state.warmed_up_shields(now)
-        ranked = Rendezvous().rank(f"{request.host}{request.target}", shields)[:SHIELDS_TRIED]
-        return tuple((name, shields[name]) for name in ranked)
+        return self.shields.choose(
+            f"{request.host}{request.target}",
+            route.homes,
+            self.node_state.warmed_up_shields(now),
+            self.node_state.snapshot.shield_zones,
+        )
--- a/src/willowpost/proxy/routing/reads.py
+++ b/src/willowpost/proxy/routing/reads.py
@@ -133,32 +133,39 @@
             False,
         )
         retried = RETRIED if plan.route.kind is None else FAILED
-        for attempt in range(plan.tries):
-            now, more = self.clock.now(), plan.tries - attempt - 1
-            if attempt and now >= deadline:
+        tries_left = plan.tries
+        while tries_left:
+            now, more = self.clock.now(), tries_left - 1
+            if tries_left < plan.tries and now >= deadline:
                 break
             # a silent one must leave time for the next; a shield needs time for a next of its own
-            shields_left.sort(key=lambda held: self.tries.origins.ejected.get(held[0], 0) > now)
+            shields_left.sort(key=lambda held: self.tries.origins.avoided(held[0], now))
             until = (
                 deadline
                 if not more
                 else now + int((deadline - now) * (SHIELD_PART if shields_left else 1 / (more + 1)))
             )
+            by_shield = bool(shields_left)
+            tries_left -= 1
             try:
                 answer = (
                     self.tries.shield(request, plan, *shields_left.pop(0), until, trace)
-                    if shields_left
+                    if by_shield
                     else self.tries.origin(request, plan, body, until, trace, plan.whole)
                 )
             except ExchangeFailure as failure:
                 last, ran = failure, ran or failure.ran
                 if failure.why is Why.SERVICE:
                     break
+                tries_left += by_shield and not failure.sent  # no origin can have seen it
                 continue
             except Rejected:
                 if last is None and last_answer is None:
                     raise
                 break  # no further try can be made: what the last one came to is the answer
+            if by_shield and self.settling.outdated(request, plan, answer):
+                last = ExchangeFailure("a shield's copy that a purge has ended", sent=True)
+                continue
             if unasked(answer, request, plan):
                 last, ran = ExchangeFailure("a 304 that was not asked for", sent=True), True
                 continue
--- a/src/willowpost/proxy/routing/settling.py
+++ b/src/willowpost/proxy/routing/settling.py
@@ -1,9 +1,10 @@
 """Turns the response to a repeatable request into an outcome, and stores it if the rules allow."""
 
+from willowpost.common.clock import MILLI
 from willowpost.proxy.cache.store import Entry
 from willowpost.proxy.cache.storing import StoringRules, first_age, whole
 from willowpost.proxy.origin.answer import WholeAnswer
-from willowpost.proxy.routing.headers import CONDITIONS, end_to_end
+from willowpost.proxy.routing.headers import CONDITIONS, HOP_AGE, HOP_SLOT, end_to_end
 from willowpost.proxy.routing.outcome import Outcome
 
 NOT_MODIFIED = 304
@@ -42,7 +43,12 @@
             answer: The response.
             begun: When the fetch began, by this process's clock, in µs.
         """
-        age = first_age(answer.lowered(), self.clock.now() - begun)
+        hop_age = whole(answer.header(HOP_AGE)) if plan.shields else None
+        age = first_age(
+            answer.lowered(),
+            self.clock.now() - begun,
+            None if hop_age is None else hop_age * MILLI,
+        )
         headers = self._headers(answer)
         if answer.status == NOT_MODIFIED and plan.entry is not None:
             return self._renewed(request, plan, answer, headers, age)
@@ -70,6 +76,15 @@
         self.cache.keep(entry)
         return Outcome(passed, "miss", age, slot), entry if storing.lifetime > age else None
 
+    def outdated(self, request, plan, answer: WholeAnswer) -> bool:
+        """Whether a purge that is known here has hit a shield's response since it was fetched.
+
+        The shield may not know of the purge: it is behind, or out of touch.
+        """
+        return self.cache.purged_since(
+            self._slot(plan, answer), request.host, request.target, self._tags(answer)
+        )
+
     def _renewed(self, request, plan, answer, headers, age):
         """The outcome of a 304: the stored response with its headers brought up to date."""
         held = plan.entry
@@ -120,8 +135,8 @@
 
     def _slot(self, plan, answer):
         """The least log slot known to any daemon that the fetch passed when it began."""
-        told = answer.header("wp-slot")
-        return min(plan.slot, whole(told)) if told else plan.slot
+        told = whole(answer.header(HOP_SLOT)) if plan.shields else None
+        return plan.slot if told is None else min(plan.slot, told)
 
     def _tags(self, answer):
         return tuple((answer.header(self.tries.words.tags) or "").split())
--- a/src/willowpost/proxy/routing/snapshot.py
+++ b/src/willowpost/proxy/routing/snapshot.py
@@ -9,10 +9,16 @@
 
 from willowpost.configuration.routes import RouteTable, routes_of
 from willowpost.proxy.origin.instance_check import InstanceCheck
+from willowpost.proxy.routing.shields import (
+    ShieldChooser,
+    goes_through_shields,
+    only_through_shields,
+)
 from willowpost.state.kinds import IN_FORCE
 from willowpost.state.tables import Tables
 
 FORCE = {state.value for state in IN_FORCE}
+ORIGINS_ONLY = MappingProxyType({"what": "origins"})  # of a zone whose daemons serve on
 NO_ALLOWANCE = 1e7  # requests a second: more than any fleet of ours sends
 
 
@@ -90,6 +96,7 @@
         services: Name to ServiceCard.
         origins: Names of all origins in force.
         shields: Id to HTTP address.
+        shield_zones: Id to zone, of the same shields.
         limits: The configuration's limits, by name.
     """
 
@@ -100,6 +107,7 @@
     origins: frozenset = frozenset()
     # id -> address over HTTP
     shields: MappingProxyType = field(default_factory=lambda: MappingProxyType({}))
+    shield_zones: MappingProxyType = field(default_factory=lambda: MappingProxyType({}))
     limits: MappingProxyType = field(default_factory=lambda: MappingProxyType({}))
 
 
@@ -113,10 +121,15 @@
 
 
 class SnapshotMaker:
-    """Makes snapshots from the tables alone; routes are made anew only with a new configuration."""
+    """Makes snapshots from the tables alone; routes are made anew only with a new configuration.
 
-    def __init__(self):
-        self.held = (None, RouteTable(()), (), {}, {})
+    Args:
+        regions: Zone to region; empty if regions do not matter.
+    """
+
+    def __init__(self, regions=None):
+        self.held = (None, RouteTable(()), set(), set(), {})
+        self.shields = ShieldChooser("", regions or {})
 
     def make(self, tables: Tables) -> RoutingSnapshot:
         """The snapshot of these tables."""
@@ -131,7 +144,7 @@
             )
         _, table, through, direct, tree = self.held
         services = tree.get("services", {})
-        emptied = {zone for zone, card in tables.zones.items() if card["empty"]}
+        emptied = {zone: card for zone, card in tables.zones.items() if card["empty"]}
         proxies = {
             name: card
             for name, card in tables.daemons.items()
@@ -142,10 +155,12 @@
             for role in ("edge", "shield")
         }
         shields = {
-            name: proxies[name]["http"]
+            name: card
             for name in by_role["shield"]
-            if proxies[name]["state"] == "up" and proxies[name]["zone"] not in emptied
+            if (card := proxies[name])["state"] == "up"
+            and emptied.get(card["zone"], ORIGINS_ONLY).get("what") == "origins"
         }
+        shield_zones = {name: card["zone"] for name, card in shields.items()}
         in_force = {}
         for name, card in tables.origins.items():
             if card["state"] in FORCE and card["zone"] not in emptied:
@@ -153,9 +168,19 @@
                     self._origin(name, card, services.get(card["service"], {}))
                 )
         zones = {name: card["zone"] for name, card in proxies.items()}
+        shielded = {
+            service
+            for service, homes in through
+            if any(self.shields.allowed(homes, zone) for zone in shield_zones.values())
+        }
+        unshielded = direct | {
+            service
+            for service, homes in through
+            if not any(self.shields.allowed(homes, zone) for zone in shield_zones.values())
+        }
         senders = {
-            name: (by_role["edge"] if name in direct or not shields else ())
-            + (by_role["shield"] if name in through else ())
+            name: (by_role["edge"] if name in unshielded or name not in shielded else ())
+            + (by_role["shield"] if name in shielded else ())
             for name in services
         }
         parts = {held: base_quota_parts(held, zones) for held in set(senders.values())}
@@ -171,22 +196,23 @@
             table,
             MappingProxyType(cards),
             frozenset(origin.name for card in cards.values() for origin in card.origins),
-            MappingProxyType(shields),
+            MappingProxyType({name: card["http"] for name, card in shields.items()}),
+            MappingProxyType(shield_zones),
             MappingProxyType(tree.get("limits") or {}),
         )
 
     def _pressed(self, routes):
-        """The services reached through shields, and those that edges reach themselves."""
+        """(service, homes) of reads that go through shields; services that edges send to."""
         through = {
-            service
+            (service, route.homes)
             for route in routes
-            if route.shield and route.cache
+            if goes_through_shields(route)
             for service in route.services
         }
         direct = {
             service
             for route in routes
-            if not (route.shield and route.cache and set(route.methods) <= {"GET", "HEAD"})
+            if not only_through_shields(route)
             for service in route.services
         }
         return through, direct
--- a/src/willowpost/proxy/routing/tries.py
+++ b/src/willowpost/proxy/routing/tries.py
@@ -2,13 +2,13 @@
 
 from dataclasses import dataclass, field
 
-from willowpost.common.clock import SECOND
+from willowpost.common.clock import MILLI, SECOND
 from willowpost.proxy.admission.verdict import Let
 from willowpost.proxy.origin import instance_check as instance_checks
 from willowpost.proxy.origin.answer import Echo, WholeAnswer
 from willowpost.proxy.origin.failure import ExchangeFailure, Why
 from willowpost.proxy.origin.pick import HEAVY
-from willowpost.proxy.routing.headers import toward
+from willowpost.proxy.routing.headers import HOP_REJECT, toward
 from willowpost.proxy.routing.request import Request
 from willowpost.proxy.routing.words import Words
 
@@ -23,6 +23,7 @@
 ROUTES_WEIGHED = 4096
 MISDIRECTED = 421
 NOT_RUN = (408, MISDIRECTED, 429, 503)
+NOT_RUN_OUTCOME = "not-run"
 
 
 class Rejected(Exception):
@@ -107,13 +108,15 @@
             trace: What has been tried; updated.
 
         Raises:
-            ExchangeFailure: No valid response came.
+            ExchangeFailure: No valid response came, or the shield refused for a reason of its own.
             Rejected: The proxy has no lease any more.
         """
         headers = toward(
             request, address, self.node_state.card.id, plan.slot, plan.entry, trace.pressed
         )
-        headers = self._with_id(request, headers)
+        headers = self._for_shield(request, headers, deadline)
+        begun = self.clock.now()
+        ticket = self.origins.began(name, begun)
         try:
             answer = self._exchange(
                 f"shield {name} {address}",
@@ -126,12 +129,20 @@
                 deadline,
                 lambda: name in self.node_state.snapshot.shields,
             )
-            trace.pressed = True
-            return answer
         except ExchangeFailure as failure:
             self.origins.eject(name, self.clock.now())
             trace.pressed |= failure.sent
             raise
+        finally:
+            self.origins.ended(name, ticket)
+        now = self.clock.now()
+        self.origins.answered(name, now - begun, None, now)
+        refusal = answer.header(HOP_REJECT)
+        trace.pressed |= refusal != NOT_RUN_OUTCOME
+        if refusal is not None and answer.status < 500:
+            # its table differs from the one that this request was planned by
+            raise ExchangeFailure(f"shield {name} refused: {answer.status}", sent=trace.pressed)
+        return answer
 
     def origin(
         self, request: Request, plan, body: bytes, deadline: int, trace: Trace, whole: bool = False
@@ -200,12 +211,17 @@
         finally:
             self.origins.ended(chosen_origin.name, ticket)
 
-    def _with_id(self, request, headers):
-        """Adds the caller's id, which a shield echoes as origins do, so that mix-ups show."""
-        if request.name is None:
-            return headers
-        word = self.words.request
-        return [*(pair for pair in headers if pair[0] != word), (word, request.name)]
+    def _for_shield(self, request, headers, deadline):
+        """Adds the caller's id, which a shield echoes as origins do, and the time that is left.
+
+        The shield gives up when this proxy does.
+        """
+        words, now = self.words, self.clock.now()
+        held = [pair for pair in headers if pair[0] not in (words.request, words.left)]
+        left = self._handed_on(request, deadline, now)
+        said = [] if request.name is None else [(words.request, request.name)]
+        said += [] if left is None else [(words.left, str(max(1, left // MILLI)))]
+        return held + said
 
     def _weigh(self, route, answer):
         if len(self.sizes) > ROUTES_WEIGHED:
