--- a/src/willowpost/configuration/delta.py
+++ b/src/willowpost/configuration/delta.py
@@ -55,7 +55,8 @@
         Parts that make up the new one, in order: [first, end) character of a part of the base, or
         new text.
     """
-    places, at = {}, 0
+    places: dict[str, int] = {}
+    at = 0
     for piece in PIECE.findall(base):
         places.setdefault(piece, at)
         at += len(piece)
--- a/src/willowpost/proxy/routing/keeper.py
+++ b/src/willowpost/proxy/routing/keeper.py
@@ -70,7 +70,7 @@
         node_state, own = self.node_state, self.node_state.card.id
         held = node_state.sender_since
         node_state.sender_since = {
-            name: held[name] if name in held else now if name in former.services else None
+            name: held.get(name, now if name in former.services else None)
             for name, service in node_state.snapshot.services.items()
             if own in service.senders
         }
