--- a/src/willowpost/node/follower.py
+++ b/src/willowpost/node/follower.py
@@ -23,8 +23,9 @@
 # without state updates for so long: all known daemons may be gone, the seeds may have changed
 WITHOUT_SOURCE_AFTER = 3 * SECOND
 HOMES_TRIED = 2
-# In one StateUpdate. A poll is repeated every POLL_EVERY until an answer has come, so an answer must
-# pass a link of 600 KB/s in less: else answers to repeated polls pile up on it, and all come late.
+# In one StateUpdate. A poll is repeated every POLL_EVERY until an answer has come, so an answer
+# must
+# pass a link of 600 KB/s in less: else answers to repeated polls pile up on it, all late.
 DECISIONS_BYTES_MOST = 64 * 1024
 
 
