--- a/src/willowpost/proxy/front.py
+++ b/src/willowpost/proxy/front.py
@@ -7,11 +7,11 @@
 from willowpost.proxy.cache.storing import seconds_of
 from willowpost.proxy.caller.reply import Reply
 from willowpost.proxy.caller.request import CallerRequest
+from willowpost.proxy.routing.attempt import Rejected
 from willowpost.proxy.routing.carrier import Carrier
 from willowpost.proxy.routing.headers import HOP_AGE, HOP_REJECT, HOP_SLOT
 from willowpost.proxy.routing.planner import DENIED_AGAIN_AFTER, RequestPlanner
 from willowpost.proxy.routing.request import ONCE, RejectPlan, Request, kind_of
-from willowpost.proxy.routing.tries import Rejected
 from willowpost.proxy.routing.words import Words
 
 HOST = re.compile(r"[A-Za-z0-9._-]{1,253}(:\d{1,5})?")
--- a/src/willowpost/proxy/routing/carrier.py
+++ b/src/willowpost/proxy/routing/carrier.py
@@ -4,10 +4,11 @@
 
 from willowpost.proxy.cache.ranges import PartMaker
 from willowpost.proxy.origin.answer import WholeAnswer
+from willowpost.proxy.routing.attempt import Rejected
 from willowpost.proxy.routing.outcome import Outcome
 from willowpost.proxy.routing.reads import Reads
 from willowpost.proxy.routing.request import CachePlan, FetchPlan, RejectPlan, Request, WritePlan
-from willowpost.proxy.routing.tries import Rejected, Tries
+from willowpost.proxy.routing.tries import Tries
 from willowpost.proxy.routing.writes import Writes
 
 
--- a/src/willowpost/proxy/routing/reads.py
+++ b/src/willowpost/proxy/routing/reads.py
@@ -6,9 +6,10 @@
 from willowpost.proxy.cache.store import Entry
 from willowpost.proxy.origin.answer import WholeAnswer
 from willowpost.proxy.origin.failure import ExchangeFailure, Why
+from willowpost.proxy.routing.attempt import SOON, Rejected, Trace
 from willowpost.proxy.routing.outcome import Outcome
 from willowpost.proxy.routing.settling import Settling, unasked
-from willowpost.proxy.routing.tries import SOON, Rejected, Trace, Tries
+from willowpost.proxy.routing.tries import Tries
 
 RETRIED = (502, 503, 504)
 FAILED = range(500, 600)
--- a/src/willowpost/proxy/routing/tries.py
+++ b/src/willowpost/proxy/routing/tries.py
@@ -1,18 +1,17 @@
 """One try of a request: to a shield, or to an origin that is picked, admitted and charged for."""
 
-from dataclasses import dataclass, field
-
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.proxy.admission.verdict import Let
 from willowpost.proxy.origin import instance_check as instance_checks
 from willowpost.proxy.origin.answer import Echo, WholeAnswer
 from willowpost.proxy.origin.failure import ExchangeFailure, Why
 from willowpost.proxy.origin.pick import HEAVY
+from willowpost.proxy.routing.answer_check import AnswerCheck
+from willowpost.proxy.routing.attempt import NOT_RUN_OUTCOME, SOON, Rejected, Trace
 from willowpost.proxy.routing.headers import HOP_REJECT, toward
 from willowpost.proxy.routing.request import Request
 from willowpost.proxy.routing.words import Words
 
-SOON = 0.1  # seconds until another origin, or the same one, may take the request
 EJECT_SPANS = {
     Why.BROKE: SECOND,
     Why.INCARNATION: 5 * SECOND,
@@ -21,41 +20,7 @@
 }
 SMOOTH = 0.1
 ROUTES_WEIGHED = 4096
-MISDIRECTED = 421
-NOT_RUN = (408, MISDIRECTED, 429, 503)
 FAILED_FROM = 500
-NOT_RUN_OUTCOME = "not-run"
-
-
-class Rejected(Exception):
-    """A request is given up; the caller gets its final reply at once.
-
-    Attributes:
-        code: The status.
-        reason: For the caller and the counters.
-        after: Seconds for Retry-After; 0 for none.
-        outcome: not-run if the request never ran and never will, else unknown.
-    """
-
-    def __init__(self, code: int, reason: str, after: float = 1, outcome: str = "not-run"):
-        super().__init__(reason)
-        self.code, self.reason, self.after, self.outcome = code, reason, after, outcome
-
-
-@dataclass(slots=True)
-class Trace:
-    """What has been tried for one request.
-
-    Attributes:
-        pressed: False only if no byte of the request can have reached an origin, from here or
-            through another proxy. Once it is True, each further try counts as an extra one.
-        tried: Names of the origins tried.
-        extra: Whether the try under way was charged as an extra one.
-    """
-
-    pressed: bool = False
-    extra: bool = False
-    tried: set = field(default_factory=set)
 
 
 class Tries:
@@ -94,6 +59,7 @@
         self.allowance, self.ramp, self.budget = allowance, ramp, budget
         self.origins, self.io, self.stats = pick, io, stats
         self.words = words
+        self.answer_check = AnswerCheck(words)
         self.regions = regions or {}  # zone -> region
         self.sizes: dict[str, float] = {}  # route -> smoothed bytes of its responses
 
@@ -200,7 +166,7 @@
             self.origins.answered(
                 chosen_origin.name, now - begun, answer.header(self.words.load), now
             )
-            self._checked(answer, service)
+            self.answer_check.check(answer, service)
             self._weigh(plan.route.name, answer)
             helped = answer.status < FAILED_FROM
             return answer
@@ -239,35 +205,6 @@
     def _handed_on(self, request, deadline, now):
         return deadline - now if request.left is not None else None
 
-    def _checked(self, answer, service):
-        """Passes a response of the right origin to a request that it may have run.
-
-        Raises:
-            ExchangeFailure: It comes from another process, is not sealed, or says that nothing ran.
-        """
-        if answer.status == MISDIRECTED:
-            raise ExchangeFailure(
-                "another life answers here", sent=True, ran=False, why=Why.INCARNATION
-            )
-        if answer.header(self.words.not_run) is not None:
-            raise ExchangeFailure(
-                f"not run: {answer.status}",
-                sent=True,
-                ran=False,
-                why=Why.SERVICE if answer.status == 429 else Why.BUSY,
-            )
-        if self._unsealed(answer, service):
-            raise ExchangeFailure("a success without a seal", sent=True)
-
-    def _unsealed(self, answer, service):
-        return (
-            service.sealed and 200 <= answer.status < 300 and answer.header(self.words.seal) is None
-        )
-
-    def _of_another(self, answer, service):
-        """Whether another incarnation answered, or something that is no origin at all."""
-        return answer.status == MISDIRECTED or self._unsealed(answer, service)
-
     def _pick(self, plan, trace):
         now = self.clock.now()
         route, service = (
@@ -393,7 +330,7 @@
                 plan.route.whole_max,
                 echo,
             )
-            if service is not None and self._of_another(answer, service):
+            if service is not None and self.answer_check.of_another(answer, service):
                 exchange.close()
             return answer
         finally:
--- a/src/willowpost/proxy/routing/writes.py
+++ b/src/willowpost/proxy/routing/writes.py
@@ -2,9 +2,10 @@
 
 from willowpost.proxy.origin.answer import WholeAnswer
 from willowpost.proxy.origin.failure import ExchangeFailure, Why
+from willowpost.proxy.routing.attempt import NOT_RUN, SOON, Rejected, Trace
 from willowpost.proxy.routing.headers import end_to_end
 from willowpost.proxy.routing.outcome import Outcome
-from willowpost.proxy.routing.tries import NOT_RUN, SOON, Rejected, Trace, Tries
+from willowpost.proxy.routing.tries import Tries
 
 
 class Writes:
--- a/src/willowpost/sim/fleet/nodes.py
+++ b/src/willowpost/sim/fleet/nodes.py
@@ -13,10 +13,11 @@
 from willowpost.proxy.admission.budget import RetryBudget
 from willowpost.proxy.node import ProxyNode
 from willowpost.proxy.origin.pick import OriginPicker
+from willowpost.proxy.routing.attempt import Rejected
 from willowpost.proxy.routing.carrier import Carrier
 from willowpost.proxy.routing.planner import RequestPlanner
 from willowpost.proxy.routing.request import Request, WritePlan
-from willowpost.proxy.routing.tries import Rejected, Tries
+from willowpost.proxy.routing.tries import Tries
 from willowpost.registry.node import RegistryNode
 from willowpost.registry.origins import same_incarnation
 from willowpost.sim.fleet.fault_injector import SimClock, SimFaultInjector
