--- a/src/willowpost/proxy/routing/attempt.py
+++ b/src/willowpost/proxy/routing/attempt.py
@@ -36,4 +36,4 @@
 
     pressed: bool = False
     extra: bool = False
-    tried: set = field(default_factory=set)
+    tried: set[str] = field(default_factory=set)
