--- a/src/willowpost/sim/fleet/bounded_faults.py
+++ b/src/willowpost/sim/fleet/bounded_faults.py
@@ -151,8 +151,8 @@
         traffic.say(
             not found.dropped, f"{found.name}: {found.dropped} dropped: {traffic.dropped[-3:]}"
         )
-        traffic._margin("refused at one fault", found.refused)
-        traffic._margin("refused at one fault, in 10000", 10000 * found.refused // found.asked)
+        traffic.note_margin("refused at one fault", found.refused)
+        traffic.note_margin("refused at one fault, in 10000", 10000 * found.refused // found.asked)
 
     def _mend(self):
         world = self.world
--- a/src/willowpost/sim/fleet/readers.py
+++ b/src/willowpost/sim/fleet/readers.py
@@ -82,7 +82,7 @@
         traffic = self.world.traffic
         for verdict in HistoryChecker(HISTORY_STEPS_MOST).judge(self.world.history.calls()):
             if verdict.finding is Finding.UNDECIDED:
-                traffic._margin("histories that were not decided", 1)
+                traffic.note_margin("histories that were not decided", 1)
             lines = "; ".join(call.describe() for call in verdict.window)
             traffic.say(
                 verdict.finding is not Finding.UNEXPLAINED,
--- a/src/willowpost/sim/fleet/rules.py
+++ b/src/willowpost/sim/fleet/rules.py
@@ -4,6 +4,7 @@
 from collections import Counter, deque
 
 from willowpost.common.clock import SECOND
+from willowpost.sim.fleet.process_rules import ProcessRules
 from willowpost.sim.rules import Broken
 
 GRACE = 2 * SECOND
@@ -41,6 +42,7 @@
         self.pressed: dict[str, deque] = {}
         self.per_origin: dict[str, deque] = {}
         self.margin: Counter = Counter()
+        self.process_rules = ProcessRules(self)
         self.served: list = []
 
     def say(self, kept, what):
@@ -83,7 +85,7 @@
             and (learned is None or now <= learned + GRACE + ROUTE),
             f"{path} of service {wanted} reached {address} of service {origin.service}",
         )
-        self._margin("address moved rudely, ms", now - learned if learned else 0)
+        self.note_margin("address moved rudely, ms", now - learned if learned else 0)
         if asked.body:
             self.runs[asked.body] += 1
 
@@ -97,7 +99,7 @@
         address = origin.seat.address
         left = self.leaving.get(address)
         if left is not None and left[1] == origin.seat.incarnation:
-            self._margin("leaving origin, ms", now - left[0])
+            self.note_margin("leaving origin, ms", now - left[0])
             self.say(
                 now <= left[0] + GRACE + ROUTE,
                 f"{address} got a request {(now - left[0]) / SECOND:.2f} s after it left",
@@ -115,7 +117,9 @@
         pressed = self.pressed.setdefault(origin.service, deque())
         self._window(pressed, now, 5 * SECOND)
         rate = self.world.rates[origin.service]
-        self._margin(f"{origin.service} in 5 s, % of rate", int(100 * len(pressed) / (5 * rate)))
+        self.note_margin(
+            f"{origin.service} in 5 s, % of rate", int(100 * len(pressed) / (5 * rate))
+        )
         self.say(
             len(pressed) <= 1.1 * rate * 5 + 1,
             f"service {origin.service} got {len(pressed)} in 5 s at rate {rate}",
@@ -161,14 +165,8 @@
         if not answer.status:
             self.dropped.append((self.world.time, source, path))
             return
-        headers = dict(answer.headers)
         if answer.status != 200:
-            if write and headers.get("wp-outcome") == "not-run":
-                self.not_run.add(write)
-                self.say(not self.runs[write], f"write {write} ran and was called not-run")
-            if answer.status >= 500:
-                self.refusals.append((self.world.time, answer.status, answer.body.decode()))
-                self.say("retry-after" in headers, f"{answer.status} without Retry-After")
+            self._judge_failure(answer, write)
             return
         said = json.loads(answer.body)
         rude = any(not self.world.polite.get(address, True) for address in self.world.polite)
@@ -182,6 +180,19 @@
         self.served.append((self.world.time, edge))
         if write or user:
             return
+        self._judge_content(said, path, edge, began)
+
+    def _judge_failure(self, answer, write):
+        headers = dict(answer.headers)
+        if write and headers.get("wp-outcome") == "not-run":
+            self.not_run.add(write)
+            self.say(not self.runs[write], f"write {write} ran and was called not-run")
+        if answer.status >= 500:
+            self.refusals.append((self.world.time, answer.status, answer.body.decode()))
+            self.say("retry-after" in headers, f"{answer.status} without Retry-After")
+
+    def _judge_content(self, said, path, edge, began):
+        """Checks that content is neither purged nor past its keep time."""
         for accepted, version in self.purges:
             if began > accepted + GRACE:
                 self.say(
@@ -190,10 +201,10 @@
                     f"{(began - accepted) / SECOND:.2f} s before was served",
                 )
             elif said["version"] <= version and self.world.time > accepted:
-                self._margin("purged content, ms", self.world.time - accepted)
+                self.note_margin("purged content, ms", self.world.time - accepted)
         replaced = self.replaced.get(said["version"])
         if replaced is not None:
-            self._margin(
+            self.note_margin(
                 "past keep time, ms", self.world.time - replaced - self.world.keep * SECOND
             )
             self.say(
@@ -201,7 +212,8 @@
                 f"{path}: replaced content served past its keep time",
             )
 
-    def _margin(self, name, value):
+    def note_margin(self, name, value):
+        """Keeps the closest that a rule came to its limit."""
         self.margin[name] = max(self.margin[name], value)
 
     # what operators were told
@@ -216,61 +228,9 @@
         self.version += 1
         return self.version - 1
 
-    # after each step of a proxy
-
-    def _whole(self, world, seat):
-        """Checks that what a process calls complete up to a moment is complete.
-
-        It must hold every configuration accepted by then, since the next read is answered from it.
-        """
-        node_state = next(
-            (
-                held
-                for held in (
-                    getattr(seat.node, name, None) for name in ("proxy", "registry", "node_state")
-                )
-                if held is not None
-            ),
-            None,
-        )
-        fresh = getattr(node_state, "fresh_as_of", None)
-        if fresh is not None and self.configurations:
-            accepted, version = max(
-                ((at, held) for at, held in self.configurations if at <= fresh - seat.clock_base),
-                default=(0, 0),
-                key=lambda held: held[1],
-            )
-            held = node_state.tables.configuration["version"]
-            self.say(
-                held >= version,
-                f"{seat.address} calls itself whole as of t={fresh - seat.clock_base} "
-                f"with configuration {held}, "
-                f"{version} was accepted at t={accepted}",
-            )
-
     def __call__(self, world, seat, event, plan):
         """Checks a process after each of its steps."""
-        self._whole(world, seat)
-        proxy = getattr(seat.node, "proxy", None)
-        if proxy is None:
-            return
-        now = world.now(seat)
-        if proxy.leased(now) and seat.frozen_until <= world.time:
-            for accepted, version in self.configurations[-3:]:
-                if world.time > accepted + GRACE:
-                    self.say(
-                        proxy.snapshot.version >= version,
-                        f"{seat.address} may deliver with configuration {proxy.snapshot.version}, "
-                        f"{version} was accepted "
-                        f"{(world.time - accepted) / SECOND:.2f} s ago",
-                    )
-                elif proxy.snapshot.version < version:
-                    self._margin("configuration not in force, ms", world.time - accepted)
-        slot = proxy.tables.slot
-        place = (seat.address, seat.incarnation)
-        before = self.world.proxy_slots.get(place, 0)
-        self.say(slot >= before, f"{seat.address} went back from slot {before} to {slot}")
-        self.world.proxy_slots[place] = slot
+        self.process_rules(world, seat)
 
     def _extra_tries(self, ask, now):
         """Counts tries where origins see them: all but the first of each request are extra."""
@@ -281,7 +241,7 @@
         while self.presses[0][0] <= now - 10 * SECOND:
             self.extras -= self.presses.popleft()[1]
         firsts = len(self.presses) - self.extras
-        self._margin(
+        self.note_margin(
             "extra tries over a fifth of first, of 60", max(0, int(self.extras - 0.2 * firsts))
         )
         self.say(
--- a/src/willowpost/sim/fleet/settling.py
+++ b/src/willowpost/sim/fleet/settling.py
@@ -54,7 +54,7 @@
         self._finish_evacuations()
         if not self.until(self._whole, seconds(span - AGAIN_SECONDS)):
             self.traffic.say(False, f"service not back {span} s after the fault closed")
-        self.traffic._margin("back after the fault closed, ms", (self.time - closed) // 1000)
+        self.traffic.note_margin("back after the fault closed, ms", (self.time - closed) // 1000)
         self.run(seconds(5))
         self._judge_service()
         self.rules.finish(self, self.node_states())
