--- a/src/willowpost/shell/mesh.py
+++ b/src/willowpost/shell/mesh.py
@@ -1,6 +1,7 @@
 """Framed TCP between the processes of a fleet: one outgoing connection and task per peer."""
 
 import struct
+import time
 import zlib
 
 import gevent
@@ -16,6 +17,13 @@
 FRAME_MOST = 64 * 1024 * 1024
 QUEUE_MOST = 1024
 QUEUE_BYTES_MOST = 8 * 1024 * 1024  # to one peer; a larger frame leaves when it is alone
+# To all peers together, whatever their number. Frames up to SMALL_FRAME are not held back by it.
+QUEUES_BYTES_MOST = 32 * 1024 * 1024
+SMALL_FRAME = 4096
+# A frame that waited for so long is dropped: a bound in bytes alone is many seconds on a thin link,
+# and what a peer learns from answers to its old questions is old.
+QUEUED_MOST_SECONDS = 1.0
+BATCH_BYTES = 64 * 1024  # frames are joined up to this: what is handed to the kernel leaves
 CONNECT_SECONDS = 0.5
 BACKOFF_SECONDS = 0.1
 # sent and not acknowledged for so long: the connection is given up, and the next frame opens
@@ -72,13 +80,19 @@
         if self.encoded[0] is not message:
             frame = self.codec.encode(self.address, message)
             self.encoded = (message, HEAD.pack(len(frame), zlib.crc32(frame)) + frame)
-        line.offer(self.encoded[1], len(self.encoded[1]))
+        frame = self.encoded[1]
+        if len(frame) <= SMALL_FRAME or self.queued_bytes() + len(frame) <= QUEUES_BYTES_MOST:
+            line.offer((time.monotonic(), frame), len(frame))
+
+    def queued_bytes(self) -> int:
+        """The size of all frames that wait for their connection."""
+        return sum(line.bytes for line in self.lines.values())
 
     def _drive(self, address, line):
         connection = None
         while True:
             try:
-                frame = line.get(timeout=IDLE_SECONDS)
+                first = line.get(timeout=IDLE_SECONDS)
             except gevent.queue.Empty:
                 break
             if connection is None:
@@ -88,9 +102,8 @@
                     while not line.empty():
                         line.get_nowait()
                     continue
-            frames = [frame] + [line.get_nowait() for _ in range(min(line.qsize(), 64))]
             try:
-                connection.sendall(b"".join(frames))
+                connection.sendall(self._batch(first, line))
             except OSError:
                 connection.close()
                 connection = None
@@ -99,6 +112,19 @@
         if self.lines.get(address) is line and line.empty():
             del self.lines[address]
 
+    def _batch(self, first, line):
+        """The next frames that have not waited for too long, as one piece of about BATCH_BYTES."""
+        oldest = time.monotonic() - QUEUED_MOST_SECONDS
+        frames, size, item = [], 0, first
+        while True:
+            since, frame = item
+            if since >= oldest:
+                frames.append(frame)
+                size += len(frame)
+            if line.empty() or size >= BATCH_BYTES:
+                return b"".join(frames)
+            item = line.get_nowait()
+
     def _connect(self, address):
         connection = None
         try:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -129,6 +129,30 @@
                 self.here.send(address, BallotState("s", 1, number, command.key, command))
             self.assertLessEqual(self.here.lines[address].bytes, QUEUE_BYTES_MOST)
 
+    def test_frames_to_many_peers_that_do_not_read_are_bounded_together(self):
+        """Each peer has room of its own; a hundred of them must not add up to a process's memory."""
+        peers = []
+        for _ in range(8):
+            silent = plain.socket()
+            self.addCleanup(silent.close)
+            silent.bind(("127.0.0.1", 0))
+            silent.listen()
+            peers.append(f"127.0.0.1:{silent.getsockname()[1]}")
+        large = Command("c", 1, 1, 1, "x" * 1_000_000)
+        for _ in range(10):
+            for peer in peers:
+                self.here.send(peer, BallotState("s", 1, 1, large.key, large))
+            gevent.sleep(0)
+        self.assertLessEqual(self.here.queued_bytes(), mesh_module.QUEUES_BYTES_MOST)
+
+    def test_frames_that_waited_for_too_long_are_dropped(self):
+        with mock.patch.object(mesh_module, "QUEUED_MOST_SECONDS", -1.0):
+            self.here.send(self.there.address, SyncedIndex("s", 1))
+            with self.assertRaises(gevent.queue.Empty):
+                self.there.inbox.get(timeout=0.3)
+        self.here.send(self.there.address, SyncedIndex("s", 2))
+        self.assertEqual(2, self.there.inbox.get(timeout=2).message.slot)
+
     def test_one_frame_larger_than_all_room_is_taken_when_nothing_else_waits(self):
         queue = SizedQueue(2, 10)
         self.assertEqual(
