A connection at rest goes by the limit in force when its time is over, and drops no request

Cause: the rest of a caller's connection was bounded by the idle limit in force when it began. Ruled out: drains and kills (none near), the deadline (3 s and more were left), a broken origin (the requests had reached none). Change: the limit is asked again when the time is over; what has arrived is taken up; a connection that ends by its rest is closed without reading. test_idle_callers: the grown limit failed before. Conclusion: fits both traces; that the process was late could not be brought about over loopback.

--- a/src/willowpost/proxy/caller/stream.py
+++ b/src/willowpost/proxy/caller/stream.py
@@ -1,10 +1,14 @@
 """The bytes that a caller sends on its connection."""
 
+import time
+from collections.abc import Callable
+
 from gevent import socket
 
 BLOCK = 16 * 1024
 LINE_MOST = 64 * 1024
 HEAD_END = b"\r\n\r\n"
+ARRIVED_SECONDS = 1.0  # to read what has arrived
 
 
 class Malformed(Exception):
@@ -23,6 +27,10 @@
     """The caller has gone, or has been silent for too long."""
 
 
+class IdleEnding(Ending):
+    """The caller has been silent for too long, and nothing of a request has been read."""
+
+
 class CallerStream:
     """What came on the connection and is not used yet; file-like for gevent's chunked reader."""
 
@@ -37,43 +45,75 @@
         self.held += data
         return bool(data)
 
-    def head(self, most: int, idle: float, span: float) -> bytes:
+    def head(self, most: int, idle: Callable[[], float], span: float) -> bytes:
         """A whole head without its blank line.
 
         Args:
             most: Bytes that it may have.
-            idle: Seconds until its first byte.
+            idle: Gives the seconds until its first byte, counted from this call; asked again when
+                they are over, since the limit may have grown meanwhile.
             span: Seconds from then until its last.
 
         Raises:
-            Ending: the caller has gone, or sent nothing for `idle`.
+            Ending: the caller has gone.
+            IdleEnding: the caller sent nothing for `idle`.
             Malformed: the head is too long, or took too long.
         """
-        self.connection.settimeout(idle)
+        while not self._begun():
+            self._wait(idle)
+        self.connection.settimeout(span)
         while True:
-            self.held = self.held.lstrip(b"\r\n")
             end = self.held.find(HEAD_END)
             if end >= 0:
                 break
             if len(self.held) > most:
                 raise Malformed(431, "head over the limit")
-            begun = bool(self.held)
-            self._receive_more_of_head(begun)
-            if not begun:
-                self.connection.settimeout(span)
+            self._receive_more_of_head()
         if end > most:
             raise Malformed(431, "head over the limit")
         head = self.held[:end]
         self.held = self.held[end + len(HEAD_END) :]
         return head
 
-    def _receive_more_of_head(self, begun):
+    def _begun(self) -> bool:
+        """Whether a byte of a head is there; empty lines before it are none."""
+        self.held = self.held.lstrip(b"\r\n")
+        return bool(self.held)
+
+    def _wait(self, idle):
+        """Waits for the first byte of a head.
+
+        A task that is late finds its time over and the request there as well: what has arrived is
+        taken up.
+        """
+        begun = time.monotonic()
+        while (left := begun + idle() - time.monotonic()) > 0:
+            self.connection.settimeout(left)
+            try:
+                if not self._receive():
+                    raise Ending
+                return
+            except socket.timeout:
+                continue
+        if not self._arrived():
+            raise IdleEnding
+        self.connection.settimeout(ARRIVED_SECONDS)
+        if not self._receive():
+            raise Ending
+
+    def _arrived(self) -> bool:
+        """Whether something can be read now."""
+        try:
+            self.connection._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        return True
+
+    def _receive_more_of_head(self):
         try:
             if not self._receive():
                 raise Ending
         except socket.timeout:
-            if not begun:
-                raise Ending
             raise Malformed(408, "the head took too long")
 
     def read(self, size: int) -> bytes:
--- a/src/willowpost/proxy/handler.py
+++ b/src/willowpost/proxy/handler.py
@@ -8,7 +8,7 @@
 
 from willowpost.proxy.caller.reply import Reply
 from willowpost.proxy.caller.request import CallerRequest
-from willowpost.proxy.caller.stream import BLOCK, CallerStream, Ending, Malformed
+from willowpost.proxy.caller.stream import BLOCK, CallerStream, Ending, IdleEnding, Malformed
 from willowpost.proxy.origin.framing import BODYLESS_STATUSES
 from willowpost.shell.web import BodyTooLarge, Input, WSGIHandler
 
@@ -49,17 +49,22 @@
 
     def handle(self):
         """Serves the connection until either side ends it."""
-        stream = CallerStream(self.socket)
+        stream, linger = CallerStream(self.socket), True
         self.front.opened(self)
         try:
             while not self.closing and self._next_request(stream):
                 pass
             self._wait(0)
+        except IdleEnding:
+            # every answer left long ago; a request that comes now must not be read and dropped
+            linger = bool(self.pending)
+            self._wait(0)
         except (Ending, OSError):
             self._wait(0)
         finally:
             self.closing = True
-            self._linger()
+            if linger:
+                self._linger()
             self.front.closed(self)
             self.socket.close()
 
@@ -118,12 +123,17 @@
 
     def _head(self, stream):
         limits = self.front.limits()
+        longest = self._idle_seconds()
         return stream.head(
             limits.get("head_bytes") or HEAD_MOST,
-            (limits.get("idle_ms") or IDLE_SECONDS * MILLIS) / MILLIS,
+            lambda: max(longest, self._idle_seconds()),
             (limits.get("head_ms") or HEAD_SECONDS * MILLIS) / MILLIS + HEAD_MARGIN,
         )
 
+    def _idle_seconds(self):
+        """How long a connection may rest by the configuration in force now."""
+        return (self.front.limits().get("idle_ms") or IDLE_SECONDS * MILLIS) / MILLIS
+
     def _answer_in_turn(self, stream, pending, asked):
         received = self.front.now()
         try:
