--- a/tests/test_shields.py
+++ b/tests/test_shields.py
@@ -1,5 +1,6 @@
 """The tier of shields: who sends to a service, through which shields, and what an edge trusts."""
 
+import copy
 import unittest
 from collections import Counter
 from dataclasses import replace
@@ -16,6 +17,9 @@
 from willowpost.proxy.routing.keeper import SnapshotKeeper
 from willowpost.proxy.routing.shields import ShieldChooser
 from willowpost.proxy.routing.snapshot import SnapshotMaker
+from willowpost.sim.fleet.shape import SMALL
+from willowpost.sim.fleet.world import FleetWorld
+from willowpost.sim.world import seconds
 from willowpost.state.tables import Tables
 
 SECOND = 1_000_000
@@ -126,6 +130,49 @@
         self.assertGreater(len(sent), 800)
 
 
+class Fleet(unittest.TestCase):
+    """A simulated fleet whose rules are judged at each step: rates, copies, purges, writes."""
+
+    def world(self, seed, rate):
+        tree = copy.deepcopy(SMALL.configuration)
+        tree["branches"]["art"]["settings"]["kind"] = "kept"
+        tree["services"]["art"]["rate"] = rate
+        world = FleetWorld(seed, shape=replace(SMALL, configuration=tree), rate=150)
+        world.open()
+        world.run(seconds(3))
+        return world
+
+    def served(self, world, span):
+        """Answers served in a second, over the next `span` seconds."""
+        since = world.time
+        world.run(seconds(span))
+        return sum(at > since for at, _ in world.traffic.served) / span
+
+    def test_all_shields_end_and_come_back_cold_and_edges_serve_meanwhile(self):
+        world = self.world(seed=1, rate=240.0)
+        calm = self.served(world, 3)
+        for shield in world.shields:
+            world.crash(shield)
+        world.run(seconds(8))
+        without = self.served(world, 4)
+        for shield in world.shields:
+            world.start(shield)
+        world.run(seconds(4))
+        self.assertGreater(without, 0.85 * calm)
+        self.assertGreater(self.served(world, 3), 0.85 * calm)
+
+    def test_a_rate_that_edges_alone_go_beyond_is_kept_through_a_takeover(self):
+        """13 fetches a second for each edge or shield, and 30 allowed: the rules would break."""
+        world = self.world(seed=2, rate=30.0)
+        for shield in world.shields:
+            world.crash(shield)
+        world.run(seconds(8))
+        for shield in world.shields:
+            world.start(shield)
+        world.run(seconds(6))
+        self.assertGreater(world.traffic.margin["art in 5 s, % of rate"], 60)
+
+
 class Edge(unittest.TestCase):
     """An edge with scripted shields and origins over real sockets."""
 
