test_order_histories: the stand-in replaces an operation's fields by the fence's, as ControlApi does

Cause: ChangeCarrier names fields that the operation has (tree, source), which keyword arguments cannot give twice. The histories now run through differences with lagging registries: 1 passed.

--- a/tests/test_order_histories.py
+++ b/tests/test_order_histories.py
@@ -60,7 +60,7 @@
                 held = self.tables.configuration["version"]
                 self.late.append(({**op, **fields}, held))
                 return unknown()
-            answer, slot = self.log.put(**op, **fields), self.log.tables.slot - 1
+            answer, slot = self.log.put(**{**op, **fields}), self.log.tables.slot - 1
             if answer.get("why") != SUPERSEDED:
                 break
             self.read()
