Reading of foreign settings fields moves into the product; the platform's folder shrinks

The test's list of what the folder may reach for gains this one module, which neither decides nor keeps anything.

--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -91,6 +91,7 @@
 MAY_IMPORT = {
     "willowpost.shell.web",
     "willowpost.shell.logs",
+    "willowpost.shell.fields",
     "willowpost.shell.place",
     "willowpost.shell.serving",
     "willowpost.common.events",
