One look at what has arrived, and one at what shields may carry

On the last reading: CallerStream._arrived peeked at a socket as pool.quiet does, and SnapshotMaker asked twice, in opposite senses, which services' reads a shield may carry. Each is asked once now; behaviour is the same. Checked: test_idle_callers, test_traffic, test_kinds, test_shields, test_ending (61 passed), ruff, mypy.

--- a/src/willowpost/proxy/caller/stream.py
+++ b/src/willowpost/proxy/caller/stream.py
@@ -5,6 +5,8 @@
 
 from gevent import socket
 
+from willowpost.proxy.origin.pool import quiet
+
 BLOCK = 16 * 1024
 LINE_MOST = 64 * 1024
 HEAD_END = b"\r\n\r\n"
@@ -95,20 +97,12 @@
                 return
             except socket.timeout:
                 continue
-        if not self._arrived():
+        if quiet(self.connection):
             raise IdleEnding
         self.connection.settimeout(ARRIVED_SECONDS)
         if not self._receive():
             raise Ending
 
-    def _arrived(self) -> bool:
-        """Whether something can be read now."""
-        try:
-            self.connection._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        return True
-
     def _receive_more_of_head(self):
         try:
             if not self._receive():
--- a/src/willowpost/proxy/routing/snapshot.py
+++ b/src/willowpost/proxy/routing/snapshot.py
@@ -168,16 +168,13 @@
                     self._origin(name, card, services.get(card["service"], {}))
                 )
         zones = {name: card["zone"] for name, card in proxies.items()}
-        shielded = {
-            service
+        by_shields = {
+            (service, homes)
             for service, homes in through
             if any(self.shields.allowed(homes, zone) for zone in shield_zones.values())
         }
-        unshielded = direct | {
-            service
-            for service, homes in through
-            if not any(self.shields.allowed(homes, zone) for zone in shield_zones.values())
-        }
+        shielded = {service for service, _ in by_shields}
+        unshielded = direct | {service for service, _ in through - by_shields}
         senders = {
             name: (by_role["edge"] if name in unshielded or name not in shielded else ())
             + (by_role["shield"] if name in shielded else ())
