Sight: what leaves a proxy is followed to its end, with its invariants, on a metrics page

OutgoingRequests counts requests that are sent after their caller's close, exchanges that go on for over 0.5 s without a caller and sends to receivers out of force, and keeps a histogram of the tables' age at each send.

--- a/src/willowpost/proxy/caller/stream.py
+++ b/src/willowpost/proxy/caller/stream.py
@@ -33,6 +33,16 @@
     """The caller has been silent for too long, and nothing of a request has been read."""
 
 
+def has_ended(connection) -> bool:
+    """Whether the caller's side of the connection has ended, with nothing unread before its end."""
+    try:
+        return connection._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 class CallerStream:
     """What came on the connection and is not used yet; file-like for gevent's chunked reader."""
 
--- a/src/willowpost/proxy/daemon.py
+++ b/src/willowpost/proxy/daemon.py
@@ -8,16 +8,19 @@
 from willowpost.node.node_state import Card
 from willowpost.proxy.admission.buckets import Allowance, Ramp
 from willowpost.proxy.admission.budget import BudgetSettings, RetryBudget
+from willowpost.proxy.figures import ProxyFigures
 from willowpost.proxy.front import HEALTH, Front
 from willowpost.proxy.handler import ProxyHandler
 from willowpost.proxy.node import ProxyNode
 from willowpost.proxy.origin.io import SocketIo
 from willowpost.proxy.origin.pick import OriginPicker
 from willowpost.proxy.origin.pool import ConnectionPool
+from willowpost.proxy.outgoing import OutgoingRequests
 from willowpost.proxy.routing.carrier import Carrier
 from willowpost.proxy.routing.planner import RequestPlanner
 from willowpost.proxy.routing.tries import Tries
 from willowpost.proxy.routing.words import Words
+from willowpost.shell.metrics import MetricsPage
 from willowpost.shell.runner import Runner
 from willowpost.shell.web import WebServer, status_line
 
@@ -74,6 +77,7 @@
         self.node_state = self.node.node_state
         self.node_state.serve_on = place.serve_on_ms * MILLI
         stats = Counter()
+        self.outgoing = OutgoingRequests(self.node_state, self.clock.now, logs.say)
         self.pool = ConnectionPool(self.clock)
         budget = RetryBudget(
             self.node_state.proxies,
@@ -94,6 +98,7 @@
             stats,
             words,
             place.regions,
+            self.outgoing,
         )
         carrier = Carrier(self.node_state, self.node.cache, self.clock, tries, stats)
         self.front = Front(
@@ -111,6 +116,9 @@
         self.webs = [WebServer(place.http, self.front, ProxyHandler)]
         if place.health is not None:
             self.webs.append(WebServer(place.health, HealthPage(self.front)))
+        if place.metrics is not None:
+            figures = ProxyFigures(self.front, self.node_state, self.outgoing)
+            self.webs.append(WebServer(place.metrics, MetricsPage(figures)))
 
     def start(self) -> None:
         """Starts the control node, the web servers and the task that closes idle connections."""
@@ -120,10 +128,11 @@
         gevent.spawn(self._tidy)
 
     def _tidy(self):
-        """Closes connections to owners that are no longer in force, and logs rejections."""
+        """Closes connections to owners out of force, looks at what is under way, and logs."""
         snapshot, looked, told = None, 0, Counter()
         while True:
             looked += 1
+            self.outgoing.look()
             if looked % TELLS == 0:
                 told = self._tell(told)
             if self.node_state.snapshot is not snapshot or looked % LOOKS == 0:
--- a/src/willowpost/proxy/front.py
+++ b/src/willowpost/proxy/front.py
@@ -5,6 +5,7 @@
 from itertools import chain
 
 from willowpost.proxy.cache.storing import seconds_of
+from willowpost.proxy.caller.lifetime import UNWATCHED, RequestLifetime
 from willowpost.proxy.caller.reply import Reply
 from willowpost.proxy.caller.request import CallerRequest
 from willowpost.proxy.routing.attempt import Rejected
@@ -117,20 +118,30 @@
             return Rejected(503, "the limits known here may be old", DENIED_AGAIN_AFTER)
         return Rejected(code, reason, 0)
 
-    def respond(self, asked: CallerRequest, body: bytes, received: int) -> Reply:
+    def respond(
+        self,
+        asked: CallerRequest,
+        body: bytes,
+        received: int,
+        lifetime: RequestLifetime = UNWATCHED,
+    ) -> Reply:
         """The reply to a request; failures become error replies and are not raised.
 
         Args:
             asked: The request's head.
             body: Its whole body.
             received: When its head was complete, by this process's clock, in µs.
+            lifetime: Whether the caller still waits.
+
+        Raises:
+            CallerGone: Nobody waits for the reply any more.
         """
         if self.reserved and asked.target.partition("?")[0] in (HEALTH, STATS):
             return self.own(asked.target.partition("?")[0])
         write = asked.method not in ("GET", "HEAD")
         request = None
         try:
-            request = self._request(asked, received)
+            request = self._request(asked, received, lifetime)
             if request is None:
                 raise Rejected(400, "malformed request", 0)
             self.stats["requests"] += 1
@@ -144,7 +155,7 @@
             self.logs.say("front", "request broke down", level="error", problem=repr(problem))
             return self._reject(Rejected(500, "broke down", 1, "unknown"), write, request)
 
-    def _request(self, asked, received):
+    def _request(self, asked, received, lifetime):
         host, target = asked.headers.get("host", ""), asked.target
         if target.startswith("http://"):
             target = "/" + target[7:].partition("/")[2]
@@ -168,6 +179,7 @@
             headers.get(self.words.request),
             int(left) * MILLI if left.isascii() and left.isdigit() else None,
             received,
+            lifetime,
         )
 
     def _answer(self, request, outcome):
--- a/src/willowpost/proxy/handler.py
+++ b/src/willowpost/proxy/handler.py
@@ -6,9 +6,17 @@
 import gevent
 from gevent import socket
 
+from willowpost.proxy.caller.lifetime import RequestLifetime
 from willowpost.proxy.caller.reply import Reply
 from willowpost.proxy.caller.request import CallerRequest
-from willowpost.proxy.caller.stream import BLOCK, CallerStream, Ending, IdleEnding, Malformed
+from willowpost.proxy.caller.stream import (
+    BLOCK,
+    CallerStream,
+    Ending,
+    IdleEnding,
+    Malformed,
+    has_ended,
+)
 from willowpost.proxy.origin.framing import BODYLESS_STATUSES
 from willowpost.shell.web import BodyTooLarge, Input, WSGIHandler
 
@@ -172,7 +180,8 @@
         self._resolve(pending, reply)
 
     def _answer(self, pending, asked, body, received):
-        self._resolve(pending, self.front.respond(asked, body, received))
+        lifetime = RequestLifetime(lambda: has_ended(self.socket), self.front.now)
+        self._resolve(pending, self.front.respond(asked, body, received, lifetime))
 
     def _resolve(self, pending, reply):
         pending.reply = reply
--- a/src/willowpost/proxy/routing/request.py
+++ b/src/willowpost/proxy/routing/request.py
@@ -1,8 +1,9 @@
 """A request as data, and the plans that can be made for it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from willowpost.configuration.routes import Route
+from willowpost.proxy.caller.lifetime import UNWATCHED, RequestLifetime
 
 SAFE = ("GET", "HEAD")
 ONCE, REPEATABLE, KEPT = "once", "repeatable", "kept"
@@ -22,6 +23,7 @@
         name: The caller's id of this try, or None.
         left: How long the caller waits from `received` on, in µs, or None if it did not say.
         received: When the head was complete, by this process's clock, in µs.
+        lifetime: Whether anybody still waits for the answer.
     """
 
     method: str
@@ -34,6 +36,7 @@
     name: str | None = None  # the caller's id of this try
     left: int | None = None
     received: int = 0
+    lifetime: RequestLifetime = field(default=UNWATCHED, compare=False, repr=False)
 
     @property
     def path(self) -> str:
--- a/src/willowpost/proxy/routing/tries.py
+++ b/src/willowpost/proxy/routing/tries.py
@@ -6,6 +6,7 @@
 from willowpost.proxy.origin.answer import Echo, WholeAnswer
 from willowpost.proxy.origin.failure import ExchangeFailure, Why
 from willowpost.proxy.origin.pick import HEAVY
+from willowpost.proxy.outgoing import OutgoingRequests
 from willowpost.proxy.routing.answer_check import AnswerCheck
 from willowpost.proxy.routing.attempt import NOT_RUN_OUTCOME, SOON, Rejected, Trace
 from willowpost.proxy.routing.headers import HOP_REJECT, toward
@@ -40,6 +41,7 @@
         stats: Counters by name.
         words: Header names shared with callers and origins.
         regions: Zone to region.
+        outgoing: Follows the requests that leave, and checks their invariants.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         stats,
         words: Words = Words(),
         regions=None,
+        outgoing: OutgoingRequests | None = None,
     ):
         self.node_state, self.clock = node_state, clock
         self.allowance, self.ramp, self.budget = allowance, ramp, budget
@@ -61,6 +64,7 @@
         self.words = words
         self.answer_check = AnswerCheck(words)
         self.regions = regions or {}  # zone -> region
+        self.outgoing = outgoing or OutgoingRequests(node_state, clock.now)
         self.sizes: dict[str, float] = {}  # route -> smoothed bytes of its responses
 
     def shield(
@@ -321,15 +325,16 @@
             press()
             connection_header = [] if reuse else [("connection", "close")]
             echo = Echo(self.words.request, request.name) if request.name is not None else None
-            answer = exchange.run(
-                request.method,
-                request.target,
-                headers + connection_header,
-                body,
-                self._left(deadline),
-                plan.route.whole_max,
-                echo,
-            )
+            with self.outgoing.sending(request, owner, not reuse, in_force()):
+                answer = exchange.run(
+                    request.method,
+                    request.target,
+                    headers + connection_header,
+                    body,
+                    self._left(deadline),
+                    plan.route.whole_max,
+                    echo,
+                )
             if service is not None and self.answer_check.of_another(answer, service):
                 exchange.close()
             return answer
--- a/src/willowpost/shell/place.py
+++ b/src/willowpost/shell/place.py
@@ -23,6 +23,8 @@
     http: str | None = None
     # where a proxy tells its health, if apart from its requests
     health: str | None = None
+    # where it tells its figures (shell/metrics.py)
+    metrics: str | None = None
     role: str = "core"
     data: str | None = None
     voters: int = 5  # bootstrap members of the core
--- a/src/willowpost/shell/settings.py
+++ b/src/willowpost/shell/settings.py
@@ -58,6 +58,7 @@
     bootstrap_from_seeds: bool = False
     regions: dict[Name, Name] = {}
     health: Address | None = None
+    metrics: Address | None = None
     serve_on_ms: int = Field(1500, ge=500, le=3_600_000)
     drain_ms: int = Field(3000, ge=0, le=60_000)
     finish_ms: int = Field(30_000, ge=0, le=600_000)
@@ -65,7 +66,7 @@
     pace: PaceSettings = PaceSettings()
     level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
-    @field_validator("address", "http", "health", "seeds")
+    @field_validator("address", "http", "health", "metrics", "seeds")
     @classmethod
     def _number(cls, value):
         for address in [] if value is None else value if isinstance(value, list) else [value]:
