--- a/src/willowpost/proxy/handler.py
+++ b/src/willowpost/proxy/handler.py
@@ -36,7 +36,8 @@
     """Serves one connection; responses leave in the order of their requests.
 
     A request that may not run twice, or has a body, is started only when all before it are
-    answered. Once a response has announced the connection's end, nothing read after it is started.
+    answered, and none behind it is started before it is answered. Once a response has announced the
+    connection's end, nothing read after it is started.
 
     The connection is read at all times, whatever is being answered, so its end is taken in when it
     arrives. When the caller has left, the lifetimes of all requests that wait for their answers
@@ -50,6 +51,7 @@
         self.front = server.application
         self.answers = AnswerQueue(sock, self.front)
         self.stream = CallerStream(sock)
+        self.in_turn = False  # whether the last request runs alone
         self.probes = 0  # sent since the caller's side ended
 
     def handle(self):
@@ -121,9 +123,10 @@
             asked.close, asked.method == "HEAD", asked.interim, self._lifetime()
         )
         in_turn = not asked.bodyless or not self.front.repeatable(asked)
-        self._wait(0 if in_turn else AHEAD_MOST - 1)
+        self._wait(0 if in_turn or self.in_turn else AHEAD_MOST - 1)
         if self.answers.closing:
             return False
+        self.in_turn = in_turn
         self.answers.add(pending)
         if asked.bodyless:
             gevent.spawn(self._answer, pending, asked, b"", received)
