wpdrill soak: real processes under seeded troubles that overlap, judged from outside

Kills, herd kills, pauses, restarts, reloads, cuts of the mesh (a daemon's own program with a mesh that drops frames), slow, crashing and leaving origins, lost answers, changes and purges, in series and overlapping.

--- a/src/willowpost/drill/deployment.py
+++ b/src/willowpost/drill/deployment.py
@@ -17,6 +17,11 @@
     )
 
 
+def shipped(name: str) -> dict:
+    """The settings of a deployment that ships with willowpost."""
+    return json.loads((files("willowpost.deployments") / f"{name}.json").read_text())
+
+
 @dataclass(frozen=True, slots=True)
 class Process:
     """One process of a deployment: its program, place and settings."""
@@ -31,8 +36,9 @@
 class Deployment:
     """A deployment on loopback addresses; each process's seeds are three stores but not itself."""
 
-    def __init__(self, name: str, folder: Path, port: int, subnet: int = 77):
-        held = json.loads((files("willowpost.deployments") / f"{name}.json").read_text())
+    def __init__(self, name: str | dict, folder: Path, port: int, subnet: int = 77):
+        """Lays a deployment out: one that ships with willowpost, by its name, or a given one."""
+        held = name if isinstance(name, dict) else shipped(name)
         self.name, self.host, self.rate = held["name"], held["host"], held["rate"]
         self.configuration, self.mix, self.pace, self.regions = (
             held["configuration"],
--- a/src/willowpost/drill/main.py
+++ b/src/willowpost/drill/main.py
@@ -19,6 +19,7 @@
 from willowpost.drill.hold import Hold
 from willowpost.drill.model import ModelCommand
 from willowpost.drill.script import FleetDrill
+from willowpost.drill.soak.command import SoakCommand
 from willowpost.drill.tools import CheckCommand, PaceCommand, ReplayCommand, SweepCommand
 from willowpost.drill.zones import ZoneDrill
 
@@ -214,6 +215,7 @@
         CheckHistoryCommand(),
         PaceCommand(),
         ReplayCommand(),
+        SoakCommand(),
         SweepCommand(),
         CapacityCommand(),
         ModelCommand(),
--- /dev/null
+++ b/src/willowpost/drill/soak/fleet.py
@@ -0,0 +1,105 @@
+"""The soak's fleet: a drill's fleet whose processes can be cut off, and its layout."""
+
+import json
+import os
+from pathlib import Path
+
+from willowpost.drill.deployment import Deployment
+from willowpost.drill.fleet import MODULES, Fleet
+from willowpost.drill.soak.process import CUTS_VARIABLE
+
+HOST = "soak.example"
+ZONES = ("a", "b", "c")
+CONFIGURATION = {
+    "services": {
+        "pages": {"rate": 2000, "ramp_seconds": 2, "named": True, "silent_seconds": 4},
+        "orders": {"rate": 2000, "ramp_seconds": 2, "named": True, "silent_seconds": 4},
+    },
+    "settings": {"deadline_ms": 6000, "tries": 3, "service": "orders", "body_max": 65536},
+    "branches": {
+        "once": {"host": HOST, "path": "/once", "settings": {"kind": "once"}},
+        "again": {"host": HOST, "path": "/again", "settings": {"kind": "repeatable"}},
+        "kept": {
+            "host": HOST,
+            "path": "/kept",
+            "settings": {"kind": "kept", "service": "pages", "keep_seconds": 1},
+        },
+    },
+}
+ORIGINS_EACH = 4
+SHIELDS = 2
+
+
+def layout(edges: int) -> dict:
+    """A deployment with so many edges, three core machines and two shields, over three zones."""
+    zone = ZONES.__getitem__
+    machines = [
+        {"name": f"edge-{number}", "zone": zone(number % 3), "kind": "edge"}
+        for number in range(edges)
+    ]
+    machines += [
+        {"name": f"core-{number}", "zone": zone(number), "kind": "shield" if number else "store"}
+        for number in range(3)
+    ]
+    origins = [
+        {"service": service, "zone": zone(number % 3), "rate": 500, "keep": 1}
+        for service in ("pages", "orders")
+        for number in range(ORIGINS_EACH)
+    ]
+    return {
+        "name": "soak",
+        "host": HOST,
+        "rate": 100,
+        "regions": dict.fromkeys(ZONES, "one"),
+        "between": {"ms": 0},
+        "machines": machines,
+        "pace": {},
+        "configuration": CONFIGURATION,
+        "mix": [],
+        "origins": origins,
+    }
+
+
+class SoakFleet(Fleet):
+    """Starts daemons by `drill.soak.process`, so that their meshes can be cut.
+
+    Args:
+        deployment: What to start.
+        serve_on_ms: How long the proxies serve on without state updates.
+    """
+
+    def __init__(self, deployment: Deployment, serve_on_ms: int):
+        super().__init__(deployment)
+        self.cuts: set[frozenset[str]] = set()
+        self.cut_path = deployment.folder / "cuts.json"
+        for process in self.processes.values():
+            if process.program == "wpproxy":
+                process.settings["serve_on_ms"] = serve_on_ms
+        self.write_cuts()
+
+    def write_cuts(self) -> None:
+        """Tells the processes who is cut off from whom now."""
+        text = json.dumps([sorted(pair) for pair in self.cuts])
+        draft = Path(f"{self.cut_path}.draft")
+        draft.write_text(text)
+        draft.rename(self.cut_path)
+
+    def start(self, key: str) -> None:
+        """Start a process by its key, machine/program."""
+        process = self.processes[key]
+        os.environ[CUTS_VARIABLE] = str(self.cut_path)
+        module = MODULES[process.program]
+        self._spawn(
+            key,
+            ["-m", "willowpost.drill.soak.process", module, "--settings", self._write(process)],
+            self.log_path(key),
+        )
+
+    def log_path(self, key: str) -> Path:
+        """Where a process logs."""
+        process = self.processes[key]
+        return self.deployment.folder / process.machine / f"{process.program}.log"
+
+    def address(self, key: str) -> str:
+        """Where peers reach a process."""
+        return self.processes[key].settings["address"]
--- /dev/null
+++ b/src/willowpost/drill/soak/judge.py
@@ -0,0 +1,126 @@
+"""The rules of a soak, judged by what callers and origins saw and by the proxies' own counts."""
+
+from dataclasses import dataclass, field
+
+from willowpost.common.clock import SECOND
+from willowpost.drill.rules import Findings
+from willowpost.drill.soak.callers import KEPT, ONCE, CallerTally
+
+GONE_AFTER = SECOND // 2
+FORCE_AFTER = 2 * SECOND
+NOT_RUN = (408, 421, 429, 503)
+SHOWN = 3
+
+
+@dataclass(slots=True)
+class Leave:
+    """An origin that said that it leaves: from the acknowledgement to the end of that process."""
+
+    address: str
+    acknowledged_at: int
+    ended_at: int
+
+
+@dataclass(slots=True)
+class Record:
+    """What happened to the fleet, in µs of the machine's clock.
+
+    Attributes:
+        leaves: Origins that left.
+        killed: Edge's address -> (from, to) of each time in which it was killed or stood still.
+        untouched_since: Whether a proxy may have been out of touch: (from, to) of each cut and of
+            each trouble of the core; only proxies that serve on past their lease are excused by it.
+    """
+
+    leaves: list[Leave] = field(default_factory=list)
+    killed: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
+    untouched_since: list[tuple[int, int]] = field(default_factory=list)
+
+
+class SoakRules:
+    """Judges one soak.
+
+    Args:
+        tally: What the callers sent and got.
+        ledger: What the origins saw.
+        record: What happened to the fleet.
+        excuse_span: µs after a trouble of the core or a cut in which old tables are excused; None:
+            the proxies' lease bounds the age of their tables, so nothing is.
+    """
+
+    def __init__(self, tally: CallerTally, ledger: dict, record: Record, excuse_span: int | None):
+        self.tally, self.record, self.excuse_span = tally, record, excuse_span
+        self.runs = ledger["writes"]
+        self.arrivals = ledger["arrivals"]
+
+    def judge(self, findings: Findings) -> None:
+        """Adds a row for each rule."""
+        sent = self.tally.sent
+        twice = [name for name, count in self.runs.items() if count > 1]
+        self._add(findings, "no once-only request runs twice", f"{len(self.runs)} ran", twice)
+        lied = [
+            name
+            for name, held in sent.items()
+            if held.kind == ONCE and held.status in NOT_RUN and self.runs.get(name)
+        ]
+        self._add(findings, "what is told not-run has not run", f"{len(sent)} sent", lied)
+        self._add(findings, "no answer is another's", "", self.tally.wrong)
+        self._add(findings, "nothing is sent for a caller that left", *self._after_leaving())
+        self._add(findings, "nothing reaches an origin that left", *self._after_drain())
+        self._add(findings, "a request that was passed on is answered", *self._unanswered())
+
+    def _add(self, findings, rule, seen, broken):
+        shown = f"; {broken[:SHOWN]}" if broken else ""
+        findings.add(rule, f"{seen} {len(broken)} broken{shown}".strip(), not broken)
+
+    def _after_leaving(self):
+        left = {name: held for name, held in self.tally.sent.items() if held.left_at is not None}
+        late = [
+            f"{name} to {address} {(at - held.left_at) / SECOND:.2f} s after"
+            for name, held in left.items()
+            if held.kind != KEPT
+            for address, at in self.arrivals.get(name, ())
+            if at > held.left_at + GONE_AFTER
+        ]
+        return f"{len(left)} left,", late
+
+    def _after_drain(self):
+        late = [
+            f"{name} at {leave.address} {(at - leave.acknowledged_at) / SECOND:.2f} s after"
+            for leave in self.record.leaves
+            for name, arrivals in self.arrivals.items()
+            for address, at in arrivals
+            if address == leave.address
+            and leave.acknowledged_at + FORCE_AFTER < at < leave.ended_at
+            and not self._out_of_touch(at)
+        ]
+        return f"{len(self.record.leaves)} left,", late
+
+    def _out_of_touch(self, at):
+        if self.excuse_span is None:
+            return False
+        return any(
+            begin <= at <= end + self.excuse_span for begin, end in self.record.untouched_since
+        )
+
+    def _unanswered(self):
+        """Requests that an origin had and whose connection the edge ended without a word."""
+        lost = [
+            f"{name} of {held.edge}: {held.ended}"
+            for name, held in self.tally.sent.items()
+            if held.ended
+            and held.alone
+            and not held.ended.startswith("not sent")
+            and self.arrivals.get(name)
+            and not self._was_down(held.edge, held.sent_at)
+        ]
+        return (
+            f"{sum(held.status is not None for held in self.tally.sent.values())} answered,",
+            lost,
+        )
+
+    def _was_down(self, edge, sent_at):
+        return any(
+            end >= sent_at and begin <= sent_at + 15 * SECOND
+            for begin, end in self.record.killed.get(edge, ())
+        )
--- /dev/null
+++ b/src/willowpost/drill/soak/run.py
@@ -0,0 +1,255 @@
+"""Runs one soak: starts the fleet, carries out the troubles of a seed, heals it and judges."""
+
+import copy
+from collections.abc import Callable
+from pathlib import Path
+
+import gevent
+
+from willowpost.common.clock import SECOND, Clock
+from willowpost.drill.deployment import Deployment
+from willowpost.drill.fleet import ORIGINS, free_port
+from willowpost.drill.rules import Findings
+from willowpost.drill.soak.callers import SoakCallers
+from willowpost.drill.soak.fleet import CONFIGURATION, HOST, SoakFleet, layout
+from willowpost.drill.soak.judge import Leave, Record, SoakRules
+from willowpost.drill.soak.schedule import Kind, Parts, Trouble, drawn
+from willowpost.stand_ins.callers import ask
+
+START_SECONDS = 60.0
+HEAL_SECONDS = 40.0
+LEAVER_SERVES_SECONDS = 3.5
+STOP_SECONDS = 40.0
+LONG_SERVE_ON_MS, LEASE_MS = 60_000, 1500
+CONTACT = 4 * SECOND
+WARM_SECONDS = 3.0
+CALLERS_EACH_EDGE = 6
+MODES = {Kind.ORIGINS_SLOW: "slow", Kind.ORIGINS_LOSE_ANSWERS: "lost"}
+
+
+class Soak:
+    """One fleet and one seed.
+
+    Args:
+        folder: For settings, data and logs.
+        seed: Of the troubles and callers; an odd one serves on for long without state updates.
+        edges: How many edges.
+        seconds: How long troubles begin.
+        say: Told what happens.
+    """
+
+    def __init__(
+        self, folder: Path, seed: int, edges: int, seconds: float, say: Callable[[str], None]
+    ):
+        self.seed, self.seconds, self.say = seed, seconds, say
+        self.serve_on_ms = LONG_SERVE_ON_MS if seed % 2 else LEASE_MS
+        deployment = Deployment(layout(edges), folder, free_port())
+        self.fleet = SoakFleet(deployment, self.serve_on_ms)
+        self.clock = Clock()
+        self.record = Record()
+        self.findings = Findings()
+        self.configuration = copy.deepcopy(CONFIGURATION)
+        self.version = 0
+        self.busy: set[str] = set()  # targets that a trouble holds now
+        self.callers = SoakCallers(
+            self.clock, self.fleet.edges(), HOST, CALLERS_EACH_EDGE * edges, seed
+        )
+
+    def run(self) -> Findings:
+        """Runs it and returns what was seen.
+
+        Raises:
+            RuntimeError: The fleet did not come up.
+        """
+        try:
+            self._open()
+            self.callers.start()
+            self._trouble()
+            self._heal()
+            self.callers.stop()
+            self._judge()
+            return self.findings
+        finally:
+            self.fleet.stop_all()
+
+    def _open(self):
+        self.fleet.start_all()
+        self.fleet.start_origins()
+        if self.fleet.ready(START_SECONDS) is None:
+            raise RuntimeError("the fleet did not come up")
+        if not self._change():
+            raise RuntimeError("the configuration was not accepted")
+        self.fleet.until(self._origins_known, START_SECONDS, 0.2)
+        gevent.sleep(WARM_SECONDS)
+
+    def _origins_known(self):
+        held = self.fleet.call("GET", "/v1/status")
+        return held and len(held[2].get("origins", {})) == len(self.fleet.deployment.origins)
+
+    def _trouble(self):
+        keys = tuple(self.fleet.processes)
+        parts = Parts(
+            tuple(key for key in keys if not key.endswith("/wpproxy")),
+            tuple(key for key in keys if key.endswith("/wpproxy")),
+            tuple(origin["address"] for origin in self.fleet.deployment.origins),
+        )
+        begun, tasks = self.clock.now(), []
+        for trouble in drawn(self.seed, parts, self.seconds):
+            wait = trouble.at - (self.clock.now() - begun) / SECOND
+            gevent.sleep(max(0.0, wait))
+            tasks.append(gevent.spawn(self._carry_out, trouble))
+        gevent.joinall(tasks)
+
+    def _carry_out(self, trouble: Trouble):
+        """Carries a trouble out on the targets that no other one holds."""
+        targets = [target for target in trouble.targets if target not in self.busy]
+        if trouble.targets and not targets:
+            return
+        self.say(f"{trouble.at:6.2f} s  {trouble.kind.value} {' '.join(targets)}")
+        self.busy.update(targets)
+        began = self.clock.now()
+        try:
+            self._act(trouble.kind, targets, trouble.span)
+        finally:
+            self.busy.difference_update(targets)
+            self._note(trouble.kind, targets, began)
+
+    def _note(self, kind, targets, began):
+        now = self.clock.now()
+        proxies = self.fleet.proxies()
+        for target in targets:
+            if kind in (Kind.KILL, Kind.HERD_KILL, Kind.FREEZE) and target in proxies:
+                self.record.killed.setdefault(proxies[target], []).append((began, now))
+        on_core = any(not target.endswith("/wpproxy") for target in targets if "/" in target)
+        if kind in (Kind.CUT, Kind.CUT_CORE, Kind.FREEZE) or on_core:
+            self.record.untouched_since.append((began, now))
+
+    def _act(self, kind, targets, span):
+        match kind:
+            case Kind.KILL | Kind.HERD_KILL:
+                for key in targets:
+                    self.fleet.kill(key)
+                gevent.sleep(span)
+                for key in targets:
+                    self.fleet.start(key)
+            case Kind.FREEZE:
+                for key in targets:
+                    self.fleet.freeze(key)
+                gevent.sleep(span)
+                for key in targets:
+                    self.fleet.thaw(key)
+            case Kind.RESTART:
+                for key in targets:
+                    self._restart(key)
+            case Kind.RELOAD:
+                for key in targets:
+                    self.fleet.reload(key)
+            case Kind.CUT | Kind.CUT_CORE:
+                self._cut(targets, span, kind is Kind.CUT_CORE)
+            case Kind.ORIGINS_SLOW | Kind.ORIGINS_LOSE_ANSWERS:
+                self._steer(targets, "mode", mode=MODES[kind])
+                gevent.sleep(span)
+                self._steer(targets, "mode", mode="sound")
+            case Kind.ORIGINS_CRASH:
+                self._steer(targets, "crash")
+                gevent.sleep(span)
+                self._steer(targets, "start")
+            case Kind.ORIGIN_LEAVES:
+                self._leave(targets[0])
+            case Kind.CHANGE:
+                self._change()
+            case Kind.PURGE:
+                item = {"items": [{"kind": "prefix", "host": HOST, "path": "/kept/"}]}
+                self.fleet.call("POST", "/v1/purges", item)
+
+    def _restart(self, key):
+        if self.fleet.stop(key, STOP_SECONDS) is None:
+            self.findings.add("a process ends within its grace", key, False)
+        self.fleet.start(key)
+
+    def _cut(self, targets, span, core_only):
+        core = [key for key in self.fleet.processes if not key.endswith("/wpproxy")]
+        pairs = set()
+        for key in targets:
+            machine = self.fleet.processes[key].machine
+            mine = [one for one in self.fleet.processes if one.startswith(f"{machine}/")]
+            others = [other for other in (core if core_only else self.fleet.processes)]
+            pairs |= {
+                frozenset((self.fleet.address(one), self.fleet.address(other)))
+                for one in mine
+                for other in others
+                if other not in mine
+            }
+        self.fleet.cuts |= pairs
+        self.fleet.write_cuts()
+        gevent.sleep(span)
+        self.fleet.cuts -= pairs
+        self.fleet.write_cuts()
+
+    def _steer(self, addresses, do, **more):
+        for address in addresses:
+            self.fleet.steer(do, address, **more)
+
+    def _leave(self, address):
+        held = self.fleet.steer("drain", address)
+        acknowledged_at = self.clock.now()
+        gevent.sleep(LEAVER_SERVES_SECONDS)
+        ended_at = self.clock.now()
+        self._steer([address], "crash")
+        self._steer([address], "start")
+        if held is not None and held[0] == 200 and held[2]:
+            self.record.leaves.append(Leave(address, acknowledged_at, ended_at))
+
+    def _change(self) -> bool:
+        """Proposes another configuration; whether it was accepted."""
+        self.configuration["settings"]["deadline_ms"] += 1
+        held = self.fleet.call("PUT", "/v1/configuration", self.configuration)
+        if held is None or held[0] != 200:
+            return False
+        self.version = max(self.version, held[2]["version"])
+        return True
+
+    def _heal(self):
+        """Waits until the fleet is whole again, with the newest configuration everywhere."""
+        whole = self.fleet.until(self._whole, HEAL_SECONDS, 0.3)
+        seen = "never" if whole is None else f"after {whole:.1f} s"
+        self.findings.add("the fleet is whole again", seen, whole is not None)
+
+    def _whole(self):
+        held = self.fleet.stats()
+        return (
+            len(held) == len(self.fleet.proxies())
+            and all(one["sound"] and one["version"] >= self.version for one in held.values())
+            and self._same_tables()
+        )
+
+    def _same_tables(self):
+        answers = [ask(address, "GET", "/v1/status") for address in self.fleet.registries()]
+        return all(answers) and len({answer[2].get("digest") for answer in answers}) == 1
+
+    def _judge(self):
+        excused = CONTACT if self.serve_on_ms > LEASE_MS else None
+        SoakRules(self.callers.tally, self.fleet.ledger(), self.record, excused).judge(
+            self.findings
+        )
+        read = self.fleet.call("GET", "/v1/configuration", first=1)
+        version = read[2]["version"] if read and read[0] == 200 else None
+        self.findings.add(
+            "what was accepted is read back",
+            f"version {version}, accepted {self.version}",
+            version is not None and version >= self.version,
+        )
+        lines = self._violations()
+        self.findings.add("no invariant was violated", f"{len(lines)} {lines[:3]}", not lines)
+        left = sum(held.get("without_caller", 0) for held in self.fleet.stats().values())
+        self.findings.add("nothing is under way without a caller", str(left), not left)
+
+    def _violations(self):
+        """Lines of all processes' logs that tell of a violation, also of killed ones."""
+        keys = [key for key in self.fleet.processes if key != ORIGINS]
+        return [
+            f"{key}: {line[:200]}"
+            for key in keys
+            for line in self.fleet.log_path(key).read_text(errors="replace").splitlines()
+            if '"message": "invariant' in line or "broke down" in line
+        ]
--- a/src/willowpost/proxy/front.py
+++ b/src/willowpost/proxy/front.py
@@ -293,6 +293,7 @@
                 **value,
                 "stats": dict(self.stats),
                 "in_flight": self.in_flight,
+                "without_caller": self.carrier.tries.outgoing.without_caller(),
                 "shares": {
                     name: round(grant.rate, 3) for name, grant in self.node_state.grants.items()
                 },
--- a/src/willowpost/stand_ins/main.py
+++ b/src/willowpost/stand_ins/main.py
@@ -53,6 +53,7 @@
             {
                 "writes": dict(self.ledger.writes),
                 "version": self.ledger.version,
+                "arrivals": self.ledger.arrivals,
                 "seen": {address: dict(counts) for address, counts in self.ledger.seen.items()},
                 "services": {
                     address: dict(counts) for address, counts in self.ledger.services.items()
--- a/src/willowpost/stand_ins/origin.py
+++ b/src/willowpost/stand_ins/origin.py
@@ -18,6 +18,7 @@
 from willowpost.shell.web import QuietHandler, status_line
 
 WARM_SECONDS = 8
+SLOW_SECONDS = 4
 HEALTH = "/health"
 CONNECTIONS_MOST = 2000
 
@@ -33,6 +34,8 @@
     seen: dict = field(default_factory=dict)  # address -> Counter of whole seconds
     services: dict = field(default_factory=dict)  # address -> Counter of paths' first parts
     version: int = 1
+    # request's id -> (address, when in µs) of each arrival; only of requests that have one
+    arrivals: dict = field(default_factory=dict)
     # requests that came to an origin at over twice what it bears
     overrun: Counter = field(default_factory=Counter)
 
@@ -146,7 +149,14 @@
         if environ["PATH_INFO"] == HEALTH:
             start_response(status_line(200), [("Content-Length", "0"), ("Wp-Token", self.token)])
             return [b""]
-        second = self.clock.now() // 1_000_000
+        meant = environ.get("HTTP_WP_INCARNATION")
+        if meant is not None and meant != self.token:
+            start_response("421 Misdirected Request", [("Content-Length", "0")])
+            return [b""]
+        now = self.clock.now()
+        second, name = now // 1_000_000, environ.get("HTTP_WP_REQUEST")
+        if name:
+            self.ledger.arrivals.setdefault(name, []).append((self.address, now))
         if self.ledger.seen.get(self.address, {}).get(second, 0) > 2 * self._bears():
             self.ledger.overrun[self.address] += 1
             start_response(status_line(503), [("Content-Length", "0"), ("Retry-After", "1")])
@@ -158,7 +168,7 @@
         if environ["REQUEST_METHOD"] == "POST":
             self.ledger.writes[json.loads(body)["id"]] += 1
         if self.mode == "slow":
-            gevent.sleep(4)
+            gevent.sleep(SLOW_SECONDS)
         if self.mode == "lost":
             start_response("200 OK", [("Connection", "close")])
             environ["wp.socket"].shutdown(socket.SHUT_RDWR)
@@ -182,6 +192,7 @@
         headers = [
             ("Content-Type", "text/plain"),
             ("Content-Digest", f"sha-256=:{digest}:"),
+            *([("Wp-Request", name)] if name else []),
             ("ETag", f'"{self.ledger.version}-{len(text)}"'),
             ("Cache-Control", f"max-age={self.keep}" if shared else "private, no-store"),
         ]
