--- /dev/null
+++ b/tests/test_old_tables.py
@@ -0,0 +1,134 @@
+"""Leaving origins and old tables: proxies that serve on for long, behind links that are full.
+
+The platform lets proxies serve on for a minute without state updates. A proxy that the core's
+answers do reach, late, is not out of touch, and must not act on what it knows to be old.
+"""
+
+import heapq
+import unittest
+
+from willowpost.common.clock import MILLI, SECOND
+from willowpost.common.events import Received, Tick
+from willowpost.node.follower import Follower
+from willowpost.node.node_state import Card, NodeState
+from willowpost.node.quorum_read import QuorumRead
+from willowpost.sim.fleet.world import FleetWorld
+from willowpost.sim.rules import Broken
+from willowpost.sim.world import seconds
+from willowpost.state.tables import Tables
+from willowpost.wire.messages import ReadAsk, ReadTell
+
+SERVE_ON = 60 * SECOND
+
+
+class FullLinkWorld(FleetWorld):
+    """All that one edge exchanges with other daemons waits on its way, from `full_at` on."""
+
+    edge, delay, full_at = "e0", 0, 10**18
+
+    def _post(self, seat, address, message):
+        ends = {seat.address, address}
+        apart = len(ends) == 2 and not ends & {"caller", *self.origins}
+        if self.edge in ends and apart and self.time >= self.full_at:
+            self.at(self.delay, super()._post, seat, address, message)
+        else:
+            super()._post(seat, address, message)
+
+    def serve_on(self):
+        for name in (*self.edges, *self.shields):
+            if self.seats[name].node is not None:
+                self.seats[name].node.proxy.serve_on = SERVE_ON
+
+    def served_by(self, edge, since):
+        return sum(at > since and server == edge for at, server in self.traffic.served)
+
+
+def opened(seed, delay):
+    world = FullLinkWorld(seed, rate=120)
+    world.delay = delay
+    world.open()
+    world.serve_on()
+    return world
+
+
+def leave_in_turn(world):
+    """Origins leave, one a second; each comes back anew later."""
+    for name in list(world.origins)[:4]:
+        world.drain_origin(0, name)
+        world.run(seconds(1))
+    world.run(seconds(3))
+
+
+class FullLinks(unittest.TestCase):
+    def test_a_proxy_whose_updates_come_late_sends_nothing_to_origins_that_left(self):
+        for seed, delay in ((1, 700 * MILLI), (2, 1200 * MILLI), (3, 2500 * MILLI)):
+            with self.subTest(seed=seed, delay=delay):
+                world = opened(seed, delay)
+                world.full_at = world.time
+                world.run(seconds(3))
+                leave_in_turn(world)
+
+    def test_a_proxy_that_hears_nothing_serves_on(self):
+        world = opened(4, 0)
+        edge = world.edge
+        rest = [name for name in (*world.stores(), *world.registries, *world.edges, *world.shields)]
+        world.cut([edge], [name for name in rest if name != edge])
+        world.run(seconds(4))
+        since = world.time
+        world.run(seconds(4))
+        self.assertGreater(world.served_by(edge, since), 20)
+
+    def test_the_judge_finds_what_a_proxy_that_hears_nothing_sends_to_an_origin_that_left(self):
+        """It is out of touch, so the users' page allows it; the simulator's rule does not."""
+        world = opened(4, 0)
+        edge = world.edge
+        rest = [name for name in (*world.stores(), *world.registries, *world.edges, *world.shields)]
+        world.cut([edge], [name for name in rest if name != edge])
+        world.run(seconds(4))
+        with self.assertRaises(Broken):
+            leave_in_turn(world)
+
+
+class Reads(unittest.TestCase):
+    """A quorum read whose answers take longer than the pause between two reads."""
+
+    def test_late_answers_complete_the_read_that_they_belong_to(self):
+        for delay in (50, 200, 400, 900):
+            with self.subTest(delay=delay):
+                self.assertLessEqual(self._age(delay * MILLI), (delay + 200) * MILLI)
+
+    def test_answers_to_different_reads_make_no_quorum(self):
+        """Each read was heard by one voter, none by a quorum."""
+        state, read = self._follower()
+        for number in range(3):
+            now = (number + 1) * 200 * MILLI + SECOND
+            asks = [sent for _, sent in read.step(Tick(), now).sends if isinstance(sent, ReadAsk)]
+            read.step(Received(f"v{number}:1", ReadTell(asks[0].nonce, f"v{number}", 5)), now)
+        self.assertIsNone(state.fresh_as_of)
+
+    def _follower(self):
+        state = NodeState(Card("p", "proxy", "edge", "p", "a", "p:1", "p:2", 1))
+        core = tuple(
+            {"identity": f"v{number}", "name": f"v{number}", "zone": "a", "address": f"v{number}:1"}
+            for number in range(3)
+        )
+        state.tables = Tables(slot=5, epoch=1, core=core)
+        return state, QuorumRead(state, Follower(state, ["s:1"], tree=False))
+
+    def _age(self, delay):
+        """The age of the tables after three seconds in which each answer takes `delay` µs."""
+        state, read = self._follower()
+        arrivals = []
+        for now in range(SECOND, 4 * SECOND, 10 * MILLI):
+            while arrivals and arrivals[0][0] <= now:
+                _, address, nonce = heapq.heappop(arrivals)
+                read.step(Received(address, ReadTell(nonce, address[:2], 5)), now)
+            for address, sent in read.step(Tick(), now).sends:
+                if isinstance(sent, ReadAsk):
+                    heapq.heappush(arrivals, (now + delay, address, sent.nonce))
+        age = state.age(4 * SECOND)
+        return 10 * SECOND if age is None else age
+
+
+if __name__ == "__main__":
+    unittest.main()
