Large answers are paced by the machine's link; small messages do not wait behind them

Cause: on a link of 6 Mbit/s a few large answers fill the queue for up to a second; requests to origins, polls of the core and small answers leave behind them.

What is left: bytes on their way to an edge (whole objects from shields) are not paced.

--- a/src/willowpost/proxy/caller/answers.py
+++ b/src/willowpost/proxy/caller/answers.py
@@ -148,20 +148,33 @@
         head, chunked = reply.head(close)
         body = b"" if pending.head or reply.code in BODYLESS_STATUSES else reply.body
         self.connection.settimeout(WRITE_SECONDS)
-        if reply.pieces is None:
-            if len(body) <= TOGETHER:
-                self.connection.sendall(head + body)
-            else:
-                self.connection.sendall(head)
-                self.connection.sendall(body)
-        else:
+        if reply.pieces is not None:
             self.connection.sendall(head)
             self._write_pieces(() if pending.head else reply.pieces, chunked)
+        elif len(body) <= TOGETHER and not self._is_large(body):
+            self.front.pacer.count(len(head) + len(body))
+            self.connection.sendall(head + body)
+        else:
+            self.connection.sendall(head)
+            self._write_large(body)
 
     def _write_pieces(self, pieces, chunked):
         for piece in pieces:
             if piece:
                 framed = b"%x\r\n%b\r\n" % (len(piece), piece) if chunked else piece
-                self.connection.sendall(framed)
+                self._write_large(framed)
         if chunked:
             self.connection.sendall(b"0\r\n\r\n")
+
+    def _is_large(self, body):
+        return self.front.pacer.piece is not None and len(body) > self.front.pacer.piece
+
+    def _write_large(self, body):
+        """Writes bytes at the pace of the machine's link."""
+        pacer = self.front.pacer
+        size = pacer.piece or len(body)
+        view = memoryview(body)
+        for start in range(0, len(body), size or 1):
+            piece = view[start : start + size]
+            pacer.wait(len(piece))
+            self.connection.sendall(piece)
--- a/src/willowpost/proxy/daemon.py
+++ b/src/willowpost/proxy/daemon.py
@@ -8,6 +8,7 @@
 from willowpost.node.node_state import Card
 from willowpost.proxy.admission.buckets import Allowance, Ramp
 from willowpost.proxy.admission.budget import BudgetSettings, RetryBudget
+from willowpost.proxy.caller.pacing import LinkPacer
 from willowpost.proxy.figures import ProxyFigures
 from willowpost.proxy.front import HEALTH, Front
 from willowpost.proxy.handler import ProxyHandler
@@ -110,6 +111,7 @@
             logs,
             words,
             place.health is None,
+            LinkPacer(place.link_mbps),
         )
         self.node.leaver.spans = place.spans()
         self.node.leaver.in_flight = lambda: self.front.in_flight
--- a/src/willowpost/proxy/front.py
+++ b/src/willowpost/proxy/front.py
@@ -5,6 +5,7 @@
 
 from willowpost.proxy.cache.storing import seconds_of
 from willowpost.proxy.caller.lifetime import UNWATCHED, RequestLifetime
+from willowpost.proxy.caller.pacing import LinkPacer
 from willowpost.proxy.caller.reply import Reply
 from willowpost.proxy.caller.request import CallerRequest
 from willowpost.proxy.caller.standstill import StandstillWatch
@@ -36,6 +37,7 @@
         logs: Where log lines go.
         words: Names of the headers shared with callers and origins.
         reserved: Whether the health and statistics paths are served on the callers' port.
+        pacer: Paces large answers by the machine's link; None: they are not paced.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         logs,
         words: Words = Words(),
         reserved: bool = True,
+        pacer: LinkPacer | None = None,
     ):
         self.node_state, self.clock, self.planner, self.carrier = (
             node_state,
@@ -59,6 +62,7 @@
         self.now = clock.now
         self.in_flight = 0
         self.standstill = StandstillWatch()
+        self.pacer = pacer or LinkPacer()
         self.finishing = False
         self.connections: set = set()
 
--- a/src/willowpost/shell/place.py
+++ b/src/willowpost/shell/place.py
@@ -37,6 +37,7 @@
     drain_ms: int = 3000  # a leaver goes on serving all
     finish_ms: int = 30000  # then finishes what is under way
     leave_ms: int = 1500  # then waits to be out of the log
+    link_mbps: float | None = None  # the machine's link, if that is known
     cache_bytes: int = 128 * 1024 * 1024  # a proxy keeps copies up to this
     # extra tries of all proxies: this part of the demand
     extra_part: float = 0.2
--- a/src/willowpost/shell/settings.py
+++ b/src/willowpost/shell/settings.py
@@ -60,6 +60,7 @@
     health: Address | None = None
     metrics: Address | None = None
     serve_on_ms: int = Field(1500, ge=500, le=3_600_000)
+    link_mbps: float | None = Field(None, gt=0)
     drain_ms: int = Field(3000, ge=0, le=60_000)
     finish_ms: int = Field(30_000, ge=0, le=600_000)
     leave_ms: int = Field(1500, ge=0, le=10_000)
--- a/tests/test_old_tables.py
+++ b/tests/test_old_tables.py
@@ -7,11 +7,14 @@
 import heapq
 import unittest
 
+from greenlet import getcurrent, greenlet
+
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.common.events import Received, Tick
 from willowpost.node.follower import TOO_OLD, Follower
 from willowpost.node.node_state import Card, NodeState
 from willowpost.node.quorum_read import QuorumRead
+from willowpost.proxy.caller.pacing import LinkPacer
 from willowpost.sim.fleet.world import FleetWorld
 from willowpost.sim.rules import Broken
 from willowpost.sim.world import seconds
@@ -19,6 +22,7 @@
 from willowpost.wire.messages import ReadAsk, ReadTell
 
 SERVE_ON = 60 * SECOND
+MEGA = 1_000_000
 
 
 class FullLinkWorld(FleetWorld):
@@ -132,5 +136,67 @@
         return 10 * SECOND if age is None else age
 
 
+class FifoLink:
+    """A machine's link: bytes leave in the order in which they were handed over."""
+
+    def __init__(self, megabits):
+        self.rate, self.free_at, self.now = megabits * MEGA / 8, 0.0, 0.0
+        self.longest = 0.0
+
+    def hand_over(self, size):
+        """Returns how long these bytes wait for their turn, in seconds."""
+        waits = max(0.0, self.free_at - self.now)
+        self.free_at = self.now + waits + size / self.rate
+        return waits
+
+
+class Pacing(unittest.TestCase):
+    """Small messages beside many large answers on a thin link."""
+
+    def longest_wait(self, pacer_megabits, answers=30, size=250_000):
+        link, wakes = FifoLink(6.0), []
+        pacer = LinkPacer(
+            pacer_megabits,
+            now=lambda: link.now,
+            sleep=lambda span: self._sleep(link, wakes, span),
+        )
+
+        def write():
+            piece = pacer.piece or size
+            for start in range(0, size, piece):
+                pacer.wait(min(piece, size - start))
+                link.hand_over(min(piece, size - start))
+
+        for number in range(answers):
+            heapq.heappush(wakes, (0.05 * number, number, greenlet(write)))
+        for number in range(400):
+            heapq.heappush(wakes, (0.02 * number, 1000 + number, None))
+        longest = 0.0
+        while wakes:
+            link.now, _, task = heapq.heappop(wakes)
+            if task is None:
+                longest = max(longest, link.hand_over(300))
+            else:
+                task.switch()
+        return longest, link.free_at
+
+    def _sleep(self, link, wakes, span):
+        heapq.heappush(wakes, (link.now + span, len(wakes) + 10_000, getcurrent()))
+        getcurrent().parent.switch()
+
+    def test_a_small_message_waits_for_little_of_them(self):
+        longest, _ = self.longest_wait(6.0)
+        self.assertLess(longest, 0.1)
+
+    def test_without_pacing_it_waits_for_all_of_them(self):
+        longest, _ = self.longest_wait(None)
+        self.assertGreater(longest, 2.0)
+
+    def test_the_link_is_used(self):
+        _, paced = self.longest_wait(6.0)
+        _, unpaced = self.longest_wait(None)
+        self.assertLess(paced, 1.15 * unpaced)
+
+
 if __name__ == "__main__":
     unittest.main()
