proxy/routing: the sender and its receiver in a module of their own; replies in another

Pure moves: Tries._exchange with eleven parameters becomes Sender.send to a Receiver, Front's making of replies becomes ReplyMaker.

--- a/src/willowpost/drill/soak/run.py
+++ b/src/willowpost/drill/soak/run.py
@@ -122,7 +122,7 @@
                 self.record.killed.setdefault(proxies[target], []).append((began, now))
         on_core = any(not target.endswith("/wpproxy") for target in targets if "/" in target)
         if kind in (Kind.CUT, Kind.CUT_CORE, Kind.FREEZE) or on_core:
-            self.record.untouched_since.append((began, now))
+            self.record.out_of_touch.append((began, now))
 
     def _act(self, kind, targets, span):
         match kind:
--- a/src/willowpost/proxy/front.py
+++ b/src/willowpost/proxy/front.py
@@ -3,15 +3,14 @@
 import json
 import re
 
-from willowpost.proxy.cache.storing import seconds_of
 from willowpost.proxy.caller.lifetime import UNWATCHED, RequestLifetime
 from willowpost.proxy.caller.pacing import LinkPacer
 from willowpost.proxy.caller.reply import Reply
+from willowpost.proxy.caller.reply_maker import ReplyMaker
 from willowpost.proxy.caller.request import CallerRequest
 from willowpost.proxy.caller.standstill import StandstillWatch
 from willowpost.proxy.routing.attempt import Rejected
 from willowpost.proxy.routing.carrier import Carrier
-from willowpost.proxy.routing.headers import HOP_AGE, HOP_REJECT, HOP_SLOT
 from willowpost.proxy.routing.planner import DENIED_AGAIN_AFTER, RequestPlanner
 from willowpost.proxy.routing.request import ONCE, RejectPlan, Request, kind_of
 from willowpost.proxy.routing.words import Words
@@ -59,6 +58,7 @@
             carrier,
         )
         self.stats, self.logs, self.words, self.reserved = stats, logs, words, reserved
+        self.replies = ReplyMaker(words, stats)
         self.now = clock.now
         self.in_flight = 0
         self.standstill = StandstillWatch()
@@ -119,7 +119,7 @@
 
     def malformed(self, code: int, reason: str) -> Reply:
         """The reply to a request that cannot be parsed or is over a limit."""
-        return self._reject(self._over_limit(code, reason), False)
+        return self.replies.rejected(self._over_limit(code, reason), False)
 
     def _over_limit(self, code, reason):
         """The refusal; a limit of the configuration refuses only if it is known to be current."""
@@ -157,12 +157,12 @@
             plan = self.planner.plan(request)
             if not isinstance(plan, RejectPlan) and len(body) > self.body_most(asked):
                 raise self._over_limit(413, "body over the limit")
-            return self._answer(request, self.carrier.carry(request, plan, body))
+            return self.replies.answered(request, self.carrier.carry(request, plan, body))
         except Rejected as reject:
-            return self._reject(reject, write, request)
+            return self.replies.rejected(reject, write, request)
         except Exception as problem:
             self.logs.say("front", "request broke down", level="error", problem=repr(problem))
-            return self._reject(Rejected(500, "broke down", 1, "unknown"), write, request)
+            return self.replies.rejected(Rejected(500, "broke down", 1, "unknown"), write, request)
 
     def _request(self, asked, received, lifetime):
         host, target = asked.headers.get("host", ""), asked.target
@@ -191,85 +191,6 @@
             lifetime,
         )
 
-    def _answer(self, request, outcome):
-        answer = outcome.answer
-        pieces = None if answer.rest is None else self._begun(answer.rest)
-        match = request.headers.get("if-none-match")
-        etag = answer.header("etag")
-        status, body = answer.status, answer.body
-        if (
-            match
-            and etag
-            and status == 200
-            and request.safe
-            and pieces is None
-            and (
-                match.strip() == "*"
-                or etag.removeprefix("W/")
-                in [held.strip().removeprefix("W/") for held in match.split(",")]
-            )
-        ):
-            status, body = 304, b""
-        headers = [
-            (name, value)
-            for name, value in answer.headers
-            if name not in ("content-length", "age", self.words.request)
-            # a seal is of the status that the origin gave
-            and (name != self.words.seal or status == answer.status)
-        ]
-        if request.name is not None:
-            headers.append((self.words.request, request.name))
-        if outcome.age is not None:
-            headers.append(("age", seconds_of(outcome.age)))
-        if request.hop:
-            headers.append((HOP_SLOT, str(outcome.slot)))
-            if outcome.age is not None:
-                headers.append((HOP_AGE, str(outcome.age // MILLI)))
-        headers.append(("wp-cache", outcome.source))
-        length = answer.header("content-length")
-        if status not in (204, 304):
-            if pieces is None and request.method != "HEAD":
-                headers.append(("content-length", str(len(body))))
-            elif length is not None:
-                headers.append(("content-length", length))
-        self.stats[f"status.{status}"] += 1
-        return Reply(status, headers, body, pieces)
-
-    def _begun(self, rest):
-        """Reads the first piece of a streamed body before the head is sent.
-
-        Raises:
-            Rejected: The body broke off by then; the caller gets a 502 instead of a truncated
-                reply.
-        """
-        try:
-            first = next(rest, b"")
-        except Exception as problem:
-            raise Rejected(502, f"no whole answer: {problem}", 1, "unknown")
-        return _pieces(first, rest)
-
-    def _reject(self, reject, write, request=None):
-        body = (
-            json.dumps(
-                {"reject": reject.reason, "retry_after": reject.after}
-                if reject.after
-                else {"reject": reject.reason}
-            ).encode()
-            + b"\n"
-        )
-        headers = [("content-type", "application/json"), ("cache-control", "no-store")]
-        if request is not None and request.name is not None:
-            headers.append((self.words.request, request.name))
-        if reject.after:
-            headers.append(("retry-after", f"{reject.after:g}"))
-        if write:
-            headers.append(("wp-outcome", reject.outcome))
-        if request is not None and request.hop:
-            headers.append((HOP_REJECT, reject.outcome))
-        self.stats[f"reject.{reject.code}"] += 1
-        self.stats[f"why.{reject.reason[:40]}"] += 1
-        return Reply(reject.code, headers, body)
-
     def own(self, path: str) -> Reply:
         """The reply to the health or the statistics path.
 
@@ -311,15 +232,6 @@
         )
 
 
-def _pieces(first, rest):
-    """The pieces of a streamed body; closing this generator ends the exchange behind it."""
-    try:
-        yield first
-        yield from rest
-    finally:
-        rest.close()
-
-
 def host_of(asked: CallerRequest) -> str:
     """The request's host in lower case, without the port."""
     return asked.headers.get("host", "").partition(":")[0].lower()
--- a/src/willowpost/proxy/routing/tries.py
+++ b/src/willowpost/proxy/routing/tries.py
@@ -1,11 +1,8 @@
 """One try of a request: to a shield, or to an origin that is picked, admitted and charged for."""
 
-from contextlib import nullcontext
-
 from willowpost.common.clock import MILLI, SECOND
 from willowpost.proxy.admission.verdict import Let
-from willowpost.proxy.origin import instance_check as instance_checks
-from willowpost.proxy.origin.answer import Echo, WholeAnswer
+from willowpost.proxy.origin.answer import WholeAnswer
 from willowpost.proxy.origin.failure import ExchangeFailure, Why
 from willowpost.proxy.origin.pick import HEAVY
 from willowpost.proxy.outgoing import OutgoingRequests
@@ -13,6 +10,7 @@
 from willowpost.proxy.routing.attempt import NOT_RUN_OUTCOME, SOON, Rejected, Trace
 from willowpost.proxy.routing.headers import HOP_REJECT, toward
 from willowpost.proxy.routing.request import Request
+from willowpost.proxy.routing.sending import Receiver, Sender
 from willowpost.proxy.routing.words import Words
 
 EJECT_SPANS = {
@@ -67,6 +65,7 @@
         self.answer_check = AnswerCheck(words)
         self.regions = regions or {}  # zone -> region
         self.outgoing = outgoing or OutgoingRequests(node_state, clock.now)
+        self.sender = Sender(node_state, clock, io, words, self.answer_check, self.outgoing)
         self.sizes: dict[str, float] = {}  # route -> smoothed bytes of its responses
 
     def shield(
@@ -94,16 +93,17 @@
         begun = self.clock.now()
         ticket = self.origins.began(name, begun)
         try:
-            answer = self._exchange(
-                f"shield {name} {address}",
-                address,
-                None,
+            answer = self.sender.send(
+                Receiver(
+                    f"shield {name} {address}",
+                    address,
+                    lambda: name in self.node_state.snapshot.shields,
+                ),
                 request,
                 headers,
                 b"",
                 plan,
                 deadline,
-                lambda: name in self.node_state.snapshot.shields,
             )
         except ExchangeFailure as failure:
             self.origins.eject(name, self.clock.now())
@@ -157,18 +157,21 @@
             whole,
         )
         try:
-            answer = self._exchange(
-                chosen_origin.name,
-                chosen_origin.address,
-                chosen_origin.instance_check,
+            answer = self.sender.send(
+                Receiver(
+                    chosen_origin.name,
+                    chosen_origin.address,
+                    lambda: chosen_origin.name in self.node_state.snapshot.origins,
+                    service,
+                    chosen_origin.instance_check,
+                    self._most(service),
+                ),
                 request,
                 headers,
                 body,
                 plan,
                 deadline,
-                lambda: chosen_origin.name in self.node_state.snapshot.origins,
                 lambda: self._press(plan.service, trace),
-                service,
             )
             now = self.clock.now()
             self.origins.answered(
@@ -295,59 +298,3 @@
         if not trace.pressed:
             self.budget.first(self.clock.now(), service)
         trace.pressed = True
-
-    def _exchange(
-        self,
-        owner,
-        address,
-        instance_check,
-        request,
-        headers,
-        body,
-        plan,
-        deadline,
-        in_force,
-        press=lambda: None,
-        service=None,
-    ) -> WholeAnswer:
-        reuse = request.safe if plan.route.kind is None else plan.route.kind != "once"
-        exchange = self.io.open(
-            owner, address, reuse, self._most(service) if service else None, self._left(deadline)
-        )
-        answer = None
-        try:
-            if instance_check is not None and not exchange.reused:
-                exchange.instance_check(
-                    instance_check, min(instance_checks.SECONDS, self._left(deadline))
-                )
-            # the last check before a byte is sent: that somebody waits, the lease, by a clock that
-            # counts freezes, and that the receiver is still in force
-            request.lifetime.check()
-            if not self.node_state.leased(self.clock.now()):
-                raise Rejected(503, "no fresh state updates from the core", 2)
-            if not in_force():
-                raise ExchangeFailure("went out of force", sent=False)
-            press()
-            connection_header = [] if reuse else [("connection", "close")]
-            echo = Echo(self.words.request, request.name) if request.name is not None else None
-            with (
-                self.outgoing.sending(request, owner, not reuse, in_force()),
-                nullcontext() if reuse else request.lifetime.protected(),
-            ):
-                answer = exchange.run(
-                    request.method,
-                    request.target,
-                    headers + connection_header,
-                    body,
-                    self._left(deadline),
-                    plan.route.whole_max,
-                    echo,
-                )
-            if service is not None and self.answer_check.of_another(answer, service):
-                exchange.close()
-            return answer
-        finally:
-            self.io.finish(owner, exchange, reuse, answer)
-
-    def _left(self, deadline):
-        return max(0.05, (deadline - self.clock.now()) / SECOND)
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,91 @@
+"""The figures of a process as text, and the invariants that a proxy tells there."""
+
+import subprocess
+import sys
+import unittest
+
+from gevent import socket
+from served import ScriptedOrigin, ServedProxy, answer
+
+from willowpost.proxy.caller.lifetime import RequestLifetime
+from willowpost.proxy.figures import ProxyFigures
+from willowpost.proxy.outgoing import Invariant
+from willowpost.shell.metrics import MetricsPage
+from willowpost.shell.web import WebServer
+
+
+class Page(unittest.TestCase):
+    def setUp(self):
+        self.proxy = ServedProxy(ScriptedOrigin(answer(b"ok", cache_control="no-store")))
+        self.addCleanup(self.proxy.stop)
+        outgoing = self.proxy.front.carrier.tries.outgoing
+        self.page = MetricsPage(ProxyFigures(self.proxy.front, self.proxy.node_state, outgoing))
+
+    def figure(self, text, name):
+        lines = [line for line in text.splitlines() if line.startswith(f"willowpost_{name} ")]
+        return float(lines[0].rpartition(" ")[2])
+
+    def test_requests_ages_and_invariants_are_told(self):
+        self.proxy.clock.time += 250_000
+        self.assertEqual(200, self.proxy.ask("GET", "/a")[0])
+        text = self.page.text().decode()
+        self.assertEqual(1, self.figure(text, 'events_total{event="requests"}'))
+        self.assertEqual(0, self.figure(text, 'sent_tables_age_seconds_bucket{le="0.2"}'))
+        self.assertEqual(1, self.figure(text, 'sent_tables_age_seconds_bucket{le="0.3"}'))
+        self.assertEqual(1, self.figure(text, 'sent_tables_age_seconds_bucket{le="+Inf"}'))
+        self.assertEqual(0, self.figure(text, "exchanges_without_caller"))
+        for invariant in Invariant:
+            name = f'invariant_violations_total{{invariant="{invariant.value}"}}'
+            self.assertEqual(0, self.figure(text, name))
+
+    def test_it_is_served_on_any_path(self):
+        web = WebServer("127.0.0.1:0", self.page)
+        web.start()
+        self.addCleanup(web.stop, 0)
+        caller = socket.create_connection(("127.0.0.1", web.server.server_port), timeout=5)
+        self.addCleanup(caller.close)
+        caller.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        held = b""
+        while block := caller.recv(65536):
+            held += block
+        self.assertIn(b"200 OK", held)
+        self.assertIn(b"willowpost_log_slot 5.0", held)
+
+    def test_a_violation_is_counted_and_logged(self):
+        state, origin = self.proxy.node_state, ScriptedOrigin(answer(b"ok"))
+        outgoing = self.proxy.front.carrier.tries.outgoing
+        lines = []
+        outgoing.say = lambda *words, **fields: lines.append((words, fields))
+        self.proxy.set_origins([origin])
+        state.quorum_heard_at = self.proxy.clock.now()
+        state.fresh_as_of = self.proxy.clock.now() - 2_000_000
+        request = self.proxy.front._request(Asked(), 0, RequestLifetime())
+        with outgoing.sending(request, "somebody", False, False):
+            self.assertEqual(1, len(outgoing.under_way))
+        broken = {name for name, count in outgoing.violations.items() if count}
+        self.assertEqual(
+            {Invariant.RECEIVER_IN_FORCE.value, Invariant.TABLES_CURRENT.value}, broken
+        )
+        self.assertEqual(2, len(lines))
+
+
+class Asked:
+    """A caller's request, as the handler hands it over."""
+
+    def __init__(self):
+        self.method, self.target = "GET", "/a"
+        self.headers = {"host": "h.example", "wp-request": "n1"}
+
+
+class Lean(unittest.TestCase):
+    def test_the_library_is_loaded_at_the_first_fetch(self):
+        code = """import sys, willowpost.proxy.daemon
+assert "prometheus_client" not in sys.modules
+from willowpost.shell.metrics import Figure, MetricsPage
+text = MetricsPage(lambda: [Figure("x", "X.", {"": 1})]).text()
+assert b"willowpost_x 1.0" in text and "prometheus_client" in sys.modules"""
+        subprocess.run([sys.executable, "-c", code], check=True)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,115 @@
+"""A short soak: a fleet of real processes under seeded troubles; and the schedule and its judge."""
+
+import tempfile
+import unittest
+from collections import Counter
+from itertools import pairwise
+from pathlib import Path
+
+from willowpost.common.clock import SECOND
+from willowpost.drill.rules import Findings
+from willowpost.drill.soak.callers import KEPT, ONCE, REPEATABLE, CallerTally, Sent
+from willowpost.drill.soak.judge import Leave, Record, SoakRules
+from willowpost.drill.soak.run import Soak
+from willowpost.drill.soak.schedule import Kind, Parts, drawn
+
+EDGES, SECONDS = 3, 10.0
+PARTS = Parts(
+    ("core-0/wpstore", "core-1/wpstore", "core-1/wpregistry"),
+    ("edge-0/wpproxy", "edge-1/wpproxy"),
+    ("a:1", "b:1", "c:1"),
+)
+
+
+class Short(unittest.TestCase):
+    """Even seeds hold proxies to the lease, odd ones let them serve on for long."""
+
+    def kept(self, seed):
+        with tempfile.TemporaryDirectory(prefix="wpsoak-") as folder:
+            soak = Soak(Path(folder), seed, EDGES, SECONDS, lambda text: None)
+            findings = soak.run()
+        self.assertEqual([], findings.broken)
+        self.assertGreater(len(soak.callers.tally.sent), 500)
+        outcomes = Counter(held.status for held in soak.callers.tally.sent.values())
+        self.assertGreater(outcomes[200], 300)
+
+    def test_served_on_by_old_tables(self):
+        self.kept(1)
+
+    def test_held_to_the_lease(self):
+        self.kept(2)
+
+
+class Schedule(unittest.TestCase):
+    def test_a_seed_gives_the_same_troubles_and_another_seed_others(self):
+        self.assertEqual(drawn(5, PARTS, 20.0), drawn(5, PARTS, 20.0))
+        self.assertNotEqual(drawn(5, PARTS, 20.0), drawn(6, PARTS, 20.0))
+
+    def test_every_kind_comes_up_and_several_overlap(self):
+        kinds, overlaps = set(), 0
+        for seed in range(20):
+            troubles = drawn(seed, PARTS, 20.0)
+            kinds |= {trouble.kind for trouble in troubles}
+            overlaps += sum(
+                later.at < former.at + former.span for former, later in pairwise(troubles)
+            )
+        self.assertEqual(set(Kind), kinds)
+        self.assertGreater(overlaps, 200)
+
+    def test_the_core_has_one_trouble_at_a_time(self):
+        for seed in range(30):
+            free_at = 0.0
+            for trouble in drawn(seed, PARTS, 30.0):
+                if set(trouble.targets) & set(PARTS.core):
+                    self.assertGreaterEqual(trouble.at, free_at)
+                    free_at = trouble.at + trouble.span
+
+
+class Judge(unittest.TestCase):
+    """Each rule finds what breaks it."""
+
+    def broken(self, sent=None, writes=None, arrivals=None, excuse=None, **record):
+        tally = CallerTally(sent or {})
+        ledger = {"writes": writes or {}, "arrivals": arrivals or {}}
+        findings = Findings()
+        SoakRules(tally, ledger, Record(**record), excuse).judge(findings)
+        return [row.rule for row in findings.broken]
+
+    def sent(self, kind=REPEATABLE, **more):
+        return Sent(kind, "edge", 0, "/again/1", **more)
+
+    def test_nothing_broken(self):
+        self.assertEqual([], self.broken({"s1": self.sent(status=200)}, {"s1": 1}))
+
+    def test_twice_and_not_run(self):
+        self.assertEqual(["no once-only request runs twice"], self.broken(writes={"s1": 2}))
+        lied = {"s1": self.sent(ONCE, status=503)}
+        self.assertEqual(["what is told not-run has not run"], self.broken(lied, {"s1": 1}))
+
+    def test_sent_after_its_caller_left(self):
+        late = {f"s{number}": [["o", SECOND]] for number in range(4)}
+        left = {name: self.sent(left_at=SECOND // 4) for name in late}
+        rule = "nothing is sent for a caller that left"
+        self.assertEqual([rule], self.broken(left, arrivals=late))
+        kept = {name: self.sent(KEPT, left_at=SECOND // 4) for name in late}
+        self.assertEqual([], self.broken(kept, arrivals=late))
+
+    def test_sent_to_an_origin_that_left(self):
+        leaves = [Leave("o", SECOND, 9 * SECOND)]
+        arrivals = {"s1": [["o", 4 * SECOND]]}
+        rule = "nothing reaches an origin that left"
+        self.assertEqual([rule], self.broken(arrivals=arrivals, leaves=leaves))
+        excused = {"leaves": leaves, "out_of_touch": [(SECOND, 2 * SECOND)]}
+        self.assertEqual([], self.broken(arrivals=arrivals, excuse=3 * SECOND, **excused))
+        self.assertEqual([rule], self.broken(arrivals=arrivals, excuse=SECOND, **excused))
+
+    def test_passed_on_and_not_answered(self):
+        sent = {"s1": self.sent(ended="closed")}
+        arrivals = {"s1": [["o", 1000]]}
+        rule = "a request that was passed on is answered"
+        self.assertEqual([rule], self.broken(sent, arrivals=arrivals))
+        self.assertEqual([], self.broken(sent, arrivals=arrivals, killed={"edge": [(0, 10)]}))
+
+
+if __name__ == "__main__":
+    unittest.main()
