--- a/src/willowpost/drill/soak/judge.py
+++ b/src/willowpost/drill/soak/judge.py
@@ -5,11 +5,11 @@
 from willowpost.common.clock import SECOND
 from willowpost.drill.rules import Findings
 from willowpost.drill.soak.callers import KEPT, ONCE, CallerTally
+from willowpost.proxy.routing.attempt import NOT_RUN
 
 GONE_AFTER = SECOND // 2
 GONE_FEW = 3  # a close crosses what is under way, the more on a busy machine
 FORCE_AFTER = 2 * SECOND
-NOT_RUN = (408, 421, 429, 503)
 SHOWN = 3
 
 
--- a/src/willowpost/drill/soak/run.py
+++ b/src/willowpost/drill/soak/run.py
@@ -8,7 +8,7 @@
 
 from willowpost.common.clock import SECOND, Clock
 from willowpost.drill.deployment import Deployment
-from willowpost.drill.fleet import ORIGINS, free_port
+from willowpost.drill.fleet import free_port
 from willowpost.drill.rules import Findings
 from willowpost.drill.soak.callers import SoakCallers
 from willowpost.drill.soak.fleet import CONFIGURATION, HOST, SoakFleet, layout
@@ -188,7 +188,7 @@
         for key in targets:
             machine = self.fleet.processes[key].machine
             mine = [one for one in self.fleet.processes if one.startswith(f"{machine}/")]
-            others = [other for other in (core if core_only else self.fleet.processes)]
+            others = core if core_only else list(self.fleet.processes)
             pairs |= {
                 frozenset((self.fleet.address(one), self.fleet.address(other)))
                 for one in mine
@@ -264,10 +264,9 @@
 
     def _violations(self):
         """Lines of all processes' logs that tell of a violation, also of killed ones."""
-        keys = [key for key in self.fleet.processes if key != ORIGINS]
         return [
             f"{key}: {line[:200]}"
-            for key in keys
+            for key in self.fleet.processes
             for line in self.fleet.log_path(key).read_text(errors="replace").splitlines()
             if '"message": "invariant' in line or "broke down" in line
         ]
--- a/src/willowpost/proxy/handler.py
+++ b/src/willowpost/proxy/handler.py
@@ -6,7 +6,7 @@
 import gevent
 from gevent import socket
 
-from willowpost.proxy.caller.answers import AnswerQueue, PendingAnswer
+from willowpost.proxy.caller.answers import INTERIM, AnswerQueue, PendingAnswer
 from willowpost.proxy.caller.lifetime import RequestLifetime
 from willowpost.proxy.caller.request import CallerRequest
 from willowpost.proxy.caller.stream import (
@@ -186,7 +186,7 @@
             raise BodyTooLarge
         self.socket.settimeout(HEAD_SECONDS)
         if asked.headers.get("expect", "").lower() == "100-continue":
-            self.socket.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.socket.sendall(INTERIM)
         if asked.length is not None:
             body = self.stream.read(asked.length)
             if len(body) < asked.length:
