--- a/review/lib/platform_stand_in.py
+++ b/review/lib/platform_stand_in.py
@@ -21,6 +21,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "ficu95.example"
 COULD_NOT_RUN, BROKEN, HELD = 2, 1, 0
+BEAT_S = 1.5
 ZONES = {"westlands": "nairobi", "embakasi": "nairobi", "nyali": "mombasa"}
 LIMITS = {
     "max_header_bytes": 16384,
@@ -152,24 +153,32 @@
         threading.Thread(target=self._accept, daemon=True).start()
         threading.Thread(target=self._beat, daemon=True).start()
 
+    def card(self) -> dict:
+        """What a beat says."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": "ready",
+            "cold_remaining": "0ms",
+            "call_sequence": self.sequence,
+        }
+
     def _beat(self) -> None:
         number = 0
+        target = f"/v1/rpc?call=instances.heartbeat&of={self.instance}"
         while self.is_up:
             self.sequence += 1
-            beat = {
-                "service": self.service, "address": self.address, "zone": self.zone,
-                "version": "v1", "slots": self.slots, "state": "ready", "cold_remaining": "0ms",
-                "call_sequence": self.sequence,
-            }  # fmt: skip
             for _ in self.controls:
                 address = self.controls[number % len(self.controls)]
-                target = f"/v1/rpc?call=instances.heartbeat&of={self.instance}"
-                answer = call(address, "POST", target, beat)
+                answer = call(address, "POST", target, self.card())
                 if answer is not None and 200 <= answer[0] < 300:
                     self.acknowledged += 1
                     break
                 number += 1
-            time.sleep(1.5)
+            time.sleep(BEAT_S)
 
     def _accept(self) -> None:
         while self.is_up:
