--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A crashed origin's last beat comes late: its successor at the address is barred for good."""
+"""SIGTERM of an edge: requests that origins end before the last sixth of the grace."""
 
 import sys
 import threading
@@ -8,121 +8,89 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib"))
 
-from platform_stand_in import (  # noqa: E402
-    Kept,
-    Origin,
-    Platform,
-    Record,
-    call,
-    configuration,
-    main,
-    route,
-    set_up,
-    until,
-)
+from platform_stand_in import Kept, Platform, Record, main, route, set_up  # noqa: E402
 
-DOWN_S = 4.5  # as `srv_crash` of the site: for_s = 4.5
-LATE_S = 5.5  # how late the last beat of the crashed life comes
-CALM_S = 10.0  # from the late beat to the first request that counts
-ROUNDS, PAUSE_S = 60, 0.1
-FIRST = route("look", "/look/", "idempotent", "screening-app", "2500ms")
-LATER = route("next", "/next/", "idempotent", "report-next", "2500ms")
+# Seconds after the SIGTERM: when a request is sent, on a connection kept since before it, and when
+# its origin would be done. The last sixth of the grace begins at 5.0 s.
+REQUESTS_S = ((1.9, 4.7), (1.95, 4.8), (2.0, 4.85), (2.05, 4.9), (2.1, 4.93), (2.15, 4.96))
+DEADLINE_MS = 3000
+LAST_SIXTH_S = 5.0
 
 
 def play(platform: Platform, record: Record, has_trouble: bool) -> list[str]:
-    """Return what broke the rule."""
-    set_up(platform, [FIRST], ["screening-app"], "/look/1/0")
-    origin = platform.origin("report-next", "nyali", 77)
-    services = ["screening-app", "report-next"]
-    wanted = configuration(9, [FIRST, LATER], services)
-    platform.order("/v1/rpc?call=configuration.replace", wanted)
-    record.note("configuration 9 acknowledged: it adds the route /next/")
-    for edge in platform.edges:
-        until(lambda edge=edge: served(platform, edge, "/next/1/0"), 10, "the later route")
-    time.sleep(4.0)
-    record.note(f"before: first {share(platform, 20, '/look/1/0')}, later "
-                f"{share(platform, 20, '/next/1/0')} served")  # fmt: skip
-    successor = replace(platform, record, origin, has_trouble)
-    time.sleep(CALM_S)
-    beats = successor.acknowledged
-    first, later = measure(platform, record)
-    record.note(
-        f"successor {successor.instance}: {successor.acknowledged - beats} beats acknowledged "
-        f"meanwhile, {sum(successor.runs.values())} requests ever reached it"
+    """Return the requests that were lost."""
+    set_up(
+        platform,
+        [
+            route("fee", "/pay/", "non_idempotent", "screening-app", "3000ms"),
+            route("look", "/look/", "idempotent", "screening-app", "2500ms"),
+        ],
+        ["screening-app"],
+        "/look/1/0",
     )
-    record.note(f"of {2 * ROUNDS} requests on each route: first {first}, later {later} served")
-    if later < first / 4:
-        return [f"the later route was served {later} times, the first one {first} times"]
-    return []
-
-
-def replace(platform: Platform, record: Record, origin: Origin, has_trouble: bool) -> Origin:
-    """Crash an origin; a new life starts at its address. With trouble, its last beat is late."""
-    until(lambda: origin.acknowledged >= 2, 10, "beats of the first life")
-    seen = origin.acknowledged
-    until(lambda: origin.acknowledged > seen, 5, "a beat")
-    time.sleep(1.4)  # just before the next beat, which goes on its way and is late
-    late = {**origin.card(), "call_sequence": origin.sequence + 1}
-    sent = time.monotonic()
-    origin.close()
-    record.note(f"origin {origin.instance} sends beat {late['call_sequence']} and crashes")
-    time.sleep(DOWN_S)
-    successor = Origin(record, origin.address, origin.service, origin.zone, origin.controls)
-    platform.origins.append(successor)
-    until(lambda: successor.acknowledged, 3, "the first beat of the new life")
+    edge = platform.edges[0]
+    kept = [Kept(platform.front(edge)) for _ in REQUESTS_S]
+    for number, connection in enumerate(kept):
+        answer = connection.ask("POST", "/pay/20/0", f"before-{number}", DEADLINE_MS, b"x=1")
+        record.note(f"before-{number}: {answer[0] if not isinstance(answer, str) else answer}")
+    start = time.monotonic()
+    if has_trouble:
+        platform.process(edge).terminate()
+        record.note(f"SIGTERM to {edge}")
+    results: dict[str, tuple] = {}
+
+    def send(number: int, at: float, done_at: float) -> None:
+        time.sleep(max(0.0, start + at - time.monotonic()))
+        work_ms = round((done_at - at) * 1000)
+        name, sent = f"fee-{number}", time.monotonic()
+        answer = kept[number].ask("POST", f"/pay/{work_ms}/{number}", name, DEADLINE_MS, b"x=1")
+        results[name] = (sent, time.monotonic(), work_ms / 1000, answer)
+
+    tasks = [
+        threading.Thread(target=send, args=(number, *times))
+        for number, times in enumerate(REQUESTS_S)
+    ]
+    for task in tasks:
+        task.start()
+    for task in tasks:
+        task.join()
+    if has_trouble:
+        code = platform.process(edge).wait(timeout=10)
+        record.note(
+            f"{edge} ended by itself {time.monotonic() - start:.3f} s after SIGTERM: {code}"
+        )
+    time.sleep(0.2)
+    found = [judge(platform, record, name, results[name], start) for name in sorted(results)]
+    return [line for line in found if line is not None]
+
+
+def judge(platform: Platform, record: Record, name: str, result: tuple, start: float) -> str | None:
+    """Why this request is lost, by the rule as written, or None."""
+    sent, ended, work_s, answer = result
+    begun = [o.begun[name] for o in platform.origins if name in o.begun]
+    dropped = [o.dropped[name] for o in platform.origins if name in o.dropped]
+    finished = [o.finished[name] for o in platform.origins if name in o.finished]
+    runs = sum(o.runs.get(name, 0) for o in platform.origins)
+    said = answer if isinstance(answer, str) else f"status {answer[0]}"
     record.note(
-        f"origin {successor.instance} starts at its address; its first beat is acknowledged"
+        f"{name}: sent {sent - start:.3f} s, ended {ended - start:.3f} s after the start: {said}; "
+        f"runs {runs}, begun {[round(t - start, 3) for t in begun]}, "
+        f"origin answered {[round(t - start, 3) for t in finished]}, "
+        f"saw its connection closed {[round(t - start, 3) for t in dropped]}"
+    )
+    is_complete = not isinstance(answer, str) and answer[0] == 200
+    is_handed_over = bool(begun)
+    if is_complete or not is_handed_over:
+        return None
+    done_at = max(begun) + work_s  # when the origin is done, or would have been
+    is_in_time = done_at - sent < DEADLINE_MS / 1000  # neither deadline nor route's timeout reached
+    is_before_last_sixth = done_at - start < LAST_SIXTH_S
+    if not is_in_time or not is_before_last_sixth:
+        return None
+    return (
+        f"{name} was handed to an origin, whose work ends {done_at - start:.3f} s after the "
+        f"SIGTERM, and was cut {ended - start:.3f} s after it: {said}"
     )
-    time.sleep(max(0.0, sent + LATE_S - time.monotonic()))
-    if has_trouble:
-        target = f"/v1/rpc?call=instances.heartbeat&of={origin.instance}"
-        answer = call(origin.controls[0], "POST", target, late)
-        late_s = time.monotonic() - sent
-        record.note(f"the late beat of {origin.instance} arrives, {late_s:.1f} s late: {answer}")
-    return successor
-
-
-def measure(platform: Platform, record: Record) -> tuple[int, int]:
-    """How many requests on the first and on the later route were served."""
-    counts = {"/look/1/0": 0, "/next/1/0": 0}
-    lock = threading.Lock()
-
-    def ask(edge: str, path: str) -> None:
-        is_served = served(platform, edge, path)
-        with lock:
-            counts[path] += is_served
-
-    for _ in range(ROUNDS):
-        tasks = [
-            threading.Thread(target=ask, args=(edge, path))
-            for edge in platform.edges
-            for path in counts
-        ]
-        for task in tasks:
-            task.start()
-        for task in tasks:
-            task.join()
-        time.sleep(PAUSE_S)
-    kept = Kept(platform.front(platform.edges[0]))
-    record.note(f"an answer on the later route: {kept.ask('GET', '/next/1/0', 'last', 2500)}")
-    return counts["/look/1/0"], counts["/next/1/0"]
-
-
-def share(platform: Platform, count: int, path: str) -> str:
-    """How many of so many requests were served."""
-    held = [served(platform, platform.edges[n % len(platform.edges)], path) for n in range(count)]
-    return f"{sum(held)} of {count}"
-
-
-NUMBERS = iter(range(1_000_000))
-
-
-def served(platform: Platform, edge: str, path: str) -> bool:
-    """Whether a request gets a sealed success."""
-    kept = Kept(platform.front(edge))
-    answer = kept.ask("GET", path, f"r-{next(NUMBERS)}", 2500)
-    kept.close()
-    return not isinstance(answer, str) and answer[0] == 200 and "x-origin-seal" in answer[1]
 
 
 if __name__ == "__main__":
--- a/review/lib/platform_stand_in.py
+++ b/review/lib/platform_stand_in.py
@@ -339,17 +339,30 @@
         self.origins.append(Origin(self.record, f"{ip}:{self.port + 30}", service, zone, order))
         return self.origins[-1]
 
-    def order(self, target: str, value=None, seconds: float = 10.0) -> None:
-        """Send an operator's order to one registry after the other until one takes it."""
-        end, number = time.monotonic() + seconds, 0
+    def order(self, target: str, value=None, seconds: float = 10.0, first: int = 0) -> None:
+        """Send an operator's order to one registry after the other until one takes it.
+
+        It goes on to the next one after a failure or a second of silence, with a growing pause.
+        """
+        end, number, pause = time.monotonic() + seconds, first, 0.05
         while time.monotonic() < end:
-            answer = call(self.controls[number % 3], "POST", target, value, 2.0)
+            address = self.controls[number % len(self.controls)]
+            answer = call(address, "POST", target, value, 1.0)
+            said = "no answer within 1 s" if answer is None else f"status {answer[0]}"
+            self.record.note(f"order {target} to {address}: {said}")
             if answer is not None and answer[0] == 200:
                 return
             number += 1
-            time.sleep(0.2)
+            time.sleep(pause)
+            pause *= 2
         raise CouldNotRunError(f"no registry took {target}")
 
+    def signal_machine(self, machine: str, number: int) -> None:
+        """Send a signal to every process of a machine."""
+        for (name, _), process in self.running.items():
+            if name == machine:
+                process.send_signal(number)
+
     def close(self) -> None:
         """End all processes that were started, by their ids, and remove the folder."""
         for origin in self.origins:
@@ -470,8 +483,14 @@
     return not isinstance(answer, str) and answer[0] == 200
 
 
+def _on_timeout(*_: object) -> None:
+    """End in order, so that every process that was started ends as well."""
+    raise CouldNotRunError("the script's time is over")
+
+
 def run(folder: Path, play, edges: int = 2) -> int:
-    """Run a case: `play(platform, record, has_trouble)` returns the broken requests."""
+    """Run a case: `play(platform, record, has_trouble)` returns what broke the rule."""
+    signal.signal(signal.SIGTERM, _on_timeout)
     record = Record(folder)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"trouble: {has_trouble}")
