--- a/src/willowpost/registry/api/configurations.py
+++ b/src/willowpost/registry/api/configurations.py
@@ -19,6 +19,7 @@
 from willowpost.registry.api.log_client import LogClient
 from willowpost.registry.api.preconditions import Preconditions
 from willowpost.registry.api.proposal_encoder import ProposalEncoder
+from willowpost.registry.api.redirects import position_of, redirected
 from willowpost.registry.api.request_body import RequestBody
 from willowpost.registry.api.responses import (
     ValidationIssue,
@@ -57,10 +58,17 @@
 
 @dataclass(frozen=True, slots=True)
 class PatchRequest:
-    """A patch and the conditions under which it may be applied."""
+    """A patch and the conditions under which it may be applied.
+
+    Attributes:
+        patch: the patch itself.
+        preconditions: of the headers.
+        known_version: in force when the call can have been sent at the earliest.
+    """
 
     patch: ConfigurationPatch
     preconditions: Preconditions
+    known_version: int
 
 
 class ConfigurationRoutes:
@@ -110,25 +118,30 @@
         if checked.is_err():
             return invalid_body(issues_from_json(checked.unwrap_err()))
         tree = checked.unwrap()
+        known = position_of(call, self.log_client.known_before(call))
+        if known.is_err():
+            return known.unwrap_err()
         proposal = ConfigurationProposal(
             content=content_digest(tree, None),
             tree=tree,
             if_match=required.unwrap().version,
             key=required.unwrap().key,
+            known_version=known.unwrap().version,
         )
-        return self._propose(proposal, deadline)
+        return self._propose(call, proposal, deadline)
 
-    def _propose(self, proposal: ConfigurationProposal, deadline: int) -> Response:
+    def _propose(self, call: Request, proposal: ConfigurationProposal, deadline: int) -> Response:
         """Have the log decide on the proposal; a repeat is acknowledged as the first was.
 
-        One that replaces whatever is in force is fenced, so that one delayed by a network partition
-        replaces nothing newer.
+        One that replaces whatever is in force is fenced, so that one that was delayed, on its way
+        or in a process that stood still, replaces nothing newer.
         """
         return self.log_client.submit(
             ProposalEncoder(proposal).encode,
             deadline,
             on_accepted=change_accepted,
             on_rejected=change_rejected,
+            on_superseded=lambda: redirected(call, self.log_client.position()),
         )
 
     def _replace_by_number(self, call: Request) -> Response:
@@ -148,7 +161,7 @@
             # The log is never behind these tables and its version only goes up: it compares the
             # digest and need not carry the tree again.
             proposal = replace(proposal, tree=None, source=None)
-        return self._propose(proposal, deadline)
+        return self._propose(call, proposal, deadline)
 
     def _read_numbered(self, body: bytes) -> Result[ConfigurationProposal, list[ValidationIssue]]:
         read = self.checker.read(body)
@@ -193,7 +206,8 @@
         read = self._read_patch(call, deadline)
         if read.is_err():
             return read.unwrap_err()
-        patch, required = read.unwrap().patch, read.unwrap().preconditions
+        request = read.unwrap()
+        patch, required = request.patch, request.preconditions
         tables = self.node_state.tables
         active = tables.configuration
         proposal = ConfigurationProposal(
@@ -201,7 +215,7 @@
         )
         is_stale = required.version not in (None, active.version)
         if is_stale or tables.configuration_changes.by_key(required.key) is not None:
-            return self._propose(proposal, deadline)  # the log knows whether it is a repeat
+            return self._propose(call, proposal, deadline)  # the log knows whether it is a repeat
         if active.tree is None:
             return no_configuration()
         patched = patch.apply(active.tree, self.checker)
@@ -209,13 +223,16 @@
             return change_accepted(
                 ConfigurationAccepted(active.version, is_changed=False), tables.slot - 1
             )
+        if required.version is None and request.known_version != active.version:
+            # It may have waited while its caller gave up and changed the configuration elsewhere.
+            return redirected(call, self.log_client.position())
         if patched.is_err():
             return invalid_body(patched.unwrap_err())
         tree = patched.unwrap()
         proposal = replace(
             proposal, tree=tree, content=content_digest(tree, None), if_match=active.version
         )
-        return self._propose(proposal, deadline)
+        return self._propose(call, proposal, deadline)
 
     def _plan_patch(self, call: Request) -> Response:
         read = self._read_patch(call, self.log_client.deadline_for(call))
@@ -240,9 +257,12 @@
         patch = ConfigurationPatch.read(call.body)
         if patch.is_err():
             return Err(invalid_body(patch.unwrap_err()))
+        known = position_of(call, self.log_client.known_before(call))
+        if known.is_err():
+            return Err(known.unwrap_err())
         if not self.log_client.quorum_read(deadline):
             return Err(quorum_read_failed())
-        return Ok(PatchRequest(patch.unwrap(), required.unwrap()))
+        return Ok(PatchRequest(patch.unwrap(), required.unwrap(), known.unwrap().version))
 
 
 def _inside_configuration(issue: ValidationIssue) -> ValidationIssue:
--- a/src/willowpost/registry/api/log_client.py
+++ b/src/willowpost/registry/api/log_client.py
@@ -11,6 +11,7 @@
 import gevent
 
 from willowpost.common.clock import SECOND
+from willowpost.common.log_position import LogPosition
 from willowpost.node.command_client import SubmissionOutcome
 from willowpost.node.node_state import NodeState
 from willowpost.registry.api.responses import (
@@ -38,8 +39,9 @@
 RECONNECT_TIMEOUT_US = 80_000
 POLL_INTERVAL_SECONDS = 0.02
 
-# Makes an operation on top of these tables: the log supersedes it if they have changed since.
-OperationBuilder = Callable[[Tables], Operation]
+# Makes an operation on top of these tables: the log supersedes it if they have changed since. None:
+# what these tables hold supersedes the call itself.
+OperationBuilder = Callable[[Tables], Operation | None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +137,19 @@
         timeout = CALL_TIMEOUT_US + extra_bytes * TIMEOUT_US_PER_BYTE
         return self.now() + min(timeout, MAX_CALL_TIMEOUT_US)
 
+    def position(self) -> LogPosition:
+        """Return how far this registry knows the log now."""
+        tables = self.node_state.tables
+        return LogPosition(tables.slot, tables.configuration.version)
+
+    def known_before(self, call: Request) -> LogPosition:
+        """Return how far this registry knew the log before the caller can have sent the call.
+
+        Whatever the caller orders after this call is decided in the position's slot or later. Where
+        the server does not know, the call counts as sent just now.
+        """
+        return self.position() if call.known_before is None else call.known_before
+
     def submit(
         self,
         build: OperationBuilder,
@@ -142,29 +157,35 @@
         on_accepted: Callable[[Any, int], Response],
         on_rejected: Callable[[Rejected], Response] | None = None,
         wait_for_tables: bool = True,
+        on_superseded: Callable[[], Response] = superseded,
     ) -> Response:
         """Have one operation accepted by the log and make the response to the call.
 
         Args:
             build: makes the operation, of the tables here. If the log answers that it is
-                superseded, it is made and submitted again on top of newer tables, as long as the
-                caller waits.
+                superseded, it is made and submitted again on top of newer tables until the
+                deadline, unless these supersede the call itself.
             deadline: as deadline_for() returns it.
             on_accepted: makes the response, of the operation's result and the slot.
             on_rejected: makes the response to what the log rejected; by default a conflict.
             wait_for_tables: whether to wait, at most until the deadline, for the tables here to
                 reach the slot, so that the caller may continue here at once.
+            on_superseded: makes the response to a call that never takes effect, since something
+                newer was decided.
         """
         deadline = max(deadline, self.now() + MIN_LOG_TIMEOUT_US)
         if not self._wait_until_in_touch():
             return out_of_touch()
-        outcome = self._submit_once((build,), deadline)
-        while outcome is not None and outcome.is_superseded:
-            if not self._wait_for_slot(outcome.slot, deadline):
+        outcome: Outcome | None = None
+        while outcome is None or outcome.is_superseded:
+            if outcome is not None and not self._wait_for_slot(outcome.slot, deadline):
                 return superseded()
-            outcome = self._submit_once((build,), deadline)
-        if outcome is None:
-            return outcome_unknown()
+            operation = build(self.node_state.tables)
+            if operation is None:
+                return on_superseded()
+            outcome = self._submit_once((operation,), deadline)
+            if outcome is None:
+                return outcome_unknown()
         if wait_for_tables:
             self._wait_for_slot(outcome.slot, deadline)
         result = outcome.results[0]
@@ -187,10 +208,7 @@
         """
         if not self._wait_until_in_touch():
             return out_of_touch()
-        tasks = [
-            gevent.spawn(self._submit_once, tuple(map(unfenced, batch)), deadline)
-            for batch in batches
-        ]
+        tasks = [gevent.spawn(self._submit_once, tuple(batch), deadline) for batch in batches]
         last_slot = 0
         for outcome in [task.get() for task in tasks]:
             if outcome is None:
@@ -227,11 +245,10 @@
     def _wait_for_slot(self, slot: int, deadline: int) -> bool:
         return self._wait_until(lambda: self.node_state.tables.slot > slot, deadline)
 
-    def _submit_once(self, builders: tuple[OperationBuilder, ...], deadline: int) -> Outcome | None:
+    def _submit_once(self, operations: tuple[Operation, ...], deadline: int) -> Outcome | None:
         remaining_us = deadline - self.now()
         if remaining_us <= 0:
             return None
-        operations = tuple(build(self.node_state.tables) for build in builders)
         outcome = self.runner.submit(*operations, timeout=remaining_us / SECOND)
         if outcome is None or outcome.results is None:
             return None
--- a/src/willowpost/registry/api/proposal_encoder.py
+++ b/src/willowpost/registry/api/proposal_encoder.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from willowpost.configuration.delta import ConfigurationDelta
+from willowpost.state.apply.configurations import is_superseded
 from willowpost.state.configuration_changes import ConfigurationProposal
 from willowpost.state.tables import Tables
 
@@ -16,8 +17,8 @@
 class ProposalEncoder:
     """Makes the operation of a proposal on top of the configuration that is in force.
 
-    A change without a number is fenced by the version it replaces. A delta is fenced by the digest
-    of the configuration it was made from: the log supersedes it on any other.
+    A change that requires no version is fenced by its `known_version`. A delta is fenced by the
+    digest of the configuration it was made from: the log supersedes it on any other.
     """
 
     def __init__(self, proposal: ConfigurationProposal) -> None:
@@ -25,11 +26,11 @@
         self.delta_attempts_left = 0 if proposal.tree is None else MAX_DELTA_ATTEMPTS
         self._full_size: int | None = None
 
-    def encode(self, tables: Tables) -> ConfigurationProposal:
-        """Return the proposal as it is submitted on top of these tables."""
+    def encode(self, tables: Tables) -> ConfigurationProposal | None:
+        """Return the proposal as it is submitted on top of these tables; None: superseded."""
         proposal = self.proposal
-        if proposal.version is None:
-            proposal = replace(proposal, known_version=tables.configuration.version)
+        if is_superseded(tables, proposal):
+            return None
         delta = self._delta(tables)
         newest = tables.configuration_changes.newest()
         if delta is None or newest is None:
--- a/src/willowpost/registry/api/zones.py
+++ b/src/willowpost/registry/api/zones.py
@@ -3,10 +3,12 @@
 from typing import Literal
 
 from willowpost.registry.api.log_client import LogClient
+from willowpost.registry.api.redirects import position_of, redirected
 from willowpost.registry.api.request_body import SMALL_BODY_BYTES, RequestBody, parse_body
 from willowpost.registry.api.responses import quorum_read_failed
 from willowpost.registry.api.route import Route
 from willowpost.shell.web import Request, Response
+from willowpost.state.apply.evacuations import is_superseded
 from willowpost.state.operations import EvacuateZone
 from willowpost.toolbox.planner import ZonePlanner
 
@@ -44,18 +46,26 @@
         return self._submit_order(call, is_evacuated=False)
 
     def _submit_order(self, call: Request, is_evacuated: bool) -> Response:
-        """Evacuate or restore a zone; fenced, so that a late order undoes no newer one."""
+        """Evacuate or restore a zone; fenced, so that a late order undoes no newer one.
+
+        However late the order is carried out, it counts as given before its connection came.
+        """
         deadline = self.log_client.deadline_for(call)
+        known = position_of(call, self.log_client.known_before(call))
+        if known.is_err():
+            return known.unwrap_err()
         parsed = parse_body(ZoneRequest, call.body.strip() or b"{}")
         if parsed.is_err():
             return parsed.unwrap_err()
         zone = call.params[0]
         scope = parsed.unwrap().what if is_evacuated else None
         shown_scope = {} if scope is None else {"what": scope}
+        order = EvacuateZone(zone, is_evacuated, scope, known_slot=known.unwrap().slot)
         return self.log_client.submit(
-            lambda tables: EvacuateZone(zone, is_evacuated, scope, known_slot=tables.slot),
+            lambda tables: None if is_superseded(tables, order) else order,
             deadline,
             lambda result, slot: Response(
                 200, {"zone": zone, "empty": is_evacuated, **shown_scope, "slot": slot}
             ),
+            on_superseded=lambda: redirected(call, self.log_client.position()),
         )
--- a/src/willowpost/registry/daemon.py
+++ b/src/willowpost/registry/daemon.py
@@ -50,10 +50,12 @@
             make_routes(ControlApiRoutes(self.runner)),
             logger,
             lambda: self.node.node_state.is_draining,
+            self.node.arrival_positions.before_arrival,
         )
         self.node.shutdown.timeouts = settings.shutdown_timeouts()
         self.node.shutdown.in_flight = lambda: router.in_flight
         self.web = WebServer(settings.http, router, CountingHandler)
+        self.node.arrival_positions.is_accepting = self.web.is_accepting
 
     def start(self) -> None:
         """Run the node, then the HTTP server."""
--- a/src/willowpost/registry/node.py
+++ b/src/willowpost/registry/node.py
@@ -11,6 +11,7 @@
 from willowpost.node.join import FleetJoin
 from willowpost.node.node_state import NodeState
 from willowpost.node.quorum_read import QuorumRead
+from willowpost.registry.arrival_positions import ArrivalPositions
 from willowpost.registry.origin_health import OriginHealthMonitor, StartHealthCheck
 from willowpost.state.entries import DaemonDescriptor
 from willowpost.state.tables import Tables
@@ -39,6 +40,7 @@
         )
         self.fleet_join = FleetJoin(descriptor, self._tables, self.command_client)
         self.shutdown = GracefulShutdown(self.node_state, self.command_client, self.fleet_join)
+        self.arrival_positions = ArrivalPositions(self.node_state)
         follower = Follower(self.node_state, seeds, may_poll_proxies=False)
         self.controllers: list[Controller] = [
             follower,
@@ -48,6 +50,7 @@
             self.fleet_join,
             self.shutdown,
             OriginHealthMonitor(self.node_state, self.command_client, start_health_check),
+            self.arrival_positions,
         ]
 
     def step(self, event: object, now: int) -> Plan:
--- a/src/willowpost/shell/router.py
+++ b/src/willowpost/shell/router.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass
 from typing import Any
 
+from willowpost.common.log_position import LogPosition
 from willowpost.shell.structured_log import StructuredLogger
 from willowpost.shell.web import (
+    KNOWN_BEFORE,
     BodyTooLargeError,
     Environ,
     Request,
@@ -58,6 +60,10 @@
     return False
 
 
+def _unknown() -> None:
+    return None
+
+
 class Router:
     """A WSGI application with a table of routes.
 
@@ -66,6 +72,8 @@
             segment, which becomes a parameter of the request.
         logger: where log lines go.
         is_closing: whether connections should be closed after the response.
+        known_before_arrival: returns how far the log was known before a connection that is accepted
+            now has come; None: not known.
 
     Attributes:
         in_flight: how many requests are being served; kept by `CountingHandler`.
@@ -76,8 +84,10 @@
         routes: Iterable[tuple[str, str, int, Handler]],
         logger: StructuredLogger,
         is_closing: Callable[[], bool] = _never,
+        known_before_arrival: Callable[[], LogPosition | None] = _unknown,
     ) -> None:
         self.in_flight = 0
+        self.known_before_arrival = known_before_arrival
         self.is_closing = is_closing
         self.routes = tuple(
             Route(method, _segments(path), max_bytes, handler)
@@ -132,6 +142,7 @@
                 _headers(environ),
                 read_body(environ, route.max_bytes),
                 route.params(segments),
+                environ.get(KNOWN_BEFORE),
             )
         )
 
--- a/src/willowpost/shell/web.py
+++ b/src/willowpost/shell/web.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from willowpost.common.errors import WillowpostError
+from willowpost.common.log_position import LogPosition
 
 REASONS = {
     200: "OK",
@@ -11,6 +12,7 @@
     202: "Accepted",
     204: "No Content",
     304: "Not Modified",
+    307: "Temporary Redirect",
     400: "Bad Request",
     404: "Not Found",
     405: "Method Not Allowed",
@@ -26,6 +28,7 @@
 }
 
 Environ = dict[str, Any]  # of WSGI
+KNOWN_BEFORE = "wp.known_before"  # key of the `Environ`: `Request.known_before`
 
 
 def status_line(code: int) -> str:
@@ -59,6 +62,8 @@
         headers: by name in lower case.
         body: the complete body.
         params: the path's segments that match a "*" of the route.
+        known_before: how far this process knew the log before the request's connection came; None:
+            it does not know, or follows no log.
     """
 
     method: str
@@ -67,6 +72,7 @@
     headers: dict[str, str]
     body: bytes = b""
     params: tuple[str, ...] = ()
+    known_before: LogPosition | None = None
 
 
 def reject(code: int, reason: str, after: int = 1, **details: object) -> Response:
--- a/src/willowpost/shell/web_server.py
+++ b/src/willowpost/shell/web_server.py
@@ -7,7 +7,7 @@
 
 from willowpost.common.import_guard import blocked_imports
 from willowpost.shell.addresses import split_address
-from willowpost.shell.web import Environ
+from willowpost.shell.web import KNOWN_BEFORE, Environ
 
 # http.client takes it if it is there; nothing here uses TLS, and it costs 4 MB.
 with blocked_imports("ssl"):
@@ -47,7 +47,19 @@
 
 
 class CountingHandler(QuietHandler):
-    """A handler that counts a request as in flight until the last byte of its response is sent."""
+    """A handler for a `Router`.
+
+    It counts a request as in flight until the last byte of its response is sent, and notes how far
+    the log was known before the connection came.
+    """
+
+    def __init__(self, sock: Any, address: Any, server: Any, rfile: Any = None) -> None:
+        self.known_before = server.application.known_before_arrival()
+        super().__init__(sock, address, server, rfile)
+
+    def get_environ(self) -> Environ:
+        """Return the handler's environment, with the position known before the connection."""
+        return {**super().get_environ(), KNOWN_BEFORE: self.known_before}
 
     def handle_one_response(self) -> Any:
         """Respond to one request, counted as in flight."""
@@ -91,6 +103,11 @@
             self.server.socket.setsockopt(level, option, value)
         self.server.start()
 
+    def is_accepting(self) -> bool:
+        """Whether a connection that comes is accepted at once."""
+        is_delayed = self.server.delay > self.server.min_delay  # after an error, until it succeeds
+        return not is_delayed and not self.server.full()
+
     def stop(self, seconds: float = STOP_TIMEOUT_SECONDS) -> None:
         """Close the socket and give requests in flight so many seconds to end."""
         self.server.stop(timeout=seconds)
--- a/src/willowpost/state/apply/configurations.py
+++ b/src/willowpost/state/apply/configurations.py
@@ -56,13 +56,22 @@
         if before is None:
             return _rejected(tables, Reason.STALE_VERSION)
         return _acknowledged_again(tables, before)
-    if proposal.if_match is None and proposal.known_version not in (None, version_in_force):
+    if is_superseded(tables, proposal):
         return _rejected(tables, Reason.SUPERSEDED)
     if version_in_force >= MAX_VERSION:
         return _rejected(tables, Reason.NO_VERSION_LEFT)
     return _accepted(tables, proposal, version_in_force + 1)
 
 
+def is_superseded(tables: Tables, proposal: ConfigurationProposal) -> bool:
+    """Whether a newer version bars a proposal that requires none, and that is not a repeat."""
+    if proposal.version is not None or proposal.if_match is not None:
+        return False
+    if tables.configuration_changes.by_key(proposal.key) is not None:
+        return False
+    return proposal.known_version not in (None, tables.configuration.version)
+
+
 def _accepted(tables: Tables, proposal: ConfigurationProposal, version: int) -> Transition:
     if proposal.base is not None and not _is_in_force(tables, proposal.base):
         return _rejected(tables, Reason.SUPERSEDED)
--- a/src/willowpost/state/apply/evacuations.py
+++ b/src/willowpost/state/apply/evacuations.py
@@ -21,10 +21,10 @@
     """
     before = tables.zone_evacuations.get(operation.zone)
     scope = _scope(operation, before)
-    if operation.known_slot is not None and _last_changed(before) >= operation.known_slot:
-        if before and (before.is_evacuated, before.scope) == (operation.is_evacuated, scope):
-            return Transition(tables, Accepted())
+    if is_superseded(tables, operation):
         return rejected(tables, Reason.SUPERSEDED)
+    if _has_changed_since(before, operation.known_slot):
+        return Transition(tables, Accepted())
     order = ZoneEvacuation(operation.is_evacuated, tables.slot, scope)
     after = replace(tables, zone_evacuations={**tables.zone_evacuations, operation.zone: order})
     was_evacuated = before is not None and before.is_evacuated
@@ -33,8 +33,17 @@
     return Transition(after, Accepted())
 
 
-def _last_changed(before: ZoneEvacuation | None) -> int:
-    return -1 if before is None else before.slot
+def is_superseded(tables: Tables, operation: EvacuateZone) -> bool:
+    """Whether a newer order about the zone, with another effect, bars this one."""
+    before = tables.zone_evacuations.get(operation.zone)
+    if before is None or not _has_changed_since(before, operation.known_slot):
+        return False
+    ordered = (operation.is_evacuated, _scope(operation, before))
+    return (before.is_evacuated, before.scope) != ordered
+
+
+def _has_changed_since(before: ZoneEvacuation | None, known_slot: int | None) -> bool:
+    return before is not None and known_slot is not None and before.slot >= known_slot
 
 
 def _scope(operation: EvacuateZone, before: ZoneEvacuation | None) -> str:
--- a/tests/registry/test_configuration_order_histories.py
+++ b/tests/registry/test_configuration_order_histories.py
@@ -14,6 +14,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from tests.support.operation_log import Log
+from tests.support.registry_world import REDIRECTS_FOLLOWED
 from willowpost.configuration.checker import ConfigurationChecker
 from willowpost.registry.api.configurations import ConfigurationRoutes
 from willowpost.registry.api.log_client import LogClient
@@ -54,9 +55,11 @@
         self.tables = self.log.tables
         return True
 
-    def submit(self, build, deadline, on_accepted, on_rejected):
+    def submit(self, build, deadline, on_accepted, on_rejected, on_superseded):
         while True:
             operation = build(self.tables)
+            if operation is None:
+                return on_superseded()
             if self.fate == "late":
                 self.late.append((operation, self.tables.configuration.version))
                 return outcome_unknown()
@@ -100,10 +103,13 @@
     def send(self, order, registry, fate="answered"):
         registry = self.registries[registry]
         registry.fate = fate
-        call = Request(
-            order.method, order.path, "", dict(order.headers), json.dumps(order.value).encode()
-        )
-        answer = registry.handlers[order.method, order.path](call)
+        body, query = json.dumps(order.value).encode(), ""
+        for _ in range(1 + REDIRECTS_FOLLOWED):
+            call = Request(order.method, order.path, query, dict(order.headers), body)
+            answer = registry.handlers[order.method, order.path](call)
+            if answer.code != 307:
+                break
+            query = dict(answer.headers)["Location"].partition("?")[2]
         if answer.code == 200:
             self.confirm(order, answer.value)
         return answer
--- a/tests/support/registry_world.py
+++ b/tests/support/registry_world.py
@@ -10,6 +10,8 @@
 from willowpost.sim.fleet.world import FleetWorld
 from willowpost.sim.world import seconds
 
+REDIRECTS_FOLLOWED = 2
+
 
 class SimRunner:
     """As the shell's runner, on virtual time."""
@@ -52,6 +54,17 @@
         self.addCleanup(sleep.stop)
 
     def call(self, method, path, value=b"", first=0, **headers):
+        """Sends a call to a registry, and follows redirects as callers do."""
+        answer = self.call_once(method, path, value, first, **headers)
+        for _ in range(REDIRECTS_FOLLOWED):
+            if answer.code != 307:
+                break
+            target, _, query = dict(answer.headers)["Location"].partition("?")
+            self.assertEqual(path, target)
+            answer = self.call_once(method, path, value, first, query=query, **headers)
+        return answer
+
+    def call_once(self, method, path, value=b"", first=0, query="", known_before=None, **headers):
         body = value if isinstance(value, bytes) else json.dumps(value).encode()
         parts = tuple(path.strip("/").split("/"))
         handler, params = next(
@@ -75,9 +88,10 @@
             Request(
                 method,
                 path,
-                "",
+                query,
                 {name.replace("_", "-").lower(): held for name, held in headers.items()},
                 body,
                 params,
+                known_before,
             )
         )
