--- a/src/willowpost/registry/api/origin_requests.py
+++ b/src/willowpost/registry/api/origin_requests.py
@@ -11,7 +11,6 @@
 from willowpost.shell.settings import Address
 from willowpost.state.lifecycle import OriginState
 from willowpost.state.operations import RegisterOrigin
-from willowpost.state.tables import Tables
 from willowpost.wire.messages import OriginHeartbeat
 
 DRAINING = OriginState.DRAINING.value
@@ -70,8 +69,8 @@
             return self.rate
         return DEFAULT_RATE if self.slots is None else float(MAX_RATE)
 
-    def as_registration(self, tables: Tables) -> RegisterOrigin:
-        """Return the operation that registers the origin, fenced by the slot of these tables."""
+    def as_registration(self, known_slot: int) -> RegisterOrigin:
+        """Return the operation that registers the origin, fenced by a slot."""
         rate = self.effective_rate
         return RegisterOrigin(
             address=self.address,
@@ -84,7 +83,7 @@
             heartbeat_number=self.number,
             is_draining=self.is_draining,
             is_warming_up=None if self.cold_ms is None else self.cold_ms > 0,
-            known_slot=tables.slot,
+            known_slot=known_slot,
         )
 
     def as_heartbeat(self, origin: str) -> HeartbeatReceived:
--- a/src/willowpost/registry/api/origins.py
+++ b/src/willowpost/registry/api/origins.py
@@ -1,7 +1,10 @@
 """Calls of origins: they register, send heartbeats, drain and leave."""
 
+from collections.abc import Callable
+
 from willowpost.registry.api.log_client import LogClient, unfenced
 from willowpost.registry.api.origin_requests import OriginReference, OriginReport
+from willowpost.registry.api.redirects import position_of, redirected
 from willowpost.registry.api.request_body import SMALL_BODY_BYTES, parse_body
 from willowpost.registry.api.responses import (
     ValidationIssue,
@@ -12,6 +15,7 @@
 from willowpost.registry.api.route import Route
 from willowpost.registry.origin_lookup import find_incarnation, find_origin
 from willowpost.shell.web import Request, Response
+from willowpost.state.apply.origin_registration import is_superseded
 from willowpost.state.apply.origins import origin_with_token
 from willowpost.state.lifecycle import OriginState
 from willowpost.state.operations import ChangeOriginState, EndOrigin
@@ -51,11 +55,7 @@
         parsed = parse_body(OriginReport, call.body)
         if parsed.is_err():
             return parsed.unwrap_err()
-        return self.log_client.submit(
-            parsed.unwrap().as_registration,
-            deadline,
-            lambda result, slot: _registered(201, result, slot),
-        )
+        return self._submit_registration(call, parsed.unwrap(), deadline)
 
     def _receive_heartbeat(self, call: Request) -> Response:
         """Take a heartbeat; that of an unknown incarnation registers it."""
@@ -68,14 +68,14 @@
             return _incarnation_ended()
         name = self._find_incarnation(report, deadline)
         if name is None:
-            return self._register_from_heartbeat(report, deadline)
+            return self._register_from_heartbeat(call, report, deadline)
         entry = self.tables.origins.get(name)
         state = GONE if entry is None else entry.state.value
         if not report.is_draining or state == DRAINING:
             return self._acknowledge_heartbeat(name, state, report)
         if report.token is None:
             return self._change_state(ChangeOriginState(DRAINING, name), deadline, name)
-        return self._register_from_heartbeat(report, deadline)
+        return self._register_from_heartbeat(call, report, deadline)
 
     def _find_incarnation(self, report: OriginReport, deadline: int) -> str | None:
         """Return the name of the origin that sent the report; None: it must register.
@@ -99,20 +99,48 @@
             return out_of_touch()
         return Response(200, {"origin": name, "state": state})
 
-    def _register_from_heartbeat(self, report: OriginReport, deadline: int) -> Response:
+    def _register_from_heartbeat(
+        self, call: Request, report: OriginReport, deadline: int
+    ) -> Response:
         """Register an incarnation, or record that it drains.
 
         One with a token is registered once, whoever submits it: no read before, no wait after.
         """
-        code = 201 if report.token is None else 200
-        return self.log_client.submit(
-            report.as_registration,
+        return self._submit_registration(
+            call,
+            report,
             deadline,
-            lambda result, slot: _registered(code, result, slot),
+            code=201 if report.token is None else 200,
             on_rejected=_registration_rejected,
             wait_for_tables=report.token is None,
         )
 
+    def _submit_registration(
+        self,
+        call: Request,
+        report: OriginReport,
+        deadline: int,
+        code: int = 201,
+        on_rejected: Callable[[Rejected], Response] | None = None,
+        wait_for_tables: bool = True,
+    ) -> Response:
+        """Register an origin, unless another registered at its address since the call was sent.
+
+        However late the call is carried out, it counts as sent before its connection came.
+        """
+        known = position_of(call, self.log_client.known_before(call))
+        if known.is_err():
+            return known.unwrap_err()
+        registration = report.as_registration(known.unwrap().slot)
+        return self.log_client.submit(
+            lambda tables: None if is_superseded(tables, registration) else registration,
+            deadline,
+            lambda result, slot: _registered(code, result, slot),
+            on_rejected,
+            wait_for_tables,
+            on_superseded=lambda: redirected(call, self.log_client.position()),
+        )
+
     def _drain(self, call: Request) -> Response:
         return self._end_service(call, DRAINING)
 
@@ -171,7 +199,7 @@
 
 
 def _registration_rejected(result: Rejected) -> Response:
-    if result.reason == Reason.INCARNATION_ENDED:
+    if result.reason in (Reason.INCARNATION_ENDED, Reason.INCARNATION_SUCCEEDED):
         return _incarnation_ended()
     return _origin_rejected(result)
 
--- a/src/willowpost/registry/daemon.py
+++ b/src/willowpost/registry/daemon.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from willowpost.common.clock import Clock
+from willowpost.proxy.origin.instance_check import TOKEN_HEADER
 from willowpost.registry.api.route import Route
 from willowpost.registry.api.routes import ControlApiRoutes
 from willowpost.registry.health_checker import HealthChecker
@@ -23,6 +24,7 @@
         logger: where log lines go.
         make_routes: makes the routes of `ControlApiRoutes`; another entry point may put its own
             before them.
+        token_header: see `HealthChecker`.
     """
 
     def __init__(
@@ -30,6 +32,7 @@
         settings: ProcessSettings,
         logger: StructuredLogger,
         make_routes: Callable[[ControlApiRoutes], Iterable[Route]] = ControlApiRoutes.routes,
+        token_header: str = TOKEN_HEADER,
     ) -> None:
         assert settings.http is not None, "the settings of a registry need http"
         self.runner = Runner(settings.address, logger)
@@ -44,7 +47,7 @@
             http=settings.http,
             incarnation=clock.wall(),
         )
-        health_checker = HealthChecker(self.runner)
+        health_checker = HealthChecker(self.runner, token_header)
         self.node = RegistryNode(descriptor, settings.seeds, clock.wall, health_checker.start_check)
         router = Router(
             make_routes(ControlApiRoutes(self.runner)),
--- a/src/willowpost/registry/health_checker.py
+++ b/src/willowpost/registry/health_checker.py
@@ -3,7 +3,7 @@
 import gevent
 
 from willowpost.registry.origin_health import HealthCheckFinished
-from willowpost.shell.health_check import fetch_status
+from willowpost.shell.health_check import fetch_health
 from willowpost.shell.runner import Runner
 
 TIMEOUT_SECONDS = 1.0
@@ -12,10 +12,16 @@
 
 
 class HealthChecker:
-    """Checks origins whose heartbeats are missing; the outcome goes to the node as an event."""
+    """Checks origins whose heartbeats are missing; the outcome goes to the node as an event.
 
-    def __init__(self, runner: Runner) -> None:
+    Args:
+        runner: runs the node.
+        token_header: name, in lower case, of the response header with the incarnation's token.
+    """
+
+    def __init__(self, runner: Runner, token_header: str) -> None:
         self.runner = runner
+        self.token_header = token_header
 
     def start_check(self, origin: str, address: str, path: str | None) -> None:
         """Check an origin in the background.
@@ -31,6 +37,11 @@
         gevent.spawn(self._check, origin, address, path)
 
     def _check(self, origin: str, address: str, path: str | None) -> None:
-        status = fetch_status(address, path or DEFAULT_PATH, TIMEOUT_SECONDS)
-        is_healthy = status is not None and status < FIRST_UNHEALTHY_STATUS
-        self.runner.inbox.put(HealthCheckFinished(origin, is_healthy))
+        health = fetch_health(address, path or DEFAULT_PATH, TIMEOUT_SECONDS)
+        if health is None:
+            finished = HealthCheckFinished(origin, is_healthy=False)
+        else:
+            is_healthy = health.status < FIRST_UNHEALTHY_STATUS
+            token = health.headers.get(self.token_header)
+            finished = HealthCheckFinished(origin, is_healthy, token)
+        self.runner.inbox.put(finished)
--- a/src/willowpost/registry/origin_health.py
+++ b/src/willowpost/registry/origin_health.py
@@ -52,10 +52,12 @@
     Attributes:
         origin: its name in the tables.
         is_healthy: whether it answered in time, and not with a server error.
+        token: names the incarnation that answered; None: the response does not say.
     """
 
     origin: str
     is_healthy: bool
+    token: str | None = None
 
 
 class ChangeReason(StrEnum):
@@ -133,12 +135,18 @@
 
     def _record_health_check(self, finished: HealthCheckFinished, now: int) -> None:
         record = self._record(finished.origin)
-        if finished.is_healthy:
+        if finished.is_healthy and self._is_same_incarnation(finished):
             record.last_seen_at = now
             record.failed_health_checks = 0
         else:
             record.failed_health_checks += 1
 
+    def _is_same_incarnation(self, finished: HealthCheckFinished) -> bool:
+        """Whether the registered incarnation answered, as far as the response says."""
+        origin = self.node_state.tables.origins.get(finished.origin)
+        registered = None if origin is None else origin.token
+        return None in (registered, finished.token) or registered == finished.token
+
     def _accept_heartbeat(self, received: HeartbeatReceived, now: int, plan: Plan) -> None:
         """Record and pass on a heartbeat, and propose what it reports of warming up."""
         heartbeat = received.heartbeat
--- a/src/willowpost/state/apply/origin_registration.py
+++ b/src/willowpost/state/apply/origin_registration.py
@@ -1,5 +1,14 @@
-"""Registers incarnations of origins; an ended incarnation does not return."""
+"""Registers incarnations of origins; an ended incarnation does not return.
 
+Heartbeats may come seconds late, so the log orders the incarnations at an address by when each was
+first seen there: one that was seen before the incarnation that stands there has ended, and a late
+heartbeat of it changes nothing. Only the first heartbeat of an incarnation that nobody has seen can
+come so late that it displaces a running one. That one goes on sending heartbeats, while the other's
+health check is answered by another incarnation (`registry/origin_health.py`); once the latter has
+timed out, the running one registers again.
+"""
+
+from collections.abc import Iterable
 from dataclasses import replace
 
 from willowpost.state.apply.origins import origin_with_token, with_ended
@@ -8,7 +17,7 @@
 from willowpost.state.lifecycle import OriginState
 from willowpost.state.operations import RegisterOrigin
 from willowpost.state.results import OriginAccepted, Reason
-from willowpost.state.tables import MAX_ADDRESS_BINDINGS, Tables
+from willowpost.state.tables import MAX_ADDRESS_BINDINGS, MAX_TOKENS_OF_ADDRESS, Tables
 
 NAMED_SERVICE = "named"  # key of a service in the configuration
 
@@ -18,7 +27,8 @@
 
     An address that last served another service waits until the log lets it enter, unless the
     service is `named` (its origins check the incarnation named on a request). An incarnation with a
-    token registers once, however often it tries. A registration with a `known_slot` changes nothing
+    token registers once, however often it tries. It takes no address from one that was first seen
+    there later, and none at all while it drains. A registration with a `known_slot` changes nothing
     if the address was registered in that slot or later.
 
     Args:
@@ -31,23 +41,35 @@
     known = origin_with_token(tables, operation.token)
     if known is not None and _is_repeated(tables.origins[known], operation):
         return _registered_again(tables, known, operation)
-    if _is_superseded(tables, operation):
+    if is_superseded(tables, operation):
         return rejected(tables, Reason.SUPERSEDED)
+    displaced = {
+        other: entry
+        for other, entry in _at_address(tables, operation.address).items()
+        if other != known
+    }
+    if displaced and operation.token and operation.is_draining:
+        ended = with_ended(_without(tables, known), [operation.token])
+        return Transition(ended, OriginAccepted(None, OriginState.GONE))
+    if _has_successor(tables, operation, displaced.values()):
+        return rejected(tables, Reason.INCARNATION_SUCCEEDED)
     name = f"{operation.address}@{tables.slot}.{index}"
     origin = _entry_of(tables, operation)
-    ended = _at_address(tables, operation.address).keys() - {known}
     remaining = {
         other: entry
         for other, entry in tables.origins.items()
-        if other not in ended and other != known
+        if other not in displaced and other != known
     }
     after = replace(
         tables,
         origins={**remaining, name: origin},
         address_bindings=_with_binding(tables, operation),
     )
-    # in the order of the table, so that the ended tokens are in one order at every daemon
-    ended_tokens = [entry.token for other, entry in tables.origins.items() if other in ended]
+    # What drains never returns; the others may, should the one that displaced them time out. They
+    # are in the order of the table, so that the ended tokens are in one order at every daemon.
+    ended_tokens = [
+        entry.token for entry in displaced.values() if entry.state is OriginState.DRAINING
+    ]
     return Transition(with_ended(after, ended_tokens), OriginAccepted(name, origin.state))
 
 
@@ -64,12 +86,28 @@
     return Transition(tables, OriginAccepted(name, origin.state))
 
 
-def _is_superseded(tables: Tables, operation: RegisterOrigin) -> bool:
-    if operation.known_slot is None:
+def is_superseded(tables: Tables, operation: RegisterOrigin) -> bool:
+    """Whether a newer registration of another incarnation at the address bars this one."""
+    binding = tables.address_bindings.get(operation.address)
+    if operation.known_slot is None or binding is None or binding.slot is None:
         return False
+    if operation.token and binding.tokens[-1:] == (operation.token,):
+        return False
+    return binding.slot >= operation.known_slot
+
+
+def _has_successor(
+    tables: Tables, operation: RegisterOrigin, others: Iterable[OriginEntry]
+) -> bool:
     binding = tables.address_bindings.get(operation.address)
-    last_changed = -1 if binding is None or binding.slot is None else binding.slot
-    return last_changed >= operation.known_slot
+    return binding is not None and any(
+        binding.is_succeeded(operation.token, other.token) for other in others
+    )
+
+
+def _without(tables: Tables, name: str | None) -> Tables:
+    remaining = {other: entry for other, entry in tables.origins.items() if other != name}
+    return replace(tables, origins=remaining)
 
 
 def _at_address(tables: Tables, address: str) -> dict[str, OriginEntry]:
@@ -119,8 +157,17 @@
 
     The oldest by slot, not by the order in the table, which differs after a snapshot.
     """
-    binding = AddressBinding(operation.service, tables.slot)
+    binding = AddressBinding(operation.service, tables.slot, _tokens(tables, operation))
     bindings = {**tables.address_bindings, operation.address: binding}
     if len(bindings) > MAX_ADDRESS_BINDINGS:
         del bindings[min(bindings, key=lambda address: (bindings[address].slot or 0, address))]
     return bindings
+
+
+def _tokens(tables: Tables, operation: RegisterOrigin) -> tuple[str, ...]:
+    """Return the last incarnations at the address, with this one; each keeps its place."""
+    binding = tables.address_bindings.get(operation.address)
+    tokens = () if binding is None else binding.tokens
+    if not operation.token or operation.token in tokens:
+        return tokens
+    return (*tokens, operation.token)[-MAX_TOKENS_OF_ADDRESS:]
--- a/src/willowpost/state/codec/entries.py
+++ b/src/willowpost/state/codec/entries.py
@@ -92,7 +92,11 @@
 )
 ADDRESS_BINDING = RecordCodec(
     AddressBinding,
-    {"service": StoredField("service"), "slot": StoredField("slot", optional=True)},
+    {
+        "service": StoredField("service"),
+        "slot": StoredField("slot", optional=True),
+        "tokens": StoredField("tokens", optional=True, encode=list, decode=tuple),
+    },
 )
 CONFIGURATION = RecordCodec(
     ActiveConfiguration,
--- a/src/willowpost/state/entries.py
+++ b/src/willowpost/state/entries.py
@@ -131,15 +131,25 @@
 
 @dataclass(frozen=True, slots=True)
 class AddressBinding:
-    """What an origin's address last served.
+    """What an origin's address last served, and by which incarnations.
 
     Attributes:
         service: the service.
         slot: of the last registration; 0 if an earlier build did not record it.
+        tokens: of the last incarnations at the address, in the order in which each registered there
+            first. Processes at one address follow each other, so one that was seen before another
+            has ended when the other registers.
     """
 
     service: str
     slot: int | None = None
+    tokens: tuple[str, ...] = ()
+
+    def is_succeeded(self, token: str | None, successor: str | None) -> bool:
+        """Whether `successor` was first seen at the address after `token`."""
+        if token not in self.tokens or successor not in self.tokens:
+            return False
+        return self.tokens.index(token) < self.tokens.index(successor)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/willowpost/state/results.py
+++ b/src/willowpost/state/results.py
@@ -17,6 +17,7 @@
     WATCHER_LOST = "its watcher is lost"
     UNKNOWN_ORIGIN = "unknown origin"
     INCARNATION_ENDED = "this life is over"
+    INCARNATION_SUCCEEDED = "a later life is at its address"
     REGISTRY_LOST = "its registry is lost"
     WARMED_UP_AGAIN = "turned cold since"
     FENCED = "fence moved on"
--- a/src/willowpost/state/tables.py
+++ b/src/willowpost/state/tables.py
@@ -31,6 +31,7 @@
 MAX_FAILURE_VERDICTS = 64
 MAX_ENDED_TOKENS = 2048
 MAX_ADDRESS_BINDINGS = 4096
+MAX_TOKENS_OF_ADDRESS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +47,7 @@
     - `configuration_changes` holds the last accepted changes of the configuration; the newest made
       the one in force.
     - an address is bound to at most one origin, and so is a token; `address_bindings` keeps the
-      service that an address last served.
+      service that an address last served, and the last MAX_TOKENS_OF_ADDRESS incarnations there.
     - `ended_tokens` holds the tokens of the last ended incarnations of origins, oldest first; none
       of them is among `origins`, or will be again.
     - `purges` holds every purge of a slot >= `purge_floor`, oldest first.
--- a/tests/proxy/origin/test_exchange.py
+++ b/tests/proxy/origin/test_exchange.py
@@ -20,7 +20,7 @@
 from willowpost.proxy.origin.exchange import Exchange
 from willowpost.proxy.origin.request import OriginRequest
 from willowpost.proxy.origin.response_reader import ResponseReader
-from willowpost.shell.health_check import fetch_status
+from willowpost.shell.health_check import fetch_health
 
 SOURCES = Path(__file__).parents[3] / "src" / "willowpost"
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER that makes close() a reset
@@ -300,7 +300,7 @@
         self.addCleanup(exchange.close)
         found = exchange.run(OriginRequest("GET", "/a", [("wp-request", "n1")], b""), 1.0, 1000)
         self.assertEqual((200, b"ok"), (found.status, found.body))
-        self.assertEqual(200, fetch_status(origin.address, "/health", 1.0))
+        self.assertEqual(200, fetch_health(origin.address, "/health", 1.0).status)
 
     def test_an_address_that_is_none_has_sent_nothing(self):
         for address in ("127.0.0.1:99999", "127.0.0.1:x", "127.0.0.1:1"):
@@ -333,16 +333,28 @@
         for script, status in self.SCRIPTS:
             with self.subTest(script=script):
                 origin = ScriptedOrigin(script)
-                self.assertEqual(status, fetch_status(origin.address, "/health", 1.0))
+                found = fetch_health(origin.address, "/health", 1.0)
+                self.assertEqual(status, None if found is None else found.status)
                 self.assertEqual((1, 1), (len(origin.requests), origin.opened))
 
+    def test_a_probe_reads_who_answers(self):
+        early = b"HTTP/1.1 103 Early\r\nWP-Token: interim\r\n\r\n"
+        for script, token in (
+            (answer(b"", **{"WP-Token": "life-2"}), "life-2"),
+            (early + answer(b"", **{"Wp-Token": " life-3 "}), "life-3"),
+            (early + answer(b""), None),
+        ):
+            with self.subTest(script=script):
+                found = fetch_health(ScriptedOrigin(script).address, "/health", 1.0)
+                self.assertEqual(token, found.headers.get("wp-token"))
+
     def test_nobody_there_and_silence_are_no_status(self):
         origin = ScriptedOrigin(answer())
         origin.hold = lambda request: gevent.event.Event().wait()
-        self.assertIsNone(fetch_status(origin.address, "/health", 0.05))
+        self.assertIsNone(fetch_health(origin.address, "/health", 0.05))
         origin.server.stop()
-        self.assertIsNone(fetch_status(origin.address, "/health", 0.05))
-        self.assertIsNone(fetch_status("no address:x", "/health", 0.05))
+        self.assertIsNone(fetch_health(origin.address, "/health", 0.05))
+        self.assertIsNone(fetch_health("no address:x", "/health", 0.05))
 
     def test_the_packages_client_would_send_it_again(self):
         origin = ScriptedOrigin(None)
