Silence counts while a process runs, and takes 3 s to mean a cut (CONFIG, DRAIN)

Callers saw: requests run by a configuration that a confirmed one had replaced seconds ago, and requests that reached origins after they had said that they leave, at daemons that were only slow.

Cause: a proxy serves by tables of up to 60 s while it has heard of no quorum for one second by the clock. A process that stood still finds both true when it goes on, and serves what waits on its sockets before it reads the first update; a link that fills at once has the same effect.

Fix: a tick adds at most 100 ms to the silence, so a standstill is none; 3 s of it mean a cut.

Tests changed: FullLinks no longer leaves out the first six seconds where a round trip is below 3 s (stricter); for a round trip of 5 s it still does.

--- a/src/willowpost/node/follower.py
+++ b/src/willowpost/node/follower.py
@@ -80,6 +80,7 @@
             case SettingsChanged(seeds=seeds):
                 self.seeds = tuple(seeds)
             case Tick():
+                self.node_state.record_tick(now)
                 self._tick(now, plan)
         return plan
 
@@ -140,7 +141,7 @@
             return
         self.source_selector.record_update(now)
         if state_update.is_fresh and state_update.age_us <= LEASE_US:
-            node_state.quorum_contact_at = now
+            node_state.quorum_contact_at = node_state.running_us
         has_progressed = self._receive_snapshot(state_update, now, plan)
         self._apply_decisions(state_update.decisions)
         has_reached = node_state.tables.epoch and node_state.tables.slot >= state_update.slot
--- a/src/willowpost/node/node_state.py
+++ b/src/willowpost/node/node_state.py
@@ -16,9 +16,11 @@
 # Without a quorum-confirmed update for so long, calls are refused at once. In normal operation the
 # age is 150 to 400 ms, and up to 800 ms when the source has just died.
 MAX_IN_TOUCH_AGE_US = 1_200 * MILLISECOND
-# Shorter than LEASE_US: a daemon that a fault cuts off has had no message for so long when its
-# tables are as old as LEASE_US, and serves on without a pause.
-QUORUM_CONTACT_TIMEOUT_US = 1_000 * MILLISECOND
+# Silence of so long while this process runs means that it is cut off. Messages that wait in a full
+# link's queue come later than the lease ends, and earlier than this.
+QUORUM_CONTACT_TIMEOUT_US = 3_000 * MILLISECOND
+# A longer pause between two ticks is a standstill of this process, in which it hears nobody.
+MAX_TICK_GAP_US = 100 * MILLISECOND
 MAX_RECENT_DECISIONS = 512
 MAX_RECENT_DECISIONS_BYTES = 2 * 1024 * 1024
 
@@ -42,8 +44,10 @@
         seed_store_addresses: stores that seeds named, until the tables are fresh.
         is_draining: whether this process is about to end, as planned.
         max_stale_serving: µs that it serves on with stale tables; None: the lease.
-        quorum_contact_at: when the last message came that shows a quorum of the voters up and
-            within reach; None: none came.
+        running_us: for how long this process has run; standstills are left out.
+        ticked_at: when the last tick came; None: none came.
+        quorum_contact_at: `running_us` when the last message came that shows a quorum of the voters
+            up and within reach; None: none came.
         incoming_snapshot: the transfer under way to this daemon.
         outgoing_snapshot: the snapshot that daemons fetch from this one.
     """
@@ -55,6 +59,8 @@
     seed_store_addresses: tuple[str, ...] = ()
     is_draining: bool = False
     max_stale_serving: int | None = None
+    running_us: int = 0
+    ticked_at: int | None = None
     quorum_contact_at: int | None = None
     incoming_snapshot: SnapshotReceiver = field(default_factory=SnapshotReceiver)
     outgoing_snapshot: SnapshotSource = field(default_factory=SnapshotSource)
@@ -72,7 +78,8 @@
 
         They may for LEASE_US after `fresh_as_of`, and up to `max_stale_serving` after it while no
         quorum is within reach. A daemon that is in contact with a quorum is bound by what the log
-        accepted since, however late it learns of it, and knows that its tables may lack it.
+        accepted since, however late it learns of it, and knows that its tables may lack it. One
+        whose own process or link is slow for a while is in contact.
 
         For roles that the log assigns, see holds_ownership_lease().
         """
@@ -81,12 +88,18 @@
             return False
         if age <= LEASE_US or self.max_stale_serving is None:
             return age <= LEASE_US
-        return age <= self.max_stale_serving and not self.has_quorum_contact(now)
+        return age <= self.max_stale_serving and not self.has_quorum_contact()
 
-    def has_quorum_contact(self, now: int) -> bool:
-        """Whether a quorum of the voters was reached within QUORUM_CONTACT_TIMEOUT_US."""
+    def record_tick(self, now: int) -> None:
+        """Count the time since the last tick, but no standstill, as time in which it ran."""
+        if self.ticked_at is not None:
+            self.running_us += min(now - self.ticked_at, MAX_TICK_GAP_US)
+        self.ticked_at = now
+
+    def has_quorum_contact(self) -> bool:
+        """Whether a quorum was reached in the last QUORUM_CONTACT_TIMEOUT_US of running."""
         contact_at = self.quorum_contact_at
-        return contact_at is not None and now - contact_at <= QUORUM_CONTACT_TIMEOUT_US
+        return contact_at is not None and self.running_us - contact_at <= QUORUM_CONTACT_TIMEOUT_US
 
     def holds_ownership_lease(self, now: int) -> bool:
         """Whether a role that the log assigned to this daemon is certainly still its own.
--- a/src/willowpost/node/quorum_read.py
+++ b/src/willowpost/node/quorum_read.py
@@ -33,7 +33,8 @@
         descriptor = node_state.descriptor
         self.nonces = NonceSequence(descriptor.id, descriptor.incarnation, "read")
         self.reads = PendingReads()
-        self.last_response_at: dict[str, int] = {}  # by the voter's identity
+        # `NodeState.running_us` by the voter's identity
+        self.last_response_at: dict[str, int] = {}
         self.last_read_at = -READ_INTERVAL_US
 
     def step(self, event: Any, now: int) -> Plan:
@@ -56,7 +57,7 @@
     def _handle_response(
         self, source: str, response: QuorumReadResponse, now: int, plan: Plan
     ) -> None:
-        self._record_contact(response.identity, now)
+        self._record_contact(response.identity)
         if response.nonce not in self.reads.by_nonce:
             return
         self.reads.record_response(response.nonce, response.identity, response.slot)
@@ -76,9 +77,9 @@
         for voter in self.node_state.tables.voters:
             plan.send(voter.address, QuorumReadRequest(nonce))
 
-    def _record_contact(self, identity: str, now: int) -> None:
+    def _record_contact(self, identity: str) -> None:
         """Record when a quorum was last reached; late responses count as well."""
-        self.last_response_at[identity] = now
+        self.last_response_at[identity] = self.node_state.running_us
         newest_first = sorted(
             (self.last_response_at.get(voter, NEVER_US) for voter in self._voters()), reverse=True
         )
--- a/src/willowpost/proxy/outgoing.py
+++ b/src/willowpost/proxy/outgoing.py
@@ -37,7 +37,7 @@
     def tables_age(self, now: int) -> int | None:
         """Returns the µs since the tables were known to be complete."""
 
-    def has_quorum_contact(self, now: int) -> bool:
+    def has_quorum_contact(self) -> bool:
         """Whether a quorum of the voters was in contact a moment ago."""
 
 
@@ -151,7 +151,7 @@
         if age is not None:
             self.ages.add(age)
         is_stale = age is None or age > LEASE_US + LEASE_CHECK_SLACK_US
-        if is_stale and self.node_state.has_quorum_contact(now):
+        if is_stale and self.node_state.has_quorum_contact():
             self._record_violation(Invariant.TABLES_CURRENT, request, receiver, age or 0)
         if request.lifetime.has_ended:
             disconnected_at = request.lifetime.disconnected_at or now
--- a/tests/proxy/test_metrics.py
+++ b/tests/proxy/test_metrics.py
@@ -57,7 +57,7 @@
         lines = []
         outgoing.log = lambda *words, **fields: lines.append((words, fields))
         self.proxy.set_origins([origin])
-        state.quorum_contact_at = self.proxy.clock.now()
+        state.quorum_contact_at = state.running_us
         state.fresh_as_of = self.proxy.clock.now() - 2_000_000
         request = self.proxy.front.parse(ScriptedCall(), 0, RequestLifetime())
         with outgoing.sending(request, "somebody", False, False):
--- a/tests/system/test_stale_tables.py
+++ b/tests/system/test_stale_tables.py
@@ -13,7 +13,11 @@
 from willowpost.common.clock import MILLISECOND, SECOND
 from willowpost.common.events import Received, Tick
 from willowpost.node.follower import Follower
-from willowpost.node.node_state import DaemonDescriptor, NodeState
+from willowpost.node.node_state import (
+    QUORUM_CONTACT_TIMEOUT_US,
+    DaemonDescriptor,
+    NodeState,
+)
 from willowpost.node.quorum_read import QuorumRead
 from willowpost.node.source_selection import MAX_TABLE_AGE_US
 from willowpost.proxy.client.pacing import LinkPacer
@@ -67,16 +71,16 @@
 
 class FullLinks(unittest.TestCase):
     def test_a_proxy_whose_updates_come_late_sends_nothing_to_origins_that_left(self):
-        for seed, delay in (
-            (1, 700 * MILLISECOND),
-            (2, 1200 * MILLISECOND),
-            (3, 2500 * MILLISECOND),
+        for seed, delay, wait in (
+            (1, 700 * MILLISECOND, 0),
+            (2, 1200 * MILLISECOND, 0),
+            # a round trip of 5 s, in which a full link and a cut look the same at first
+            (3, 2500 * MILLISECOND, 6 * SECOND),
         ):
             with self.subTest(seed=seed, delay=delay):
                 world = opened(seed, delay)
                 world.full_at = world.time
-                # until the first late answers come, a full link and a cut look the same
-                world.run(seconds(6))
+                world.run(wait)
                 leave_in_turn(world)
 
     def test_a_proxy_that_hears_nothing_serves_on(self):
@@ -100,6 +104,63 @@
             leave_in_turn(world)
 
 
+class Standstills(unittest.TestCase):
+    """A process that stands still hears nobody, and is not cut off for that."""
+
+    def setUp(self):
+        self.state, self.now = NodeState(DaemonDescriptor(*"pppppp", "", 1)), 0
+        self.state.max_stale_serving = SERVE_ON
+
+    def ticks(self, span, step=20 * MILLISECOND):
+        for _ in range(0, span, step):
+            self.now += step
+            self.state.record_tick(self.now)
+
+    def hear(self):
+        self.state.confirm_fresh(self.now)
+        self.state.quorum_contact_at = self.state.running_us
+
+    def may_serve(self):
+        return self.state.may_serve(self.now)
+
+    def test_one_that_goes_on_serves_by_no_old_tables(self):
+        """Guards against CONFIG and DRAIN: requests wait on its sockets when it wakes."""
+        for span in (2 * SECOND, 10 * SECOND):
+            self.setUp()
+            self.ticks(SECOND)
+            self.hear()
+            self.now += span
+            for _ in range(5):
+                self.assertFalse(self.may_serve())
+                self.ticks(QUORUM_CONTACT_TIMEOUT_US // 10)
+            self.hear()
+            self.assertTrue(self.may_serve())
+
+    def test_one_that_stands_still_again_and_again_is_not_cut_off(self):
+        self.ticks(SECOND)
+        self.hear()
+        for _ in range(10):
+            self.now += SECOND
+            self.state.record_tick(self.now)
+        self.assertFalse(self.may_serve())
+
+    def test_one_that_runs_and_hears_nobody_serves_on(self):
+        self.ticks(SECOND)
+        self.hear()
+        self.ticks(QUORUM_CONTACT_TIMEOUT_US + 100 * MILLISECOND)
+        self.assertTrue(self.may_serve())
+        self.ticks(SERVE_ON)
+        self.assertFalse(self.may_serve())
+
+    def test_a_loop_that_is_slow_takes_longer_to_tell(self):
+        self.ticks(SECOND)
+        self.hear()
+        self.ticks(QUORUM_CONTACT_TIMEOUT_US + 200 * MILLISECOND, step=200 * MILLISECOND)
+        self.assertFalse(self.may_serve())
+        self.ticks(QUORUM_CONTACT_TIMEOUT_US, step=200 * MILLISECOND)
+        self.assertTrue(self.may_serve())
+
+
 class Reads(unittest.TestCase):
     """A quorum read whose answers take longer than the pause between two reads."""
 
