Soak: configuration changes in series, judged per edge, and heartbeats that come late

Each change adds a route and drops one, so a request on a route shows by which changes it can have been handled. Probes ask every edge on recent routes, half of them through shields, on kept connections. New rules: an accepted change is in force in time; no edge goes back to an older one within one life of its process. Crashed origins' heartbeats come late, and at the end every running origin must be in force at every registry.

--- a/src/willowpost/drill/soak/judge.py
+++ b/src/willowpost/drill/soak/judge.py
@@ -29,14 +29,22 @@
     Attributes:
         leaves: Origins that left.
         killed: Edge's address -> (from, to) of each time in which it was killed or stood still.
+        started: Edge's address -> when its process was started anew.
         out_of_touch: (from, to) of each cut and of each trouble of the core, in which proxies may
             have been out of touch; only those that serve on past their lease are excused by it.
     """
 
     leaves: list[OriginShutdown] = field(default_factory=list)
     killed: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
+    started: dict[str, list[int]] = field(default_factory=dict)
     out_of_touch: list[tuple[int, int]] = field(default_factory=list)
 
+    def is_excused(self, at: int, span: int | None) -> bool:
+        """Whether proxies may have been out of touch at `at`, or `span` before; None: never."""
+        if span is None:
+            return False
+        return any(begin <= at <= end + span for begin, end in self.out_of_touch)
+
 
 class SoakRules:
     """Judges one soak.
@@ -97,15 +105,10 @@
             for address, at in arrivals
             if address == leave.address
             and leave.acknowledged_at + FORCE_AFTER < at < leave.ended_at
-            and not self._out_of_touch(at)
+            and not self.record.is_excused(at, self.excuse_span)
         ]
         return f"{len(self.record.leaves)} left,", late
 
-    def _out_of_touch(self, at):
-        if self.excuse_span is None:
-            return False
-        return any(begin <= at <= end + self.excuse_span for begin, end in self.record.out_of_touch)
-
     def _unanswered(self):
         """Requests that an origin had and whose connection the edge ended without a word."""
         lost = [
--- a/src/willowpost/drill/soak/run.py
+++ b/src/willowpost/drill/soak/run.py
@@ -1,20 +1,28 @@
 """Runs one soak: starts the fleet, carries out the troubles of a seed, heals it and judges."""
 
-import copy
 from collections.abc import Callable
 from pathlib import Path
 
 import gevent
+from gevent.lock import BoundedSemaphore
 
 from willowpost.common.clock import SECOND, Clock
 from willowpost.drill.deployment import Deployment
 from willowpost.drill.fleet import free_port
 from willowpost.drill.rules import Findings
 from willowpost.drill.soak.callers import SoakCallers
+from willowpost.drill.soak.configuration_rules import ConfigurationRules
+from willowpost.drill.soak.configurations import (
+    NOT_RUN_STATUSES,
+    Change,
+    RouteProbes,
+    tree_of_change,
+)
 from willowpost.drill.soak.fleet import CONFIGURATION, HOST, SoakFleet, layout
 from willowpost.drill.soak.judge import OriginShutdown, Record, SoakRules
 from willowpost.drill.soak.schedule import Kind, Parts, Trouble, drawn
 from willowpost.stand_ins.callers import ask
+from willowpost.state.lifecycle import STATES_IN_FORCE
 
 START_SECONDS = 60.0
 HEAL_SECONDS = 40.0
@@ -25,6 +33,8 @@
 WARM_SECONDS = 3.0
 SUPERVISE_SECONDS = 0.3
 CALLERS_EACH_EDGE = 6
+CHANGE_PAUSE_SECONDS = 0.4
+OK = 200
 MODES = {Kind.ORIGINS_SLOW: "slow", Kind.ORIGINS_LOSE_ANSWERS: "lost"}
 # events in log lines that tell of a violated invariant, a failed request or a process that ends
 VIOLATION_EVENTS = ("invariant violated", "request failed", "broke down")
@@ -51,7 +61,8 @@
         self.clock = Clock()
         self.record = Record()
         self.findings = Findings()
-        self.configuration = copy.deepcopy(CONFIGURATION)
+        self.changes: list[Change] = []
+        self.changing = BoundedSemaphore()
         self.version = 0
         self.busy: set[str] = set()  # targets that a trouble holds now
         self.ended: list[str] = []  # processes that ended by themselves, with their exit codes
@@ -59,6 +70,7 @@
         self.callers = SoakCallers(
             self.clock, self.fleet.edges(), HOST, CALLERS_EACH_EDGE * edges, seed
         )
+        self.probes = RouteProbes(self.clock, self.fleet.edges(), HOST, self.changes, seed)
 
     def run(self) -> Findings:
         """Runs it and returns what was seen.
@@ -70,9 +82,13 @@
             self._open()
             supervisor = gevent.spawn(self._supervise)
             self.callers.start()
+            self.probes.start()
+            changer = gevent.spawn(self._change_steadily)
             self._trouble()
+            changer.kill()
             self._heal()
             self.callers.stop()
+            self.probes.stop()
             self._judge()
             supervisor.kill()
             return self.findings
@@ -135,6 +151,8 @@
         now = self.clock.now()
         proxies = self.fleet.proxies()
         for target in targets:
+            if kind in (Kind.KILL, Kind.HERD_KILL, Kind.RESTART) and target in proxies:
+                self.record.started.setdefault(proxies[target], []).extend((began, now))
             if kind in (Kind.KILL, Kind.HERD_KILL, Kind.FREEZE) and target in proxies:
                 self.record.killed.setdefault(proxies[target], []).append((began, now))
         on_core = any(not target.endswith("/wpproxy") for target in targets if "/" in target)
@@ -171,6 +189,8 @@
                 self._steer(targets, "crash")
                 gevent.sleep(span)
                 self._steer(targets, "start")
+                gevent.sleep(span)
+                self._steer(targets, "late_heartbeat")
             case Kind.ORIGIN_LEAVES:
                 self._leave(targets[0])
             case Kind.CHANGE:
@@ -218,13 +238,23 @@
             self.record.leaves.append(OriginShutdown(address, acknowledged_at, ended_at))
 
     def _change(self) -> bool:
-        """Proposes another configuration; whether it was accepted."""
-        self.configuration["settings"]["deadline_ms"] += 1
-        reply = self.fleet.call("PUT", "/v1/configuration", self.configuration)
-        if reply is None or reply[0] != 200:
-            return False
-        self.version = max(self.version, reply[2]["version"])
-        return True
+        """Proposes another configuration, one at a time; whether it was accepted."""
+        with self.changing:
+            change = Change(len(self.changes) + 1, self.clock.now())
+            self.changes.append(change)
+            tree = tree_of_change(CONFIGURATION, HOST, change.number)
+            reply = self.fleet.call("PUT", "/v1/configuration", tree)
+            if reply is None or reply[0] != OK:
+                change.is_possible = reply is None or reply[0] not in NOT_RUN_STATUSES
+                return False
+            change.accepted_at = self.clock.now()
+            self.version = max(self.version, reply[2]["version"])
+            return True
+
+    def _change_steadily(self):
+        while True:
+            self._change()
+            gevent.sleep(CHANGE_PAUSE_SECONDS)
 
     def _heal(self):
         """Waits until the fleet is whole again, with the newest configuration everywhere."""
@@ -246,13 +276,34 @@
         digests = {answer[2].get("digest") for answer in answers if answer}
         if not all(answers) or len(digests) != 1:
             self.missing.append(f"registries: {[answer and answer[0] for answer in answers]}")
+        self.missing += self._origins_out_of_force(answers)
         return not self.missing
 
+    def _origins_out_of_force(self, answers) -> list[str]:
+        """Names the running origins that a registry does not have in force."""
+        tokens = set(self.fleet.steer("tokens")[2].values())
+        in_force = [
+            {
+                origin.get("token")
+                for origin in answer[2]["origins"].values()
+                if origin["state"] in STATES_IN_FORCE
+            }
+            for answer in answers
+            if answer
+        ]
+        return [f"origins {tokens - held} not in force" for held in in_force if tokens - held]
+
     def _judge(self):
         excused = CONTACT if self.serve_on_ms > LEASE_MS else None
-        SoakRules(self.callers.tally, self.fleet.ledger(), self.record, excused).judge(
-            self.findings
-        )
+        ledger = self.fleet.ledger()
+        SoakRules(self.callers.tally, ledger, self.record, excused).judge(self.findings)
+        ConfigurationRules(
+            self.changes,
+            self.probes.tally.sent,
+            ledger["arrivals"],
+            self.record.started,
+            lambda at: self.record.is_excused(at, excused),
+        ).judge(self.findings)
         read = self.fleet.call("GET", "/v1/configuration", first=1)
         version = read[2]["version"] if read and read[0] == 200 else None
         self.findings.add(
--- a/src/willowpost/stand_ins/main.py
+++ b/src/willowpost/stand_ins/main.py
@@ -40,6 +40,11 @@
                 origin.start()
             case "drain" | "leave":
                 return Response(200, origin.say(f"/{asked['do']}"))
+            case "late_heartbeat":
+                return Response(200, origin.say_late())
+            case "tokens":
+                tokens = {address: held.token for address, held in self.origins.items()}
+                return Response(200, tokens)
             case "version":
                 self.ledger.version += 1
                 return Response(200, {"version": self.ledger.version})
--- a/src/willowpost/stand_ins/origin.py
+++ b/src/willowpost/stand_ins/origin.py
@@ -74,7 +74,7 @@
         self.load = 0
         self.beating = None
         self.started_at = 0
-        self.token = ""
+        self.token = self.former_token = ""
 
     def _bears(self) -> float:
         """A cold origin bears a quarter at first, and all after eight seconds."""
@@ -86,6 +86,7 @@
 
         One that is rude serves for a while before it says a word.
         """
+        self.former_token = self.token
         self.started_at, self.token = self.clock.now(), secrets.token_hex(8)
         self.server = WSGIServer(
             split_address(self.address),
@@ -125,6 +126,11 @@
                 client.close()
         return None
 
+    def say_late(self) -> dict | None:
+        """Deliver a heartbeat of the incarnation before this one, as if it came late."""
+        card = {**self._card(), "token": self.former_token}
+        return self.say("/beat", load=0, **card) if self.former_token else None
+
     def _card(self):
         return {
             "zone": self.zone,
--- a/tests/drill/test_soak.py
+++ b/tests/drill/test_soak.py
@@ -3,12 +3,15 @@
 import tempfile
 import unittest
 from collections import Counter
+from dataclasses import replace
 from itertools import pairwise
 from pathlib import Path
 
 from willowpost.common.clock import SECOND
 from willowpost.drill.rules import Findings
 from willowpost.drill.soak.callers import KEPT, ONCE, REPEATABLE, CallerTally, Sent
+from willowpost.drill.soak.configuration_rules import ConfigurationRules
+from willowpost.drill.soak.configurations import Change, Probe
 from willowpost.drill.soak.judge import OriginShutdown, Record, SoakRules
 from willowpost.drill.soak.run import Soak
 from willowpost.drill.soak.schedule import Kind, Parts, drawn
@@ -65,6 +68,62 @@
                     free_at = trouble.at + trouble.span
 
 
+class ConfigurationJudge(unittest.TestCase):
+    """Change n has the routes n and n - 1; accepted at second n, in force two seconds later."""
+
+    def broken(self, route, sent_at, ran_at=None, status=None, excused=False, **more):
+        changes = [Change(n, n * SECOND - 100, n * SECOND) for n in range(1, 10)]
+        for number, change in more.get("changed", {}).items():
+            changes[number - 1] = replace(changes[number - 1], **change)
+        probes = {
+            "p": Probe("e", route, sent_at, None if status is None else sent_at + 10, status),
+            **more.get("before", {}),
+        }
+        arrivals = {"p": [] if ran_at is None else [("o", ran_at)], **more.get("arrived", {})}
+        findings = Findings()
+        rules = ConfigurationRules(
+            changes, probes, arrivals, more.get("starts", {}), lambda at: excused
+        )
+        rules.judge(findings)
+        return [row.rule for row in findings.broken]
+
+    def test_what_any_change_in_force_allows_is_kept(self):
+        for route, sent_at, ran_at, status in (
+            (1, 2 * SECOND, 2 * SECOND, 200),
+            (2, 5 * SECOND, 5 * SECOND, 200),  # change 3 was in force, or a later one
+            (2, 5 * SECOND, None, 404),
+            (9, 8 * SECOND, None, 404),
+        ):
+            self.assertEqual([], self.broken(route, sent_at, ran_at, status))
+
+    def test_a_dropped_route_and_a_route_that_is_there(self):
+        rule = "an accepted change is in force in time"
+        self.assertEqual([rule], self.broken(1, 6 * SECOND, ran_at=6 * SECOND))
+        self.assertEqual([rule], self.broken(9, 12 * SECOND, status=404))
+        self.assertEqual([], self.broken(1, 6 * SECOND, ran_at=6 * SECOND, excused=True))
+        self.assertEqual([], self.broken(9, 12 * SECOND, status=503))
+
+    def test_a_change_without_an_answer_may_be_in_force_and_one_not_run_is_not(self):
+        unknown = {9: {"accepted_at": None}}
+        self.assertEqual([], self.broken(7, 12 * SECOND, status=404, changed=unknown))
+        self.assertEqual([], self.broken(9, 12 * SECOND, ran_at=12 * SECOND, changed=unknown))
+        refused = {9: {"accepted_at": None, "is_possible": False}}
+        rule = "an accepted change is in force in time"
+        self.assertEqual([rule], self.broken(7, 12 * SECOND, status=404, changed=refused))
+        self.assertIn(rule, self.broken(9, 12 * SECOND, ran_at=12 * SECOND, changed=refused))
+
+    def test_an_edge_that_goes_back_unless_it_was_started_anew(self):
+        at = 6 * SECOND
+        seen = {"before": {"q": Probe("e", 6, at)}, "arrived": {"q": [("o", at)]}}
+        later = at + SECOND // 2
+        rule = "no edge goes back to an older change"
+        self.assertEqual([rule], self.broken(4, later, ran_at=later, **seen))
+        self.assertEqual([rule], self.broken(4, later, ran_at=later, excused=True, **seen))
+        self.assertEqual([], self.broken(4, at + SECOND // 5, ran_at=later, **seen))
+        self.assertEqual([], self.broken(4, later, later, starts={"e": [at + 1000]}, **seen))
+        self.assertEqual([], self.broken(5, later, ran_at=later, **seen))
+
+
 class Judge(unittest.TestCase):
     """Each rule finds what breaks it."""
 
