--- a/tests/platform_adapter/test_configuration_translation.py
+++ b/tests/platform_adapter/test_configuration_translation.py
@@ -608,6 +608,14 @@
             self.asked,
         )
 
+    def test_an_order_to_be_sent_again_leads_back_to_the_same_call(self):
+        self.answer = Response(307, {"known": "7.2"}, (("Location", "http://x/v1/zones"),))
+        for query in ("call=evacuation.begin&of=a%20b", "call=evacuation.begin&of=a%20b&known=1.1"):
+            call = Request("POST", "/v1/rpc", query, {"host": "10.0.0.4:80"})
+            again = self.words.rpc(call)
+            location = "http://10.0.0.4:80/v1/rpc?call=evacuation.begin&of=a%20b&known=7.2"
+            self.assertEqual((307, (("Location", location),)), (again.code, again.headers))
+
     def test_a_configuration_comes_back_as_it_came(self):
         self.answer = Response(
             200, {"version": 7, "configuration": {}, "source": json.dumps(configuration())}
