Platform: NaN and infinities are not JSON, so the configuration cannot be read (CONFIG, invalid)

Cause: Python's reader takes `NaN`, `Infinity` and `-Infinity`, which RFC 8259 does not have. Such a document was acknowledged, and read back as text that other readers refuse.

--- a/tests/platform_adapter/test_invalid_configurations.py
+++ b/tests/platform_adapter/test_invalid_configurations.py
@@ -54,6 +54,8 @@
         lambda version: json.dumps(configuration(version=version))[:-1],
         lambda version: json.dumps(configuration(version=version))[:200],
         lambda version: json.dumps(configuration(version=version)) + "}",
+        lambda version: json.dumps({**configuration(version=version), "more": float("nan")}),
+        lambda version: json.dumps(configuration({"priority": float("inf")}, version=version)),
         lambda version: "",
         lambda version: [],
         lambda version: {**configuration(version=version), "routes": None},
