--- a/src/willowpost/node/graceful_shutdown.py
+++ b/src/willowpost/node/graceful_shutdown.py
@@ -51,8 +51,9 @@
 
     Attributes:
         drain: how long everything is still served while the daemon is marked as draining.
-        finish: how long open requests may take after that.
-        leave: how long to wait until the log no longer contains the daemon.
+        finish: how long after that it waits for open requests before it leaves the log.
+        leave: how long to wait until the log no longer contains the daemon, and for the last open
+            requests.
     """
 
     drain: int
@@ -67,9 +68,9 @@
 class GracefulShutdown(StagedShutdown[ShutdownStage]):
     """Moves a daemon through the stages of its planned end.
 
-    Nothing new is rejected before `timeouts.drain` is over. No open request is given up before
-    `timeouts.finish`, which counts from then, is over. All stages together take no longer than the
-    three timeouts together.
+    Nothing new is rejected before `timeouts.drain` is over. No open request is given up before the
+    three timeouts together are over: the daemon leaves the log while the last ones go on. All
+    stages together take no longer than that.
 
     Args:
         node_state: of the daemon.
@@ -96,7 +97,8 @@
         self.command_client = command_client
         self.fleet_join = fleet_join
         self.stage_entered_at = 0
-        self.finish_by = 0
+        self.leave_at = 0
+        self.end_by = 0
         # Returns the number of requests or calls not answered yet; set by who serves them.
         self.in_flight: Callable[[], int] = lambda: 0
 
@@ -113,7 +115,8 @@
         stage_age = now - self.stage_entered_at
         match self.stage:
             case ShutdownStage.DRAINING if stage_age >= self.timeouts.drain:
-                self.finish_by = now + self.timeouts.finish
+                self.leave_at = now + self.timeouts.finish
+                self.end_by = self.leave_at + self.timeouts.leave
                 self._move_to(ShutdownStage.FINISHING, now, plan)
             case ShutdownStage.FINISHING if self._is_finished(stage_age, now):
                 self._leave(now, plan)
@@ -126,7 +129,7 @@
         self._submit(DrainDaemon(self.descriptor.id, self.descriptor.incarnation), now, plan)
 
     def _is_finished(self, stage_age: int, now: int) -> bool:
-        return now >= self.finish_by or (stage_age >= MIN_FINISHING_US and not self.in_flight())
+        return now >= self.leave_at or (stage_age >= MIN_FINISHING_US and not self.in_flight())
 
     def _leave(self, now: int, plan: Plan) -> None:
         self.fleet_join.is_leaving = True
@@ -134,11 +137,10 @@
         self._submit(RemoveDaemon(self.descriptor.id, self.descriptor.incarnation), now, plan)
 
     def _has_left(self, stage_age: int, now: int) -> bool:
+        if self.in_flight():
+            return now >= self.end_by
         is_removed = self.descriptor.id not in self.node_state.tables.daemons
-        if not is_removed and stage_age < self.timeouts.leave:
-            return False
-        # A connection that was kept alive may have brought one more request.
-        return now >= self.finish_by or not self.in_flight()
+        return is_removed or stage_age >= self.timeouts.leave
 
     def _submit(self, operation: DrainDaemon | RemoveDaemon, now: int, plan: Plan) -> None:
         plan.join(self.command_client.step(SubmitOperations(None, (operation,)), now))
