--- a/src/willowpost/node/graceful_shutdown.py
+++ b/src/willowpost/node/graceful_shutdown.py
@@ -41,6 +41,8 @@
 DRAIN_TIMEOUT_US = 3 * SECOND
 FINISH_TIMEOUT_US = 30 * SECOND
 LEAVE_TIMEOUT_US = 1_500 * MILLISECOND
+# A request that its receiver ends just before all timeouts are over is still answered.
+LAST_RESPONSES_US = 400 * MILLISECOND
 # Responses whose last bytes were just written need so long to leave the machine.
 MIN_FINISHING_US = 100 * MILLISECOND
 
@@ -68,9 +70,9 @@
 class GracefulShutdown(StagedShutdown[ShutdownStage]):
     """Moves a daemon through the stages of its planned end.
 
-    Nothing new is rejected before `timeouts.drain` is over. No open request is given up before the
-    three timeouts together are over: the daemon leaves the log while the last ones go on. All
-    stages together take no longer than that.
+    Nothing new is rejected before `timeouts.drain` is over. No open request is given up before
+    LAST_RESPONSES_US after the three timeouts together: the daemon leaves the log while the last
+    ones go on. All stages together take no longer than that.
 
     Args:
         node_state: of the daemon.
@@ -116,7 +118,7 @@
         match self.stage:
             case ShutdownStage.DRAINING if stage_age >= self.timeouts.drain:
                 self.leave_at = now + self.timeouts.finish
-                self.end_by = self.leave_at + self.timeouts.leave
+                self.end_by = self.leave_at + self.timeouts.leave + LAST_RESPONSES_US
                 self._move_to(ShutdownStage.FINISHING, now, plan)
             case ShutdownStage.FINISHING if self._is_finished(stage_age, now):
                 self._leave(now, plan)
--- a/src/willowpost/registry/api/origin_requests.py
+++ b/src/willowpost/registry/api/origin_requests.py
@@ -84,6 +84,7 @@
             is_draining=self.is_draining,
             is_warming_up=None if self.cold_ms is None else self.cold_ms > 0,
             known_slot=known_slot,
+            is_ordered=True,
         )
 
     def as_heartbeat(self, origin: str) -> HeartbeatReceived:
--- a/src/willowpost/registry/api/redirects.py
+++ b/src/willowpost/registry/api/redirects.py
@@ -15,9 +15,8 @@
 
 from willowpost.common.log_position import LogPosition
 from willowpost.registry.api.responses import ValidationIssue, rejection
-from willowpost.shell.web import Request, Response
+from willowpost.shell.web import KNOWN_POSITION, Request, Response
 
-KNOWN_POSITION = "known"  # in the query: SLOT.VERSION
 POSITION = re.compile(r"([0-9]{1,19})\.([0-9]{1,19})")
 TEMPORARY_REDIRECT = 307
 
--- a/src/willowpost/shell/web.py
+++ b/src/willowpost/shell/web.py
@@ -28,6 +28,7 @@
 }
 
 Environ = dict[str, Any]  # of WSGI
+KNOWN_POSITION = "known"  # in a query: SLOT.VERSION of a `LogPosition`
 KNOWN_BEFORE = "wp.known_before"  # key of the `Environ`: `Request.known_before`
 
 
--- a/src/willowpost/state/apply/origin_registration.py
+++ b/src/willowpost/state/apply/origin_registration.py
@@ -48,11 +48,12 @@
         for other, entry in _at_address(tables, operation.address).items()
         if other != known
     }
-    if displaced and operation.token and operation.is_draining:
-        ended = with_ended(_without(tables, known), [operation.token])
-        return Transition(ended, OriginAccepted(None, OriginState.GONE))
-    if _has_successor(tables, operation, displaced.values()):
-        return rejected(tables, Reason.INCARNATION_SUCCEEDED)
+    if operation.is_ordered and displaced:
+        if operation.token and operation.is_draining:
+            ended = with_ended(_without(tables, known), [operation.token])
+            return Transition(ended, OriginAccepted(None, OriginState.GONE))
+        if _has_successor(tables, operation, displaced.values()):
+            return rejected(tables, Reason.INCARNATION_SUCCEEDED)
     name = f"{operation.address}@{tables.slot}.{index}"
     origin = _entry_of(tables, operation)
     remaining = {
@@ -63,12 +64,14 @@
     after = replace(
         tables,
         origins={**remaining, name: origin},
-        address_bindings=_with_binding(tables, operation),
+        address_bindings=_with_binding(tables, operation, displaced.values()),
     )
     # What drains never returns; the others may, should the one that displaced them time out. They
     # are in the order of the table, so that the ended tokens are in one order at every daemon.
     ended_tokens = [
-        entry.token for entry in displaced.values() if entry.state is OriginState.DRAINING
+        entry.token
+        for entry in displaced.values()
+        if entry.state is OriginState.DRAINING or not operation.is_ordered
     ]
     return Transition(with_ended(after, ended_tokens), OriginAccepted(name, origin.state))
 
@@ -152,22 +155,29 @@
     return OriginState.WARM if operation.is_warming_up is False else OriginState.WARMING_UP
 
 
-def _with_binding(tables: Tables, operation: RegisterOrigin) -> dict[str, AddressBinding]:
+def _with_binding(
+    tables: Tables, operation: RegisterOrigin, displaced: Iterable[OriginEntry]
+) -> dict[str, AddressBinding]:
     """Return the bindings with this address; beyond the limit without the oldest one.
 
     The oldest by slot, not by the order in the table, which differs after a snapshot.
     """
-    binding = AddressBinding(operation.service, tables.slot, _tokens(tables, operation))
+    binding = AddressBinding(operation.service, tables.slot, _tokens(tables, operation, displaced))
     bindings = {**tables.address_bindings, operation.address: binding}
     if len(bindings) > MAX_ADDRESS_BINDINGS:
         del bindings[min(bindings, key=lambda address: (bindings[address].slot or 0, address))]
     return bindings
 
 
-def _tokens(tables: Tables, operation: RegisterOrigin) -> tuple[str, ...]:
+def _tokens(
+    tables: Tables, operation: RegisterOrigin, displaced: Iterable[OriginEntry]
+) -> tuple[str, ...]:
     """Return the last incarnations at the address, with this one; each keeps its place."""
     binding = tables.address_bindings.get(operation.address)
     tokens = () if binding is None else binding.tokens
-    if not operation.token or operation.token in tokens:
+    if not operation.is_ordered:
         return tokens
-    return (*tokens, operation.token)[-MAX_TOKENS_OF_ADDRESS:]
+    for token in (*(entry.token for entry in displaced), operation.token):
+        if token and token not in tokens:
+            tokens = (*tokens, token)
+    return tokens[-MAX_TOKENS_OF_ADDRESS:]
--- a/src/willowpost/state/codec/operations.py
+++ b/src/willowpost/state/codec/operations.py
@@ -90,6 +90,7 @@
             ),
             "is_warming_up": StoredField("cold", optional=True),
             "known_slot": StoredField("as_of", optional=True),
+            "is_ordered": StoredField("ordered", optional=True),
         },
     ),
     "turn": RecordCodec(
--- a/src/willowpost/state/operations.py
+++ b/src/willowpost/state/operations.py
@@ -102,6 +102,8 @@
         is_warming_up: whether it reports that it warms up; None: it does not report it.
         known_slot: that its registry knew; rejected if the address changed in it or later. None:
             accepted in any case.
+        is_ordered: whether the incarnations at its address are ordered (`AddressBinding.tokens`);
+            in the logs of earlier builds each one ended all before it.
     """
 
     address: str
@@ -115,6 +117,7 @@
     is_draining: bool = False
     is_warming_up: bool | None = None
     known_slot: int | None = None
+    is_ordered: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform_adapter/test_translation_boundary.py
+++ b/tests/platform_adapter/test_translation_boundary.py
@@ -88,6 +88,7 @@
     "tests/data/bf1d9c7/generate_outside.py",
     "tests/data/bf1d9c7/outside.json",
     "tests/platform_adapter/test_configuration_translation.py",
+    "tests/platform_adapter/test_invalid_configurations.py",
     "tests/platform_adapter/test_loopback.py",
     "tests/platform_adapter/test_translation_boundary.py",
 }
