--- a/tests/system/test_planned_restarts.py
+++ b/tests/system/test_planned_restarts.py
@@ -58,6 +58,7 @@
             patch("willowpost.node.graceful_shutdown.DRAIN_TIMEOUT_US", 0),
             patch("willowpost.node.graceful_shutdown.FINISH_TIMEOUT_US", 0),
             patch("willowpost.node.graceful_shutdown.LEAVE_TIMEOUT_US", 0),
+            patch("willowpost.node.graceful_shutdown.LAST_RESPONSES_US", 0),
         ):
             world = rush()
             self.restart_all(world, ["e0", "e1", "e2"])
