--- a/src/willowpost/drill/soak/configurations.py
+++ b/src/willowpost/drill/soak/configurations.py
@@ -27,12 +27,14 @@
         number: Of the change, from 1 on.
         sent_at: When it was sent.
         accepted_at: When it was acknowledged; None: it was not.
+        version: That it was acknowledged under; None: it was not.
         is_possible: Whether it may be in force, now or later.
     """
 
     number: int
     sent_at: int
     accepted_at: int | None = None
+    version: int | None = None
     is_possible: bool = True
 
     def has_route(self, route: int) -> bool:
--- a/src/willowpost/drill/soak/run.py
+++ b/src/willowpost/drill/soak/run.py
@@ -11,7 +11,7 @@
 from willowpost.drill.fleet import free_port
 from willowpost.drill.rules import Findings
 from willowpost.drill.soak.callers import SoakCallers
-from willowpost.drill.soak.configuration_rules import ConfigurationRules
+from willowpost.drill.soak.configuration_rules import IN_FORCE_AFTER, ConfigurationRules
 from willowpost.drill.soak.configurations import (
     REFUSED_STATUSES,
     Change,
@@ -19,6 +19,7 @@
     tree_of_change,
 )
 from willowpost.drill.soak.fleet import CONFIGURATION, HOST, SoakFleet, layout
+from willowpost.drill.soak.in_force_times import InForceTimes, read_log
 from willowpost.drill.soak.judge import OriginShutdown, Record, SoakRules
 from willowpost.drill.soak.schedule import Kind, Parts, Trouble, drawn
 from willowpost.stand_ins.callers import ask
@@ -247,8 +248,8 @@
             if reply is None or reply[0] != OK:
                 change.is_possible = reply is None or reply[0] not in REFUSED_STATUSES
                 return False
-            change.accepted_at = self.clock.now()
-            self.version = max(self.version, reply[2]["version"])
+            change.accepted_at, change.version = self.clock.now(), reply[2]["version"]
+            self.version = max(self.version, change.version)
             return True
 
     def _change_steadily(self):
@@ -304,6 +305,7 @@
             self.record.started,
             lambda at: self.record.is_excused(at, excused),
         ).judge(self.findings)
+        self._judge_in_force_times()
         read = self.fleet.call("GET", "/v1/configuration", first=1)
         version = read[2]["version"] if read and read[0] == 200 else None
         self.findings.add(
@@ -317,6 +319,29 @@
         left = sum(page.get("without_caller", 0) for page in self.fleet.stats().values())
         self.findings.add("nothing is under way without a caller", str(left), not left)
 
+    def _judge_in_force_times(self):
+        times = InForceTimes(self.changes, self.clock.wall() - self.clock.now(), self._is_troubled)
+        for key in self.fleet.proxies():
+            lines = self.fleet.log_path(key).read_text(errors="replace").splitlines()
+            times.add(key, read_log(lines))
+        self.findings.add(
+            "a proxy in touch has a change in force in time",
+            times.text(),
+            times.percentile(1.0) <= IN_FORCE_AFTER,
+        )
+
+    def _is_troubled(self, key, at):
+        """Whether a proxy may be out of touch, down or still soon after `at`, or was before."""
+        address = self.fleet.proxies()[key]
+        held = self.record.killed.get(address, [])
+        starts = self.record.started.get(address, [])
+        return (
+            self.record.is_excused(at, CONTACT)
+            or self.record.is_excused(at + IN_FORCE_AFTER, CONTACT)
+            or any(begin - IN_FORCE_AFTER <= at <= end + CONTACT for begin, end in held)
+            or any(start - IN_FORCE_AFTER <= at <= start + CONTACT for start in starts)
+        )
+
     def _violations(self):
         """Lines of all processes' logs that tell of a violation, also of killed ones."""
         return [
--- a/tests/drill/test_soak.py
+++ b/tests/drill/test_soak.py
@@ -1,9 +1,11 @@
 """A short soak: a fleet of real processes under seeded troubles; and the schedule and its judge."""
 
+import json
 import tempfile
 import unittest
 from collections import Counter
 from dataclasses import replace
+from datetime import datetime
 from itertools import pairwise
 from pathlib import Path
 
@@ -12,6 +14,12 @@
 from willowpost.drill.soak.callers import KEPT, ONCE, REPEATABLE, CallerTally, Sent
 from willowpost.drill.soak.configuration_rules import ConfigurationRules
 from willowpost.drill.soak.configurations import Change, Probe
+from willowpost.drill.soak.in_force_times import (
+    IN_FORCE_MESSAGE,
+    TIME_FORMAT,
+    InForceTimes,
+    read_log,
+)
 from willowpost.drill.soak.judge import OriginShutdown, Record, SoakRules
 from willowpost.drill.soak.run import Soak
 from willowpost.drill.soak.schedule import Kind, Parts, drawn
@@ -124,6 +132,37 @@
         self.assertEqual([], self.broken(5, later, ran_at=later, **seen))
 
 
+class InForce(unittest.TestCase):
+    """Times from acknowledgements to versions in force, by logs of the same machine."""
+
+    def line(self, seconds, version):
+        moment = datetime.fromtimestamp(seconds).strftime(TIME_FORMAT)[:-3]
+        return json.dumps({"time": moment, "message": IN_FORCE_MESSAGE, "version": version})
+
+    def times(self, excused=()):
+        changes = [
+            Change(1, 0, 10 * SECOND, 1),
+            Change(2, 0, None, None),
+            Change(3, 0, 12 * SECOND, 4),
+        ]
+        return InForceTimes(changes, 1000 * SECOND, lambda proxy, at: (proxy, at) in excused)
+
+    def test_the_first_line_of_the_version_or_a_later_one_counts(self):
+        log = ["start", self.line(1010.25, 1), self.line(1011, 2), self.line(1013.5, 5), ""]
+        times = self.times()
+        times.add("p", read_log(log))
+        self.assertEqual([250_000, 1_500_000], times.spans)
+        self.assertEqual("2 times, p50 250 ms p99 1500 ms longest 1500 ms", times.text())
+
+    def test_who_was_in_trouble_is_left_out(self):
+        times = self.times(excused={("p", 12 * SECOND)})
+        times.add("p", read_log([self.line(1010.25, 1), self.line(1019, 5)]))
+        self.assertEqual([250_000], times.spans)
+
+    def test_without_any_there_is_nothing_to_judge(self):
+        self.assertEqual(0, self.times().percentile(1.0))
+
+
 class Judge(unittest.TestCase):
     """Each rule finds what breaks it."""
 
