--- a/src/willowpost/drill/soak/configuration_rules.py
+++ b/src/willowpost/drill/soak/configuration_rules.py
@@ -5,7 +5,8 @@
 
 from willowpost.common.clock import MILLISECOND, SECOND
 from willowpost.drill.rules import Findings
-from willowpost.drill.soak.configurations import Change, Probe
+from willowpost.drill.soak.configurations import Change
+from willowpost.drill.soak.probes import Probe
 
 IN_FORCE_AFTER = 2 * SECOND  # of the acknowledgement
 BACK_SLACK = 250 * MILLISECOND
--- a/src/willowpost/drill/soak/run.py
+++ b/src/willowpost/drill/soak/run.py
@@ -4,39 +4,30 @@
 from pathlib import Path
 
 import gevent
-from gevent.lock import BoundedSemaphore
 
 from willowpost.common.clock import SECOND, Clock
 from willowpost.drill.deployment import Deployment
 from willowpost.drill.fleet import free_port
 from willowpost.drill.rules import Findings
+from willowpost.drill.soak.actions import TroubleActions
 from willowpost.drill.soak.callers import SoakCallers
 from willowpost.drill.soak.configuration_rules import IN_FORCE_AFTER, ConfigurationRules
-from willowpost.drill.soak.configurations import (
-    REFUSED_STATUSES,
-    Change,
-    RouteProbes,
-    tree_of_change,
-)
-from willowpost.drill.soak.fleet import CONFIGURATION, HOST, SoakFleet, layout
+from willowpost.drill.soak.configurations import ConfigurationChanger
+from willowpost.drill.soak.fleet import HOST, SoakFleet, layout
 from willowpost.drill.soak.in_force_times import InForceTimes, read_log
-from willowpost.drill.soak.judge import OriginShutdown, Record, SoakRules
+from willowpost.drill.soak.judge import Record, SoakRules
+from willowpost.drill.soak.probes import RouteProbes
 from willowpost.drill.soak.schedule import Kind, Parts, Trouble, drawn
 from willowpost.stand_ins.callers import ask
 from willowpost.state.lifecycle import STATES_IN_FORCE
 
 START_SECONDS = 60.0
 HEAL_SECONDS = 40.0
-LEAVER_SERVES_SECONDS = 3.5
-STOP_SECONDS = 40.0
 LONG_SERVE_ON_MS, LEASE_MS = 60_000, 1500
 CONTACT = 4 * SECOND
 WARM_SECONDS = 3.0
 SUPERVISE_SECONDS = 0.3
 CALLERS_EACH_EDGE = 6
-CHANGE_PAUSE_SECONDS = 0.4
-OK = 200
-MODES = {Kind.ORIGINS_SLOW: "slow", Kind.ORIGINS_LOSE_ANSWERS: "lost"}
 # events in log lines that tell of a violated invariant, a failed request or a process that ends
 VIOLATION_EVENTS = ("invariant violated", "request failed", "broke down")
 
@@ -62,16 +53,17 @@
         self.clock = Clock()
         self.record = Record()
         self.findings = Findings()
-        self.changes: list[Change] = []
-        self.changing = BoundedSemaphore()
-        self.version = 0
+        self.changer = ConfigurationChanger(self.fleet, self.clock)
+        self.actions = TroubleActions(
+            self.fleet, self.clock, self.record, self.findings, self.changer.change
+        )
         self.busy: set[str] = set()  # targets that a trouble holds now
         self.ended: list[str] = []  # processes that ended by themselves, with their exit codes
         self.missing: list[str] = []  # what kept the fleet from being whole at the last look
         self.callers = SoakCallers(
             self.clock, self.fleet.edges(), HOST, CALLERS_EACH_EDGE * edges, seed
         )
-        self.probes = RouteProbes(self.clock, self.fleet.edges(), HOST, self.changes, seed)
+        self.probes = RouteProbes(self.clock, self.fleet.edges(), self.changer.changes, seed)
 
     def run(self) -> Findings:
         """Runs it and returns what was seen.
@@ -84,7 +76,7 @@
             supervisor = gevent.spawn(self._supervise)
             self.callers.start()
             self.probes.start()
-            changer = gevent.spawn(self._change_steadily)
+            changer = gevent.spawn(self.changer.change_steadily)
             self._trouble()
             changer.kill()
             self._heal()
@@ -101,7 +93,7 @@
         self.fleet.start_origins()
         if self.fleet.ready(START_SECONDS) is None:
             raise RuntimeError("the fleet did not come up")
-        if not self._change():
+        if not self.changer.change():
             raise RuntimeError("the configuration was not accepted")
         self.fleet.until(self._origins_known, START_SECONDS, 0.2)
         gevent.sleep(WARM_SECONDS)
@@ -143,7 +135,7 @@
         self.busy.update(targets)
         began = self.clock.now()
         try:
-            self._act(trouble.kind, targets, trouble.span)
+            self.actions.act(trouble.kind, targets, trouble.span)
         finally:
             self.busy.difference_update(targets)
             self._note(trouble.kind, targets, began)
@@ -160,103 +152,6 @@
         if kind in (Kind.CUT, Kind.CUT_CORE, Kind.FREEZE) or on_core:
             self.record.out_of_touch.append((began, now))
 
-    def _act(self, kind, targets, span):
-        match kind:
-            case Kind.KILL | Kind.HERD_KILL:
-                for key in targets:
-                    self.fleet.kill(key)
-                gevent.sleep(span)
-                for key in targets:
-                    self.fleet.start(key)
-            case Kind.FREEZE:
-                for key in targets:
-                    self.fleet.freeze(key)
-                gevent.sleep(span)
-                for key in targets:
-                    self.fleet.thaw(key)
-            case Kind.RESTART:
-                for key in targets:
-                    self._restart(key)
-            case Kind.RELOAD:
-                for key in targets:
-                    self.fleet.reload(key)
-            case Kind.CUT | Kind.CUT_CORE:
-                self._cut(targets, span, kind is Kind.CUT_CORE)
-            case Kind.ORIGINS_SLOW | Kind.ORIGINS_LOSE_ANSWERS:
-                self._steer(targets, "mode", mode=MODES[kind])
-                gevent.sleep(span)
-                self._steer(targets, "mode", mode="sound")
-            case Kind.ORIGINS_CRASH:
-                self._steer(targets, "crash")
-                gevent.sleep(span)
-                self._steer(targets, "start")
-                gevent.sleep(span)
-                self._steer(targets, "late_heartbeat")
-            case Kind.ORIGIN_LEAVES:
-                self._leave(targets[0])
-            case Kind.CHANGE:
-                self._change()
-            case Kind.PURGE:
-                item = {"items": [{"kind": "prefix", "host": HOST, "path": "/kept/"}]}
-                self.fleet.call("POST", "/v1/purges", item)
-
-    def _restart(self, key):
-        if self.fleet.stop(key, STOP_SECONDS) is None:
-            self.findings.add("a process ends within its grace", key, False)
-        self.fleet.start(key)
-
-    def _cut(self, targets, span, core_only):
-        core = [key for key in self.fleet.processes if not key.endswith("/wpproxy")]
-        pairs = set()
-        for key in targets:
-            machine = self.fleet.processes[key].machine
-            mine = [one for one in self.fleet.processes if one.startswith(f"{machine}/")]
-            others = core if core_only else list(self.fleet.processes)
-            pairs |= {
-                frozenset((self.fleet.address(one), self.fleet.address(other)))
-                for one in mine
-                for other in others
-                if other not in mine
-            }
-        self.fleet.cuts |= pairs
-        self.fleet.write_cuts()
-        gevent.sleep(span)
-        self.fleet.cuts -= pairs
-        self.fleet.write_cuts()
-
-    def _steer(self, addresses, do, **more):
-        for address in addresses:
-            self.fleet.steer(do, address, **more)
-
-    def _leave(self, address):
-        reply = self.fleet.steer("drain", address)
-        acknowledged_at = self.clock.now()
-        gevent.sleep(LEAVER_SERVES_SECONDS)
-        ended_at = self.clock.now()
-        self._steer([address], "crash")
-        self._steer([address], "start")
-        if reply is not None and reply[0] == 200 and reply[2]:
-            self.record.leaves.append(OriginShutdown(address, acknowledged_at, ended_at))
-
-    def _change(self) -> bool:
-        """Proposes another configuration, one at a time; whether it was accepted."""
-        with self.changing:
-            change = Change(len(self.changes) + 1, self.clock.now())
-            self.changes.append(change)
-            tree = tree_of_change(CONFIGURATION, HOST, change.number)
-            reply = self.fleet.call("PUT", "/v1/configuration", tree)
-            if reply is None or reply[0] != OK:
-                change.is_possible = reply is None or reply[0] not in REFUSED_STATUSES
-                return False
-            change.accepted_at, change.version = self.clock.now(), reply[2]["version"]
-            self.version = max(self.version, change.version)
-            return True
-
-    def _change_steadily(self):
-        while True:
-            self._change()
-            gevent.sleep(CHANGE_PAUSE_SECONDS)
-
     def _heal(self):
         """Waits until the fleet is whole again, with the newest configuration everywhere."""
         whole = self.fleet.until(self._whole, HEAL_SECONDS, 0.3)
@@ -264,14 +159,14 @@
         self.findings.add("the fleet is whole again", seen, whole is not None)
 
     def _whole(self):
-        stats = self.fleet.stats()
+        stats, wanted = self.fleet.stats(), self.changer.version
         self.missing = [
             f"{key} does not answer" for key in self.fleet.proxies() if key not in stats
         ]
         self.missing += [
-            f"{key}: {one['version']} of {self.version}, sound: {one['sound']}, {one['age_ms']} ms"
+            f"{key}: {one['version']} of {wanted}, sound: {one['sound']}, {one['age_ms']} ms"
             for key, one in stats.items()
-            if not one["sound"] or one["version"] < self.version
+            if not one["sound"] or one["version"] < wanted
         ]
         answers = [ask(address, "GET", "/v1/status") for address in self.fleet.registries()]
         digests = {answer[2].get("digest") for answer in answers if answer}
@@ -299,7 +194,7 @@
         ledger = self.fleet.ledger()
         SoakRules(self.callers.tally, ledger, self.record, excused).judge(self.findings)
         ConfigurationRules(
-            self.changes,
+            self.changer.changes,
             self.probes.sent,
             ledger["arrivals"],
             self.record.started,
@@ -310,8 +205,8 @@
         version = read[2]["version"] if read and read[0] == 200 else None
         self.findings.add(
             "what was accepted is read back",
-            f"version {version}, accepted {self.version}",
-            version is not None and version >= self.version,
+            f"version {version}, accepted {self.changer.version}",
+            version is not None and version >= self.changer.version,
         )
         lines = self._violations()
         self.findings.add("no invariant was violated", f"{len(lines)} {lines[:3]}", not lines)
@@ -320,7 +215,9 @@
         self.findings.add("nothing is under way without a caller", str(left), not left)
 
     def _judge_in_force_times(self):
-        times = InForceTimes(self.changes, self.clock.wall() - self.clock.now(), self._is_troubled)
+        times = InForceTimes(
+            self.changer.changes, self.clock.wall() - self.clock.now(), self._is_troubled
+        )
         for key in self.fleet.proxies():
             lines = self.fleet.log_path(key).read_text(errors="replace").splitlines()
             times.add(key, read_log(lines))
--- a/tests/drill/test_soak.py
+++ b/tests/drill/test_soak.py
@@ -13,7 +13,7 @@
 from willowpost.drill.rules import Findings
 from willowpost.drill.soak.callers import KEPT, ONCE, REPEATABLE, CallerTally, Sent
 from willowpost.drill.soak.configuration_rules import ConfigurationRules
-from willowpost.drill.soak.configurations import Change, Probe
+from willowpost.drill.soak.configurations import Change
 from willowpost.drill.soak.in_force_times import (
     IN_FORCE_MESSAGE,
     TIME_FORMAT,
@@ -21,6 +21,7 @@
     read_log,
 )
 from willowpost.drill.soak.judge import OriginShutdown, Record, SoakRules
+from willowpost.drill.soak.probes import Probe
 from willowpost.drill.soak.run import Soak
 from willowpost.drill.soak.schedule import Kind, Parts, drawn
 
