Stand-ins: an origin that crashes answers nothing

Traced: a slow origin that crashes closes its server, and gevent answers its requests with 500, which edges pass on as the origin's own. A crashed process sends nothing. Its connections are shut down first.

tests.drill.test_soak.StandIns fails before (HTTP/1.1 500), passes now.

--- a/src/willowpost/stand_ins/origin.py
+++ b/src/willowpost/stand_ins/origin.py
@@ -6,6 +6,7 @@
 import secrets
 import zlib
 from collections import Counter
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import gevent
@@ -71,6 +72,7 @@
         self.registries, self.beat_seconds = registries, beat_seconds
         self.mode = "sound"
         self.server = None
+        self.answering = set()  # sockets of the requests that it works on
         self.load = 0
         self.beating = None
         self.started_at = 0
@@ -102,6 +104,9 @@
     def crash(self) -> None:
         """No word to anybody: the socket and every connection close, the beats end."""
         self.beating.kill()
+        for connection in list(self.answering):  # gevent would answer with 500
+            with suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
         self.server.stop(timeout=0)
         self.server = None
 
@@ -147,9 +152,11 @@
 
     def _serve(self, environ, start_response):
         self.load += 1
+        self.answering.add(environ["wp.socket"])
         try:
             return self._answer(environ, start_response)
         finally:
+            self.answering.discard(environ["wp.socket"])
             self.load -= 1
 
     def _answer(self, environ, start_response):
--- a/tests/drill/test_soak.py
+++ b/tests/drill/test_soak.py
@@ -4,12 +4,16 @@
 import tempfile
 import unittest
 from collections import Counter
+from contextlib import closing, suppress
 from dataclasses import replace
 from datetime import datetime
 from itertools import pairwise
 from pathlib import Path
 
-from willowpost.common.clock import SECOND
+import gevent
+from gevent import socket
+
+from willowpost.common.clock import SECOND, Clock
 from willowpost.drill.rules import Findings
 from willowpost.drill.soak.callers import KEPT, ONCE, REPEATABLE, CallerTally, Sent
 from willowpost.drill.soak.configuration_rules import ConfigurationRules
@@ -24,6 +28,8 @@
 from willowpost.drill.soak.probes import Probe
 from willowpost.drill.soak.run import Soak
 from willowpost.drill.soak.schedule import Kind, Parts, drawn
+from willowpost.shell.addresses import split_address
+from willowpost.stand_ins.origin import Ledger, StandInsOrigin
 
 EDGES, SECONDS = 3, 10.0
 PARTS = Parts(
@@ -52,6 +58,26 @@
         self.kept(2)
 
 
+class StandIns(unittest.TestCase):
+    def test_an_origin_that_crashes_answers_nothing(self):
+        """Soak seed 7: a slow request of a crashed origin was answered with 500."""
+        with closing(socket.socket()) as free:
+            free.bind(("127.0.0.1", 0))
+            address = "{}:{}".format(*free.getsockname())
+        origin = StandInsOrigin(Ledger(), Clock(), address, "pages", "a", 500.0, 1, [])
+        origin.start()
+        origin.mode = "slow"
+        connection = socket.create_connection(split_address(address), timeout=5)
+        self.addCleanup(connection.close)
+        connection.sendall(b"GET /again/1 HTTP/1.1\r\nHost: x\r\n\r\n")
+        with gevent.Timeout(5):
+            while not origin.load:
+                gevent.sleep(0)
+        origin.crash()
+        with suppress(ConnectionResetError):
+            self.assertEqual(b"", connection.recv(1000))
+
+
 class Schedule(unittest.TestCase):
     def test_a_seed_gives_the_same_troubles_and_another_seed_others(self):
         self.assertEqual(drawn(5, PARTS, 20.0), drawn(5, PARTS, 20.0))
