Metrics of registries and stores

Change: a page at 9465 (registries: responses by status, calls that wanted an operation by outcome, time to acceptance, age of the tables, quorum contact) and 9466 (stores: vote, decisions and how they came about, durations of synced writes, segment). All daemons show slot, epoch and the configuration's version.

The compatibility test compares two roles' settings and deploy entries with the ports that they have got since; both had none. As strict as before: the recorded value must be None and the new one is compared exactly.

--- a/src/willowpost/proxy/metrics.py
+++ b/src/willowpost/proxy/metrics.py
@@ -1,16 +1,13 @@
 """The metrics of a proxy, as its metrics page states them."""
 
 from collections.abc import Iterable
-from itertools import accumulate
-from math import inf
 
 from willowpost.common.clock import SECOND
 from willowpost.proxy.frontend import Frontend
-from willowpost.proxy.outgoing import AGE_BOUNDS_MS, OutgoingRequests
+from willowpost.proxy.outgoing import OutgoingRequests
 from willowpost.proxy.proxy_state import ProxyState
-from willowpost.shell.metrics import HistogramMetric, Metric
-
-MS_PER_SECOND = 1000
+from willowpost.shell.log_metrics import log_metrics
+from willowpost.shell.metrics import HistogramMetric, Metric, duration_metric, gauge
 
 
 class ProxyMetrics:
@@ -29,7 +26,11 @@
         """Yields the metrics as they are now."""
         yield from self._counters()
         yield from self._gauges()
-        yield self._table_ages()
+        yield duration_metric(
+            "sent_tables_age_seconds",
+            "The age of the tables by which requests were sent.",
+            self._outgoing.ages,
+        )
 
     def _counters(self) -> Iterable[Metric]:
         events: dict[str, float] = dict(self._front.stats)
@@ -43,27 +44,16 @@
         )
 
     def _gauges(self) -> Iterable[Metric]:
-        yield _gauge("requests_in_flight", "Callers' requests under way.", self._front.in_flight)
-        yield _gauge(
+        yield gauge("requests_in_flight", "Callers' requests under way.", self._front.in_flight)
+        yield gauge(
             "exchanges", "Exchanges with origins and shields.", len(self._outgoing.in_flight)
         )
-        yield _gauge(
+        yield gauge(
             "exchanges_without_caller",
             "Exchanges under way for which nobody waits.",
             self._outgoing.count_orphaned(),
         )
-        yield _gauge("log_slot", "The slot that the tables have.", self._node_state.tables.slot)
+        yield from log_metrics(self._node_state.tables)
         age = self._node_state.tables_age(self._front.now())
         if age is not None:
-            yield _gauge("tables_age_seconds", "The age of the tables.", age / SECOND)
-
-    def _table_ages(self) -> HistogramMetric:
-        ages = self._outgoing.ages
-        bounds = [bound / MS_PER_SECOND for bound in AGE_BOUNDS_MS] + [inf]
-        counts = list(zip(bounds, accumulate(ages.counts), strict=True))
-        text = "The age of the tables by which requests were sent."
-        return HistogramMetric("sent_tables_age_seconds", text, counts, ages.total / SECOND)
-
-
-def _gauge(name: str, text: str, value: float) -> Metric:
-    return Metric(name, text, {"": value})
+            yield gauge("tables_age_seconds", "The age of the tables.", age / SECOND)
--- a/src/willowpost/proxy/outgoing.py
+++ b/src/willowpost/proxy/outgoing.py
@@ -3,7 +3,6 @@
 Each violation is counted and logged with the request's id; docs/design/invariants.md lists them.
 """
 
-from bisect import bisect_left
 from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -12,6 +11,7 @@
 from typing import Protocol
 
 from willowpost.common.clock import MILLISECOND
+from willowpost.common.duration_histogram import DurationHistogram
 from willowpost.node.node_state import LEASE_US
 from willowpost.proxy.routing.request import Request
 
@@ -63,24 +63,6 @@
         return self.request.lifetime.has_ended
 
 
-class AgeHistogram:
-    """How old the tables were when requests were sent; the buckets are `AGE_BOUNDS_MS`.
-
-    Attributes:
-        counts: Requests by bucket, the last one for all beyond the bounds.
-        total: The sum of the ages, in µs.
-    """
-
-    def __init__(self) -> None:
-        self.counts = [0] * (len(AGE_BOUNDS_MS) + 1)
-        self.total = 0
-
-    def add(self, age: int) -> None:
-        """Counts one age, in µs."""
-        self.counts[bisect_left(AGE_BOUNDS_MS, age / MILLISECOND)] += 1
-        self.total += age
-
-
 class OutgoingRequests:
     """Follows requests from the last check before they are sent to their end.
 
@@ -104,7 +86,7 @@
         self.node_state, self.now, self.log = node_state, now, log
         self.in_flight: dict[int, OutgoingRequest] = {}
         self.violations: Counter[str] = Counter({invariant.value: 0 for invariant in Invariant})
-        self.ages = AgeHistogram()
+        self.ages = DurationHistogram(AGE_BOUNDS_MS)
         self._last_number = 0
 
     @contextmanager
--- a/src/willowpost/registry/api/log_client.py
+++ b/src/willowpost/registry/api/log_client.py
@@ -21,6 +21,7 @@
     rejection,
     superseded,
 )
+from willowpost.registry.api.submission_counts import CallOutcome, SubmissionCounts
 from willowpost.shell.web import Request, Response
 from willowpost.state.codec import OPERATION_NAMES
 from willowpost.state.operations import Operation
@@ -112,10 +113,14 @@
     A success is answered only for what n - f stores have synced. Nothing is read from before the
     call. An outcome that is not known by the deadline is answered as unknown, and the operation is
     not submitted again. What is rejected with 503 was not submitted, or was rejected by the log.
+
+    Attributes:
+        submissions: How the calls ended that wanted operations in the log.
     """
 
     def __init__(self, runner: NodeRunner) -> None:
         self.runner = runner
+        self.submissions = SubmissionCounts()
 
     @property
     def node_state(self) -> NodeState:
@@ -174,25 +179,32 @@
             on_superseded: makes the response to a call that never takes effect, since something
                 newer was decided.
         """
-        deadline = max(deadline, self.now() + MIN_LOG_TIMEOUT_US)
+        started_at = self.now()
+
+        def ended(outcome: CallOutcome, response: Response) -> Response:
+            self.submissions.add(outcome, self.now() - started_at)
+            return response
+
+        deadline = max(deadline, started_at + MIN_LOG_TIMEOUT_US)
         if not self._wait_until_in_touch():
-            return out_of_touch()
+            return ended(CallOutcome.OUT_OF_TOUCH, out_of_touch())
         outcome: Outcome | None = None
         while outcome is None or outcome.is_superseded:
             if outcome is not None and not self._wait_for_slot(outcome.slot, deadline):
-                return superseded()
+                return ended(CallOutcome.SUPERSEDED, superseded())
             operation = build(self.node_state.tables)
             if operation is None:
-                return on_superseded()
+                return ended(CallOutcome.SUPERSEDED, on_superseded())
             outcome = self._submit_once((operation,), deadline)
             if outcome is None:
-                return outcome_unknown()
+                return ended(CallOutcome.UNKNOWN, outcome_unknown())
         if wait_for_tables:
             self._wait_for_slot(outcome.slot, deadline)
         result = outcome.results[0]
         if not isinstance(result, Rejected):
-            return on_accepted(result, outcome.slot)
-        return on_rejected(result) if on_rejected else _conflict(outcome.operations[0], result)
+            return ended(CallOutcome.ACCEPTED, on_accepted(result, outcome.slot))
+        rejected = on_rejected(result) if on_rejected else _conflict(outcome.operations[0], result)
+        return ended(CallOutcome.REJECTED, rejected)
 
     def submit_batches(
         self,
@@ -207,14 +219,18 @@
             deadline: as deadline_for() returns it.
             on_accepted: makes the response, of the last of the slots.
         """
+        started_at = self.now()
         if not self._wait_until_in_touch():
+            self.submissions.add(CallOutcome.OUT_OF_TOUCH, self.now() - started_at)
             return out_of_touch()
         tasks = [gevent.spawn(self._submit_once, tuple(batch), deadline) for batch in batches]
         last_slot = 0
         for outcome in [task.get() for task in tasks]:
             if outcome is None:
+                self.submissions.add(CallOutcome.UNKNOWN, self.now() - started_at)
                 return outcome_unknown()
             last_slot = max(last_slot, outcome.slot)
+        self.submissions.add(CallOutcome.ACCEPTED, self.now() - started_at)
         return on_accepted(last_slot)
 
     def quorum_read(self, deadline: int | None = None) -> bool:
--- a/src/willowpost/registry/api/routes.py
+++ b/src/willowpost/registry/api/routes.py
@@ -10,10 +10,14 @@
 
 
 class ControlApiRoutes:
-    """Joins the groups of routes; each is a class, and all share one `LogClient`."""
+    """Joins the groups of routes; each is a class, and all share one `LogClient`.
+
+    Attributes:
+        log_client: That all groups share.
+    """
 
     def __init__(self, runner: NodeRunner) -> None:
-        log_client = LogClient(runner)
+        self.log_client = log_client = LogClient(runner)
         self.groups = (
             OriginRoutes(log_client),
             ConfigurationRoutes(log_client),
--- a/src/willowpost/registry/daemon.py
+++ b/src/willowpost/registry/daemon.py
@@ -6,8 +6,10 @@
 from willowpost.registry.api.route import Route
 from willowpost.registry.api.routes import ControlApiRoutes
 from willowpost.registry.health_checker import HealthChecker
+from willowpost.registry.metrics import RegistryMetrics
 from willowpost.registry.node import RegistryNode
 from willowpost.shell.health_check import TOKEN_HEADER
+from willowpost.shell.metrics import MetricsPage
 from willowpost.shell.process_settings import ProcessSettings
 from willowpost.shell.router import Router
 from willowpost.shell.runner import Runner
@@ -49,8 +51,9 @@
         )
         health_checker = HealthChecker(self.runner, token_header)
         self.node = RegistryNode(descriptor, settings.seeds, clock.wall, health_checker.start_check)
+        api = ControlApiRoutes(self.runner)
         router = Router(
-            make_routes(ControlApiRoutes(self.runner)),
+            make_routes(api),
             logger,
             lambda: self.node.node_state.is_draining,
             self.node.arrival_positions.before_arrival,
@@ -59,11 +62,19 @@
         self.node.shutdown.in_flight = lambda: router.in_flight
         self.web = WebServer(settings.http, router, CountingHandler)
         self.node.arrival_positions.is_accepting = self.web.is_accepting
+        self.metrics: WebServer | None = None
+        if settings.metrics is not None:
+            metrics = RegistryMetrics(
+                self.node.node_state, router, api.log_client.submissions, self.runner.clock.now
+            )
+            self.metrics = WebServer(settings.metrics, MetricsPage(metrics))
 
     def start(self) -> None:
-        """Run the node, then the HTTP server."""
+        """Run the node, then the HTTP servers."""
         self.runner.start(self.node)
         self.web.start()
+        if self.metrics is not None:
+            self.metrics.start()
 
     def stop(self) -> None:
         """End as planned (`node/graceful_shutdown.py`); returns when the process may end."""
--- /dev/null
+++ b/src/willowpost/registry/metrics.py
@@ -0,0 +1,63 @@
+"""The metrics of a registry, as its metrics page states them."""
+
+from collections.abc import Callable, Iterable
+
+from willowpost.common.clock import SECOND
+from willowpost.node.node_state import NodeState
+from willowpost.registry.api.submission_counts import SubmissionCounts
+from willowpost.shell.log_metrics import log_metrics
+from willowpost.shell.metrics import HistogramMetric, Metric, duration_metric, gauge
+from willowpost.shell.router import Router
+
+
+class RegistryMetrics:
+    """Collects the metrics of one registry.
+
+    Args:
+        node_state: The registry's shared state.
+        router: Serves the calls, with its counters.
+        submissions: What became of the operations that were submitted for calls.
+        now: Returns this process's clock, in µs.
+    """
+
+    def __init__(
+        self,
+        node_state: NodeState,
+        router: Router,
+        submissions: SubmissionCounts,
+        now: Callable[[], int],
+    ) -> None:
+        self._node_state, self._router = node_state, router
+        self._submissions, self._now = submissions, now
+
+    def __call__(self) -> Iterable[Metric | HistogramMetric]:
+        """Yields the metrics as they are now."""
+        yield from log_metrics(self._node_state.tables)
+        yield from self._calls()
+        age = self._node_state.tables_age(self._now())
+        if age is not None:
+            yield gauge("tables_age_seconds", "The age of the tables.", age / SECOND)
+        has_contact = float(self._node_state.has_quorum_contact())
+        yield gauge("quorum_contact", "1 with a quorum in contact a moment ago.", has_contact)
+
+    def _calls(self) -> Iterable[Metric | HistogramMetric]:
+        yield Metric(
+            "responses",
+            "Responses to calls, by status.",
+            {str(code): count for code, count in self._router.responses.items()},
+            "status",
+            is_counter=True,
+        )
+        yield gauge("calls_in_flight", "Calls under way.", self._router.in_flight)
+        yield Metric(
+            "submissions",
+            "Calls that wanted an operation in the log, by outcome.",
+            {outcome.value: count for outcome, count in self._submissions.counts.items()},
+            "outcome",
+            is_counter=True,
+        )
+        yield duration_metric(
+            "accepted_seconds",
+            "From a call's arrival to its operation's acceptance by the log.",
+            self._submissions.accepted_after,
+        )
--- a/src/willowpost/shell/metrics.py
+++ b/src/willowpost/shell/metrics.py
@@ -7,10 +7,15 @@
 import sys
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from itertools import accumulate
 from math import inf
 from types import ModuleType
 from typing import Any
 
+from willowpost.common.clock import SECOND
+from willowpost.common.duration_histogram import DurationHistogram
+
+MS_PER_SECOND = 1000
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -50,6 +55,18 @@
     sum: float = 0.0
 
 
+def gauge(name: str, description: str, value: float) -> Metric:
+    """Return a gauge without a label."""
+    return Metric(name, description, {"": value})
+
+
+def duration_metric(name: str, description: str, durations: DurationHistogram) -> HistogramMetric:
+    """Return a histogram in seconds."""
+    bounds = [bound / MS_PER_SECOND for bound in durations.bounds_ms] + [inf]
+    buckets = list(zip(bounds, accumulate(durations.counts), strict=True))
+    return HistogramMetric(name, description, buckets, durations.total / SECOND)
+
+
 NAME_PREFIX = "willowpost_"
 MetricsSource = Callable[[], Iterable[Metric | HistogramMetric]]
 
--- a/src/willowpost/shell/retrying_disk.py
+++ b/src/willowpost/shell/retrying_disk.py
@@ -6,6 +6,8 @@
 
 import gevent
 
+from willowpost.common.clock import Clock
+from willowpost.common.duration_histogram import DurationHistogram
 from willowpost.shell.segment_format import Record
 from willowpost.shell.structured_log import StructuredLogger
 
@@ -13,6 +15,7 @@
 RETRYABLE_ERRNOS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EMFILE, errno.ENFILE})
 RETRY_INTERVAL_SECONDS = 0.25
 RETRIES_PER_LOG_LINE = 40
+WRITE_BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
 
 
 class RecordWriter(Protocol):
@@ -35,6 +38,9 @@
         disk: where to write.
         logger: where log lines go.
         wait: sleeps for so many seconds.
+
+    Attributes:
+        write_durations: how long writes took until they were synced, retries included.
     """
 
     def __init__(
@@ -44,6 +50,8 @@
         wait: Callable[[float], object] = gevent.sleep,
     ) -> None:
         self.disk, self.logger, self.wait = disk, logger, wait
+        self.write_durations = DurationHistogram(WRITE_BOUNDS_MS)
+        self._clock = Clock()
 
     def append(self, records: list[Record]) -> None:
         """Append records to the newest segment.
@@ -62,10 +70,12 @@
         self._retry(self.disk.rotate, records)
 
     def _retry(self, write: Callable[[list[Record]], None], records: list[Record]) -> None:
-        retries = 0
+        retries, started_at = 0, self._clock.now()
         while True:
             try:
-                return write(records)
+                write(records)
+                self.write_durations.add(self._clock.now() - started_at)
+                return
             except OSError as problem:
                 if problem.errno not in RETRYABLE_ERRNOS:
                     raise
--- a/src/willowpost/shell/router.py
+++ b/src/willowpost/shell/router.py
@@ -1,6 +1,7 @@
 """A WSGI application that serves JSON calls by a table of routes."""
 
 import json
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -77,6 +78,7 @@
 
     Attributes:
         in_flight: how many requests are being served; kept by `CountingHandler`.
+        responses: how many responses were made, by status.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         known_before_arrival: Callable[[], LogPosition | None] = _unknown,
     ) -> None:
         self.in_flight = 0
+        self.responses: Counter[int] = Counter()
         self.known_before_arrival = known_before_arrival
         self.is_closing = is_closing
         self.routes = tuple(
@@ -98,6 +101,7 @@
     def __call__(self, environ: Environ, start_response: Any) -> list[bytes]:
         """Respond to one request (WSGI)."""
         response = self._respond(environ)
+        self.responses[response.code] += 1
         body = b"" if response.value is None else json.dumps(response.value).encode() + b"\n"
         start_response(
             status_line(response.code),
--- a/src/willowpost/store/daemon.py
+++ b/src/willowpost/store/daemon.py
@@ -10,11 +10,14 @@
 from willowpost.consensus.replica.records import identity_record
 from willowpost.node.graceful_shutdown import ShutdownRequested
 from willowpost.shell.disk import Disk
+from willowpost.shell.metrics import MetricsPage
 from willowpost.shell.process_settings import ProcessSettings
 from willowpost.shell.retrying_disk import RetryingDisk
 from willowpost.shell.runner import TICK_SECONDS, Runner
 from willowpost.shell.segment_format import DiskDamagedError
 from willowpost.shell.structured_log import StructuredLogger
+from willowpost.shell.web_server import WebServer
+from willowpost.store.metrics import StoreMetrics
 from willowpost.store.node import StoreNode, StoreOptions
 from willowpost.wire.messages import Member
 
@@ -35,6 +38,7 @@
         self.logger = logger
         self.runner = Runner(settings.address, logger)
         self.node: StoreNode | None = None
+        self.metrics: WebServer | None = None
 
     def start(self) -> None:
         """Restore the state from disk, or make an identity for an empty folder; run the node.
@@ -45,13 +49,20 @@
             UnknownFormatError: the newest segment was written in another format.
         """
         clock = Clock()
-        records = self._load_records(clock) or self._create_identity()
+        disk, records = self._open_disk(clock)
+        retrying_disk = RetryingDisk(disk, self.logger)
+        self.runner.disk = retrying_disk
+        records = records or self._create_identity()
         node = StoreNode(self._options(records[0], clock.wall()), records, clock.now(), clock.wall)
         tables = node.node_state.tables
         self.logger.log("store", "state restored", slot=tables.slot, epoch=tables.epoch)
         node.shutdown.timeouts = self.settings.store_shutdown_timeouts()
         self.node = node
         self.runner.start(node)
+        if self.settings.metrics is not None:
+            metrics = StoreMetrics(node.node_state, disk, retrying_disk.write_durations)
+            self.metrics = WebServer(self.settings.metrics, MetricsPage(metrics))
+            self.metrics.start()
 
     def stop(self) -> None:
         """Hand over or await the sync (`store/graceful_shutdown.py`), then end.
@@ -68,8 +79,8 @@
             gevent.sleep(TICK_SECONDS)
         self.runner.mesh.stop()
 
-    def _load_records(self, clock: Clock) -> list[Record]:
-        """Open the disk for the runner and return its records, the oldest first.
+    def _open_disk(self, clock: Clock) -> tuple[Disk, list[Record]]:
+        """Open the data folder; returns it with its records, the oldest first.
 
         Raises:
             UnknownFormatError: the newest segment was written in another format.
@@ -92,8 +103,7 @@
             )
             disk = Disk(disk.folder)
             records = disk.load()
-        self.runner.disk = RetryingDisk(disk, self.logger)
-        return records
+        return disk, records
 
     def _create_identity(self) -> list[Record]:
         """Make an identity for an empty folder and write it to disk; returns the records."""
@@ -103,7 +113,7 @@
             **identity_record(self._member(identity)),
             "may_bootstrap": settings.may_bootstrap,
         }
-        assert self.runner.disk is not None  # set by _load_records
+        assert self.runner.disk is not None  # set by start()
         self.runner.disk.rotate([record])
         self.logger.log("disk", "empty folder, new identity", identity=identity)
         return [record]
--- a/tests/compatibility/test_outside_views.py
+++ b/tests/compatibility/test_outside_views.py
@@ -1,14 +1,20 @@
 """Settings, deployments, configurations, histories, calls and metrics keep the names they have."""
 
+import dataclasses
 import json
 import unittest
 from pathlib import Path
 
 from tests.support import outside_views as views
+from willowpost.shell.process_settings import ProcessSettings
 
 DATA = Path(__file__).parent.parent / "data" / "bf1d9c7"
 # what the platform reads of a role in its deploy file and what must go on fitting its machines
 DEPLOYED = ("run", "on", "serves", "metrics")
+# ports of the metrics pages that these roles have got since; they had none
+ADDED_METRICS_PORTS = {"registry": 9465, "store": 9466}
+FIELDS = [field.name for field in dataclasses.fields(ProcessSettings)]
+ADDRESS_FIELD, METRICS_FIELD = FIELDS.index("address"), FIELDS.index("metrics")
 
 
 class Case(unittest.TestCase):
@@ -30,8 +36,20 @@
     def test_each_settings_file_of_the_platform_comes_to_the_same(self):
         for kind, text, expected in self.held["platform_settings"]:
             with self.subTest(kind=kind):
+                expected = self.with_added_metrics(kind, expected)
                 self.assert_same(expected, views.platform_settings(kind, text))
 
+    def with_added_metrics(self, kind, expected):
+        """The settings as they were, and the address of the page that the role has got since."""
+        if kind not in ADDED_METRICS_PORTS or "all" not in expected:
+            return expected
+        process, *others = expected["all"]
+        self.assertIsNone(process[METRICS_FIELD])
+        machine = process[ADDRESS_FIELD].rpartition(":")[0]
+        added = f"{machine}:{ADDED_METRICS_PORTS[kind]}"
+        process = [*process[:METRICS_FIELD], added, *process[METRICS_FIELD + 1 :]]
+        return {**expected, "all": [process, *others]}
+
     def test_each_deployment_gives_its_processes_the_same_settings(self):
         self.assertLessEqual(
             {name for name, _, _ in self.held["deployments"]}, set(views.shipped_deployments())
@@ -43,6 +61,9 @@
     def test_the_deploy_file_names_the_same_programs(self):
         found = views.deploy_file()["roles"]
         for name, role in self.held["deploy_file"]["roles"].items():
+            if name in ADDED_METRICS_PORTS:
+                self.assertNotIn("metrics", role)
+                role = {**role, "metrics": f"{ADDED_METRICS_PORTS[name]}/metrics"}
             for field in DEPLOYED:
                 self.assertEqual(role.get(field), found[name].get(field), (name, field))
             self.assertTrue((views.ROOT / role["run"].split()[1]).exists(), name)
--- /dev/null
+++ b/tests/store/test_store_metrics.py
@@ -0,0 +1,79 @@
+"""The metrics page of a store: its log, its votes and its disk."""
+
+import errno
+import tempfile
+import unittest
+from unittest.mock import Mock, patch
+
+from gevent import socket
+
+from tests.support.metrics_page import value_of
+from willowpost.consensus.replica.replica_state import ReplicaState
+from willowpost.shell.disk import Disk
+from willowpost.shell.metrics import MetricsPage
+from willowpost.shell.process_settings import ProcessSettings
+from willowpost.shell.retrying_disk import RetryingDisk
+from willowpost.store.daemon import StoreDaemon
+from willowpost.store.metrics import StoreMetrics
+from willowpost.wire.messages import Decision, Member
+
+MEMBER = Member("i", "n", "a", "127.0.0.1:1")
+
+
+class StorePage(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = folder.name
+        self.state = ReplicaState(MEMBER)
+        self.disk = Disk(self.folder)
+        self.retrying_disk = RetryingDisk(self.disk, Mock(), wait=lambda seconds: None)
+        source = StoreMetrics(self.state, self.disk, self.retrying_disk.write_durations)
+        self.page = MetricsPage(source)
+
+    def value(self, name):
+        return value_of(self.page, name)
+
+    def test_decisions_and_votes(self):
+        self.assertEqual(0, self.value("voter"))
+        self.state.enter_first_epoch((MEMBER,))
+        self.state.apply_decision(Decision(0, "", None))
+        self.state.statistics.count_verdict(phase=1)
+        self.assertEqual(1, self.value("voter"))
+        self.assertEqual(1, self.value("log_slot"))
+        self.assertEqual(1, self.value("log_epoch"))
+        for how in ("all", "forfeited", "by_votes", "first_phase"):
+            self.assertEqual(1, self.value(f'decisions_total{{how="{how}"}}'), how)
+
+    def test_synced_writes_are_timed_and_failures_that_are_retried_are_one_write(self):
+        self.retrying_disk.rotate([{"k": "identity", "identity": "x"}])
+        no_space = OSError(errno.ENOSPC, "full")
+        with patch("os.fdatasync", side_effect=[no_space, None]):
+            self.retrying_disk.append([{"k": "passed", "epoch": 2}])
+        self.assertEqual(2, self.value('disk_write_seconds_bucket{le="+Inf"}'))
+        self.assertEqual(self.disk.synced_bytes, self.value("segment_bytes"))
+
+    def test_a_daemon_serves_the_page_if_its_settings_name_an_address(self):
+        settings = ProcessSettings(
+            name="n",
+            zone="a",
+            address="127.0.0.1:0",
+            seeds=("127.0.0.1:1",),
+            voters=1,
+            data=self.folder,
+            metrics="127.0.0.1:0",
+        )
+        daemon = StoreDaemon(settings, Mock())
+        daemon.start()
+        self.addCleanup(daemon.runner.mesh.stop)
+        self.addCleanup(daemon.runner.task.kill)
+        self.addCleanup(daemon.metrics.stop, 0)
+        port = daemon.metrics.server.server_port
+        client = socket.create_connection(("127.0.0.1", port), timeout=5)
+        self.addCleanup(client.close)
+        client.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        received = b""
+        while block := client.recv(65536):
+            received += block
+        self.assertIn(b"200 OK", received)
+        self.assertIn(b"willowpost_voter ", received)
