Judge the route again when a request is sent

What callers saw: a request that was planned by one configuration and then waited for a token, a connection or a retry was sent by it, however the route had changed meanwhile: to the old service, or with a dropped route.

Change: a plan carries the configuration's version. If another one is in force at the send, and the route is gone, of another kind, with other regions or leads to other services, the request is planned anew: nothing of it was sent. A retry is not made instead, and requests that joined a fetch are planned anew each. Shields send what the edge judged (docs/design/shields.md says why).

--- a/src/willowpost/proxy/frontend.py
+++ b/src/willowpost/proxy/frontend.py
@@ -15,7 +15,7 @@
 from willowpost.proxy.client.stall_detector import StallDetector
 from willowpost.proxy.proxy_state import ProxyState
 from willowpost.proxy.request_parser import RequestParser, host_of, path_of
-from willowpost.proxy.routing.attempt import RequestRejectedError
+from willowpost.proxy.routing.attempt import RequestRejectedError, RouteChangedError
 from willowpost.proxy.routing.header_names import HeaderNames
 from willowpost.proxy.routing.plan_executor import PlanExecutor
 from willowpost.proxy.routing.planner import STALE_TABLES_RETRY_SECONDS, RequestPlanner
@@ -199,10 +199,17 @@
 
     def _carry_out(self, request: Request, head: ClientRequestHead, body: bytes) -> ClientResponse:
         self.stats["requests"] += 1
-        plan = self.planner.plan(request)
-        if not isinstance(plan, RejectPlan) and len(body) > self.body_limit_bytes(head):
-            raise self._limit_rejection(413, "body over the limit")
-        return self._responses.build(request, self.executor.execute(request, plan, body))
+        while True:
+            plan = self.planner.plan(request)
+            if not isinstance(plan, RejectPlan) and len(body) > self.body_limit_bytes(head):
+                raise self._limit_rejection(413, "body over the limit")
+            try:
+                outcome = self.executor.execute(request, plan, body)
+            except RouteChangedError:
+                # Nothing of it was sent; each turn needs another change.
+                self.stats["replanned"] += 1
+            else:
+                return self._responses.build(request, outcome)
 
     def _route(self, head: ClientRequestHead) -> Route | None:
         return self.node_state.snapshot.routes.find(host_of(head), path_of(head))
--- a/src/willowpost/proxy/routing/attempt.py
+++ b/src/willowpost/proxy/routing/attempt.py
@@ -45,6 +45,13 @@
         super().__init__(503, NO_LEASE_REASON, NO_LEASE_RETRY_SECONDS)
 
 
+class RouteChangedError(RequestRejectedError):
+    """The configuration in force has the request handled in another way than it was planned."""
+
+    def __init__(self) -> None:
+        super().__init__(503, "the configuration has changed", RETRY_SOON_SECONDS)
+
+
 @dataclass(slots=True)
 class AttemptHistory:
     """The attempts made for one request.
--- a/src/willowpost/proxy/routing/collapsed_fetches.py
+++ b/src/willowpost/proxy/routing/collapsed_fetches.py
@@ -7,7 +7,7 @@
 from willowpost.proxy.cache.entry import CacheEntry
 from willowpost.proxy.cache.store import CacheStore
 from willowpost.proxy.client.lifetime import RequestLifetime
-from willowpost.proxy.routing.attempt import RequestRejectedError
+from willowpost.proxy.routing.attempt import RequestRejectedError, RouteChangedError
 from willowpost.proxy.routing.attempt_resources import MonotonicClock, Waiter
 from willowpost.proxy.routing.attempts import Attempts
 from willowpost.proxy.routing.outcome import FetchResult, Outcome, cached_outcome
@@ -106,6 +106,10 @@
             result = self._fetch_alone(request, plan, body)
             waiter.set(SharedResult(entry=result.shared_entry))
             return result.outcome
+        except RouteChangedError:
+            # Those who joined are planned anew, too.
+            waiter.set(SharedResult(is_aborted=True))
+            raise
         except RequestRejectedError as rejection:
             waiter.set(SharedResult(rejection=rejection))
             raise
--- a/src/willowpost/proxy/routing/planner.py
+++ b/src/willowpost/proxy/routing/planner.py
@@ -71,7 +71,13 @@
             return self._deny(request, 404, "the edge's service is not known here", now)
         kind, service = kind_of(route, request), request.service or self.services.pick(route)
         if kind == ONCE:
-            return AtMostOncePlan(route, node_state.snapshot.slot, route.tries, service=service)
+            return AtMostOncePlan(
+                route,
+                node_state.snapshot.slot,
+                route.tries,
+                service=service,
+                version=node_state.snapshot.version,
+            )
         return self._plan_read(request, route, kind, service, now)
 
     def _plan_read(
@@ -99,6 +105,7 @@
             service=service,
             fetches_complete=fetches_complete,
             byte_range=cut_range,
+            version=self.node_state.snapshot.version,
         )
 
     def _fetches_complete(
--- a/src/willowpost/proxy/routing/request.py
+++ b/src/willowpost/proxy/routing/request.py
@@ -122,6 +122,7 @@
         service: The service to send it to.
         fetches_complete: Whether to request the complete object, whatever range the caller wants.
         byte_range: The range to cut from the complete response, or None.
+        version: Of the configuration that it was planned by.
     """
 
     route: Route
@@ -133,6 +134,7 @@
     service: str = ""
     fetches_complete: bool = False
     byte_range: ByteRange | None = None
+    version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,6 +147,7 @@
         attempt_limit: How many attempts may be made.
         cached_entry: Always None; attempts read this field of every plan.
         service: The service to send it to.
+        version: Of the configuration that it was planned by.
     """
 
     route: Route
@@ -152,6 +155,7 @@
     attempt_limit: int = 1
     cached_entry: CacheEntry | None = None
     service: str = ""
+    version: int = 0
 
 
 ForwardPlan: TypeAlias = FetchPlan | AtMostOncePlan
--- a/src/willowpost/proxy/routing/sending.py
+++ b/src/willowpost/proxy/routing/sending.py
@@ -10,11 +10,12 @@
 from willowpost.proxy.origin.instance_check import InstanceCheck
 from willowpost.proxy.origin.request import OriginRequest
 from willowpost.proxy.origin.response import OriginResponse, RequestIdEcho
-from willowpost.proxy.routing.attempt import LeaseExpiredError
+from willowpost.proxy.routing.attempt import LeaseExpiredError, RouteChangedError
 from willowpost.proxy.routing.attempt_resources import AttemptResources, ForwardExchange
 from willowpost.proxy.routing.headers import HeaderList
 from willowpost.proxy.routing.request import ONCE, ForwardPlan, Request
 from willowpost.proxy.routing.response_check import ResponseCheck
+from willowpost.proxy.routing.route_check import is_plan_in_force
 from willowpost.proxy.routing.snapshot import RoutableService
 
 MIN_EXCHANGE_SECONDS = 0.05  # however little time remains
@@ -100,7 +101,8 @@
 
         Raises:
             ExchangeError: No valid response came.
-            RequestRejectedError: The proxy has no lease any more, or the attempt is not granted.
+            RequestRejectedError: The proxy has no lease any more, the attempt is not granted, or
+                the request is to be planned anew.
             ClientDisconnected: Nobody waits for the response any more.
         """
         may_reuse = not forwarded.is_at_most_once
@@ -114,7 +116,7 @@
         response = None
         try:
             self._check_instance(exchange, receiver, forwarded.deadline)
-            self._check_before_sending(receiver, forwarded.request)
+            self._check_before_sending(receiver, forwarded)
             charge()
             response = self._run(exchange, receiver, forwarded)
             return response
@@ -128,11 +130,13 @@
                 min(instance_checks.TIMEOUT_SECONDS, self._remaining_seconds(deadline)),
             )
 
-    def _check_before_sending(self, receiver: Receiver, request: Request) -> None:
+    def _check_before_sending(self, receiver: Receiver, forwarded: ForwardedRequest) -> None:
         """Makes sure of what must hold when a byte leaves; the lease counts freezes."""
-        request.lifetime.check()
+        forwarded.request.lifetime.check()
         if not self.node_state.may_serve(self.clock.now()):
             raise LeaseExpiredError
+        if not is_plan_in_force(forwarded.plan, forwarded.request, self.node_state.snapshot):
+            raise RouteChangedError
         if not receiver.is_in_force():
             raise ExchangeError("went out of force", was_sent=False)
 
--- a/src/willowpost/proxy/routing/traffic_split.py
+++ b/src/willowpost/proxy/routing/traffic_split.py
@@ -26,10 +26,15 @@
 
     def pick(self, route: Route) -> str:
         """Returns the name of the service for one request on this route."""
-        if not route.split:
-            return route.service
-        services = [service for service, weight in route.split if weight > 0]
-        weights = [weight for _, weight in route.split if weight > 0]
+        services = possible_services(route)
         if len(services) == 1:
             return services[0]
+        weights = [weight for _, weight in route.split if weight > 0]
         return self.random_source.choices(services, weights)[0]
+
+
+def possible_services(route: Route) -> tuple[str, ...]:
+    """Returns the services that requests on a route may be sent to."""
+    if not route.split:
+        return (route.service,)
+    return tuple(service for service, weight in route.split if weight > 0)
