--- a/src/willowpost/drill/soak/command.py
+++ b/src/willowpost/drill/soak/command.py
@@ -8,6 +8,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
+from willowpost.drill.soak.fleet import layout
 from willowpost.drill.soak.run import Soak
 
 
@@ -19,15 +20,16 @@
     options: ClassVar[list] = [
         option("seeds", None, "First and last seed, as 1-50.", flag=False, default="1-1"),
         option("edges", "e", "How many edges.", flag=False, default="4"),
+        option("cores", "c", "How many core machines: 3, or 5.", flag=False, default="3"),
         option("seconds", "s", "How long troubles begin.", flag=False, default="15"),
         option("keep", "k", "Keep the folders of seeds that broke a rule."),
     ]
-    help = """Each seed is a fleet of its own on loopback: three core machines, two of them with a
-shield, and the edges. An odd seed's proxies serve on for a minute without state updates, an even
-one's only for their lease.
+    help = """Each seed is a fleet of its own on loopback: core machines, all but one of them with a
+shield, and the edges. As many core machines as the quorum bears are hit at a time. An odd seed's
+proxies serve on for a minute without state updates, an even one's only for their lease.
 
   <info>wpdrill soak --seeds 1-50 --keep</info>
-  <info>wpdrill soak --seeds 7-7 --edges 150 --seconds 40</info>"""
+  <info>wpdrill soak --seeds 7-7 --edges 60 --cores 5 --seconds 40</info>"""
 
     def handle(self) -> int:
         """Run the seeds one after the other; the exit code."""
@@ -39,9 +41,8 @@
     def _run(self, seed) -> bool:
         """Runs one seed; whether a rule was broken."""
         folder = Path(tempfile.mkdtemp(prefix=f"wpsoak-{seed}-"))
-        soak = Soak(
-            folder, seed, int(self.option("edges")), float(self.option("seconds")), self._detail
-        )
+        machines = layout(int(self.option("edges")), int(self.option("cores")))
+        soak = Soak(machines, folder, seed, float(self.option("seconds")), self._detail)
         try:
             findings = soak.run()
         except RuntimeError as problem:
--- a/src/willowpost/drill/soak/fleet.py
+++ b/src/willowpost/drill/soak/fleet.py
@@ -9,7 +9,7 @@
 from willowpost.drill.soak.process import CUTS_VARIABLE
 
 HOST = "soak.example"
-ZONES = ("a", "b", "c")
+ZONES = ("a", "b", "c", "d", "e")
 CONFIGURATION = {
     "services": {
         "pages": {"rate": 2000, "ramp_seconds": 2, "named": True, "silent_seconds": 4},
@@ -27,22 +27,27 @@
     },
 }
 ORIGINS_EACH = 4
-SHIELDS = 2
+MIN_CORES, MAX_CORES = 3, len(ZONES)
 
 
-def layout(edges: int) -> dict:
-    """A deployment with so many edges, three core machines and two shields, over three zones."""
-    zone = ZONES.__getitem__
+def layout(edges: int, cores: int = MIN_CORES) -> dict:
+    """A deployment with a zone for each core machine; all of these but one have a shield.
+
+    Args:
+        edges: How many edges, spread over the zones.
+        cores: How many core machines, from `MIN_CORES` to `MAX_CORES`.
+    """
+    zones = ZONES[:cores]
     machines = [
-        {"name": f"edge-{number}", "zone": zone(number % 3), "kind": "edge"}
+        {"name": f"edge-{number}", "zone": zones[number % cores], "kind": "edge"}
         for number in range(edges)
     ]
     machines += [
-        {"name": f"core-{number}", "zone": zone(number), "kind": "shield" if number else "store"}
-        for number in range(3)
+        {"name": f"core-{number}", "zone": zone, "kind": "shield" if number else "store"}
+        for number, zone in enumerate(zones)
     ]
     origins = [
-        {"service": service, "zone": zone(number % 3), "rate": 500, "keep": 1}
+        {"service": service, "zone": zones[number % cores], "rate": 500, "keep": 1}
         for service in ("pages", "orders")
         for number in range(ORIGINS_EACH)
     ]
@@ -50,7 +55,7 @@
         "name": "soak",
         "host": HOST,
         "rate": 100,
-        "regions": dict.fromkeys(ZONES, "one"),
+        "regions": dict.fromkeys(zones, "one"),
         "between": {"ms": 0},
         "machines": machines,
         "pace": {},
--- a/src/willowpost/drill/soak/run.py
+++ b/src/willowpost/drill/soak/run.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import gevent
 
@@ -13,7 +14,7 @@
 from willowpost.drill.soak.callers import SoakCallers
 from willowpost.drill.soak.configuration_rules import IN_FORCE_AFTER, ConfigurationRules
 from willowpost.drill.soak.configurations import ConfigurationChanger
-from willowpost.drill.soak.fleet import HOST, SoakFleet, layout
+from willowpost.drill.soak.fleet import HOST, SoakFleet
 from willowpost.drill.soak.in_force_times import InForceTimes, read_log
 from willowpost.drill.soak.judge import Record, SoakRules
 from willowpost.drill.soak.probes import RouteProbes
@@ -36,20 +37,26 @@
     """One fleet and one seed.
 
     Args:
+        layout: The fleet's machines and origins (`soak/fleet.py`).
         folder: For settings, data and logs.
         seed: Of the troubles and callers; an odd one serves on for long without state updates.
-        edges: How many edges.
         seconds: How long troubles begin.
         say: Told what happens.
     """
 
     def __init__(
-        self, folder: Path, seed: int, edges: int, seconds: float, say: Callable[[str], None]
+        self,
+        layout: dict[str, Any],
+        folder: Path,
+        seed: int,
+        seconds: float,
+        say: Callable[[str], None],
     ):
         self.seed, self.seconds, self.say = seed, seconds, say
         self.serve_on_ms = LONG_SERVE_ON_MS if seed % 2 else LEASE_MS
-        deployment = Deployment(layout(edges), folder, free_port())
+        deployment = Deployment(layout, folder, free_port())
         self.fleet = SoakFleet(deployment, self.serve_on_ms)
+        edges = self.fleet.edges()
         self.clock = Clock()
         self.record = Record()
         self.findings = Findings()
@@ -60,10 +67,8 @@
         self.busy: set[str] = set()  # targets that a trouble holds now
         self.ended: list[str] = []  # processes that ended by themselves, with their exit codes
         self.missing: list[str] = []  # what kept the fleet from being whole at the last look
-        self.callers = SoakCallers(
-            self.clock, self.fleet.edges(), HOST, CALLERS_EACH_EDGE * edges, seed
-        )
-        self.probes = RouteProbes(self.clock, self.fleet.edges(), self.changer.changes, seed)
+        self.callers = SoakCallers(self.clock, edges, HOST, CALLERS_EACH_EDGE * len(edges), seed)
+        self.probes = RouteProbes(self.clock, edges, self.changer.changes, seed)
 
     def run(self) -> Findings:
         """Runs it and returns what was seen.
@@ -108,6 +113,7 @@
             tuple(key for key in keys if not key.endswith("/wpproxy")),
             tuple(key for key in keys if key.endswith("/wpproxy")),
             tuple(origin["address"] for origin in self.fleet.deployment.origins),
+            core_tolerance=(len(self.fleet.deployment.cores()) - 1) // 2,
         )
         begun, tasks = self.clock.now(), []
         for trouble in drawn(self.seed, parts, self.seconds):
--- a/src/willowpost/drill/soak/schedule.py
+++ b/src/willowpost/drill/soak/schedule.py
@@ -33,6 +33,7 @@
     Kind.ORIGIN_LEAVES: (3, 0.5),
 }
 CORE_WEIGHT = 0.3  # how often a process of the core is hit
+CORE_PAUSE_SECONDS = 3.0  # after a trouble of the core, until the machine counts as back
 HERD = 3
 
 
@@ -58,14 +59,16 @@
     """What troubles can hit.
 
     Attributes:
-        core: Keys of the core's processes; at most one machine of them is hit at a time.
+        core: Keys of the core's processes.
         proxies: Keys of the proxies.
         origins: Addresses of the origins.
+        core_tolerance: How many machines of the core may be hit at a time.
     """
 
     core: tuple[str, ...]
     proxies: tuple[str, ...]
     origins: tuple[str, ...]
+    core_tolerance: int = 1
 
 
 def drawn(seed: int, parts: Parts, seconds: float, each: float = 0.8) -> list[Trouble]:
@@ -79,16 +82,17 @@
     """
     chance = random.Random(f"soak {seed}")
     troubles: list[Trouble] = []
-    at, core_free_at = 0.0, 0.0
+    at, core_free_at = 0.0, [0.0] * parts.core_tolerance
     while (at := at + chance.expovariate(1 / each)) < seconds:
         kind = chance.choice(list(Kind))
         span = chance.uniform(*LASTING.get(kind, SPAN))
         for number in range(chance.randint(1, SERIES[kind][0]) if kind in SERIES else 1):
             begin = at + number * SERIES.get(kind, (1, 0.0))[1]
-            on_core = begin >= core_free_at and chance.random() < CORE_WEIGHT
+            on_core = begin >= min(core_free_at) and chance.random() < CORE_WEIGHT
             targets = _targets(kind, parts, chance, on_core)
             if set(targets) & set(parts.core):
-                core_free_at = begin + span + 3.0
+                core_free_at.remove(min(core_free_at))
+                core_free_at.append(begin + span + CORE_PAUSE_SECONDS)
             troubles.append(Trouble(begin, span, kind, targets))
     return sorted(troubles, key=lambda trouble: trouble.at)
 
--- a/tests/drill/test_soak.py
+++ b/tests/drill/test_soak.py
@@ -18,6 +18,7 @@
 from willowpost.drill.soak.callers import KEPT, ONCE, REPEATABLE, CallerTally, Sent
 from willowpost.drill.soak.configuration_rules import ConfigurationRules
 from willowpost.drill.soak.configurations import Change
+from willowpost.drill.soak.fleet import layout
 from willowpost.drill.soak.in_force_times import (
     IN_FORCE_MESSAGE,
     TIME_FORMAT,
@@ -44,7 +45,7 @@
 
     def kept(self, seed):
         with tempfile.TemporaryDirectory(prefix="wpsoak-") as folder:
-            soak = Soak(Path(folder), seed, EDGES, SECONDS, lambda text: None)
+            soak = Soak(layout(EDGES), Path(folder), seed, SECONDS, lambda text: None)
             findings = soak.run()
         self.assertEqual([], findings.broken)
         self.assertGreater(len(soak.callers.tally.sent), 500)
@@ -95,12 +96,22 @@
         self.assertGreater(overlaps, 200)
 
     def test_the_core_has_one_trouble_at_a_time(self):
+        self.assertEqual(1, max(self.core_troubles_at_a_time(PARTS)))
+
+    def test_a_core_that_bears_two_has_up_to_two_at_a_time(self):
+        parts = replace(PARTS, core_tolerance=2)
+        self.assertEqual({1, 2}, set(self.core_troubles_at_a_time(parts)))
+
+    def core_troubles_at_a_time(self, parts):
+        """How many troubles of the core go on when one begins, itself included."""
         for seed in range(30):
-            free_at = 0.0
-            for trouble in drawn(seed, PARTS, 30.0):
-                if set(trouble.targets) & set(PARTS.core):
-                    self.assertGreaterEqual(trouble.at, free_at)
-                    free_at = trouble.at + trouble.span
+            troubles = [
+                trouble
+                for trouble in drawn(seed, parts, 30.0)
+                if set(trouble.targets) & set(parts.core)
+            ]
+            for number, trouble in enumerate(troubles, 1):
+                yield sum(other.at + other.span > trouble.at for other in troubles[:number])
 
 
 class ConfigurationJudge(unittest.TestCase):
