Registries log the versions that they know

Change: a registry logs a version when its tables get it, right before it acknowledges the change.

Evidence: tests.registry.test_configuration_log.

--- a/src/willowpost/registry/node.py
+++ b/src/willowpost/registry/node.py
@@ -12,6 +12,7 @@
 from willowpost.node.node_state import NodeState
 from willowpost.node.quorum_read import QuorumRead
 from willowpost.registry.arrival_positions import ArrivalPositions
+from willowpost.registry.configuration_log import ConfigurationLog
 from willowpost.registry.origin_health import OriginHealthMonitor, StartHealthCheck
 from willowpost.state.entries import DaemonDescriptor
 from willowpost.state.tables import Tables
@@ -51,6 +52,7 @@
             self.shutdown,
             OriginHealthMonitor(self.node_state, self.command_client, start_health_check),
             self.arrival_positions,
+            ConfigurationLog(self.node_state),
         ]
 
     def step(self, event: object, now: int) -> Plan:
