Soak: reads of the configuration at every registry, none outdated

A read older than a version acknowledged, or read at any registry, before it was sent breaks the rule.

--- a/src/willowpost/drill/soak/run.py
+++ b/src/willowpost/drill/soak/run.py
@@ -12,6 +12,7 @@
 from willowpost.drill.rules import Findings
 from willowpost.drill.soak.actions import TroubleActions
 from willowpost.drill.soak.callers import SoakCallers
+from willowpost.drill.soak.configuration_reads import ConfigurationReader, outdated_reads
 from willowpost.drill.soak.configuration_rules import IN_FORCE_AFTER, ConfigurationRules
 from willowpost.drill.soak.configurations import ConfigurationChanger
 from willowpost.drill.soak.fleet import HOST, SoakFleet
@@ -69,6 +70,7 @@
         self.missing: list[str] = []  # what kept the fleet from being whole at the last look
         self.callers = SoakCallers(self.clock, edges, HOST, CALLERS_EACH_EDGE * len(edges), seed)
         self.probes = RouteProbes(self.clock, edges, self.changer.changes, seed)
+        self.reader = ConfigurationReader(self.clock, self.fleet.registries())
 
     def run(self) -> Findings:
         """Runs it and returns what was seen.
@@ -81,12 +83,14 @@
             supervisor = gevent.spawn(self._supervise)
             self.callers.start()
             self.probes.start()
+            self.reader.start()
             changer = gevent.spawn(self.changer.change_steadily)
             self._trouble()
             changer.kill()
             self._heal()
             self.callers.stop()
             self.probes.stop()
+            self.reader.stop()
             self._judge()
             supervisor.kill()
             return self.findings
@@ -207,6 +211,11 @@
             lambda at: self.record.is_excused(at, excused),
         ).judge(self.findings)
         self._judge_in_force_times()
+        self.findings.add_violations(
+            "no read of the configuration is outdated",
+            f"{len(self.reader.reads)} reads,",
+            [str(read) for read in outdated_reads(self.reader.reads, self.changer.changes)],
+        )
         read = self.fleet.call("GET", "/v1/configuration", first=1)
         version = read[2]["version"] if read and read[0] == 200 else None
         self.findings.add(
--- a/tests/drill/test_soak.py
+++ b/tests/drill/test_soak.py
@@ -16,6 +16,7 @@
 from willowpost.common.clock import SECOND, Clock
 from willowpost.drill.rules import Findings
 from willowpost.drill.soak.callers import KEPT, ONCE, REPEATABLE, CallerTally, Sent
+from willowpost.drill.soak.configuration_reads import ConfigurationRead, outdated_reads
 from willowpost.drill.soak.configuration_rules import ConfigurationRules
 from willowpost.drill.soak.configurations import Change
 from willowpost.drill.soak.fleet import layout
@@ -170,6 +171,25 @@
         self.assertEqual([], self.broken(5, later, ran_at=later, **seen))
 
 
+class Reads(unittest.TestCase):
+    """Version 3 is acknowledged at 30, and read at another registry from 40 to 50."""
+
+    changes = (Change(1, 20, 30, 3), Change(2, 60, None, None))
+
+    def outdated(self, *reads):
+        return outdated_reads([ConfigurationRead(*read) for read in reads], self.changes)
+
+    def test_a_read_older_than_what_was_acknowledged_before_it_was_sent(self):
+        self.assertEqual([], self.outdated(("r", 29, 90, 2), ("r", 31, 40, 3), ("r", 31, 35, 4)))
+        self.assertEqual([31], [read.sent_at for read in self.outdated(("r", 31, 40, 2))])
+
+    def test_a_read_older_than_one_that_was_answered_before(self):
+        reads = (("a", 40, 50, 7), ("b", 49, 55, 3), ("b", 51, 60, 6), ("a", 52, 61, 7))
+        self.assertEqual(
+            [("b", 51)], [(one.registry, one.sent_at) for one in self.outdated(*reads)]
+        )
+
+
 class InForce(unittest.TestCase):
     """Times from acknowledgements to versions in force, by logs of the same machine."""
 
