--- a/src/willowpost/drill/control_history.py
+++ b/src/willowpost/drill/control_history.py
@@ -2,8 +2,12 @@
 
 import json
 import re
+from collections.abc import Mapping
+from typing import Any
 
+from willowpost.common.clock import Clock
 from willowpost.configuration.checker import ConfigurationChecker
+from willowpost.drill.rules import Findings
 from willowpost.history.checker import HistoryChecker
 from willowpost.history.codec import write_history
 from willowpost.history.content import content_of
@@ -13,6 +17,7 @@
     PURGE_KEY,
     ZONE_PREFIX,
     Answer,
+    Call,
     Operation,
     Outcome,
     Request,
@@ -32,13 +37,20 @@
     history is asked for: the drill's callers run in the same process and must not wait for them.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock: Clock) -> None:
         self.recorder = HistoryRecorder(clock.now)
         self._sent: dict[int, str] = {}  # call -> the configuration's text as it was sent
-        self._read: dict[int, object] = {}  # call -> the configuration's tree as it was read
+        self._read: dict[int, Any] = {}  # call -> the configuration's tree as it was read
         self._digests: dict[str, str | None] = {}
 
-    def sent(self, address: str, method: str, path: str, value, headers) -> int | None:
+    def sent(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        value: Any,
+        headers: Mapping[str, str] | None,
+    ) -> int | None:
         """Record a call that is about to be made; None if it concerns no register."""
         request = self._request(method, path, value, headers or {})
         if request is None:
@@ -49,7 +61,7 @@
             self._sent[number] = json.dumps(value["configuration"] if numbered else value)
         return number
 
-    def answered(self, number: int, reply) -> None:
+    def answered(self, number: int, reply: tuple[int, dict[str, str], Any] | None) -> None:
         """Record what `ask` gave: (code, headers, value), or None when nobody answered."""
         if reply is None or reply[0] >= UNSURE:
             self.recorder.record_answer(number, Answer(Outcome.UNKNOWN))
@@ -60,7 +72,7 @@
         else:
             self.recorder.discard(number)
 
-    def calls(self):
+    def calls(self) -> tuple[Call, ...]:
         """All calls so far, with the digests of their configurations."""
         for number, text in self._sent.items():
             self.recorder.set_sent_content(number, self._digest(text))
@@ -68,7 +80,7 @@
             self.recorder.set_read_content(number, content_of(tree))
         return self.recorder.calls()
 
-    def judge(self, findings) -> None:
+    def judge(self, findings: Findings) -> None:
         """Add a row: whether every register's calls have an explanation."""
         verdicts = HistoryChecker().check(self.calls())
         bad = [
@@ -84,14 +96,16 @@
         """Write the history for `wpdrill check history`."""
         write_history(path, self.calls())
 
-    def _accepted(self, number, value):
+    def _accepted(self, number: int, value: dict[str, Any]) -> None:
         if "configuration" in value:
             self._read[number] = value["configuration"]
         self.recorder.record_answer(
             number, Answer(Outcome.OK, value.get("version"), is_changed=value.get("changed"))
         )
 
-    def _request(self, method, path, value, headers) -> Request | None:
+    def _request(
+        self, method: str, path: str, value: Any, headers: Mapping[str, str]
+    ) -> Request | None:
         zone = ZONE_PATH.match(path)
         if zone:
             begin = zone[2] == "empty"
@@ -108,13 +122,13 @@
                 return Request(Operation.PURGE, PURGE_KEY)
         return None
 
-    def _digest(self, text):
+    def _digest(self, text: str) -> str | None:
         if text not in self._digests:
             checked = ConfigurationChecker().check_value(json.loads(text))
             self._digests[text] = None if checked.is_err() else content_of(checked.unwrap())
         return self._digests[text]
 
 
-def _version_of(headers) -> int | None:
+def _version_of(headers: Mapping[str, str]) -> int | None:
     version = headers.get("If-Match", "*").strip('"')
     return None if version == "*" else int(version)
--- a/src/willowpost/drill/deployment.py
+++ b/src/willowpost/drill/deployment.py
@@ -4,8 +4,10 @@
 from dataclasses import dataclass
 from importlib.resources import files
 from pathlib import Path
+from typing import Any
 
 SEEDS = 3
+Machine = dict[str, Any]  # as a deployment's file has it: name, zone, kind
 
 
 def known() -> list[str]:
@@ -17,9 +19,12 @@
     )
 
 
-def shipped(name: str) -> dict:
+def shipped(name: str) -> dict[str, Any]:
     """The settings of a deployment that ships with willowpost."""
-    return json.loads((files("willowpost.deployments") / f"{name}.json").read_text())
+    settings: dict[str, Any] = json.loads(
+        (files("willowpost.deployments") / f"{name}.json").read_text()
+    )
+    return settings
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,13 +35,15 @@
     key: str  # machine/program
     machine: str
     zone: str
-    settings: dict
+    settings: dict[str, Any]
 
 
 class Deployment:
     """A deployment on loopback addresses; each process's seeds are three stores but not itself."""
 
-    def __init__(self, name: str | dict, folder: Path, port: int, subnet: int = 77):
+    def __init__(
+        self, name: str | dict[str, Any], folder: Path, port: int, subnet: int = 77
+    ) -> None:
         """Lays a deployment out: one that ships with willowpost, by its name, or a given one."""
         stored = name if isinstance(name, dict) else shipped(name)
         self.name, self.host, self.rate = stored["name"], stored["host"], stored["rate"]
@@ -65,10 +72,10 @@
             for number, origin in enumerate(stored["origins"])
         ]
 
-    def _origin_address(self, zone, number):
+    def _origin_address(self, zone: str, number: int) -> str:
         return f"127.{self.subnet}.{100 + self.zones.index(zone)}.{number + 1}:{self.port + 90}"
 
-    def cores(self):
+    def cores(self) -> list[Machine]:
         """Machines with a store and a registry."""
         return [machine for machine in self.machines if machine["kind"] != "edge"]
 
@@ -86,23 +93,23 @@
         self.addresses[name] = f"{self.addresses[lost].rsplit('.', 1)[0]}.{100 + number}"
         return name
 
-    def store(self, machine):
+    def store(self, machine: Machine) -> str:
         """Where peers reach the machine's store."""
         return f"{self.addresses[machine['name']]}:{self.port}"
 
-    def registry(self, machine):
+    def registry(self, machine: Machine) -> str:
         """Where peers reach the machine's registry."""
         return f"{self.addresses[machine['name']]}:{self.port + 1}"
 
-    def registry_http(self, machine):
+    def registry_http(self, machine: Machine) -> str:
         """Where operators and origins reach the machine's registry."""
         return f"{self.addresses[machine['name']]}:{self.port + 2}"
 
-    def proxy(self, machine):
+    def proxy(self, machine: Machine) -> str:
         """Where peers reach the machine's proxy."""
         return f"{self.addresses[machine['name']]}:{self.port + 3}"
 
-    def proxy_http(self, machine):
+    def proxy_http(self, machine: Machine) -> str:
         """Where callers reach the machine's proxy."""
         return f"{self.addresses[machine['name']]}:{self.port + 4}"
 
@@ -116,7 +123,7 @@
         ]
         return [self.process(machine, program) for machine, program in cores + proxies]
 
-    def process(self, machine: dict, program: str) -> Process:
+    def process(self, machine: Machine, program: str) -> Process:
         """One process of a machine, with its settings."""
         addresses = {
             "wpstore": (self.store, None),
--- a/src/willowpost/drill/fleet.py
+++ b/src/willowpost/drill/fleet.py
@@ -9,26 +9,29 @@
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import gevent
 
 from willowpost.common.clock import Clock
 from willowpost.drill.control_history import ControlHistory
-from willowpost.drill.deployment import Deployment
+from willowpost.drill.deployment import Deployment, Process
 from willowpost.stand_ins.callers import ask
 
 MODULES = {"wpstore": "store", "wpregistry": "registry", "wpproxy": "proxy"}
 ORIGINS = "origins"  # the key of the process of all stand-in origins
+Reply = tuple[int, dict[str, str], Any]  # of a call: status, headers and value
 
 
 class Fleet:
     """The processes of a deployment; it ends only those it started, by their ids."""
 
-    def __init__(self, deployment: Deployment):
+    def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
         self.history = ControlHistory(Clock())
-        self.running: dict[str, subprocess.Popen] = {}
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
         self.processes = {process.key: process for process in deployment.processes()}
         self.control = f"127.{deployment.subnet}.200.1:{deployment.port + 91}"
 
@@ -50,7 +53,7 @@
                 [sys.executable, *arguments], stdout=log, stderr=log, stdin=subprocess.DEVNULL
             )
 
-    def _write(self, process) -> str:
+    def _write(self, process: Process) -> str:
         folder = self.deployment.folder / process.machine
         folder.mkdir(parents=True, exist_ok=True)
         path = folder / f"{process.program}.json"
@@ -95,13 +98,13 @@
             self.deployment.folder / "origins.log",
         )
 
-    def steer(self, do: str, address: str | None = None, **more):
+    def steer(self, do: str, address: str | None = None, **more: Any) -> Any:
         """Tell the stand-in origins what to do; their answer."""
         return ask(
             self.control, "POST", "/steer", {"do": do, "address": address, **more}, seconds=10
         )
 
-    def ledger(self) -> dict:
+    def ledger(self) -> Any:
         """What all stand-in origins saw."""
         return ask(self.control, "GET", "/ledger", seconds=10)[2]
 
@@ -124,7 +127,7 @@
         running.send_signal(signal.SIGTERM)
         return self._wait(running, seconds)
 
-    def _wait(self, running, seconds):
+    def _wait(self, running: subprocess.Popen[bytes], seconds: float) -> int | None:
         end = time.monotonic() + seconds
         while running.poll() is None and time.monotonic() < end:
             gevent.sleep(0.05)
@@ -159,20 +162,27 @@
             if machine["kind"] == "edge"
         ]
 
-    def call(self, method: str, path: str, value=None, headers=None, first: int = 0):
+    def call(
+        self,
+        method: str,
+        path: str,
+        value: Any = None,
+        headers: dict[str, str] | None = None,
+        first: int = 0,
+    ) -> Reply | None:
         """A call by an operator, who turns to the next registry when one is not there."""
         registries = self.registries()
         for number in range(len(registries)):
             address = registries[(first + number) % len(registries)]
             call = self.history.sent(address, method, path, value, headers)
-            reply = ask(address, method, path, value, headers)
+            reply: Reply | None = ask(address, method, path, value, headers)
             if call is not None:
                 self.history.answered(call, reply)
             if reply is not None:
                 return reply
         return None
 
-    def stats(self) -> dict[str, dict]:
+    def stats(self) -> dict[str, dict[str, Any]]:
         """The stats page of each running proxy that answers, by its key."""
         tasks = {
             key: gevent.spawn(ask, address, "GET", "/.wp/stats", None, None, 2)
@@ -185,7 +195,9 @@
             if (reply := task.get()) is not None and reply[0] == 200
         }
 
-    def until(self, condition, seconds: float, step: float = 0.05) -> float | None:
+    def until(
+        self, condition: Callable[[], object], seconds: float, step: float = 0.05
+    ) -> float | None:
         """Seconds it took, or None."""
         begun = time.monotonic()
         while time.monotonic() - begun < seconds:
@@ -198,7 +210,7 @@
         """Seconds until all daemons are up and all proxies are sound, or None."""
         want = len(self.processes)
 
-        def joined():
+        def joined() -> bool:
             reply = self.call("GET", "/v1/status")
             return (
                 reply is not None
@@ -207,9 +219,9 @@
                 and len(sound) == len(self.proxies())
             )
 
-        sound: dict = {}
+        sound: dict[str, bool] = {}
 
-        def look():
+        def look() -> bool:
             sound.clear()
             sound.update({key: True for key, page in self.stats().items() if page["sound"]})
             return joined()
--- a/src/willowpost/drill/soak/callers.py
+++ b/src/willowpost/drill/soak/callers.py
@@ -6,15 +6,19 @@
 import gevent
 from gevent import socket
 
+from willowpost.common.clock import Clock
 from willowpost.shell.addresses import split_address
 
 ANSWER_SECONDS = 12.0
 CONNECT_SECONDS = 1.0
-PIPELINE_MOST = 4
-LEAVERS = 0.25  # part of the turns in which the caller leaves before it is answered
-LEAVE_AFTER = (0.0, 0.6)  # seconds
-PAUSE = 0.15  # seconds between two turns, in the mean
+MAX_PIPELINED = 4
+LEAVING_SHARE = 0.25  # of the turns: the caller leaves before it is answered
+LEAVE_AFTER_SECONDS = (0.0, 0.6)
+TURN_PAUSE_SECONDS = 0.15  # in the mean
 RETRY_SECONDS = 0.2
+RECEIVE_BYTES = 65536
+FINAL_STATUS = 200  # RFC 9110, 15.2: lower ones are interim
+OK, SERVER_ERROR = 200, 500
 ONCE, REPEATABLE, KEPT = "once", "repeatable", "kept"
 PATHS = {ONCE: "/once/", REPEATABLE: "/again/", KEPT: "/kept/"}
 ITEMS = 30
@@ -60,10 +64,10 @@
 class CallerConnection:
     """One connection of a caller."""
 
-    def __init__(self, edge: str):
+    def __init__(self, edge: str) -> None:
         self.socket = socket.create_connection(split_address(edge), timeout=CONNECT_SECONDS)
         self.socket.settimeout(ANSWER_SECONDS)
-        self.held = b""
+        self.unread = b""
 
     def read(self) -> tuple[int, dict[str, str], bytes]:
         """The next final answer: status, headers in lower case, body.
@@ -73,33 +77,33 @@
         """
         while True:
             status, headers = self._head()
-            if status >= 200:
+            if status >= FINAL_STATUS:
                 return status, headers, self._body(int(headers.get("content-length", "0")))
 
-    def _head(self):
-        while b"\r\n\r\n" not in self.held:
+    def _head(self) -> tuple[int, dict[str, str]]:
+        while b"\r\n\r\n" not in self.unread:
             self._receive()
-        head, _, self.held = self.held.partition(b"\r\n\r\n")
+        head, _, self.unread = self.unread.partition(b"\r\n\r\n")
         first, *lines = head.decode("latin-1").split("\r\n")
         if not first.startswith("HTTP/1.1 "):
             raise AnswerEndedError(f"no answer: {first[:60]}")
         pairs = (line.partition(":") for line in lines)
         return int(first.split(" ")[1]), {name.lower(): value.strip() for name, _, value in pairs}
 
-    def _body(self, length):
-        while len(self.held) < length:
+    def _body(self, length: int) -> bytes:
+        while len(self.unread) < length:
             self._receive()
-        body, self.held = self.held[:length], self.held[length:]
+        body, self.unread = self.unread[:length], self.unread[length:]
         return body
 
-    def _receive(self):
+    def _receive(self) -> None:
         try:
-            block = self.socket.recv(65536)
+            block = self.socket.recv(RECEIVE_BYTES)
         except OSError as problem:
             raise AnswerEndedError(repr(problem)) from problem
         if not block:
             raise AnswerEndedError("closed")
-        self.held += block
+        self.unread += block
 
 
 class SoakCallers:
@@ -115,12 +119,12 @@
         seed: Of their choices.
     """
 
-    def __init__(self, clock, edges: list[str], host: str, count: int, seed: int):
+    def __init__(self, clock: Clock, edges: list[str], host: str, count: int, seed: int) -> None:
         self.clock, self.edges, self.host = clock, edges, host
         self.chances = [random.Random(f"caller {seed} {number}") for number in range(count)]
         self.tally = CallerTally()
         self.running = False
-        self.tasks: list = []
+        self.tasks: list[gevent.Greenlet] = []
         self.number = 0
 
     def start(self) -> None:
@@ -133,7 +137,7 @@
         self.running = False
         gevent.joinall(self.tasks, timeout=ANSWER_SECONDS + CONNECT_SECONDS + 1)
 
-    def _run(self, chance):
+    def _run(self, chance: random.Random) -> None:
         while self.running:
             edge = chance.choice(self.edges)
             try:
@@ -143,17 +147,17 @@
                 continue
             try:
                 while self.running and self._turn(connection, edge, chance):
-                    gevent.sleep(chance.expovariate(1 / PAUSE))
+                    gevent.sleep(chance.expovariate(1 / TURN_PAUSE_SECONDS))
             finally:
                 connection.socket.close()
 
-    def _turn(self, connection, edge, chance):
+    def _turn(self, connection: CallerConnection, edge: str, chance: random.Random) -> bool:
         """Sends some requests and reads their answers; whether the connection goes on."""
         names = self._send(connection, edge, chance)
         if not names:
             return False
-        if chance.random() < LEAVERS:
-            gevent.sleep(chance.uniform(*LEAVE_AFTER))
+        if chance.random() < LEAVING_SHARE:
+            gevent.sleep(chance.uniform(*LEAVE_AFTER_SECONDS))
             for name in names:
                 self.tally.sent[name].left_at = self.clock.now()
             return False
@@ -166,26 +170,23 @@
                     self.tally.sent[rest].ended = str(end)
                 return False
             sent.status = status
-            self._judge(name, sent, headers, body)
+            self._judge(name, sent, status, headers, body)
             if headers.get("connection", "") == "close":
                 for rest in names[number + 1 :]:
                     self.tally.sent[rest].ended = "behind a close"
                 return False
         return True
 
-    def _send(self, connection, edge, chance):
+    def _send(self, connection: CallerConnection, edge: str, chance: random.Random) -> list[str]:
+        """Sends some requests of one kind at once; returns their ids, none if that failed."""
         kind = chance.choices((KEPT, REPEATABLE, ONCE), (5, 3, 2))[0]
-        count = 1 if kind == ONCE else chance.choice((1, 1, 1, PIPELINE_MOST))
+        count = 1 if kind == ONCE else chance.choice((1, 1, 1, MAX_PIPELINED))
         names, text = [], b""
         for place in range(count):
             self.number += 1
             name = f"s{self.number}"
             path = f"{PATHS[kind]}{chance.randrange(ITEMS)}"
-            body = b'{"id": "%b"}' % name.encode() if kind == ONCE else b""
-            length = f"Content-Length: {len(body)}\r\n" if body else ""
-            method = "POST" if kind == ONCE else "GET"
-            head = f"{method} {path} HTTP/1.1\r\nHost: {self.host}\r\nWp-Request: {name}\r\n"
-            text += f"{head}{length}\r\n".encode() + body
+            text += self._request(kind, name, path)
             self.tally.sent[name] = Sent(kind, edge, self.clock.now(), path, alone=place == 0)
             names.append(name)
         try:
@@ -196,10 +197,19 @@
             return []
         return names
 
-    def _judge(self, name, sent, headers, body):
+    def _request(self, kind: str, name: str, path: str) -> bytes:
+        body = b'{"id": "%b"}' % name.encode() if kind == ONCE else b""
+        length = f"Content-Length: {len(body)}\r\n" if body else ""
+        method = "POST" if kind == ONCE else "GET"
+        head = f"{method} {path} HTTP/1.1\r\nHost: {self.host}\r\nWp-Request: {name}\r\n"
+        return f"{head}{length}\r\n".encode() + body
+
+    def _judge(
+        self, name: str, sent: Sent, status: int, headers: dict[str, str], body: bytes
+    ) -> None:
         if headers.get("wp-request", name) != name:
             self.tally.wrong.append(f"{name} got the answer of {headers['wp-request']}")
-        if sent.status == 200 and sent.path.encode() not in body:
+        if status == OK and sent.path.encode() not in body:
             self.tally.wrong.append(f"{name}: {sent.path} got {body[:80]!r}")
-        if sent.status >= 500 and "retry-after" not in headers:
-            self.tally.wrong.append(f"{name}: {sent.status} without Retry-After")
+        if status >= SERVER_ERROR and "retry-after" not in headers:
+            self.tally.wrong.append(f"{name}: {status} without Retry-After")
--- a/src/willowpost/drill/soak/command.py
+++ b/src/willowpost/drill/soak/command.py
@@ -3,7 +3,7 @@
 import shutil
 import tempfile
 from pathlib import Path
-from typing import ClassVar
+from typing import Any, ClassVar
 
 from cleo.commands.command import Command
 from cleo.helpers import option
@@ -17,7 +17,7 @@
 
     name = "soak"
     description = "Real processes under seeded troubles that overlap; callers that leave."
-    options: ClassVar[list] = [
+    options: ClassVar[list[Any]] = [
         option("seeds", None, "First and last seed, as 1-50.", flag=False, default="1-1"),
         option("edges", "e", "How many edges.", flag=False, default="4"),
         option("cores", "c", "How many core machines: 3, or 5.", flag=False, default="3"),
@@ -38,7 +38,7 @@
         self.line(f"seeds {self.option('seeds')}: {len(broken)} broke a rule {broken or ''}")
         return 1 if broken else 0
 
-    def _run(self, seed) -> bool:
+    def _run(self, seed: int) -> bool:
         """Runs one seed; whether a rule was broken."""
         folder = Path(tempfile.mkdtemp(prefix=f"wpsoak-{seed}-"))
         machines = layout(int(self.option("edges")), int(self.option("cores")))
@@ -62,6 +62,6 @@
             self.line(f"  folder: {folder}")
         return bool(broken)
 
-    def _detail(self, text):
+    def _detail(self, text: str) -> None:
         if self.io.is_verbose():
             self.line(text)
--- a/src/willowpost/drill/soak/fleet.py
+++ b/src/willowpost/drill/soak/fleet.py
@@ -3,6 +3,7 @@
 import json
 import os
 from pathlib import Path
+from typing import Any
 
 from willowpost.drill.deployment import Deployment
 from willowpost.drill.fleet import MODULES, Fleet
@@ -30,7 +31,7 @@
 MIN_CORES, MAX_CORES = 3, len(ZONES)
 
 
-def layout(edges: int, cores: int = MIN_CORES) -> dict:
+def layout(edges: int, cores: int = MIN_CORES) -> dict[str, Any]:
     """A deployment with a zone for each core machine; all of these but one have a shield.
 
     Args:
@@ -73,7 +74,7 @@
         serve_on_ms: How long the proxies serve on without state updates.
     """
 
-    def __init__(self, deployment: Deployment, serve_on_ms: int):
+    def __init__(self, deployment: Deployment, serve_on_ms: int) -> None:
         super().__init__(deployment)
         self.cuts: set[frozenset[str]] = set()
         self.cut_path = deployment.folder / "cuts.json"
@@ -107,4 +108,5 @@
 
     def address(self, key: str) -> str:
         """Where peers reach a process."""
-        return self.processes[key].settings["address"]
+        address: str = self.processes[key].settings["address"]
+        return address
--- a/src/willowpost/drill/soak/judge.py
+++ b/src/willowpost/drill/soak/judge.py
@@ -1,15 +1,17 @@
 """The rules of a soak, judged by what callers and origins saw and by the proxies' own counts."""
 
 from dataclasses import dataclass, field
+from typing import Any
 
 from willowpost.common.clock import SECOND
 from willowpost.drill.rules import Findings
 from willowpost.drill.soak.callers import KEPT, ONCE, CallerTally
 from willowpost.proxy.routing.attempt import NOT_RUN_STATUSES
 
-GONE_AFTER = SECOND // 2
-GONE_FEW = 3  # a close crosses what is under way, the more on a busy machine
-FORCE_AFTER = 2 * SECOND
+SENT_AFTER_LEAVING = SECOND // 2
+MAX_SENT_LATE = 3  # a close crosses what is under way, the more on a busy machine
+DRAINED_AFTER = 2 * SECOND
+DOWN_SPAN = 15 * SECOND  # a request's longest time
 
 
 @dataclass(slots=True)
@@ -56,7 +58,13 @@
             the proxies' lease bounds the age of their tables, so nothing is.
     """
 
-    def __init__(self, tally: CallerTally, ledger: dict, record: Record, excuse_span: int | None):
+    def __init__(
+        self,
+        tally: CallerTally,
+        ledger: dict[str, Any],
+        record: Record,
+        excuse_span: int | None,
+    ) -> None:
         self.tally, self.record, self.excuse_span = tally, record, excuse_span
         self.runs = ledger["writes"]
         self.arrivals = ledger["arrivals"]
@@ -77,34 +85,34 @@
         findings.add_violations("nothing reaches an origin that left", *self._after_drain())
         findings.add_violations("a request that was passed on is answered", *self._unanswered())
 
-    def _after_leaving(self):
-        left = {
-            name: request
+    def _after_leaving(self) -> tuple[str, list[str]]:
+        left = [
+            (name, request, request.left_at)
             for name, request in self.tally.sent.items()
             if request.left_at is not None
-        }
+        ]
         late = [
-            f"{name} to {address} {(at - request.left_at) / SECOND:.2f} s after"
-            for name, request in left.items()
+            f"{name} to {address} {(at - left_at) / SECOND:.2f} s after"
+            for name, request, left_at in left
             if request.kind != KEPT
             for address, at in self.arrivals.get(name, ())
-            if at > request.left_at + GONE_AFTER
+            if at > left_at + SENT_AFTER_LEAVING
         ]
-        return f"{len(left)} left, {len(late)} late,", late if len(late) > GONE_FEW else []
+        return f"{len(left)} left, {len(late)} late,", late if len(late) > MAX_SENT_LATE else []
 
-    def _after_drain(self):
+    def _after_drain(self) -> tuple[str, list[str]]:
         late = [
             f"{name} at {leave.address} {(at - leave.acknowledged_at) / SECOND:.2f} s after"
             for leave in self.record.leaves
             for name, arrivals in self.arrivals.items()
             for address, at in arrivals
             if address == leave.address
-            and leave.acknowledged_at + FORCE_AFTER < at < leave.ended_at
+            and leave.acknowledged_at + DRAINED_AFTER < at < leave.ended_at
             and not self.record.is_excused(at, self.excuse_span)
         ]
         return f"{len(self.record.leaves)} left,", late
 
-    def _unanswered(self):
+    def _unanswered(self) -> tuple[str, list[str]]:
         """Requests that an origin had and whose connection the edge ended without a word."""
         lost = [
             f"{name} of {request.edge}: {request.ended}"
@@ -115,13 +123,11 @@
             and self.arrivals.get(name)
             and not self._was_down(request.edge, request.sent_at)
         ]
-        return (
-            f"{sum(request.status is not None for request in self.tally.sent.values())} answered,",
-            lost,
-        )
+        answered = sum(request.status is not None for request in self.tally.sent.values())
+        return f"{answered} answered,", lost
 
-    def _was_down(self, edge, sent_at):
+    def _was_down(self, edge: str, sent_at: int) -> bool:
         return any(
-            end >= sent_at and begin <= sent_at + 15 * SECOND
+            end >= sent_at and begin <= sent_at + DOWN_SPAN
             for begin, end in self.record.killed.get(edge, ())
         )
--- a/src/willowpost/drill/soak/process.py
+++ b/src/willowpost/drill/soak/process.py
@@ -9,9 +9,12 @@
 import sys
 from importlib import import_module
 from pathlib import Path
+from typing import Any
 
 import willowpost.shell.startup_signals  # noqa: F401  before what takes long to import
+from willowpost.shell import runner
 from willowpost.shell.mesh import Mesh
+from willowpost.shell.sized_queue import SizedQueue
 
 CUTS_VARIABLE = "WILLOWPOST_SOAK_CUTS"
 
@@ -24,7 +27,7 @@
         own: The address of this process.
     """
 
-    def __init__(self, path: Path, own: str):
+    def __init__(self, path: Path, own: str) -> None:
         self.path, self.own = path, own
         self.seen: tuple[int, ...] = ()
         self.others: set[str] = set()
@@ -43,27 +46,33 @@
         return address in self.others
 
 
-def make_cuttable(path: Path) -> None:
-    """Makes every mesh of this process drop what crosses a cut."""
-    make, send = Mesh.__init__, Mesh.send
+class CuttableMesh(Mesh):
+    """A mesh that drops what crosses a cut.
 
-    def cuttable_init(self, address, inbox):
-        self.cuts = CutFile(path, address)
-        make(self, address, inbox)
-        offer = inbox.offer
-        inbox.offer = lambda item, size: not self.cuts.cuts(item.source) and offer(item, size)
+    Args:
+        address: As of `Mesh`.
+        inbox: As of `Mesh`.
+    """
+
+    def __init__(self, address: str, inbox: SizedQueue) -> None:
+        super().__init__(address, inbox)
+        self._cuts = CutFile(Path(os.environ[CUTS_VARIABLE]), address)
+        self._offer = inbox.offer
+        inbox.offer = self._offer_unless_cut  # type: ignore[method-assign]
 
-    def cuttable_send(self, address, message):
-        if not self.cuts.cuts(address):
-            send(self, address, message)
+    def send(self, address: str, message: object) -> None:
+        """Send a message, unless there is a cut."""
+        if not self._cuts.cuts(address):
+            super().send(address, message)
 
-    Mesh.__init__, Mesh.send = cuttable_init, cuttable_send
+    def _offer_unless_cut(self, item: Any, size: int) -> bool:
+        return not self._cuts.cuts(item.source) and self._offer(item, size)
 
 
 def main() -> None:
     """Runs `python -m willowpost.drill.soak.process MODULE --settings FILE`."""
     module = sys.argv.pop(1)
-    make_cuttable(Path(os.environ[CUTS_VARIABLE]))
+    runner.Mesh = CuttableMesh  # type: ignore[attr-defined]
     import_module(f"willowpost.{module}.main").main()
 
 
--- a/src/willowpost/drill/soak/schedule.py
+++ b/src/willowpost/drill/soak/schedule.py
@@ -97,7 +97,7 @@
     return sorted(troubles, key=lambda trouble: trouble.at)
 
 
-def _targets(kind, parts, chance, on_core):
+def _targets(kind: Kind, parts: Parts, chance: random.Random, on_core: bool) -> tuple[str, ...]:
     match kind:
         case Kind.ORIGINS_SLOW | Kind.ORIGINS_LOSE_ANSWERS | Kind.ORIGINS_CRASH:
             most = max(1, len(parts.origins) // 2)
