--- a/src/willowpost/drill/base.py
+++ b/src/willowpost/drill/base.py
@@ -5,7 +5,8 @@
 from willowpost.common.clock import Clock
 from willowpost.drill.fleet import Fleet
 from willowpost.drill.rules import Findings
-from willowpost.stand_ins.callers import Callers, ask
+from willowpost.stand_ins.callers import Callers
+from willowpost.stand_ins.http_call import ask
 
 FORCE_SECONDS = 2.0  # until an accepted configuration is in force at every proxy
 RETURN_SECONDS = 15.0  # until all is whole again after a fault
--- a/src/willowpost/drill/control_history.py
+++ b/src/willowpost/drill/control_history.py
@@ -23,6 +23,7 @@
     Request,
 )
 from willowpost.history.search import Linearizability
+from willowpost.stand_ins.http_call import Reply
 
 ACCEPTED = 200
 REFUSED = (409, 412)  # the order was sound, and has not taken effect
@@ -61,7 +62,7 @@
             self._sent[number] = json.dumps(value["configuration"] if numbered else value)
         return number
 
-    def answered(self, number: int, reply: tuple[int, dict[str, str], Any] | None) -> None:
+    def answered(self, number: int, reply: Reply | None) -> None:
         """Record what `ask` gave: (code, headers, value), or None when nobody answered."""
         if reply is None or reply[0] >= UNSURE:
             self.recorder.record_answer(number, Answer(Outcome.UNKNOWN))
--- a/src/willowpost/drill/fleet.py
+++ b/src/willowpost/drill/fleet.py
@@ -18,11 +18,10 @@
 from willowpost.common.clock import Clock
 from willowpost.drill.control_history import ControlHistory
 from willowpost.drill.deployment import Deployment, Process
-from willowpost.stand_ins.callers import ask
+from willowpost.stand_ins.http_call import Reply, ask
 
 MODULES = {"wpstore": "store", "wpregistry": "registry", "wpproxy": "proxy"}
 ORIGINS = "origins"  # the key of the process of all stand-in origins
-Reply = tuple[int, dict[str, str], Any]  # of a call: status, headers and value
 
 
 class Fleet:
@@ -104,9 +103,17 @@
             self.control, "POST", "/steer", {"do": do, "address": address, **more}, seconds=10
         )
 
-    def ledger(self) -> Any:
-        """What all stand-in origins saw."""
-        return ask(self.control, "GET", "/ledger", seconds=10)[2]
+    def ledger(self) -> dict[str, Any]:
+        """What all stand-in origins saw.
+
+        Raises:
+            RuntimeError: Their process does not answer.
+        """
+        reply = ask(self.control, "GET", "/ledger", seconds=10)
+        if reply is None:
+            raise RuntimeError("the stand-in origins do not answer")
+        ledger: dict[str, Any] = reply[2]
+        return ledger
 
     def kill(self, key: str) -> None:
         """Kill a process with SIGKILL and wait for its end."""
@@ -175,7 +182,7 @@
         for number in range(len(registries)):
             address = registries[(first + number) % len(registries)]
             call = self.history.sent(address, method, path, value, headers)
-            reply: Reply | None = ask(address, method, path, value, headers)
+            reply = ask(address, method, path, value, headers)
             if call is not None:
                 self.history.answered(call, reply)
             if reply is not None:
--- a/src/willowpost/drill/script.py
+++ b/src/willowpost/drill/script.py
@@ -11,6 +11,7 @@
 from willowpost.drill.losses import LossSteps
 from willowpost.drill.origin_steps import OriginSteps
 from willowpost.drill.rules import EXTRA_FLOOR, EXTRA_PART, Findings, TrafficRules
+from willowpost.stand_ins.http_call import OK
 
 MORNING = (0.1, 0.25, 0.5, 0.75)  # parts of the rate, while origins warm up
 MORNING_SECONDS = 3
@@ -101,11 +102,12 @@
 
     def _judge_read_back(self):
         reply = self.fleet.call("GET", "/v1/configuration", first=2)
+        read = reply[2] if reply is not None and reply[0] == OK else {}
         self.findings.add(
             "read back: the last accepted configuration",
-            f"version {reply[2]['version']} of {self.version}",
-            reply[2]["version"] == self.version
-            and reply[2]["configuration"]["settings"] == self.configuration["settings"],
+            f"version {read.get('version')} of {self.version}, {reply and reply[0]}",
+            read.get("version") == self.version
+            and read["configuration"]["settings"] == self.configuration["settings"],
         )
         whole = self.fleet.until(
             lambda: len({answer[2]["digest"] for answer in self.statuses()}) == 1, 5
--- a/src/willowpost/drill/soak/actions.py
+++ b/src/willowpost/drill/soak/actions.py
@@ -9,10 +9,10 @@
 from willowpost.drill.soak.fleet import HOST, SoakFleet
 from willowpost.drill.soak.judge import OriginShutdown, Record
 from willowpost.drill.soak.schedule import Kind
+from willowpost.stand_ins.http_call import OK
 
 LEAVER_SERVES_SECONDS = 3.5
 STOP_SECONDS = 40.0
-OK = 200
 MODES = {Kind.ORIGINS_SLOW: "slow", Kind.ORIGINS_LOSE_ANSWERS: "lost"}
 
 
--- a/src/willowpost/drill/soak/callers.py
+++ b/src/willowpost/drill/soak/callers.py
@@ -8,6 +8,7 @@
 
 from willowpost.common.clock import Clock
 from willowpost.shell.addresses import split_address
+from willowpost.stand_ins.http_call import OK, SERVER_ERROR
 
 ANSWER_SECONDS = 12.0
 CONNECT_SECONDS = 1.0
@@ -18,7 +19,6 @@
 RETRY_SECONDS = 0.2
 RECEIVE_BYTES = 65536
 FINAL_STATUS = 200  # RFC 9110, 15.2: lower ones are interim
-OK, SERVER_ERROR = 200, 500
 ONCE, REPEATABLE, KEPT = "once", "repeatable", "kept"
 PATHS = {ONCE: "/once/", REPEATABLE: "/again/", KEPT: "/kept/"}
 ITEMS = 30
--- a/src/willowpost/drill/soak/configuration_reads.py
+++ b/src/willowpost/drill/soak/configuration_reads.py
@@ -11,11 +11,10 @@
 
 from willowpost.common.clock import Clock
 from willowpost.drill.soak.configurations import Change
-from willowpost.stand_ins.callers import ask
+from willowpost.stand_ins.http_call import OK, ask
 
 READ_PAUSE_SECONDS = 0.05
 READ_TIMEOUT_SECONDS = 8.0  # longer than a registry is frozen
-OK = 200
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/willowpost/drill/soak/configurations.py
+++ b/src/willowpost/drill/soak/configurations.py
@@ -13,9 +13,9 @@
 
 from willowpost.common.clock import Clock
 from willowpost.drill.soak.fleet import CONFIGURATION, HOST, SoakFleet
+from willowpost.stand_ins.http_call import OK
 
 CHANGE_PAUSE_SECONDS = 0.4
-OK = 200
 REFUSED_STATUSES = (307, 409, 412, 422, 503)  # of a change that is certainly not in force
 
 
--- a/src/willowpost/drill/soak/fleet_health.py
+++ b/src/willowpost/drill/soak/fleet_health.py
@@ -1,14 +1,11 @@
 """Whether a soak's fleet is whole again after the troubles."""
 
 from collections.abc import Callable
-from typing import Any
 
 from willowpost.drill.soak.fleet import SoakFleet
-from willowpost.stand_ins.callers import ask
+from willowpost.stand_ins.http_call import Reply, ask
 from willowpost.state.lifecycle import STATES_IN_FORCE
 
-Answer = Any  # (status, headers, value) of a call, or None when nobody answered
-
 
 class FleetHealth:
     """Looks at the pages of all daemons.
@@ -44,13 +41,13 @@
             if not page["sound"] or page["version"] < wanted
         ]
 
-    def _differing_registries(self, answers: list[Answer]) -> list[str]:
+    def _differing_registries(self, answers: list[Reply | None]) -> list[str]:
         digests = {answer[2].get("digest") for answer in answers if answer}
         if all(answers) and len(digests) == 1:
             return []
         return [f"registries: {[answer and answer[0] for answer in answers]}"]
 
-    def _origins_out_of_force(self, answers: list[Answer]) -> list[str]:
+    def _origins_out_of_force(self, answers: list[Reply | None]) -> list[str]:
         """Names the running origins that a registry does not have in force."""
         tokens = set(self.fleet.steer("tokens")[2].values())
         in_force = [
--- a/src/willowpost/drill/soak/verdict.py
+++ b/src/willowpost/drill/soak/verdict.py
@@ -13,11 +13,11 @@
 from willowpost.drill.soak.in_force_times import InForceTimes, read_log
 from willowpost.drill.soak.judge import Record, SoakRules
 from willowpost.drill.soak.probes import Probe
+from willowpost.stand_ins.http_call import OK
 
 CONTACT = 4 * SECOND
 # events in log lines that tell of a violated invariant, a failed request or a process that ends
 VIOLATION_EVENTS = ("invariant violated", "request failed", "broke down")
-OK = 200
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/willowpost/stand_ins/main.py
+++ b/src/willowpost/stand_ins/main.py
@@ -3,91 +3,83 @@
 import json
 import sys
 from pathlib import Path
+from typing import Any
 
-import gevent
+from gevent.event import Event
 
 from willowpost.common.clock import Clock
 from willowpost.shell.router import Router
 from willowpost.shell.structured_log import StructuredLogger
-from willowpost.shell.web import Response
+from willowpost.shell.web import Request, Response
 from willowpost.shell.web_server import WebServer
-from willowpost.stand_ins.origin import Ledger, StandInsOrigin
+from willowpost.stand_ins.ledger import Ledger
+from willowpost.stand_ins.origin import StandInOrigin
 
+MAX_ORDER_BYTES = 65536
 
-class Standins:
-    """Invariant: the ledger is one for all origins.
 
-    So a write that ran on two of them counts twice.
+class StandInOrigins:
+    """The origins of a deployment, with one ledger.
+
+    Args:
+        origins: the arguments of each `StandInOrigin`.
     """
 
-    def __init__(self, origins):
+    def __init__(self, origins: list[dict[str, Any]]) -> None:
         self.ledger, self.clock = Ledger(), Clock()
         self.origins = {
-            origin["address"]: StandInsOrigin(self.ledger, self.clock, **origin)
+            origin["address"]: StandInOrigin(self.ledger, self.clock, **origin)
             for origin in origins
         }
 
-    def steer(self, call):
-        """Do what the drill asks of the stand-ins."""
-        asked = json.loads(call.body)
-        origin = self.origins.get(asked.get("address"))
-        match asked["do"]:
+    def steer(self, call: Request) -> Response:
+        """Do what the drill asks, of one origin or of all."""
+        order = json.loads(call.body)
+        match order["do"]:
+            case "tokens":
+                tokens = {address: origin.token for address, origin in self.origins.items()}
+                return Response(200, tokens)
+            case "version":
+                self.ledger.version += 1
+                return Response(200, {"version": self.ledger.version})
+        return self._steer_one(self.origins[order["address"]], order)
+
+    def _steer_one(self, origin: StandInOrigin, order: dict[str, Any]) -> Response:
+        match order["do"]:
             case "mode":
-                origin.mode = asked["mode"]
+                origin.mode = order["mode"]
             case "crash":
                 origin.crash()
             case "start":
                 origin.start()
             case "drain" | "leave":
-                return Response(200, origin.say(f"/{asked['do']}"))
+                return Response(200, origin.say(f"/{order['do']}"))
             case "late_heartbeat":
                 return Response(200, origin.say_late())
-            case "tokens":
-                tokens = {address: held.token for address, held in self.origins.items()}
-                return Response(200, tokens)
-            case "version":
-                self.ledger.version += 1
-                return Response(200, {"version": self.ledger.version})
             case "move":
                 origin.crash()
-                origin.service = asked.get("service", origin.service)
-                origin.start(asked.get("quiet", 0.0))
+                origin.service = order.get("service", origin.service)
+                origin.start(order.get("quiet", 0.0))
         return Response(200, {})
 
-    def ledger_page(self, call):
-        """What all stand-in origins saw, as JSON."""
-        return Response(
-            200,
-            {
-                "writes": dict(self.ledger.writes),
-                "version": self.ledger.version,
-                "arrivals": self.ledger.arrivals,
-                "seen": {address: dict(counts) for address, counts in self.ledger.seen.items()},
-                "services": {
-                    address: dict(counts) for address, counts in self.ledger.services.items()
-                },
-            },
-        )
+    def ledger_page(self, call: Request) -> Response:
+        """Return what all stand-in origins saw."""
+        return Response(200, self.ledger.as_json())
 
 
 def main() -> None:
     """Run the stand-in origins of the file named on the command line."""
     settings = json.loads(Path(sys.argv[1]).read_text(encoding="utf-8"))
-    standins = Standins(settings["origins"])
+    stand_ins = StandInOrigins(settings["origins"])
+    routes = [
+        ("POST", "/steer", MAX_ORDER_BYTES, stand_ins.steer),
+        ("GET", "/ledger", 0, stand_ins.ledger_page),
+    ]
     logger = StructuredLogger("stand_ins", "origins")
-    WebServer(
-        settings["control"],
-        Router(
-            [
-                ("POST", "/steer", 65536, standins.steer),
-                ("GET", "/ledger", 0, standins.ledger_page),
-            ],
-            logger,
-        ),
-    ).start()
-    for origin in standins.origins.values():
+    WebServer(settings["control"], Router(routes, logger)).start()
+    for origin in stand_ins.origins.values():
         origin.start()
-    gevent.event.Event().wait()
+    Event().wait()
 
 
 if __name__ == "__main__":
--- a/tests/drill/test_soak.py
+++ b/tests/drill/test_soak.py
@@ -31,7 +31,8 @@
 from willowpost.drill.soak.run import Soak
 from willowpost.drill.soak.schedule import Kind, Parts, drawn
 from willowpost.shell.addresses import split_address
-from willowpost.stand_ins.origin import Ledger, StandInsOrigin
+from willowpost.stand_ins.ledger import Ledger
+from willowpost.stand_ins.origin import StandInOrigin
 
 EDGES, SECONDS = 3, 10.0
 PARTS = Parts(
@@ -66,7 +67,7 @@
         with closing(socket.socket()) as free:
             free.bind(("127.0.0.1", 0))
             address = "{}:{}".format(*free.getsockname())
-        origin = StandInsOrigin(Ledger(), Clock(), address, "pages", "a", 500.0, 1, [])
+        origin = StandInOrigin(Ledger(), Clock(), address, "pages", "a", 500.0, 1, [])
         origin.start()
         origin.mode = "slow"
         connection = socket.create_connection(split_address(address), timeout=5)
