Submit what nobody waits for once while it is unanswered

Cause: joins, suspicions and claims were submitted anew each second until the tables showed them, though the commands before still waited in the stores, which decide the oldest first.

Change: operations that nobody waits for are in one unanswered command at most; to submit them again renews their lifetime. Watchers submit each report by itself.

Evidence: tests.node.test_command_client: 4 checks fail on the code before (20 commands of a daemon that joins in 20 s without a decision, now 1; 15 of a watcher, now 1 or 2).

--- a/src/willowpost/node/command_client.py
+++ b/src/willowpost/node/command_client.py
@@ -42,6 +42,10 @@
     operations have expired. Operations that nobody waits for and that do not expire never share a
     command with others, so that they do not keep those alive.
 
+    Operations that nobody waits for are in one unanswered command at most: to submit them again
+    renews their lifetime. A log that falls behind would else be given each of them anew, again and
+    again, and fall further behind.
+
     Args:
         daemon: id of this daemon.
         incarnation: of this process.
@@ -100,10 +104,26 @@
         return in_batch + sum(len(entry.waiting_tokens()) for entry in self.pending.values())
 
     def _add_to_batch(self, request: SubmitOperations, now: int) -> None:
+        expires_at = None if request.lifetime is None else now + request.lifetime
+        submission = Submission(request.token, request.operations, expires_at)
+        if submission.token is None and self._renew(submission):
+            return
         if not self.batch:
             self.batch_started_at = now
-        expires_at = None if request.lifetime is None else now + request.lifetime
-        self.batch.append(Submission(request.token, request.operations, expires_at))
+        self.batch.append(submission)
+
+    def _renew(self, submission: Submission) -> bool:
+        """Renew the lifetime of equal operations that are unanswered; False if there are none."""
+        if any(submission.is_repeat_of(other) for other in self.batch):
+            return True
+        for entry in self.pending.values():
+            if any(submission.is_repeat_of(other) for other in entry.submissions):
+                entry.submissions = tuple(
+                    submission if submission.is_repeat_of(other) else other
+                    for other in entry.submissions
+                )
+                return True
+        return False
 
     def _is_batch_due(self, now: int) -> bool:
         if not self.batch:
--- a/src/willowpost/node/failure_detector.py
+++ b/src/willowpost/node/failure_detector.py
@@ -169,9 +169,9 @@
 
     def _submit(self, reports: tuple[ReportSuspicion, ...], now: int, plan: Plan) -> None:
         self.last_report_at.update({report.target: now for report in reports})
-        submission = SubmitOperations(None, reports, REPORT_LIFETIME_US)
-        plan.join(self.command_client.step(submission, now))
         for report in reports:
+            submission = SubmitOperations(None, (report,), REPORT_LIFETIME_US)
+            plan.join(self.command_client.step(submission, now))
             plan.log(
                 "failure_detector",
                 "daemon suspected" if report.is_suspected else "daemon no longer suspected",
--- a/src/willowpost/node/pending_commands.py
+++ b/src/willowpost/node/pending_commands.py
@@ -25,6 +25,15 @@
         """Whether it is retried until the log answers, however long that takes."""
         return self.token is None and self.expires_at is None
 
+    def is_repeat_of(self, other: "Submission") -> bool:
+        """Whether nobody waits for either, and their operations and kind of lifetime are equal."""
+        return (
+            self.token is None
+            and other.token is None
+            and self.operations == other.operations
+            and self.is_unconditional == other.is_unconditional
+        )
+
     def is_needed(self, now: int) -> bool:
         """Whether the operations have not expired at `now` (µs, own clock)."""
         return self.expires_at is None or now < self.expires_at
