--- a/src/willowpost/store/daemon.py
+++ b/src/willowpost/store/daemon.py
@@ -1,7 +1,7 @@
 """The process that runs one replica of the log: its disk, its identity and its node."""
 
 import os
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import gevent
 
@@ -16,11 +16,13 @@
 from willowpost.shell.runner import TICK_SECONDS, Runner
 from willowpost.shell.segment_format import DiskDamagedError
 from willowpost.shell.structured_log import StructuredLogger
-from willowpost.shell.web_server import WebServer
 from willowpost.store.metrics import StoreMetrics
 from willowpost.store.node import StoreNode, StoreOptions
 from willowpost.wire.messages import Member
 
+if TYPE_CHECKING:
+    from willowpost.shell.web_server import WebServer
+
 IDENTITY_RANDOM_BYTES = 6
 Record = dict[str, Any]
 
@@ -61,8 +63,7 @@
         self.runner.start(node)
         if self.settings.metrics is not None:
             metrics = StoreMetrics(node.node_state, disk, retrying_disk.write_durations)
-            self.metrics = WebServer(self.settings.metrics, MetricsPage(metrics))
-            self.metrics.start()
+            self._serve_metrics(self.settings.metrics, metrics)
 
     def stop(self) -> None:
         """Hand over or await the sync (`store/graceful_shutdown.py`), then end.
@@ -79,6 +80,13 @@
             gevent.sleep(TICK_SECONDS)
         self.runner.mesh.stop()
 
+    def _serve_metrics(self, address: str, metrics: StoreMetrics) -> None:
+        # Imported here: a store without the page does not pay for a web server.
+        from willowpost.shell.web_server import WebServer
+
+        self.metrics = WebServer(address, MetricsPage(metrics))
+        self.metrics.start()
+
     def _open_disk(self, clock: Clock) -> tuple[Disk, list[Record]]:
         """Open the data folder; returns it with its records, the oldest first.
 
