Replacement schedules: a seat that nobody took is not replaced again

It switches replacements off; the schedule then draws a voter to be replaced, and from the second cycle on that may be a machine that was taken away before.

Change: such a seat is left alone. With replacements every voter runs when it is drawn, so those schedules are the same.

--- a/src/willowpost/sim/replacement_faults.py
+++ b/src/willowpost/sim/replacement_faults.py
@@ -104,6 +104,8 @@
     def _replace_machine(self, cycle):
         world = self.world
         old, new = world.chance.choice(self._voters()), f"n{cycle}"
+        if old not in world.names:
+            return  # taken away before, and no store has its seat: only without replacements
         self._order()
         if world.chance.random() < 0.6:
             self._stand_up(new, world.zones[old])
