One piece plans and executes requests, in proxies and in the simulator

RequestExecution does it for both. The simulator's own second look at the slot, which could never differ right after planning, is gone. Proxies behave as before.

--- a/src/willowpost/proxy/frontend.py
+++ b/src/willowpost/proxy/frontend.py
@@ -15,11 +15,19 @@
 from willowpost.proxy.client.stall_detector import StallDetector
 from willowpost.proxy.proxy_state import ProxyState
 from willowpost.proxy.request_parser import RequestParser, host_of, path_of
-from willowpost.proxy.routing.attempt import RequestRejectedError, RouteChangedError
+from willowpost.proxy.routing.attempt import RequestRejectedError
 from willowpost.proxy.routing.header_names import HeaderNames
 from willowpost.proxy.routing.plan_executor import PlanExecutor
 from willowpost.proxy.routing.planner import STALE_TABLES_RETRY_SECONDS, RequestPlanner
-from willowpost.proxy.routing.request import ONCE, SAFE_METHODS, RejectPlan, Request, kind_of
+from willowpost.proxy.routing.request import (
+    ONCE,
+    SAFE_METHODS,
+    RejectPlan,
+    Request,
+    RequestPlan,
+    kind_of,
+)
+from willowpost.proxy.routing.request_execution import RequestExecution
 from willowpost.proxy.status_page import HEALTH, PATHS, ProxyStatusPage
 from willowpost.shell.structured_log import StructuredLogger
 
@@ -89,6 +97,7 @@
         self.pacer = options.pacer
         self.connections: set[ClientConnection] = set()
         self._serves_status_paths = options.serves_status_paths
+        self._execution = RequestExecution(planner, executor, stats)
         self._responses = ResponseBuilder(options.header_names, stats)
         self._parser = RequestParser(node_state, options.header_names)
         self._status_page = ProxyStatusPage(
@@ -199,17 +208,12 @@
 
     def _carry_out(self, request: Request, head: ClientRequestHead, body: bytes) -> ClientResponse:
         self.stats["requests"] += 1
-        while True:
-            plan = self.planner.plan(request)
+
+        def check_body(plan: RequestPlan) -> None:
             if not isinstance(plan, RejectPlan) and len(body) > self.body_limit_bytes(head):
                 raise self._limit_rejection(413, "body over the limit")
-            try:
-                outcome = self.executor.execute(request, plan, body)
-            except RouteChangedError:
-                # Nothing of it was sent; each turn needs another change.
-                self.stats["replanned"] += 1
-            else:
-                return self._responses.build(request, outcome)
+
+        return self._responses.build(request, self._execution.run(request, body, check_body))
 
     def _route(self, head: ClientRequestHead) -> Route | None:
         return self.node_state.snapshot.routes.find(host_of(head), path_of(head))
--- a/src/willowpost/sim/fleet/nodes.py
+++ b/src/willowpost/sim/fleet/nodes.py
@@ -21,7 +21,8 @@
 from willowpost.proxy.routing.headers import HOP_RETRY
 from willowpost.proxy.routing.plan_executor import PlanExecutor
 from willowpost.proxy.routing.planner import RequestPlanner
-from willowpost.proxy.routing.request import AtMostOncePlan, Request
+from willowpost.proxy.routing.request import Request
+from willowpost.proxy.routing.request_execution import RequestExecution
 from willowpost.registry.node import RegistryNode
 from willowpost.registry.origin_health import HealthCheckFinished, HeartbeatReceived
 from willowpost.registry.origin_lookup import find_incarnation
@@ -60,8 +61,11 @@
                 outgoing=OutgoingRequests(self.proxy, clock.now),
             )
         )
-        self.executor = PlanExecutor(self.proxy, self.node.cache, clock, self.attempts, self.stats)
-        self.planner = RequestPlanner(self.proxy, self.node.cache, clock)
+        self.execution = RequestExecution(
+            RequestPlanner(self.proxy, self.node.cache, clock),
+            PlanExecutor(self.proxy, self.node.cache, clock, self.attempts, self.stats),
+            self.stats,
+        )
         self.in_flight = 0
         self.node.shutdown.in_flight = lambda: self.in_flight
 
@@ -132,10 +136,7 @@
 
     def _carry(self, source, number, request, body):
         try:
-            plan = self.planner.plan(request)
-            if isinstance(plan, AtMostOncePlan) and self.proxy.snapshot.slot != plan.slot:
-                plan = self.planner.plan(request)
-            outcome = self.executor.execute(request, plan, body)
+            outcome = self.execution.run(request, body)
             headers = [pair for pair in outcome.answer.headers if pair[0] != "age"]
             headers += [("age", str(outcome.age // SECOND))] if outcome.age is not None else []
             headers += [("wp-slot", str(outcome.slot))] if request.is_from_edge else []
--- a/src/willowpost/sim/fleet/route_changes.py
+++ b/src/willowpost/sim/fleet/route_changes.py
@@ -149,7 +149,7 @@
         edge, path = self.chance.choice(edges), self.chance.choice(sorted(paths))
         node = self.world.seats[edge].node
         node.proxy.max_stale_serving = SERVE_ON
-        plan = node.planner.plan(Request("GET", HOST, f"{path}1", {}))
+        plan = node.execution.planner.plan(Request("GET", HOST, f"{path}1", {}))
         self.asked += 1
         if (
             isinstance(plan, RejectPlan)
