Metrics, submissions, fences and versions: what stood twice stands once

Found on reading the change again: the age of the tables was made a metric by proxies and by registries; LogClient counted ends of calls in two ways; zones and origins built fenced operations alike; the soak kept the newest version beside the changes that it follows from; two tests read a served page by the same lines. No behaviour changes. SlowDisk's text said more than it does.

--- a/src/willowpost/drill/soak/configurations.py
+++ b/src/willowpost/drill/soak/configurations.py
@@ -5,6 +5,7 @@
 """
 
 import copy
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -60,6 +61,11 @@
     return changed
 
 
+def newest_version(changes: Iterable[Change]) -> int:
+    """Returns the newest version that was acknowledged; 0: none."""
+    return max((change.version or 0 for change in changes), default=0)
+
+
 class ConfigurationChanger:
     """The operator: proposes one change after the other.
 
@@ -69,13 +75,11 @@
 
     Attributes:
         changes: All changes so far, in their order.
-        version: The newest one that was acknowledged; 0: none.
     """
 
     def __init__(self, fleet: SoakFleet, clock: Clock) -> None:
         self.fleet, self.clock = fleet, clock
         self.changes: list[Change] = []
-        self.version = 0
         self._turn = BoundedSemaphore()
 
     def change(self) -> bool:
@@ -88,7 +92,6 @@
                 change.is_possible = reply is None or reply[0] not in REFUSED_STATUSES
                 return False
             change.accepted_at, change.version = self.clock.now(), int(reply[2]["version"])
-            self.version = max(self.version, change.version)
             return True
 
     def change_steadily(self) -> None:
--- a/src/willowpost/drill/soak/process.py
+++ b/src/willowpost/drill/soak/process.py
@@ -76,11 +76,7 @@
 
 
 class SlowDisk(Disk):
-    """A disk whose syncs take longer; they block the process, as a disk's do.
-
-    Args:
-        folder: As of `Disk`.
-    """
+    """A disk on which appending takes longer; it blocks the process, as a sync does."""
 
     def append(self, records: list[Record]) -> None:
         """Append one batch of records and sync it, slowly."""
--- a/src/willowpost/drill/soak/run.py
+++ b/src/willowpost/drill/soak/run.py
@@ -13,7 +13,7 @@
 from willowpost.drill.soak.actions import TroubleActions
 from willowpost.drill.soak.callers import SoakCallers
 from willowpost.drill.soak.configuration_reads import ConfigurationReader
-from willowpost.drill.soak.configurations import ConfigurationChanger
+from willowpost.drill.soak.configurations import ConfigurationChanger, newest_version
 from willowpost.drill.soak.fleet import HOST, SoakFleet
 from willowpost.drill.soak.fleet_health import FleetHealth
 from willowpost.drill.soak.judge import Record
@@ -62,7 +62,7 @@
         self.actions = TroubleActions(
             self.fleet, self.clock, self.record, self.findings, self.changer.change
         )
-        self.health = FleetHealth(self.fleet, lambda: self.changer.version)
+        self.health = FleetHealth(self.fleet, lambda: newest_version(self.changer.changes))
         self.busy: set[str] = set()  # targets that a trouble holds now
         self.ended: list[str] = []  # processes that ended by themselves, with their exit codes
         edges = self.fleet.edges()
--- a/src/willowpost/drill/soak/verdict.py
+++ b/src/willowpost/drill/soak/verdict.py
@@ -8,7 +8,7 @@
 from willowpost.drill.soak.callers import CallerTally
 from willowpost.drill.soak.configuration_reads import ConfigurationRead, outdated_reads
 from willowpost.drill.soak.configuration_rules import IN_FORCE_AFTER, ConfigurationRules
-from willowpost.drill.soak.configurations import Change
+from willowpost.drill.soak.configurations import Change, newest_version
 from willowpost.drill.soak.fleet import SoakFleet
 from willowpost.drill.soak.in_force_times import InForceTimes, read_log
 from willowpost.drill.soak.judge import Record, SoakRules
@@ -42,11 +42,6 @@
     reads: list[ConfigurationRead]
     ended: list[str]
 
-    @property
-    def newest_version(self) -> int:
-        """The newest version of the configuration that was acknowledged; 0: none."""
-        return max((change.version or 0 for change in self.changes), default=0)
-
 
 class Verdict:
     """Judges a fleet that still runs.
@@ -105,7 +100,7 @@
         )
 
     def _judge_reads(self, findings: Findings) -> None:
-        reads, wanted = self.observations.reads, self.observations.newest_version
+        reads, wanted = self.observations.reads, newest_version(self.observations.changes)
         findings.add_violations(
             "no read of the configuration is outdated",
             f"{len(reads)} reads,",
--- a/src/willowpost/proxy/metrics.py
+++ b/src/willowpost/proxy/metrics.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 
-from willowpost.common.clock import SECOND
 from willowpost.proxy.frontend import Frontend
 from willowpost.proxy.outgoing import OutgoingRequests
 from willowpost.proxy.proxy_state import ProxyState
@@ -53,7 +52,5 @@
             "Exchanges under way for which nobody waits.",
             self._outgoing.count_orphaned(),
         )
-        yield from log_metrics(self._node_state.tables)
-        age = self._node_state.tables_age(self._front.now())
-        if age is not None:
-            yield gauge("tables_age_seconds", "The age of the tables.", age / SECOND)
+        node_state = self._node_state
+        yield from log_metrics(node_state.tables, node_state.tables_age(self._front.now()))
--- a/src/willowpost/registry/api/log_client.py
+++ b/src/willowpost/registry/api/log_client.py
@@ -6,7 +6,8 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import Any, Protocol
+from functools import partial
+from typing import Any, Protocol, TypeVar
 
 import gevent
 
@@ -45,6 +46,9 @@
 OperationBuilder = Callable[[Tables], Operation | None]
 
 
+OperationT = TypeVar("OperationT", bound=Operation)
+
+
 @dataclass(frozen=True, slots=True)
 class Outcome:
     """What the log did with operations.
@@ -180,11 +184,7 @@
                 newer was decided.
         """
         started_at = self.now()
-
-        def ended(outcome: CallOutcome, response: Response) -> Response:
-            self.submissions.add(outcome, self.now() - started_at)
-            return response
-
+        ended = partial(self._ended, started_at)
         deadline = max(deadline, started_at + MIN_LOG_TIMEOUT_US)
         if not self._wait_until_in_touch():
             return ended(CallOutcome.OUT_OF_TOUCH, out_of_touch())
@@ -219,19 +219,21 @@
             deadline: as deadline_for() returns it.
             on_accepted: makes the response, of the last of the slots.
         """
-        started_at = self.now()
+        ended = partial(self._ended, self.now())
         if not self._wait_until_in_touch():
-            self.submissions.add(CallOutcome.OUT_OF_TOUCH, self.now() - started_at)
-            return out_of_touch()
+            return ended(CallOutcome.OUT_OF_TOUCH, out_of_touch())
         tasks = [gevent.spawn(self._submit_once, tuple(batch), deadline) for batch in batches]
         last_slot = 0
         for outcome in [task.get() for task in tasks]:
             if outcome is None:
-                self.submissions.add(CallOutcome.UNKNOWN, self.now() - started_at)
-                return outcome_unknown()
+                return ended(CallOutcome.UNKNOWN, outcome_unknown())
             last_slot = max(last_slot, outcome.slot)
-        self.submissions.add(CallOutcome.ACCEPTED, self.now() - started_at)
-        return on_accepted(last_slot)
+        return ended(CallOutcome.ACCEPTED, on_accepted(last_slot))
+
+    def _ended(self, started_at: int, outcome: CallOutcome, response: Response) -> Response:
+        """Count a call that came at `started_at` and ended so; returns its response."""
+        self.submissions.add(outcome, self.now() - started_at)
+        return response
 
     def quorum_read(self, deadline: int | None = None) -> bool:
         """Wait until the tables here are known to be complete as of now.
@@ -289,5 +291,12 @@
     return lambda tables: operation
 
 
+def unless_superseded(
+    operation: OperationT, is_superseded: Callable[[Tables, OperationT], bool]
+) -> OperationBuilder:
+    """Return the builder of a fenced operation: None on tables that supersede it already."""
+    return lambda tables: None if is_superseded(tables, operation) else operation
+
+
 def _conflict(operation: Operation, rejected: Rejected) -> Response:
     return rejection(409, ValidationIssue(OPERATION_NAMES[type(operation)], rejected.reason))
--- a/src/willowpost/registry/api/origins.py
+++ b/src/willowpost/registry/api/origins.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from willowpost.registry.api.log_client import LogClient, unfenced
+from willowpost.registry.api.log_client import LogClient, unfenced, unless_superseded
 from willowpost.registry.api.origin_requests import OriginReference, OriginReport
 from willowpost.registry.api.request_body import SMALL_BODY_BYTES, parse_body
 from willowpost.registry.api.responses import (
@@ -132,7 +132,7 @@
             return known.unwrap_err()
         registration = report.as_registration(known.unwrap().slot)
         return self.log_client.submit(
-            lambda tables: None if is_superseded(tables, registration) else registration,
+            unless_superseded(registration, is_superseded),
             deadline,
             lambda result, slot: _registered(code, result, slot),
             on_rejected,
--- a/src/willowpost/registry/api/zones.py
+++ b/src/willowpost/registry/api/zones.py
@@ -2,7 +2,7 @@
 
 from typing import Literal
 
-from willowpost.registry.api.log_client import LogClient
+from willowpost.registry.api.log_client import LogClient, unless_superseded
 from willowpost.registry.api.request_body import SMALL_BODY_BYTES, RequestBody, parse_body
 from willowpost.registry.api.responses import quorum_read_failed
 from willowpost.registry.api.route import Route
@@ -61,7 +61,7 @@
         shown_scope = {} if scope is None else {"what": scope}
         order = EvacuateZone(zone, is_evacuated, scope, known_slot=known.unwrap().slot)
         return self.log_client.submit(
-            lambda tables: None if is_superseded(tables, order) else order,
+            unless_superseded(order, is_superseded),
             deadline,
             lambda result, slot: Response(
                 200, {"zone": zone, "empty": is_evacuated, **shown_scope, "slot": slot}
--- a/src/willowpost/registry/metrics.py
+++ b/src/willowpost/registry/metrics.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Iterable
 
-from willowpost.common.clock import SECOND
 from willowpost.node.node_state import NodeState
 from willowpost.registry.api.submission_counts import SubmissionCounts
 from willowpost.shell.log_metrics import log_metrics
@@ -32,12 +31,10 @@
 
     def __call__(self) -> Iterable[Metric | HistogramMetric]:
         """Yields the metrics as they are now."""
-        yield from log_metrics(self._node_state.tables)
+        node_state = self._node_state
+        yield from log_metrics(node_state.tables, node_state.tables_age(self._now()))
         yield from self._calls()
-        age = self._node_state.tables_age(self._now())
-        if age is not None:
-            yield gauge("tables_age_seconds", "The age of the tables.", age / SECOND)
-        has_contact = float(self._node_state.has_quorum_contact())
+        has_contact = float(node_state.has_quorum_contact())
         yield gauge("quorum_contact", "1 with a quorum in contact a moment ago.", has_contact)
 
     def _calls(self) -> Iterable[Metric | HistogramMetric]:
--- a/tests/proxy/test_metrics.py
+++ b/tests/proxy/test_metrics.py
@@ -4,8 +4,7 @@
 import sys
 import unittest
 
-from gevent import socket
-
+from tests.support.metrics_page import fetch, value_of
 from tests.support.served import ScriptedOrigin, ServedProxy, answer
 from willowpost.proxy.client.lifetime import RequestLifetime
 from willowpost.proxy.metrics import ProxyMetrics
@@ -21,33 +20,26 @@
         outgoing = self.proxy.front.executor.attempts.resources.outgoing
         self.page = MetricsPage(ProxyMetrics(self.proxy.front, self.proxy.node_state, outgoing))
 
-    def figure(self, text, name):
-        lines = [line for line in text.splitlines() if line.startswith(f"willowpost_{name} ")]
-        return float(lines[0].rpartition(" ")[2])
+    def figure(self, name):
+        return value_of(self.page, name)
 
     def test_requests_ages_and_invariants_are_told(self):
         self.proxy.clock.time += 250_000
         self.assertEqual(200, self.proxy.ask("GET", "/a")[0])
-        text = self.page.text().decode()
-        self.assertEqual(1, self.figure(text, 'events_total{event="requests"}'))
-        self.assertEqual(0, self.figure(text, 'sent_tables_age_seconds_bucket{le="0.2"}'))
-        self.assertEqual(1, self.figure(text, 'sent_tables_age_seconds_bucket{le="0.3"}'))
-        self.assertEqual(1, self.figure(text, 'sent_tables_age_seconds_bucket{le="+Inf"}'))
-        self.assertEqual(0, self.figure(text, "exchanges_without_caller"))
+        self.assertEqual(1, self.figure('events_total{event="requests"}'))
+        self.assertEqual(0, self.figure('sent_tables_age_seconds_bucket{le="0.2"}'))
+        self.assertEqual(1, self.figure('sent_tables_age_seconds_bucket{le="0.3"}'))
+        self.assertEqual(1, self.figure('sent_tables_age_seconds_bucket{le="+Inf"}'))
+        self.assertEqual(0, self.figure("exchanges_without_caller"))
         for invariant in Invariant:
             name = f'invariant_violations_total{{invariant="{invariant.value}"}}'
-            self.assertEqual(0, self.figure(text, name))
+            self.assertEqual(0, self.figure(name))
 
     def test_it_is_served_on_any_path(self):
         web = WebServer("127.0.0.1:0", self.page)
         web.start()
         self.addCleanup(web.stop, 0)
-        caller = socket.create_connection(("127.0.0.1", web.server.server_port), timeout=5)
-        self.addCleanup(caller.close)
-        caller.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-        held = b""
-        while block := caller.recv(65536):
-            held += block
+        held = fetch(web.server.server_port)
         self.assertIn(b"200 OK", held)
         self.assertIn(b"willowpost_log_slot 5.0", held)
 
--- a/tests/store/test_store_metrics.py
+++ b/tests/store/test_store_metrics.py
@@ -5,9 +5,7 @@
 import unittest
 from unittest.mock import Mock, patch
 
-from gevent import socket
-
-from tests.support.metrics_page import value_of
+from tests.support.metrics_page import fetch, value_of
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.shell.disk import Disk
 from willowpost.shell.metrics import MetricsPage
@@ -68,12 +66,6 @@
         self.addCleanup(daemon.runner.mesh.stop)
         self.addCleanup(daemon.runner.task.kill)
         self.addCleanup(daemon.metrics.stop, 0)
-        port = daemon.metrics.server.server_port
-        client = socket.create_connection(("127.0.0.1", port), timeout=5)
-        self.addCleanup(client.close)
-        client.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-        received = b""
-        while block := client.recv(65536):
-            received += block
+        received = fetch(daemon.metrics.server.server_port)
         self.assertIn(b"200 OK", received)
         self.assertIn(b"willowpost_voter ", received)
--- a/tests/support/metrics_page.py
+++ b/tests/support/metrics_page.py
@@ -1,5 +1,7 @@
 """Reads a metrics page."""
 
+from gevent import socket
+
 from willowpost.shell.metrics import NAME_PREFIX, MetricsPage
 
 
@@ -17,3 +19,13 @@
         if line.startswith(f"{NAME_PREFIX}{name} "):
             return float(line.rpartition(" ")[2])
     raise LookupError(name)
+
+
+def fetch(port: int) -> bytes:
+    """Returns the whole response of a page that is served at this port of the loopback address."""
+    with socket.create_connection(("127.0.0.1", port), timeout=5) as client:
+        client.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        received = b""
+        while block := client.recv(65536):
+            received += block
+    return received
