A planned end counts its stages from the signal, not from when the loop noticed it (LOST)

What callers would see: a request that an edge took over 3 s after its SIGTERM and was killed with. Stages began when the event loop handled the signal. A loop that stood for a second (a large configuration, a busy host) took requests until 3.25 s after the signal, and gave the last ones up at 6.4 s, after the SIGKILL of a grace of 6 s.

Cause: the signal was handled by a watcher of the loop.

Tests: a process that computes for 0.4 s while the signal comes knows when it came (the watcher's time was that of its next turn); stages of a daemon that notices the signal 1 s and 3 s late end at the same moment as ever.

--- a/src/willowpost/node/graceful_shutdown.py
+++ b/src/willowpost/node/graceful_shutdown.py
@@ -63,8 +63,16 @@
     leave: int
 
 
+@dataclass(frozen=True, slots=True)
 class ShutdownRequested:
-    """An event: the platform wants this process to end."""
+    """An event: the platform wants this process to end.
+
+    Attributes:
+        requested_at: when it asked for that, which may be long before the event is handled; µs, own
+            clock. None: just now.
+    """
+
+    requested_at: int | None = None
 
 
 class GracefulShutdown(StagedShutdown[ShutdownStage]):
@@ -72,7 +80,8 @@
 
     Nothing new is rejected before `timeouts.drain` is over. No open request is given up before
     LAST_RESPONSES_US after the three timeouts together: the daemon leaves the log while the last
-    ones go on. All stages together take no longer than that.
+    ones go on. All stages together take no longer than that, counted from the platform's request: a
+    process that notices it late has less time left, since the platform's grace has begun.
 
     Args:
         node_state: of the daemon.
@@ -99,6 +108,7 @@
         self.command_client = command_client
         self.fleet_join = fleet_join
         self.stage_entered_at = 0
+        self.finish_at = 0
         self.leave_at = 0
         self.end_by = 0
         # Returns the number of requests or calls not answered yet; set by who serves them.
@@ -108,7 +118,7 @@
         """Begin on `ShutdownRequested`; on each tick, move on if the next stage is due."""
         plan = Plan()
         if isinstance(event, ShutdownRequested) and self.stage is ShutdownStage.SERVING:
-            self._drain(now, plan)
+            self._drain(now if event.requested_at is None else event.requested_at, now, plan)
         elif isinstance(event, Tick):
             self._tick(now, plan)
         return plan
@@ -116,16 +126,17 @@
     def _tick(self, now: int, plan: Plan) -> None:
         stage_age = now - self.stage_entered_at
         match self.stage:
-            case ShutdownStage.DRAINING if stage_age >= self.timeouts.drain:
-                self.leave_at = now + self.timeouts.finish
-                self.end_by = self.leave_at + self.timeouts.leave + LAST_RESPONSES_US
+            case ShutdownStage.DRAINING if now >= self.finish_at:
                 self._move_to(ShutdownStage.FINISHING, now, plan)
             case ShutdownStage.FINISHING if self._is_finished(stage_age, now):
                 self._leave(now, plan)
             case ShutdownStage.LEAVING if self._has_left(stage_age, now):
                 self._move_to(ShutdownStage.STOPPED, now, plan)
 
-    def _drain(self, now: int, plan: Plan) -> None:
+    def _drain(self, requested_at: int, now: int, plan: Plan) -> None:
+        self.finish_at = requested_at + self.timeouts.drain
+        self.leave_at = self.finish_at + self.timeouts.finish
+        self.end_by = self.leave_at + self.timeouts.leave + LAST_RESPONSES_US
         self.node_state.is_draining = True
         self._move_to(ShutdownStage.DRAINING, now, plan)
         self._submit(DrainDaemon(self.descriptor.id, self.descriptor.incarnation), now, plan)
--- a/src/willowpost/proxy/daemon.py
+++ b/src/willowpost/proxy/daemon.py
@@ -98,12 +98,15 @@
             web.start()
         gevent.spawn(self._maintain)
 
-    def stop(self) -> None:
+    def stop(self, requested_at: int) -> None:
         """Shuts down gracefully; returns when the process may end.
 
         The port is closed and connections take no new requests from the stage FINISHING on.
+
+        Args:
+            requested_at: When the machine asked for it; µs, own clock.
         """
-        self.runner.shut_down(self._close)
+        self.runner.shut_down(requested_at, self._close)
 
     def _build_node(self, settings: ProcessSettings) -> ProxyNode:
         descriptor = DaemonDescriptor(
--- a/src/willowpost/registry/daemon.py
+++ b/src/willowpost/registry/daemon.py
@@ -76,6 +76,10 @@
         if self.metrics is not None:
             self.metrics.start()
 
-    def stop(self) -> None:
-        """End as planned (`node/graceful_shutdown.py`); returns when the process may end."""
-        self.runner.shut_down(self.web.server.close)
+    def stop(self, requested_at: int) -> None:
+        """End as planned (`node/graceful_shutdown.py`); returns when the process may end.
+
+        Args:
+            requested_at: when the machine asked for it; µs, own clock.
+        """
+        self.runner.shut_down(requested_at, self.web.server.close)
--- a/src/willowpost/shell/runner.py
+++ b/src/willowpost/shell/runner.py
@@ -114,15 +114,16 @@
             if not waiter.ready():
                 self.inbox.put(WithdrawSubmission(token))
 
-    def shut_down(self, close: Callable[[], object]) -> None:
+    def shut_down(self, requested_at: int, close: Callable[[], object]) -> None:
         """End a proxy or registry by a `GracefulShutdown`; returns when the process may end.
 
         A store has stages of its own: see `StoreDaemon.stop`.
 
         Args:
+            requested_at: when the machine asked for it; µs, own clock.
             close: called when the process should accept nothing new.
         """
-        self.inbox.put(ShutdownRequested())
+        self.inbox.put(ShutdownRequested(requested_at))
         self._wait_for_stage(ShutdownStage.FINISHING)
         close()
         self._wait_for_stage(ShutdownStage.STOPPED)
--- a/src/willowpost/store/daemon.py
+++ b/src/willowpost/store/daemon.py
@@ -65,17 +65,20 @@
             metrics = StoreMetrics(node.node_state, disk, retrying_disk.write_durations)
             self._serve_metrics(self.settings.metrics, metrics)
 
-    def stop(self) -> None:
+    def stop(self, requested_at: int) -> None:
         """Hand over or await the sync (`store/graceful_shutdown.py`), then end.
 
         A store that is stopped at any other moment loses nothing either: all it has sent is on its
         disk. A disk that hangs does not delay the end: this task's own clock keeps the time limits.
+
+        Args:
+            requested_at: when the machine asked for it; µs, own clock.
         """
         if self.node is None:
             return
         shutdown, clock = self.node.shutdown, self.runner.clock
-        give_up_at = clock.now() + max(shutdown.timeouts.handover, shutdown.timeouts.sync)
-        self.runner.inbox.put(ShutdownRequested())
+        give_up_at = requested_at + max(shutdown.timeouts.handover, shutdown.timeouts.sync)
+        self.runner.inbox.put(ShutdownRequested(requested_at))
         while not shutdown.is_stopped and clock.now() < give_up_at:
             gevent.sleep(TICK_SECONDS)
         self.runner.mesh.stop()
--- a/src/willowpost/store/graceful_shutdown.py
+++ b/src/willowpost/store/graceful_shutdown.py
@@ -97,18 +97,18 @@
         """Begin on `ShutdownRequested`; on each tick, move on if the next stage is due."""
         plan = Plan()
         if isinstance(event, ShutdownRequested) and self.stage is StoreShutdownStage.SERVING:
-            self._begin(now, plan)
+            self._begin(now if event.requested_at is None else event.requested_at, now, plan)
         elif isinstance(event, Tick):
             self._tick(now, plan)
         return plan
 
-    def _begin(self, now: int, plan: Plan) -> None:
+    def _begin(self, requested_at: int, now: int, plan: Plan) -> None:
         self.fleet_join.is_leaving = self.voter_repair.is_leaving = True
         if self._successor() is None:
-            self.stop_by = now + self.timeouts.sync
+            self.stop_by = requested_at + self.timeouts.sync
             self._move_to(StoreShutdownStage.AWAITING_SYNC, plan)
             return
-        self.stop_by = now + self.timeouts.handover
+        self.stop_by = requested_at + self.timeouts.handover
         self._move_to(StoreShutdownStage.HANDING_OVER, plan)
         operation = DrainDaemon(self.node_state.member.identity, self.incarnation)
         submission = SubmitOperations(None, (operation,), self.timeouts.handover)
--- a/tests/node/test_graceful_shutdown.py
+++ b/tests/node/test_graceful_shutdown.py
@@ -43,12 +43,15 @@
         )
         self.in_flight = 0
         self.shutdown.in_flight = lambda: self.in_flight
-        self.shutdown.step(ShutdownRequested(), 0)
+        self.request(0)
 
-    def until(self, stage):
+    def request(self, now, requested_at=None):
+        self.shutdown.step(ShutdownRequested(requested_at), now)
+
+    def until(self, stage, since_ms=0):
         return next(
             now
-            for now in range(0, 20_000, 20)
+            for now in range(since_ms, 20_000, 20)
             if self.shutdown.step(Tick(), now * MILLISECOND) and self.shutdown.stage is stage
         )
 
@@ -91,6 +94,22 @@
         self.node_state.tables = Tables()
         self.assertEqual(5500, self.until(ShutdownStage.STOPPED))
 
+    def test_what_is_left_of_the_grace_counts_from_the_signal_however_late_it_is_noticed(self):
+        """Guards against LOST: requests that a daemon takes late and is killed with."""
+        for noticed_ms, finishing_ms in ((1000, 2500), (3000, 3000)):
+            with self.subTest(noticed_ms=noticed_ms):
+                self.setUp()
+                self.shutdown.stage = ShutdownStage.SERVING
+                self.request(noticed_ms * MILLISECOND, requested_at=0)
+                self.in_flight = 1
+                self.assertEqual(
+                    (finishing_ms, 5500),
+                    (
+                        self.until(ShutdownStage.FINISHING, noticed_ms),
+                        self.until(ShutdownStage.STOPPED, noticed_ms),
+                    ),
+                )
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/shell/test_process_termination.py
+++ b/tests/shell/test_process_termination.py
@@ -23,6 +23,25 @@
 logger = StructuredLogger("{kind}", "m")
 serve({name}(settings, logger), logger)
 """
+# A process that sends itself a signal and then computes for a while, without a turn of its loop.
+STANDSTILL_US = 300_000
+STANDSTILL = """
+import os
+import gevent
+from willowpost.common.clock import Clock
+from willowpost.shell.serving import StopRequest
+request, clock, signalled = StopRequest(), Clock(), []
+
+def compute():
+    signalled.append(clock.now())
+    os.kill(os.getpid(), {number})
+    while clock.now() < signalled[0] + 400_000:
+        pass
+
+gevent.spawn(compute)
+requested_at = request.wait()
+print(signalled[0], requested_at, clock.now())
+"""
 # least time to serve on
 KINDS = {
     "store": ("StoreDaemon", 0.0),
@@ -76,6 +95,19 @@
                 code = f"{entry}\nimport os, signal\nos.kill(os.getpid(), signal.SIGHUP)"
                 self.assertEqual(0, subprocess.run([sys.executable, "-c", code]).returncode)
 
+    def test_a_stop_request_knows_when_its_signal_came_however_late_the_loop_notices(self):
+        """Guards against LOST: stages of a planned end that begin after the platform's grace."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            with self.subTest(signal=number.name):
+                text = STANDSTILL.format(number=int(number))
+                told = subprocess.run(
+                    [sys.executable, "-c", text], capture_output=True, text=True, timeout=30
+                )
+                self.assertEqual(0, told.returncode, told.stderr)
+                signalled_at, requested_at, noticed_at = map(int, told.stdout.split())
+                self.assertGreaterEqual(requested_at, signalled_at)
+                self.assertGreaterEqual(noticed_at - requested_at, STANDSTILL_US)
+
 
 if __name__ == "__main__":
     unittest.main()
