Stores drop commands that nobody has submitted again for 5 s

Cause: a queued command was decided whether or not anybody still waited for it, the oldest first, so a log that had fallen behind worked on nothing but what had been given up.

Fix: a command expires 5 s after it was last submitted, forwarded or proposed. Submissions that wait for such a command's answer are forgotten as well, and the heap of a learner, which grew for ever, is rebuilt. New on the store's metrics page: pending commands, the age of the oldest, of what is decided, and how many expired.

Ruled out: one registration under way for each incarnation (not across registries), a window for each daemon (what is given up would have to be retried).

--- a/src/willowpost/consensus/replica/acceptance.py
+++ b/src/willowpost/consensus/replica/acceptance.py
@@ -3,8 +3,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from willowpost.common.events import Received
+from willowpost.common.events import Received, Tick
 from willowpost.common.plan import Plan
+from willowpost.consensus.pending_queue import COMMAND_LIFETIME_US
 from willowpost.consensus.replica import barrier
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.state.apply import recorded_results
@@ -23,17 +24,25 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingSubmission:
-    """A command that was submitted here, and the address that wants its answer."""
+    """A command that was submitted here, and who wants its answer.
+
+    Attributes:
+        command: that was submitted.
+        source: address of the submitter.
+        submitted_at: when it was last submitted; µs, own clock.
+    """
 
     command: Command
     source: str
+    submitted_at: int
 
 
 class Acceptance:
     """Sends `CommandAccepted` once n - f voters hold every slot up to the command's on disk.
 
     See `barrier.safe_slot`. At most MAX_PENDING_SUBMISSIONS wait at once; further ones get no
-    answer.
+    answer. One that has expired undecided (`PendingQueue`) is forgotten; should it be decided all
+    the same, its submitter is answered when it submits it again.
     """
 
     def __init__(self, node_state: ReplicaState):
@@ -47,11 +56,22 @@
             case Received(source, SubmitCommand(command)) if (
                 len(self.submissions) < MAX_PENDING_SUBMISSIONS
             ):
-                self.submissions[command.key] = PendingSubmission(command, source)
+                self.submissions[command.key] = PendingSubmission(command, source, now)
+            case Tick():
+                self._forget_expired(now)
         if self.submissions:
             self._answer_safe_submissions(plan)
         return plan
 
+    def _forget_expired(self, now: int) -> None:
+        expired = [
+            key
+            for key, submission in self.submissions.items()
+            if now - submission.submitted_at >= COMMAND_LIFETIME_US
+        ]
+        for key in expired:
+            del self.submissions[key]
+
     def _answer_safe_submissions(self, plan: Plan) -> None:
         safe_slot = barrier.safe_slot(self.node_state)
         for key, submission in tuple(self.submissions.items()):
--- a/src/willowpost/consensus/replica/replica_state.py
+++ b/src/willowpost/consensus/replica/replica_state.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field, replace
 
+from willowpost.common.duration_histogram import DurationHistogram
 from willowpost.common.plan import Plan
 from willowpost.consensus.log_size import decision_bytes
 from willowpost.consensus.pending_queue import PendingQueue
@@ -25,6 +26,8 @@
 from willowpost.state.tables import Tables
 from willowpost.wire.messages import BallotState, Command, Decision, Member, SyncedIndex
 
+DECIDED_AGE_BOUNDS_MS = (5, 10, 20, 50, 100, 200, 500, 1000, 2000, 3000, 5000, 10_000)
+
 
 @dataclass(slots=True)
 class VotingStatistics:
@@ -36,6 +39,8 @@
         decided_by_votes: slots that this replica decided by votes, not by catching up.
         fast_path: of these, slots decided in the first phase (Rabia, section 3.5).
         phases: that the slots decided by votes took together.
+        expired: commands that nobody needed any more before they were decided.
+        decided_ages: how long commands had waited here when a slot decided them.
     """
 
     decided: int = 0
@@ -43,6 +48,10 @@
     decided_by_votes: int = 0
     fast_path: int = 0
     phases: int = 0
+    expired: int = 0
+    decided_ages: DurationHistogram = field(
+        default_factory=lambda: DurationHistogram(DECIDED_AGE_BOUNDS_MS)
+    )
 
     def count_decision(self, decision: Decision) -> None:
         """Count a decided slot."""
--- a/src/willowpost/consensus/replica/voting.py
+++ b/src/willowpost/consensus/replica/voting.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from willowpost.common.clock import SECOND
 from willowpost.common.events import Received, Tick
 from willowpost.common.plan import Plan
 from willowpost.consensus.replica.ballot_exchange import BallotExchange
@@ -20,6 +21,8 @@
     SubmitCommand,
 )
 
+EXPIRY_INTERVAL_US = SECOND // 2
+
 
 class Voting:
     """Proposes commands, votes on the open slot and commits its decision."""
@@ -28,7 +31,8 @@
         self.node_state = node_state
         self.mvc = WeakMvc()
         self.exchange = BallotExchange(node_state)
-        self.body_requested_at = 0  # µs, own clock
+        self.body_requested_at = 0  # µs, own clock, as all below
+        self.expired_at = 0
 
     def step(self, event: Any, now: int) -> Plan:
         """Take in commands and ballot states, then go as far as the received ones allow."""
@@ -43,6 +47,7 @@
             case Received(_, CatchupResponse(command=command)) if command is not None:
                 self._enqueue(command, now)
             case Tick():
+                self._expire_commands(now, plan)
                 self.exchange.resend_if_due(now, plan)
         while self.node_state.is_voter and self._advance(now, plan):
             pass
@@ -51,16 +56,29 @@
     # What others send
 
     def _enqueue(self, command: Command, now: int) -> bool:
-        """Queue a command; False if it is queued already or decided."""
+        """Queue or renew a command; whether other replicas should be told of it."""
         node_state = self.node_state
         return not node_state.is_decided(command) and node_state.pending_commands.push(command, now)
 
     def _enqueue_and_forward(self, command: Command, now: int, plan: Plan) -> None:
-        """Queue a client's command, and forward it the first time (Algorithm 1, lines 8-9)."""
+        """Queue a client's command, and forward it the first time (Algorithm 1, lines 8-9).
+
+        One that is submitted for long is forwarded again, so that it expires nowhere.
+        """
         if self._enqueue(command, now):
             forward = ForwardCommand(command)
             plan.sends += [(address, forward) for address in self.node_state.other_addresses()]
 
+    def _expire_commands(self, now: int, plan: Plan) -> None:
+        """Drop the commands that nobody needs any more."""
+        if now - self.expired_at < EXPIRY_INTERVAL_US:
+            return
+        self.expired_at = now
+        expired = self.node_state.pending_commands.expire(now)
+        if expired:
+            self.node_state.statistics.expired += expired
+            plan.log("voting", "commands expired", commands=expired)
+
     def _receive_ballot_state(self, ballot_state: BallotState, now: int) -> None:
         """Record a ballot state; its command is queued, so that this replica proposes the same."""
         if ballot_state.command is not None:
@@ -102,7 +120,7 @@
                 return False
         elif not others:
             queued_at = node_state.pending_commands.queued_at(command.key)
-            if now - queued_at < tuning.proposal_delay_us:
+            if queued_at is not None and now - queued_at < tuning.proposal_delay_us:
                 return False
         self.exchange.adopt(self._proposal_of(command), now, plan, is_first=True)
         return True
@@ -155,6 +173,9 @@
             self._request_body(key, now, plan)
             return False
         node_state.statistics.count_verdict(verdict.phase)
+        queued_at = node_state.pending_commands.queued_at(key)
+        if queued_at is not None:
+            node_state.statistics.decided_ages.add(now - queued_at)
         node_state.commit(Decision(node_state.tables.slot, key, command), plan)
         node_state.ballot_states_since = now
         return True
--- a/src/willowpost/store/daemon.py
+++ b/src/willowpost/store/daemon.py
@@ -62,7 +62,7 @@
         self.node = node
         self.runner.start(node)
         if self.settings.metrics is not None:
-            metrics = StoreMetrics(node.node_state, disk, retrying_disk.write_durations)
+            metrics = StoreMetrics(node.node_state, disk, retrying_disk.write_durations, clock.now)
             self._serve_metrics(self.settings.metrics, metrics)
 
     def stop(self, requested_at: int) -> None:
--- a/src/willowpost/store/metrics.py
+++ b/src/willowpost/store/metrics.py
@@ -1,7 +1,8 @@
 """The metrics of a store, as its metrics page states them."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
+from willowpost.common.clock import SECOND
 from willowpost.common.duration_histogram import DurationHistogram
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.shell.disk import Disk
@@ -16,13 +17,18 @@
         node_state: The replica's state.
         disk: Its data folder.
         write_durations: How long writes to it took until they were synced.
+        now: Returns this process's clock, in µs.
     """
 
     def __init__(
-        self, node_state: ReplicaState, disk: Disk, write_durations: DurationHistogram
+        self,
+        node_state: ReplicaState,
+        disk: Disk,
+        write_durations: DurationHistogram,
+        now: Callable[[], int],
     ) -> None:
         self._node_state, self._disk = node_state, disk
-        self._write_durations = write_durations
+        self._write_durations, self._now = write_durations, now
 
     def __call__(self) -> Iterable[Metric | HistogramMetric]:
         """Yields the metrics as they are now."""
@@ -32,12 +38,34 @@
         yield gauge("voter", "1 if it votes in the epoch in force.", float(node_state.is_voter))
         yield gauge("segment_bytes", "The newest segment's length.", self._disk.synced_bytes)
         yield from self._decisions()
+        yield from self._pending_commands()
         yield duration_metric(
             "disk_write_seconds",
             "How long writes took until they were synced, retries included.",
             self._write_durations,
         )
 
+    def _pending_commands(self) -> Iterable[Metric | HistogramMetric]:
+        pending = self._node_state.pending_commands
+        statistics = self._node_state.statistics
+        oldest_queued_at = pending.oldest_queued_at()
+        oldest_us = 0 if oldest_queued_at is None else self._now() - oldest_queued_at
+        yield gauge("pending_commands", "Commands that wait for a slot.", len(pending))
+        yield gauge(
+            "oldest_pending_seconds", "How long the first of them waits.", oldest_us / SECOND
+        )
+        yield Metric(
+            "expired_commands",
+            "Commands that nobody needed any more before a slot decided them.",
+            {"": statistics.expired},
+            is_counter=True,
+        )
+        yield duration_metric(
+            "decided_age_seconds",
+            "How long commands had waited here when a slot decided them.",
+            statistics.decided_ages,
+        )
+
     def _decisions(self) -> Iterable[Metric]:
         statistics = self._node_state.statistics
         yield Metric(
--- a/tests/consensus/test_pending.py
+++ b/tests/consensus/test_pending.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from willowpost.consensus.pending_queue import PendingQueue
+from willowpost.consensus.pending_queue import (
+    COMMAND_LIFETIME_US,
+    MAX_STALE_HEAP_ENTRIES,
+    RENEWAL_INTERVAL_US,
+    PendingQueue,
+)
 from willowpost.consensus.pending_reads import MAX_PENDING_READS, PendingReads
 from willowpost.wire.messages import Command
 
@@ -26,6 +31,28 @@
         queue.drop(late.key)
         self.assertIsNone(queue.head(lambda each: False))
 
+    def test_what_nobody_renews_expires_and_a_renewal_is_passed_on_in_time(self):
+        queue = PendingQueue()
+        renewed, abandoned = command(1, 10), command(2, 20)
+        for each in (renewed, abandoned):
+            self.assertTrue(queue.push(each, 0))
+        self.assertFalse(queue.push(renewed, RENEWAL_INTERVAL_US - 1))
+        self.assertTrue(queue.push(renewed, 2 * RENEWAL_INTERVAL_US))
+        self.assertEqual(0, queue.expire(COMMAND_LIFETIME_US - 1))
+        self.assertEqual(1, queue.expire(COMMAND_LIFETIME_US))
+        self.assertIsNone(queue.get(abandoned.key))
+        self.assertEqual(renewed, queue.head(lambda each: False))
+        self.assertEqual((1, 0), (len(queue), queue.oldest_queued_at()))
+
+    def test_dropped_commands_leave_nothing_behind_in_a_queue_whose_head_nobody_asks_for(self):
+        """A learner proposes nothing, so its heap grew with every command."""
+        queue = PendingQueue()
+        for number in range(10 * MAX_STALE_HEAP_ENTRIES):
+            queue.push(command(number, number), 0)
+            queue.drop(command(number, number).key)
+        queue.expire(0)
+        self.assertLessEqual(len(queue._heap), MAX_STALE_HEAP_ENTRIES)
+
 
 class Reads(unittest.TestCase):
     def test_a_read_completes_with_a_quorum_whose_slots_are_reached(self):
--- a/tests/store/test_store_metrics.py
+++ b/tests/store/test_store_metrics.py
@@ -6,6 +6,7 @@
 from unittest.mock import Mock, patch
 
 from tests.support.metrics_page import fetch, value_of
+from willowpost.common.clock import SECOND
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.shell.disk import Disk
 from willowpost.shell.metrics import MetricsPage
@@ -13,7 +14,7 @@
 from willowpost.shell.retrying_disk import RetryingDisk
 from willowpost.store.daemon import StoreDaemon
 from willowpost.store.metrics import StoreMetrics
-from willowpost.wire.messages import Decision, Member
+from willowpost.wire.messages import Command, Decision, Member
 
 MEMBER = Member("i", "n", "a", "127.0.0.1:1")
 
@@ -24,9 +25,12 @@
         self.addCleanup(folder.cleanup)
         self.folder = folder.name
         self.state = ReplicaState(MEMBER)
+        self.now = 0
         self.disk = Disk(self.folder)
         self.retrying_disk = RetryingDisk(self.disk, Mock(), wait=lambda seconds: None)
-        source = StoreMetrics(self.state, self.disk, self.retrying_disk.write_durations)
+        source = StoreMetrics(
+            self.state, self.disk, self.retrying_disk.write_durations, lambda: self.now
+        )
         self.page = MetricsPage(source)
 
     def value(self, name):
@@ -43,6 +47,18 @@
         for how in ("all", "forfeited", "by_votes", "first_phase"):
             self.assertEqual(1, self.value(f'decisions_total{{how="{how}"}}'), how)
 
+    def test_commands_that_wait_and_the_ages_of_those_that_were_decided(self):
+        for number in (1, 2):
+            self.state.pending_commands.push(Command("d", 1, number, number, "[]"), number * SECOND)
+        self.now = 4 * SECOND
+        self.assertEqual(2, self.value("pending_commands"))
+        self.assertEqual(3, self.value("oldest_pending_seconds"))
+        self.state.statistics.decided_ages.add(3 * SECOND)
+        self.state.statistics.expired += 1
+        self.assertEqual(0, self.value('decided_age_seconds_bucket{le="2.0"}'))
+        self.assertEqual(1, self.value('decided_age_seconds_bucket{le="3.0"}'))
+        self.assertEqual(1, self.value("expired_commands_total"))
+
     def test_synced_writes_are_timed_and_failures_that_are_retried_are_one_write(self):
         self.retrying_disk.rotate([{"k": "identity", "identity": "x"}])
         no_space = OSError(errno.ENOSPC, "full")
