The longest step of a large configuration is the daemon's own, not the simulator's check

Cause: the test timed World.give, which also runs the simulator's rules.

The test times the daemons' steps alone now, with the same bound in real time, and a further one: 0.3 s of the processor, from the lease (1.5 s) and the smallest machine (0.43 of a processor), with half of the lease to spare. The rule remembers the slots of the texts it has read.

--- a/src/willowpost/sim/rules.py
+++ b/src/willowpost/sim/rules.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+from functools import lru_cache
 
 from willowpost.consensus.replica.records import RecordKind
 from willowpost.wire.messages import BallotState, Command, CommandAccepted, SubmitCommand
@@ -156,5 +157,12 @@
         if record["k"] == RecordKind.DECISION:
             slot = record["slot"] + 1
         elif record["k"] == RecordKind.SNAPSHOT:
-            slot = json.loads(record["text"])["slot"]
+            slot = _snapshot_slot(record["text"])
+    return slot
+
+
+@lru_cache(maxsize=32)
+def _snapshot_slot(text: str) -> int:
+    """The slot of a snapshot's text, which may have megabytes."""
+    slot: int = json.loads(text)["slot"]
     return slot
--- a/src/willowpost/sim/world.py
+++ b/src/willowpost/sim/world.py
@@ -6,6 +6,7 @@
 
 from willowpost.common.clock import MILLISECOND, SECOND
 from willowpost.common.events import Received, Tick
+from willowpost.common.plan import Plan
 from willowpost.sim.disk import SimDisk
 from willowpost.sim.seat import Seat, Weather
 
@@ -166,10 +167,14 @@
                 event,
             )
             return
-        plan = seat.node.step(event, self.now(seat))
+        plan = self.step_node(seat, event)
         seat.busy_until = self.time + seat.step_span if seat.step_span else 0
         self._carry(seat, event, plan)
 
+    def step_node(self, seat: Seat, event) -> Plan:
+        """Steps a node; returns its plan. All that a real process would compute is in here."""
+        return seat.node.step(event, self.now(seat))
+
     def _late(self, address, incarnation, event):
         if self.seats[address].incarnation == incarnation:
             self.give(address, event)
--- a/tests/system/test_large_configurations.py
+++ b/tests/system/test_large_configurations.py
@@ -6,6 +6,7 @@
 import json
 import time
 import unittest
+from collections import Counter
 
 from willowpost.configuration.checker import MAX_CONFIGURATION_BYTES, ConfigurationChecker
 from willowpost.sim.fleet.world import FleetWorld
@@ -27,6 +28,29 @@
     return {f"w{number}": branch(number, depth - 1) for number in range(routes)}
 
 
+class LongestSteps:
+    """The longest step of each kind of daemon, in seconds of real and of processor time."""
+
+    def __init__(self, step_node):
+        self.step_node = step_node
+        self.real = Counter()
+        self.processor = Counter()
+
+    def step(self, seat, event):
+        begun, used = time.perf_counter(), time.thread_time()
+        plan = self.step_node(seat, event)
+        kind = seat.address[0]
+        self.real[kind] = max(self.real[kind], time.perf_counter() - begun)
+        self.processor[kind] = max(self.processor[kind], time.thread_time() - used)
+        return plan
+
+    def texts(self):
+        return {
+            kind: f"{1000 * self.real[kind]:.0f}, {1000 * self.processor[kind]:.0f}"
+            for kind in sorted(self.real)
+        }
+
+
 class LargeConfigurations(unittest.TestCase):
     def accept(self, world, routes, depth):
         world.configuration["branches"]["bulk"] = {
@@ -42,19 +66,13 @@
     def test_a_configuration_near_the_limit_is_in_force_and_a_lost_disk_comes_back_with_it(self):
         """The rules check at every step that it is in force in time.
 
-        The longest step is measured in real time.
+        The longest step of each kind of daemon is measured, without what the simulator adds: its
+        rules read whole snapshots again, which took longer than any daemon's step.
         """
         world = FleetWorld(5)
         world.open()
-        longest = {}
-        give = world.give
-
-        def timed(address, event):
-            begun = time.perf_counter()
-            give(address, event)
-            longest[address[0]] = max(longest.get(address[0], 0.0), time.perf_counter() - begun)
-
-        world.give = timed
+        longest = LongestSteps(world.step_node)
+        world.step_node = longest.step
         size = self.accept(world, 600, 7)
         self.assertGreater(size, MAX_CONFIGURATION_BYTES // 2)
         self.assertLess(size, MAX_CONFIGURATION_BYTES)
@@ -76,14 +94,11 @@
                 seconds(15),
             )
         )
-        print(
-            {kind: round(held * 1000) for kind, held in sorted(longest.items())},
-            "ms at most in one step;",
-            size,
-            "bytes",
-        )
+        print(longest.texts(), "ms at most in one step, real and of the processor;", size, "bytes")
         # a lease lasts 1.5 s: no step may come near it, whatever the machine
-        self.assertLess(max(longest.values()), 1.2)
+        self.assertLess(max(longest.real.values()), 1.2)
+        # nor on the smallest machine, which has 0.43 of a processor, with half of the lease to spare
+        self.assertLess(max(longest.processor.values()), 0.3)
 
     def test_beyond_each_limit_it_is_refused_with_its_place(self):
         tree = json.loads(json.dumps(FleetWorld(5).configuration))
