Proxies parse a new configuration in steps of 512 routes

A configuration of 2.3 MB (4,200 routes) took one step of 80 ms at a proxy, two thirds of it for the routes, during which it serves nothing; on a machine with 0.43 of a processor 190 ms, and the more the larger it is. Now a step takes 512 routes at most, and the routes of the configuration before stay in force until all are parsed; origins, drains and evacuations come into force at once. While one is being parsed nothing is denied by the older one (503 in place of 404).

--- a/src/willowpost/configuration/routes.py
+++ b/src/willowpost/configuration/routes.py
@@ -145,16 +145,19 @@
 def routes_of(tree: dict[str, Any]) -> tuple[Route, ...]:
     """Return every route of a checked configuration, with the settings that it inherits."""
     with paused_gc():
-        return tuple(
-            Route(
+        return tuple(iterate_routes(tree))
+
+
+def iterate_routes(tree: dict[str, Any]) -> Iterator[Route]:
+    """Yield every route of a checked configuration, with the settings that it inherits."""
+    for walked in walk_branches(tree):
+        if walked.path is not None and walked.settings.get("service"):
+            yield Route(
                 walked.location.replace("branches/", ""),
                 walked.host,
                 walked.path,
                 **walked.settings,
             )
-            for walked in walk_branches(tree)
-            if walked.path is not None and walked.settings.get("service")
-        )
 
 
 def lookup_prefix(path: str) -> str:
@@ -167,15 +170,25 @@
 
 
 class RouteTable:
-    """Finds routes by host and path; immutable once made.
+    """Finds routes by host and path.
 
     Args:
         routes: of one configuration.
     """
 
-    def __init__(self, routes: Iterable[Route]) -> None:
-        self._routes = {(route.host, lookup_prefix(route.path)): route for route in routes}
-        self._longest_path = max((len(route.path) for route in self._routes.values()), default=0)
+    def __init__(self, routes: Iterable[Route] = ()) -> None:
+        self._routes: dict[tuple[str, str], Route] = {}
+        self._longest_path = 0
+        for route in routes:
+            self.add(route)
+
+    def add(self, route: Route) -> None:
+        """Add a route, while the table is being made and nobody else has it.
+
+        Of two routes with the same host and path the later one stays.
+        """
+        self._routes[route.host, lookup_prefix(route.path)] = route
+        self._longest_path = max(self._longest_path, len(route.path))
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest path that takes this one, or None.
--- a/src/willowpost/proxy/proxy_state.py
+++ b/src/willowpost/proxy/proxy_state.py
@@ -94,10 +94,13 @@
 
         What the tables lack may have been accepted since they were last confirmed, so only tables
         confirmed within `MAX_IN_TOUCH_AGE_US` can tell that something does not exist or is too
-        large. `max_stale_serving` may be much longer than that.
+        large. `max_stale_serving` may be much longer than that. Nor can a snapshot whose
+        configuration is older than that of the tables, which is being parsed.
         """
-        is_configured = self.snapshot.version > 0 or self.tables.configuration.tree is not None
-        return is_configured and self.is_in_touch(now)
+        newest = self.tables.configuration
+        is_configured = self.snapshot.version > 0 or newest.tree is not None
+        is_parsed = self.snapshot.version >= newest.version
+        return is_configured and is_parsed and self.is_in_touch(now)
 
     def is_evacuated(self, now: int) -> bool:
         """Whether this proxy's zone has been evacuated for at least `EVACUATION_GRACE_US`."""
--- a/src/willowpost/proxy/routing/parsed_configuration.py
+++ b/src/willowpost/proxy/routing/parsed_configuration.py
@@ -1,14 +1,19 @@
 """What follows from a configuration alone, whatever proxies and origins there are."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
+from itertools import islice
 from typing import Any
 
-from willowpost.configuration.routes import Route, RouteTable, routes_of
+from willowpost.common.gc_pause import paused_gc
+from willowpost.configuration.routes import Route, RouteTable, iterate_routes
 from willowpost.proxy.routing.shields import goes_through_shields, only_through_shields
 from willowpost.proxy.routing.snapshot import NO_ROUTES, empty_mapping
 from willowpost.state.entries import ActiveConfiguration
 
+# A few ms of work on a small machine.
+MAX_ROUTES_OF_STEP = 512
+
 # A service as the configuration has it.
 ServiceSettings = Mapping[str, Any]
 
@@ -41,15 +46,16 @@
 
     @classmethod
     def parse(cls, configuration: ActiveConfiguration) -> "ParsedConfiguration":
-        """Returns what follows from a configuration."""
-        routes = routes_of(configuration.tree) if configuration.tree else ()
-        return cls(
-            configuration,
-            RouteTable(routes),
-            _shielded_routes(routes),
-            _direct_services(routes),
-            configuration.tree or {},
-        )
+        """Returns what follows from a configuration, however long that takes."""
+        parser = ConfigurationParser(configuration)
+        while (parsed := parser.advance()) is None:
+            pass
+        return parsed
+
+    @property
+    def version(self) -> int:
+        """The configuration's version; 0 before the first one."""
+        return 0 if self.configuration is None else self.configuration.version
 
     @property
     def services(self) -> Mapping[str, ServiceSettings]:
@@ -58,16 +64,45 @@
         return services
 
 
-def _shielded_routes(routes: Iterable[Route]) -> frozenset[ShieldedRoutes]:
-    return frozenset(
-        ShieldedRoutes(service, route.homes)
-        for route in routes
-        if goes_through_shields(route)
-        for service in route.services
-    )
+class ConfigurationParser:
+    """Parses a configuration in steps, between which a proxy serves its requests.
 
+    Args:
+        configuration: What to parse.
+    """
 
-def _direct_services(routes: Iterable[Route]) -> frozenset[str]:
-    return frozenset(
-        service for route in routes if not only_through_shields(route) for service in route.services
-    )
+    def __init__(self, configuration: ActiveConfiguration) -> None:
+        self.configuration = configuration
+        self._remaining = iterate_routes(configuration.tree or {})
+        self._table = RouteTable()
+        # (its services, its home regions) of each kind of route, which are few
+        self._shielded: set[tuple[tuple[str, ...], tuple[str, ...]]] = set()
+        self._direct: set[tuple[str, ...]] = set()
+
+    def advance(self, max_routes: int = MAX_ROUTES_OF_STEP) -> ParsedConfiguration | None:
+        """Takes the next routes; returns what follows from all once there are no more."""
+        with paused_gc():
+            routes = tuple(islice(self._remaining, max_routes))
+            for route in routes:
+                self._take(route)
+        return None if len(routes) == max_routes else self._parsed()
+
+    def _take(self, route: Route) -> None:
+        self._table.add(route)
+        if goes_through_shields(route):
+            self._shielded.add((route.services, route.homes))
+        if not only_through_shields(route):
+            self._direct.add(route.services)
+
+    def _parsed(self) -> ParsedConfiguration:
+        return ParsedConfiguration(
+            self.configuration,
+            self._table,
+            frozenset(
+                ShieldedRoutes(service, homes)
+                for services, homes in self._shielded
+                for service in services
+            ),
+            frozenset(service for services in self._direct for service in services),
+            self.configuration.tree or {},
+        )
--- a/src/willowpost/proxy/routing/snapshot_maker.py
+++ b/src/willowpost/proxy/routing/snapshot_maker.py
@@ -6,7 +6,11 @@
 from types import MappingProxyType
 
 from willowpost.proxy.origin.instance_check import InstanceCheck
-from willowpost.proxy.routing.parsed_configuration import ParsedConfiguration, ServiceSettings
+from willowpost.proxy.routing.parsed_configuration import (
+    ConfigurationParser,
+    ParsedConfiguration,
+    ServiceSettings,
+)
 from willowpost.proxy.routing.shields import ShieldChooser
 from willowpost.proxy.routing.snapshot import (
     DEFAULT_SLOW_START_SECONDS,
@@ -14,7 +18,12 @@
     RoutableService,
     RoutingSnapshot,
 )
-from willowpost.state.entries import DaemonEntry, EvacuationScope, OriginEntry
+from willowpost.state.entries import (
+    ActiveConfiguration,
+    DaemonEntry,
+    EvacuationScope,
+    OriginEntry,
+)
 from willowpost.state.lifecycle import DaemonState, OriginState
 from willowpost.state.tables import Tables
 
@@ -93,24 +102,44 @@
 class SnapshotMaker:
     """Makes snapshots from the tables alone; routes are made anew only with a new configuration.
 
+    The first configuration is parsed at once, every later one by `advance`: until it is, snapshots
+    have the routes and services of the one before, and all else of their tables.
+
     Args:
         regions: Zone to region; empty if regions do not matter.
     """
 
     def __init__(self, regions: Mapping[str, str] | None = None) -> None:
         self.parsed = ParsedConfiguration()
+        self._parser: ConfigurationParser | None = None
         self.shields = ShieldChooser("", regions or {})
 
+    def advance(self, configuration: ActiveConfiguration) -> bool:
+        """Takes a step towards this configuration; whether another one was parsed by it.
+
+        One whose parsing has begun is parsed to its end first, so that each comes into force
+        however fast they follow each other.
+        """
+        if self.parsed.configuration is None or self.parsed.configuration is configuration:
+            return False
+        if self._parser is None:
+            self._parser = ConfigurationParser(configuration)
+        parsed = self._parser.advance()
+        if parsed is None:
+            return False
+        self.parsed, self._parser = parsed, None
+        return True
+
     def make(self, tables: Tables) -> RoutingSnapshot:
         """Returns the snapshot of these tables."""
-        if self.parsed.configuration is not tables.configuration:
+        if self.parsed.configuration is None:
             self.parsed = ParsedConfiguration.parse(tables.configuration)
         fleet = ProxyFleet.of(tables)
         services = self._services(tables, fleet)
         shields = fleet.serving_shields
         return RoutingSnapshot(
             tables.slot,
-            tables.configuration.version,
+            self.parsed.version,
             self.parsed.routes,
             MappingProxyType(services),
             frozenset(origin.name for service in services.values() for origin in service.origins),
--- a/src/willowpost/proxy/routing/snapshot_updater.py
+++ b/src/willowpost/proxy/routing/snapshot_updater.py
@@ -34,7 +34,8 @@
         """Takes over changed tables after any event; `now` is in µs."""
         node_state, plan = self.node_state, Plan()
         tables, previous = node_state.tables, node_state.snapshot
-        if tables.slot == previous.slot:
+        has_parsed = self.maker.advance(tables.configuration)
+        if tables.slot == previous.slot and not has_parsed:
             return plan
         self.cache.purge(tables)
         node_state.snapshot = self.maker.make(tables)
