Test processes listen where no other test's connection can take their port

Cause, brought about: the test chose ports of the range for outgoing connections and gave them back. That the failure seen was this one is likely and not proved: its logs were not kept.

Fix: addresses of a random loopback host, below that range; a failed wait shows the stores' logs.

--- a/tests/drill/test_soak.py
+++ b/tests/drill/test_soak.py
@@ -4,7 +4,7 @@
 import tempfile
 import unittest
 from collections import Counter
-from contextlib import closing, suppress
+from contextlib import suppress
 from dataclasses import replace
 from datetime import datetime
 from itertools import pairwise
@@ -13,6 +13,7 @@
 import gevent
 from gevent import socket
 
+from tests.support.loopback import free_addresses
 from willowpost.common.clock import SECOND, Clock
 from willowpost.drill.rules import Findings
 from willowpost.drill.soak.callers import KEPT, ONCE, REPEATABLE, CallerTally, Sent
@@ -64,9 +65,7 @@
 class StandIns(unittest.TestCase):
     def test_an_origin_that_crashes_answers_nothing(self):
         """Soak seed 7: a slow request of a crashed origin was answered with 500."""
-        with closing(socket.socket()) as free:
-            free.bind(("127.0.0.1", 0))
-            address = "{}:{}".format(*free.getsockname())
+        (address,) = free_addresses(1)
         origin = StandInOrigin(Ledger(), Clock(), address, "pages", "a", 500.0, 1, [])
         origin.start()
         origin.mode = "slow"
--- a/tests/shell/test_process_termination.py
+++ b/tests/shell/test_process_termination.py
@@ -4,7 +4,6 @@
 """
 
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -12,13 +11,15 @@
 import unittest
 from pathlib import Path
 
+from tests.support.loopback import free_addresses
+
 ENTRY = """
 import sys
 from willowpost.shell.structured_log import StructuredLogger
 from willowpost.shell.process_settings import ProcessSettings
 from willowpost.shell.serving import serve
 from willowpost.{kind}.daemon import {name}
-settings = ProcessSettings("m", "a", "127.0.0.1:{inner}", ("127.0.0.1:{seed}",), http="127.0.0.1:{http}", role="edge", data=sys.argv[1], voters=3,
+settings = ProcessSettings("m", "a", "{inner}", ("{seed}",), http="{http}", role="edge", data=sys.argv[1], voters=3,
                  drain_ms=500, finish_ms=300, leave_ms=200)
 logger = StructuredLogger("{kind}", "m")
 serve({name}(settings, logger), logger)
@@ -50,16 +51,6 @@
 }
 
 
-def ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    found = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return found
-
-
 class ProcessTermination(unittest.TestCase):
     def test_every_daemon_ends_with_code_0_on_a_signal(self):
         for kind, (name, least) in KINDS.items():
@@ -68,7 +59,7 @@
                     self.subTest(kind=kind, signal=number.name),
                     tempfile.TemporaryDirectory() as folder,
                 ):
-                    inner, http, seed = ports(3)
+                    inner, http, seed = free_addresses(3)
                     text = ENTRY.format(kind=kind, name=name, inner=inner, http=http, seed=seed)
                     process = subprocess.Popen(
                         [sys.executable, "-c", text, folder], stderr=subprocess.PIPE, text=True
--- a/tests/store/test_store_shutdown.py
+++ b/tests/store/test_store_shutdown.py
@@ -1,7 +1,6 @@
 """Graceful shutdown of stores with real processes: a restart, and a machine that is removed."""
 
 import json
-import socket
 import subprocess
 import sys
 import tempfile
@@ -9,11 +8,14 @@
 import unittest
 from pathlib import Path
 
+from tests.support.loopback import free_addresses
+
 MAIN = "from willowpost.store.main import main; main()"
 UP_SECONDS = 15
 HANDOVER_SECONDS = 10  # drain, finish and leave as set below
 SETTLE_SECONDS = 1
 POLL_SECONDS = 0.02
+SHOWN_LINES = 12
 
 
 class Stores:
@@ -21,7 +23,7 @@
 
     def __init__(self, folder: Path):
         self.folder = folder
-        self.addresses = [f"127.0.0.1:{port}" for port in free_ports(4)]
+        self.addresses = free_addresses(4)
         self.running: dict[int, subprocess.Popen] = {}
 
     def start(self, number: int, **more) -> None:
@@ -52,6 +54,13 @@
         """How often its log contains this text."""
         return (self.folder / f"{number}.log").read_text().count(text)
 
+    def last_lines(self, number: int) -> str:
+        """The end of its log, and its exit code if it has ended, for a failed assertion."""
+        process = self.running.get(number)
+        code = None if process is None else process.poll()
+        lines = (self.folder / f"{number}.log").read_text().splitlines()
+        return "\n".join([f"store {number}, exit code {code}:", *lines[-SHOWN_LINES:]])
+
     def terminate(self, number: int) -> tuple[int | None, float]:
         """SIGTERM; its exit code and how long it took, in seconds."""
         process, started_at = self.running[number], time.monotonic()
@@ -69,16 +78,6 @@
             process.wait()
 
 
-def free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 def until(condition, seconds: float) -> bool:
     end = time.monotonic() + seconds
     while not condition() and time.monotonic() < end:
@@ -93,21 +92,23 @@
         self.stores = Stores(Path(folder.name))
         self.addCleanup(self.stores.end)
 
+    def await_line(self, number, text):
+        is_there = until(lambda: self.stores.log_count(number, text), UP_SECONDS)
+        self.assertTrue(is_there, "\n".join(map(self.stores.last_lines, self.stores.running)))
+
     def test_a_restart_awaits_the_sync_and_with_a_learner_up_the_vote_is_handed_over(self):
         stores = self.stores
         for number in range(3):
             stores.start(number)
         for number in range(3):
-            self.assertTrue(
-                until(lambda n=number: stores.log_count(n, "fleet bootstrapped"), UP_SECONDS)
-            )
+            self.await_line(number, "fleet bootstrapped")
         code, seconds = stores.terminate(1)
         self.assertEqual((0, 0), (code, stores.log_count(1, "handing over")))
         self.assertEqual(1, stores.log_count(1, "awaiting sync"))
         self.assertLess(seconds, SETTLE_SECONDS + 2)
         stores.start(1)
         stores.start(3, may_bootstrap=False)
-        self.assertTrue(until(lambda: stores.log_count(3, "learner up to date"), UP_SECONDS))
+        self.await_line(3, "learner up to date")
         code, seconds = stores.terminate(2)
         self.assertEqual((0, 1), (code, stores.log_count(2, "handing over")))
         self.assertEqual(1, stores.log_count(3, "replacement of a voter requested"))
