--- a/src/willowpost/consensus/replica/acceptance.py
+++ b/src/willowpost/consensus/replica/acceptance.py
@@ -22,7 +22,7 @@
 MAX_PENDING_SUBMISSIONS = 4096
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class PendingSubmission:
     """A command that was submitted here, and who wants its answer.
 
