--- a/src/willowpost/proxy/daemon.py
+++ b/src/willowpost/proxy/daemon.py
@@ -172,7 +172,8 @@
         if settings.health is not None:
             servers.append(WebServer(settings.health, HealthPage(self.front)))
         if settings.metrics is not None:
-            metrics = ProxyMetrics(self.front, self.node_state, self.outgoing)
+            violations = self.node.tables_check.violations
+            metrics = ProxyMetrics(self.front, self.node_state, self.outgoing, violations)
             servers.append(WebServer(settings.metrics, MetricsPage(metrics)))
         return servers
 
--- a/src/willowpost/proxy/metrics.py
+++ b/src/willowpost/proxy/metrics.py
@@ -1,11 +1,11 @@
 """The metrics of a proxy, as its metrics page states them."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from willowpost.proxy.frontend import Frontend
 from willowpost.proxy.outgoing import OutgoingRequests
 from willowpost.proxy.proxy_state import ProxyState
-from willowpost.shell.log_metrics import log_metrics
+from willowpost.shell.log_metrics import log_metrics, violation_metric
 from willowpost.shell.metrics import AnyMetric, Metric, duration_metric, gauge
 
 
@@ -16,10 +16,18 @@
         front: The clients' side, with its counters.
         node_state: The proxy's shared state.
         outgoing: The requests that have been sent.
+        tables_violations: Of the invariants of the tables, by name.
     """
 
-    def __init__(self, front: Frontend, node_state: ProxyState, outgoing: OutgoingRequests) -> None:
+    def __init__(
+        self,
+        front: Frontend,
+        node_state: ProxyState,
+        outgoing: OutgoingRequests,
+        tables_violations: Mapping[str, int],
+    ) -> None:
         self._front, self._node_state, self._outgoing = front, node_state, outgoing
+        self._tables_violations = tables_violations
 
     def __call__(self) -> Iterable[AnyMetric]:
         """Yields the metrics as they are now."""
@@ -34,13 +42,7 @@
     def _counters(self) -> Iterable[AnyMetric]:
         events: dict[str, float] = dict(self._front.stats)
         yield Metric("events", "Events by name.", events, "event", is_counter=True)
-        yield Metric(
-            "invariant_violations",
-            "Requests that broke an invariant when or after they were sent.",
-            dict(self._outgoing.violations),
-            "invariant",
-            is_counter=True,
-        )
+        yield violation_metric({**self._outgoing.violations, **self._tables_violations})
 
         yield self._front.cuts.metric()
 
--- a/src/willowpost/proxy/node.py
+++ b/src/willowpost/proxy/node.py
@@ -13,6 +13,7 @@
 from willowpost.node.graceful_shutdown import GracefulShutdown
 from willowpost.node.join import FleetJoin
 from willowpost.node.quorum_read import QuorumRead
+from willowpost.node.tables_check import TablesCheck
 from willowpost.proxy.admission.admission_tokens import AdmissionTokenClient, AdmissionTokenOwner
 from willowpost.proxy.admission.quota_share_client import QuotaShareClient
 from willowpost.proxy.admission.quota_share_owner import QuotaShareOwner
@@ -58,6 +59,7 @@
         self.shutdown = GracefulShutdown(self.node_state, self.command_client, self.fleet_join)
         quota_share_owner = QuotaShareOwner(self.node_state, self.command_client)
         follower = Follower(self.node_state, seeds)
+        self.tables_check = TablesCheck(tables)
         self.controllers: list[Controller] = [
             follower,
             QuorumRead(self.node_state, follower),
@@ -71,6 +73,7 @@
             QuotaShareClient(self.node_state),
             AdmissionTokenOwner(self.node_state, quota_share_owner),
             AdmissionTokenClient(self.node_state),
+            self.tables_check,
         ]
 
     def step(self, event: object, now: int) -> Plan:
--- a/src/willowpost/registry/daemon.py
+++ b/src/willowpost/registry/daemon.py
@@ -72,6 +72,7 @@
                 router,
                 api.log_client.submissions,
                 self.cuts,
+                self.node.tables_check.violations,
                 self.runner.clock.now,
             )
             self.metrics = WebServer(settings.metrics, MetricsPage(metrics))
--- a/src/willowpost/registry/metrics.py
+++ b/src/willowpost/registry/metrics.py
@@ -1,10 +1,10 @@
 """The metrics of a registry, as its metrics page states them."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from willowpost.node.node_state import NodeState
 from willowpost.registry.api.submission_counts import SubmissionCounts
-from willowpost.shell.log_metrics import log_metrics
+from willowpost.shell.log_metrics import log_metrics, violation_metric
 from willowpost.shell.metrics import (
     AnyMetric,
     HistogramMetric,
@@ -24,6 +24,7 @@
         router: Serves the calls, with its counters.
         submissions: What became of the operations that were submitted for calls.
         cuts: The calls that were not answered.
+        violations: Of the invariants of the tables, by name.
         now: Returns this process's clock, in µs.
     """
 
@@ -33,10 +34,12 @@
         router: Router,
         submissions: SubmissionCounts,
         cuts: RequestCuts,
+        violations: Mapping[str, int],
         now: Callable[[], int],
     ) -> None:
         self._node_state, self._router = node_state, router
         self._submissions, self._cuts, self._now = submissions, cuts, now
+        self._violations = violations
 
     def __call__(self) -> Iterable[AnyMetric]:
         """Yields the metrics as they are now."""
@@ -45,6 +48,7 @@
         yield from self._calls()
         has_contact = float(node_state.has_quorum_contact())
         yield self._cuts.metric()
+        yield violation_metric(self._violations)
         yield gauge("quorum_contact", "1 with a quorum in contact a moment ago.", has_contact)
 
     def _calls(self) -> Iterable[Metric | HistogramMetric]:
--- a/src/willowpost/registry/node.py
+++ b/src/willowpost/registry/node.py
@@ -11,6 +11,7 @@
 from willowpost.node.join import FleetJoin
 from willowpost.node.node_state import NodeState
 from willowpost.node.quorum_read import QuorumRead
+from willowpost.node.tables_check import TablesCheck
 from willowpost.registry.arrival_positions import ArrivalPositions
 from willowpost.registry.configuration_log import ConfigurationLog
 from willowpost.registry.origin_health import OriginHealthMonitor, StartHealthCheck
@@ -42,6 +43,7 @@
         self.fleet_join = FleetJoin(descriptor, self._tables, self.command_client)
         self.shutdown = GracefulShutdown(self.node_state, self.command_client, self.fleet_join)
         self.arrival_positions = ArrivalPositions(self.node_state)
+        self.tables_check = TablesCheck(self._tables)
         follower = Follower(self.node_state, seeds, may_poll_proxies=False)
         self.controllers: list[Controller] = [
             follower,
@@ -53,6 +55,7 @@
             OriginHealthMonitor(self.node_state, self.command_client, start_health_check),
             self.arrival_positions,
             ConfigurationLog(self.node_state),
+            self.tables_check,
         ]
 
     def step(self, event: object, now: int) -> Plan:
--- a/src/willowpost/shell/log_metrics.py
+++ b/src/willowpost/shell/log_metrics.py
@@ -1,6 +1,6 @@
 """The metrics that every daemon has of its replicated tables."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from willowpost.common.clock import SECOND
 from willowpost.shell.metrics import Metric, gauge
@@ -23,3 +23,14 @@
     )
     if age is not None:
         yield gauge("tables_age_seconds", "The age of the tables.", age / SECOND)
+
+
+def violation_metric(violations: Mapping[str, int]) -> Metric:
+    """Returns the counter of violated invariants, by their names."""
+    return Metric(
+        "invariant_violations",
+        "How often an invariant that is checked while the process runs was violated.",
+        {name: float(count) for name, count in violations.items()},
+        "invariant",
+        is_counter=True,
+    )
--- a/src/willowpost/store/daemon.py
+++ b/src/willowpost/store/daemon.py
@@ -62,7 +62,13 @@
         self.node = node
         self.runner.start(node)
         if self.settings.metrics is not None:
-            metrics = StoreMetrics(node.node_state, disk, retrying_disk.write_durations, clock.now)
+            metrics = StoreMetrics(
+                node.node_state,
+                disk,
+                retrying_disk.write_durations,
+                node.tables_check.violations,
+                clock.now,
+            )
             self._serve_metrics(self.settings.metrics, metrics)
 
     def stop(self, requested_at: int) -> None:
--- a/src/willowpost/store/metrics.py
+++ b/src/willowpost/store/metrics.py
@@ -1,12 +1,12 @@
 """The metrics of a store, as its metrics page states them."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from willowpost.common.clock import SECOND
 from willowpost.common.duration_histogram import DurationHistogram
 from willowpost.consensus.replica.replica_state import ReplicaState
 from willowpost.shell.disk import Disk
-from willowpost.shell.log_metrics import log_metrics
+from willowpost.shell.log_metrics import log_metrics, violation_metric
 from willowpost.shell.metrics import HistogramMetric, Metric, duration_metric, gauge
 
 
@@ -17,6 +17,7 @@
         node_state: The replica's state.
         disk: Its data folder.
         write_durations: How long writes to it took until they were synced.
+        violations: Of the invariants of the tables, by name.
         now: Returns this process's clock, in µs.
     """
 
@@ -25,8 +26,10 @@
         node_state: ReplicaState,
         disk: Disk,
         write_durations: DurationHistogram,
+        violations: Mapping[str, int],
         now: Callable[[], int],
     ) -> None:
+        self._violations = violations
         self._node_state, self._disk = node_state, disk
         self._write_durations, self._now = write_durations, now
 
@@ -39,6 +42,7 @@
         yield gauge("segment_bytes", "The newest segment's length.", self._disk.synced_bytes)
         yield from self._decisions()
         yield from self._pending_commands()
+        yield violation_metric(self._violations)
         yield duration_metric(
             "disk_write_seconds",
             "How long writes took until they were synced, retries included.",
--- a/src/willowpost/store/node.py
+++ b/src/willowpost/store/node.py
@@ -21,6 +21,7 @@
 from willowpost.node.command_client import CommandClient
 from willowpost.node.failure_detector import FailureDetector
 from willowpost.node.join import FleetJoin
+from willowpost.node.tables_check import TablesCheck
 from willowpost.state.entries import DaemonDescriptor
 from willowpost.state.tables import Tables
 from willowpost.store.graceful_shutdown import StoreShutdown
@@ -99,6 +100,7 @@
         self.shutdown = StoreShutdown(
             self.node_state, self.command_client, fleet_join, voter_repair, options.incarnation
         )
+        self.tables_check = TablesCheck(self._tables)
         # Their order is the order of what they send.
         self.controllers: list[Controller] = [
             *self._consensus_controllers(options),
@@ -108,6 +110,7 @@
             FailureDetector(self.descriptor, self._tables, self.command_client),
             fleet_join,
             self.shutdown,
+            self.tables_check,
         ]
 
     def _consensus_controllers(self, options: StoreOptions) -> list[Controller]:
--- a/tests/proxy/client/test_ending_connections.py
+++ b/tests/proxy/client/test_ending_connections.py
@@ -41,7 +41,7 @@
 
     def cuts(self, cause):
         outgoing = self.front.executor.attempts.resources.outgoing
-        page = MetricsPage(ProxyMetrics(self.front, self.proxy.node_state, outgoing))
+        page = MetricsPage(ProxyMetrics(self.front, self.proxy.node_state, outgoing, {}))
         return value_of(
             page, f'requests_cut_total{{cause="{cause.value}",role="edge",stage="serving"}}'
         )
--- a/tests/proxy/test_metrics.py
+++ b/tests/proxy/test_metrics.py
@@ -18,7 +18,8 @@
         self.proxy = ServedProxy(ScriptedOrigin(answer(b"ok", cache_control="no-store")))
         self.addCleanup(self.proxy.stop)
         outgoing = self.proxy.front.executor.attempts.resources.outgoing
-        self.page = MetricsPage(ProxyMetrics(self.proxy.front, self.proxy.node_state, outgoing))
+        source = ProxyMetrics(self.proxy.front, self.proxy.node_state, outgoing, {})
+        self.page = MetricsPage(source)
 
     def figure(self, name):
         return value_of(self.page, name)
--- a/tests/registry/test_registry_metrics.py
+++ b/tests/registry/test_registry_metrics.py
@@ -24,7 +24,7 @@
         self.router = Router([("GET", "/x", 0, lambda call: Response(307))], None)
         self.cuts = RequestCuts("core", lambda: ShutdownStage.LEAVING)
         source = RegistryMetrics(
-            client.node_state, self.router, client.submissions, self.cuts, client.now
+            client.node_state, self.router, client.submissions, self.cuts, {}, client.now
         )
         self.page = MetricsPage(source)
 
@@ -83,7 +83,7 @@
         router = Router([], None)
         cuts = RequestCuts("core", lambda: ShutdownStage.SERVING)
         page = MetricsPage(
-            RegistryMetrics(client.node_state, router, submissions, cuts, client.now)
+            RegistryMetrics(client.node_state, router, submissions, cuts, {}, client.now)
         )
         self.assertEqual(0, value_of(page, 'accepted_seconds_bucket{le="0.01"}'))
         self.assertEqual(1, value_of(page, 'accepted_seconds_bucket{le="0.02"}'))
--- a/tests/store/test_store_metrics.py
+++ b/tests/store/test_store_metrics.py
@@ -29,7 +29,7 @@
         self.disk = Disk(self.folder)
         self.retrying_disk = RetryingDisk(self.disk, Mock(), wait=lambda seconds: None)
         source = StoreMetrics(
-            self.state, self.disk, self.retrying_disk.write_durations, lambda: self.now
+            self.state, self.disk, self.retrying_disk.write_durations, {}, lambda: self.now
         )
         self.page = MetricsPage(source)
 
