--- a/src/willowpost/drill/soak/callers.py
+++ b/src/willowpost/drill/soak/callers.py
@@ -9,6 +9,7 @@
 from willowpost.common.clock import Clock
 from willowpost.shell.addresses import split_address
 from willowpost.stand_ins.http_call import OK, SERVER_ERROR
+from willowpost.stand_ins.origin import WORK_PARAMETER
 
 ANSWER_SECONDS = 12.0
 CONNECT_SECONDS = 1.0
@@ -17,6 +18,8 @@
 LEAVE_AFTER_SECONDS = (0.0, 0.6)
 TURN_PAUSE_SECONDS = 0.15  # in the mean
 RETRY_SECONDS = 0.2
+LONG_SHARE = 0.1  # of the requests outside the cache: origins work on them for long
+LONG_WORK_MS = (1500, 3500)
 RECEIVE_BYTES = 65536
 FINAL_STATUS = 200  # RFC 9110, 15.2: lower ones are interim
 ONCE, REPEATABLE, KEPT = "once", "repeatable", "kept"
@@ -186,7 +189,7 @@
             self.number += 1
             name = f"s{self.number}"
             path = f"{PATHS[kind]}{chance.randrange(ITEMS)}"
-            text += self._request(kind, name, path)
+            text += self._request(kind, name, path + _work(kind, chance))
             self.tally.sent[name] = Sent(kind, edge, self.clock.now(), path, alone=place == 0)
             names.append(name)
         try:
@@ -213,3 +216,10 @@
             self.tally.wrong.append(f"{name}: {sent.path} got {body[:80]!r}")
         if status >= SERVER_ERROR and "retry-after" not in headers:
             self.tally.wrong.append(f"{name}: {status} without Retry-After")
+
+
+def _work(kind: str, chance: random.Random) -> str:
+    """Returns the query of a request, which may ask for long work."""
+    if kind == KEPT or chance.random() >= LONG_SHARE:
+        return ""
+    return f"?{WORK_PARAMETER}={chance.randint(*LONG_WORK_MS)}"
--- a/src/willowpost/drill/soak/fleet.py
+++ b/src/willowpost/drill/soak/fleet.py
@@ -10,6 +10,9 @@
 from willowpost.drill.soak.process import CUTS_VARIABLE, SYNC_VARIABLE
 
 HOST = "soak.example"
+GRACE_SECONDS = 6.0  # from SIGTERM to SIGKILL
+# as the platform's settings come to for this grace
+SHUTDOWN = {"drain_ms": 2250, "finish_ms": 2250, "leave_ms": 500}
 ZONES = ("a", "b", "c", "d", "e")
 CONFIGURATION = {
     "services": {
@@ -81,6 +84,7 @@
         self.cuts: set[frozenset[str]] = set()
         self.cut_path = deployment.folder / "cuts.json"
         for process in self.processes.values():
+            process.settings.update(SHUTDOWN)
             if process.program == "wpproxy":
                 process.settings["serve_on_ms"] = serve_on_ms
         self.write_cuts()
--- a/src/willowpost/drill/soak/judge.py
+++ b/src/willowpost/drill/soak/judge.py
@@ -5,13 +5,17 @@
 
 from willowpost.common.clock import SECOND
 from willowpost.drill.rules import Findings
-from willowpost.drill.soak.callers import KEPT, ONCE, CallerTally
+from willowpost.drill.soak.callers import KEPT, ONCE, CallerTally, Sent
+from willowpost.drill.soak.fleet import GRACE_SECONDS
 from willowpost.proxy.routing.attempt import NOT_RUN_STATUSES
 
 SENT_AFTER_LEAVING = SECOND // 2
 MAX_SENT_LATE = 3  # a close crosses what is under way, the more on a busy machine
 DRAINED_AFTER = 2 * SECOND
 DOWN_SPAN = 15 * SECOND  # a request's longest time
+# From the SIGTERM: what an origin still works on then may be given up, if it was sent early.
+LAST_SIXTH_AFTER = int(GRACE_SECONDS * 5 / 6 * SECOND)
+SENT_EARLY = 3 * SECOND
 
 
 @dataclass(slots=True)
@@ -30,6 +34,7 @@
     Attributes:
         leaves: Origins that left.
         killed: Edge's address -> (from, to) of each time in which it was killed or stood still.
+        terminated: Edge's address -> when it got a SIGTERM.
         started: Edge's address -> when its process was started anew.
         out_of_touch: (from, to) of each cut and of each trouble of the core, in which proxies may
             have been out of touch; only those that serve on past their lease are excused by it.
@@ -37,6 +42,7 @@
 
     leaves: list[OriginShutdown] = field(default_factory=list)
     killed: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
+    terminated: dict[str, list[int]] = field(default_factory=dict)
     started: dict[str, list[int]] = field(default_factory=dict)
     out_of_touch: list[tuple[int, int]] = field(default_factory=list)
 
@@ -68,6 +74,7 @@
         self.tally, self.record, self.excuse_span = tally, record, excuse_span
         self.runs = ledger["writes"]
         self.arrivals = ledger["arrivals"]
+        self.done = ledger["done"]
 
     def judge(self, findings: Findings) -> None:
         """Adds a row for each rule."""
@@ -122,10 +129,21 @@
             and not request.ended.startswith("not sent")
             and self.arrivals.get(name)
             and not self._was_down(request.edge, request.sent_at)
+            and not self._may_be_given_up(name, request)
         ]
         answered = sum(request.status is not None for request in self.tally.sent.values())
         return f"{answered} answered,", lost
 
+    def _may_be_given_up(self, name: str, request: Sent) -> bool:
+        """Whether its origin worked on it into the last sixth of the grace of its edge's end."""
+        done_at = self.done.get(name)
+        return any(
+            request.sent_at <= at + SENT_EARLY
+            and (done_at is None or done_at >= at + LAST_SIXTH_AFTER)
+            for at in self.record.terminated.get(request.edge, ())
+            if request.sent_at >= at - DOWN_SPAN
+        )
+
     def _was_down(self, edge: str, sent_at: int) -> bool:
         return any(
             end >= sent_at and begin <= sent_at + DOWN_SPAN
--- a/src/willowpost/stand_ins/ledger.py
+++ b/src/willowpost/stand_ins/ledger.py
@@ -17,6 +17,7 @@
         services: address to the requests by the first part of their paths.
         version: of the content that origins serve.
         arrivals: a request's id to (address, when in µs) of each arrival.
+        done: a request's id to when (µs) its last work was done, answered or not.
         overrun: requests that came to an origin at over twice its rate, by its address.
     """
 
@@ -25,6 +26,7 @@
     services: dict[str, Counter[str]] = field(default_factory=dict)
     version: int = 1
     arrivals: dict[str, list[tuple[str, int]]] = field(default_factory=dict)
+    done: dict[str, int] = field(default_factory=dict)
     overrun: Counter[str] = field(default_factory=Counter)
 
     def record_arrival(self, address: str, request_id: str | None, now: int) -> None:
@@ -32,6 +34,11 @@
         if request_id:
             self.arrivals.setdefault(request_id, []).append((address, now))
 
+    def record_done(self, request_id: str | None, now: int) -> None:
+        """Record that the work for a request is done."""
+        if request_id:
+            self.done[request_id] = now
+
     def record_run(self, address: str, path: str, now: int) -> None:
         """Record that a request is worked on."""
         self.seen.setdefault(address, Counter())[now // SECOND] += 1
@@ -47,6 +54,7 @@
             "writes": dict(self.writes),
             "version": self.version,
             "arrivals": self.arrivals,
+            "done": self.done,
             "seen": {address: dict(counts) for address, counts in self.seen.items()},
             "services": {address: dict(counts) for address, counts in self.services.items()},
         }
