--- a/src/willowpost/drill/main.py
+++ b/src/willowpost/drill/main.py
@@ -14,13 +14,15 @@
 from willowpost.drill.capacity.command import CapacityCommand
 from willowpost.drill.deployment import Deployment, known
 from willowpost.drill.fleet import Fleet, free_port
+from willowpost.drill.folder_commands import CheckCommand, ReplayCommand
 from willowpost.drill.history_command import CheckHistoryCommand
 from willowpost.drill.history_size import HistorySizeCommand
 from willowpost.drill.hold import Hold
 from willowpost.drill.model import ModelCommand
+from willowpost.drill.pace_command import PaceCommand
 from willowpost.drill.script import FleetDrill
 from willowpost.drill.soak.command import SoakCommand
-from willowpost.drill.tools import CheckCommand, PaceCommand, ReplayCommand, SweepCommand
+from willowpost.drill.sweep_command import SweepCommand
 from willowpost.drill.zones import ZoneDrill
 
 STEPS = (
--- a/tests/drill/test_sweep_command.py
+++ b/tests/drill/test_sweep_command.py
@@ -10,7 +10,7 @@
 from cleo.application import Application
 from cleo.testers.command_tester import CommandTester
 
-from willowpost.drill.tools import SweepCommand
+from willowpost.drill.sweep_command import SweepCommand
 from willowpost.sim.rules import Broken
 
 
@@ -37,7 +37,7 @@
 def sweep(words):
     application = Application()
     application.add(SweepCommand())
-    with patch("willowpost.drill.tools.BoundedFaultSchedule", FaultSchedule):
+    with patch("willowpost.drill.sweep_command.BoundedFaultSchedule", FaultSchedule):
         tester = CommandTester(application.find("sweep"))
         code = tester.execute(words)
     return code, tester.io.fetch_output()
