--- a/src/willowpost/node/tables_check.py
+++ b/src/willowpost/node/tables_check.py
@@ -1,6 +1,5 @@
 """Checks, in every daemon, what must hold between any two states of its tables."""
 
-from collections import Counter
 from collections.abc import Callable
 from enum import StrEnum
 
@@ -33,7 +32,7 @@
         self._tables = tables
         self._checked = tables()
         self._drained: dict[str, None] = {}  # tokens of origins that drain or did, oldest first
-        self.violations: Counter[str] = Counter({name.value: 0 for name in TablesInvariant})
+        self.violations = {name.value: 0 for name in TablesInvariant}
 
     def step(self, event: object, now: int) -> Plan:
         """Check the tables if they are not those of the step before; `now` is in µs."""
--- a/tests/platform_adapter/test_configuration_translation.py
+++ b/tests/platform_adapter/test_configuration_translation.py
@@ -14,7 +14,7 @@
 from adapter.configuration import ConfigurationTranslator
 from adapter.control import ControlWords
 from adapter.names import escaped, unescaped
-from adapter.settings import SettingsReader
+from adapter.settings import LAST_RESPONSES_MS, SettingsReader
 from adapter.times import milliseconds
 from adapter.watch import SettingsWatch
 
@@ -152,6 +152,7 @@
 
     def test_a_planned_end_stays_within_the_grace(self):
         """Guards against LOST: with a grace below 3.6 s requests ended before its last sixth."""
+        self.assertEqual(LAST_RESPONSES_US // 1000, LAST_RESPONSES_MS)
         for grace in (1, 2, 3, 3.6, 4, 6, 10, 30):
             with self.subTest(grace=grace):
                 place = self.read("proxy", SETTINGS.replace('"6s"', f'"{grace}s"')).unwrap().place
