--- a/src/willowpost/drill/soak/actions.py
+++ b/src/willowpost/drill/soak/actions.py
@@ -42,7 +42,7 @@
         match kind:
             case Kind.KILL | Kind.HERD_KILL:
                 self._hold(targets, self.fleet.kill, span, self.fleet.start)
-            case Kind.FREEZE:
+            case Kind.FREEZE | Kind.FREEZE_SOURCES:
                 self._hold(targets, self.fleet.freeze, span, self.fleet.thaw)
             case Kind.RESTART:
                 for key in targets:
--- a/src/willowpost/drill/soak/configuration_rules.py
+++ b/src/willowpost/drill/soak/configuration_rules.py
@@ -42,7 +42,7 @@
         probes: All probes by their id.
         arrivals: Id to (origin, when) of each arrival at an origin.
         starts: Edge to when its process was started anew.
-        is_excused: Whether the edge may have been out of touch at a moment.
+        is_excused: Whether an edge, by its address, may have been out of touch at a moment.
     """
 
     def __init__(
@@ -51,7 +51,7 @@
         probes: Mapping[str, Probe],
         arrivals: Mapping[str, Iterable[tuple[str, int]]],
         starts: Mapping[str, list[int]],
-        is_excused: Callable[[int], bool],
+        is_excused: Callable[[str, int], bool],
     ) -> None:
         self.changes, self.probes, self.arrivals = changes, probes, arrivals
         self.is_excused = is_excused
@@ -80,7 +80,7 @@
         return [
             f"{name} {fault}"
             for name, probe in self.probes.items()
-            if not self.is_excused(probe.sent_at)
+            if not self.is_excused(probe.edge, probe.sent_at)
             for fault in self._faults(name, probe, self._accepted_before(probe.sent_at))
         ]
 
--- a/src/willowpost/drill/soak/judge.py
+++ b/src/willowpost/drill/soak/judge.py
@@ -27,6 +27,21 @@
     ended_at: int
 
 
+@dataclass(frozen=True, slots=True)
+class OutOfTouch:
+    """A time in which proxies may have been out of touch, in µs of the machine's clock.
+
+    Attributes:
+        began: When it began.
+        ended: When it ended.
+        edge: Address of the only proxy that it concerns; None: all.
+    """
+
+    began: int
+    ended: int
+    edge: str | None = None
+
+
 @dataclass(slots=True)
 class Record:
     """What happened to the fleet, in µs of the machine's clock.
@@ -36,21 +51,31 @@
         killed: Edge's address -> (from, to) of each time in which it was killed or stood still.
         terminated: Edge's address -> when it got a SIGTERM.
         started: Edge's address -> when its process was started anew.
-        out_of_touch: (from, to) of each cut and of each trouble of the core, in which proxies may
-            have been out of touch; only those that serve on past their lease are excused by it.
+        out_of_touch: Each cut and freeze, and each trouble of the core; only proxies that serve on
+            past their lease are excused by it.
     """
 
     leaves: list[OriginShutdown] = field(default_factory=list)
     killed: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
     terminated: dict[str, list[int]] = field(default_factory=dict)
     started: dict[str, list[int]] = field(default_factory=dict)
-    out_of_touch: list[tuple[int, int]] = field(default_factory=list)
+    out_of_touch: list[OutOfTouch] = field(default_factory=list)
+
+    def is_excused(self, at: int, span: int | None, edge: str | None) -> bool:
+        """Whether a proxy may have been out of touch at `at`, or `span` before.
 
-    def is_excused(self, at: int, span: int | None) -> bool:
-        """Whether proxies may have been out of touch at `at`, or `span` before; None: never."""
+        Args:
+            at: The moment.
+            span: How long it is excused after its trouble; None: never.
+            edge: Its address; None: which proxy it was is not known.
+        """
         if span is None:
             return False
-        return any(begin <= at <= end + span for begin, end in self.out_of_touch)
+        return any(
+            trouble.began <= at <= trouble.ended + span
+            and (trouble.edge is None or edge is None or trouble.edge == edge)
+            for trouble in self.out_of_touch
+        )
 
 
 class SoakRules:
@@ -115,10 +140,14 @@
             for address, at in arrivals
             if address == leave.address
             and leave.acknowledged_at + DRAINED_AFTER < at < leave.ended_at
-            and not self.record.is_excused(at, self.excuse_span)
+            and not self.record.is_excused(at, self.excuse_span, self._edge_of(name))
         ]
         return f"{len(self.record.leaves)} left,", late
 
+    def _edge_of(self, name: str) -> str | None:
+        request = self.tally.sent.get(name)
+        return None if request is None else request.edge
+
     def _unanswered(self) -> tuple[str, list[str]]:
         """Requests that an origin had and whose connection the edge ended without a word."""
         lost = [
--- a/src/willowpost/drill/soak/run.py
+++ b/src/willowpost/drill/soak/run.py
@@ -1,12 +1,13 @@
 """Runs one soak: starts the fleet, carries out the troubles of a seed, and heals it."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
 import gevent
 
 from willowpost.common.clock import SECOND, Clock
+from willowpost.common.rendezvous import Rendezvous
 from willowpost.drill.deployment import Deployment
 from willowpost.drill.fleet import free_port
 from willowpost.drill.rules import Findings
@@ -16,10 +17,11 @@
 from willowpost.drill.soak.configurations import ConfigurationChanger, newest_version
 from willowpost.drill.soak.fleet import HOST, SoakFleet
 from willowpost.drill.soak.fleet_health import FleetHealth
-from willowpost.drill.soak.judge import Record
+from willowpost.drill.soak.judge import OutOfTouch, Record
 from willowpost.drill.soak.probes import RouteProbes
 from willowpost.drill.soak.schedule import Kind, Parts, Trouble, drawn
 from willowpost.drill.soak.verdict import CONTACT, Observations, Verdict
+from willowpost.node.source_selection import MAX_PROXY_SOURCES
 
 START_SECONDS = 60.0
 HEAL_SECONDS = 40.0
@@ -28,6 +30,8 @@
 SUPERVISE_SECONDS = 0.3
 CALLERS_EACH_EDGE = 6
 KILLING = (Kind.KILL, Kind.HERD_KILL)
+FREEZING = (Kind.FREEZE, Kind.FREEZE_SOURCES)
+ISOLATING = (Kind.CUT, Kind.CUT_CORE, *FREEZING)
 
 
 class Soak:
@@ -128,8 +132,23 @@
             tuple(key for key in keys if key.endswith("/wpproxy")),
             tuple(origin["address"] for origin in deployment.origins),
             core_tolerance=(len(cores) - 1) // 2,
+            sources=tuple(self._sources()),
         )
 
+    def _sources(self) -> Iterator[str]:
+        """Yields the keys of the edges that others of their zone poll for state updates."""
+        zones: dict[str, list[str]] = {}
+        for process in self.fleet.processes.values():
+            if process.program == "wpproxy":
+                zones.setdefault(process.zone, []).append(process.machine)
+        cores = {machine["name"] for machine in self.fleet.deployment.cores()}
+        for zone, machines in zones.items():
+            ids = [f"{machine}/proxy" for machine in machines]
+            for daemon_id in Rendezvous().rank(f"state_update/{zone}", ids)[:MAX_PROXY_SOURCES]:
+                machine = daemon_id.removesuffix("/proxy")
+                if machine not in cores:
+                    yield f"{machine}/wpproxy"
+
     def _supervise(self) -> None:
         """Starts processes again that have ended by themselves, as the platform does."""
         while True:
@@ -161,11 +180,22 @@
         for target in targets:
             if kind in (*KILLING, Kind.RESTART) and target in proxies:
                 self.record.started.setdefault(proxies[target], []).extend((began, now))
-            if kind in (*KILLING, Kind.FREEZE) and target in proxies:
+            if kind in (*KILLING, *FREEZING) and target in proxies:
                 self.record.killed.setdefault(proxies[target], []).append((began, now))
-        on_core = any(not target.endswith("/wpproxy") for target in targets if "/" in target)
-        if kind in (Kind.CUT, Kind.CUT_CORE, Kind.FREEZE) or on_core:
-            self.record.out_of_touch.append((began, now))
+        for target in targets:
+            if self._is_of_core(kind, target):
+                self.record.out_of_touch.append(OutOfTouch(began, now))
+            elif kind in ISOLATING:
+                self.record.out_of_touch.append(OutOfTouch(began, now, proxies[target]))
+
+    def _is_of_core(self, kind: Kind, target: str) -> bool:
+        """Whether a trouble of this target may put any proxy out of touch."""
+        process = self.fleet.processes.get(target)
+        if process is None:
+            return False
+        cores = {machine["name"] for machine in self.fleet.deployment.cores()}
+        is_isolated_core = kind in ISOLATING and process.machine in cores
+        return is_isolated_core or process.program != "wpproxy"
 
     def _heal(self) -> None:
         """Waits until the fleet is whole again, with the newest configuration everywhere."""
--- a/src/willowpost/drill/soak/schedule.py
+++ b/src/willowpost/drill/soak/schedule.py
@@ -11,6 +11,7 @@
     KILL = "kill"  # SIGKILL; started again at the end
     HERD_KILL = "herd_kill"  # several processes at one moment
     FREEZE = "freeze"  # SIGSTOP until the end
+    FREEZE_SOURCES = "freeze_sources"  # of all edges that others follow: these change source
     RESTART = "restart"  # SIGTERM, and started again
     RELOAD = "reload"  # SIGHUP
     CUT = "cut"  # no frame passes between a machine and all others
@@ -23,7 +24,12 @@
     PURGE = "purge"
 
 
-LASTING = {Kind.FREEZE: (0.3, 3.0), Kind.CUT: (1.0, 5.0), Kind.CUT_CORE: (1.0, 6.0)}
+LASTING = {
+    Kind.FREEZE: (0.3, 3.0),
+    Kind.FREEZE_SOURCES: (0.6, 3.0),
+    Kind.CUT: (1.0, 5.0),
+    Kind.CUT_CORE: (1.0, 6.0),
+}
 SPAN = (0.5, 3.5)  # seconds that the others last
 SERIES = {  # how many in a row, and the pause between them in seconds
     Kind.RESTART: (3, 0.6),
@@ -63,12 +69,14 @@
         proxies: Keys of the proxies.
         origins: Addresses of the origins.
         core_tolerance: How many machines of the core may be hit at a time.
+        sources: Keys of the edges that others poll for state updates.
     """
 
     core: tuple[str, ...]
     proxies: tuple[str, ...]
     origins: tuple[str, ...]
     core_tolerance: int = 1
+    sources: tuple[str, ...] = ()
 
 
 def drawn(seed: int, parts: Parts, seconds: float, each: float = 0.8) -> list[Trouble]:
@@ -104,6 +112,8 @@
             return tuple(chance.sample(parts.origins, chance.randint(1, most)))
         case Kind.ORIGIN_LEAVES:
             return (chance.choice(parts.origins),)
+        case Kind.FREEZE_SOURCES:
+            return parts.sources
         case Kind.CHANGE | Kind.PURGE:
             return ()
         case Kind.CUT_CORE:
--- a/src/willowpost/drill/soak/verdict.py
+++ b/src/willowpost/drill/soak/verdict.py
@@ -69,7 +69,7 @@
             seen.probes,
             seen.ledger["arrivals"],
             seen.record.started,
-            lambda at: seen.record.is_excused(at, self.excuse_span),
+            lambda edge, at: seen.record.is_excused(at, self.excuse_span, edge),
         ).judge(findings)
         self._judge_in_force_times(findings)
         self._judge_reads(findings)
@@ -93,8 +93,8 @@
         held = record.killed.get(address, [])
         starts = record.started.get(address, [])
         return (
-            record.is_excused(at, CONTACT)
-            or record.is_excused(at + IN_FORCE_AFTER, CONTACT)
+            record.is_excused(at, CONTACT, address)
+            or record.is_excused(at + IN_FORCE_AFTER, CONTACT, address)
             or any(begin - IN_FORCE_AFTER <= at <= end + CONTACT for begin, end in held)
             or any(start - IN_FORCE_AFTER <= at <= start + CONTACT for start in starts)
         )
--- a/tests/drill/test_soak.py
+++ b/tests/drill/test_soak.py
@@ -27,7 +27,7 @@
     InForceTimes,
     read_log,
 )
-from willowpost.drill.soak.judge import OriginShutdown, Record, SoakRules
+from willowpost.drill.soak.judge import OriginShutdown, OutOfTouch, Record, SoakRules
 from willowpost.drill.soak.probes import Probe
 from willowpost.drill.soak.run import Soak
 from willowpost.drill.soak.schedule import Kind, Parts, drawn
@@ -129,7 +129,7 @@
         arrivals = {"p": [] if ran_at is None else [("o", ran_at)], **more.get("arrived", {})}
         findings = Findings()
         rules = ConfigurationRules(
-            changes, probes, arrivals, more.get("starts", {}), lambda at: excused
+            changes, probes, arrivals, more.get("starts", {}), lambda edge, at: excused
         )
         rules.judge(findings)
         return [row.rule for row in findings.broken]
@@ -255,10 +255,22 @@
         arrivals = {"s1": [["o", 4 * SECOND]]}
         rule = "nothing reaches an origin that left"
         self.assertEqual([rule], self.broken(arrivals=arrivals, leaves=leaves))
-        excused = {"leaves": leaves, "out_of_touch": [(SECOND, 2 * SECOND)]}
+        excused = {"leaves": leaves, "out_of_touch": [OutOfTouch(SECOND, 2 * SECOND)]}
         self.assertEqual([], self.broken(arrivals=arrivals, excuse=3 * SECOND, **excused))
         self.assertEqual([rule], self.broken(arrivals=arrivals, excuse=SECOND, **excused))
 
+    def test_the_trouble_of_one_edge_excuses_no_other(self):
+        leaves = [OriginShutdown("o", SECOND, 9 * SECOND)]
+        for edge, is_broken in (("edge", False), ("another", True), (None, False)):
+            trouble = {"leaves": leaves, "out_of_touch": [OutOfTouch(SECOND, 2 * SECOND, edge)]}
+            rows = self.broken(
+                {"s1": self.sent(status=200)},
+                arrivals={"s1": [["o", 4 * SECOND]]},
+                excuse=3 * SECOND,
+                **trouble,
+            )
+            self.assertEqual(is_broken, bool(rows), edge)
+
     def test_passed_on_and_not_answered(self):
         sent = {"s1": self.sent(ended="closed")}
         arrivals = {"s1": [["o", 1000]]}
