Soak: requests that an edge takes late in its planned end

Now eight connections kept since before the SIGTERM of an edge send a request each, 0.2 to 2.1 s after it, that origins end 4.4 to 4.9 s after it.

--- a/src/willowpost/drill/soak/actions.py
+++ b/src/willowpost/drill/soak/actions.py
@@ -1,13 +1,16 @@
 """Carries out the troubles of a soak on its fleet."""
 
+import random
 from collections.abc import Callable, Iterable
 
 import gevent
 
 from willowpost.common.clock import Clock
 from willowpost.drill.rules import Findings
+from willowpost.drill.soak.callers import SoakCallers
 from willowpost.drill.soak.fleet import GRACE_SECONDS, HOST, SoakFleet
 from willowpost.drill.soak.judge import OriginShutdown, Record
+from willowpost.drill.soak.last_requests import LastRequests
 from willowpost.drill.soak.schedule import Kind
 from willowpost.stand_ins.http_call import OK
 
@@ -24,6 +27,7 @@
         record: What happened; grows.
         findings: Gets a row for a process that does not end within its grace.
         change: Proposes another configuration.
+        callers: Who send the last requests to an edge that is to end.
     """
 
     def __init__(
@@ -33,9 +37,11 @@
         record: Record,
         findings: Findings,
         change: Callable[[], object],
+        callers: SoakCallers,
     ) -> None:
         self.fleet, self.clock, self.record = fleet, clock, record
-        self.findings, self.change = findings, change
+        self.findings, self.change, self.callers = findings, change, callers
+        self.chance = random.Random("last requests")
 
     def act(self, kind: Kind, targets: list[str], span: float) -> None:
         """Carry out a trouble of this kind, which lasts `span` seconds; returns at its end."""
@@ -82,6 +88,10 @@
 
     def _restart(self, key: str) -> None:
         address = self.fleet.proxies().get(key)
+        if address in self.callers.edges:
+            last_requests = LastRequests(self.callers, address, self.chance)
+            last_requests.open()
+            last_requests.start()
         if address is not None:
             self.record.terminated.setdefault(address, []).append(self.clock.now())
         if self.fleet.stop(key, GRACE_SECONDS) is None:
--- a/src/willowpost/drill/soak/callers.py
+++ b/src/willowpost/drill/soak/callers.py
@@ -140,6 +140,32 @@
         self.running = False
         gevent.joinall(self.tasks, timeout=ANSWER_SECONDS + CONNECT_SECONDS + 1)
 
+    def ask_once(self, connection: CallerConnection, edge: str, work_ms: int) -> None:
+        """Send one request that may run only once, and read its answer.
+
+        Args:
+            connection: To the edge; nothing is under way on it.
+            edge: The edge's address.
+            work_ms: How long its origin works on it.
+
+        Raises:
+            OSError: It could not be sent.
+            AnswerEndedError: There was no answer.
+        """
+        self.number += 1
+        name, path = f"s{self.number}", f"{PATHS[ONCE]}0?{WORK_PARAMETER}={work_ms}"
+        sent = self.tally.sent[name] = Sent(ONCE, edge, self.clock.now(), path)
+        try:
+            connection.socket.sendall(self._request(ONCE, name, path))
+            sent.status, headers, body = connection.read()
+        except OSError as problem:
+            sent.ended = f"not sent: {problem!r}"
+            raise
+        except AnswerEndedError as end:
+            sent.ended = str(end)
+            raise
+        self._judge(name, sent, sent.status, headers, body)
+
     def _run(self, chance: random.Random) -> None:
         while self.running:
             edge = chance.choice(self.edges)
--- a/src/willowpost/drill/soak/run.py
+++ b/src/willowpost/drill/soak/run.py
@@ -63,14 +63,14 @@
         self.record = Record()
         self.findings = Findings()
         self.changer = ConfigurationChanger(self.fleet, self.clock)
-        self.actions = TroubleActions(
-            self.fleet, self.clock, self.record, self.findings, self.changer.change
-        )
         self.health = FleetHealth(self.fleet, lambda: newest_version(self.changer.changes))
         self.busy: set[str] = set()  # targets that a trouble holds now
         self.ended: list[str] = []  # processes that ended by themselves, with their exit codes
         edges = self.fleet.edges()
         self.callers = SoakCallers(self.clock, edges, HOST, CALLERS_EACH_EDGE * len(edges), seed)
+        self.actions = TroubleActions(
+            self.fleet, self.clock, self.record, self.findings, self.changer.change, self.callers
+        )
         self.probes = RouteProbes(self.clock, edges, self.changer.changes, seed)
         self.reader = ConfigurationReader(self.clock, self.fleet.registries())
 
