--- a/src/willowpost/drill/soak/callers.py
+++ b/src/willowpost/drill/soak/callers.py
@@ -153,10 +153,11 @@
             AnswerEndedError: There was no answer.
         """
         self.number += 1
-        name, path = f"s{self.number}", f"{PATHS[ONCE]}0?{WORK_PARAMETER}={work_ms}"
+        name, path = f"s{self.number}", f"{PATHS[ONCE]}0"
         sent = self.tally.sent[name] = Sent(ONCE, edge, self.clock.now(), path)
         try:
-            connection.socket.sendall(self._request(ONCE, name, path))
+            target = f"{path}?{WORK_PARAMETER}={work_ms}"
+            connection.socket.sendall(self._request(ONCE, name, target))
             sent.status, headers, body = connection.read()
         except OSError as problem:
             sent.ended = f"not sent: {problem!r}"
