--- a/src/willowpost/proxy/client/connection_reader.py
+++ b/src/willowpost/proxy/client/connection_reader.py
@@ -1,6 +1,7 @@
 """The bytes that a client sends on its connection."""
 
 import contextlib
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -8,6 +9,7 @@
 from gevent import socket
 
 from willowpost.common.errors import WillowpostError
+from willowpost.common.memory_budget import PooledMemory
 from willowpost.proxy.origin.connection_pool import is_quiet
 
 RECEIVE_BYTES = 16 * 1024
@@ -16,6 +18,7 @@
 # turn.
 TURN_BYTES = 256 * 1024
 MAX_LINE_BYTES = 64 * 1024
+MAX_READ_AHEAD_BYTES = 64 * 1024  # read of a connection whose requests wait
 HEAD_END = b"\r\n\r\n"
 ARRIVED_TIMEOUT_SECONDS = 1.0  # to read what has arrived
 REQUEST_TIMEOUT = 408
@@ -62,6 +65,10 @@
     However fast and much a client sends, other tasks run in between, and the cost of a byte does
     not grow with what has been received before it.
 
+    Args:
+        connection: The client's socket.
+        read_ahead_memory: What is read ahead takes of it; None for no bound.
+
     Attributes:
         closed: Always False, as gevent's reader expects of a file.
         buffer: What has been received and is not used yet.
@@ -70,11 +77,17 @@
 
     closed = False
 
-    def __init__(self, connection: Any) -> None:
+    def __init__(self, connection: Any, read_ahead_memory: PooledMemory | None = None) -> None:
         self.connection = connection
+        self.read_ahead_memory = read_ahead_memory or PooledMemory()
         self.buffer = bytearray()
         self.has_ended = False
-        self._received_in_turn = 0  # bytes
+        self._work_in_turn = 0  # in bytes, as `count_work` counts them
+
+    def may_read_ahead(self) -> bool:
+        """Whether there is memory for what has arrived; then it is taken."""
+        is_short = len(self.buffer) >= MAX_READ_AHEAD_BYTES
+        return not is_short and self.read_ahead_memory.take(RECEIVE_BYTES)
 
     def read_ahead(self) -> None:
         """Buffers what has arrived, without waiting.
@@ -86,6 +99,7 @@
             data: bytes = self.connection._sock.recv(RECEIVE_BYTES, socket.MSG_DONTWAIT)
             self.buffer += data
             self.has_ended = not data
+        self._settle_read_ahead()
 
     def read_head(
         self, max_bytes: int, idle_seconds_left: Callable[[], float], timeout_seconds: float
@@ -127,21 +141,68 @@
             pass
         return self._take(min(self.buffer.find(b"\n", 0, size) + 1 or size, size))
 
+    def read_into(self, view: memoryview) -> int:
+        """Receives bytes into a buffer; returns how many, 0 at the end.
+
+        Raises:
+            TimeoutError: Nothing came for as long as the connection's timeout.
+        """
+        if self.buffer:
+            return self._take_into(view)
+        if self.has_ended:
+            return 0
+        self.count_work(0)
+        count: int = self.connection.recv_into(view)
+        self._work_in_turn += count
+        self.has_ended = not count
+        return count
+
+    def discard(self, until_seconds: float) -> None:
+        """Reads and drops what still arrives, until the client sends no more.
+
+        Args:
+            until_seconds: When to end at the latest, by time.monotonic().
+
+        Raises:
+            OSError: The connection broke, or nothing came for as long as its timeout.
+        """
+        self.buffer.clear()
+        with memoryview(bytearray(BODY_RECEIVE_BYTES)) as scratch:
+            while time.monotonic() < until_seconds and self.read_into(scratch):
+                pass
+
+    def count_work(self, cost_bytes: int) -> None:
+        """Counts work that took as long as receiving so many bytes; others run after a while."""
+        self._work_in_turn += cost_bytes
+        if self._work_in_turn >= TURN_BYTES:
+            self._work_in_turn = 0
+            gevent.sleep(0)
+
+    def _take_into(self, view: memoryview) -> int:
+        count = min(len(view), len(self.buffer))
+        view[:count] = self.buffer[:count]
+        del self.buffer[:count]
+        self._settle_read_ahead()
+        return count
+
+    def _settle_read_ahead(self) -> None:
+        if self.read_ahead_memory.held > len(self.buffer):
+            self.read_ahead_memory.settle(len(self.buffer))
+
     def _take(self, size: int) -> bytes:
         with memoryview(self.buffer) as view:
             taken = bytes(view[:size])
         del self.buffer[:size]
+        self._settle_read_ahead()
         return taken
 
     def _receive(self, most: int = RECEIVE_BYTES) -> bool:
         if self.has_ended:
             return False
-        if self._received_in_turn >= TURN_BYTES:
-            self._received_in_turn = 0
-            gevent.sleep(0)
+        self.count_work(0)
         data: bytes = self.connection.recv(most)
         self.buffer += data
-        self._received_in_turn += len(data)
+        self._work_in_turn += len(data)
         self.has_ended = not data
         return bool(data)
 
--- a/src/willowpost/proxy/client/connection_watcher.py
+++ b/src/willowpost/proxy/client/connection_watcher.py
@@ -7,7 +7,6 @@
 from willowpost.proxy.client.connection_reader import ConnectionReader, has_ended
 from willowpost.proxy.client.response_queue import ResponseQueue
 
-MAX_READ_AHEAD_BYTES = 64 * 1024  # read of a connection whose requests wait
 LIBEV_READ = 1  # libev's EV_READ
 # seconds between the end of the client's side and the first probe, and between further ones
 PROBE_INTERVALS_SECONDS = (0.05, 0.1, 0.3, 1.0)
@@ -68,7 +67,7 @@
         """Waits until a response has been written or something has arrived, which is buffered."""
         changed = self._responses.changed
         changed.clear()
-        if len(self._reader.buffer) >= MAX_READ_AHEAD_BYTES:
+        if not self._reader.may_read_ahead():
             changed.wait()
             return
         arrival = gevent.get_hub().loop.io(self._connection.fileno(), LIBEV_READ)
--- a/src/willowpost/proxy/client/response_queue.py
+++ b/src/willowpost/proxy/client/response_queue.py
@@ -9,6 +9,7 @@
 import gevent
 import gevent.event
 
+from willowpost.common.memory_budget import PooledMemory
 from willowpost.proxy.client.lifetime import ClientDisconnected, RequestLifetime
 from willowpost.proxy.client.pacing import LinkPacer
 from willowpost.proxy.client.response import ClientResponse
@@ -51,6 +52,7 @@
         closes_connection: Whether the connection ends with this response.
         has_no_body: Whether the response has no body, as to HEAD.
         accepts_interim: Whether the client takes interim responses.
+        memory: What its responses take until the last byte is written.
         response: None until the request is answered.
     """
 
@@ -58,6 +60,7 @@
     closes_connection: bool = False
     has_no_body: bool = False
     accepts_interim: bool = False
+    memory: PooledMemory = field(default_factory=PooledMemory)
     response: ClientResponse | None = None
 
 
@@ -171,6 +174,7 @@
             self._break()
         finally:
             response.discard()
+            pending.memory.release()
             self.pending.popleft()
             self._observer.in_flight -= 1
 
--- a/src/willowpost/proxy/daemon.py
+++ b/src/willowpost/proxy/daemon.py
@@ -19,6 +19,7 @@
 from willowpost.proxy.origin.connections import OriginConnections
 from willowpost.proxy.origin.selection import OriginSelector
 from willowpost.proxy.outgoing import OutgoingRequests
+from willowpost.proxy.request_memory import RequestMemory
 from willowpost.proxy.routing.attempt_resources import AttemptResources
 from willowpost.proxy.routing.attempts import Attempts
 from willowpost.proxy.routing.header_names import HeaderNames
@@ -161,6 +162,7 @@
             settings.health is None,
             LinkPacer(settings.link_mbps),
             RequestCuts(settings.role, lambda: shutdown.stage, self.logger.log),
+            RequestMemory(settings.memory_bytes),
         )
         return Frontend(
             self.node_state, self.clock, planner, executor, self.stats, self.logger, options
--- a/src/willowpost/proxy/frontend.py
+++ b/src/willowpost/proxy/frontend.py
@@ -2,10 +2,11 @@
 
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
-from willowpost.common.clock import Clock
+from willowpost.common.clock import MILLISECOND, SECOND, Clock
+from willowpost.common.memory_budget import PooledMemory
 from willowpost.configuration.routes import Route
 from willowpost.node.graceful_shutdown import ShutdownStage
 from willowpost.proxy.client.lifetime import UNWATCHED_LIFETIME, RequestLifetime
@@ -15,6 +16,8 @@
 from willowpost.proxy.client.response_builder import ResponseBuilder
 from willowpost.proxy.client.stall_detector import StallDetector
 from willowpost.proxy.proxy_state import ProxyState
+from willowpost.proxy.request_body import RequestBody
+from willowpost.proxy.request_memory import RequestMemory
 from willowpost.proxy.request_parser import RequestParser, host_of, path_of
 from willowpost.proxy.routing.attempt import RequestRejectedError
 from willowpost.proxy.routing.header_names import HeaderNames
@@ -34,6 +37,9 @@
 from willowpost.shell.structured_log import StructuredLogger
 
 MAX_READ_BODY_BYTES = 64 * 1024
+# Of the time that a request has: the rest is for its transfer and for the origin.
+MEMORY_WAIT_PART = 2 / 3
+MEMORY_RETRY_SECONDS = 0.2
 LIMIT_STATUSES = (413, 431)
 NOT_ENDING = ShutdownStage.SERVING
 
@@ -55,12 +61,14 @@
             port.
         pacer: Paces large responses by the machine's link.
         cuts: Counts the requests that are read and not answered completely.
+        memory: What requests and responses may take.
     """
 
     header_names: HeaderNames = field(default_factory=HeaderNames)
     serves_status_paths: bool = True
     pacer: LinkPacer = field(default_factory=LinkPacer)
     cuts: RequestCuts = field(default_factory=lambda: RequestCuts("edge", lambda: NOT_ENDING))
+    memory: RequestMemory = field(default_factory=RequestMemory)
 
 
 class Frontend:
@@ -80,6 +88,7 @@
         stall_detector: Whether this process has stalled.
         pacer: Paces large responses.
         cuts: The requests that were read and not answered completely.
+        memory: What requests and responses may take.
         connections: The clients' open connections.
     """
 
@@ -100,7 +109,7 @@
         self.now = clock.now
         self.in_flight = 0
         self.stall_detector = StallDetector()
-        self.pacer, self.cuts = options.pacer, options.cuts
+        self.pacer, self.cuts, self.memory = options.pacer, options.cuts, options.memory
         self.connections: set[ClientConnection] = set()
         self._takes_requests = True
         self._serves_status_paths = options.serves_status_paths
@@ -158,6 +167,18 @@
 
     def body_limit_bytes(self, head: ClientRequestHead) -> int:
         """Returns the largest body accepted with this request, in bytes."""
+        return min(self._configured_body_limit_bytes(head), self.memory.largest_body_bytes)
+
+    def max_memory_wait_seconds(self, head: ClientRequestHead) -> float:
+        """Returns how long a request's body may wait for memory: a part of the request's time."""
+        route = self._route(head)
+        spans = [] if route is None else [route.deadline_ms * MILLISECOND]
+        client_span = self._parser.time_left(head.headers)
+        if client_span is not None:
+            spans.append(client_span)
+        return min(spans, default=0) * MEMORY_WAIT_PART / SECOND
+
+    def _configured_body_limit_bytes(self, head: ClientRequestHead) -> int:
         route = self._route(head)
         limit = self.limits().get("body_bytes")
         if limit is not None:
@@ -170,12 +191,22 @@
         """Returns the response to a request that cannot be parsed or is over a limit."""
         return self._responses.build_rejection(self._limit_rejection(status, reason), False)
 
+    def reject_overload(self, head: ClientRequestHead, reason: str) -> ClientResponse:
+        """Returns the response to a request for which there is no memory; it has not run."""
+        rejection = RequestRejectedError(503, reason, MEMORY_RETRY_SECONDS)
+        try:
+            request = self.parse(head, self.now(), UNWATCHED_LIFETIME)
+        except RequestRejectedError as malformed:
+            return self._responses.build_rejection(malformed, False)
+        return self._responses.build_rejection(rejection, not request.is_safe, request)
+
     def respond(
         self,
         head: ClientRequestHead,
-        body: bytes,
+        body: RequestBody,
         received_at: int,
         lifetime: RequestLifetime = UNWATCHED_LIFETIME,
+        response_memory: PooledMemory | None = None,
     ) -> ClientResponse:
         """Returns the response to a request; failures become error responses and are not raised.
 
@@ -185,6 +216,7 @@
             received_at: When its head was complete, or its body if it has one, by this process's
                 clock, in µs.
             lifetime: Whether the client still waits.
+            response_memory: What the responses to it take; None if nobody counts it.
 
         Raises:
             ClientDisconnected: Nobody waits for the response any more.
@@ -195,6 +227,8 @@
         request = None
         try:
             request = self.parse(head, received_at, lifetime)
+            if response_memory is not None:
+                request = replace(request, response_memory=response_memory)
             return self._carry_out(request, head, body)
         except RequestRejectedError as rejection:
             return self._responses.build_rejection(rejection, states_outcome, request)
@@ -221,7 +255,9 @@
         """Returns the response to the health or the statistics path."""
         return self._status_page.respond(path, self.in_flight)
 
-    def _carry_out(self, request: Request, head: ClientRequestHead, body: bytes) -> ClientResponse:
+    def _carry_out(
+        self, request: Request, head: ClientRequestHead, body: RequestBody
+    ) -> ClientResponse:
         self.stats["requests"] += 1
 
         def check_body(plan: RequestPlan) -> None:
--- a/src/willowpost/proxy/handler.py
+++ b/src/willowpost/proxy/handler.py
@@ -7,9 +7,10 @@
 import gevent
 from gevent import socket
 
-from willowpost.proxy.client.body_reader import read_body
+from willowpost.common.memory_budget import MemoryExhaustedError
+from willowpost.proxy.client.body_reader import BodyReader, SlowBodyError
 from willowpost.proxy.client.connection_reader import (
-    RECEIVE_BYTES,
+    REQUEST_TIMEOUT,
     ConnectionEndedError,
     ConnectionReader,
     IdleTimeoutError,
@@ -18,7 +19,9 @@
 from willowpost.proxy.client.connection_watcher import ConnectionWatcher
 from willowpost.proxy.client.lifetime import RequestLifetime
 from willowpost.proxy.client.request_head import ClientRequestHead
+from willowpost.proxy.client.response import ClientResponse
 from willowpost.proxy.client.response_queue import PendingResponse, ResponseQueue
+from willowpost.proxy.request_body import NO_BODY, RequestBody
 from willowpost.shell.web import BodyTooLargeError
 from willowpost.shell.web_server import WSGIHandler
 
@@ -27,7 +30,8 @@
 IDLE_TIMEOUT_MS = 75_000
 HEAD_TIMEOUT_MS = 30_000
 HEAD_MARGIN_SECONDS = 0.5
-LINGER_TIMEOUT_SECONDS = 1.0
+LINGER_SILENCE_SECONDS = 1.0
+MAX_LINGER_SECONDS = 10.0
 MS_PER_SECOND = 1000
 
 
@@ -47,7 +51,7 @@
         self.socket, self.server, self.client_address = sock, server, address
         self.front = server.application
         self.responses = ResponseQueue(sock, self.front)
-        self.reader = ConnectionReader(sock)
+        self.reader = ConnectionReader(sock, self.front.memory.for_read_ahead())
         self.watcher = ConnectionWatcher(sock, self.reader, self.responses)
         self.last_runs_alone = False  # whether the last request runs alone
 
@@ -64,6 +68,7 @@
             self.responses.is_closing = True
             if must_linger:
                 self._linger()
+            self.reader.read_ahead_memory.release()
             self.front.unregister(self)
             self.socket.close()
 
@@ -99,9 +104,8 @@
             return
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_WR)
-            self.socket.settimeout(LINGER_TIMEOUT_SECONDS)
-            while self.socket.recv(RECEIVE_BYTES):
-                pass
+            self.socket.settimeout(LINGER_SILENCE_SECONDS)
+            self.reader.discard(time.monotonic() + MAX_LINGER_SECONDS)
 
     def _next_request(self) -> bool:
         """Reads a request and starts it; False if no other one is to be read."""
@@ -117,7 +121,11 @@
             return False
         received_at = self.front.now()
         pending = PendingResponse(
-            self._lifetime(), head.closes_connection, head.method == "HEAD", head.accepts_interim
+            self._lifetime(),
+            head.closes_connection,
+            head.method == "HEAD",
+            head.accepts_interim,
+            self.front.memory.for_response(),
         )
         self._wait_for_turn(head)
         if self.responses.is_closing:
@@ -141,7 +149,7 @@
     def _start(self, pending: PendingResponse, head: ClientRequestHead, received_at: int) -> None:
         self.responses.add(pending)
         if head.has_no_body:
-            gevent.spawn(self._respond, pending, head, b"", received_at)
+            gevent.spawn(self._respond, pending, head, NO_BODY, received_at)
         else:
             self._respond_with_body(pending, head)
 
@@ -175,11 +183,25 @@
         return timeout_ms / MS_PER_SECOND
 
     def _respond(
-        self, pending: PendingResponse, head: ClientRequestHead, body: bytes, received_at: int
+        self,
+        pending: PendingResponse,
+        head: ClientRequestHead,
+        body: RequestBody,
+        received_at: int,
     ) -> None:
-        self.responses.run(
-            pending, lambda lifetime: self.front.respond(head, body, received_at, lifetime)
-        )
+        def respond(lifetime: RequestLifetime) -> ClientResponse:
+            try:
+                response: ClientResponse = self.front.respond(
+                    head, body, received_at, lifetime, pending.memory
+                )
+                return response
+            finally:
+                body.release()  # before the response is written, which may take long
+
+        try:
+            self.responses.run(pending, respond)
+        finally:
+            body.release()
 
     def _reject_malformed(self, problem: MalformedRequestError) -> None:
         pending = PendingResponse(closes_connection=True)
@@ -188,14 +210,23 @@
 
     def _respond_with_body(self, pending: PendingResponse, head: ClientRequestHead) -> None:
         try:
-            body = read_body(self.socket, self.reader, head, self.front.body_limit_bytes(head))
+            received = BodyReader(self.socket, self.reader, self.front.memory).read(
+                head, self.front.body_limit_bytes(head), self.front.max_memory_wait_seconds(head)
+            )
         except BodyTooLargeError:
-            pending.closes_connection = True
-            self.responses.resolve(pending, self.front.reject_malformed(413, "body over the limit"))
+            self._reject_body(pending, self.front.reject_malformed(413, "body over the limit"))
+        except MemoryExhaustedError as problem:
+            self._reject_body(pending, self.front.reject_overload(head, str(problem)))
+        except SlowBodyError:
+            reason = "the body came too slowly while others waited"
+            self._reject_body(pending, self.front.reject_malformed(REQUEST_TIMEOUT, reason))
         except (OSError, ValueError, EOFError):
-            pending.closes_connection = True
-            self.responses.resolve(
-                pending, self.front.reject_malformed(400, "the body ended short")
-            )
+            self._reject_body(pending, self.front.reject_malformed(400, "the body ended short"))
         else:
-            gevent.spawn(self._respond, pending, head, body, self.front.now())
+            received_at = self.front.now() - received.waited_us
+            gevent.spawn(self._respond, pending, head, received.body, received_at)
+
+    def _reject_body(self, pending: PendingResponse, response: ClientResponse) -> None:
+        """Answers a request whose body is not read on, so that the connection ends."""
+        pending.closes_connection = True
+        self.responses.resolve(pending, response)
--- a/src/willowpost/proxy/metrics.py
+++ b/src/willowpost/proxy/metrics.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Iterable, Mapping
 
+from willowpost.common.memory_budget import MemoryBudget, MemoryPool
 from willowpost.proxy.frontend import Frontend
 from willowpost.proxy.outgoing import OutgoingRequests
 from willowpost.proxy.proxy_state import ProxyState
 from willowpost.shell.log_metrics import log_metrics, violation_metric
 from willowpost.shell.metrics import AnyMetric, Metric, duration_metric, gauge
+from willowpost.shell.resident_memory import resident_bytes
 
 
 class ProxyMetrics:
@@ -46,6 +48,23 @@
 
         yield self._front.cuts.metric()
 
+    def _memory_gauges(self) -> Iterable[Metric]:
+        memory = self._front.memory
+        pools: dict[str, MemoryBudget | MemoryPool] = {
+            "large_bodies": memory.large_bodies,
+            "small_bodies": memory.small_bodies,
+            "read_ahead": memory.read_ahead,
+            "responses": memory.responses,
+        }
+        used: dict[str, float] = {name: pool.used for name, pool in pools.items()}
+        capacity: dict[str, float] = {name: pool.capacity for name, pool in pools.items()}
+        used["resident"], capacity["resident"] = resident_bytes(), memory.process_bytes
+        yield Metric("memory_used_bytes", "Memory in use, by what it is for.", used, "part")
+        yield Metric("memory_capacity_bytes", "The most of each part.", capacity, "part")
+        yield gauge(
+            "bodies_waiting", "Bodies that wait for memory, unread.", memory.large_bodies.waiting
+        )
+
     def _gauges(self) -> Iterable[Metric]:
         yield gauge("requests_in_flight", "Callers' requests under way.", self._front.in_flight)
         yield gauge(
@@ -56,5 +75,6 @@
             "Exchanges under way for which nobody waits.",
             self._outgoing.count_orphaned(),
         )
+        yield from self._memory_gauges()
         node_state = self._node_state
         yield from log_metrics(node_state.tables, node_state.tables_age(self._front.now()))
--- a/src/willowpost/proxy/origin/exchange.py
+++ b/src/willowpost/proxy/origin/exchange.py
@@ -9,12 +9,15 @@
 from enum import Enum
 from typing import Any
 
+import gevent
 from gevent import socket
 
+from willowpost.common.memory_budget import PooledMemory
 from willowpost.proxy.origin.errors import ExchangeError
 from willowpost.proxy.origin.instance_check import MAX_CHECK_BODY_BYTES, InstanceCheck
 from willowpost.proxy.origin.request import OriginRequest
 from willowpost.proxy.origin.response import OriginResponse, RequestIdEcho
+from willowpost.proxy.origin.response_buffering import ResponseBuffering
 from willowpost.proxy.origin.response_reader import ResponseReader
 from willowpost.shell.http_parser import HTTPParseError
 from willowpost.shell.tcp_client import open_connection
@@ -98,7 +101,7 @@
         self.phase = Phase.INSTANCE_CHECK
         headers = [("host", self.address), ("via", "1.1 willowpost")]
         request = OriginRequest("GET", instance_check.path, headers)
-        response = self._exchange(request, timeout_seconds, MAX_CHECK_BODY_BYTES)
+        response = self._exchange(request, timeout_seconds, ResponseBuffering(MAX_CHECK_BODY_BYTES))
         instance_check.verify(response)
         if response.stream is not None or not self.is_reusable:
             raise ExchangeError("instance check: does not keep the connection", was_sent=False)
@@ -110,6 +113,7 @@
         timeout_seconds: float,
         max_buffered_bytes: int,
         echo: RequestIdEcho | None = None,
+        memory: PooledMemory | None = None,
     ) -> OriginResponse:
         """Sends the request once and waits for its response.
 
@@ -118,11 +122,13 @@
             timeout_seconds: How long the exchange may take.
             max_buffered_bytes: A larger body comes as the response's `stream`.
             echo: The request id that the response must carry, or None.
+            memory: What a buffered body takes; one that finds no memory comes as `stream`, too.
 
         Raises:
             ExchangeError: There is no complete response to this request.
         """
-        return self._exchange(request, timeout_seconds, max_buffered_bytes, echo)
+        buffering = ResponseBuffering(max_buffered_bytes, memory or PooledMemory())
+        return self._exchange(request, timeout_seconds, buffering, echo)
 
     def close(self) -> None:
         """Closes the connection.
@@ -145,12 +151,20 @@
         Raises:
             TimeoutError: The deadline has passed.
         """
+        self.connection.settimeout(self._seconds_left())
+        data: bytes = self.connection.recv(RECEIVE_BYTES)
+        return data
+
+    def _seconds_left(self) -> float:
+        """Returns the seconds until the deadline.
+
+        Raises:
+            TimeoutError: It has passed.
+        """
         seconds_left = self._deadline_seconds - time.monotonic()
         if seconds_left <= 0:
             raise TimeoutError("deadline")
-        self.connection.settimeout(seconds_left)
-        data: bytes = self.connection.recv(RECEIVE_BYTES)
-        return data
+        return seconds_left
 
     def complete(self, is_reusable: bool, keep_alive: str | None) -> None:
         """Takes notice of a complete response: whether its connection can be reused."""
@@ -161,15 +175,15 @@
         self,
         request: OriginRequest,
         timeout_seconds: float,
-        max_buffered_bytes: int,
+        buffering: ResponseBuffering,
         echo: RequestIdEcho | None = None,
     ) -> OriginResponse:
         is_check = self.phase is Phase.INSTANCE_CHECK
         self._deadline_seconds = time.monotonic() + timeout_seconds
         try:
-            self._send(request.serialize(), timeout_seconds)
+            self._send(request)
             self.phase = self.phase if is_check else Phase.READ
-            return self._read(request.method, max_buffered_bytes, echo)
+            return self._read(request.method, buffering, echo)
         except (OSError, HTTPParseError, ValueError) as problem:
             is_late = isinstance(problem, TimeoutError)
             raise ExchangeError(
@@ -179,20 +193,27 @@
                 timed_out=is_late,
             ) from problem
 
-    def _send(self, data: bytes, timeout_seconds: float) -> None:
-        """Sends the request; a broken connection is noted, since a response may have come first."""
-        self.connection.settimeout(timeout_seconds)
+    def _send(self, request: OriginRequest) -> None:
+        """Sends the request; a broken connection is noted, since a response may have come first.
+
+        Other tasks run between the blocks, however fast the other side reads.
+        """
         try:
-            self.connection.sendall(data)
+            for number, block in enumerate(request.serialize()):
+                if number:
+                    gevent.sleep(0)
+                self.connection.settimeout(self._seconds_left())
+                self.connection.sendall(block)
         except ConnectionError as problem:
             self.send_error = problem
+        request.body.offer()
 
     def _read(
-        self, method: str, max_buffered_bytes: int, echo: RequestIdEcho | None
+        self, method: str, buffering: ResponseBuffering, echo: RequestIdEcho | None
     ) -> OriginResponse:
         reader = ResponseReader(self)
         try:
-            return reader.read(method, max_buffered_bytes, echo)
+            return reader.read(method, buffering, echo)
         except (OSError, HTTPParseError, ValueError):
             if self.send_error is None:
                 raise
--- a/src/willowpost/proxy/origin/framing.py
+++ b/src/willowpost/proxy/origin/framing.py
@@ -8,12 +8,12 @@
 
 
 def request_head(
-    method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes
+    method: str, target: str, headers: Iterable[tuple[str, str]], body_length: int
 ) -> bytes:
     """Returns the request line and the headers, with the empty line that ends them."""
     lines = [f"{method} {target} HTTP/1.1", *(f"{name}: {value}" for name, value in headers)]
-    if body or method in BODY_METHODS:
-        lines.append(f"content-length: {len(body)}")
+    if body_length or method in BODY_METHODS:
+        lines.append(f"content-length: {body_length}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
--- a/src/willowpost/proxy/origin/request.py
+++ b/src/willowpost/proxy/origin/request.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass
 
 from willowpost.proxy.origin.framing import request_head
+from willowpost.proxy.request_body import NO_BODY, RequestBody
+
+MAX_JOINED_BODY_BYTES = 64 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,8 +23,11 @@
     method: str
     target: str
     headers: Sequence[tuple[str, str]] = ()
-    body: bytes = b""
+    body: RequestBody = NO_BODY
 
-    def serialize(self) -> bytes:
-        """Returns the bytes that are sent."""
-        return request_head(self.method, self.target, self.headers, self.body) + self.body
+    def serialize(self) -> tuple[bytes | bytearray, ...]:
+        """Returns the bytes that are sent, in blocks; a short body comes with the head."""
+        head = request_head(self.method, self.target, self.headers, self.body.length)
+        if self.body.length <= MAX_JOINED_BODY_BYTES:
+            return (b"".join((head, *self.body.blocks)),)
+        return (head, *self.body.blocks)
--- a/src/willowpost/proxy/origin/response_reader.py
+++ b/src/willowpost/proxy/origin/response_reader.py
@@ -7,6 +7,7 @@
 from willowpost.proxy.origin.content_digest import DigestVerifier, stated_digests
 from willowpost.proxy.origin.framing import BODYLESS_STATUSES, content_length, head_end
 from willowpost.proxy.origin.response import OriginResponse, RequestIdEcho
+from willowpost.proxy.origin.response_buffering import ResponseBuffering
 from willowpost.shell.response_parser import ResponseParser
 
 MAX_HEAD_BYTES = 256 * 1024  # of all heads, the interim ones counted, until the final one ends
@@ -78,14 +79,14 @@
         self._is_ambiguous = source.send_error is not None
 
     def read(
-        self, method: str, max_buffered_bytes: int, echo: RequestIdEcho | None
+        self, method: str, buffering: ResponseBuffering, echo: RequestIdEcho | None
     ) -> OriginResponse:
         """Returns the response to this request.
 
         Args:
             method: The request's method.
-            max_buffered_bytes: The largest body that is read into memory; a larger one comes as the
-                response's `stream`.
+            buffering: Whether the body is read into memory; else it comes as the response's
+                `stream`.
             echo: The request id that the response must carry, or None.
 
         Raises:
@@ -99,7 +100,7 @@
             headers = incoming.response.headers
             if echo is None or not echo.names_other_request(headers):
                 self._check_request_id(incoming.response, echo)
-                return self._read_body(incoming, max_buffered_bytes)
+                return self._read_body(incoming, buffering)
             buffered = self._skip(incoming)
         raise ValueError("answers to other requests")
 
@@ -156,15 +157,17 @@
             received += data
         return received[end:]
 
-    def _read_body(self, incoming: IncomingResponse, max_buffered_bytes: int) -> OriginResponse:
+    def _read_body(
+        self, incoming: IncomingResponse, buffering: ResponseBuffering
+    ) -> OriginResponse:
         parser, response, length = incoming.parser, incoming.response, incoming.content_length
-        if not parser.is_bodyless and length is not None and length > max_buffered_bytes:
+        if not parser.is_bodyless and length is not None and not buffering.may_hold(length):
             response.stream = self._stream(incoming)
             return response
         while not parser.is_complete:
             if not self._receive_more(parser):
                 break
-            if parser.body_size > max_buffered_bytes:
+            if not buffering.may_hold(parser.body_size):
                 response.stream = self._stream(incoming)
                 return response
         response.body = b"" if parser.is_bodyless else b"".join(parser.blocks)
--- a/src/willowpost/proxy/request_parser.py
+++ b/src/willowpost/proxy/request_parser.py
@@ -14,6 +14,7 @@
 
 HOST = re.compile(r"[A-Za-z0-9._-]{1,253}(:\d{1,5})?")
 INVALID_TARGET_CHARACTER = re.compile(r"[^\x21-\x7e]")
+TIME_LEFT = re.compile(r"[0-9]{1,15}")
 ABSOLUTE_FORM = "http://"
 
 
@@ -68,15 +69,15 @@
             is_from_edge and HOP_RETRY in headers,
             service_of(headers) if is_from_edge else None,
             headers.get(self._header_names.request_id),
-            self._time_left(headers),
+            self.time_left(headers),
             received_at,
             lifetime,
         )
 
-    def _time_left(self, headers: dict[str, str]) -> int | None:
+    def time_left(self, headers: Mapping[str, str]) -> int | None:
         """Returns how long the client waits, in µs, or None if it did not say."""
         milliseconds = headers.get(self._header_names.remaining_time, "")
-        is_number = milliseconds.isascii() and milliseconds.isdigit()
+        is_number = TIME_LEFT.fullmatch(milliseconds) is not None
         return int(milliseconds) * MILLISECOND if is_number else None
 
 
--- a/src/willowpost/proxy/routing/at_most_once.py
+++ b/src/willowpost/proxy/routing/at_most_once.py
@@ -2,6 +2,7 @@
 
 from willowpost.proxy.origin.errors import ExchangeError, FailureReason
 from willowpost.proxy.origin.response import OriginResponse
+from willowpost.proxy.request_body import RequestBody
 from willowpost.proxy.routing.attempt import (
     NOT_RUN_STATUSES,
     RETRY_SOON_SECONDS,
@@ -33,7 +34,7 @@
     def __init__(self, clock: MonotonicClock, attempts: Attempts) -> None:
         self.clock, self.attempts = clock, attempts
 
-    def send(self, request: Request, plan: AtMostOncePlan, body: bytes) -> Outcome:
+    def send(self, request: Request, plan: AtMostOncePlan, body: RequestBody) -> Outcome:
         """Returns the outcome of a request that may run only once.
 
         Raises:
--- a/src/willowpost/proxy/routing/attempt.py
+++ b/src/willowpost/proxy/routing/attempt.py
@@ -45,6 +45,13 @@
         super().__init__(503, NO_LEASE_REASON, NO_LEASE_RETRY_SECONDS)
 
 
+class BodyReleasedError(RequestRejectedError):
+    """A further attempt would need the body, whose memory other requests have waited for."""
+
+    def __init__(self) -> None:
+        super().__init__(503, "the body is not kept for another attempt", RETRY_SOON_SECONDS)
+
+
 class RouteChangedError(RequestRejectedError):
     """The configuration in force has the request handled in another way than it was planned."""
 
--- a/src/willowpost/proxy/routing/attempts.py
+++ b/src/willowpost/proxy/routing/attempts.py
@@ -1,6 +1,7 @@
 """Single attempts of a request: to a shield, or to an origin."""
 
 from willowpost.proxy.origin.response import OriginResponse
+from willowpost.proxy.request_body import RequestBody
 from willowpost.proxy.routing.attempt import AttemptHistory
 from willowpost.proxy.routing.attempt_resources import AttemptResources
 from willowpost.proxy.routing.origin_attempts import OriginAttempts
@@ -28,7 +29,7 @@
         self,
         request: Request,
         plan: ForwardPlan,
-        body: bytes,
+        body: RequestBody,
         deadline: int,
         history: AttemptHistory,
     ) -> OriginResponse:
--- a/src/willowpost/proxy/routing/collapsed_fetches.py
+++ b/src/willowpost/proxy/routing/collapsed_fetches.py
@@ -7,6 +7,7 @@
 from willowpost.proxy.cache.entry import CacheEntry
 from willowpost.proxy.cache.store import CacheStore
 from willowpost.proxy.client.lifetime import RequestLifetime
+from willowpost.proxy.request_body import NO_BODY, RequestBody
 from willowpost.proxy.routing.attempt import RequestRejectedError, RouteChangedError
 from willowpost.proxy.routing.attempt_resources import MonotonicClock, Waiter
 from willowpost.proxy.routing.attempts import Attempts
@@ -78,7 +79,7 @@
         self.processor = ResponseProcessor(cache, clock, attempts.resources)
         self.in_flight: dict[FetchKey, FetchInFlight] = {}
 
-    def fetch(self, request: Request, plan: FetchPlan, body: bytes = b"") -> Outcome:
+    def fetch(self, request: Request, plan: FetchPlan, body: RequestBody = NO_BODY) -> Outcome:
         """Fetches a response, by joining an equal fetch in flight if that is possible.
 
         Raises:
@@ -92,11 +93,11 @@
             return self._join(joined, request, plan, body)
         return self._fetch_shared(key, request, plan, body)
 
-    def _fetch_alone(self, request: Request, plan: FetchPlan, body: bytes) -> FetchResult:
+    def _fetch_alone(self, request: Request, plan: FetchPlan, body: RequestBody) -> FetchResult:
         return RepeatableFetch(request, plan, body, self.attempts, self.processor).run()
 
     def _fetch_shared(
-        self, key: FetchKey, request: Request, plan: FetchPlan, body: bytes
+        self, key: FetchKey, request: Request, plan: FetchPlan, body: RequestBody
     ) -> Outcome:
         """Fetches, and gives the result to all who join meanwhile."""
         waiter = self.attempts.resources.io.waiter()
@@ -128,7 +129,7 @@
         )
 
     def _join(
-        self, fetch: FetchInFlight, request: Request, plan: FetchPlan, body: bytes
+        self, fetch: FetchInFlight, request: Request, plan: FetchPlan, body: RequestBody
     ) -> Outcome:
         """Waits for another request's fetch, at most until this request's own deadline.
 
@@ -148,7 +149,7 @@
             return self.fetch(request, plan, body)
         if result.entry is not None and self._may_use(result.entry, request):
             return cached_outcome(result.entry, self.clock.now())
-        return self._fetch_alone(request, plan, b"").outcome
+        return self._fetch_alone(request, plan, NO_BODY).outcome
 
     def _may_use(self, entry: CacheEntry, request: Request) -> bool:
         """Whether a shared response is of the request's variant and no purge has hit it.
@@ -165,7 +166,7 @@
         deadline: int,
         request: Request,
         plan: FetchPlan,
-        body: bytes,
+        body: RequestBody,
     ) -> Outcome:
         """Repeats a rejection that is the same for all who joined, else fetches anew.
 
--- a/src/willowpost/proxy/routing/origin_attempts.py
+++ b/src/willowpost/proxy/routing/origin_attempts.py
@@ -3,6 +3,7 @@
 from willowpost.common.clock import MILLISECOND, SECOND
 from willowpost.proxy.origin.errors import ExchangeError, FailureReason
 from willowpost.proxy.origin.response import OriginResponse
+from willowpost.proxy.request_body import RequestBody
 from willowpost.proxy.routing.attempt import AttemptHistory
 from willowpost.proxy.routing.attempt_resources import AttemptResources
 from willowpost.proxy.routing.headers import ForwardOptions, headers_to_origin
@@ -49,7 +50,7 @@
         self,
         request: Request,
         plan: ForwardPlan,
-        body: bytes,
+        body: RequestBody,
         deadline: int,
         history: AttemptHistory,
     ) -> OriginResponse:
@@ -108,7 +109,7 @@
         self,
         request: Request,
         plan: ForwardPlan,
-        body: bytes,
+        body: RequestBody,
         deadline: int,
         selected: AdmittedOrigin,
         now: int,
--- a/src/willowpost/proxy/routing/plan_executor.py
+++ b/src/willowpost/proxy/routing/plan_executor.py
@@ -6,6 +6,7 @@
 from willowpost.proxy.cache.ranges import RangeResponder
 from willowpost.proxy.cache.store import CacheStore
 from willowpost.proxy.proxy_state import ProxyState
+from willowpost.proxy.request_body import NO_BODY, RequestBody
 from willowpost.proxy.routing.at_most_once import AtMostOnceSender
 from willowpost.proxy.routing.attempt import LeaseExpiredError, RequestRejectedError
 from willowpost.proxy.routing.attempt_resources import MonotonicClock
@@ -50,7 +51,7 @@
         self.fetches = CollapsedFetches(cache, clock, attempts, stats)
         self.at_most_once = AtMostOnceSender(clock, attempts)
 
-    def execute(self, request: Request, plan: RequestPlan, body: bytes = b"") -> Outcome:
+    def execute(self, request: Request, plan: RequestPlan, body: RequestBody = NO_BODY) -> Outcome:
         """Returns the outcome of a plan that the planner made for this request.
 
         Args:
@@ -69,7 +70,7 @@
         byte_range = plan.byte_range if isinstance(plan, CachePlan | FetchPlan) else None
         return outcome if byte_range is None else self._cut(outcome, byte_range)
 
-    def _execute(self, request: Request, plan: RequestPlan, body: bytes) -> Outcome:
+    def _execute(self, request: Request, plan: RequestPlan, body: RequestBody) -> Outcome:
         match plan:
             case RejectPlan(status, reason, retry_after_seconds):
                 raise RequestRejectedError(status, reason, retry_after_seconds)
--- a/src/willowpost/proxy/routing/repeatable_fetch.py
+++ b/src/willowpost/proxy/routing/repeatable_fetch.py
@@ -2,6 +2,7 @@
 
 from willowpost.proxy.origin.errors import ExchangeError, FailureReason
 from willowpost.proxy.origin.response import OriginResponse
+from willowpost.proxy.request_body import RequestBody
 from willowpost.proxy.routing.attempt import (
     NOT_RUN_OUTCOME,
     RETRY_SOON_SECONDS,
@@ -40,7 +41,7 @@
         self,
         request: Request,
         plan: FetchPlan,
-        body: bytes,
+        body: RequestBody,
         attempts: Attempts,
         processor: ResponseProcessor,
     ) -> None:
--- a/src/willowpost/proxy/routing/request.py
+++ b/src/willowpost/proxy/routing/request.py
@@ -4,6 +4,7 @@
 from typing import TypeAlias
 
 from willowpost.common.clock import MILLISECOND
+from willowpost.common.memory_budget import PooledMemory
 from willowpost.configuration.routes import Route
 from willowpost.proxy.cache.entry import CacheEntry
 from willowpost.proxy.client.lifetime import UNWATCHED_LIFETIME, RequestLifetime
@@ -35,6 +36,7 @@
         received_at: When the head was complete, or the body if it has one, by this process's clock,
             in µs.
         lifetime: Whether anybody still waits for the response.
+        response_memory: What the responses to it take until it is answered.
     """
 
     method: str
@@ -48,6 +50,7 @@
     timeout_us: int | None = None
     received_at: int = 0
     lifetime: RequestLifetime = field(default=UNWATCHED_LIFETIME, compare=False, repr=False)
+    response_memory: PooledMemory = field(default_factory=PooledMemory, compare=False, repr=False)
 
     @property
     def path(self) -> str:
--- a/src/willowpost/proxy/routing/request_execution.py
+++ b/src/willowpost/proxy/routing/request_execution.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+from willowpost.proxy.request_body import NO_BODY, RequestBody
 from willowpost.proxy.routing.attempt import RouteChangedError
 from willowpost.proxy.routing.outcome import Outcome
 from willowpost.proxy.routing.plan_executor import PlanExecutor
@@ -31,7 +32,7 @@
     def run(
         self,
         request: Request,
-        body: bytes = b"",
+        body: RequestBody = NO_BODY,
         check: Callable[[RequestPlan], None] = _accept,
     ) -> Outcome:
         """Returns the outcome of a request.
--- a/src/willowpost/proxy/routing/sending.py
+++ b/src/willowpost/proxy/routing/sending.py
@@ -10,7 +10,8 @@
 from willowpost.proxy.origin.instance_check import InstanceCheck
 from willowpost.proxy.origin.request import OriginRequest
 from willowpost.proxy.origin.response import OriginResponse, RequestIdEcho
-from willowpost.proxy.routing.attempt import LeaseExpiredError, RouteChangedError
+from willowpost.proxy.request_body import RequestBody
+from willowpost.proxy.routing.attempt import BodyReleasedError, LeaseExpiredError, RouteChangedError
 from willowpost.proxy.routing.attempt_resources import AttemptResources, ForwardExchange
 from willowpost.proxy.routing.headers import HeaderList
 from willowpost.proxy.routing.request import ONCE, ForwardPlan, Request
@@ -58,7 +59,7 @@
     request: Request
     plan: ForwardPlan
     headers: HeaderList
-    body: bytes
+    body: RequestBody
     deadline: int
 
     @property
@@ -101,10 +102,12 @@
 
         Raises:
             ExchangeError: No valid response came.
-            RequestRejectedError: The proxy has no lease any more, the attempt is not granted, or
-                the request is to be planned anew.
+            RequestRejectedError: The proxy has no lease any more, the attempt is not granted, the
+                request is to be planned anew, or its body is not there any more.
             ClientDisconnected: Nobody waits for the response any more.
         """
+        if not forwarded.body.retain():
+            raise BodyReleasedError
         may_reuse = not forwarded.is_at_most_once
         exchange = self.io.open(
             receiver.owner,
@@ -158,6 +161,7 @@
                 self._remaining_seconds(forwarded.deadline),
                 forwarded.plan.route.whole_max,
                 self._expected_echo(request),
+                request.response_memory,
             )
         service = receiver.service
         if service is not None and self.response_check.is_from_other_process(response, service):
--- a/src/willowpost/proxy/routing/shield_attempts.py
+++ b/src/willowpost/proxy/routing/shield_attempts.py
@@ -4,6 +4,7 @@
 
 from willowpost.proxy.origin.errors import ExchangeError
 from willowpost.proxy.origin.response import OriginResponse
+from willowpost.proxy.request_body import NO_BODY
 from willowpost.proxy.routing.attempt import NOT_RUN_OUTCOME, AttemptHistory
 from willowpost.proxy.routing.attempt_resources import AttemptResources
 from willowpost.proxy.routing.headers import (
@@ -104,7 +105,7 @@
                 history.may_have_reached_origin,
             ),
         )
-        return ForwardedRequest(request, plan, headers, b"", deadline)
+        return ForwardedRequest(request, plan, headers, NO_BODY, deadline)
 
     def _receiver(self, shield: Shield) -> Receiver:
         node_state = self.resources.node_state
--- a/src/willowpost/shell/process_settings.py
+++ b/src/willowpost/shell/process_settings.py
@@ -7,6 +7,8 @@
 from willowpost.node.graceful_shutdown import ShutdownTimeouts
 from willowpost.store.graceful_shutdown import StoreShutdownTimeouts
 
+DEFAULT_MEMORY_BYTES = 512 * 1024 * 1024
+
 
 @dataclass(frozen=True, slots=True)
 class ProcessSettings:
@@ -41,6 +43,7 @@
         extra_window_ms: in any window of this length.
         pace: timing of a store's replica.
         level: the lowest level to log.
+        memory_bytes: what the process may have.
     """
 
     name: str
@@ -68,6 +71,7 @@
     extra_window_ms: int = 10_000
     pace: ReplicaTuning = field(default_factory=ReplicaTuning)
     level: str = "INFO"
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
 
     def shutdown_timeouts(self) -> ShutdownTimeouts:
         """Return the time-outs of a graceful shutdown, in µs."""
--- a/src/willowpost/shell/settings.py
+++ b/src/willowpost/shell/settings.py
@@ -13,13 +13,14 @@
 
 from willowpost.common.clock import MILLISECOND
 from willowpost.consensus.replica.tuning import ReplicaTuning
-from willowpost.shell.process_settings import ProcessSettings
+from willowpost.shell.process_settings import DEFAULT_MEMORY_BYTES, ProcessSettings
 from willowpost.shell.validation import validation_issues
 from willowpost.shell.validation_issue import PrintedIssue
 
 Address = Annotated[str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 
+MEGABYTE = 1024 * 1024
 MAX_PORT = 65535
 MAX_OCTET = 255
 
@@ -76,6 +77,7 @@
     leave_ms: Annotated[int, Field(ge=0, le=10_000)] = 1500
     pace: PaceSettings = PaceSettings()
     level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    memory_mb: Annotated[int, Field(ge=64)] = DEFAULT_MEMORY_BYTES // MEGABYTE
 
     @field_validator("address", "http", "health", "metrics")
     @classmethod
@@ -101,8 +103,9 @@
     def to_process_settings(self) -> ProcessSettings:
         """Return the settings as plain data."""
         values = {name: getattr(self, name) for name in type(self).model_fields}
-        converted = {"seeds": tuple(self.seeds), "pace": self.pace.to_tuning()}
-        return ProcessSettings(**{**values, **converted})
+        values |= {"seeds": tuple(self.seeds), "pace": self.pace.to_tuning()}
+        values["memory_bytes"] = values.pop("memory_mb") * MEGABYTE
+        return ProcessSettings(**values)
 
 
 def _require_in_range(address: str) -> None:
--- a/src/willowpost/shell/web_server.py
+++ b/src/willowpost/shell/web_server.py
@@ -24,6 +24,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT): 3,
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT): 15_000,
 }
+# What has arrived on a connection and is not read yet; else the kernel raises it to megabytes.
+RECEIVE_BUFFER_BYTES = 256 * 1024
 MAX_CONNECTIONS = 4096
 STOP_TIMEOUT_SECONDS = 5.0
 
@@ -101,6 +103,7 @@
         self.server.init_socket()
         for (level, option), value in KEEPALIVE_OPTIONS.items():
             self.server.socket.setsockopt(level, option, value)
+        self.server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self.server.start()
 
     def is_accepting(self) -> bool:
--- a/src/willowpost/sim/fleet/nodes.py
+++ b/src/willowpost/sim/fleet/nodes.py
@@ -14,6 +14,7 @@
 from willowpost.proxy.node import ProxyNode
 from willowpost.proxy.origin.selection import OriginSelector
 from willowpost.proxy.outgoing import OutgoingRequests
+from willowpost.proxy.request_body import RequestBody
 from willowpost.proxy.request_parser import service_of
 from willowpost.proxy.routing.attempt import RequestRejectedError
 from willowpost.proxy.routing.attempt_resources import AttemptResources
@@ -136,7 +137,7 @@
 
     def _carry(self, source, number, request, body):
         try:
-            outcome = self.execution.run(request, body)
+            outcome = self.execution.run(request, RequestBody((body.encode(),) if body else ()))
             headers = [pair for pair in outcome.answer.headers if pair[0] != "age"]
             headers += [("age", str(outcome.age // SECOND))] if outcome.age is not None else []
             headers += [("wp-slot", str(outcome.slot))] if request.is_from_edge else []
--- a/src/willowpost/sim/fleet/request_io.py
+++ b/src/willowpost/sim/fleet/request_io.py
@@ -87,7 +87,7 @@
             )
         instance_check.verify(OriginResponse(answer.status, list(answer.headers), answer.body))
 
-    def run(self, request, seconds, max_buffered_bytes, echo=None):
+    def run(self, request, seconds, max_buffered_bytes, echo=None, memory=None):
         """Sends a request and waits at most `seconds` for the response.
 
         Raises:
@@ -101,7 +101,7 @@
                 request.method,
                 request.target,
                 tuple(request.headers),
-                request.body or "",
+                b"".join(request.body.blocks).decode(),
                 self.incarnation,
             ),
             int(seconds * SECOND),
--- a/tests/compatibility/test_outside_views.py
+++ b/tests/compatibility/test_outside_views.py
@@ -13,6 +13,8 @@
 DEPLOYED = ("run", "on", "serves", "metrics")
 # ports of the metrics pages that these roles have got since; they had none
 ADDED_METRICS_PORTS = {"registry": 9465, "store": 9466}
+MEGABYTE = 1024 * 1024
+DEFAULT_MEMORY_MB, PLATFORM_MEMORY_MB = 512, 200
 FIELDS = [field.name for field in dataclasses.fields(ProcessSettings)]
 ADDRESS_FIELD, METRICS_FIELD = FIELDS.index("address"), FIELDS.index("metrics")
 
@@ -31,14 +33,31 @@
     def test_each_settings_file_comes_to_the_same(self):
         for name, text, flags, expected in self.held["settings"]:
             with self.subTest(name=name, flags=flags):
+                expected = self.with_default_memory(expected)
                 self.assert_same(expected, views.settings(name, text, flags))
 
     def test_each_settings_file_of_the_platform_comes_to_the_same(self):
         for kind, text, expected in self.held["platform_settings"]:
             with self.subTest(kind=kind):
                 expected = self.with_added_metrics(kind, expected)
+                expected = self.with_added_memory(kind, expected)
                 self.assert_same(expected, views.platform_settings(kind, text))
 
+    def with_default_memory(self, expected):
+        """The settings as they were, and the memory that a process may have since; last."""
+        if "values" not in expected:
+            return expected
+        values = {**expected["values"], "memory_mb": DEFAULT_MEMORY_MB}
+        return {"values": values, "place": [*expected["place"], DEFAULT_MEMORY_MB * MEGABYTE]}
+
+    def with_added_memory(self, kind, expected):
+        """The same of the platform's files, all of which grant PLATFORM_MEMORY_MB."""
+        if "all" not in expected:
+            return expected
+        process, *others = expected["all"]
+        memory_mb = PLATFORM_MEMORY_MB if kind in ("proxy", "shield") else DEFAULT_MEMORY_MB
+        return {**expected, "all": [[*process, memory_mb * MEGABYTE], *others]}
+
     def with_added_metrics(self, kind, expected):
         """The settings as they were, and the address of the page that the role has got since."""
         if kind not in ADDED_METRICS_PORTS or "all" not in expected:
--- a/tests/proxy/admission/test_retry_budget.py
+++ b/tests/proxy/admission/test_retry_budget.py
@@ -77,7 +77,7 @@
         exchange.connect()
         accepted, _ = server.accept()
         with self.assertRaises(ExchangeError):
-            exchange.run(OriginRequest("GET", "/", [("host", "h")], b""), 0.05, 1000)
+            exchange.run(OriginRequest("GET", "/", [("host", "h")]), 0.05, 1000)
         exchange.close()
         gevent.sleep(0)
         with self.assertRaises(ConnectionResetError):
@@ -98,7 +98,7 @@
         exchange.connect()
         accepted, _ = server.accept()
         accepted.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-        answer = exchange.run(OriginRequest("GET", "/", [("host", "h")], b""), 1.0, 1000)
+        answer = exchange.run(OriginRequest("GET", "/", [("host", "h")]), 1.0, 1000)
         exchange.close()
         self.assertEqual(200, answer.status)
         self.assertTrue(accepted.recv(65536))
--- a/tests/proxy/origin/test_exchange.py
+++ b/tests/proxy/origin/test_exchange.py
@@ -298,7 +298,7 @@
         exchange = Exchange(origin.address)
         exchange.connect(1.0)
         self.addCleanup(exchange.close)
-        found = exchange.run(OriginRequest("GET", "/a", [("wp-request", "n1")], b""), 1.0, 1000)
+        found = exchange.run(OriginRequest("GET", "/a", [("wp-request", "n1")]), 1.0, 1000)
         self.assertEqual((200, b"ok"), (found.status, found.body))
         self.assertEqual(200, fetch_health(origin.address, "/health", 1.0).status)
 
--- a/tests/proxy/origin/test_exchange_fuzz.py
+++ b/tests/proxy/origin/test_exchange_fuzz.py
@@ -19,6 +19,7 @@
 from willowpost.proxy.origin.request import OriginRequest
 from willowpost.proxy.origin.response import RequestIdEcho
 from willowpost.proxy.origin.response_reader import MAX_SKIPPED_RESPONSES
+from willowpost.proxy.request_body import RequestBody
 
 ID = "mine"
 ECHO = RequestIdEcho("wp-request", ID)
@@ -133,7 +134,9 @@
     exchange = Exchange("127.0.0.1:1", connection)
     exchange.is_reused = script.reused
     try:
-        answer = exchange.run(OriginRequest("POST", "/a", [], b"b" * 10), 5.0, WHOLE_MAX, ECHO)
+        answer = exchange.run(
+            OriginRequest("POST", "/a", [], RequestBody((b"b" * 10,))), 5.0, WHOLE_MAX, ECHO
+        )
     except ExchangeError as failure:
         return failure, None, exchange, connection
     try:
@@ -187,7 +190,7 @@
         exchange = Exchange("127.0.0.1:1", connection)
         exchange.is_reused = False
         blind = Blind("wp-request", ID)
-        held = exchange.run(OriginRequest("GET", "/a", [], b""), 5.0, WHOLE_MAX, blind)
+        held = exchange.run(OriginRequest("GET", "/a", []), 5.0, WHOLE_MAX, blind)
         self.assertEqual(b"theirs", held.body)
 
 
--- a/tests/support/served.py
+++ b/tests/support/served.py
@@ -17,13 +17,14 @@
 from willowpost.proxy.admission.retry_budget import RetryBudget
 from willowpost.proxy.admission.slow_start import SlowStartAdmission
 from willowpost.proxy.cache.store import CacheStore
-from willowpost.proxy.frontend import Frontend
+from willowpost.proxy.frontend import Frontend, FrontendOptions
 from willowpost.proxy.handler import ProxyHandler
 from willowpost.proxy.origin.connection_pool import ConnectionPool
 from willowpost.proxy.origin.connections import OriginConnections
 from willowpost.proxy.origin.selection import OriginSelector
 from willowpost.proxy.outgoing import OutgoingRequests
 from willowpost.proxy.proxy_state import Grant, ProxyState
+from willowpost.proxy.request_memory import RequestMemory
 from willowpost.proxy.routing.attempt_resources import AttemptResources
 from willowpost.proxy.routing.attempts import Attempts
 from willowpost.proxy.routing.plan_executor import PlanExecutor
@@ -120,7 +121,7 @@
 
 
 class ServedProxy:
-    def __init__(self, *origins, role="edge", configuration=CONFIGURATION):
+    def __init__(self, *origins, role="edge", configuration=CONFIGURATION, memory=None):
         assert ConfigurationChecker().check_value(configuration).is_ok()
         self.clock = HandClock()
         self.node_state = ProxyState(
@@ -163,6 +164,7 @@
             executor,
             self.stats,
             logger,
+            FrontendOptions(memory=memory or RequestMemory()),
         )
         self.web = WebServer("127.0.0.1:0", self.front, ProxyHandler)
         self.web.start()
