--- a/src/willowpost/configuration/routes.py
+++ b/src/willowpost/configuration/routes.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from willowpost.common.clock import SECOND
 from willowpost.common.gc_pause import paused_gc
 
 MAX_DEPTH = 8
@@ -67,6 +68,11 @@
         """Every service that its requests may go to."""
         return tuple(service for service, weight in self.split if weight) or (self.service,)
 
+    @property
+    def keep_us(self) -> int:
+        """How long a response may be cached at most, and by default, in µs."""
+        return int(self.keep_seconds * SECOND)
+
     def may_cache_in(self, region: str | None) -> bool:
         """Whether a response may be cached there: only in a home region, if it has any."""
         return not self.homes or region in self.homes
--- a/src/willowpost/proxy/cache/entry.py
+++ b/src/willowpost/proxy/cache/entry.py
@@ -7,6 +7,16 @@
 ENTRY_OVERHEAD_BYTES = 512
 
 
+def freshness_lifetime(stated: int | None, keep_us: int) -> int:
+    """Returns how long a response is fresh, in µs: no longer than its origin and its route allow.
+
+    Args:
+        stated: What the origin allows, in µs; None if it did not say.
+        keep_us: What the route allows, in µs.
+    """
+    return keep_us if stated is None else min(stated, keep_us)
+
+
 @dataclass(frozen=True, slots=True)
 class CacheEntry:
     """A stored response; its body is complete.
@@ -19,7 +29,8 @@
         headers: (lower-case name, value) pairs.
         body: The complete body.
         generated_at: When the response was generated, by this process's clock, in µs.
-        lifetime: How long it is fresh after `generated_at`, in µs.
+        stated_lifetime: How long it is fresh after `generated_at` by its origin, in µs; None if the
+            origin did not say, so that the route of each request alone decides.
         slot: The least log slot known to any daemon that the fetch passed when it began. Every
             purge in that slot or a later one removes the entry.
         is_public: Whether it may answer requests with an Authorization header.
@@ -33,7 +44,7 @@
     headers: tuple[Header, ...]
     body: bytes
     generated_at: int
-    lifetime: int
+    stated_lifetime: int | None
     slot: int
     is_public: bool = False
     tags: tuple[str, ...] = ()
@@ -58,6 +69,11 @@
         """Returns how old the response is, in µs."""
         return max(0, now - self.generated_at)
 
-    def is_fresh(self, now: int) -> bool:
-        """Whether it may be served without revalidation."""
-        return self.age(now) < self.lifetime
+    def is_fresh(self, now: int, keep_us: int) -> bool:
+        """Whether it may be served without revalidation.
+
+        Args:
+            now: This process's clock, in µs.
+            keep_us: How long the route that the request has now lets responses be served, in µs.
+        """
+        return self.age(now) < freshness_lifetime(self.stated_lifetime, keep_us)
--- a/src/willowpost/proxy/cache/storage_policy.py
+++ b/src/willowpost/proxy/cache/storage_policy.py
@@ -6,6 +6,7 @@
 from email.utils import parsedate_to_datetime
 
 from willowpost.common.clock import SECOND
+from willowpost.proxy.cache.entry import freshness_lifetime
 
 CACHEABLE_STATUSES = frozenset({200, 203, 204, 300, 301, 404, 405, 410, 414, 501})
 DIRECTIVE = re.compile(r'([a-zA-Z0-9-]+)(?:=(?:"([^"]*)"|([^,;\s]*)))?')
@@ -37,12 +38,13 @@
     """How a response may be stored.
 
     Attributes:
-        lifetime: How long it is fresh, in µs; 0 means that each use needs a revalidation.
+        stated_lifetime: How long it is fresh by its origin, in µs; None if that did not say and the
+            route decides; 0 means that each use needs a revalidation.
         vary: Lower-case names of the request headers that select the variant, sorted.
         is_public: Whether it may answer requests with an Authorization header.
     """
 
-    lifetime: int
+    stated_lifetime: int | None
     vary: tuple[str, ...]
     is_public: bool = False
 
@@ -60,7 +62,7 @@
         request: Mapping[str, str],
         status: int,
         response: Mapping[str, str],
-        keep_seconds: float,
+        keep_us: int,
     ) -> StorageDecision | None:
         """Returns how to store the response, or None if it must not be stored.
 
@@ -68,8 +70,8 @@
             request: The request's headers, lower-case names.
             status: The response's status.
             response: The response's headers, lower-case names, repeated ones joined.
-            keep_seconds: The operator's upper limit of the lifetime, and the lifetime of a 200 that
-                names none.
+            keep_us: The operator's upper limit of the lifetime, and the lifetime of a 200 that
+                names none, in µs.
         """
         requested = directives(request.get("cache-control", ""))
         stated = directives(response.get("cache-control", ""))
@@ -84,9 +86,9 @@
             return None
         if "range" in request or "content-range" in response:
             return None
-        lifetime = self._lifetime(stated, response, keep_seconds, status)
+        lifetime = self._stated_lifetime(stated, response, status)
         has_validator = "etag" in response or "last-modified" in response
-        if lifetime <= 0 and not has_validator:
+        if freshness_lifetime(lifetime, keep_us) <= 0 and not has_validator:
             return None
         return StorageDecision(lifetime, vary, bool(AUTHORIZED_DIRECTIVES & stated.keys()))
 
@@ -99,28 +101,23 @@
         is_shared = bool(SHARED_DIRECTIVES & stated.keys()) or "cookie" in vary
         return "cookie" in request and not is_shared
 
-    def _lifetime(
-        self,
-        stated: Mapping[str, str],
-        response: Mapping[str, str],
-        keep_seconds: float,
-        status: int,
-    ) -> int:
-        """Returns the freshness lifetime in µs (RFC 9111, 4.2.1), at most `keep_seconds`."""
-        longest = int(keep_seconds * SECOND)
+    def _stated_lifetime(
+        self, stated: Mapping[str, str], response: Mapping[str, str], status: int
+    ) -> int | None:
+        """Returns the freshness lifetime in µs (RFC 9111, 4.2.1); None if a 200 names none."""
         if "no-cache" in stated:
             return 0
         for name in ("s-maxage", "max-age"):
             if name in stated:
                 seconds = parse_whole_number(stated[name])
-                return 0 if seconds is None else min(seconds * SECOND, longest)
+                return 0 if seconds is None else seconds * SECOND
         if "expires" in response:
             expires = parse_http_date(response["expires"])
             date = parse_http_date(response.get("date", ""))
             if expires is None or date is None:
                 return 0
-            return max(0, min(expires - date, longest))
-        return longest if status == 200 else 0
+            return max(0, expires - date)
+        return None if status == 200 else 0
 
 
 def format_age(age: int | None) -> str | None:
--- a/src/willowpost/proxy/cache/store.py
+++ b/src/willowpost/proxy/cache/store.py
@@ -75,7 +75,7 @@
         entry: CacheEntry,
         headers: tuple[Header, ...],
         generated_at: int,
-        lifetime: int,
+        stated_lifetime: int | None,
         slot: int,
         tags: tuple[str, ...],
     ) -> CacheEntry:
@@ -84,7 +84,7 @@
             entry,
             headers=headers,
             generated_at=generated_at,
-            lifetime=lifetime,
+            stated_lifetime=stated_lifetime,
             slot=slot,
             tags=tags,
         )
--- a/src/willowpost/proxy/request_parser.py
+++ b/src/willowpost/proxy/request_parser.py
@@ -9,12 +9,12 @@
 from willowpost.proxy.client.request_head import ClientRequestHead
 from willowpost.proxy.proxy_state import ProxyState
 from willowpost.proxy.routing.header_names import HeaderNames
-from willowpost.proxy.routing.headers import HOP_EDGE, HOP_RETRY, HOP_SERVICE
+from willowpost.proxy.routing.headers import HOP_EDGE, HOP_MAX_AGE, HOP_RETRY, HOP_SERVICE
 from willowpost.proxy.routing.request import Request
 
 HOST = re.compile(r"[A-Za-z0-9._-]{1,253}(:\d{1,5})?")
 INVALID_TARGET_CHARACTER = re.compile(r"[^\x21-\x7e]")
-TIME_LEFT = re.compile(r"[0-9]{1,15}")
+WHOLE_NUMBER = re.compile(r"[0-9]{1,15}")
 ABSOLUTE_FORM = "http://"
 
 
@@ -34,6 +34,12 @@
     return None if service is None else unquote(service)
 
 
+def max_age_of(headers: Mapping[str, str]) -> int | None:
+    """Returns how old a response may be by an edge's route, in µs, or None if it did not say."""
+    milliseconds = headers.get(HOP_MAX_AGE, "")
+    return int(milliseconds) * MILLISECOND if WHOLE_NUMBER.fullmatch(milliseconds) else None
+
+
 class RequestParser:
     """Makes requests of heads.
 
@@ -68,6 +74,7 @@
             is_from_edge,
             is_from_edge and HOP_RETRY in headers,
             service_of(headers) if is_from_edge else None,
+            max_age_of(headers) if is_from_edge else None,
             headers.get(self._header_names.request_id),
             self.time_left(headers),
             received_at,
@@ -77,7 +84,7 @@
     def time_left(self, headers: Mapping[str, str]) -> int | None:
         """Returns how long the client waits, in µs, or None if it did not say."""
         milliseconds = headers.get(self._header_names.remaining_time, "")
-        is_number = TIME_LEFT.fullmatch(milliseconds) is not None
+        is_number = WHOLE_NUMBER.fullmatch(milliseconds) is not None
         return int(milliseconds) * MILLISECOND if is_number else None
 
 
--- a/src/willowpost/proxy/routing/collapsed_fetches.py
+++ b/src/willowpost/proxy/routing/collapsed_fetches.py
@@ -14,7 +14,7 @@
 from willowpost.proxy.routing.outcome import FetchResult, Outcome, cached_outcome
 from willowpost.proxy.routing.repeatable_fetch import RepeatableFetch
 from willowpost.proxy.routing.request import FetchPlan, Request
-from willowpost.proxy.routing.response_processing import ResponseProcessor
+from willowpost.proxy.routing.response_processing import AGE_SLACK_US, ResponseProcessor
 
 # A rejection with this status is the same for all requests that joined the fetch.
 SHARED_REJECTION_STATUS = 503
@@ -147,18 +147,20 @@
             return self._after_shared_rejection(result.rejection, deadline, request, plan, body)
         if result.is_aborted:
             return self.fetch(request, plan, body)
-        if result.entry is not None and self._may_use(result.entry, request):
+        if result.entry is not None and self._may_use(result.entry, request, plan):
             return cached_outcome(result.entry, self.clock.now())
         return self._fetch_alone(request, plan, NO_BODY).outcome
 
-    def _may_use(self, entry: CacheEntry, request: Request) -> bool:
-        """Whether a shared response is of the request's variant and no purge has hit it.
+    def _may_use(self, entry: CacheEntry, request: Request, plan: FetchPlan) -> bool:
+        """Whether a shared response is of the request's variant, not purged and not too old.
 
-        The fetch may have passed a shield that did not know of a purge that is known here.
+        The fetch may have begun under an older route, or have passed a shield that did not know of
+        a purge that is known here.
         """
-        return not self.cache.is_purged_since(
-            entry.slot, request.host, request.target, entry.tags
-        ) and all(request.headers.get(name, "") == value for name, value in entry.variant)
+        is_purged = self.cache.is_purged_since(entry.slot, request.host, request.target, entry.tags)
+        is_variant = all(request.headers.get(name, "") == value for name, value in entry.variant)
+        is_current = entry.age(self.clock.now()) <= plan.keep_us + AGE_SLACK_US
+        return is_variant and not is_purged and is_current
 
     def _after_shared_rejection(
         self,
--- a/src/willowpost/proxy/routing/headers.py
+++ b/src/willowpost/proxy/routing/headers.py
@@ -32,6 +32,7 @@
 HOP_AGE = "wp-age"  # a response's age in ms: Age in full seconds would lose up to one
 HOP_REJECT = "wp-reject"  # the shield's own refusal, not an origin's response
 HOP_SERVICE = "wp-service"  # the service that the edge chose, percent-encoded (RFC 3986, 2.1)
+HOP_MAX_AGE = "wp-max-age"  # how old a response may be by the edge's route, in ms
 HOP_RETRY = "wp-extra"  # an earlier attempt may have reached an origin
 CONDITIONAL_HEADERS = ("if-none-match", "if-modified-since")  # RFC 9110, 13.1
 RANGE_HEADERS = ("range", "if-range")  # RFC 9110, 14.2 and 13.1.5
@@ -66,20 +67,26 @@
         slot: The log slot that the edge has reached.
         service: The service that the edge chose.
         may_have_reached_origin: Whether an earlier attempt may have reached an origin.
+        max_age_us: How old a response may be by the edge's route, in µs; None: by the shield's own.
     """
 
     edge_id: str
     slot: int
     service: str
     may_have_reached_origin: bool = False
+    max_age_us: int | None = None
 
     def headers(self) -> HeaderList:
         """Returns the headers of the hop."""
         retry = [(HOP_RETRY, "1")] if self.may_have_reached_origin else []
+        max_age = (
+            [] if self.max_age_us is None else [(HOP_MAX_AGE, str(self.max_age_us // MILLISECOND))]
+        )
         return [
             (HOP_EDGE, self.edge_id),
             (HOP_SLOT, str(self.slot)),
             (HOP_SERVICE, quote(self.service, safe="")),
+            *max_age,
             *retry,
         ]
 
--- a/src/willowpost/proxy/routing/planner.py
+++ b/src/willowpost/proxy/routing/planner.py
@@ -89,11 +89,15 @@
         is_cacheable = (
             kind == CACHED and route.cache and (fetches_complete or "range" not in request.headers)
         )
+        may_be_kept_here = route.may_cache_in(self.regions.get(self.node_state.descriptor.zone))
         entry = (
-            self.cache.find(request.host, request.target, request.headers) if is_cacheable else None
+            self.cache.find(request.host, request.target, request.headers)
+            if is_cacheable and may_be_kept_here
+            else None
         )
+        keep_us = request.keep_us(route)
         cut_range = byte_range if fetches_complete else None
-        if entry is not None and entry.is_fresh(now):
+        if entry is not None and entry.is_fresh(now, keep_us):
             return CachePlan(entry, cut_range)
         return FetchPlan(
             route=route,
@@ -106,6 +110,7 @@
             fetches_complete=fetches_complete,
             byte_range=cut_range,
             version=self.node_state.snapshot.version,
+            keep_us=keep_us,
         )
 
     def _fetches_complete(
--- a/src/willowpost/proxy/routing/repeatable_fetch.py
+++ b/src/willowpost/proxy/routing/repeatable_fetch.py
@@ -131,9 +131,7 @@
     def _is_final(self, response: OriginResponse, is_through_shield: bool) -> bool:
         """Whether the response may be the caller's; records it if not."""
         if is_through_shield and self.processor.is_outdated(self.request, self.plan, response):
-            self.last_failure = ExchangeError(
-                "a shield's copy that a purge has ended", was_sent=True
-            )
+            self.last_failure = ExchangeError("a shield's copy that is too old", was_sent=True)
             return False
         if is_unrequested_not_modified(response, self.request, self.plan):
             self.last_failure = ExchangeError("a 304 that was not asked for", was_sent=True)
--- a/src/willowpost/proxy/routing/request.py
+++ b/src/willowpost/proxy/routing/request.py
@@ -30,6 +30,7 @@
         may_have_reached_origin: Whether an earlier attempt may have reached an origin through
             another proxy.
         service: The service that the edge which sent it chose, or None.
+        max_age_us: How old a response may be by the route that the edge has, in µs, or None.
         request_id: The caller's id of this request, or None.
         timeout_us: How long the caller waits from `received_at` on, in µs, or None if it did not
             say.
@@ -46,6 +47,7 @@
     is_from_edge: bool = False
     may_have_reached_origin: bool = False
     service: str | None = None
+    max_age_us: int | None = None
     request_id: str | None = None
     timeout_us: int | None = None
     received_at: int = 0
@@ -57,6 +59,14 @@
         """The target without its query."""
         return self.target.partition("?")[0]
 
+    def keep_us(self, route: Route) -> int:
+        """Returns how old a response may be, in µs.
+
+        Args:
+            route: The route it matched.
+        """
+        return route.keep_us if self.max_age_us is None else min(route.keep_us, self.max_age_us)
+
     @property
     def is_safe(self) -> bool:
         """Whether the method is GET or HEAD."""
@@ -126,6 +136,8 @@
         fetches_complete: Whether to request the complete object, whatever range the caller wants.
         byte_range: The range to cut from the complete response, or None.
         version: Of the configuration that it was planned by.
+        keep_us: How old a response may be, in µs, by the route and by the edge that sent the
+            request.
     """
 
     route: Route
@@ -138,6 +150,7 @@
     fetches_complete: bool = False
     byte_range: ByteRange | None = None
     version: int = 0
+    keep_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/willowpost/proxy/routing/response_processing.py
+++ b/src/willowpost/proxy/routing/response_processing.py
@@ -16,6 +16,8 @@
 from willowpost.proxy.routing.request import FetchPlan, Request
 
 NOT_MODIFIED_STATUS = 304  # RFC 9110, 15.4.5
+# A response ages on its way: by so much it may be older on arrival than its route allows.
+AGE_SLACK_US = 500 * MILLISECOND
 
 HeaderTuple = tuple[tuple[str, str], ...]
 
@@ -86,20 +88,24 @@
             headers,
             response.body,
             self.clock.now() - age,
-            storing.lifetime,
+            storing.stated_lifetime,
             slot,
             storing.is_public,
             self._cache_tags(response),
         )
         self.cache.store(entry)
         outcome = Outcome(forwarded, ResponseSource.MISS, age, slot)
-        return FetchResult(outcome, entry if storing.lifetime > age else None)
+        is_fresh = entry.is_fresh(self.clock.now(), plan.keep_us)
+        return FetchResult(outcome, entry if is_fresh else None)
 
     def is_outdated(self, request: Request, plan: FetchPlan, response: OriginResponse) -> bool:
-        """Whether a purge that is known here has hit a shield's response since it was fetched.
+        """Whether a shield's response is too old by what is known here.
 
-        The shield may not know of the purge: it lags, or is out of touch.
+        The shield may not know of a purge, or of the route: it lags, or is out of touch.
         """
+        hop_age = self._hop_age(plan, response)
+        if hop_age is not None and hop_age > plan.keep_us + AGE_SLACK_US:
+            return True
         return self.cache.is_purged_since(
             self._slot(plan, response), request.host, request.target, self._cache_tags(response)
         )
@@ -119,7 +125,7 @@
             self._fetched_headers(request, plan),
             entry.status,
             updated_headers,
-            plan.route.keep_seconds,
+            plan.keep_us,
         )
         if storing is None:
             self.cache.remove(entry)
@@ -128,7 +134,7 @@
             entry,
             self._merged_headers(entry, headers),
             self.clock.now() - age,
-            storing.lifetime,
+            storing.stated_lifetime,
             self._slot(plan, response),
             self._cache_tags(response) or entry.tags,
         )
@@ -152,13 +158,17 @@
 
     def _age(self, plan: FetchPlan, response: OriginResponse, started_at: int) -> int:
         """Returns the response's age in µs (RFC 9111, 4.2.3)."""
-        hop_age = parse_whole_number(response.header(HOP_AGE)) if plan.shields else None
         return corrected_age(
             response.headers_by_name(),
             self.clock.now() - started_at,
-            None if hop_age is None else hop_age * MILLISECOND,
+            self._hop_age(plan, response),
         )
 
+    def _hop_age(self, plan: FetchPlan, response: OriginResponse) -> int | None:
+        """Returns the age that a shield stated, in µs; None if the response has not passed one."""
+        milliseconds = parse_whole_number(response.header(HOP_AGE)) if plan.shields else None
+        return None if milliseconds is None else milliseconds * MILLISECOND
+
     def _forwarded_headers(self, response: OriginResponse) -> HeaderTuple:
         names = self.resources.header_names
         dropped = ("age", names.request_id, names.load)
@@ -186,7 +196,7 @@
             self._fetched_headers(request, plan),
             response.status,
             response.headers_by_name(),
-            plan.route.keep_seconds,
+            plan.keep_us,
         )
 
     def _slot(self, plan: FetchPlan, response: OriginResponse) -> int:
--- a/src/willowpost/proxy/routing/shield_attempts.py
+++ b/src/willowpost/proxy/routing/shield_attempts.py
@@ -103,6 +103,7 @@
                 plan.slot,
                 plan.service,
                 history.may_have_reached_origin,
+                plan.keep_us,
             ),
         )
         return ForwardedRequest(request, plan, headers, NO_BODY, deadline)
--- a/src/willowpost/sim/fleet/nodes.py
+++ b/src/willowpost/sim/fleet/nodes.py
@@ -15,7 +15,7 @@
 from willowpost.proxy.origin.selection import OriginSelector
 from willowpost.proxy.outgoing import OutgoingRequests
 from willowpost.proxy.request_body import RequestBody
-from willowpost.proxy.request_parser import service_of
+from willowpost.proxy.request_parser import max_age_of, service_of
 from willowpost.proxy.routing.attempt import RequestRejectedError
 from willowpost.proxy.routing.attempt_resources import AttemptResources
 from willowpost.proxy.routing.attempts import Attempts
@@ -106,6 +106,7 @@
                     True,
                     HOP_RETRY in headers,
                     service_of(headers),
+                    max_age_of(headers),
                 )
                 self._spawn(
                     self._serve, source, asked.number, request, asked.body, asked.incarnation
--- a/tests/proxy/routing/test_shields.py
+++ b/tests/proxy/routing/test_shields.py
@@ -256,6 +256,17 @@
         entry = proxy.cache.find("h.example", "/x", {})
         self.assertGreaterEqual(entry.age(proxy.clock.now()), 1_900_000)
 
+    def test_a_copy_older_than_the_edges_route_allows_is_not_passed_on(self):
+        proxy = self.served(
+            (answer(b"old", wp_slot="5", wp_age="70000"),), origins=((answer(b"new"),),)
+        )
+        self.assertEqual((200, b"new"), proxy.ask("GET", "/x")[:2])
+
+    def test_the_edge_says_how_old_a_response_may_be(self):
+        proxy = self.served((answer(b"a", wp_slot="5"),))
+        proxy.ask("GET", "/x")
+        self.assertIn(b"wp-max-age: 60000\r\n", self.shields[0].requests[0].lower())
+
 
 class Versions(unittest.TestCase):
     """Edges and shields that know different configurations.
