--- a/src/willowpost/proxy/cache/entry.py
+++ b/src/willowpost/proxy/cache/entry.py
@@ -1,12 +1,29 @@
 """A stored response of the cache (RFC 9111, 3)."""
 
 from dataclasses import dataclass
+from typing import NamedTuple
 
 Header = tuple[str, str]
-CacheKey = tuple[str, str]  # host and target (RFC 9111, 2)
 ENTRY_OVERHEAD_BYTES = 512
 
 
+class CacheKey(NamedTuple):
+    """What a stored response is found by (RFC 9111, 2).
+
+    A response belongs to the service that it came from: versions of another service's objects may
+    carry the same tags, so it neither answers requests to that nor is revalidated there.
+
+    Attributes:
+        host: Lower case, without port.
+        target: Path and query.
+        service: The service that it came from.
+    """
+
+    host: str
+    target: str
+    service: str
+
+
 def freshness_lifetime(stated: int | None, keep_us: int) -> int:
     """Returns how long a response is fresh, in µs: no longer than its origin and its route allow.
 
@@ -35,6 +52,7 @@
             purge in that slot or a later one removes the entry.
         is_public: Whether it may answer requests with an Authorization header.
         tags: The tags that the origin gave it, for purges by tag.
+        service: The service that it came from.
     """
 
     host: str
@@ -48,11 +66,12 @@
     slot: int
     is_public: bool = False
     tags: tuple[str, ...] = ()
+    service: str = ""
 
     @property
     def key(self) -> CacheKey:
-        """The host and target that it is stored under."""
-        return self.host, self.target
+        """What it is stored under."""
+        return CacheKey(self.host, self.target, self.service)
 
     @property
     def path(self) -> str:
--- a/src/willowpost/proxy/cache/purges.py
+++ b/src/willowpost/proxy/cache/purges.py
@@ -48,8 +48,11 @@
         return bool(self._items or self._scopes)
 
     def matches_key(self, key: CacheKey) -> bool:
-        """Whether a purge that goes by host and target removes what is stored under this key."""
-        host, target = key
+        """Whether a purge that goes by host and target removes what is stored under this key.
+
+        It removes the responses of all services.
+        """
+        host, target = key.host, key.target
         paths = (target, target.partition("?")[0])
         is_item = any((name, path) in self._items for name in (host, *ANY_HOST) for path in paths)
         return is_item or any(matches(purge, host, target) for purge in self._scopes)
--- a/src/willowpost/proxy/cache/store.py
+++ b/src/willowpost/proxy/cache/store.py
@@ -39,18 +39,17 @@
         self.purges: tuple[Purge, ...] = ()
         self.purge_floor = 0
 
-    def find(self, host: str, target: str, request_headers: Mapping[str, str]) -> CacheEntry | None:
+    def find(self, key: CacheKey, request_headers: Mapping[str, str]) -> CacheEntry | None:
         """Returns the stored variant that matches a request, fresh or stale, or None.
 
         Args:
-            host: Lower case, without port.
-            target: Path and query.
+            key: What is asked for, and of which service.
             request_headers: The request's headers, lower-case names.
         """
-        variants = self.entries.get((host, target))
+        variants = self.entries.get(key)
         if variants is None:
             return None
-        self.entries.move_to_end((host, target))
+        self.entries.move_to_end(key)
         return next((entry for entry in variants if _may_answer(entry, request_headers)), None)
 
     def store(self, entry: CacheEntry) -> bool:
--- a/src/willowpost/proxy/routing/collapsed_fetches.py
+++ b/src/willowpost/proxy/routing/collapsed_fetches.py
@@ -45,6 +45,7 @@
     method: str
     host: str
     target: str
+    service: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,7 +88,7 @@
         """
         if not plan.is_cacheable or any(name in request.headers for name in PERSONAL_HEADERS):
             return self._fetch_alone(request, plan, body).outcome
-        key = FetchKey(request.method, request.host, request.target)
+        key = FetchKey(request.method, request.host, request.target, plan.service)
         joined = self.in_flight.get(key)
         if joined is not None and self._may_join(joined, request, plan):
             return self._join(joined, request, plan, body)
--- a/src/willowpost/proxy/routing/planner.py
+++ b/src/willowpost/proxy/routing/planner.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 
 from willowpost.configuration.routes import Route
+from willowpost.proxy.cache.entry import CacheKey
 from willowpost.proxy.cache.ranges import parse_single_range
 from willowpost.proxy.cache.store import CacheStore
 from willowpost.proxy.proxy_state import ProxyState
@@ -91,7 +92,7 @@
         )
         may_be_kept_here = route.may_cache_in(self.regions.get(self.node_state.descriptor.zone))
         entry = (
-            self.cache.find(request.host, request.target, request.headers)
+            self.cache.find(CacheKey(request.host, request.target, service), request.headers)
             if is_cacheable and may_be_kept_here
             else None
         )
--- a/src/willowpost/proxy/routing/response_processing.py
+++ b/src/willowpost/proxy/routing/response_processing.py
@@ -92,6 +92,7 @@
             slot,
             storing.is_public,
             self._cache_tags(response),
+            plan.service,
         )
         self.cache.store(entry)
         outcome = Outcome(forwarded, ResponseSource.MISS, age, slot)
--- a/tests/proxy/cache/test_purge_by_tag.py
+++ b/tests/proxy/cache/test_purge_by_tag.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 from unittest.mock import patch
 
-from willowpost.proxy.cache.entry import CacheEntry
+from willowpost.proxy.cache.entry import CacheEntry, CacheKey
 from willowpost.proxy.cache.store import CacheStore
 from willowpost.state.entries import Purge
 from willowpost.state.tables import Tables
@@ -29,7 +29,7 @@
         self.cache.purge(Tables(slot=5, epoch=1))
 
     def find(self, path):
-        return self.cache.find("h", path, {})
+        return self.cache.find(CacheKey("h", path, ""), {})
 
     def test_a_tag_takes_all_that_carry_it_and_nothing_else(self):
         for path, tags in (("/1", ("a", "b")), ("/2", ("b",)), ("/3", ("c",)), ("/4", ())):
--- a/tests/proxy/routing/test_shields.py
+++ b/tests/proxy/routing/test_shields.py
@@ -12,6 +12,7 @@
 from willowpost.node.node_state import DaemonDescriptor
 from willowpost.proxy.admission.admission_decision import AdmissionDecision
 from willowpost.proxy.admission.quota_admission import QuotaAdmission
+from willowpost.proxy.cache.entry import CacheKey
 from willowpost.proxy.cache.store import CacheStore
 from willowpost.proxy.client.lifetime import UNWATCHED_LIFETIME
 from willowpost.proxy.proxy_state import ProxyState
@@ -253,7 +254,7 @@
         """Age in whole seconds would let a copy live up to a second longer at each tier."""
         proxy = self.served((answer(b"a", wp_slot="5", wp_age="1900", age="1"),))
         self.assertEqual(200, proxy.ask("GET", "/x")[0])
-        entry = proxy.cache.find("h.example", "/x", {})
+        entry = proxy.cache.find(CacheKey("h.example", "/x", "g"), {})
         self.assertGreaterEqual(entry.age(proxy.clock.now()), 1_900_000)
 
     def test_a_copy_older_than_the_edges_route_allows_is_not_passed_on(self):
--- a/tests/proxy/test_request_handling.py
+++ b/tests/proxy/test_request_handling.py
@@ -9,6 +9,7 @@
 from gevent import socket
 
 from tests.support.served import ScriptedOrigin, ServedProxy, answer
+from willowpost.proxy.cache.entry import CacheKey
 from willowpost.proxy.origin.exchange import Exchange
 from willowpost.proxy.origin.instance_check import InstanceCheck
 from willowpost.state.apply import apply_operation
@@ -285,7 +286,7 @@
 
         proxy.set_origins([PurgingOrigin()])
         proxy.ask("GET", "/r")
-        self.assertIsNone(proxy.cache.find("h.example", "/r", {}))
+        self.assertIsNone(proxy.cache.find(CacheKey("h.example", "/r", "g"), {}))
 
 
 class Freshness(unittest.TestCase):
