--- a/src/willowpost/configuration/routes.py
+++ b/src/willowpost/configuration/routes.py
@@ -9,6 +9,7 @@
 
 MAX_DEPTH = 8
 MAX_ROUTES = 20_000
+DEFAULT_TRIES = 3
 ANY_HOST = "*"
 # Settings whose value is a list in JSON and a tuple in a route.
 LIST_SETTINGS = frozenset({"methods", "zones", "homes"})
@@ -56,7 +57,7 @@
     body_max: int = 1024 * 1024
     whole_max: int = 8 * 1024 * 1024
     zones: tuple[str, ...] | None = None
-    tries: int = 3
+    tries: int = DEFAULT_TRIES
     kind: str | None = None
     split: tuple[tuple[str, float], ...] = ()
     aim_ms: int | None = None
--- a/src/willowpost/proxy/client/response_builder.py
+++ b/src/willowpost/proxy/client/response_builder.py
@@ -10,7 +10,7 @@
 from willowpost.proxy.origin.response import OriginResponse
 from willowpost.proxy.routing.attempt import RequestRejectedError
 from willowpost.proxy.routing.header_names import HeaderNames
-from willowpost.proxy.routing.headers import HOP_AGE, HOP_REJECT, HOP_SLOT
+from willowpost.proxy.routing.headers import HOP_AGE, HOP_ATTEMPTS_MADE, HOP_REJECT, HOP_SLOT
 from willowpost.proxy.routing.outcome import Outcome
 from willowpost.proxy.routing.request import Request
 
@@ -74,6 +74,7 @@
             headers.append(("wp-outcome", rejection.outcome))
         if request is not None and request.is_from_edge:
             headers.append((HOP_REJECT, rejection.outcome))
+            headers.append((HOP_ATTEMPTS_MADE, str(request.history.made)))
         self._stats[f"reject.{rejection.status}"] += 1
         self._stats[f"why.{rejection.reason[:MAX_REASON_CHARACTERS]}"] += 1
         return ClientResponse(rejection.status, headers, body)
@@ -99,6 +100,7 @@
             headers.append(("age", age_seconds))
         if request.is_from_edge:
             headers.append((HOP_SLOT, str(outcome.slot)))
+            headers.append((HOP_ATTEMPTS_MADE, str(request.history.made)))
             if outcome.age is not None:
                 headers.append((HOP_AGE, str(outcome.age // MILLISECOND)))
         headers.append(("wp-cache", outcome.source))
--- a/src/willowpost/proxy/request_parser.py
+++ b/src/willowpost/proxy/request_parser.py
@@ -9,7 +9,13 @@
 from willowpost.proxy.client.request_head import ClientRequestHead
 from willowpost.proxy.proxy_state import ProxyState
 from willowpost.proxy.routing.header_names import HeaderNames
-from willowpost.proxy.routing.headers import HOP_EDGE, HOP_MAX_AGE, HOP_RETRY, HOP_SERVICE
+from willowpost.proxy.routing.headers import (
+    HOP_ATTEMPTS_ALLOWED,
+    HOP_EDGE,
+    HOP_MAX_AGE,
+    HOP_RETRY,
+    HOP_SERVICE,
+)
 from willowpost.proxy.routing.request import Request
 
 HOST = re.compile(r"[A-Za-z0-9._-]{1,253}(:\d{1,5})?")
@@ -40,6 +46,12 @@
     return int(milliseconds) * MILLISECOND if WHOLE_NUMBER.fullmatch(milliseconds) else None
 
 
+def attempts_allowed_of(headers: Mapping[str, str]) -> int | None:
+    """Returns how many attempts at origins an edge allows, or None if it did not say."""
+    count = headers.get(HOP_ATTEMPTS_ALLOWED, "")
+    return int(count) if WHOLE_NUMBER.fullmatch(count) else None
+
+
 class RequestParser:
     """Makes requests of heads.
 
@@ -75,6 +87,7 @@
             is_from_edge and HOP_RETRY in headers,
             service_of(headers) if is_from_edge else None,
             max_age_of(headers) if is_from_edge else None,
+            attempts_allowed_of(headers) if is_from_edge else None,
             headers.get(self._header_names.request_id),
             self.time_left(headers),
             received_at,
--- a/src/willowpost/proxy/routing/at_most_once.py
+++ b/src/willowpost/proxy/routing/at_most_once.py
@@ -7,7 +7,6 @@
     NOT_RUN_STATUSES,
     RETRY_SOON_SECONDS,
     UNKNOWN_OUTCOME,
-    AttemptHistory,
     RequestRejectedError,
 )
 from willowpost.proxy.routing.attempt_resources import MonotonicClock
@@ -42,7 +41,7 @@
                 not-run.
         """
         deadline = request.deadline(plan.route, self.clock.now())
-        history, last_failure = AttemptHistory(), None
+        history, last_failure = request.history, None
         for attempt in range(plan.attempt_limit):
             if attempt and self.clock.now() >= deadline:
                 break
--- a/src/willowpost/proxy/routing/attempt.py
+++ b/src/willowpost/proxy/routing/attempt.py
@@ -68,8 +68,16 @@
             from here or through another proxy. Once it is True, each further attempt is a retry.
         is_retry: Whether the attempt in flight was charged as a retry.
         tried_origins: Names of the origins that were tried.
+        made: How many attempts may have reached an origin, from here or through shields; where that
+            is not known, the most that it can be.
     """
 
     may_have_reached_origin: bool = False
     is_retry: bool = False
     tried_origins: set[str] = field(default_factory=set)
+    made: int = 0
+
+    def record_made(self, attempts: int) -> None:
+        """Records attempts that may have reached an origin."""
+        self.made += attempts
+        self.may_have_reached_origin |= attempts > 0
--- a/src/willowpost/proxy/routing/attempt_resources.py
+++ b/src/willowpost/proxy/routing/attempt_resources.py
@@ -15,6 +15,7 @@
 from willowpost.proxy.origin.selection import OriginSelector
 from willowpost.proxy.outgoing import OutgoingRequests
 from willowpost.proxy.proxy_state import ProxyState
+from willowpost.proxy.routing.attempt_times import AttemptTimes
 from willowpost.proxy.routing.header_names import DEFAULT_HEADER_NAMES, HeaderNames
 
 
@@ -95,6 +96,7 @@
         header_names: Header names shared with callers and origins.
         regions: Zone to region; empty if regions do not matter.
         outgoing: Follows the requests in flight, and checks their invariants.
+        times: How long attempts take.
     """
 
     node_state: ProxyState
@@ -108,6 +110,7 @@
     outgoing: OutgoingRequests
     header_names: HeaderNames = DEFAULT_HEADER_NAMES
     regions: Mapping[str, str] = field(default_factory=dict)
+    times: AttemptTimes = field(default_factory=AttemptTimes)
 
     @property
     def own_region(self) -> str | None:
--- a/src/willowpost/proxy/routing/attempts.py
+++ b/src/willowpost/proxy/routing/attempts.py
@@ -43,6 +43,7 @@
         shield: Shield,
         deadline: int,
         history: AttemptHistory,
+        allowed: int,
     ) -> OriginResponse:
         """Sends a request to a shield; see `ShieldAttempts.send`."""
-        return self.shield_attempts.send(request, plan, shield, deadline, history)
+        return self.shield_attempts.send(request, plan, shield, deadline, history, allowed)
--- a/src/willowpost/proxy/routing/headers.py
+++ b/src/willowpost/proxy/routing/headers.py
@@ -33,6 +33,8 @@
 HOP_REJECT = "wp-reject"  # the shield's own refusal, not an origin's response
 HOP_SERVICE = "wp-service"  # the service that the edge chose, percent-encoded (RFC 3986, 2.1)
 HOP_MAX_AGE = "wp-max-age"  # how old a response may be by the edge's route, in ms
+HOP_ATTEMPTS_ALLOWED = "wp-attempts-allowed"  # how many attempts at origins a shield may make
+HOP_ATTEMPTS_MADE = "wp-attempts-made"  # how many it has made, on each of its responses
 HOP_RETRY = "wp-extra"  # an earlier attempt may have reached an origin
 CONDITIONAL_HEADERS = ("if-none-match", "if-modified-since")  # RFC 9110, 13.1
 RANGE_HEADERS = ("range", "if-range")  # RFC 9110, 14.2 and 13.1.5
@@ -68,6 +70,7 @@
         service: The service that the edge chose.
         may_have_reached_origin: Whether an earlier attempt may have reached an origin.
         max_age_us: How old a response may be by the edge's route, in µs; None: by the shield's own.
+        attempts_allowed: How many attempts at origins the shield may make; None: by its own route.
     """
 
     edge_id: str
@@ -75,18 +78,21 @@
     service: str
     may_have_reached_origin: bool = False
     max_age_us: int | None = None
+    attempts_allowed: int | None = None
 
     def headers(self) -> HeaderList:
         """Returns the headers of the hop."""
         retry = [(HOP_RETRY, "1")] if self.may_have_reached_origin else []
-        max_age = (
-            [] if self.max_age_us is None else [(HOP_MAX_AGE, str(self.max_age_us // MILLISECOND))]
-        )
+        limits = []
+        if self.max_age_us is not None:
+            limits.append((HOP_MAX_AGE, str(self.max_age_us // MILLISECOND)))
+        if self.attempts_allowed is not None:
+            limits.append((HOP_ATTEMPTS_ALLOWED, str(self.attempts_allowed)))
         return [
             (HOP_EDGE, self.edge_id),
             (HOP_SLOT, str(self.slot)),
             (HOP_SERVICE, quote(self.service, safe="")),
-            *max_age,
+            *limits,
             *retry,
         ]
 
--- a/src/willowpost/proxy/routing/origin_attempts.py
+++ b/src/willowpost/proxy/routing/origin_attempts.py
@@ -6,6 +6,7 @@
 from willowpost.proxy.request_body import RequestBody
 from willowpost.proxy.routing.attempt import AttemptHistory
 from willowpost.proxy.routing.attempt_resources import AttemptResources
+from willowpost.proxy.routing.attempt_times import AttemptKey
 from willowpost.proxy.routing.headers import ForwardOptions, headers_to_origin
 from willowpost.proxy.routing.origin_admission import (
     AdmittedOrigin,
@@ -25,6 +26,7 @@
     FailureReason.SERVICE: 0,
 }
 SERVER_ERROR_STATUS = 500  # RFC 9110, 15.6: this status and above
+GATEWAY_TIMEOUT_STATUS = 504  # RFC 9110, 15.6.5
 
 
 class OriginAttempts:
@@ -79,9 +81,13 @@
             forwarded = self._forwarded(request, plan, body, deadline, selected, started_at)
             response = self._exchange(selected, forwarded, history, started_at)
             was_helpful = response.status < SERVER_ERROR_STATUS
+            if was_helpful or response.status == GATEWAY_TIMEOUT_STATUS:
+                self._record_time(plan, started_at, is_answered=was_helpful)
             return response
         except ExchangeError as failure:
             self._record_failure(selected, failure)
+            if failure.timed_out and failure.was_sent:
+                self._record_time(plan, started_at, is_answered=False)
             raise
         finally:
             self.resources.origin_selector.record_end(origin_name, ticket)
@@ -148,7 +154,7 @@
         resources.stats["extras"] += is_retry
         if not is_retry:
             resources.retry_budget.record_first_attempt(resources.clock.now(), service_name)
-        history.may_have_reached_origin = True
+        history.record_made(1)
 
     def _record_response(
         self, selected: AdmittedOrigin, response: OriginResponse, started_at: int
@@ -159,6 +165,11 @@
             selected.origin.name, now - started_at, load, now
         )
 
+    def _record_time(self, plan: ForwardPlan, started_at: int, is_answered: bool) -> None:
+        now = self.resources.clock.now()
+        key = AttemptKey(plan.service, plan.route.name, is_through_shield=False)
+        self.resources.times.record(key, now - started_at, is_answered, now)
+
     def _record_failure(self, selected: AdmittedOrigin, failure: ExchangeError) -> None:
         """Ejects the origin for a while, and lets it warm up if its process has ended."""
         now, origin_name = self.resources.clock.now(), selected.origin.name
--- a/src/willowpost/proxy/routing/planner.py
+++ b/src/willowpost/proxy/routing/planner.py
@@ -90,7 +90,9 @@
         is_cacheable = (
             kind == CACHED and route.cache and (fetches_complete or "range" not in request.headers)
         )
-        may_be_kept_here = route.may_cache_in(self.regions.get(self.node_state.descriptor.zone))
+        may_be_kept_here = not self.regions or route.may_cache_in(
+            self.regions.get(self.node_state.descriptor.zone)
+        )
         entry = (
             self.cache.find(CacheKey(request.host, request.target, service), request.headers)
             if is_cacheable and may_be_kept_here
@@ -106,7 +108,7 @@
             is_cacheable=is_cacheable,
             shields=self._shields(request, route, now) if kind == CACHED else (),
             cached_entry=entry,
-            attempt_limit=route.tries,
+            attempt_limit=request.attempt_limit(route),
             service=service,
             fetches_complete=fetches_complete,
             byte_range=cut_range,
--- a/src/willowpost/proxy/routing/repeatable_fetch.py
+++ b/src/willowpost/proxy/routing/repeatable_fetch.py
@@ -7,9 +7,9 @@
     NOT_RUN_OUTCOME,
     RETRY_SOON_SECONDS,
     UNKNOWN_OUTCOME,
-    AttemptHistory,
     RequestRejectedError,
 )
+from willowpost.proxy.routing.attempt_times import AttemptKey, attempt_time_us
 from willowpost.proxy.routing.attempts import Attempts
 from willowpost.proxy.routing.outcome import FetchResult
 from willowpost.proxy.routing.request import FetchPlan, Request
@@ -50,9 +50,10 @@
         self.clock = attempts.resources.clock
         self.started_at = self.clock.now()
         self.deadline = request.deadline(plan.route, self.started_at)
-        self.history = AttemptHistory(request.may_have_reached_origin)
+        self.history = request.history
+        self.history.may_have_reached_origin |= request.may_have_reached_origin
         self.remaining_shields = [Shield(name, address) for name, address in plan.shields]
-        self.remaining_attempts = plan.attempt_limit
+        self.remaining_rounds = plan.attempt_limit
         self.last_failure: ExchangeError | None = None
         self.last_error_response: OriginResponse | None = None
         self.may_have_run = False
@@ -64,9 +65,9 @@
         Raises:
             RequestRejectedError: No attempt gave a response in time, or none could be made.
         """
-        while self.remaining_attempts and not self.is_over:
+        while self.remaining_rounds and self.remaining_attempts > 0 and not self.is_over:
             now = self.clock.now()
-            if self.remaining_attempts < self.plan.attempt_limit and now >= self.deadline:
+            if self.remaining_rounds < self.plan.attempt_limit and now >= self.deadline:
                 break
             response = self._attempt(now)
             if response is not None:
@@ -75,6 +76,11 @@
             return self._result(self.last_error_response)
         raise self._rejection()
 
+    @property
+    def remaining_attempts(self) -> int:
+        """How many attempts at origins are left, those through shields counted."""
+        return self.plan.attempt_limit - self.history.made
+
     def _result(self, response: OriginResponse) -> FetchResult:
         return self.processor.process(self.request, self.plan, response, self.started_at)
 
@@ -84,7 +90,7 @@
         self.remaining_shields.sort(key=lambda shield: selector.is_avoided(shield.name, now))
         attempt_deadline = self._attempt_deadline(now)
         is_through_shield = bool(self.remaining_shields)
-        self.remaining_attempts -= 1
+        self.remaining_rounds -= 1
         try:
             response = self._send(attempt_deadline)
         except ExchangeError as failure:
@@ -103,22 +109,33 @@
 
         A silent receiver must leave time for the next one, and a shield for one of its own.
         """
-        attempts_after = self.remaining_attempts - 1
+        attempts_after = min(self.remaining_rounds, self.remaining_attempts) - 1
         if not attempts_after:
             return self.deadline
-        share = SHIELD_TIME_SHARE if self.remaining_shields else 1 / (attempts_after + 1)
-        return now + int((self.deadline - now) * share)
+        is_through_shield = bool(self.remaining_shields)
+        share = SHIELD_TIME_SHARE if is_through_shield else 1 / (attempts_after + 1)
+        key = AttemptKey(self.plan.service, self.plan.route.name, is_through_shield)
+        estimate = self.attempts.resources.times.estimate(key, now)
+        return now + attempt_time_us(self.deadline - now, share, estimate)
 
     def _send(self, deadline: int) -> OriginResponse:
         if self.remaining_shields:
             shield = self.remaining_shields.pop(0)
             return self.attempts.send_to_shield(
-                self.request, self.plan, shield, deadline, self.history
+                self.request, self.plan, shield, deadline, self.history, self._allowed_to_shield()
             )
         return self.attempts.send_to_origin(
             self.request, self.plan, self.body, deadline, self.history
         )
 
+    def _allowed_to_shield(self) -> int:
+        """Returns how many attempts a shield may make.
+
+        One is kept back, if there are several: a shield that falls silent may have used all that it
+        was allowed.
+        """
+        return max(1, self.remaining_attempts - 1)
+
     def _record_failure(self, failure: ExchangeError, is_through_shield: bool) -> None:
         self.last_failure = failure
         self.may_have_run = self.may_have_run or failure.may_have_executed
@@ -126,7 +143,7 @@
             self.is_over = True
         elif is_through_shield and not failure.was_sent:
             # No origin can have seen it, so the attempt does not count.
-            self.remaining_attempts += 1
+            self.remaining_rounds += 1
 
     def _is_final(self, response: OriginResponse, is_through_shield: bool) -> bool:
         """Whether the response may be the caller's; records it if not."""
--- a/src/willowpost/proxy/routing/request.py
+++ b/src/willowpost/proxy/routing/request.py
@@ -8,6 +8,7 @@
 from willowpost.configuration.routes import Route
 from willowpost.proxy.cache.entry import CacheEntry
 from willowpost.proxy.client.lifetime import UNWATCHED_LIFETIME, RequestLifetime
+from willowpost.proxy.routing.attempt import AttemptHistory
 
 SAFE_METHODS = ("GET", "HEAD")
 # The kinds of routes; their values are those of the configuration.
@@ -31,6 +32,7 @@
             another proxy.
         service: The service that the edge which sent it chose, or None.
         max_age_us: How old a response may be by the route that the edge has, in µs, or None.
+        attempts_allowed: How many attempts at origins the edge that sent it allows, or None.
         request_id: The caller's id of this request, or None.
         timeout_us: How long the caller waits from `received_at` on, in µs, or None if it did not
             say.
@@ -38,6 +40,7 @@
             in µs.
         lifetime: Whether anybody still waits for the response.
         response_memory: What the responses to it take until it is answered.
+        history: The attempts made for it by this proxy, or on its behalf.
     """
 
     method: str
@@ -48,11 +51,13 @@
     may_have_reached_origin: bool = False
     service: str | None = None
     max_age_us: int | None = None
+    attempts_allowed: int | None = None
     request_id: str | None = None
     timeout_us: int | None = None
     received_at: int = 0
     lifetime: RequestLifetime = field(default=UNWATCHED_LIFETIME, compare=False, repr=False)
     response_memory: PooledMemory = field(default_factory=PooledMemory, compare=False, repr=False)
+    history: AttemptHistory = field(default_factory=AttemptHistory, compare=False, repr=False)
 
     @property
     def path(self) -> str:
@@ -67,6 +72,15 @@
         """
         return route.keep_us if self.max_age_us is None else min(route.keep_us, self.max_age_us)
 
+    def attempt_limit(self, route: Route) -> int:
+        """Returns how many attempts at origins may be made.
+
+        Args:
+            route: The route it matched.
+        """
+        allowed = self.attempts_allowed
+        return route.tries if allowed is None else min(route.tries, allowed)
+
     @property
     def is_safe(self) -> bool:
         """Whether the method is GET or HEAD."""
--- a/src/willowpost/proxy/routing/shield_attempts.py
+++ b/src/willowpost/proxy/routing/shield_attempts.py
@@ -2,12 +2,15 @@
 
 from dataclasses import dataclass
 
+from willowpost.proxy.cache.storage_policy import parse_whole_number
 from willowpost.proxy.origin.errors import ExchangeError
 from willowpost.proxy.origin.response import OriginResponse
 from willowpost.proxy.request_body import NO_BODY
-from willowpost.proxy.routing.attempt import NOT_RUN_OUTCOME, AttemptHistory
+from willowpost.proxy.routing.attempt import AttemptHistory
 from willowpost.proxy.routing.attempt_resources import AttemptResources
+from willowpost.proxy.routing.attempt_times import AttemptKey
 from willowpost.proxy.routing.headers import (
+    HOP_ATTEMPTS_MADE,
     HOP_REJECT,
     ForwardOptions,
     ShieldHop,
@@ -17,6 +20,7 @@
 from willowpost.proxy.routing.sending import ForwardedRequest, Receiver, Sender
 
 SERVER_ERROR_STATUS = 500  # RFC 9110, 15.6: this status and above
+GATEWAY_TIMEOUT_STATUS = 504  # RFC 9110, 15.6.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +54,7 @@
         shield: Shield,
         deadline: int,
         history: AttemptHistory,
+        allowed: int,
     ) -> OriginResponse:
         """Sends the request to a shield.
 
@@ -59,6 +64,7 @@
             shield: The shield.
             deadline: When to give up, by this process's clock, in µs.
             history: The attempts made so far; updated.
+            allowed: How many attempts at origins the shield may make.
 
         Raises:
             ExchangeError: No valid response came, or the shield refused for a reason of its own.
@@ -66,22 +72,28 @@
             ClientDisconnected: Nobody waits for the response any more.
         """
         clock, selector = self.resources.clock, self.resources.origin_selector
-        forwarded = self._forwarded(request, plan, deadline, history)
+        forwarded = self._forwarded(request, plan, deadline, history, allowed)
         started_at = clock.now()
         ticket = selector.record_start(shield.name, started_at)
         try:
             response = self.sender.send(self._receiver(shield), forwarded)
         except ExchangeError as failure:
             selector.eject(shield.name, clock.now())
-            history.may_have_reached_origin |= failure.was_sent
+            if failure.was_sent:
+                history.record_made(allowed)  # the shield may have used all of them
+            if failure.was_sent and failure.timed_out:
+                self._record_time(plan, started_at, is_answered=False)
             raise
         finally:
             selector.record_end(shield.name, ticket)
         now = clock.now()
         selector.record_response(shield.name, now - started_at, None, now)
-        refusal = response.header(HOP_REJECT)
-        history.may_have_reached_origin |= refusal != NOT_RUN_OUTCOME
-        if refusal is not None and response.status < SERVER_ERROR_STATUS:
+        made = _attempts_made(response, allowed)
+        history.record_made(made)
+        is_helpful = response.status < SERVER_ERROR_STATUS
+        if made and (is_helpful or response.status == GATEWAY_TIMEOUT_STATUS):
+            self._record_time(plan, started_at, is_answered=is_helpful)
+        if response.header(HOP_REJECT) is not None and is_helpful:
             # Its tables differ from those that this request was planned by.
             raise ExchangeError(
                 f"shield {shield.name} refused: {response.status}",
@@ -89,8 +101,19 @@
             )
         return response
 
+    def _record_time(self, plan: FetchPlan, started_at: int, is_answered: bool) -> None:
+        """Records how long an attempt took that may have reached an origin."""
+        now = self.resources.clock.now()
+        key = AttemptKey(plan.service, plan.route.name, is_through_shield=True)
+        self.resources.times.record(key, now - started_at, is_answered, now)
+
     def _forwarded(
-        self, request: Request, plan: FetchPlan, deadline: int, history: AttemptHistory
+        self,
+        request: Request,
+        plan: FetchPlan,
+        deadline: int,
+        history: AttemptHistory,
+        allowed: int,
     ) -> ForwardedRequest:
         resources = self.resources
         remaining_us = None if request.timeout_us is None else deadline - resources.clock.now()
@@ -104,6 +127,7 @@
                 plan.service,
                 history.may_have_reached_origin,
                 plan.keep_us,
+                allowed,
             ),
         )
         return ForwardedRequest(request, plan, headers, NO_BODY, deadline)
@@ -115,3 +139,9 @@
             shield.address,
             lambda: shield.name in node_state.snapshot.shields,
         )
+
+
+def _attempts_made(response: OriginResponse, allowed: int) -> int:
+    """Returns how many attempts at origins a shield has made; all that it may, if it is silent."""
+    made = parse_whole_number(response.header(HOP_ATTEMPTS_MADE))
+    return allowed if made is None else made
--- a/src/willowpost/sim/fleet/nodes.py
+++ b/src/willowpost/sim/fleet/nodes.py
@@ -15,11 +15,11 @@
 from willowpost.proxy.origin.selection import OriginSelector
 from willowpost.proxy.outgoing import OutgoingRequests
 from willowpost.proxy.request_body import RequestBody
-from willowpost.proxy.request_parser import max_age_of, service_of
+from willowpost.proxy.request_parser import attempts_allowed_of, max_age_of, service_of
 from willowpost.proxy.routing.attempt import RequestRejectedError
 from willowpost.proxy.routing.attempt_resources import AttemptResources
 from willowpost.proxy.routing.attempts import Attempts
-from willowpost.proxy.routing.headers import HOP_RETRY
+from willowpost.proxy.routing.headers import HOP_ATTEMPTS_MADE, HOP_RETRY
 from willowpost.proxy.routing.plan_executor import PlanExecutor
 from willowpost.proxy.routing.planner import RequestPlanner
 from willowpost.proxy.routing.request import Request
@@ -107,6 +107,7 @@
                     HOP_RETRY in headers,
                     service_of(headers),
                     max_age_of(headers),
+                    attempts_allowed_of(headers),
                 )
                 self._spawn(
                     self._serve, source, asked.number, request, asked.body, asked.incarnation
@@ -142,6 +143,7 @@
             headers = [pair for pair in outcome.answer.headers if pair[0] != "age"]
             headers += [("age", str(outcome.age // SECOND))] if outcome.age is not None else []
             headers += [("wp-slot", str(outcome.slot))] if request.is_from_edge else []
+            headers += _attempts_made(request)
             answer = SimAnswer(
                 number,
                 outcome.answer.status,
@@ -153,13 +155,22 @@
             answer = SimAnswer(
                 number,
                 reject.status,
-                (("wp-outcome", reject.outcome), ("retry-after", str(reject.retry_after_seconds))),
+                (
+                    ("wp-outcome", reject.outcome),
+                    ("retry-after", str(reject.retry_after_seconds)),
+                    *_attempts_made(request),
+                ),
                 reject.reason.encode(),
                 incarnation=self.seat.incarnation,
             )
         self.request_io.sends.append((source, answer))
 
 
+def _attempts_made(request):
+    """Returns the header by which a shield tells an edge what attempts it has made."""
+    return [(HOP_ATTEMPTS_MADE, str(request.history.made))] if request.is_from_edge else []
+
+
 class SimRegistry:
     """A registry with the daemon's own control node; its health checks are simulated."""
 
--- a/src/willowpost/sim/fleet/rules.py
+++ b/src/willowpost/sim/fleet/rules.py
@@ -4,6 +4,7 @@
 from collections import Counter, deque
 
 from willowpost.common.clock import SECOND
+from willowpost.configuration.routes import DEFAULT_TRIES
 from willowpost.sim.fleet.process_rules import ProcessRules
 from willowpost.sim.rules import Broken
 
@@ -38,7 +39,7 @@
         # (moment, whether it is an extra try), as the origins saw them
         self.presses: deque = deque()
         self.extras = 0  # of them
-        self.seen_asks: set = set()
+        self.arrivals_by_ask: Counter[str] = Counter()
         self.pressed: dict[str, deque] = {}
         self.per_origin: dict[str, deque] = {}
         self.margin: Counter = Counter()
@@ -232,10 +233,20 @@
         """Checks a process after each of its steps."""
         self.process_rules(world, seat)
 
+    def _attempts_allowed(self):
+        """Returns how many origins a request may be sent to, over edge and shields together."""
+        settings = self.world.shape.configuration.get("settings", {})
+        return settings.get("tries", DEFAULT_TRIES)
+
     def _extra_tries(self, ask, now):
         """Counts tries where origins see them: all but the first of each request are extra."""
-        extra = ask in self.seen_asks
-        self.seen_asks.add(ask)
+        extra = ask in self.arrivals_by_ask
+        self.arrivals_by_ask[ask] += 1
+        allowed = self._attempts_allowed()
+        self.say(
+            self.arrivals_by_ask[ask] <= allowed,
+            f"request {ask} reached {self.arrivals_by_ask[ask]} origins, {allowed} allowed",
+        )
         self.presses.append((now, extra))
         self.extras += extra
         while self.presses[0][0] <= now - 10 * SECOND:
--- a/tests/proxy/routing/test_changed_lifetimes.py
+++ b/tests/proxy/routing/test_changed_lifetimes.py
@@ -93,6 +93,7 @@
 
     def test_home_regions_that_change_end_copies_kept_elsewhere(self):
         self.served(answer(b"old"), answer(b"new"))
+        self.proxy.front.planner.regions = {"a": "here"}
         self.get()
         self.change(configuration(homes=["elsewhere"]))
         self.assertEqual(b"new", self.get())
--- a/tests/system/test_fleet_guarantees.py
+++ b/tests/system/test_fleet_guarantees.py
@@ -262,11 +262,18 @@
     return ShieldHop(edge_id, slot, service)
 
 
+# whoever judges attempts for each request would be the first to see what others must see as well
+ANY_ATTEMPTS = {"willowpost.sim.fleet.rules.TrafficRules._attempts_allowed": always(10**9)}
+# edges and shields tell each other nothing of attempts
+NO_ACCOUNT_OF_SHIELDS = {
+    "willowpost.proxy.routing.shield_attempts.ShieldHop": first_attempt_hop,
+    "willowpost.proxy.routing.shield_attempts._attempts_made": always(0),
+}
 OFF = (
     # scenario, what is switched off, the words the check must use
     (
         lost_answers,
-        {"willowpost.proxy.origin.errors.ExchangeError.__init__": never_sent},
+        {"willowpost.proxy.origin.errors.ExchangeError.__init__": never_sent, **ANY_ATTEMPTS},
         "ran twice|called not-run",
     ),
     (
@@ -274,11 +281,8 @@
         {"willowpost.proxy.admission.retry_budget.RetryBudget.has_retry_left": always(True)},
         "extra tries",
     ),
-    (
-        failing_behind_shields,
-        {"willowpost.proxy.routing.shield_attempts.ShieldHop": first_attempt_hop},
-        "extra tries",
-    ),
+    (failing_behind_shields, {**NO_ACCOUNT_OF_SHIELDS, **ANY_ATTEMPTS}, "extra tries"),
+    (failing_behind_shields, NO_ACCOUNT_OF_SHIELDS, "origins, 3 allowed"),
     (
         configuration_behind_a_cut,
         {"willowpost.node.node_state.LEASE_US": 60 * SECOND},
