Registries: calls with large bodies take bounded memory, one after another

Each body was read and parsed for itself; nothing bounded the sum, and JSON takes up to forty times its length.

Change: a call's memory is taken before its body is read, at 20 times its length; large ones wait for each other, small ones have a part of their own. A document whose values alone would take 0.7 of the process, by a count of its brackets, commas and quotes, is refused unparsed.

--- a/src/willowpost/registry/daemon.py
+++ b/src/willowpost/registry/daemon.py
@@ -8,6 +8,7 @@
 from willowpost.registry.health_checker import HealthChecker
 from willowpost.registry.metrics import RegistryMetrics
 from willowpost.registry.node import RegistryNode
+from willowpost.shell.call_memory import CallMemory
 from willowpost.shell.health_check import TOKEN_HEADER
 from willowpost.shell.metrics import MetricsPage
 from willowpost.shell.process_settings import ProcessSettings
@@ -58,6 +59,7 @@
             logger,
             lambda: self.node.node_state.is_draining,
             self.node.arrival_positions.before_arrival,
+            CallMemory(settings.memory_bytes),
         )
         self.node.shutdown.timeouts = settings.shutdown_timeouts()
         self.node.shutdown.in_flight = lambda: router.in_flight
--- a/src/willowpost/registry/metrics.py
+++ b/src/willowpost/registry/metrics.py
@@ -13,6 +13,7 @@
     gauge,
 )
 from willowpost.shell.request_cuts import RequestCuts
+from willowpost.shell.resident_memory import resident_bytes
 from willowpost.shell.router import Router
 
 
@@ -49,8 +50,21 @@
         has_contact = float(node_state.has_quorum_contact())
         yield self._cuts.metric()
         yield violation_metric(self._violations)
+        yield from self._memory()
         yield gauge("quorum_contact", "1 with a quorum in contact a moment ago.", has_contact)
 
+    def _memory(self) -> Iterable[Metric]:
+        memory = self._router.memory
+        used: dict[str, float] = {
+            "large_calls": memory.large_calls.used,
+            "small_calls": memory.small_calls.used,
+            "resident": resident_bytes(),
+        }
+        yield Metric("memory_used_bytes", "Memory in use, by what it is for.", used, "part")
+        yield gauge(
+            "calls_waiting", "Calls that wait for memory, unread.", memory.large_calls.waiting
+        )
+
     def _calls(self) -> Iterable[Metric | HistogramMetric]:
         yield Metric(
             "responses",
--- a/src/willowpost/shell/router.py
+++ b/src/willowpost/shell/router.py
@@ -7,6 +7,9 @@
 from typing import Any
 
 from willowpost.common.log_position import LogPosition
+from willowpost.common.memory_budget import MemoryExhaustedError
+from willowpost.shell.call_memory import CallMemory, TooManyValuesError
+from willowpost.shell.process_settings import DEFAULT_MEMORY_BYTES
 from willowpost.shell.structured_log import StructuredLogger
 from willowpost.shell.web import (
     KNOWN_BEFORE,
@@ -15,7 +18,6 @@
     Request,
     Response,
     invalid,
-    read_body,
     reject,
     status_line,
 )
@@ -76,6 +78,8 @@
         known_before_arrival: returns how far the log was known before a connection that is accepted
             now has come; None: not known.
 
+        memory: what calls may take; None: of a process of the usual size.
+
     Attributes:
         in_flight: how many requests are being served; kept by `CountingHandler`.
         responses: how many responses were made, by status.
@@ -87,7 +91,9 @@
         logger: StructuredLogger,
         is_closing: Callable[[], bool] = _never,
         known_before_arrival: Callable[[], LogPosition | None] = _unknown,
+        memory: CallMemory | None = None,
     ) -> None:
+        self.memory = memory or CallMemory(DEFAULT_MEMORY_BYTES)
         self.in_flight = 0
         self.responses: Counter[int] = Counter()
         self.known_before_arrival = known_before_arrival
@@ -120,6 +126,10 @@
             return self._dispatch(environ)
         except BodyTooLargeError:
             return invalid(413, "/", "body too large")
+        except TooManyValuesError:
+            return invalid(400, "/", "too many values")
+        except MemoryExhaustedError as problem:
+            return reject(503, str(problem))
         except (EOFError, ValueError, OSError):
             return invalid(400, "/", "malformed request")
         # The last handler: a bug must not look like a success, nor keep the caller waiting.
@@ -138,17 +148,18 @@
             allowed = ", ".join(sorted({route.method for route in candidates}))
             value = invalid(405, path, "no such method").value
             return Response(405, value, (("Allow", allowed),))
-        return route.handler(
-            Request(
-                method,
-                path,
-                environ.get("QUERY_STRING", ""),
-                _headers(environ),
-                read_body(environ, route.max_bytes),
-                route.params(segments),
-                environ.get(KNOWN_BEFORE),
+        with self.memory.reading(environ, route.max_bytes) as body:
+            return route.handler(
+                Request(
+                    method,
+                    path,
+                    environ.get("QUERY_STRING", ""),
+                    _headers(environ),
+                    body,
+                    route.params(segments),
+                    environ.get(KNOWN_BEFORE),
+                )
             )
-        )
 
 
 def _segments(path: str) -> tuple[str, ...]:
