--- a/src/willowpost/proxy/routing/origin_attempts.py
+++ b/src/willowpost/proxy/routing/origin_attempts.py
@@ -4,7 +4,7 @@
 from willowpost.proxy.origin.errors import ExchangeError, FailureReason
 from willowpost.proxy.origin.response import OriginResponse
 from willowpost.proxy.request_body import RequestBody
-from willowpost.proxy.routing.attempt import AttemptHistory
+from willowpost.proxy.routing.attempt import AttemptHistory, RouteChangedError
 from willowpost.proxy.routing.attempt_resources import AttemptResources
 from willowpost.proxy.routing.attempt_times import AttemptKey
 from willowpost.proxy.routing.headers import ForwardOptions, headers_to_origin
@@ -84,6 +84,9 @@
             if was_helpful or response.status == GATEWAY_TIMEOUT_STATUS:
                 self._record_time(plan, started_at, is_answered=was_helpful)
             return response
+        except RouteChangedError:
+            history.tried_origins.discard(origin_name)  # it was sent nothing
+            raise
         except ExchangeError as failure:
             self._record_failure(selected, failure)
             if failure.timed_out and failure.was_sent:
