--- a/tests/proxy/origin/test_exchange.py
+++ b/tests/proxy/origin/test_exchange.py
@@ -16,6 +16,7 @@
 
 from tests.support.scripted_proxy import Scripted, echoed, head, sealed
 from tests.support.served import ScriptedOrigin, answer
+from willowpost.proxy.cache.entry import CacheKey
 from willowpost.proxy.origin.errors import ExchangeError
 from willowpost.proxy.origin.exchange import Exchange
 from willowpost.proxy.origin.request import OriginRequest
@@ -158,7 +159,7 @@
         proxy.clock.time += 2_000_000
         proxy.node_state.fresh_as_of = proxy.clock.time
         self.assertEqual(b"one", proxy.ask("GET", "/kept/1", wp_request="n1")[1])
-        (entry,) = proxy.cache.entries[("h.example", "/kept/1")]
+        (entry,) = proxy.cache.entries[CacheKey("h.example", "/kept/1", "g")]
         self.assertEqual(("b",), entry.tags)
         self.assertEqual({"b"}, set(proxy.cache.tag_index.keys_by_tag))
 
