Soak: large uploads, changed lifetimes and attempts, memory of proxies

Configurations change the attempts of all routes and the lifetime of stored responses. New rules: no proxy takes more memory than it may, no request reaches more origins than its route allows, uploads are served at least a quarter as often as all requests (the users' bound of "starved").

--- a/src/willowpost/drill/soak/configurations.py
+++ b/src/willowpost/drill/soak/configurations.py
@@ -13,7 +13,7 @@
 from gevent.lock import BoundedSemaphore
 
 from willowpost.common.clock import Clock
-from willowpost.drill.soak.fleet import CONFIGURATION, HOST, SoakFleet
+from willowpost.drill.soak.fleet import CONFIGURATION, HOST, MAX_TRIES, SoakFleet
 from willowpost.stand_ins.http_call import OK
 
 CHANGE_PAUSE_SECONDS = 0.4
@@ -47,6 +47,8 @@
     """Returns a configuration with the routes of a change; those through shields take turns."""
     changed: dict[str, Any] = copy.deepcopy(CONFIGURATION)
     changed["settings"]["deadline_ms"] += number
+    changed["settings"]["tries"] = MAX_TRIES - number % 2
+    changed["branches"]["kept"]["settings"]["keep_seconds"] = 1 + number % 3
     for route in (number - 1, number):
         kind = (
             {"kind": "kept", "service": "pages", "keep_seconds": 1}
--- a/src/willowpost/drill/soak/fleet.py
+++ b/src/willowpost/drill/soak/fleet.py
@@ -14,7 +14,7 @@
 # as the platform's settings come to for this grace
 SHUTDOWN = {"drain_ms": 2250, "finish_ms": 2250, "leave_ms": 500}
 ZONES = ("a", "b", "c", "d", "e")
-CONFIGURATION = {
+CONFIGURATION: dict[str, Any] = {
     "services": {
         "pages": {"rate": 2000, "ramp_seconds": 2, "named": True, "silent_seconds": 4},
         "orders": {"rate": 2000, "ramp_seconds": 2, "named": True, "silent_seconds": 4},
@@ -22,6 +22,11 @@
     "settings": {"deadline_ms": 6000, "tries": 3, "service": "orders", "body_max": 65536},
     "branches": {
         "once": {"host": HOST, "path": "/once", "settings": {"kind": "once"}},
+        "upload": {
+            "host": HOST,
+            "path": "/upload",
+            "settings": {"kind": "once", "body_max": 64 * 1024 * 1024},
+        },
         "again": {"host": HOST, "path": "/again", "settings": {"kind": "repeatable"}},
         "kept": {
             "host": HOST,
@@ -30,6 +35,8 @@
         },
     },
 }
+MAX_TRIES = CONFIGURATION["settings"]["tries"]
+PROXY_MEMORY_MB = 160
 ORIGINS_EACH = 4
 MIN_CORES, MAX_CORES = 3, len(ZONES)
 
@@ -87,6 +94,7 @@
             process.settings.update(SHUTDOWN)
             if process.program == "wpproxy":
                 process.settings["serve_on_ms"] = serve_on_ms
+                process.settings["memory_mb"] = PROXY_MEMORY_MB
         self.write_cuts()
 
     def write_cuts(self) -> None:
--- a/src/willowpost/drill/soak/judge.py
+++ b/src/willowpost/drill/soak/judge.py
@@ -1,13 +1,16 @@
 """The rules of a soak, judged by what callers and origins saw and by the proxies' own counts."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
 
 from willowpost.common.clock import SECOND
 from willowpost.drill.rules import Findings
 from willowpost.drill.soak.callers import KEPT, ONCE, CallerTally, Sent
-from willowpost.drill.soak.fleet import GRACE_SECONDS
+from willowpost.drill.soak.fleet import GRACE_SECONDS, MAX_TRIES
+from willowpost.drill.soak.uploads import UPLOAD_PATH
 from willowpost.proxy.routing.attempt import NOT_RUN_STATUSES
+from willowpost.stand_ins.http_call import OK
 
 SENT_AFTER_LEAVING = SECOND // 2
 MAX_SENT_LATE = 3  # a close crosses what is under way, the more on a busy machine
@@ -16,6 +19,8 @@
 # From the SIGTERM: what an origin still works on then may be given up, if it was sent early.
 LAST_SIXTH_AFTER = int(GRACE_SECONDS * 5 / 6 * SECOND)
 SENT_EARLY = 3 * SECOND
+UPLOAD_END_CHARACTERS = 40  # of why one got no answer
+STARVED_PART = 0.25  # of the share of all requests that are served
 
 
 @dataclass(slots=True)
@@ -116,6 +121,10 @@
         findings.add_violations("nothing is sent for a caller that left", *self._after_leaving())
         findings.add_violations("nothing reaches an origin that left", *self._after_drain())
         findings.add_violations("a request that was passed on is answered", *self._unanswered())
+        findings.add_violations(
+            "no request reaches more origins than its route allows", *self._over_tries()
+        )
+        findings.add("uploads are served", *self._uploads())
 
     def _after_leaving(self) -> tuple[str, list[str]]:
         left = [
@@ -163,6 +172,29 @@
         answered = sum(request.status is not None for request in self.tally.sent.values())
         return f"{answered} answered,", lost
 
+    def _over_tries(self) -> tuple[str, list[str]]:
+        reached = {
+            name: len({address for address, _ in arrivals})
+            for name, arrivals in self.arrivals.items()
+        }
+        over = [f"{name} reached {count}" for name, count in reached.items() if count > MAX_TRIES]
+        return f"{sum(count > 1 for count in reached.values())} reached several,", over
+
+    def _uploads(self) -> tuple[str, bool]:
+        """How uploads were answered, and whether they were served as other requests were."""
+        statuses = Counter(
+            request.status or request.ended[:UPLOAD_END_CHARACTERS]
+            for request in self.tally.sent.values()
+            if request.path.startswith(UPLOAD_PATH)
+        )
+        served = statuses[OK]
+        all_served = sum(request.status == OK for request in self.tally.sent.values())
+        expected = STARVED_PART * all_served / max(1, len(self.tally.sent)) * statuses.total()
+        return (
+            f"{served} of {statuses.total()} {dict(statuses)}",
+            served >= expected,
+        )
+
     def _may_be_given_up(self, name: str, request: Sent) -> bool:
         """Whether its origin worked on it into the last sixth of the grace of its edge's end."""
         done_at = self.done.get(name)
--- a/src/willowpost/drill/soak/run.py
+++ b/src/willowpost/drill/soak/run.py
@@ -18,8 +18,10 @@
 from willowpost.drill.soak.fleet import HOST, SoakFleet
 from willowpost.drill.soak.fleet_health import FleetHealth
 from willowpost.drill.soak.judge import OutOfTouch, Record
+from willowpost.drill.soak.memory_watch import MemoryWatch
 from willowpost.drill.soak.probes import RouteProbes
 from willowpost.drill.soak.schedule import Kind, Parts, Trouble, drawn
+from willowpost.drill.soak.uploads import Uploads
 from willowpost.drill.soak.verdict import CONTACT, Observations, Verdict
 from willowpost.node.source_selection import MAX_PROXY_SOURCES
 
@@ -68,6 +70,8 @@
         self.ended: list[str] = []  # processes that ended by themselves, with their exit codes
         edges = self.fleet.edges()
         self.callers = SoakCallers(self.clock, edges, HOST, CALLERS_EACH_EDGE * len(edges), seed)
+        self.uploads = Uploads(self.clock, edges, self.callers.tally, seed)
+        self.memory = MemoryWatch(self.fleet)
         self.actions = TroubleActions(
             self.fleet, self.clock, self.record, self.findings, self.changer.change, self.callers
         )
@@ -83,7 +87,9 @@
         try:
             self._open()
             supervisor = gevent.spawn(self._supervise)
+            watch = gevent.spawn(self.memory.run)
             self.callers.start()
+            self.uploads.start()
             self.probes.start()
             self.reader.start()
             changer = gevent.spawn(self.changer.change_steadily)
@@ -91,6 +97,8 @@
             changer.kill()
             self._heal()
             self.callers.stop()
+            self.uploads.stop()
+            watch.kill()
             self.probes.stop()
             self.reader.stop()
             self._judge()
@@ -212,6 +220,7 @@
             self.probes.sent,
             self.reader.reads,
             self.ended,
+            self.memory,
         )
         excuse_span = CONTACT if self.serve_on_ms > LEASE_MS else None
         Verdict(self.fleet, self.clock, observations, excuse_span).judge(self.findings)
--- a/src/willowpost/drill/soak/verdict.py
+++ b/src/willowpost/drill/soak/verdict.py
@@ -12,6 +12,7 @@
 from willowpost.drill.soak.fleet import SoakFleet
 from willowpost.drill.soak.in_force_times import InForceTimes, read_log
 from willowpost.drill.soak.judge import Record, SoakRules
+from willowpost.drill.soak.memory_watch import MemoryWatch
 from willowpost.drill.soak.probes import Probe
 from willowpost.stand_ins.http_call import OK
 
@@ -32,6 +33,7 @@
         probes: Requests on the changes' routes, by their ids.
         reads: Of the configuration, that were answered.
         ended: Processes that ended by themselves, with their exit codes.
+        memory: What the proxies have had.
     """
 
     tally: CallerTally
@@ -41,6 +43,7 @@
     probes: dict[str, Probe]
     reads: list[ConfigurationRead]
     ended: list[str]
+    memory: MemoryWatch
 
 
 class Verdict:
@@ -118,6 +121,11 @@
         lines, ended = self._violations(), self.observations.ended
         findings.add("no invariant was violated", f"{len(lines)} {lines[:3]}", not lines)
         findings.add("no process ended by itself", str(ended), not ended)
+        memory = self.observations.memory
+        peak = max(memory.peaks_mb.values(), default=0)
+        findings.add_violations(
+            "no proxy takes more memory than it may", f"peak {peak} MB,", memory.over_limit()
+        )
         left = sum(page.get("without_caller", 0) for page in self.fleet.stats().values())
         findings.add("nothing is under way without a caller", str(left), not left)
 
