Bodies in chunks are served where the limit is above the memory for them

Read on my own change: a body in chunks asked for one byte more than its limit, and where the limit is the whole part for bodies (a process of less than about 150 MB with bodies of 64 MiB) nothing grants that, so each larger one waited and was refused. The test fails before: 503 for a body that fits, and in place of 413.

--- a/src/willowpost/proxy/client/body_reader.py
+++ b/src/willowpost/proxy/client/body_reader.py
@@ -124,6 +124,8 @@
 
         It is a small one until it is seen to be larger; then what it takes doubles at each step.
         """
+        # one byte more has to fit as well, since it shows that a body is too large
+        max_bytes = min(max_bytes, self._memory.largest_body_bytes - 1)
         self._grow(SMALL_BODY_BYTES)
         self._begin(head)
         source = ChunkedBody(self._reader)
@@ -141,7 +143,7 @@
 
     def _grow_chunked(self, max_bytes: int) -> None:
         """Takes more memory for a body that fills what it has."""
-        most = max_bytes + 1  # one byte more shows that it is too large
+        most = max_bytes + 1
         if self._received == SMALL_BODY_BYTES:
             small_claim = self._claim
             self._claim = self._memory.large_bodies.open(most)
--- a/tests/proxy/client/test_body_memory.py
+++ b/tests/proxy/client/test_body_memory.py
@@ -98,6 +98,19 @@
                     self.assertEqual({BODY_BYTES}, lengths)
                     self.assertEqual((0, 0), self.in_use())
 
+    def test_the_largest_bodies_that_fit_are_served_where_the_limit_is_above_the_memory(self):
+        process_bytes = BODY_BYTES  # of which a part is for bodies
+        largest = RequestMemory(process_bytes).largest_body_bytes
+        for size, expected in ((largest - 1, 200), (largest + 1, 413)):
+            for framing in ("length", "chunks"):
+                with self.subTest(size=size, framing=framing):
+                    self.served(answer(), process_bytes=process_bytes)
+                    body = self.sized(size)
+                    if framing == "chunks":
+                        body = b"transfer-encoding: chunked", chunked(bytes(size), 100_000)
+                    self.assertEqual(expected, self.upload(body)[0])
+                    self.assertEqual((0, 0), self.in_use())
+
     def in_use(self):
         return self.memory.large_bodies.used, self.memory.small_bodies.used
 
