Registries: the same change of an origin's warm-up is proposed again

Change: while an origin is unchanged in the tables, the change that was first proposed is proposed again. Its older fence is as safe: the log rejects it if the origin began to warm up again since, or if a later heartbeat has said something else.

Two tests of tests.registry.test_origin_lifecycle fail before (four heartbeats proposed four operations).

--- a/src/willowpost/registry/origin_health.py
+++ b/src/willowpost/registry/origin_health.py
@@ -158,7 +158,9 @@
         if not received.reports_warm_up or origin is None:
             return
         if origin.is_in_force and origin.state != reported:
-            change = self._reported_change(heartbeat, reported)
+            change = self._record(heartbeat.origin).proposal_to(
+                origin, self._reported_change(heartbeat, reported)
+            )
             self._propose(change, ChangeReason.HEARTBEAT, now, plan)
 
     def _heartbeat_receivers(self) -> list[str]:
@@ -249,7 +251,9 @@
             and time_in_state > check.settings.slow_start_us
         ):
             slot = self.node_state.tables.slot
-            change = ChangeOriginState(OriginState.WARM, check.name, known_slot=slot)
+            change = record.proposal_to(
+                entry, ChangeOriginState(OriginState.WARM, check.name, known_slot=slot)
+            )
             self._propose_periodically(record, change, ChangeReason.SLOW_START_OVER, now, plan)
 
     def _propose_periodically(
--- a/src/willowpost/registry/origin_records.py
+++ b/src/willowpost/registry/origin_records.py
@@ -7,6 +7,7 @@
 from willowpost.common.clock import SECOND
 from willowpost.state.entries import OriginEntry
 from willowpost.state.lifecycle import OriginState
+from willowpost.state.operations import ChangeOriginState
 
 DEFAULT_HEARTBEAT_TIMEOUT_SECONDS = 6.0
 DEFAULT_SLOW_START_SECONDS = 10.0
@@ -25,6 +26,8 @@
         health_checked_at: start of the last health check; None: none was started.
         proposed_at: of the last proposal after a check; None: none was made.
         heartbeat_number: the last one known; 0: none.
+        proposal: the last change of its warm-up that was proposed; None: none was.
+        proposed_for: the origin in the tables when that was first proposed.
     """
 
     last_seen_at: int | None = None
@@ -34,12 +37,33 @@
     health_checked_at: int | None = None
     proposed_at: int | None = None
     heartbeat_number: int = 0
+    proposal: ChangeOriginState | None = None
+    proposed_for: OriginEntry | None = None
 
     def observe_state(self, state: OriginState, now: int) -> None:
         """Record in which state the tables have the origin now."""
         if self.state != state:
             self.state, self.state_since = state, now
 
+    def proposal_to(self, entry: OriginEntry, change: ChangeOriginState) -> ChangeOriginState:
+        """Return what to propose: the last proposal again while it says the same.
+
+        An operation that differs only in what fences it is another one to the log, which would be
+        given each of them. The older fence is as safe as long as the origin has not changed.
+
+        Args:
+            entry: the origin in the tables.
+            change: what would be proposed now.
+        """
+        is_repeat = (
+            self.proposal is not None
+            and self.proposal.state == change.state
+            and self.proposed_for == entry
+        )
+        if not is_repeat:
+            self.proposal, self.proposed_for = change, entry
+        return self.proposal or change
+
 
 @dataclass(frozen=True, slots=True)
 class HealthSettings:
--- a/tests/registry/test_origin_lifecycle.py
+++ b/tests/registry/test_origin_lifecycle.py
@@ -398,6 +398,37 @@
                 )[1],
             )
 
+    def advance_log(self):
+        tables = self.node_state.tables
+        self.node_state.tables = replace(tables, slot=tables.slot + 1)
+
+    def test_what_is_proposed_again_is_the_same_operation_while_the_origin_is_unchanged(self):
+        """Guards against a slow log that is given a new operation with each slot and heartbeat."""
+        self.set_origin(state=OriginState.WARMING_UP)
+        proposed = []
+        for number in range(6, 10):
+            heartbeat = OriginHeartbeat("o", heartbeat_number=number)
+            proposed += self.step(HeartbeatReceived(heartbeat, True), SECOND)[1]
+            self.advance_log()
+        self.assertEqual((4, 1), (len(proposed), len(set(proposed))))
+        slot = self.node_state.tables.slot
+        self.set_origin(state=OriginState.WARMING_UP, warming_up_since_slot=slot - 1)
+        (again,) = self.step(
+            HeartbeatReceived(OriginHeartbeat("o", heartbeat_number=10), True), SECOND
+        )[1]
+        self.assertEqual((10, slot), (again.heartbeat_number, again.known_slot))
+
+    def test_so_is_the_end_of_a_slow_start_that_is_estimated(self):
+        name = self.choose_origin()
+        self.set_origin(name, state=OriginState.WARMING_UP, reports_warm_up=False)
+        proposed = []
+        for _ in range(40):
+            self.step(HeartbeatReceived(OriginHeartbeat(name)))
+            proposed += self.step(Tick(), 200 * MILLISECOND)[1]
+            self.advance_log()
+        self.assertGreater(len(proposed), 3)
+        self.assertEqual(1, len(set(proposed)))
+
     def test_the_slow_start_is_estimated_only_for_those_who_do_not_report_it(self):
         name = self.choose_origin()
         for reported, states in ((True, []), (False, [("warm", 7)])):
