--- a/src/willowpost/proxy/client/body_reader.py
+++ b/src/willowpost/proxy/client/body_reader.py
@@ -7,7 +7,8 @@
 
 from willowpost.common.clock import SECOND
 from willowpost.common.errors import WillowpostError
-from willowpost.common.memory_budget import MemoryClaim, MemoryExhaustedError, PooledMemory
+from willowpost.common.memory_budget import MemoryClaim, MemoryExhaustedError
+from willowpost.common.memory_pool import PooledMemory
 from willowpost.proxy.client.chunked_body import ChunkedBody
 from willowpost.proxy.client.connection_reader import ConnectionReader
 from willowpost.proxy.client.request_head import ClientRequestHead
--- a/src/willowpost/proxy/client/connection_reader.py
+++ b/src/willowpost/proxy/client/connection_reader.py
@@ -9,7 +9,7 @@
 from gevent import socket
 
 from willowpost.common.errors import WillowpostError
-from willowpost.common.memory_budget import PooledMemory
+from willowpost.common.memory_pool import PooledMemory
 from willowpost.proxy.origin.connection_pool import is_quiet
 
 RECEIVE_BYTES = 16 * 1024
--- a/src/willowpost/proxy/client/response_queue.py
+++ b/src/willowpost/proxy/client/response_queue.py
@@ -9,7 +9,7 @@
 import gevent
 import gevent.event
 
-from willowpost.common.memory_budget import PooledMemory
+from willowpost.common.memory_pool import PooledMemory
 from willowpost.proxy.client.lifetime import ClientDisconnected, RequestLifetime
 from willowpost.proxy.client.pacing import LinkPacer
 from willowpost.proxy.client.response import ClientResponse
--- a/src/willowpost/proxy/frontend.py
+++ b/src/willowpost/proxy/frontend.py
@@ -1,13 +1,11 @@
 """The clients' side of a proxy: plans a request, carries out the plan and builds the response."""
 
 from collections import Counter
-from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from typing import Protocol
 
-from willowpost.common.clock import MILLISECOND, SECOND, Clock
-from willowpost.common.memory_budget import PooledMemory
-from willowpost.configuration.routes import Route
+from willowpost.common.clock import Clock
+from willowpost.common.memory_pool import PooledMemory
 from willowpost.node.graceful_shutdown import ShutdownStage
 from willowpost.proxy.client.lifetime import UNWATCHED_LIFETIME, RequestLifetime
 from willowpost.proxy.client.pacing import LinkPacer
@@ -17,28 +15,24 @@
 from willowpost.proxy.client.stall_detector import StallDetector
 from willowpost.proxy.proxy_state import ProxyState
 from willowpost.proxy.request_body import RequestBody
+from willowpost.proxy.request_limits import RequestLimits
 from willowpost.proxy.request_memory import RequestMemory
-from willowpost.proxy.request_parser import RequestParser, host_of, path_of
+from willowpost.proxy.request_parser import RequestParser, path_of
 from willowpost.proxy.routing.attempt import RequestRejectedError
 from willowpost.proxy.routing.header_names import HeaderNames
 from willowpost.proxy.routing.plan_executor import PlanExecutor
 from willowpost.proxy.routing.planner import STALE_TABLES_RETRY_SECONDS, RequestPlanner
 from willowpost.proxy.routing.request import (
-    ONCE,
     SAFE_METHODS,
     RejectPlan,
     Request,
     RequestPlan,
-    kind_of,
 )
 from willowpost.proxy.routing.request_execution import RequestExecution
 from willowpost.proxy.status_page import HEALTH, PATHS, ProxyStatusPage
 from willowpost.shell.request_cuts import CutCause, RequestCuts
 from willowpost.shell.structured_log import StructuredLogger
 
-MAX_READ_BODY_BYTES = 64 * 1024
-# Of the time that a request has: the rest is for its transfer and for the origin.
-MEMORY_WAIT_PART = 2 / 3
 MEMORY_RETRY_SECONDS = 0.2
 LIMIT_STATUSES = (413, 431)
 NOT_ENDING = ShutdownStage.SERVING
@@ -89,6 +83,7 @@
         pacer: Paces large responses.
         cuts: The requests that were read and not answered completely.
         memory: What requests and responses may take.
+        limits: What clients may send.
         connections: The clients' open connections.
     """
 
@@ -116,6 +111,7 @@
         self._execution = RequestExecution(planner, executor, stats)
         self._responses = ResponseBuilder(options.header_names, stats)
         self._parser = RequestParser(node_state, options.header_names)
+        self.limits = RequestLimits(node_state, self._parser, self.memory)
         self._status_page = ProxyStatusPage(
             node_state, clock, stats, executor.attempts.resources.outgoing
         )
@@ -140,11 +136,6 @@
         """Whether this proxy is draining."""
         return self.node_state.is_draining
 
-    def limits(self) -> Mapping[str, int]:
-        """Returns the limits of the configuration in force, by name."""
-        limits: Mapping[str, int] = self.node_state.snapshot.limits
-        return limits
-
     def record_aborted_response(self, problem: BaseException) -> None:
         """Counts and logs a response that was cut off after its head had been sent."""
         self.stats["cut"] += 1
@@ -159,34 +150,6 @@
         """Counts requests whose client has disconnected before they were answered."""
         self.stats["caller_left"] += requests
 
-    def is_repeatable(self, head: ClientRequestHead) -> bool:
-        """Whether the request may be sent to an origin more than once."""
-        route = self._route(head)
-        request = Request(head.method, "", "", head.headers)
-        return route is None or kind_of(route, request) != ONCE
-
-    def body_limit_bytes(self, head: ClientRequestHead) -> int:
-        """Returns the largest body accepted with this request, in bytes."""
-        return min(self._configured_body_limit_bytes(head), self.memory.largest_body_bytes)
-
-    def max_memory_wait_seconds(self, head: ClientRequestHead) -> float:
-        """Returns how long a request's body may wait for memory: a part of the request's time."""
-        route = self._route(head)
-        spans = [] if route is None else [route.deadline_ms * MILLISECOND]
-        client_span = self._parser.time_left(head.headers)
-        if client_span is not None:
-            spans.append(client_span)
-        return min(spans, default=0) * MEMORY_WAIT_PART / SECOND
-
-    def _configured_body_limit_bytes(self, head: ClientRequestHead) -> int:
-        route = self._route(head)
-        limit = self.limits().get("body_bytes")
-        if limit is not None:
-            return limit
-        if route is None or head.method in SAFE_METHODS:
-            return MAX_READ_BODY_BYTES
-        return int(route.body_max)
-
     def reject_malformed(self, status: int, reason: str) -> ClientResponse:
         """Returns the response to a request that cannot be parsed or is over a limit."""
         return self._responses.build_rejection(self._limit_rejection(status, reason), False)
@@ -261,14 +224,11 @@
         self.stats["requests"] += 1
 
         def check_body(plan: RequestPlan) -> None:
-            if not isinstance(plan, RejectPlan) and len(body) > self.body_limit_bytes(head):
+            if not isinstance(plan, RejectPlan) and len(body) > self.limits.body_bytes(head):
                 raise self._limit_rejection(413, "body over the limit")
 
         return self._responses.build(request, self._execution.run(request, body, check_body))
 
-    def _route(self, head: ClientRequestHead) -> Route | None:
-        return self.node_state.snapshot.routes.find(host_of(head), path_of(head))
-
     def _limit_rejection(self, status: int, reason: str) -> RequestRejectedError:
         """Returns the rejection; a configured limit rejects only if it is known to be current."""
         if status in LIMIT_STATUSES and not self.node_state.may_deny(self.clock.now()):
--- a/src/willowpost/proxy/handler.py
+++ b/src/willowpost/proxy/handler.py
@@ -140,7 +140,7 @@
         Raises:
             OSError: The client has disconnected meanwhile.
         """
-        runs_alone = not head.has_no_body or not self.front.is_repeatable(head)
+        runs_alone = not head.has_no_body or not self.front.limits.is_repeatable(head)
         max_pending = 0 if runs_alone or self.last_runs_alone else MAX_PIPELINED_REQUESTS - 1
         self.watcher.wait(max_pending)
         if not self.responses.is_closing:
@@ -161,7 +161,7 @@
         )
 
     def _read_head(self) -> bytes:
-        limits = self.front.limits()
+        limits = self.front.limits.configured()
         timeout_at_begin = self._idle_timeout_seconds()
 
         def idle_seconds_left() -> float:
@@ -179,7 +179,7 @@
 
     def _idle_timeout_seconds(self) -> float:
         """How long a connection may be idle by the configuration in force now."""
-        timeout_ms: float = self.front.limits().get("idle_ms") or IDLE_TIMEOUT_MS
+        timeout_ms: float = self.front.limits.configured().get("idle_ms") or IDLE_TIMEOUT_MS
         return timeout_ms / MS_PER_SECOND
 
     def _respond(
@@ -211,7 +211,9 @@
     def _respond_with_body(self, pending: PendingResponse, head: ClientRequestHead) -> None:
         try:
             received = BodyReader(self.socket, self.reader, self.front.memory).read(
-                head, self.front.body_limit_bytes(head), self.front.max_memory_wait_seconds(head)
+                head,
+                self.front.limits.body_bytes(head),
+                self.front.limits.memory_wait_seconds(head),
             )
         except BodyTooLargeError:
             self._reject_body(pending, self.front.reject_malformed(413, "body over the limit"))
--- a/src/willowpost/proxy/metrics.py
+++ b/src/willowpost/proxy/metrics.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable, Mapping
 
-from willowpost.common.memory_budget import MemoryBudget, MemoryPool
+from willowpost.common.memory_budget import MemoryBudget
+from willowpost.common.memory_pool import MemoryPool
 from willowpost.proxy.frontend import Frontend
 from willowpost.proxy.outgoing import OutgoingRequests
 from willowpost.proxy.proxy_state import ProxyState
--- a/src/willowpost/proxy/origin/exchange.py
+++ b/src/willowpost/proxy/origin/exchange.py
@@ -12,7 +12,7 @@
 import gevent
 from gevent import socket
 
-from willowpost.common.memory_budget import PooledMemory
+from willowpost.common.memory_pool import PooledMemory
 from willowpost.proxy.origin.errors import ExchangeError
 from willowpost.proxy.origin.instance_check import MAX_CHECK_BODY_BYTES, InstanceCheck
 from willowpost.proxy.origin.request import OriginRequest
--- a/src/willowpost/proxy/origin/response_buffering.py
+++ b/src/willowpost/proxy/origin/response_buffering.py
@@ -1,6 +1,6 @@
 """Whether a response's body is kept in memory until it is complete."""
 
-from willowpost.common.memory_budget import PooledMemory
+from willowpost.common.memory_pool import PooledMemory
 
 
 class ResponseBuffering:
--- a/src/willowpost/proxy/request_memory.py
+++ b/src/willowpost/proxy/request_memory.py
@@ -4,7 +4,8 @@
 much they send at once.
 """
 
-from willowpost.common.memory_budget import MemoryBudget, MemoryPool, PooledMemory
+from willowpost.common.memory_budget import MemoryBudget
+from willowpost.common.memory_pool import MemoryPool, PooledMemory
 from willowpost.shell.process_settings import DEFAULT_MEMORY_BYTES
 
 # Parts of a process's memory. The rest is for the program itself, its tables and its cache.
--- a/src/willowpost/proxy/routing/attempt_resources.py
+++ b/src/willowpost/proxy/routing/attempt_resources.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from willowpost.common.memory_budget import PooledMemory
+from willowpost.common.memory_pool import PooledMemory
 from willowpost.proxy.admission.quota_admission import QuotaAdmission
 from willowpost.proxy.admission.retry_budget import RetryBudget
 from willowpost.proxy.admission.slow_start import SlowStartAdmission
--- a/src/willowpost/proxy/routing/request.py
+++ b/src/willowpost/proxy/routing/request.py
@@ -4,7 +4,7 @@
 from typing import TypeAlias
 
 from willowpost.common.clock import MILLISECOND
-from willowpost.common.memory_budget import PooledMemory
+from willowpost.common.memory_pool import PooledMemory
 from willowpost.configuration.routes import Route
 from willowpost.proxy.cache.entry import CacheEntry
 from willowpost.proxy.client.lifetime import UNWATCHED_LIFETIME, RequestLifetime
--- a/src/willowpost/shell/call_memory.py
+++ b/src/willowpost/shell/call_memory.py
@@ -9,13 +9,8 @@
 from contextlib import contextmanager
 
 from willowpost.common.errors import WillowpostError
-from willowpost.common.memory_budget import (
-    MemoryBudget,
-    MemoryClaim,
-    MemoryExhaustedError,
-    MemoryPool,
-    PooledMemory,
-)
+from willowpost.common.memory_budget import MemoryBudget, MemoryClaim, MemoryExhaustedError
+from willowpost.common.memory_pool import MemoryPool, PooledMemory
 from willowpost.shell.memory_wait import grow_claim
 from willowpost.shell.web import Environ, read_body
 
--- a/tests/common/test_memory_budget.py
+++ b/tests/common/test_memory_budget.py
@@ -3,12 +3,8 @@
 import random
 import unittest
 
-from willowpost.common.memory_budget import (
-    MemoryBudget,
-    MemoryExhaustedError,
-    MemoryPool,
-    PooledMemory,
-)
+from willowpost.common.memory_budget import MemoryBudget, MemoryExhaustedError
+from willowpost.common.memory_pool import MemoryPool, PooledMemory
 
 
 class Ordering(unittest.TestCase):
--- a/tests/proxy/origin/test_exchange.py
+++ b/tests/proxy/origin/test_exchange.py
@@ -125,7 +125,7 @@
             50
         )
         body = b"x" * 900_000
-        with mock.patch.object(proxy.front, "body_limit_bytes", lambda asked: 10**7):
+        with mock.patch.object(proxy.front.limits, "body_bytes", lambda asked: 10**7):
             code, said, _ = proxy.ask("POST", "/once/1", body, wp_request="n1")
         # either the answer was still there and is followed by another try, or the request may have
         # run; never a second try on the mere word of a reset
