Soak: the last attempt tells whether an origin was at work at the end

Traced: a repeatable request sent 0.02 to 0.6 s before, or 1.5 s after, the SIGTERM of its edge, whose third attempt had reached an origin 1 s before the end of the grace and was at work there; the judge took the time at which the first origin was done with the attempt that was given up.

So the end of work counts only if it is after the last arrival. The check is as strict otherwise: the test asks for a break if the last origin was done before the last sixth, whatever earlier ones did.

--- a/src/willowpost/drill/soak/judge.py
+++ b/src/willowpost/drill/soak/judge.py
@@ -197,7 +197,7 @@
 
     def _may_be_given_up(self, name: str, request: Sent) -> bool:
         """Whether its origin worked on it into the last sixth of the grace of its edge's end."""
-        done_at = self.done.get(name)
+        done_at = self._done_at(name)
         return any(
             request.sent_at <= at + SENT_EARLY
             and (done_at is None or done_at >= at + LAST_SIXTH_AFTER)
@@ -205,6 +205,15 @@
             if request.sent_at >= at - DOWN_SPAN
         )
 
+    def _done_at(self, name: str) -> int | None:
+        """When its last origin was done with it; None if that origin was not.
+
+        What an earlier attempt's origin went on with after it was given up says nothing of it.
+        """
+        done_at = self.done.get(name)
+        last_arrival = max((at for _, at in self.arrivals.get(name, ())), default=0)
+        return None if done_at is None or done_at < last_arrival else done_at
+
     def _was_down(self, edge: str, sent_at: int) -> bool:
         return any(
             end >= sent_at and begin <= sent_at + DOWN_SPAN
