Web server: a system that refuses the size of receive buffers does not end it

Nothing but the memory of what is unread depends on the option, and the users' platform, which could not be run here, names no list of options.

--- a/src/willowpost/shell/web_server.py
+++ b/src/willowpost/shell/web_server.py
@@ -1,5 +1,6 @@
 """gevent's WSGI server, for applications that several connections use at once."""
 
+import contextlib
 from typing import Any
 
 from gevent import socket
@@ -103,7 +104,9 @@
         self.server.init_socket()
         for (level, option), value in KEEPALIVE_OPTIONS.items():
             self.server.socket.setsockopt(level, option, value)
-        self.server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        # a system that does not let it be set has a bound of its own
+        with contextlib.suppress(OSError):
+            self.server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self.server.start()
 
     def is_accepting(self) -> bool:
